Judge requests that crash targets, and read callers' calls

Ruled out: counting in each entry alone (seven entries, fourteen targets) and a record in the platform per request (a write each). Chosen: the entry that owns the fingerprint by rendezvous hash answers, as soft state.

--- /dev/null
+++ b/src/gypsumsail/entry/answers.py
@@ -0,0 +1,207 @@
+"""Encodes answers and errors towards callers."""
+
+from __future__ import annotations
+
+import json
+import math
+import random
+from typing import Protocol
+
+from gypsumsail.core.errors import GypsumsailError, RequestError, RunState
+from gypsumsail.entry.const import RETRY_AFTER_JITTER_SECONDS
+from gypsumsail.entry.head import Send
+from gypsumsail.targets.port import AnswerEnd, AnswerToken, PlainAnswer
+
+_encode_text = json.encoder.encode_basestring_ascii
+_EVENT_END = b"}\n\n"
+_DONE = b"data: [DONE]\n\n"
+
+
+class AnswerSink(Protocol):
+    """Where the tokens of an answer go."""
+
+    started: bool
+
+    async def async_tokens(self, tokens: list[AnswerToken]) -> None:
+        """Take the next tokens."""
+
+    async def async_end(self, end: AnswerEnd) -> None:
+        """Take the end of the whole answer."""
+
+
+def spread_retry_after(seconds: float, rng: random.Random) -> float:
+    """Return a time to come back that differs between callers."""
+    return seconds + rng.uniform(0.0, RETRY_AFTER_JITTER_SECONDS)
+
+
+def error_body(error: GypsumsailError, request_id: str) -> bytes:
+    """Return the JSON text of an error."""
+    run_state = error.run_state if isinstance(error, RequestError) else None
+    retry_after = error.retry_after if isinstance(error, RequestError) else None
+    body = {
+        "error": {
+            "code": error.code,
+            "message": str(error),
+            "run": (run_state or RunState.MAY_HAVE_RUN).value,
+            "retry_after": retry_after and round(retry_after, 2),
+            "request_id": request_id,
+        }
+    }
+    return json.dumps(body).encode()
+
+
+async def async_send_whole(
+    send: Send,
+    *,
+    status: int,
+    body: bytes,
+    content_type: str = "application/json",
+    headers: tuple[tuple[bytes, bytes], ...] = (),
+) -> None:
+    """Send one whole HTTP answer."""
+    head = [
+        (b"content-type", content_type.encode("latin-1")),
+        (b"content-length", str(len(body)).encode()),
+        *headers,
+    ]
+    await send({"type": "http.response.start", "status": status, "headers": head})
+    await send({"type": "http.response.body", "body": body})
+
+
+async def async_send_error(send: Send, error: RequestError, request_id: str) -> None:
+    """Send an error as the whole answer."""
+    headers = [
+        (b"x-request-id", request_id.encode()),
+        (b"x-run-state", error.run_state.value.encode()),
+    ]
+    if error.retry_after is not None:
+        seconds = str(math.ceil(error.retry_after))
+        headers.append((b"retry-after", seconds.encode()))
+    await async_send_whole(
+        send,
+        status=error.status,
+        body=error_body(error, request_id),
+        headers=tuple(headers),
+    )
+
+
+async def async_send_plain(send: Send, answer: PlainAnswer, request_id: str) -> None:
+    """Send the answer of a plain service."""
+    await async_send_whole(
+        send,
+        status=answer.status,
+        body=answer.body,
+        content_type=answer.content_type,
+        headers=(
+            (b"x-request-id", request_id.encode()),
+            (b"x-run-state", RunState.RAN.value.encode()),
+        ),
+    )
+
+
+class StreamSink:
+    """Sends an answer as server-sent events while it is computed."""
+
+    def __init__(self, send: Send, request_id: str, model: str) -> None:
+        self.send = send
+        self.request_id = request_id
+        self.started = False
+        head = json.dumps(
+            {"id": request_id, "object": "text_completion", "model": model}
+        )
+        self.prefix = f'data: {head[:-1]}, "choices": [{{"index": 0, "text": '.encode()
+
+    async def async_tokens(self, tokens: list[AnswerToken]) -> None:
+        """Send all tokens that arrived together in one body message."""
+        if not self.started:
+            await self._async_start()
+        prefix = self.prefix
+        body = b"".join(
+            prefix
+            + _encode_text(token.text).encode()
+            + b', "finish_reason": null}]'
+            + _EVENT_END
+            for token in tokens
+        )
+        await self.send({"type": "http.response.body", "body": body, "more_body": True})
+
+    async def async_end(self, end: AnswerEnd) -> None:
+        """Send the finish reason, the usage and the end of the stream."""
+        if not self.started:
+            await self._async_start()
+        usage = json.dumps(usage_of(end))
+        finish = json.dumps(end.finish_reason.value)
+        event = b"".join(
+            (
+                self.prefix,
+                f'"", "finish_reason": {finish}}}], "usage": {usage}'.encode(),
+                _EVENT_END,
+                _DONE,
+            )
+        )
+        await self.send({"type": "http.response.body", "body": event})
+
+    async def async_fail(self, error: RequestError) -> None:
+        """End a started stream with an error event and without ``[DONE]``."""
+        event = b"data: " + error_body(error, self.request_id) + b"\n\n"
+        await self.send({"type": "http.response.body", "body": event})
+
+    async def _async_start(self) -> None:
+        self.started = True
+        headers = [
+            (b"content-type", b"text/event-stream"),
+            (b"cache-control", b"no-store"),
+            (b"x-request-id", self.request_id.encode()),
+        ]
+        await self.send(
+            {"type": "http.response.start", "status": 200, "headers": headers}
+        )
+
+
+class WholeSink:
+    """Collects an answer and sends it at once when it is whole."""
+
+    def __init__(self, send: Send, request_id: str, model: str) -> None:
+        self.send = send
+        self.request_id = request_id
+        self.model = model
+        self.started = False
+        self.parts: list[str] = []
+
+    async def async_tokens(self, tokens: list[AnswerToken]) -> None:
+        """Keep the tokens."""
+        self.parts.extend(token.text for token in tokens)
+
+    async def async_end(self, end: AnswerEnd) -> None:
+        """Send the whole answer."""
+        self.started = True
+        choice = {
+            "index": 0,
+            "text": "".join(self.parts),
+            "finish_reason": end.finish_reason.value,
+        }
+        body = {
+            "id": self.request_id,
+            "object": "text_completion",
+            "model": self.model,
+            "choices": [choice],
+            "usage": usage_of(end),
+        }
+        await async_send_whole(
+            self.send,
+            status=200,
+            body=json.dumps(body).encode(),
+            headers=((b"x-request-id", self.request_id.encode()),),
+        )
+
+
+def usage_of(end: AnswerEnd) -> dict[str, int | str]:
+    """Return the usage part of an answer."""
+    return {
+        "prompt_tokens": end.prompt_tokens,
+        "completion_tokens": end.answer_tokens,
+        "total_tokens": end.prompt_tokens + end.answer_tokens,
+        "cached_tokens": end.cached_tokens,
+        "imported_tokens": end.imported_tokens,
+        "weight_version": end.weight_version,
+    }
--- /dev/null
+++ b/src/gypsumsail/entry/const.py
@@ -0,0 +1,23 @@
+"""Constants of the entry role."""
+
+from __future__ import annotations
+
+from typing import Final
+
+HEADER_AUTHORIZATION: Final = b"authorization"
+HEADER_CONTENT_LENGTH: Final = b"content-length"
+HEADER_CONTENT_TYPE: Final = b"content-type"
+HEADER_IDEMPOTENCY_KEY: Final = b"idempotency-key"
+HEADER_PRIORITY: Final = b"x-priority"
+HEADER_DEADLINE: Final = b"x-deadline"
+
+BEARER_PREFIX: Final = b"Bearer "
+
+IDEMPOTENCY_KEY_MAX_LENGTH: Final = 200
+API_KEY_MAX_LENGTH: Final = 200
+MAX_ANSWER_TOKENS: Final = 16_384
+DEFAULT_ANSWER_TOKENS: Final = 256
+LOWEST_PRIORITY: Final = 9
+BODY_READ_SECONDS: Final = 30.0
+RETRY_AFTER_SECONDS: Final = 2.0
+RETRY_AFTER_JITTER_SECONDS: Final = 2.0
--- /dev/null
+++ b/src/gypsumsail/suspects/coordinator.py
@@ -0,0 +1,255 @@
+"""Asks the owners of fingerprints and targets for verdicts and slots."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+from typing import TypeVar
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import GypsumsailError, TransportError
+from gypsumsail.core.rendezvous import owner
+from gypsumsail.peers.port import EntryId, Message, PeerNetwork
+from gypsumsail.suspects.const import ASK_TIMEOUT_SECONDS, EXPIRE_INTERVAL_SECONDS
+from gypsumsail.suspects.models import (
+    BeginAttempt,
+    Convicted,
+    EndAttempt,
+    ExplainCrash,
+    FreeSlot,
+    PlaceAttempt,
+    ReportCrash,
+    SlotAnswer,
+    TakeSlot,
+    TargetLife,
+    Verdict,
+    VerdictAnswer,
+    decode_verdict,
+    encode_verdict,
+)
+from gypsumsail.suspects.table import SlotTable, SuspectTable
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.port import Recorder
+
+_LOGGER = logging.getLogger(__name__)
+
+_AnswerT = TypeVar("_AnswerT", bound=Message)
+
+
+class SuspectsCoordinator:
+    """Verdicts over all entries that can see each other.
+
+    An owner that can't be asked within `ASK_TIMEOUT_SECONDS` is replaced by this
+    entry's own table, so that a lost entry never holds requests up.
+    """
+
+    def __init__(
+        self, me: EntryId, network: PeerNetwork, recorder: Recorder, clock: Clock
+    ) -> None:
+        self.me = me
+        self.network = network
+        self.recorder = recorder
+        self.clock = clock
+        self.table = SuspectTable()
+        self.slots = SlotTable()
+        self.unsubscribe: list[Callable[[], None]] = []
+        self.expire_task: asyncio.Task[None] | None = None
+        self.seen_peers: set[str] = set()
+
+    async def async_setup(self) -> None:
+        """Start to answer other entries."""
+        subscribe = self.network.subscribe
+        self.unsubscribe = [
+            subscribe(BeginAttempt, self._async_on_begin),
+            subscribe(PlaceAttempt, self._async_on_place),
+            subscribe(EndAttempt, self._async_on_end),
+            subscribe(ReportCrash, self._async_on_crash),
+            subscribe(TakeSlot, self._async_on_take_slot),
+            subscribe(FreeSlot, self._async_on_free_slot),
+            subscribe(ExplainCrash, self._async_on_explain),
+        ]
+        self.expire_task = asyncio.create_task(self._async_expire())
+
+    async def async_unload(self) -> None:
+        """Stop to answer other entries."""
+        for unsubscribe in self.unsubscribe:
+            unsubscribe()
+        self.unsubscribe = []
+        if self.expire_task is not None:
+            self.expire_task.cancel()
+
+    async def async_begin(self, fingerprint: str, attempt_id: str) -> Verdict:
+        """Return whether an attempt may start."""
+        message = BeginAttempt(fingerprint=fingerprint, attempt_id=attempt_id)
+        answer = await self._async_ask(fingerprint, message, VerdictAnswer)
+        if answer is not None:
+            return decode_verdict(answer)
+        return self.table.begin(
+            fingerprint, attempt_id, _life_of(self.me), self.clock.monotonic()
+        )
+
+    async def async_place(
+        self, fingerprint: str, attempt_id: str, life: TargetLife
+    ) -> None:
+        """Tell the owner where the attempt runs."""
+        self.table.place(fingerprint, attempt_id, life)
+        await self._async_tell(
+            fingerprint,
+            PlaceAttempt(
+                fingerprint=fingerprint,
+                attempt_id=attempt_id,
+                target=life.target,
+                incarnation=life.incarnation,
+            ),
+        )
+
+    async def async_end(
+        self, fingerprint: str, attempt_id: str, *, whole: bool
+    ) -> None:
+        """Tell the owner that the attempt ended without a crash."""
+        self.table.end(fingerprint, attempt_id, whole=whole)
+        message = EndAttempt(
+            fingerprint=fingerprint, attempt_id=attempt_id, whole=whole
+        )
+        await self._async_tell(fingerprint, message)
+
+    async def async_crash(
+        self, fingerprint: str, attempt_id: str, life: TargetLife, *, isolated: bool
+    ) -> Verdict:
+        """Report a crash; return the verdict that follows from it."""
+        message = ReportCrash(
+            fingerprint=fingerprint,
+            attempt_id=attempt_id,
+            target=life.target,
+            incarnation=life.incarnation,
+            isolated=isolated,
+        )
+        now = self.clock.monotonic()
+        own = self.table.crash(
+            fingerprint, attempt_id, life, isolated=isolated, now=now
+        )
+        answer = await self._async_ask(fingerprint, message, VerdictAnswer)
+        verdict = own if answer is None else decode_verdict(answer)
+        if isinstance(verdict, Convicted):
+            await self._async_explain(fingerprint, life)
+        return verdict
+
+    async def async_take_slot(self, target: str, attempt_id: str) -> bool:
+        """Take the target's one place for a suspect."""
+        message = TakeSlot(target=target, attempt_id=attempt_id)
+        answer = await self._async_ask(target, message, SlotAnswer)
+        if answer is not None:
+            return answer.given
+        return self.slots.take(target, attempt_id, self.clock.monotonic())
+
+    async def async_free_slot(self, target: str, attempt_id: str) -> None:
+        """Give the place back."""
+        self.slots.free(target, attempt_id)
+        await self._async_tell(target, FreeSlot(target=target, attempt_id=attempt_id))
+
+    async def _async_ask(
+        self, key: str, message: Message, answer_type: type[_AnswerT]
+    ) -> _AnswerT | None:
+        peer = self._owner(key)
+        if peer is None:
+            return None
+        try:
+            answer = await self.network.async_request(
+                peer, message, timeout=ASK_TIMEOUT_SECONDS
+            )
+        except TransportError as error:
+            _LOGGER.debug("Owner %s gave no answer: %s", peer.name, error)
+            return None
+        return answer if isinstance(answer, answer_type) else None
+
+    async def _async_tell(self, key: str, message: Message) -> None:
+        peer = self._owner(key)
+        if peer is None:
+            return
+        try:
+            await self.network.async_send(peer, message)
+        except GypsumsailError as error:
+            _LOGGER.debug("Owner %s was not told: %s", peer.name, error)
+
+    def _owner(self, key: str) -> EntryId | None:
+        """Return the peer that owns a key, or ``None`` when this entry does."""
+        peers = {peer.name: peer for peer in self.network.peers()}
+        name = owner(key, [self.me.name, *peers])
+        return peers.get(name)
+
+    async def _async_explain(self, fingerprint: str, life: TargetLife) -> None:
+        self.table.explain(fingerprint, life)
+        self.recorder.record(
+            Event(
+                kind=EventKind.CRASH_VERDICT,
+                target=life.target,
+                detail=f"fingerprint {fingerprint[:16]} convicted",
+            )
+        )
+        message = ExplainCrash(
+            fingerprint=fingerprint, target=life.target, incarnation=life.incarnation
+        )
+        for peer in self.network.peers():
+            try:
+                await self.network.async_send(peer, message)
+            except GypsumsailError as error:
+                _LOGGER.debug("Peer %s was not told: %s", peer.name, error)
+
+    async def _async_expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL_SECONDS)
+            self.expire(self.clock.monotonic())
+
+    @callback
+    def expire(self, now: float) -> None:
+        """Drop what ended by time and the attempts of entries that are gone."""
+        alive = {_life_of(peer) for peer in self.network.peers()}
+        for lost in self.seen_peers - alive:
+            self.table.entry_lost(lost, now)
+        self.seen_peers = alive
+        self.table.expire(now)
+
+    async def _async_on_begin(self, peer: EntryId, message: BeginAttempt) -> Message:
+        verdict = self.table.begin(
+            message.fingerprint,
+            message.attempt_id,
+            _life_of(peer),
+            self.clock.monotonic(),
+        )
+        return encode_verdict(verdict)
+
+    async def _async_on_place(self, _peer: EntryId, message: PlaceAttempt) -> None:
+        life = TargetLife(target=message.target, incarnation=message.incarnation)
+        self.table.place(message.fingerprint, message.attempt_id, life)
+
+    async def _async_on_end(self, _peer: EntryId, message: EndAttempt) -> None:
+        self.table.end(message.fingerprint, message.attempt_id, whole=message.whole)
+
+    async def _async_on_crash(self, _peer: EntryId, message: ReportCrash) -> Message:
+        verdict = self.table.crash(
+            message.fingerprint,
+            message.attempt_id,
+            TargetLife(target=message.target, incarnation=message.incarnation),
+            isolated=message.isolated,
+            now=self.clock.monotonic(),
+        )
+        return encode_verdict(verdict)
+
+    async def _async_on_take_slot(self, _peer: EntryId, message: TakeSlot) -> Message:
+        given = self.slots.take(
+            message.target, message.attempt_id, self.clock.monotonic()
+        )
+        return SlotAnswer(given=given)
+
+    async def _async_on_free_slot(self, _peer: EntryId, message: FreeSlot) -> None:
+        self.slots.free(message.target, message.attempt_id)
+
+    async def _async_on_explain(self, _peer: EntryId, message: ExplainCrash) -> None:
+        life = TargetLife(target=message.target, incarnation=message.incarnation)
+        self.table.explain(message.fingerprint, life)
+
+
+def _life_of(entry: EntryId) -> str:
+    return f"{entry.name}/{entry.incarnation}"
--- /dev/null
+++ b/src/gypsumsail/suspects/models.py
@@ -0,0 +1,200 @@
+"""Verdicts on requests and the messages that carry them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TypeAlias
+
+from gypsumsail.peers.port import Message
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Clear:
+    """The request may run anywhere."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunOn:
+    """The same request runs already: run it on the same target or not at all."""
+
+    target: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Unplaced:
+    """The same request is about to be placed: ask again in a moment."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Isolate:
+    """A target crashed under the request: run it only in a target's suspect slot."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Busy:
+    """The request is a suspect and runs already."""
+
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Convicted:
+    """The request crashed the targets that ran it.
+
+    Attributes
+    ----------
+    seconds_left
+        Seconds until the verdict ends.
+    """
+
+    seconds_left: float
+
+
+Verdict: TypeAlias = Clear | RunOn | Unplaced | Isolate | Busy | Convicted
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetLife:
+    """One incarnation of a target."""
+
+    target: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BeginAttempt(Message):
+    """Asks the fingerprint's owner whether an attempt may start."""
+
+    fingerprint: str
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlaceAttempt(Message):
+    """Tells the owner where an attempt runs."""
+
+    fingerprint: str
+    attempt_id: str
+    target: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndAttempt(Message):
+    """Tells the owner that an attempt ended without a crash of its target.
+
+    Attributes
+    ----------
+    whole
+        Whether the target gave its whole answer.
+    """
+
+    fingerprint: str
+    attempt_id: str
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportCrash(Message):
+    """Tells the owner that a target crashed under an attempt."""
+
+    fingerprint: str
+    attempt_id: str
+    target: str
+    incarnation: str
+    isolated: bool
+
+
+class VerdictKind(StrEnum):
+    """Name of a verdict in a message."""
+
+    CLEAR = "clear"
+    RUN_ON = "run_on"
+    UNPLACED = "unplaced"
+    ISOLATE = "isolate"
+    BUSY = "busy"
+    CONVICTED = "convicted"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VerdictAnswer(Message):
+    """Answer to `BeginAttempt` and `ReportCrash`.
+
+    Attributes
+    ----------
+    kind
+        Which verdict it is.
+    seconds
+        Seconds to come back or seconds left of a verdict.
+    """
+
+    kind: VerdictKind
+    target: str = ""
+    seconds: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TakeSlot(Message):
+    """Asks the target's owner for the target's one place for a suspect."""
+
+    target: str
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SlotAnswer(Message):
+    """Whether the place was given."""
+
+    given: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FreeSlot(Message):
+    """Gives the place for a suspect back."""
+
+    target: str
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ExplainCrash(Message):
+    """Tells all that a crash is explained by a convicted request."""
+
+    fingerprint: str
+    target: str
+    incarnation: str
+
+
+def encode_verdict(verdict: Verdict) -> VerdictAnswer:
+    """Return the message for a verdict."""
+    match verdict:
+        case Clear():
+            return VerdictAnswer(kind=VerdictKind.CLEAR)
+        case RunOn(target=target):
+            return VerdictAnswer(kind=VerdictKind.RUN_ON, target=target)
+        case Unplaced():
+            return VerdictAnswer(kind=VerdictKind.UNPLACED)
+        case Isolate():
+            return VerdictAnswer(kind=VerdictKind.ISOLATE)
+        case Busy(retry_after=seconds):
+            return VerdictAnswer(kind=VerdictKind.BUSY, seconds=seconds)
+        case Convicted(seconds_left=seconds):
+            return VerdictAnswer(kind=VerdictKind.CONVICTED, seconds=seconds)
+
+
+def decode_verdict(answer: VerdictAnswer) -> Verdict:
+    """Return the verdict of a message."""
+    match answer.kind:
+        case VerdictKind.CLEAR:
+            return Clear()
+        case VerdictKind.RUN_ON:
+            return RunOn(target=answer.target)
+        case VerdictKind.UNPLACED:
+            return Unplaced()
+        case VerdictKind.ISOLATE:
+            return Isolate()
+        case VerdictKind.BUSY:
+            return Busy(retry_after=answer.seconds)
+        case VerdictKind.CONVICTED:
+            return Convicted(seconds_left=answer.seconds)
--- /dev/null
+++ b/src/gypsumsail/suspects/table.py
@@ -0,0 +1,226 @@
+"""Decides which requests are suspected or convicted of crashing targets."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from gypsumsail.suspects.const import (
+    ATTEMPT_FORGOTTEN_SECONDS,
+    BUSY_RETRY_AFTER_SECONDS,
+    CRASHES_TO_CONVICT,
+    MAX_RECORDS,
+    SLOT_SECONDS,
+    SUSPICION_SECONDS,
+    VERDICT_SECONDS,
+)
+from gypsumsail.suspects.models import (
+    Busy,
+    Clear,
+    Convicted,
+    Isolate,
+    RunOn,
+    TargetLife,
+    Unplaced,
+    Verdict,
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """An attempt that is under way.
+
+    Attributes
+    ----------
+    entry
+        Name and incarnation of the entry that runs it.
+    life
+        Where it runs; ``None`` until it is placed.
+    """
+
+    entry: str
+    begun_at: float
+    life: TargetLife | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class Record:
+    """What is known of one fingerprint.
+
+    Attributes
+    ----------
+    proved
+        Whether an attempt ended well while others were under way: the same
+        request need not be kept on one target any more.
+    """
+
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    crashes: dict[TargetLife, float] = field(default_factory=dict)
+    convicted_at: float | None = None
+    proved: bool = False
+
+
+class SuspectTable:
+    """State of the fingerprints that this entry owns.
+
+    The table is soft state: its loss forgets suspicions, and each part of the
+    fleet that is cut off counts its own crashes.
+    """
+
+    def __init__(self) -> None:
+        self.records: OrderedDict[str, Record] = OrderedDict()
+
+    def begin(
+        self, fingerprint: str, attempt_id: str, entry: str, now: float
+    ) -> Verdict:
+        """Decide whether an attempt may start, and take it in when it may."""
+        record = self._record(fingerprint)
+        self._forget_old(record, now)
+        verdict = self._verdict(record, now)
+        match verdict:
+            case Clear() | RunOn() | Isolate():
+                record.attempts[attempt_id] = Attempt(entry=entry, begun_at=now)
+            case Busy() | Convicted() | Unplaced():
+                pass
+        return verdict
+
+    def place(self, fingerprint: str, attempt_id: str, life: TargetLife) -> None:
+        """Note where an attempt runs."""
+        record = self.records.get(fingerprint)
+        if record is None:
+            return
+        attempt = record.attempts.get(attempt_id)
+        if attempt is not None:
+            attempt.life = life
+
+    def end(self, fingerprint: str, attempt_id: str, *, whole: bool) -> None:
+        """Take an attempt out that ended without a crash."""
+        record = self.records.get(fingerprint)
+        if record is None:
+            return
+        record.attempts.pop(attempt_id, None)
+        record.proved = record.proved or whole
+        if not record.attempts and not record.crashes and record.convicted_at is None:
+            del self.records[fingerprint]
+
+    def crash(
+        self,
+        fingerprint: str,
+        attempt_id: str,
+        life: TargetLife,
+        *,
+        isolated: bool,
+        now: float,
+    ) -> Verdict:
+        """Count a crash of a target under an attempt and return the new verdict.
+
+        A request is convicted only by a crash in which it was the one suspect of
+        the target: neighbours of a batch are never convicted together.
+        """
+        record = self._record(fingerprint)
+        record.attempts.pop(attempt_id, None)
+        record.crashes.setdefault(life, now)
+        if isolated and len(record.crashes) >= CRASHES_TO_CONVICT:
+            record.convicted_at = now
+        return self._verdict(record, now)
+
+    def entry_lost(self, entry: str, now: float) -> None:
+        """Take an entry's attempts out; each placed one leaves a suspicion.
+
+        Entry and target may have died together, and nobody else can tell.
+        """
+        for record in self.records.values():
+            lost = [
+                key for key, value in record.attempts.items() if value.entry == entry
+            ]
+            for attempt_id in lost:
+                attempt = record.attempts.pop(attempt_id)
+                if attempt.life is not None:
+                    record.crashes.setdefault(attempt.life, now)
+
+    def explain(self, fingerprint: str, life: TargetLife) -> None:
+        """Clear all others of a crash that a convicted request explains."""
+        for other, record in self.records.items():
+            if other != fingerprint and record.convicted_at is None:
+                record.crashes.pop(life, None)
+
+    def expire(self, now: float) -> None:
+        """Drop what has ended by time."""
+        for fingerprint in list(self.records):
+            record = self.records[fingerprint]
+            self._forget_old(record, now)
+            if not record.attempts and not record.crashes:
+                del self.records[fingerprint]
+
+    def _record(self, fingerprint: str) -> Record:
+        record = self.records.get(fingerprint)
+        if record is not None:
+            return record
+        while len(self.records) >= MAX_RECORDS:
+            self.records.popitem(last=False)
+        record = Record()
+        self.records[fingerprint] = record
+        return record
+
+    def _forget_old(self, record: Record, now: float) -> None:
+        if record.convicted_at is not None:
+            if now - record.convicted_at < VERDICT_SECONDS:
+                return
+            record.convicted_at = None
+            record.crashes.clear()
+        record.crashes = {
+            life: at
+            for life, at in record.crashes.items()
+            if now - at < SUSPICION_SECONDS
+        }
+        record.attempts = {
+            key: attempt
+            for key, attempt in record.attempts.items()
+            if now - attempt.begun_at < ATTEMPT_FORGOTTEN_SECONDS
+        }
+
+    def _verdict(self, record: Record, now: float) -> Verdict:
+        if record.convicted_at is not None:
+            return Convicted(seconds_left=record.convicted_at + VERDICT_SECONDS - now)
+        if record.crashes:
+            if record.attempts:
+                return Busy(retry_after=BUSY_RETRY_AFTER_SECONDS)
+            return Isolate()
+        if not record.attempts or record.proved:
+            return Clear()
+        placed = [found.life for found in record.attempts.values() if found.life]
+        if not placed:
+            return Unplaced()
+        return RunOn(target=placed[-1].target)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Slot:
+    """A target's place for a suspect that was given to an attempt."""
+
+    attempt_id: str
+    taken_at: float
+
+
+class SlotTable:
+    """The one place for a suspect on each target that this entry owns."""
+
+    def __init__(self) -> None:
+        self.slots: dict[str, Slot] = {}
+
+    def take(self, target: str, attempt_id: str, now: float) -> bool:
+        """Give the place when it is free; it is given for a limited time."""
+        slot = self.slots.get(target)
+        if slot is not None and not self._may_pass(slot, attempt_id, now):
+            return False
+        self.slots[target] = Slot(attempt_id=attempt_id, taken_at=now)
+        return True
+
+    def free(self, target: str, attempt_id: str) -> None:
+        """Take the place back from its holder."""
+        slot = self.slots.get(target)
+        if slot is not None and slot.attempt_id == attempt_id:
+            del self.slots[target]
+
+    def _may_pass(self, slot: Slot, attempt_id: str, now: float) -> bool:
+        return slot.attempt_id == attempt_id or now - slot.taken_at >= SLOT_SECONDS
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of core."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of entry."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/suspects/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of suspects."""
+
+from __future__ import annotations
