Check settings and service documents whole, and start the command line

Cause: nothing may start on bad settings or a bad document, and an operator wants all faults at once with their places. Ruled out: ruamel's round-trip constructor (builds a second tree only for positions; composing nodes gives them); click's own types for flags (they stop at the first fault). YAML anchors, aliases, tags, doubled keys and deep nesting are findings.

--- /dev/null
+++ b/src/gypsumsail/cli/lazy.py
@@ -0,0 +1,30 @@
+"""Group whose commands are imported when they are used."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from importlib import import_module
+from typing import Any
+
+import click
+
+
+class LazyGroup(click.Group):
+    """Group of commands by name, each given as ``module:attribute``."""
+
+    def __init__(self, *args: Any, lazy: Mapping[str, str], **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.lazy = dict(lazy)
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted({*super().list_commands(ctx), *self.lazy})
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Import and return a command, or ``None`` when there is none."""
+        if cmd_name not in self.lazy:
+            return super().get_command(ctx, cmd_name)
+        module, _, attribute = self.lazy[cmd_name].partition(":")
+        command = getattr(import_module(module), attribute)
+        assert isinstance(command, click.Command)
+        return command
--- /dev/null
+++ b/src/gypsumsail/cli/main.py
@@ -0,0 +1,26 @@
+"""The program ``gypsumsail``."""
+
+from __future__ import annotations
+
+import click
+
+from gypsumsail.cli.lazy import LazyGroup
+
+HELP = """Serve long prompts that return, and drive what serves them.
+
+Every flag is also a variable, named in the help of its command. Exit codes:
+0 done, 1 findings or a negative answer, 2 wrong usage or settings,
+3 something could not be reached, 4 somebody else changed the document.
+"""
+
+
+@click.group(
+    cls=LazyGroup,
+    help=HELP,
+    lazy={
+        "entry": "gypsumsail.cli.entry:entry",
+        "version": "gypsumsail.cli.version:version",
+    },
+)
+def main() -> None:
+    """Run a command."""
--- /dev/null
+++ b/src/gypsumsail/cli/options.py
@@ -0,0 +1,35 @@
+"""Flags of the commands; each is a variable too."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import click
+
+from gypsumsail.cli.const import VARIABLE_PREFIX
+
+_CommandT = TypeVar("_CommandT", bound=Callable[..., Any])
+
+
+def variable_of(flag: str) -> str:
+    """Return the variable that stands for a flag."""
+    return VARIABLE_PREFIX + flag.removeprefix("--").replace("-", "_").upper()
+
+
+def setting(flag: str, **attributes: Any) -> Callable[[_CommandT], _CommandT]:
+    """Add a flag that is a variable too."""
+    attributes.setdefault("show_envvar", True)
+    return click.option(flag, envvar=variable_of(flag), **attributes)
+
+
+def output_option(command: _CommandT) -> _CommandT:
+    """Add ``--output json|text``."""
+    add = setting(
+        "--output",
+        type=click.Choice(["json", "text"]),
+        default="text",
+        show_default=True,
+        help="Form of the output.",
+    )
+    return add(command)
--- /dev/null
+++ b/src/gypsumsail/document/checks.py
@@ -0,0 +1,129 @@
+"""Checks of a service document that go beyond single fields.
+
+They run on unvalidated data, so that their findings are reported together with
+those of the fields.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, TypeGuard
+
+from gypsumsail.document.const import WEIGHT_SUM_TOLERANCE
+from gypsumsail.document.tree import Path
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fault:
+    """What a check found at a path."""
+
+    path: Path
+    message: str
+
+
+def check_document(data: dict[str, Any]) -> list[Fault]:
+    """Return the faults between the fields of a document."""
+    return [
+        *_check_kind(data),
+        *_check_unique(data, "models", "name"),
+        *_check_adapters(data),
+        *_check_unique(data, "customers", "name"),
+        *_check_unique(data, "routes", "path"),
+        *_check_digests(data),
+        *_check_deadlines(data),
+        *_check_weights(data),
+    ]
+
+
+def _check_kind(data: dict[str, Any]) -> Iterator[Fault]:
+    kind = data.get("kind")
+    if kind == "model" and not data.get("models"):
+        yield Fault(path=("models",), message="a service of kind model needs a model")
+    if kind == "model" and data.get("tiers") is None:
+        yield Fault(path=("tiers",), message="a service of kind model needs tiers")
+    if kind == "plain" and data.get("models"):
+        yield Fault(path=("models",), message="a plain service has no models")
+    if kind == "plain" and data.get("tiers") is not None:
+        yield Fault(path=("tiers",), message="a plain service has no tiers")
+
+
+def _check_unique(data: Any, rows: str, column: str, at: Path = ()) -> Iterator[Fault]:
+    seen: dict[str, Path] = {}
+    for path, row in _rows(data, rows, at):
+        value = row.get(column)
+        if not isinstance(value, str):
+            continue
+        if value in seen:
+            message = f"the same as {format_path(seen[value])}"
+            yield Fault(path=(*path, column), message=message)
+        seen.setdefault(value, (*path, column))
+
+
+def _check_adapters(data: dict[str, Any]) -> Iterator[Fault]:
+    for path, model in _rows(data, "models", ()):
+        yield from _check_unique(model, "adapters", "name", path)
+
+
+def _check_digests(data: dict[str, Any]) -> Iterator[Fault]:
+    seen: dict[str, Path] = {}
+    for path, customer in _rows(data, "customers", ()):
+        digests = customer.get("key_digests")
+        if not isinstance(digests, list):
+            continue
+        for index, digest in enumerate(digests):
+            place = (*path, "key_digests", index)
+            if not isinstance(digest, str):
+                continue
+            if digest in seen:
+                message = f"the same as {format_path(seen[digest])}"
+                yield Fault(path=place, message=message)
+            seen.setdefault(digest, place)
+
+
+def _check_deadlines(data: dict[str, Any]) -> Iterator[Fault]:
+    deadlines = data.get("deadlines")
+    if not isinstance(deadlines, dict):
+        return
+    default = deadlines.get("default")
+    longest = deadlines.get("longest")
+    if _is_number(default) and _is_number(longest) and default > longest:
+        path = ("deadlines", "default")
+        yield Fault(path=path, message="is longer than the longest deadline")
+
+
+def _check_weights(data: dict[str, Any]) -> Iterator[Fault]:
+    tiers = data.get("tiers")
+    weights = tiers.get("weights") if isinstance(tiers, dict) else None
+    if not isinstance(weights, dict):
+        return
+    names = ("first_token", "recomputed", "link_use")
+    values = [weights[name] for name in names if _is_number(weights.get(name))]
+    if len(values) < len(names):
+        return
+    if not abs(sum(values) - 1.0) <= WEIGHT_SUM_TOLERANCE:
+        yield Fault(path=("tiers", "weights"), message="the weights must sum to 1")
+
+
+def _rows(data: Any, name: str, at: Path) -> Iterator[tuple[Path, dict[str, Any]]]:
+    rows = data.get(name)
+    if not isinstance(rows, list):
+        return
+    for index, row in enumerate(rows):
+        if isinstance(row, dict):
+            yield (*at, name, index), row
+
+
+def _is_number(value: object) -> TypeGuard[int | float]:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def format_path(path: Path) -> str:
+    """Return a path as text, such as ``customers[2].share``."""
+    text = ""
+    for part in path:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        else:
+            text += f".{part}" if text else part
+    return text
--- /dev/null
+++ b/src/gypsumsail/document/const.py
@@ -0,0 +1,24 @@
+"""Limits of service documents."""
+
+from __future__ import annotations
+
+from typing import Final
+
+MAX_DOCUMENT_BYTES: Final = 400_000
+MAX_DEPTH: Final = 12
+MAX_FINDINGS: Final = 200
+MAX_NAME_LENGTH: Final = 63
+MAX_CUSTOMERS: Final = 5_000
+MAX_KEYS_PER_CUSTOMER: Final = 16
+MAX_MODELS: Final = 64
+MAX_ADAPTERS: Final = 256
+MAX_ROUTES: Final = 256
+MAX_PATH_LENGTH: Final = 200
+LOWEST_PRIORITY: Final = 9
+LONGEST_DEADLINE_SECONDS: Final = 86_400.0
+WEIGHT_SUM_TOLERANCE: Final = 1e-6
+
+NAME_PATTERN: Final = r"^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$"
+VERSION_PATTERN: Final = r"^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$"
+DIGEST_PATTERN: Final = r"^[0-9a-f]{64}$"
+PATH_PATTERN: Final = r"^(/[A-Za-z0-9._~-]+)+$"
--- /dev/null
+++ b/src/gypsumsail/document/parser.py
@@ -0,0 +1,95 @@
+"""Reads a service document and reports all its faults together."""
+
+from __future__ import annotations
+
+from pydantic import ValidationError
+
+from gypsumsail.core.findings import Finding
+from gypsumsail.document.border import DocumentBorder
+from gypsumsail.document.checks import Fault, check_document, format_path
+from gypsumsail.document.const import MAX_DOCUMENT_BYTES, MAX_FINDINGS
+from gypsumsail.document.convert import convert_document
+from gypsumsail.document.errors import DocumentInvalidError
+from gypsumsail.document.models import ServiceDocument
+from gypsumsail.document.tree import Path, Tree, read_tree
+
+
+def parse_document(text: str, place: str) -> ServiceDocument:
+    """Read a service document.
+
+    Parameters
+    ----------
+    text
+        The YAML text.
+    place
+        File or object that the text comes from; findings name it.
+
+    Raises
+    ------
+    DocumentInvalidError
+        With all findings, each with line and column, in their order in the text.
+    """
+    size = len(text.encode(errors="surrogatepass"))
+    if size > MAX_DOCUMENT_BYTES:
+        message = f"has {size} bytes, more than {MAX_DOCUMENT_BYTES}"
+        raise DocumentInvalidError([Finding(place=place, message=message)])
+    tree = read_tree(text)
+    findings = _tree_findings(tree, place)
+    border = None if findings else _validate(tree, place, findings)
+    if border is None or findings:
+        findings.sort(key=lambda finding: (finding.line, finding.column))
+        raise DocumentInvalidError(findings[:MAX_FINDINGS])
+    return convert_document(border)
+
+
+def _tree_findings(tree: Tree, place: str) -> list[Finding]:
+    return [
+        Finding(
+            place=place,
+            path=format_path(fault.path),
+            message=fault.message,
+            line=fault.position.line,
+            column=fault.position.column,
+        )
+        for fault in tree.faults
+    ]
+
+
+def _validate(tree: Tree, place: str, findings: list[Finding]) -> DocumentBorder | None:
+    border = None
+    try:
+        border = DocumentBorder.model_validate(tree.data)
+    except ValidationError as err:
+        findings += _field_findings(err, tree, place)
+    if isinstance(tree.data, dict):
+        faults = check_document(tree.data)
+        findings += [_check_finding(fault, tree, place) for fault in faults]
+    return border
+
+
+def _field_findings(err: ValidationError, tree: Tree, place: str) -> list[Finding]:
+    findings = []
+    for error in err.errors(include_url=False, include_input=False):
+        path: Path = error["loc"]
+        position = tree.position(path, key=error["type"] == "extra_forbidden")
+        findings.append(
+            Finding(
+                place=place,
+                path=format_path(path),
+                message=error["msg"],
+                line=position.line,
+                column=position.column,
+            )
+        )
+    return findings
+
+
+def _check_finding(fault: Fault, tree: Tree, place: str) -> Finding:
+    position = tree.position(fault.path)
+    return Finding(
+        place=place,
+        path=format_path(fault.path),
+        message=fault.message,
+        line=position.line,
+        column=position.column,
+    )
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of gypsumsail.cli."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/document/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of gypsumsail.document."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of gypsumsail.entry."""
+
+from __future__ import annotations
