Choose engines by expected first token, with baselines

Cause: entries need block hashes and a choice of engine before anything else of kept context can be measured. Ruled out: always taking the best score (entries with one stale report herd); trying every import size (the score is linear with one kink, so two sizes do). Conclusion: choose() is pure; EngineLoads gives its candidates; policies are named in POLICIES for the setting.

--- /dev/null
+++ b/src/gypsumsail/routing/loads.py
@@ -0,0 +1,187 @@
+"""Load of each engine: its lagging report and what was sent since."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from gypsumsail.routing.const import (
+    DEFAULT_DECODE_STEP_SECONDS,
+    DEFAULT_PREFILL_TOKENS_PER_SECOND,
+    PEER_WORK_SECONDS,
+    PRIORITIES,
+    UNREPORTED_STALENESS_SECONDS,
+    URGENCY_FADING,
+)
+from gypsumsail.routing.models import Candidate, EngineRates
+from gypsumsail.routing.rates import RateEstimate
+from gypsumsail.targets.port import LoadReport
+
+
+@dataclass(slots=True, kw_only=True)
+class SentWork:
+    """A request that this entry or a peer sent to an engine.
+
+    Attributes
+    ----------
+    tokens
+        Prompt tokens that the engine was expected to compute.
+    tokens_ahead
+        Prompt tokens that were believed to be ahead of it.
+    first_token_at
+        Time of the first token; ``None`` while it is awaited.
+    """
+
+    tokens: int
+    tokens_ahead: float
+    priority: int
+    sent_at: float
+    imported: bool = False
+    first_token_at: float | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class EngineLoad:
+    """What is believed of one engine."""
+
+    report: LoadReport | None = None
+    taken_at: float = 0.0
+    sent: dict[str, SentWork] = field(default_factory=dict)
+    peer_work: list[SentWork] = field(default_factory=list)
+    prefill: RateEstimate = field(
+        default_factory=lambda: RateEstimate(prior=DEFAULT_PREFILL_TOKENS_PER_SECOND)
+    )
+    decode: RateEstimate = field(
+        default_factory=lambda: RateEstimate(prior=1 / DEFAULT_DECODE_STEP_SECONDS)
+    )
+
+    def tokens_ahead(self, priority: int, *, urgent_share: float, now: float) -> float:
+        """Return the prompt tokens computed before a request of a priority.
+
+        The reported queue is drained at the learnt rate since it was read. Of
+        it, ``urgent_share`` is taken to be as urgent as the request.
+        """
+        reported = 0.0
+        if self.report is not None:
+            drained = (now - self.taken_at) * self.prefill.rate(now=now)
+            reported = max(self.report.queued_prompt_tokens - drained, 0.0)
+        return reported * urgent_share + sum(
+            work.tokens for work in self._unreported() if work.priority <= priority
+        )
+
+    def requests(self) -> int:
+        """Return the requests believed to be running or waiting."""
+        reported = 0
+        if self.report is not None:
+            reported = self.report.running + self.report.waiting
+        return reported + sum(1 for _ in self._unreported())
+
+    def rates(self, *, now: float) -> EngineRates:
+        """Return the learnt speeds."""
+        return EngineRates(
+            prefill_tokens_per_second=self.prefill.rate(now=now),
+            decode_step_seconds=1 / self.decode.rate(now=now),
+        )
+
+    def _unreported(self) -> Iterable[SentWork]:
+        for work in (*self.sent.values(), *self.peer_work):
+            if work.first_token_at is None and work.sent_at >= self.taken_at:
+                yield work
+
+
+class EngineLoads:
+    """Loads of all engines as one entry sees them.
+
+    Attributes
+    ----------
+    engines
+        Load by target.
+    urgency
+        Prompt tokens sent by priority, by which a reported queue is split.
+    """
+
+    def __init__(self) -> None:
+        self.engines: dict[str, EngineLoad] = {}
+        self.urgency = [1.0] * PRIORITIES
+
+    def on_report(self, target: str, report: LoadReport, *, now: float) -> None:
+        """Take a load report; an older one than the last is dropped."""
+        load = self._load(target)
+        taken_at = now - max(report.age, 0.0)
+        known = load.report
+        if known is not None and known.incarnation != report.incarnation:
+            load.sent.clear()
+            load.peer_work.clear()
+        elif known is not None and taken_at < load.taken_at:
+            return
+        load.report = report
+        load.taken_at = taken_at
+        load.peer_work = [work for work in load.peer_work if work.sent_at >= taken_at]
+
+    def on_sent(self, target: str, attempt_id: str, work: SentWork) -> None:
+        """Count a request that this entry sends."""
+        self._load(target).sent[attempt_id] = work
+        self.urgency = [URGENCY_FADING * tokens for tokens in self.urgency]
+        self.urgency[work.priority] += work.tokens
+
+    def on_peer_sent(self, target: str, work: SentWork) -> None:
+        """Count work that another entry has sent."""
+        load = self._load(target)
+        if work.sent_at < load.taken_at:
+            return
+        oldest = work.sent_at - PEER_WORK_SECONDS
+        load.peer_work = [known for known in load.peer_work if known.sent_at > oldest]
+        load.peer_work.append(work)
+
+    def on_first_token(self, target: str, attempt_id: str, *, now: float) -> None:
+        """Learn the speed of the prompt computation."""
+        load = self._load(target)
+        work = load.sent.get(attempt_id)
+        if work is None or work.first_token_at is not None:
+            return
+        work.first_token_at = now
+        if not work.imported:
+            done = work.tokens + work.tokens_ahead
+            load.prefill.observe(done, now - work.sent_at, now=now)
+
+    def on_ended(
+        self, target: str, attempt_id: str, *, answer_tokens: int, now: float
+    ) -> None:
+        """Forget a request; learn the decode step when it has an answer."""
+        load = self._load(target)
+        work = load.sent.pop(attempt_id, None)
+        if work is None or work.first_token_at is None:
+            return
+        load.decode.observe(answer_tokens - 1, now - work.first_token_at, now=now)
+
+    def forget(self, target: str) -> None:
+        """Drop an engine that is gone."""
+        self.engines.pop(target, None)
+
+    def candidate(
+        self,
+        target: str,
+        *,
+        cached_blocks: int,
+        priority: int,
+        zone_seconds: float,
+        now: float,
+    ) -> Candidate:
+        """Return the view of an engine for one request."""
+        load = self._load(target)
+        staleness = UNREPORTED_STALENESS_SECONDS
+        if load.report is not None:
+            staleness = max(now - load.taken_at, 0.0)
+        share = sum(self.urgency[: priority + 1]) / sum(self.urgency)
+        return Candidate(
+            target=target,
+            cached_blocks=cached_blocks,
+            requests=load.requests(),
+            tokens_ahead=load.tokens_ahead(priority, urgent_share=share, now=now),
+            staleness=staleness,
+            zone_seconds=zone_seconds,
+            rates=load.rates(now=now),
+        )
+
+    def _load(self, target: str) -> EngineLoad:
+        return self.engines.setdefault(target, EngineLoad())
--- /dev/null
+++ b/src/gypsumsail/routing/policies/__init__.py
@@ -0,0 +1,55 @@
+"""Policies by which a target is chosen, and their names in the settings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from gypsumsail.routing.const import DEFAULT_POLICY
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ExpectedFirstToken:
+    """Weigh the expected time to first token, recomputation and link use."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RoundRobin:
+    """Take the engines in turn; import all that is kept if asked to."""
+
+    use_store: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeastLoaded:
+    """Take the engine with the fewest requests."""
+
+    use_store: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StickyByCustomer:
+    """Take the engine that the customer's name hashes to."""
+
+    use_store: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PrefixAffinity:
+    """Take the engine with the longest cached prefix; no store."""
+
+
+Policy = (
+    ExpectedFirstToken | RoundRobin | LeastLoaded | StickyByCustomer | PrefixAffinity
+)
+
+POLICIES: Final[dict[str, Policy]] = {
+    DEFAULT_POLICY: ExpectedFirstToken(),
+    "round-robin": RoundRobin(),
+    "round-robin-store": RoundRobin(use_store=True),
+    "least-loaded": LeastLoaded(),
+    "least-loaded-store": LeastLoaded(use_store=True),
+    "sticky-by-customer": StickyByCustomer(),
+    "sticky-by-customer-store": StickyByCustomer(use_store=True),
+    "prefix-affinity": PrefixAffinity(),
+}
--- /dev/null
+++ b/src/gypsumsail/routing/policies/expected_first_token.py
@@ -0,0 +1,66 @@
+"""Policy by expected time to first token, recomputation and link use."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from math import exp
+from random import Random
+
+from gypsumsail.document.models import TierWeights
+from gypsumsail.routing.const import (
+    LEAST_RETRY_SECONDS,
+    LEAST_TEMPERATURE_SECONDS,
+    LONGEST_RETRY_SECONDS,
+    RETRY_JITTER_SHARE,
+    UNSEEN_WORK_PER_STALE_SECOND,
+)
+from gypsumsail.routing.cost import Plan, best_plan
+from gypsumsail.routing.models import (
+    Candidate,
+    Choice,
+    RefusalReason,
+    Refused,
+    RouteRequest,
+)
+
+
+def choose_expected(
+    request: RouteRequest,
+    candidates: Sequence[Candidate],
+    weights: TierWeights,
+    rng: Random,
+) -> Choice:
+    """Return the cheapest engine that meets the deadline, or a refusal."""
+    plans = [best_plan(request, candidate, weights) for candidate in candidates]
+    in_time = [
+        plan for plan in plans if plan.chosen.expected.whole_answer <= request.deadline
+    ]
+    if not in_time:
+        return _refuse(request, plans, rng)
+    staleness = sum(candidate.staleness for candidate in candidates) / len(candidates)
+    return _draw(in_time, staleness, rng).chosen
+
+
+def _draw(plans: Sequence[Plan], staleness: float, rng: Random) -> Plan:
+    """Draw among plans that stale reports can't tell apart.
+
+    Entries that see the same report would all take its best engine. The older
+    the report, the more work may have arrived unseen, and the wider the draw.
+    """
+    temperature = max(
+        staleness * UNSEEN_WORK_PER_STALE_SECOND, LEAST_TEMPERATURE_SECONDS
+    )
+    best = min(plan.score for plan in plans)
+    odds = [exp((best - plan.score) / temperature) for plan in plans]
+    return rng.choices(plans, odds)[0]
+
+
+def _refuse(request: RouteRequest, plans: Sequence[Plan], rng: Random) -> Refused:
+    soonest = min(plan.chosen.expected.whole_answer for plan in plans)
+    wait = min(
+        max(soonest - request.deadline, LEAST_RETRY_SECONDS), LONGEST_RETRY_SECONDS
+    )
+    return Refused(
+        reason=RefusalReason.DEADLINE,
+        retry_after=wait * (1 + RETRY_JITTER_SHARE * rng.random()),
+    )
--- /dev/null
+++ b/tests/context/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of kept context."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/context/test_blocks.py
@@ -0,0 +1,62 @@
+"""Tests of prompt blocks and their hashes."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsumsail.context.blocks import block_hashes, cache_salt, token_count
+
+PARTS = st.tuples(*[st.text(alphabet="a1:é\n", max_size=3)] * 5)
+
+
+def salt_of(parts: tuple[str, ...]) -> str:
+    service, customer, model, adapter, weight_version = parts
+    return cache_salt(
+        service=service,
+        customer=customer,
+        model=model,
+        adapter=adapter,
+        weight_version=weight_version,
+    )
+
+
+@settings(derandomize=True, max_examples=500)
+@given(PARTS, PARTS)
+def test_salts_differ_when_any_part_differs(
+    first: tuple[str, ...], second: tuple[str, ...]
+) -> None:
+    assert (salt_of(first) == salt_of(second)) == (first == second)
+
+
+def test_salt_keeps_shifted_parts_apart() -> None:
+    assert salt_of(("a", "b1:c", "", "", "")) != salt_of(("a", "b", "c", "", ""))
+    assert salt_of(("1:a", "", "", "", "")) != salt_of(("1", "a", "", "", ""))
+
+
+@settings(derandomize=True, max_examples=100)
+@given(st.text(alphabet="aé漢", max_size=1500), st.text(max_size=5))
+def test_hashes_follow_the_protocol(prompt: str, salt: str) -> None:
+    data = prompt.encode()
+    previous = blake2b(salt.encode(), digest_size=16).digest()
+    expected = []
+    while len(data) >= 1024:
+        previous = blake2b(previous + data[:1024], digest_size=16).digest()
+        expected.append(previous.hex())
+        data = data[1024:]
+    assert block_hashes(prompt, salt) == tuple(expected)
+
+
+def test_a_changed_block_changes_all_after_it() -> None:
+    prompt = "x" * 4096
+    changed = "x" * 1024 + "y" + "x" * 3071
+    before, after = block_hashes(prompt, "s"), block_hashes(changed, "s")
+    assert before[0] == after[0]
+    assert not set(before[1:]) & set(after[1:])
+
+
+def test_tokens_are_rounded_up() -> None:
+    assert [token_count("x" * size) for size in (0, 1, 4, 5)] == [0, 1, 1, 2]
+    assert token_count("é" * 2 + "x") == 2
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of routing."""
+
+from __future__ import annotations
