Link the entries over authenticated websockets

Cause: entries need typed requests and messages between them; nobody outside may get in. Ruled out: a full mesh, secrets on the wire, trusting the TCP connection after the handshake. Conclusion: PeerNetwork is usable; membership fills the address book.

--- /dev/null
+++ b/src/gypsumsail/peers/diagnostics.py
@@ -0,0 +1,40 @@
+"""Counters of the links, for the metrics and the capacity page."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerCounters:
+    """Counters of one entry since it started.
+
+    Attributes
+    ----------
+    bytes_sent, bytes_received
+        Bytes of frames and handshakes, without the headers below them.
+    sent_by_name
+        Messages sent, by their name on the wire.
+    refused
+        Handshakes that failed and links closed for a forged or invalid frame.
+    """
+
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    frames_sent: int = 0
+    frames_received: int = 0
+    links_opened: int = 0
+    refused: int = 0
+    dropped: int = 0
+    sent_by_name: Counter[str] = field(default_factory=Counter)
+
+    def count_sent(self, size: int) -> None:
+        """Count one frame sent."""
+        self.frames_sent += 1
+        self.bytes_sent += size
+
+    def count_received(self, size: int) -> None:
+        """Count one frame received."""
+        self.frames_received += 1
+        self.bytes_received += size
--- /dev/null
+++ b/src/gypsumsail/peers/network.py
@@ -0,0 +1,301 @@
+"""Links to the other entries over websockets, opened when needed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+import contextlib
+import logging
+from typing import Any, TypeVar
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.peers.codec import name_of
+from gypsumsail.peers.const import (
+    CLOSE_TIMEOUT_SECONDS,
+    CONNECT_TIMEOUT_SECONDS,
+    IDLE_CHECK_SECONDS,
+    IDLE_SECONDS,
+    MAX_FRAME_BYTES,
+    MIN_SECRET_BYTES,
+)
+from gypsumsail.peers.diagnostics import PeerCounters
+from gypsumsail.peers.errors import HandshakeError, OtherEntryError
+from gypsumsail.peers.greeting import async_accept, async_introduce
+from gypsumsail.peers.handshake import Identity, Seal
+from gypsumsail.peers.link import Link
+from gypsumsail.peers.port import EntryId, Handler, Message
+
+_LOGGER = logging.getLogger(__name__)
+_MessageT = TypeVar("_MessageT", bound=Message)
+
+
+class WebsocketPeerNetwork:
+    """The links of one entry.
+
+    Attributes
+    ----------
+    entry
+        This life of this entry.
+    peer_url
+        Address at which other entries open links; known after set-up.
+    addresses
+        Entries believed alive and their addresses, as membership sets them.
+    """
+
+    def __init__(
+        self,
+        entry: EntryId,
+        *,
+        secret: bytes,
+        host: str,
+        port: int,
+        clock: Clock,
+        public_url: str = "",
+    ) -> None:
+        if len(secret) < MIN_SECRET_BYTES:
+            raise ValueError(f"peer secret is shorter than {MIN_SECRET_BYTES} bytes")
+        self.entry = entry
+        self.secret = secret
+        self.host = host
+        self.port = port
+        self.clock = clock
+        self.peer_url = public_url
+        self.counters = PeerCounters()
+        self.addresses: dict[EntryId, str] = {}
+        self.links: dict[EntryId, list[Link]] = {}
+        self.handlers: dict[type[Message], list[Handler[Any]]] = {}
+        self.met_listeners: list[Callable[[Identity], None]] = []
+        self._opening: dict[str, asyncio.Task[Link]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: Server | None = None
+
+    async def async_setup(self) -> None:
+        """Accept links and close idle ones."""
+        self._server = await serve(
+            self._async_serve,
+            self.host,
+            self.port,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+            close_timeout=CLOSE_TIMEOUT_SECONDS,
+            server_header=None,
+        )
+        self.port = next(iter(self._server.sockets)).getsockname()[1]
+        if not self.peer_url:
+            self.peer_url = f"ws://{self.host}:{self.port}"
+        self._start(self._async_close_idle())
+
+    async def async_unload(self) -> None:
+        """Close all links."""
+        if self._server is not None:
+            self._server.close()
+        pending = [*self._tasks, *self._opening.values()]
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+        links = [link for group in self.links.values() for link in group]
+        await asyncio.gather(*(link.async_close() for link in links))
+        if self._server is not None:
+            await self._server.wait_closed()
+
+    @callback
+    def set_addresses(self, addresses: Mapping[EntryId, str]) -> None:
+        """Replace the entries that are believed alive."""
+        self.addresses = {
+            entry: url for entry, url in addresses.items() if entry != self.entry
+        }
+
+    @callback
+    def subscribe_met(self, listener: Callable[[Identity], None]) -> Callable[[], None]:
+        """Report each entry that proved itself on a new link."""
+        self.met_listeners.append(listener)
+        return lambda: self.met_listeners.remove(listener)
+
+    def peers(self) -> tuple[EntryId, ...]:
+        """Return the entries that are believed alive, without this one."""
+        return tuple(self.addresses)
+
+    @callback
+    def subscribe(
+        self, message_type: type[_MessageT], handler: Handler[_MessageT]
+    ) -> Callable[[], None]:
+        """Handle a message type; return the function that ends it."""
+        name_of(message_type)
+        handlers = self.handlers.setdefault(message_type, [])
+        handlers.append(handler)
+        return lambda: handlers.remove(handler)
+
+    async def async_send(self, peer: EntryId, message: Message) -> None:
+        """Send a message; raises TransportError when there is no link."""
+        link = await self._async_link(peer)
+        link.send(message, now=self.clock.monotonic())
+        self.counters.sent_by_name[name_of(type(message))] += 1
+
+    async def async_request(
+        self, peer: EntryId, message: Message, *, timeout: float
+    ) -> Message:
+        """Send a message and wait for the answer; raises TransportError."""
+        started = self.clock.monotonic()
+        try:
+            async with asyncio.timeout(timeout):
+                link = await self._async_link(peer)
+        except TimeoutError as error:
+            raise TransportError(f"no link to {peer.name}", sent=False) from error
+        now = self.clock.monotonic()
+        self.counters.sent_by_name[name_of(type(message))] += 1
+        left = max(0.0, timeout - (now - started))
+        answer = await link.async_request(message, timeout=left, now=now)
+        if answer is None:
+            raise TransportError(f"{peer.name} has no answer", sent=True)
+        return answer
+
+    async def async_meet(self, peer_url: str) -> EntryId:
+        """Open a link to an address and return who proved itself there.
+
+        Raises
+        ------
+        TransportError
+            Nobody answers, or not with the deployment's secret.
+        """
+        link = await self._async_open(peer_url)
+        return link.peer.entry
+
+    async def _async_link(self, peer: EntryId) -> Link:
+        for link in self.links.get(peer, ()):
+            if not link.closed:
+                return link
+        peer_url = self.addresses.get(peer)
+        if peer_url is None:
+            raise TransportError(f"{peer.name} is not known", sent=False)
+        link = await self._async_open(peer_url)
+        if link.peer.entry != peer:
+            raise OtherEntryError(
+                f"{link.peer.entry.name} answers at the address of {peer.name}",
+                found=link.peer.entry,
+            )
+        return link
+
+    async def _async_open(self, peer_url: str) -> Link:
+        task = self._opening.get(peer_url)
+        if task is None:
+            task = asyncio.create_task(self._async_connect(peer_url))
+            self._opening[peer_url] = task
+            task.add_done_callback(lambda done: self._opened(peer_url, done))
+        return await asyncio.shield(task)
+
+    def _opened(self, peer_url: str, task: asyncio.Task[Link]) -> None:
+        self._opening.pop(peer_url, None)
+        if not task.cancelled():
+            task.exception()
+
+    async def _async_connect(self, peer_url: str) -> Link:
+        connection: Connection | None = None
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                connection = await connect(
+                    peer_url,
+                    compression=None,
+                    max_size=MAX_FRAME_BYTES,
+                    ping_interval=None,
+                    close_timeout=CLOSE_TIMEOUT_SECONDS,
+                    proxy=None,
+                    user_agent_header=None,
+                )
+                greeted = await async_introduce(
+                    connection, self.identity, self.secret, self.counters
+                )
+        except (OSError, TimeoutError, WebSocketException) as error:
+            await _async_abandon(connection)
+            raise TransportError(f"no link to {peer_url}: {error}", sent=False) from (
+                error
+            )
+        except HandshakeError:
+            self.counters.refused += 1
+            await _async_abandon(connection)
+            raise
+        link = self._add(connection, greeted.peer, greeted.seal_out, greeted.seal_in)
+        self._start(self._async_run(link))
+        return link
+
+    async def _async_serve(self, connection: ServerConnection) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                greeted = await async_accept(
+                    connection, self.identity, self.secret, self.counters
+                )
+        except (HandshakeError, TimeoutError, WebSocketException) as error:
+            self.counters.refused += 1
+            _LOGGER.warning("Link refused: %s", error)
+            return
+        link = self._add(connection, greeted.peer, greeted.seal_out, greeted.seal_in)
+        await self._async_run(link)
+
+    @property
+    def identity(self) -> Identity:
+        """Who this entry is and where it accepts links."""
+        return Identity(entry=self.entry, peer_url=self.peer_url)
+
+    def _add(
+        self, connection: Connection, peer: Identity, seal_out: Seal, seal_in: Seal
+    ) -> Link:
+        link = Link(
+            connection,
+            peer,
+            seal_out=seal_out,
+            seal_in=seal_in,
+            dispatch=self._async_dispatch,
+            counters=self.counters,
+            now=self.clock.monotonic(),
+        )
+        self.links.setdefault(peer.entry, []).append(link)
+        self.counters.links_opened += 1
+        for listener in tuple(self.met_listeners):
+            listener(peer)
+        return link
+
+    async def _async_run(self, link: Link) -> None:
+        try:
+            await link.async_run()
+        finally:
+            group = self.links.get(link.peer.entry, [])
+            if link in group:
+                group.remove(link)
+            if not group:
+                self.links.pop(link.peer.entry, None)
+
+    async def _async_dispatch(self, peer: EntryId, message: Message) -> Message | None:
+        answer: Message | None = None
+        for handler in tuple(self.handlers.get(type(message), ())):
+            answer = await handler(peer, message) or answer
+        if answer is not None:
+            self.counters.sent_by_name[name_of(type(answer))] += 1
+        return answer
+
+    async def _async_close_idle(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_CHECK_SECONDS)
+            oldest = self.clock.monotonic() - IDLE_SECONDS
+            links = [link for group in self.links.values() for link in group]
+            for link in links:
+                if not link.busy and link.last_used < oldest:
+                    await link.async_close()
+
+    def _start(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _async_abandon(connection: Connection | None) -> None:
+    if connection is None:
+        return
+    with contextlib.suppress(WebSocketException, OSError):
+        await connection.close()
--- /dev/null
+++ b/tests/documents/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of documents."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of membership."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of peers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/peers/common.py
@@ -0,0 +1,48 @@
+"""Builders of test data for the links."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from gypsumsail.core.clock import SystemClock
+from gypsumsail.peers.codec import message
+from gypsumsail.peers.network import WebsocketPeerNetwork
+from gypsumsail.peers.port import EntryId, Message
+
+SECRET: Final = b"a secret of the deployment"
+WAIT_SECONDS: Final = 30.0
+POLL_SECONDS: Final = 0.01
+
+
+@message("test.words")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Words(Message):
+    """A message for tests."""
+
+    text: str
+    parts: tuple[bytes, ...] = ()
+    peer: EntryId | None = None
+
+
+def entry_id(name: str, *, zone: str = "z1", incarnation: str = "i1") -> EntryId:
+    """Build the identity of an entry."""
+    return EntryId(name=name, incarnation=incarnation, zone=zone)
+
+
+def network(entry: EntryId, *, secret: bytes = SECRET) -> WebsocketPeerNetwork:
+    """Build a network that takes a free port."""
+    return WebsocketPeerNetwork(
+        entry, secret=secret, host="127.0.0.1", port=0, clock=SystemClock()
+    )
+
+
+async def async_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; the limit is generous."""
+    for _ in range(int(WAIT_SECONDS / POLL_SECONDS)):
+        if condition():
+            return
+        await asyncio.sleep(POLL_SECONDS)
+    raise TimeoutError("the condition did not come true")
--- /dev/null
+++ b/tests/peers/test_codec.py
@@ -0,0 +1,46 @@
+"""Tests of the codec."""
+
+from __future__ import annotations
+
+import cbor2
+import pytest
+
+from gypsumsail.peers.codec import dump, load, pack_message, unpack_message
+from gypsumsail.peers.errors import MessageInvalidError
+from tests.peers.common import Words, entry_id
+
+
+def test_message_survives_the_wire_and_unknown_fields() -> None:
+    words = Words(text="t", parts=(b"1", b"2"), peer=entry_id("a"))
+    packed = load(dump(pack_message(words)))
+    assert isinstance(packed, list)
+    name, fields = packed
+    assert unpack_message(name, fields) == words
+    assert unpack_message(name, [*fields, "from a newer entry"]) == words
+    assert unpack_message(name, fields[:1]) == Words(text="t")
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [[], [1], ["t", "no list"], ["t", [1]], ["t", [], ["name only"]], {"text": "t"}],
+)
+def test_wrong_fields_are_refused(fields: object) -> None:
+    with pytest.raises(MessageInvalidError):
+        unpack_message("test.words", fields)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\x81" * 40 + b"\x00",
+        cbor2.dumps(10**40),
+        cbor2.dumps(cbor2.CBORTag(6000, 1)),
+        bytes.fromhex("9f01ff"),
+        bytes.fromhex("a2616101616102"),
+        b"\x5b" + b"\xff" * 8,
+    ],
+)
+def test_hostile_bytes_are_refused(data: bytes) -> None:
+    with pytest.raises(MessageInvalidError):
+        load(data)
--- /dev/null
+++ b/tests/peers/test_network.py
@@ -0,0 +1,105 @@
+"""Tests of links over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.peers.errors import HandshakeError, MessageInvalidError, OtherEntryError
+from gypsumsail.peers.handshake import Seal, Side
+from gypsumsail.peers.network import WebsocketPeerNetwork
+from gypsumsail.peers.port import EntryId, Message
+from tests.peers.common import Words, async_until, entry_id, network
+
+Pair = tuple[WebsocketPeerNetwork, WebsocketPeerNetwork]
+
+
+async def _async_echo(peer: EntryId, words: Words) -> Message | None:
+    return Words(text=f"{peer.name} said {words.text}")
+
+
+async def test_request_and_answer_use_one_link_both_ways(pair: Pair) -> None:
+    first, second = pair
+    for one in pair:
+        one.subscribe(Words, _async_echo)
+    asked = [
+        first.async_request(second.entry, Words(text=str(index)), timeout=10)
+        for index in range(50)
+    ]
+    answers = await asyncio.gather(*asked)
+    assert answers == [Words(text=f"a said {index}") for index in range(50)]
+    back = await second.async_request(first.entry, Words(text="x"), timeout=10)
+    assert back == Words(text="b said x")
+    assert first.counters.links_opened == second.counters.links_opened == 1
+
+
+async def test_nobody_gets_in_without_the_secret(pair: Pair) -> None:
+    first, _ = pair
+    seen: list[Message] = []
+
+    async def async_note(peer: EntryId, words: Words) -> None:
+        seen.append(words)
+
+    first.subscribe(Words, async_note)
+    stranger = network(entry_id("b"), secret=b"a secret from elsewhere")
+    with pytest.raises(HandshakeError):
+        await stranger.async_meet(first.peer_url)
+    async with connect(first.peer_url, compression=None, proxy=None) as raw:
+        with contextlib.suppress(ConnectionClosed):
+            await raw.send(b"\x83\x00\x6atest.words\x81\x61t")
+            await raw.recv()
+    await async_until(lambda: first.counters.refused >= 1)
+    assert not first.links
+    assert not seen
+
+
+async def test_other_incarnation_at_the_address_is_not_taken_for_the_old(
+    pair: Pair,
+) -> None:
+    first, second = pair
+    old = entry_id("b", incarnation="i0")
+    first.set_addresses({old: second.peer_url})
+    with pytest.raises(OtherEntryError) as caught:
+        await first.async_request(old, Words(text="t"), timeout=10)
+    assert caught.value.found == second.entry
+    assert not caught.value.sent
+
+
+async def test_sent_is_true_once_the_peer_may_have_acted(pair: Pair) -> None:
+    first, second = pair
+    arrived = asyncio.Event()
+
+    async def async_hang(peer: EntryId, words: Words) -> None:
+        arrived.set()
+        await asyncio.Event().wait()
+
+    second.subscribe(Words, async_hang)
+    request = asyncio.create_task(
+        first.async_request(second.entry, Words(text="t"), timeout=60)
+    )
+    await arrived.wait()
+    await second.async_unload()
+    with pytest.raises(TransportError) as lost:
+        await request
+    assert lost.value.sent
+    with pytest.raises(TransportError) as refused:
+        await first.async_request(second.entry, Words(text="t"), timeout=10)
+    assert not refused.value.sent
+
+
+def test_frames_are_refused_when_repeated_reordered_or_reflected() -> None:
+    sender = Seal(b"secret", Side.CONNECTS, b"proofs")
+    receiver = Seal(b"secret", Side.CONNECTS, b"proofs")
+    frames = [sender.close(b"one"), sender.close(b"two")]
+    assert receiver.open(frames[0]) == b"one"
+    with pytest.raises(MessageInvalidError):
+        receiver.open(frames[0])
+    with pytest.raises(MessageInvalidError):
+        Seal(b"secret", Side.CONNECTS, b"proofs").open(frames[1])
+    with pytest.raises(MessageInvalidError):
+        Seal(b"secret", Side.ACCEPTS, b"proofs").open(frames[0])
