Start the stand-ins as processes of their own

Cause: the product needs a platform, engines, stores and a plain service to run against, which share no logic with it. Ruled out: litestar for the stand-ins (plain ASGI is all they need).

--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,177 @@
+"""Starts the processes of a deployment and ends just these."""
+
+from __future__ import annotations
+
+import asyncio
+from asyncio.subprocess import PIPE, Process
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+import os
+from pathlib import Path
+import signal
+import sys
+from types import TracebackType
+from typing import Final, Self
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+START_TIMEOUT_SECONDS: Final = 30.0
+OUTPUT_LINES_KEPT: Final = 200
+LISTENING: Final = "listening "
+
+
+class StartError(Exception):
+    """A process ended or stayed silent before it was ready."""
+
+
+@dataclass(slots=True, kw_only=True)
+class RunningProcess:
+    """One process that the launcher has started.
+
+    Attributes
+    ----------
+    ready_line
+        The line that said that the process is ready, without its prefix.
+    output
+        Last lines of standard output and error.
+    """
+
+    name: str
+    process: Process
+    ready_line: str = ""
+    output: deque[str] = field(default_factory=lambda: deque(maxlen=OUTPUT_LINES_KEPT))
+    reader: asyncio.Task[None] | None = None
+
+    @property
+    def url(self) -> str:
+        """Return the HTTP address of a process that printed its port."""
+        return f"http://127.0.0.1:{int(self.ready_line)}"
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not been reaped."""
+        return self.process.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this very process."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    def freeze(self) -> None:
+        """Stop the process where it stands."""
+        self.send(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.send(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        """End the process at once and reap it."""
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+        await self.finish_output()
+
+    async def terminate(self, timeout: float) -> int:
+        """Ask the process to end; kill it after ``timeout`` seconds.
+
+        Returns
+        -------
+        int
+            Exit code.
+        """
+        self.thaw()
+        self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(timeout):
+                await self.process.wait()
+        except TimeoutError:
+            await self.kill()
+        await self.finish_output()
+        return await self.process.wait()
+
+    async def finish_output(self) -> None:
+        """Wait until the output is read to its end."""
+        if self.reader is not None:
+            await self.reader
+
+
+class Launcher:
+    """Starts processes; whatever still runs at its end is killed and reaped."""
+
+    def __init__(self) -> None:
+        self.processes: list[RunningProcess] = []
+
+    async def __aenter__(self) -> Self:
+        """Return the launcher."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End all processes that this launcher has started."""
+        await asyncio.shield(self.kill_all())
+
+    async def kill_all(self) -> None:
+        """Kill and reap what still runs."""
+        await asyncio.gather(*(process.kill() for process in self.processes))
+
+    async def start_module(
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str] = (),
+        *,
+        environment: dict[str, str] | None = None,
+        ready_prefix: str = LISTENING,
+    ) -> RunningProcess:
+        """Start a Python module and wait for the line that says it is ready.
+
+        Raises
+        ------
+        StartError
+            The process ended first, or stayed silent for too long.
+        """
+        paths = [str(ROOT / "src"), str(ROOT)]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *arguments,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            cwd=ROOT,
+            env={
+                **os.environ,
+                "PYTHONPATH": os.pathsep.join(paths),
+                **(environment or {}),
+            },
+            start_new_session=True,
+        )
+        running = RunningProcess(name=name, process=process)
+        self.processes.append(running)
+        ready: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        running.reader = asyncio.create_task(read_output(running, ready, ready_prefix))
+        try:
+            async with asyncio.timeout(START_TIMEOUT_SECONDS):
+                running.ready_line = await ready
+        except TimeoutError:
+            raise StartError(f"{name} stayed silent: {list(running.output)}") from None
+        return running
+
+
+async def read_output(
+    running: RunningProcess, ready: asyncio.Future[str], prefix: str
+) -> None:
+    """Keep the last lines of a process and find the one that says it is ready."""
+    stream = running.process.stdout
+    while stream is not None and (raw := await stream.readline()):
+        line = raw.decode(errors="replace").rstrip()
+        running.output.append(line)
+        if line.startswith(prefix) and not ready.done():
+            ready.set_result(line.removeprefix(prefix))
+    if not ready.done():
+        ready.set_exception(StartError(f"{running.name}: {list(running.output)}"))
--- /dev/null
+++ b/stand_ins/content.py
@@ -0,0 +1,75 @@
+"""Blocks of a prompt, their hashes and the values that stand for their context."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Final
+
+BLOCK_BYTES: Final = 1024
+TOKEN_BYTES: Final = 4
+BLOCK_TOKENS: Final = BLOCK_BYTES // TOKEN_BYTES
+HASH_BYTES: Final = 16
+LINK_BYTES_PER_TOKEN: Final = 256
+SHORTEST_ANSWER_TOKENS: Final = 8
+ANSWER_LENGTHS: Final = 57
+
+
+def digest(*parts: bytes) -> bytes:
+    """Return the digest of parts, each with its length."""
+    result = hashlib.blake2b(digest_size=HASH_BYTES)
+    for part in parts:
+        result.update(len(part).to_bytes(8, "big"))
+        result.update(part)
+    return result.digest()
+
+
+def split(prompt: bytes) -> tuple[list[bytes], bytes]:
+    """Return the whole blocks of a prompt and the rest."""
+    whole = len(prompt) // BLOCK_BYTES * BLOCK_BYTES
+    blocks = [prompt[i : i + BLOCK_BYTES] for i in range(0, whole, BLOCK_BYTES)]
+    return blocks, prompt[whole:]
+
+
+def token_count(prompt: bytes) -> int:
+    """Return the number of tokens of a prompt."""
+    return -(-len(prompt) // TOKEN_BYTES)
+
+
+def block_hashes(cache_salt: str, blocks: list[bytes]) -> list[str]:
+    """Return the chained hashes that name the blocks of a prompt."""
+    salt = cache_salt.encode()
+    previous = hashlib.blake2b(salt, digest_size=HASH_BYTES).digest()
+    hashes: list[str] = []
+    for block in blocks:
+        previous = hashlib.blake2b(previous + block, digest_size=HASH_BYTES).digest()
+        hashes.append(previous.hex())
+    return hashes
+
+
+def root_value(cache_salt: str, weight_version: str) -> bytes:
+    """Return the value before the first block."""
+    return digest(b"root", cache_salt.encode(), weight_version.encode())
+
+
+def block_value(previous: bytes, weight_version: str, block: bytes) -> bytes:
+    """Return the value of a block: what its kept context would hold."""
+    return digest(b"block", previous, weight_version.encode(), block)
+
+
+def final_value(
+    previous: bytes, rest: bytes, model: str, adapter: str, weight_version: str
+) -> bytes:
+    """Return the value of a whole prompt, which decides the answer."""
+    names = (model.encode(), adapter.encode(), weight_version.encode())
+    return digest(b"final", previous, rest, *names)
+
+
+def answer_token(final: bytes, index: int) -> str:
+    """Return one token of the answer."""
+    return f" {digest(final, index.to_bytes(4, 'big')).hex()[:6]}"
+
+
+def natural_length(prompt: bytes) -> int:
+    """Return the tokens of the answer when nothing bounds it."""
+    number = int.from_bytes(digest(b"length", prompt)[:4], "big")
+    return SHORTEST_ANSWER_TOKENS + number % ANSWER_LENGTHS
--- /dev/null
+++ b/stand_ins/engine.py
@@ -0,0 +1,482 @@
+"""Stand-in of a model engine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+import itertools
+import json
+from typing import Any, Final
+import uuid
+
+import click
+
+from stand_ins.asgi import (
+    AbortAnswerError,
+    App,
+    HttpError,
+    Request,
+    Response,
+    json_response,
+)
+from stand_ins.batch import Batch, Run, StepCosts
+from stand_ins.content import (
+    BLOCK_TOKENS,
+    block_hashes,
+    block_value,
+    final_value,
+    natural_length,
+    root_value,
+    split,
+    token_count,
+)
+from stand_ins.faults import Faults, die
+from stand_ins.prefix_cache import PrefixCache
+from stand_ins.serving import serve
+from stand_ins.transfers import BLOCK_LINK_BYTES, Transfers
+from stand_ins.weights import LoadedModel, OldFenceError, Weights
+
+EVENT_POLL_SECONDS: Final = 0.02
+CROSSED_INDEX: Final = 2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineSettings:
+    """Settings of an engine.
+
+    Attributes
+    ----------
+    load_lag
+        Seconds between two readings of the load.
+    import_timeout
+        Seconds after which the engine computes what is not yet imported.
+    """
+
+    role: str
+    models: list[LoadedModel]
+    checks_fence: bool
+    platform_url: str
+    weight_bytes: int
+    cache_tokens: int
+    batch_limit: int
+    queue_limit: int
+    load_lag: float
+    event_delay: float
+    import_timeout: float
+    costs: StepCosts
+
+
+class Engine:
+    """The engine behind its HTTP calls."""
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self.settings = settings
+        self.faults = Faults()
+        self.incarnation = uuid.uuid4().hex
+        self.transfers = Transfers(
+            platform_url=settings.platform_url, weight_bytes=settings.weight_bytes
+        )
+        self.weights = Weights(
+            role=settings.role,
+            models=settings.models,
+            checks_fence=settings.checks_fence,
+            fetch=self.transfers.fetch_weights,
+        )
+        self.cache = PrefixCache(
+            limit_tokens=settings.cache_tokens,
+            event_delay=settings.event_delay,
+            faults=self.faults,
+        )
+        self.batch = Batch(
+            limit=settings.batch_limit,
+            queue_limit=settings.queue_limit,
+            costs=settings.costs,
+        )
+        self.arrivals = itertools.count()
+        self.wake = asyncio.Event()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.reported_load: dict[str, Any] = {}
+        self.reported_at = 0.0
+        self.runs_by_id: dict[str, int] = {}
+        self.counts = dict.fromkeys(
+            (
+                "finished",
+                "cancelled",
+                "steps",
+                "prompt_tokens",
+                "cached_tokens",
+                "imported_tokens",
+                "computed_tokens",
+                "answer_tokens",
+                "exported_bytes",
+            ),
+            0,
+        )
+
+    def counters(self) -> dict[str, Any]:
+        """Return the counters of the control port."""
+        return {
+            **self.counts,
+            "orders": self.weights.orders,
+            "running": sorted(self.batch.runs),
+            "runs_by_id": self.runs_by_id,
+        }
+
+    def app(self) -> App:
+        """Return the application with all calls."""
+        app = App(self.faults, self.counters)
+        app.start_up.append(self.start)
+        app.shut_down.append(self.stop)
+        app.add("POST", "/control", self.change_control)
+        app.routes.insert(0, app.routes.pop())
+        app.add("POST", "/v1/completions", self.complete)
+        app.add("POST", "/v1/cancel", self.cancel)
+        app.add("GET", "/load", self.load)
+        app.add("GET", "/cache/events", self.cache_events)
+        app.add("GET", "/cache/contents", self.cache_contents)
+        app.add("POST", "/cache/export", self.export)
+        app.add("GET", "/state", self.state)
+        app.add("POST", "/state", self.set_state)
+        return app
+
+    async def start(self) -> None:
+        """Start the step loop and the load reports."""
+        self.read_load()
+        for coroutine in (self.step_loop(), self.report_loop()):
+            self.tasks.add(asyncio.create_task(coroutine))
+
+    async def stop(self) -> None:
+        """End the tasks and close the connections."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.transfers.close()
+
+    async def change_control(self, request: Request) -> Response:
+        """Switch a fault; ``clear_cache`` acts once."""
+        self.faults.change(request.json())
+        if self.faults.active.pop("clear_cache", None) is not None:
+            self.cache.clear(self.now())
+        values = {"faults": self.faults.active, "counters": self.counters()}
+        return json_response(values)
+
+    def now(self) -> float:
+        """Return the time of the loop."""
+        return asyncio.get_running_loop().time()
+
+    async def complete(self, request: Request) -> Response:
+        """Accept a completion and stream its answer."""
+        run = self.accept(request.json())
+        order = request.json().get("kept")
+        task = asyncio.create_task(self.prepare(run, order))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return Response(content_type="text/event-stream", stream=self.stream(run))
+
+    def accept(self, order: dict[str, Any]) -> Run:
+        """Check a completion and put it into the queue."""
+        loaded = self.weights.models.get(order["model"])
+        if self.weights.role != "serve":
+            raise HttpError(409, {"error": "role"})
+        if loaded is None or order["adapter"] not in ("", *loaded.adapters):
+            raise HttpError(409, {"error": "model"})
+        if loaded.weight_version != order["weight_version"]:
+            raise HttpError(409, {"error": "version"})
+        if order["request_id"] in self.batch.runs:
+            raise HttpError(409, {"error": "id"})
+        if self.batch.is_full():
+            raise HttpError(503, {"error": "full"})
+        run = self.make_run(order)
+        self.batch.runs[run.request_id] = run
+        return run
+
+    def make_run(self, order: dict[str, Any]) -> Run:
+        """Return a request as the batch sees it."""
+        prompt = order["prompt"].encode()
+        blocks, rest = split(prompt)
+        natural = natural_length(prompt)
+        return Run(
+            request_id=order["request_id"],
+            model=order["model"],
+            adapter=order["adapter"],
+            weight_version=order["weight_version"],
+            prompt=prompt,
+            cache_salt=order["cache_salt"],
+            priority=int(order["priority"]),
+            expires_at=self.now() + float(order["deadline"]),
+            arrival=next(self.arrivals),
+            blocks=blocks,
+            rest=rest,
+            hashes=block_hashes(order["cache_salt"], blocks),
+            length=min(natural, int(order["max_tokens"])),
+            limited=int(order["max_tokens"]) < natural,
+            next_index=int(order.get("first_token", 0)),
+            prompt_tokens=token_count(prompt),
+        )
+
+    async def prepare(self, run: Run, kept: dict[str, Any] | None) -> None:
+        """Import kept blocks beyond the cached prefix, then let the run start."""
+        cached = self.cache.prefix(run.hashes)
+        run.values = list(cached)
+        run.cached_tokens = len(cached) * BLOCK_TOKENS
+        if kept is not None:
+            names = kept["names"][len(cached) : len(run.blocks)]
+            timeout = min(self.settings.import_timeout, run.expires_at - self.now())
+            values = await self.transfers.import_blocks(
+                kept["store_url"], names, timeout=max(0.0, timeout)
+            )
+            run.values += values
+            run.imported_tokens = len(values) * BLOCK_TOKENS
+            imported = run.hashes[len(cached) : len(run.values)]
+            self.cache.store(imported, values, self.now())
+        run.count_left()
+        run.ready = True
+        self.wake.set()
+
+    async def step_loop(self) -> None:
+        """Run steps while there is work."""
+        while True:
+            self.expire()
+            self.batch.admit()
+            if not self.batch.admitted:
+                self.wake.clear()
+                await self.wait_for_work()
+                continue
+            plan = self.batch.plan_prefill()
+            self.start_runs(plan)
+            decoding = [run for run in self.batch.admitted if run.final]
+            prefilled = sum(tokens for _, tokens in plan)
+            await asyncio.sleep(self.settings.costs.seconds(prefilled))
+            self.counts["steps"] += 1
+            self.finish_step(plan, decoding)
+
+    async def wait_for_work(self) -> None:
+        """Wait until a run is ready; looks at the deadlines now and then."""
+        try:
+            async with asyncio.timeout(1.0):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+
+    def expire(self) -> None:
+        """Give up the requests whose deadline passed."""
+        now = self.now()
+        for run in list(self.batch.runs.values()):
+            if run.expires_at <= now:
+                run.emit_error("deadline")
+                self.batch.remove(run)
+
+    def start_runs(self, plan: list[tuple[Run, int]]) -> None:
+        """Mark the runs that a step works on; some prompts crash the engine."""
+        marker = self.faults.value("crash_on", "marker", None)
+        for run, _ in plan:
+            if run.started:
+                continue
+            run.started = True
+            self.runs_by_id[run.request_id] = self.runs_by_id.get(run.request_id, 0) + 1
+            if marker is not None and marker.encode() in run.prompt:
+                die()
+
+    def finish_step(self, plan: list[tuple[Run, int]], decoding: list[Run]) -> None:
+        """Apply what a step has computed."""
+        for run, tokens in plan:
+            run.left_tokens -= tokens
+            if not run.left_tokens:
+                self.finish_prefill(run)
+        for run in decoding:
+            self.decode(run)
+
+    def finish_prefill(self, run: Run) -> None:
+        """Compute the values of the blocks that were missing."""
+        known = len(run.values)
+        previous = run.values[-1] if run.values else None
+        if previous is None:
+            previous = root_value(run.cache_salt, run.weight_version)
+        for block in run.blocks[known:]:
+            previous = block_value(previous, run.weight_version, block)
+            run.values.append(previous)
+        run.final = final_value(
+            previous, run.rest, run.model, run.adapter, run.weight_version
+        )
+        self.cache.store(run.hashes[known:], run.values[known:], self.now())
+        self.counts["prompt_tokens"] += run.prompt_tokens
+        self.counts["cached_tokens"] += run.cached_tokens
+        self.counts["imported_tokens"] += run.imported_tokens
+        computed = run.prompt_tokens - run.cached_tokens - run.imported_tokens
+        self.counts["computed_tokens"] += computed
+        self.decode(run)
+
+    def decode(self, run: Run) -> None:
+        """Send the next token of a run, and its end after the last."""
+        if run.request_id not in self.batch.runs:
+            return
+        if run.next_index < run.length:
+            run.emit_token()
+            self.counts["answer_tokens"] += 1
+        if run.next_index >= run.length:
+            run.emit_end()
+            self.counts["finished"] += 1
+            self.batch.remove(run)
+
+    async def stream(self, run: Run) -> AsyncIterator[bytes]:
+        """Yield the events of a run, all that wait as one chunk."""
+        sent = 0
+        while True:
+            events = [await run.outgoing.get()]
+            while not run.outgoing.empty():
+                events.append(run.outgoing.get_nowait())
+            lines = [self.encode(event, run) for event in events]
+            limit = self.faults.value("reset_mid_answer", "after", None)
+            if limit is not None and sent + len(lines) > limit:
+                yield b"".join(lines[: limit - sent])
+                raise AbortAnswerError
+            sent += len(lines)
+            yield b"".join(lines)
+            if events[-1] is None:
+                return
+
+    def encode(self, event: dict[str, Any] | None, run: Run) -> bytes:
+        """Return an event as it is sent; under the fault some are another's."""
+        if event is None:
+            return b"data: [DONE]\n\n"
+        if event.get("i") == CROSSED_INDEX and self.faults.happens("cross_answers"):
+            others = [other for other in self.batch.runs if other != run.request_id]
+            event = {**event, "id": others[0] if others else "another"}
+        return b"data: " + json.dumps(event, separators=(",", ":")).encode() + b"\n\n"
+
+    async def cancel(self, request: Request) -> Response:
+        """Stop the work on a request."""
+        run = self.batch.runs.get(request.json()["request_id"])
+        if run is not None:
+            run.emit_error("cancelled")
+            self.batch.remove(run)
+            self.counts["cancelled"] += 1
+        return json_response({})
+
+    async def report_loop(self) -> None:
+        """Read the load now and then."""
+        while True:
+            self.read_load()
+            await asyncio.sleep(self.settings.load_lag)
+
+    def read_load(self) -> None:
+        """Read the load for later reports."""
+        waiting = self.batch.waiting()
+        self.reported_at = self.now()
+        self.reported_load = {
+            "incarnation": self.incarnation,
+            "running": len(self.batch.admitted),
+            "waiting": len(waiting),
+            "queued_prompt_tokens": sum(
+                run.left_tokens if run.ready else run.prompt_tokens
+                for run in self.batch.runs.values()
+            ),
+            "cache_used": self.cache.used_tokens(),
+            "cache_limit": self.settings.cache_tokens,
+        }
+
+    async def load(self, request: Request) -> Response:
+        """Return the lagging load report."""
+        age = self.now() - self.reported_at
+        return json_response({**self.reported_load, "age": age})
+
+    async def cache_events(self, request: Request) -> Response:
+        """Return cache events after a sequence number, late and with gaps."""
+        after = int(request.query.get("after", "0"))
+        until = self.now() + float(request.query.get("wait", "0"))
+        events = self.cache.events_after(after, self.now())
+        while not events and self.now() < until:
+            await asyncio.sleep(EVENT_POLL_SECONDS)
+            events = self.cache.events_after(after, self.now())
+        last = events[-1].sequence if events else after
+        return self.event_list([event.as_json() for event in events], last)
+
+    async def cache_contents(self, request: Request) -> Response:
+        """Return all cached hashes as one event."""
+        sequence = self.cache.sequence
+        hashes = list(self.cache.values)
+        event = {"sequence": sequence, "kind": "stored", "hashes": hashes}
+        return self.event_list([event], sequence)
+
+    def event_list(self, events: list[dict[str, Any]], last: int) -> Response:
+        """Return cache events with the incarnation."""
+        values = {"incarnation": self.incarnation, "events": events, "next": last}
+        return json_response(values)
+
+    async def export(self, request: Request) -> Response:
+        """Write cached blocks to a store."""
+        order = request.json()
+        values = self.cache.values
+        blocks = [(h, values[h]) for h in order["hashes"] if h in values]
+        stored = await self.transfers.export_blocks(
+            order["store_url"], order["tier"], order["generation"], blocks
+        )
+        sent = len(stored) * BLOCK_LINK_BYTES
+        self.counts["exported_bytes"] += sent
+        return json_response({"stored": stored, "bytes_sent": sent})
+
+    async def state(self, request: Request) -> Response:
+        """Return what is loaded."""
+        return json_response(self.state_values())
+
+    def state_values(self) -> dict[str, Any]:
+        """Return what is loaded as JSON values."""
+        return {"incarnation": self.incarnation, **self.weights.as_json()}
+
+    async def set_state(self, request: Request) -> Response:
+        """Take an order."""
+        try:
+            self.weights.apply(request.json())
+        except OldFenceError:
+            highest = self.weights.highest_fence
+            raise HttpError(409, {"error": "fence", "highest_fence": highest}) from None
+        return json_response(self.state_values(), status=202)
+
+
+def parse_model(text: str) -> LoadedModel:
+    """Return a model from ``name:version[:adapter,adapter]``."""
+    name, version, *adapters = text.split(":")
+    names = tuple(adapters[0].split(",")) if adapters else ()
+    return LoadedModel(model=name, weight_version=version, adapters=names)
+
+
+@click.command()
+@click.option("--port", default=0)
+@click.option("--role", default="serve")
+@click.option("--model", "models", multiple=True, help="name:version[:adapter,..].")
+@click.option("--checks-fence/--ignores-fence", default=False)
+@click.option("--platform-url", default="", help="Empty: weights load at once.")
+@click.option("--weight-bytes", default=100_000_000)
+@click.option("--cache-tokens", default=200_000)
+@click.option("--batch-limit", default=32)
+@click.option("--queue-limit", default=256)
+@click.option("--load-lag", default=0.25)
+@click.option("--event-delay", default=0.1)
+@click.option("--import-timeout", default=5.0)
+@click.option("--scale", default=1.0, help="Factor on all step costs; 0: none.")
+@click.option("--step-seconds", default=0.02)
+@click.option("--prefill-seconds-per-token", default=0.0001)
+@click.option("--prefill-tokens", default=256)
+def main(
+    port: int,
+    models: tuple[str, ...],
+    scale: float,
+    step_seconds: float,
+    prefill_seconds_per_token: float,
+    prefill_tokens: int,
+    **options: Any,
+) -> None:
+    """Serve the stand-in of a model engine."""
+    costs = StepCosts(
+        scale=scale,
+        step_seconds=step_seconds,
+        prefill_seconds_per_token=prefill_seconds_per_token,
+        prefill_tokens=prefill_tokens,
+    )
+    loaded = [parse_model(text) for text in models]
+    serve(Engine(EngineSettings(models=loaded, costs=costs, **options)).app(), port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stand_ins/object_store.py
@@ -0,0 +1,123 @@
+"""Objects with versions, revisions and waiting watches."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections import deque
+from dataclasses import dataclass
+from typing import Any, Final
+
+CHANGES_KEPT: Final = 5000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoredObject:
+    """One object; ``value`` is ``None`` in the record of a deletion."""
+
+    key: str
+    version: int
+    revision: int
+    value: bytes | None
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the object as the object API lists it."""
+        value = self.value
+        encoded = None if value is None else base64.b64encode(value).decode()
+        return {"key": self.key, "version": self.version, "value_base64": encoded}
+
+
+class VersionConflictError(Exception):
+    """A conditional update met another version."""
+
+    def __init__(self, current: int) -> None:
+        super().__init__(current)
+        self.current = current
+
+
+class ForgottenRevisionError(Exception):
+    """A watch resumes from a revision that is no longer known."""
+
+
+class ObjectStore:
+    """Objects under one revision counter."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, StoredObject] = {}
+        self.revision = 0
+        self.forgotten_revision = 0
+        self.changes: deque[StoredObject] = deque()
+        self.changed = asyncio.Condition()
+
+    def version(self, key: str) -> int:
+        """Return the version of an object; 0 when it doesn't exist."""
+        found = self.objects.get(key)
+        return 0 if found is None else found.version
+
+    async def put(self, key: str, value: bytes, if_version: int) -> int:
+        """Write when the version matches; return the new version."""
+        current = self.version(key)
+        if current != if_version:
+            raise VersionConflictError(current)
+        await self.record(key, current + 1, value)
+        return current + 1
+
+    async def delete(self, key: str, if_version: int) -> None:
+        """Delete when the version matches."""
+        current = self.version(key)
+        if current != if_version:
+            raise VersionConflictError(current)
+        await self.record(key, current, None)
+
+    async def record(self, key: str, version: int, value: bytes | None) -> None:
+        """Apply a change and wake the watches."""
+        self.revision += 1
+        change = StoredObject(
+            key=key, version=version, revision=self.revision, value=value
+        )
+        if value is None:
+            self.objects.pop(key)
+        else:
+            self.objects[key] = change
+        self.changes.append(change)
+        while len(self.changes) > CHANGES_KEPT:
+            self.forgotten_revision = self.changes.popleft().revision
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget_revisions(self) -> None:
+        """Forget all changes up to now."""
+        self.changes.clear()
+        self.forgotten_revision = self.revision
+
+    def listed(self, prefix: str) -> list[StoredObject]:
+        """Return the objects under a prefix, by key."""
+        return [self.objects[k] for k in sorted(self.objects) if k.startswith(prefix)]
+
+    def changes_after(self, prefix: str, revision: int) -> list[StoredObject]:
+        """Return the last change of each object under a prefix."""
+        if revision < self.forgotten_revision or revision > self.revision:
+            raise ForgottenRevisionError
+        latest = {
+            change.key: change
+            for change in self.changes
+            if change.revision > revision and change.key.startswith(prefix)
+        }
+        return sorted(latest.values(), key=lambda change: change.revision)
+
+    async def watch(
+        self, prefix: str, revision: int, wait: float
+    ) -> list[StoredObject]:
+        """Return changes after a revision, at once or after up to ``wait`` seconds."""
+        found: list[StoredObject] = []
+
+        def has_changes() -> bool:
+            found[:] = self.changes_after(prefix, revision)
+            return bool(found)
+
+        try:
+            async with asyncio.timeout(wait), self.changed:
+                await self.changed.wait_for(has_changes)
+        except TimeoutError:
+            return []
+        return found
--- /dev/null
+++ b/stand_ins/platform.py
@@ -0,0 +1,217 @@
+"""Stand-in of the platform: object API, list of VMs, weight store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, Final
+
+import click
+
+from stand_ins.asgi import App, HttpError, Request, Response, json_response
+from stand_ins.faults import Faults
+from stand_ins.object_store import (
+    ForgottenRevisionError,
+    ObjectStore,
+    StoredObject,
+    VersionConflictError,
+)
+from stand_ins.rates import Allowance, Link
+from stand_ins.serving import serve
+
+VALUE_LIMIT_BYTES: Final = 1024 * 1024
+RETRY_AFTER_SECONDS: Final = 1
+
+
+class Platform:
+    """The platform behind its HTTP calls."""
+
+    def __init__(self, *, writes: float, reads: float, weight_rate: float) -> None:
+        self.faults = Faults()
+        self.store = ObjectStore()
+        self.writes = Allowance(per_second=writes, left=writes)
+        self.reads = Allowance(per_second=reads, left=reads)
+        self.weights = Link(bytes_per_second=weight_rate)
+        self.vm_lists: list[tuple[float, list[Any]]] = [(0.0, [])]
+        self.stale_objects: dict[str, StoredObject] | None = None
+        self.stale_revision = 0
+        self.waiting = 0
+        self.counts = {"reads": 0, "writes": 0, "watches": 0, "vm_lists": 0}
+        self.counts |= {"refused": 0, "weight_loads": 0, "waiting_peak": 0}
+
+    def counters(self) -> dict[str, Any]:
+        """Return the counters of the control port."""
+        return {**self.counts, "waiting": self.waiting, "revision": self.store.revision}
+
+    def app(self) -> App:
+        """Return the application with all calls."""
+        app = App(self.faults, self.counters)
+        app.add("POST", "/control", self.change_control)
+        app.routes.insert(0, app.routes.pop())
+        app.add("PUT", "/control/vms", self.set_vms)
+        app.add("GET", "/objects", self.list_objects)
+        app.add("GET", "/objects/{key*}", self.get_object)
+        app.add("PUT", "/objects/{key*}", self.put_object)
+        app.add("DELETE", "/objects/{key*}", self.delete_object)
+        app.add("GET", "/watch", self.watch)
+        app.add("GET", "/vms", self.list_vms)
+        app.add("POST", "/weights/{model}/{version}", self.load_weights)
+        return app
+
+    async def change_control(self, request: Request) -> Response:
+        """Switch a fault; some act on the objects at once."""
+        self.faults.change(request.json())
+        if self.faults.on("stale_reads") and self.stale_objects is None:
+            self.stale_objects = dict(self.store.objects)
+            self.stale_revision = self.store.revision
+        if not self.faults.on("stale_reads"):
+            self.stale_objects = None
+        if self.faults.active.pop("forget_revisions", None) is not None:
+            self.store.forget_revisions()
+        return json_response(
+            {"faults": self.faults.active, "counters": self.counters()}
+        )
+
+    def count_read(self, kind: str = "reads") -> None:
+        """Count a read against the rate."""
+        self.counts[kind] += 1
+        self.limit(self.reads, occupied=self.waiting)
+
+    def limit(self, allowance: Allowance, *, occupied: int = 0) -> None:
+        """Refuse the call when the rate is used up."""
+        now = asyncio.get_running_loop().time()
+        if allowance.take(now, occupied=occupied):
+            return
+        self.counts["refused"] += 1
+        headers = {"retry-after": str(RETRY_AFTER_SECONDS)}
+        raise HttpError(429, {"error": "rate"}, headers=headers)
+
+    async def get_object(self, request: Request) -> Response:
+        """Return one object."""
+        self.count_read()
+        objects = self.store.objects
+        if self.stale_objects is not None:
+            objects = self.stale_objects
+        found = objects.get(request.path_values["key"])
+        if found is None or found.value is None:
+            raise HttpError(404, {"error": "key"})
+        return Response(
+            body=found.value,
+            content_type="application/octet-stream",
+            headers={"x-version": str(found.version)},
+        )
+
+    async def list_objects(self, request: Request) -> Response:
+        """Return the objects under a prefix."""
+        self.count_read()
+        prefix = request.query.get("prefix", "")
+        objects = self.store.listed(prefix)
+        revision = self.store.revision
+        if self.stale_objects is not None:
+            stale = self.stale_objects
+            objects = [stale[k] for k in sorted(stale) if k.startswith(prefix)]
+            revision = self.stale_revision
+        return listing(objects, revision)
+
+    async def put_object(self, request: Request) -> Response:
+        """Write an object on a condition."""
+        self.counts["writes"] += 1
+        self.limit(self.writes)
+        if len(request.body) > VALUE_LIMIT_BYTES:
+            raise HttpError(413, {"error": "size"})
+        key, if_version = request.path_values["key"], condition(request)
+        try:
+            version = await self.store.put(key, request.body, if_version)
+        except VersionConflictError as error:
+            raise HttpError(409, {"current": error.current}) from None
+        return json_response({"version": version})
+
+    async def delete_object(self, request: Request) -> Response:
+        """Delete an object on a condition."""
+        self.counts["writes"] += 1
+        self.limit(self.writes)
+        key, if_version = request.path_values["key"], condition(request)
+        if not self.store.version(key):
+            raise HttpError(404, {"error": "key"})
+        try:
+            await self.store.delete(key, if_version)
+        except VersionConflictError as error:
+            raise HttpError(409, {"current": error.current}) from None
+        return json_response({})
+
+    async def watch(self, request: Request) -> Response:
+        """Wait for changes under a prefix."""
+        self.count_read("watches")
+        prefix = request.query.get("prefix", "")
+        after = int(request.query.get("after", "0"))
+        wait = float(request.query.get("wait", "0"))
+        self.waiting += 1
+        self.counts["waiting_peak"] = max(self.counts["waiting_peak"], self.waiting)
+        try:
+            if self.faults.on("silent_watch"):
+                await asyncio.sleep(wait)
+                return listing([], after)
+            changes = await self.store.watch(prefix, after, wait)
+        except ForgottenRevisionError:
+            raise HttpError(410, {"error": "revision"}) from None
+        finally:
+            self.waiting -= 1
+        revision = changes[-1].revision if changes else after
+        return listing(changes, revision)
+
+    async def list_vms(self, request: Request) -> Response:
+        """Return the list of VMs as it was some time ago."""
+        self.count_read("vm_lists")
+        lag = self.faults.value("list_lag", "seconds", 0.0)
+        until = asyncio.get_running_loop().time() - lag
+        known = [vms for since, vms in self.vm_lists if since <= until]
+        return json_response({"vms": known[-1] if known else []})
+
+    async def set_vms(self, request: Request) -> Response:
+        """Replace the list of VMs."""
+        now = asyncio.get_running_loop().time()
+        self.vm_lists.append((now, request.json()["vms"]))
+        return json_response({})
+
+    async def load_weights(self, request: Request) -> Response:
+        """Wait for the shared rate of the weight store."""
+        self.counts["weight_loads"] += 1
+        await self.weights.transfer(int(request.query.get("bytes", "0")))
+        return json_response({})
+
+
+def condition(request: Request) -> int:
+    """Return the version that a conditional update asks for."""
+    try:
+        return int(request.headers["if-version"])
+    except (KeyError, ValueError):
+        raise HttpError(400, {"error": "If-Version"}) from None
+
+
+def listing(objects: list[StoredObject], revision: int) -> Response:
+    """Return objects as the object API lists them."""
+    values = [found.as_json() for found in objects]
+    return json_response({"objects": values, "revision": revision})
+
+
+@click.command()
+@click.option("--port", default=0)
+@click.option("--writes-per-second", default=400.0)
+@click.option("--reads-per-second", default=2000.0)
+@click.option("--weight-bytes-per-second", default=1e9)
+def main(
+    port: int,
+    writes_per_second: float,
+    reads_per_second: float,
+    weight_bytes_per_second: float,
+) -> None:
+    """Serve the stand-in of the platform."""
+    platform = Platform(
+        writes=writes_per_second,
+        reads=reads_per_second,
+        weight_rate=weight_bytes_per_second,
+    )
+    serve(platform.app(), port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stand_ins/prefix_cache.py
@@ -0,0 +1,97 @@
+"""Bounded prefix cache of an engine and the events it publishes."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Final
+
+from stand_ins.content import BLOCK_TOKENS
+from stand_ins.faults import Faults
+
+EVENTS_KEPT: Final = 10_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CacheEvent:
+    """One published change."""
+
+    sequence: int
+    kind: str
+    hashes: tuple[str, ...]
+    visible_at: float
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the event as the engine publishes it."""
+        return {
+            "sequence": self.sequence,
+            "kind": self.kind,
+            "hashes": list(self.hashes),
+        }
+
+
+class PrefixCache:
+    """Values of blocks by hash; the least recently used goes first."""
+
+    def __init__(self, *, limit_tokens: int, event_delay: float, faults: Faults):
+        self.limit_blocks = limit_tokens // BLOCK_TOKENS
+        self.event_delay = event_delay
+        self.faults = faults
+        self.values: OrderedDict[str, bytes] = OrderedDict()
+        self.events: deque[CacheEvent] = deque(maxlen=EVENTS_KEPT)
+        self.sequence = 0
+
+    def used_tokens(self) -> int:
+        """Return the tokens in the cache."""
+        return len(self.values) * BLOCK_TOKENS
+
+    def prefix(self, hashes: Sequence[str]) -> list[bytes]:
+        """Return the values of the longest cached prefix."""
+        found: list[bytes] = []
+        for block_hash in hashes:
+            value = self.values.get(block_hash)
+            if value is None:
+                break
+            self.values.move_to_end(block_hash)
+            found.append(value)
+        return found
+
+    def store(self, hashes: Sequence[str], values: Sequence[bytes], now: float) -> None:
+        """Add blocks and evict the least recently used ones."""
+        added: list[str] = []
+        for block_hash, value in zip(hashes, values, strict=True):
+            if block_hash not in self.values:
+                added.append(block_hash)
+                self.values[block_hash] = value
+            self.values.move_to_end(block_hash)
+        self.publish("stored", added, now)
+        evicted: list[str] = []
+        while len(self.values) > self.limit_blocks:
+            evicted.append(self.values.popitem(last=False)[0])
+        self.publish("evicted", evicted, now)
+
+    def clear(self, now: float) -> None:
+        """Forget all blocks."""
+        self.values.clear()
+        self.publish("cleared", [""], now)
+
+    def publish(self, kind: str, hashes: list[str], now: float) -> None:
+        """Publish a change late, or lose it under the fault."""
+        if not hashes:
+            return
+        self.sequence += 1
+        if self.faults.happens("gap_events"):
+            return
+        self.events.append(
+            CacheEvent(
+                sequence=self.sequence,
+                kind=kind,
+                hashes=tuple(h for h in hashes if h),
+                visible_at=now + self.event_delay,
+            )
+        )
+
+    def events_after(self, sequence: int, now: float) -> list[CacheEvent]:
+        """Return the visible events after a sequence number."""
+        return [e for e in self.events if e.sequence > sequence and e.visible_at <= now]
--- /dev/null
+++ b/stand_ins/serving.py
@@ -0,0 +1,51 @@
+"""Runs a stand-in on loopback until it is told to end."""
+
+from __future__ import annotations
+
+import socket
+from typing import Final
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from stand_ins.asgi import ABORT_EXTENSION, App
+
+HOST: Final = "127.0.0.1"
+SHUTDOWN_SECONDS: Final = 1
+
+
+class AbortableProtocol(HttpToolsProtocol):
+    """HTTP protocol that lets the application reset its connection."""
+
+    def on_message_begin(self) -> None:
+        """Give the application the function that resets the connection."""
+        super().on_message_begin()
+        self.scope["extensions"] = {ABORT_EXTENSION: {"abort": self.transport.abort}}
+
+
+class AnnouncingServer(uvicorn.Server):
+    """Server that prints its port when it is ready."""
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start, then print the line that launchers wait for."""
+        await super().startup(sockets=sockets)
+        if sockets and self.started:
+            port = sockets[0].getsockname()[1]
+            print(f"listening {port}", flush=True)  # noqa: T201
+
+
+def serve(app: App, port: int) -> None:
+    """Serve until SIGTERM."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((HOST, port))
+    config = uvicorn.Config(
+        app,
+        http=AbortableProtocol,
+        loop="asyncio",
+        log_level="warning",
+        access_log=False,
+        proxy_headers=False,
+        timeout_graceful_shutdown=SHUTDOWN_SECONDS,
+    )
+    AnnouncingServer(config).run(sockets=[listener])
