--- a/tests/entry/__init__.py
+++ b/tests/entry/__init__.py
@@ -1,3 +1,3 @@
-"""Tests of gypsumsail.entry."""
+"""Tests of entry."""
 
 from __future__ import annotations
