Try one block past the kink, and make two tests bite

Ruled out: trusting random examples for the kink; 300 examples never hit it. Before and after: kink left out: 29 passed before, now the differential test fails, as it does without the size after the kink; salt joined by ':': 5 passed before, now 1 of 5 fails, and joined by nothing 2 fail. 34 tests pass. Conclusion: block sizes are whole numbers, so the best is the kink, the size after it, or all.

--- a/src/gypsumsail/routing/cost.py
+++ b/src/gypsumsail/routing/cost.py
@@ -106,14 +106,14 @@
 def _import_sizes(candidate: Candidate, kept: KeptPrefix) -> set[int]:
     """Return the sizes among which the cheapest import is.
 
-    The score is linear in the size, with one kink where the import takes just
-    as long as the wait for the tokens ahead.
+    The score is convex and linear in the size but for one kink, where the import
+    takes just as long as the wait for the tokens ahead.
     """
     most = importable_blocks(candidate, kept)
     waiting = candidate.tokens_ahead / candidate.rates.prefill_tokens_per_second
     in_time = waiting * kept.bytes_per_second - kept.queued_bytes
     kink = int(max(in_time, 0) / kept.block_bytes)
-    return {size for size in (most, min(kink, most)) if size > 0}
+    return {size for size in (kink, kink + 1, most) if 0 < size <= most}
 
 
 def _kept_blocks(
--- a/tests/context/test_blocks.py
+++ b/tests/context/test_blocks.py
@@ -9,7 +9,7 @@
 
 from gypsumsail.context.blocks import block_hashes, cache_salt, token_count
 
-PARTS = st.tuples(*[st.text(alphabet="a1:é\n", max_size=3)] * 5)
+PARTS = st.tuples(*[st.text(alphabet="1:é", max_size=2)] * 5)
 
 
 def salt_of(parts: tuple[str, ...]) -> str:
@@ -32,8 +32,9 @@
 
 
 def test_salt_keeps_shifted_parts_apart() -> None:
-    assert salt_of(("a", "b1:c", "", "", "")) != salt_of(("a", "b", "c", "", ""))
+    assert salt_of(("a:b", "c", "", "", "")) != salt_of(("a", "b:c", "", "", ""))
     assert salt_of(("1:a", "", "", "", "")) != salt_of(("1", "a", "", "", ""))
+    assert salt_of(("ab", "c", "", "", "")) != salt_of(("a", "bc", "", "", ""))
 
 
 @settings(derandomize=True, max_examples=100)
--- a/tests/routing/test_choose.py
+++ b/tests/routing/test_choose.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from random import Random
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 import pytest
 
@@ -80,10 +80,12 @@
     st.integers(0, 8000),
     st.integers(1, 12),
     st.integers(0, 20_000),
-    st.integers(200, 50_000),
+    st.integers(200, 4_000),
     st.integers(0, 12_000),
     st.sampled_from([(0.6, 0.3, 0.1), (0.2, 0.2, 0.6), (1.0, 0.0, 0.0)]),
 )
+@example(0, 3000, 10, 0, 1500, 12_000, (0.6, 0.3, 0.1))
+@example(0, 3000, 10, 900, 1500, 12_000, (0.6, 0.3, 0.1))
 def test_best_plan_is_as_good_as_trying_each_size(
     cached: int,
     ahead: int,
