Record and merge the time line

Cause: an operator must see events of all processes in one order, and what is missing of them. Ruled out: order by wall clock (VM clocks differ and jump); taking over every remote timestamp (one jumped clock would drag all along); a lost event written by the recorder itself (it would be overwritten too; gaps in the numbers can't).

--- /dev/null
+++ b/src/gypsumsail/timeline/merge.py
@@ -0,0 +1,161 @@
+"""Merges the pages of many processes into one order, with what is missing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from gypsumsail.timeline.filters import EventFilter
+from gypsumsail.timeline.hlc import START, Timestamp
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.records import Page, ProcessId, RecordedEvent
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MergedEvent:
+    """One line of the merged time line."""
+
+    process: ProcessId
+    recorded: RecordedEvent
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ProcessSummary:
+    """What the time line knows of one life of a process.
+
+    Attributes
+    ----------
+    lost
+        Events that are missing below ``latest``.
+    reduced
+        Events of which only those that prove a promise were kept.
+    stopped
+        Whether its last event says that it stopped. When it neither stopped nor
+        answers, events after ``latest`` may be missing too.
+    """
+
+    process: ProcessId
+    latest: int
+    lost: int
+    reduced: int
+    stopped: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Timeline:
+    """Events of all processes in one order.
+
+    Attributes
+    ----------
+    events
+        Includes a ``timeline.lost`` event for each gap, whatever the filter.
+    unreachable
+        Names of the processes that could not be asked, each with the reason.
+    """
+
+    events: tuple[MergedEvent, ...]
+    processes: tuple[ProcessSummary, ...]
+    unreachable: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Range:
+    first: int
+    last: int
+
+
+def merge_pages(
+    pages: Iterable[Page], wanted: EventFilter, unreachable: dict[str, str]
+) -> Timeline:
+    """Return the events of all pages in one order, each once."""
+    by_process: dict[ProcessId, list[Page]] = {}
+    for page in pages:
+        by_process.setdefault(page.process, []).append(page)
+    events: list[MergedEvent] = []
+    processes: list[ProcessSummary] = []
+    for process, own_pages in sorted(by_process.items()):
+        known = _events_of(own_pages)
+        gaps = _gaps(own_pages)
+        events += [
+            MergedEvent(process=process, recorded=recorded)
+            for recorded in known.values()
+            if wanted.matches(recorded.event)
+        ]
+        events += [
+            MergedEvent(process=process, recorded=_lost_event(gap, known))
+            for gap in gaps
+        ]
+        processes.append(_summary(process, own_pages, known, gaps))
+    events.sort(
+        key=lambda item: (item.recorded.stamp, item.process, item.recorded.sequence)
+    )
+    return Timeline(
+        events=tuple(events), processes=tuple(processes), unreachable=unreachable
+    )
+
+
+def _order(item: MergedEvent) -> tuple[Timestamp, ProcessId, int]:
+    return item.recorded.stamp, item.process, item.recorded.sequence
+
+
+def _events_of(pages: list[Page]) -> dict[int, RecordedEvent]:
+    events: dict[int, RecordedEvent] = {}
+    for page in pages:
+        for recorded in page.events:
+            events[recorded.sequence] = recorded
+    return dict(sorted(events.items()))
+
+
+def _gaps(pages: list[Page]) -> list[_Range]:
+    """Return the ranges up to the latest event for which no page speaks."""
+    gaps: list[_Range] = []
+    reached = 0
+    for first, last in sorted((page.first, page.last) for page in pages):
+        if last < first:
+            continue
+        if first > reached + 1:
+            gaps.append(_Range(first=reached + 1, last=first - 1))
+        reached = max(reached, last)
+    latest = max(page.latest for page in pages)
+    if latest > reached:
+        gaps.append(_Range(first=reached + 1, last=latest))
+    return gaps
+
+
+def _lost_event(gap: _Range, known: dict[int, RecordedEvent]) -> RecordedEvent:
+    """Return the event that stands for a gap, just before what follows it."""
+    before = [item for number, item in known.items() if number < gap.first]
+    after = [item for number, item in known.items() if number > gap.last]
+    stamp = after[0].stamp if after else before[-1].stamp if before else START
+    wall_ms = after[0].wall_ms if after else before[-1].wall_ms if before else 0
+    detail = f"events {gap.first} to {gap.last} of this process are lost"
+    return RecordedEvent(
+        sequence=gap.last,
+        stamp=stamp,
+        wall_ms=wall_ms,
+        event=Event(kind=EventKind.EVENTS_LOST, detail=detail),
+    )
+
+
+def _summary(
+    process: ProcessId,
+    pages: list[Page],
+    known: dict[int, RecordedEvent],
+    gaps: list[_Range],
+) -> ProcessSummary:
+    latest = max(page.latest for page in pages)
+    lost = sum(gap.last - gap.first + 1 for gap in gaps)
+    unread = _gaps([page for page in pages if page.whole] + [_nothing(process, latest)])
+    not_whole = sum(gap.last - gap.first + 1 for gap in unread)
+    last = known.get(latest)
+    return ProcessSummary(
+        process=process,
+        latest=latest,
+        lost=lost,
+        reduced=not_whole - lost,
+        stopped=last is not None and last.event.kind is EventKind.ENTRY_STOPPED,
+    )
+
+
+def _nothing(process: ProcessId, latest: int) -> Page:
+    return Page(process=process, first=1, last=0, latest=latest, whole=False, events=())
--- /dev/null
+++ b/src/gypsumsail/timeline/recorder.py
@@ -0,0 +1,104 @@
+"""Keeps the latest events of this process."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import replace
+from itertools import islice
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.timeline.const import (
+    MAX_DETAIL_LENGTH,
+    MAX_FIELD_LENGTH,
+    MILLISECONDS_PER_SECOND,
+    PAGE_EVENTS,
+    RING_EVENTS,
+)
+from gypsumsail.timeline.hlc import HybridClock, Timestamp
+from gypsumsail.timeline.models import Event
+from gypsumsail.timeline.records import Page, ProcessId, RecordedEvent
+
+
+class TimelineRecorder:
+    """Bounded ring of events; what it overwrites is missing from later pages.
+
+    Attributes
+    ----------
+    process
+        The life of the process whose events these are.
+    """
+
+    def __init__(
+        self, process: ProcessId, clock: Clock, capacity: int = RING_EVENTS
+    ) -> None:
+        self.process = process
+        self.clock = clock
+        self.hybrid = HybridClock()
+        self.ring: deque[RecordedEvent] = deque(maxlen=capacity)
+        self.latest = 0
+
+    @callback
+    def record(self, event: Event) -> None:
+        """Take one event; never blocks and never raises."""
+        wall_ms = self.wall_ms()
+        self.latest += 1
+        self.ring.append(
+            RecordedEvent(
+                sequence=self.latest,
+                stamp=self.hybrid.tick(wall_ms),
+                wall_ms=wall_ms,
+                event=_bounded(event),
+            )
+        )
+
+    @callback
+    def timestamp(self) -> Timestamp:
+        """Return the timestamp to send along with a message."""
+        return self.hybrid.tick(self.wall_ms())
+
+    @callback
+    def observe(self, remote: Timestamp) -> bool:
+        """Take over the timestamp of a message from another process."""
+        return self.hybrid.observe(remote, self.wall_ms())
+
+    @callback
+    def since(self, sequence: int, limit: int = PAGE_EVENTS) -> Page:
+        """Return the events after a sequence number, the oldest first.
+
+        The page starts after the number that was asked for when older events
+        were overwritten: the numbers between are lost.
+        """
+        oldest = self.ring[0].sequence if self.ring else self.latest + 1
+        first = max(sequence + 1, oldest)
+        skip = first - oldest
+        events = tuple(islice(self.ring, skip, skip + limit))
+        return Page(
+            process=self.process,
+            first=first,
+            last=events[-1].sequence if events else first - 1,
+            latest=self.latest,
+            whole=True,
+            events=events,
+        )
+
+    def wall_ms(self) -> int:
+        """Return this VM's clock in milliseconds."""
+        return int(self.clock.wall() * MILLISECONDS_PER_SECOND)
+
+
+def _bounded(event: Event) -> Event:
+    """Return the event with no text longer than its limit."""
+    texts = (event.request_id, event.customer, event.service, event.target)
+    longest = max(len(event.document), *(len(text) for text in texts))
+    if longest <= MAX_FIELD_LENGTH and len(event.detail) <= MAX_DETAIL_LENGTH:
+        return event
+    return replace(
+        event,
+        request_id=event.request_id[:MAX_FIELD_LENGTH],
+        customer=event.customer[:MAX_FIELD_LENGTH],
+        service=event.service[:MAX_FIELD_LENGTH],
+        target=event.target[:MAX_FIELD_LENGTH],
+        document=event.document[:MAX_FIELD_LENGTH],
+        detail=event.detail[:MAX_DETAIL_LENGTH],
+    )
--- /dev/null
+++ b/tests/timeline/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of gypsumsail.timeline."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/timeline/test_merge.py
@@ -0,0 +1,94 @@
+"""Tests of recording and merging events."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsumsail.timeline.const import MAX_AHEAD_MILLISECONDS
+from gypsumsail.timeline.filters import EventFilter
+from gypsumsail.timeline.hlc import HybridClock, Timestamp
+from gypsumsail.timeline.merge import merge_pages
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.recorder import TimelineRecorder
+from gypsumsail.timeline.rows import PageRow, page_from_row, page_to_row
+from tests.timeline.common import FakeClock, accepted, process
+
+EVERYTHING = EventFilter()
+
+
+def test_effects_follow_causes_over_clocks_that_differ() -> None:
+    slow, fast = FakeClock(1_000.0), FakeClock(1_003.0)
+    sender = TimelineRecorder(process("a"), fast)
+    receiver = TimelineRecorder(process("b"), slow)
+    sender.record(Event(kind=EventKind.REQUEST_SENT, request_id="r1"))
+    receiver.observe(sender.timestamp())
+    slow.now = 900.0
+    receiver.record(Event(kind=EventKind.REQUEST_ENDED, request_id="r1"))
+
+    line = merge_pages([receiver.since(0), sender.since(0)], EVERYTHING, {})
+
+    kinds = [item.recorded.event.kind for item in line.events]
+    assert kinds == [EventKind.REQUEST_SENT, EventKind.REQUEST_ENDED]
+    assert line.events[1].recorded.wall_ms == 900_000
+
+
+def test_a_clock_far_ahead_drags_nobody_along() -> None:
+    clock = HybridClock()
+    clock.tick(1_000)
+
+    assert not clock.observe(Timestamp(1_001 + MAX_AHEAD_MILLISECONDS), 1_000)
+    assert clock.tick(1_001) == Timestamp(1_001)
+    assert clock.refused == 1
+
+
+def test_overwritten_events_show_as_lost_whatever_the_filter() -> None:
+    recorder = TimelineRecorder(process(), FakeClock(), capacity=3)
+    for number in range(10):
+        recorder.record(accepted(f"r{number}"))
+
+    row = page_to_row(recorder.since(2)).model_dump_json()
+    page = page_from_row(PageRow.model_validate_json(row))
+    line = merge_pages([page], EventFilter(request_id="r9"), {"entry-2": "refused"})
+
+    details = [item.recorded.event.detail for item in line.events]
+    assert details == ["events 1 to 7 of this process are lost", ""]
+    assert line.processes[0].lost == 7
+    assert line.unreachable == {"entry-2": "refused"}
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    st.lists(st.tuples(st.integers(0, 2), st.integers(-3, 3)), max_size=60),
+    st.lists(st.integers(0, 30), max_size=6),
+    st.integers(1, 20),
+)
+def test_no_event_is_missing_without_being_counted(
+    steps: list[tuple[int, int]], cursors: list[int], capacity: int
+) -> None:
+    clocks = [FakeClock(1_000.0 + number) for number in range(3)]
+    recorders = [
+        TimelineRecorder(process(f"p{number}"), clock, capacity)
+        for number, clock in enumerate(clocks)
+    ]
+    pages = []
+    for index, (number, shift) in enumerate(steps):
+        clocks[number].now += shift
+        recorders[number].record(accepted(f"r{index}"))
+        recorders[(number + 1) % 3].observe(recorders[number].timestamp())
+        if cursors and index % 7 == 0:
+            pages.append(recorders[number].since(cursors[index % len(cursors)], 4))
+    pages += [recorder.since(0, 5) for recorder in recorders]
+
+    line = merge_pages(pages, EVERYTHING, {})
+
+    for summary in line.processes:
+        own = [item for item in line.events if item.process == summary.process]
+        known = [
+            item.recorded.sequence
+            for item in own
+            if item.recorded.event.kind is not EventKind.EVENTS_LOST
+        ]
+        assert known == sorted(set(known))
+        assert len(known) + summary.lost == summary.latest
+        assert summary.reduced == 0
