Make the test of the read rate notice an uncounted watch

Cause: with waiting watches left out of the rate the test still passed. Conclusion: it now reads for over a second; with the watch left out it fails with 200 == 429, before and after is 6 passed.

--- a/tests/stand_ins/test_platform.py
+++ b/tests/stand_ins/test_platform.py
@@ -102,8 +102,10 @@
     path = f"{platform.url}/watch?prefix=a&after=1&wait=60"
     watch = asyncio.create_task(client.get(path))
     await wait_for_watch(client, platform)
-    read = await client.get(f"{platform.url}/objects/0")
-    assert read.status_code == 429
+    for _ in range(30):
+        read = await client.get(f"{platform.url}/objects/0")
+        assert read.status_code == 429
+        await asyncio.sleep(0.05)
     watch.cancel()
 
 
