Speak to the platform, stores and targets over HTTP

Cause: the ports had no adapters. Ruled out: any repeat of a call (redirects, retries and proxies are off); counting a reset on a reused connection as not sent; reusing a stream's connection after anything but a whole answer. Conclusion: TransportError.sent is false only for connect and pool failures and for refusals that the protocol promises to be not run.

--- /dev/null
+++ b/src/gypsumsail/stores/http.py
@@ -0,0 +1,95 @@
+"""Adapter to a store VM over HTTP."""
+
+from __future__ import annotations
+
+import json
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.stores.port import (
+    StoreContents,
+    StoredBlock,
+    StoreLoad,
+    Tier,
+    TierLoad,
+)
+from gypsumsail.stores.wire import ContentsBody, HeldBody, StoreLoadBody
+from gypsumsail.transport.client import (
+    HttpAnswer,
+    HttpClient,
+    parse,
+    raise_for_status,
+)
+from gypsumsail.transport.const import CALL_TIMEOUT_SECONDS
+
+
+class HttpStore:
+    """One store VM; implements the port ``Store``."""
+
+    def __init__(self, base_url: str, *, timeout: float = CALL_TIMEOUT_SECONDS):
+        self.client = HttpClient(base_url)
+        self.timeout = timeout
+
+    async def async_close(self) -> None:
+        """Close all connections."""
+        await self.client.async_close()
+
+    async def async_load(self) -> StoreLoad:
+        """Return room and link use."""
+        body = parse(StoreLoadBody, await self._async_get("/load"))
+        tiers = tuple(
+            TierLoad(
+                tier=tier.tier,
+                used=tier.used,
+                limit=tier.limit,
+                queued_bytes=tier.queued_bytes,
+                bytes_per_second=tier.bytes_per_second,
+            )
+            for tier in body.tiers
+        )
+        return StoreLoad(
+            incarnation=body.incarnation, tiers=tiers, sequence=body.sequence
+        )
+
+    async def async_contents(self, *, after: int) -> StoreContents:
+        """Return the blocks that became whole after a sequence number."""
+        answer = await self._async_get("/contents", {"after": str(after)})
+        body = parse(ContentsBody, answer)
+        blocks = tuple(
+            StoredBlock(name=block.name, tier=block.tier, size=block.size)
+            for block in body.blocks
+        )
+        return StoreContents(
+            incarnation=body.incarnation, sequence=body.sequence, blocks=blocks
+        )
+
+    async def async_hold(self, names: tuple[str, ...], *, seconds: float) -> set[str]:
+        """Hold blocks against freeing; return those that exist."""
+        order = {"names": names, "seconds": seconds}
+        held = set(parse(HeldBody, await self._async_post("/hold", order)).held)
+        if not held <= set(names):
+            raise TransportError("hold: names that were not asked for", sent=True)
+        return held
+
+    async def async_free(self, names: tuple[str, ...]) -> None:
+        """Free blocks; a held one is freed when its last hold ends."""
+        await self._async_post("/free", {"names": names})
+
+    async def async_move(self, names: tuple[str, ...], *, tier: Tier) -> None:
+        """Move blocks between the tiers of the store."""
+        await self._async_post("/move", {"names": names, "tier": tier.value})
+
+    async def _async_get(
+        self, path: str, query: dict[str, str] | None = None
+    ) -> HttpAnswer:
+        answer = await self.client.async_call(
+            "GET", path, query=query, timeout=self.timeout
+        )
+        raise_for_status(answer, path)
+        return answer
+
+    async def _async_post(self, path: str, order: object) -> HttpAnswer:
+        answer = await self.client.async_call(
+            "POST", path, body=json.dumps(order).encode(), timeout=self.timeout
+        )
+        raise_for_status(answer, path)
+        return answer
--- /dev/null
+++ b/src/gypsumsail/targets/connection.py
@@ -0,0 +1,170 @@
+"""One HTTP connection to an engine, for one answer stream at a time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import httptools
+
+from gypsumsail.core.callback import callback
+from gypsumsail.targets.errors import BrokenStreamError
+from gypsumsail.transport.const import HEADER_LIMIT_BYTES, UNREAD_LIMIT_BYTES
+
+
+class StreamConnection(asyncio.Protocol):
+    """Client side of HTTP/1.1 that hands on all bytes that wait at once.
+
+    Attributes
+    ----------
+    status, content_type
+        Head of the answer.
+    has_head
+        Whether the head came.
+    is_complete
+        Whether the whole HTTP message came.
+    is_reusable
+        Whether the connection may take another request.
+    """
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.error: BrokenStreamError | None = None
+        self.is_closed = False
+        self.is_used = False
+        self.waiter: asyncio.Future[None] | None = None
+        self._reset()
+
+    def _reset(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
+        self.content_type = ""
+        self.head_bytes = 0
+        self.chunks: list[bytes] = []
+        self.unread_bytes = 0
+        self.has_head = False
+        self.is_complete = False
+        self.is_paused = False
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether the answer came whole and the other side keeps open."""
+        return (
+            self.is_complete
+            and not self.is_closed
+            and self.error is None
+            and not self.chunks
+        )
+
+    @callback
+    def send(self, request: bytes) -> None:
+        """Send a request."""
+        self._reset()
+        self.is_used = True
+        if self.transport is None or self.is_closed:
+            self._fail("the connection is closed")
+            return
+        self.transport.write(request)
+
+    @callback
+    def abort(self) -> None:
+        """Close at once; the connection is not used again."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    @callback
+    def fail(self, reason: str) -> None:
+        """End the answer with an error."""
+        self._fail(reason)
+        self.abort()
+
+    async def async_head(self) -> None:
+        """Wait for the head of the answer."""
+        while not self.has_head:
+            await self._async_wait()
+
+    async def async_read(self) -> bytes:
+        """Return all body bytes that came; empty at the end of the message."""
+        while not self.chunks:
+            if self.is_complete and self.error is None:
+                return b""
+            await self._async_wait()
+        chunks, self.chunks = self.chunks, []
+        self.unread_bytes = 0
+        if self.is_paused and self.transport is not None:
+            self.is_paused = False
+            self.transport.resume_reading()
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+
+    async def _async_wait(self) -> None:
+        if self.error is not None:
+            raise self.error
+        self.waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self.waiter
+        finally:
+            self.waiter = None
+
+    def _wake(self) -> None:
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def _fail(self, reason: str) -> None:
+        if self.error is None:
+            self.error = BrokenStreamError(reason)
+        self._wake()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End an answer that is not whole."""
+        self.is_closed = True
+        if not self.is_complete:
+            self._fail("the connection was lost")
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        if self.is_complete or not self.is_used:
+            self.fail("bytes that belong to no request")
+            return
+        if not self.has_head:
+            self.head_bytes += len(data)
+            if self.head_bytes > HEADER_LIMIT_BYTES + UNREAD_LIMIT_BYTES:
+                self.fail("the head of the answer is too large")
+                return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.fail("malformed HTTP")
+            return
+        self._wake()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep what is needed of the head."""
+        if name.lower() == b"content-type":
+            self.content_type = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """Take the status."""
+        self.status = self.parser.get_status_code()
+        self.has_head = True
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body; stop reading when too much waits."""
+        self.chunks.append(body)
+        self.unread_bytes += len(body)
+        too_much = self.unread_bytes > UNREAD_LIMIT_BYTES
+        if too_much and not self.is_paused and self.transport is not None:
+            self.is_paused = True
+            self.transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Mark the message as whole; an interim answer is passed over."""
+        if self.status // 100 == 1:
+            self.has_head = False
+            return
+        self.is_complete = True
+        if not self.parser.should_keep_alive():
+            self.abort()
--- /dev/null
+++ b/src/gypsumsail/targets/errors.py
@@ -0,0 +1,72 @@
+"""Errors of calls to targets."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import ClassVar
+
+from gypsumsail.core.errors import TransportError, UnavailableError
+
+
+class RefusalReason(StrEnum):
+    """Why an engine refused a request before it ran anything."""
+
+    VERSION = "version"
+    MODEL = "model"
+    ROLE = "role"
+    FULL = "full"
+
+
+class EngineRefusedError(UnavailableError):
+    """The engine refused a request and has not run it.
+
+    ``sent`` is false although bytes left: the protocol promises that nothing
+    was run.
+    """
+
+    code: ClassVar[str] = "engine_refused"
+
+    def __init__(self, message: str, *, reason: RefusalReason) -> None:
+        super().__init__(message, sent=False)
+        self.reason = reason
+
+
+class EngineGaveUpError(TransportError):
+    """The engine ended a request without its whole answer.
+
+    Attributes
+    ----------
+    reason
+        The engine's code, such as ``deadline`` or ``cancelled``.
+    """
+
+    code: ClassVar[str] = "engine_gave_up"
+
+    def __init__(self, message: str, *, reason: str, sent: bool) -> None:
+        super().__init__(message, sent=sent)
+        self.reason = reason
+
+
+class BrokenStreamError(TransportError):
+    """An answer ended early, or an event in it is malformed or not its own."""
+
+    code: ClassVar[str] = "broken_stream"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, sent=True)
+
+
+class OldFenceError(TransportError):
+    """The target has seen a higher fencing number than the order's.
+
+    Attributes
+    ----------
+    highest_fence
+        The number that the target has seen.
+    """
+
+    code: ClassVar[str] = "old_fence"
+
+    def __init__(self, message: str, *, highest_fence: int) -> None:
+        super().__init__(message, sent=True)
+        self.highest_fence = highest_fence
--- /dev/null
+++ b/src/gypsumsail/targets/events.py
@@ -0,0 +1,151 @@
+"""Parser of an engine's event stream, which checks each event."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, Final, Never
+
+from gypsumsail.targets.errors import BrokenStreamError, EngineGaveUpError
+from gypsumsail.targets.port import AnswerEnd, AnswerToken, FinishReason
+from gypsumsail.transport.const import EVENT_LIMIT_BYTES
+
+_DATA: Final = b"data: "
+_DONE: Final = b"data: [DONE]"
+_NOT_RUN: Final = "not run"
+
+
+class EventParser:
+    """Turns the bytes of one answer into tokens and its end.
+
+    Each event must bear the attempt's id; the indices must follow on each other
+    from the first token; the end must count the tokens that came.
+
+    Attributes
+    ----------
+    next_index
+        Index that the next token must have.
+    end
+        The end of the answer once it came.
+    is_done
+        Whether the last event of the stream came.
+    """
+
+    def __init__(self, attempt_id: str, *, first_token: int = 0) -> None:
+        self.attempt_id = attempt_id
+        self.next_index = first_token
+        self.end: AnswerEnd | None = None
+        self.is_done = False
+        self._tail = b""
+
+    def feed(self, chunk: bytes) -> list[AnswerToken]:
+        """Take the next bytes; return the tokens that are whole.
+
+        Raises
+        ------
+        BrokenStreamError
+            An event is malformed, out of order or of another attempt.
+        EngineGaveUpError
+            The engine has ended the request.
+        """
+        lines = (self._tail + chunk if self._tail else chunk).split(b"\n")
+        self._tail = lines.pop()
+        if len(self._tail) > EVENT_LIMIT_BYTES:
+            raise BrokenStreamError("an event is too large")
+        return [
+            token for line in lines if line and (token := self._take(line)) is not None
+        ]
+
+    def finish(self) -> AnswerEnd:
+        """Return the end of the whole answer.
+
+        Raises
+        ------
+        BrokenStreamError
+            The stream ended before the answer was whole.
+        """
+        if self.end is None or not self.is_done or self._tail:
+            raise BrokenStreamError("the answer ended early")
+        return self.end
+
+    def _take(self, line: bytes) -> AnswerToken | None:
+        if self.is_done:
+            raise BrokenStreamError("an event after the last one")
+        if line == _DONE:
+            self._take_done()
+            return None
+        event = _decode(line)
+        if event.get("id") != self.attempt_id:
+            raise BrokenStreamError("an event of another attempt")
+        if self.end is not None:
+            raise BrokenStreamError("an event after the end of the answer")
+        if "t" in event:
+            return self._token(event)
+        if "error" in event:
+            self._give_up(event)
+        self.end = self._end(event)
+        return None
+
+    def _take_done(self) -> None:
+        if self.end is None:
+            raise BrokenStreamError("the stream ended without the end of the answer")
+        self.is_done = True
+
+    def _token(self, event: dict[str, Any]) -> AnswerToken:
+        index, text = event.get("i"), event["t"]
+        if type(index) is not int or type(text) is not str:
+            raise BrokenStreamError("a malformed token")
+        if index != self.next_index:
+            raise BrokenStreamError(f"token {index} in place of {self.next_index}")
+        self.next_index += 1
+        return AnswerToken(index=index, text=text)
+
+    def _give_up(self, event: dict[str, Any]) -> Never:
+        reason = str(event["error"])[:64]
+        sent = event.get("run") != _NOT_RUN or self.next_index > 0
+        raise EngineGaveUpError(
+            f"the engine gave up: {reason}", reason=reason, sent=sent
+        )
+
+    def _end(self, event: dict[str, Any]) -> AnswerEnd:
+        try:
+            end = AnswerEnd(
+                finish_reason=FinishReason(event["end"]),
+                weight_version=_text(event, "weight_version"),
+                prompt_tokens=_count(event, "prompt_tokens"),
+                cached_tokens=_count(event, "cached_tokens"),
+                imported_tokens=_count(event, "imported_tokens"),
+                answer_tokens=_count(event, "answer_tokens"),
+            )
+        except (KeyError, ValueError):
+            raise BrokenStreamError("a malformed end of the answer") from None
+        if end.answer_tokens != self.next_index:
+            raise BrokenStreamError("the end counts other tokens than came")
+        return end
+
+
+def _decode(line: bytes) -> dict[str, Any]:
+    if not line.startswith(_DATA):
+        raise BrokenStreamError("a line that is no event")
+    if len(line) > EVENT_LIMIT_BYTES:
+        raise BrokenStreamError("an event is too large")
+    try:
+        event = json.loads(line[len(_DATA) :])
+    except (ValueError, RecursionError):
+        raise BrokenStreamError("a malformed event") from None
+    if type(event) is not dict:
+        raise BrokenStreamError("a malformed event")
+    return event
+
+
+def _count(event: dict[str, Any], name: str) -> int:
+    value = event[name]
+    if type(value) is not int or value < 0:
+        raise ValueError(name)
+    return value
+
+
+def _text(event: dict[str, Any], name: str) -> str:
+    value = event[name]
+    if type(value) is not str:
+        raise ValueError(name)
+    return value
--- /dev/null
+++ b/src/gypsumsail/targets/stream.py
@@ -0,0 +1,190 @@
+"""Answer streams of an engine over connections of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+import json
+from typing import Final
+from urllib.parse import urlsplit
+
+from gypsumsail.core.errors import TransportError, UnavailableError
+from gypsumsail.targets.connection import StreamConnection
+from gypsumsail.targets.errors import (
+    BrokenStreamError,
+    EngineRefusedError,
+    RefusalReason,
+)
+from gypsumsail.targets.events import EventParser
+from gypsumsail.targets.port import AnswerEnd, AnswerToken, EngineRequest
+from gypsumsail.transport.const import (
+    CONNECT_TIMEOUT_SECONDS,
+    ERROR_BODY_LIMIT_BYTES,
+    EVENT_STREAM,
+    IDLE_CONNECTION_SECONDS,
+    IDLE_CONNECTIONS_PER_CLIENT,
+)
+
+_OK: Final = 200
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class IdleConnection:
+    """A connection that waits for its next request."""
+
+    connection: StreamConnection
+    idle_since: float
+
+
+class EngineStreams:
+    """Opens answer streams to one engine.
+
+    A connection carries one answer at a time. It is used again only after a
+    whole answer; after a cancelled or broken one it is closed.
+    """
+
+    def __init__(self, base_url: str) -> None:
+        parts = urlsplit(base_url)
+        if parts.scheme != "http" or parts.hostname is None:
+            raise ValueError("the URL of an engine must be http://HOST:PORT")
+        self.host = parts.hostname
+        self.port = parts.port or 80
+        self.idle: deque[IdleConnection] = deque()
+
+    async def async_close(self) -> None:
+        """Close the idle connections; running answers go on."""
+        while self.idle:
+            self.idle.pop().connection.abort()
+
+    async def stream(
+        self, request: EngineRequest
+    ) -> AsyncIterator[tuple[AnswerToken | AnswerEnd, ...]]:
+        """Send a request; yield what arrives, in batches, each checked.
+
+        Leaving the iterator early closes the connection and does not end the
+        work at the engine: that is what ``async_cancel`` is for.
+
+        Raises
+        ------
+        EngineRefusedError
+            The engine has not run the request.
+        EngineGaveUpError
+            The engine ended the request without its whole answer.
+        TransportError
+            The engine could not be reached, or the answer broke off.
+        """
+        connection = await self._async_acquire()
+        deadline = asyncio.get_running_loop().call_later(
+            max(0.0, request.deadline), connection.fail, "the deadline passed"
+        )
+        is_whole = False
+        try:
+            connection.send(self._encode(request))
+            await connection.async_head()
+            await _async_check_head(connection)
+            parser = EventParser(request.attempt_id, first_token=request.first_token)
+            while chunk := await connection.async_read():
+                tokens = parser.feed(chunk)
+                if tokens:
+                    yield tuple(tokens)
+            answer_end = parser.finish()
+            is_whole = True
+            yield (answer_end,)
+        finally:
+            deadline.cancel()
+            self._release(connection, is_whole=is_whole)
+
+    async def _async_acquire(self) -> StreamConnection:
+        loop = asyncio.get_running_loop()
+        oldest = loop.time() - IDLE_CONNECTION_SECONDS
+        while self.idle:
+            found = self.idle.pop()
+            if found.idle_since >= oldest and found.connection.is_reusable:
+                return found.connection
+            found.connection.abort()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                _, connection = await loop.create_connection(
+                    StreamConnection, self.host, self.port
+                )
+        except (OSError, TimeoutError) as err:
+            message = f"connect: {type(err).__name__}"
+            raise TransportError(message, sent=False) from err
+        return connection
+
+    def _release(self, connection: StreamConnection, *, is_whole: bool) -> None:
+        has_room = len(self.idle) < IDLE_CONNECTIONS_PER_CLIENT
+        if not (is_whole and has_room and connection.is_reusable):
+            connection.abort()
+            return
+        now = asyncio.get_running_loop().time()
+        self.idle.append(IdleConnection(connection=connection, idle_since=now))
+
+    def _encode(self, request: EngineRequest) -> bytes:
+        body = encode_request(request)
+        head = (
+            "POST /v1/completions HTTP/1.1\r\n"
+            f"host: {self.host}:{self.port}\r\n"
+            "content-type: application/json\r\n"
+            f"content-length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+
+def encode_request(request: EngineRequest) -> bytes:
+    """Return the body of a completion."""
+    kept = request.kept
+    return json.dumps(
+        {
+            "request_id": request.attempt_id,
+            "model": request.model,
+            "adapter": request.adapter,
+            "weight_version": request.weight_version,
+            "prompt": request.prompt,
+            "max_tokens": request.max_tokens,
+            "cache_salt": request.cache_salt,
+            "priority": request.priority,
+            "deadline": request.deadline,
+            "first_token": request.first_token,
+            "kept": None
+            if kept is None
+            else {"store_url": kept.store_url, "names": list(kept.names)},
+        }
+    ).encode()
+
+
+async def _async_check_head(connection: StreamConnection) -> None:
+    if connection.status == _OK:
+        if not connection.content_type.startswith(EVENT_STREAM):
+            raise BrokenStreamError("the answer is no event stream")
+        return
+    body = bytearray()
+    while chunk := await connection.async_read():
+        body += chunk
+        if len(body) > ERROR_BODY_LIMIT_BYTES:
+            raise BrokenStreamError("the body of a refusal is too large")
+    raise refusal(connection.status, bytes(body))
+
+
+def refusal(status: int, body: bytes) -> TransportError:
+    """Return the error for an answer that is no stream.
+
+    Only what the protocol promises counts as not run: a refusal by its reason.
+    A refused attempt id means that the attempt runs already.
+    """
+    try:
+        decoded = json.loads(body)
+    except (ValueError, RecursionError):
+        decoded = None
+    reason = decoded.get("error") if isinstance(decoded, dict) else None
+    match status, reason:
+        case (409, "version" | "model" | "role") | (503, "full"):
+            return EngineRefusedError(
+                f"the engine refused: {reason}", reason=RefusalReason(str(reason))
+            )
+        case 503, _:
+            return UnavailableError("the engine is unavailable", sent=True)
+        case _:
+            return TransportError(f"completion: status {status}", sent=True)
--- /dev/null
+++ b/src/gypsumsail/transport/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP towards the platform, targets and stores."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/gypsumsail/transport/client.py
@@ -0,0 +1,162 @@
+"""Single HTTP calls: never repeated, bounded in time and size."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+import logging
+from typing import Final, TypeVar
+from urllib.parse import quote
+
+import httpx
+from pydantic import BaseModel, ValidationError
+
+from gypsumsail.core.errors import TransportError, UnavailableError
+from gypsumsail.transport.const import (
+    ANSWER_LIMIT_BYTES,
+    CONNECT_TIMEOUT_SECONDS,
+    IDLE_CONNECTION_SECONDS,
+    IDLE_CONNECTIONS_PER_CLIENT,
+)
+
+_NOT_SENT: Final = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+)
+_UNAVAILABLE_STATUSES: Final = (
+    httpx.codes.TOO_MANY_REQUESTS,
+    httpx.codes.SERVICE_UNAVAILABLE,
+)
+_BodyT = TypeVar("_BodyT", bound=BaseModel)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: httpx.Headers
+    body: bytes
+
+
+class HttpClient:
+    """HTTP client of one other process.
+
+    No call is ever sent twice: neither redirects nor retries are followed, and
+    the proxies of the environment are ignored.
+    """
+
+    def __init__(self, base_url: str, *, answer_limit: int = ANSWER_LIMIT_BYTES):
+        logging.getLogger("httpx").setLevel(logging.WARNING)
+        logging.getLogger("httpcore").setLevel(logging.WARNING)
+        self.base_url = base_url.rstrip("/")
+        self.answer_limit = answer_limit
+        limits = httpx.Limits(
+            max_connections=None,
+            max_keepalive_connections=IDLE_CONNECTIONS_PER_CLIENT,
+            keepalive_expiry=IDLE_CONNECTION_SECONDS,
+        )
+        self.client = httpx.AsyncClient(
+            limits=limits,
+            transport=httpx.AsyncHTTPTransport(limits=limits, retries=0),
+            follow_redirects=False,
+            trust_env=False,
+        )
+
+    async def async_close(self) -> None:
+        """Close all connections."""
+        await self.client.aclose()
+
+    async def async_call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout: float,
+        query: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> HttpAnswer:
+        """Make one call and return its whole answer, whatever its status.
+
+        Parameters
+        ----------
+        path
+            Path as it goes into the URL, quoted.
+        timeout
+            Seconds for the whole call.
+
+        Raises
+        ------
+        TransportError
+            No whole answer came.
+        """
+        request = self.client.build_request(
+            method,
+            self.base_url + path,
+            params=query or None,
+            headers=headers,
+            content=body,
+            timeout=httpx.Timeout(
+                timeout, connect=min(CONNECT_TIMEOUT_SECONDS, timeout)
+            ),
+        )
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._async_send(request)
+        except TimeoutError:
+            raise TransportError(f"{method}: no answer in time", sent=True) from None
+        except httpx.HTTPError as err:
+            sent = not isinstance(err, _NOT_SENT)
+            raise TransportError(f"{method}: {type(err).__name__}", sent=sent) from err
+
+    async def _async_send(self, request: httpx.Request) -> HttpAnswer:
+        response = await self.client.send(request, stream=True)
+        try:
+            body = bytearray()
+            async for chunk in response.aiter_bytes():
+                body += chunk
+                if len(body) > self.answer_limit:
+                    raise TransportError("the answer is too large", sent=True)
+        finally:
+            await response.aclose()
+        return HttpAnswer(
+            status=response.status_code, headers=response.headers, body=bytes(body)
+        )
+
+
+def quote_path(path: str) -> str:
+    """Return a path as it goes into a URL; dot segments stay as they are."""
+    segments = (quote(segment, safe="") for segment in path.split("/"))
+    return "/".join(
+        segment.replace(".", "%2E") if segment in (".", "..") else segment
+        for segment in segments
+    )
+
+
+def raise_for_status(answer: HttpAnswer, what: str) -> None:
+    """Raise a TransportError unless the answer is the result."""
+    if answer.status < httpx.codes.MULTIPLE_CHOICES:
+        return
+    message = f"{what}: status {answer.status}"
+    if answer.status in _UNAVAILABLE_STATUSES:
+        raise UnavailableError(message, sent=True)
+    raise TransportError(message, sent=True)
+
+
+def parse(model: type[_BodyT], answer: HttpAnswer) -> _BodyT:
+    """Return the validated body of an answer.
+
+    Raises
+    ------
+    TransportError
+        The body is malformed.
+    """
+    try:
+        return model.model_validate_json(answer.body)
+    except ValidationError as err:
+        message = f"malformed answer: {err.error_count()} errors in {model.__name__}"
+        raise TransportError(message, sent=True) from None
--- a/tests/stand_ins/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures of the tests of the stand-ins."""
+"""Fixtures shared by the tests."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the platform adapter."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/stores/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the stores adapter."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/targets/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the targets adapter."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/targets/test_events.py
@@ -0,0 +1,120 @@
+"""Tests of the parser of event streams."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+import pytest
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.targets.errors import BrokenStreamError, EngineGaveUpError
+from gypsumsail.targets.events import EventParser
+from gypsumsail.targets.port import AnswerToken
+from gypsumsail.transport.const import EVENT_LIMIT_BYTES
+from tests.targets.common import (
+    ATTEMPT,
+    DONE,
+    TEXTS,
+    answer_events,
+    end,
+    event,
+    token,
+)
+
+
+def read(stream: bytes, cuts: list[int], first_token: int = 0) -> list[AnswerToken]:
+    """Return the tokens of a whole answer that arrives in pieces."""
+    parser = EventParser(ATTEMPT, first_token=first_token)
+    bounds = [0, *sorted(cuts), len(stream)]
+    tokens: list[AnswerToken] = []
+    for start, stop in pairwise(bounds):
+        tokens += parser.feed(stream[start:stop])
+    parser.finish()
+    return tokens
+
+
+WHOLE = b"".join(answer_events())
+
+
+@settings(derandomize=True)
+@given(st.lists(st.integers(0, len(WHOLE)), max_size=20))
+def test_same_tokens_however_the_bytes_arrive(cuts: list[int]) -> None:
+    tokens = read(WHOLE, cuts)
+    assert tokens == [
+        AnswerToken(index=index, text=text) for index, text in enumerate(TEXTS)
+    ]
+
+
+@settings(derandomize=True)
+@given(st.data())
+def test_events_left_out_doubled_or_swapped_are_noticed(data: st.DataObject) -> None:
+    events = answer_events()
+    order = data.draw(
+        st.lists(st.integers(0, len(events) - 1), max_size=8).filter(
+            lambda order: order != list(range(len(events)))
+        )
+    )
+    stream = b"".join(events[index] for index in order)
+    with pytest.raises(BrokenStreamError):
+        read(stream, [])
+
+
+@settings(derandomize=True)
+@given(st.binary(max_size=200), st.integers(0, len(WHOLE)))
+def test_foreign_bytes_raise_only_transport_errors(junk: bytes, place: int) -> None:
+    try:
+        tokens = read(WHOLE[:place] + junk + WHOLE[place:], [place])
+    except TransportError:
+        return
+    assert len(tokens) == len(TEXTS)
+
+
+@pytest.mark.parametrize(
+    "stream",
+    [
+        token(0, id="attempt-2"),
+        token(0, id=None),
+        token(0, i=True),
+        token(0, t=7),
+        b"data: []\n\n",
+        b"data: {\n\n",
+        b"data: " + b"[" * 60_000 + b"\n\n",
+        b"event: x\n\n",
+        DONE,
+        b"data: " + b" " * EVENT_LIMIT_BYTES,
+        end(0, end="other") + DONE,
+        end(0, prompt_tokens=-1) + DONE,
+        token(0) + end(2) + DONE,
+        token(0) + end(1) + DONE + token(1),
+        token(0) + end(1),
+    ],
+)
+def test_malformed_streams(stream: bytes) -> None:
+    with pytest.raises(BrokenStreamError):
+        read(stream, [])
+
+
+def test_resumed_answer_starts_at_its_token() -> None:
+    tokens = read(token(2) + token(3) + end(4) + DONE, [], first_token=2)
+    assert [found.index for found in tokens] == [2, 3]
+    with pytest.raises(BrokenStreamError):
+        read(token(0) + end(1) + DONE, [], first_token=2)
+
+
+@pytest.mark.parametrize(
+    ("stream", "sent"),
+    [
+        (event(error="deadline", run="not run"), False),
+        (event(error="deadline", run="ran"), True),
+        (event(error="deadline"), True),
+        (token(0) + event(error="deadline", run="not run"), True),
+    ],
+)
+def test_not_run_is_taken_only_from_the_engine_s_word(
+    stream: bytes, sent: bool
+) -> None:
+    with pytest.raises(EngineGaveUpError) as caught:
+        read(stream, [])
+    assert caught.value.sent is sent
--- /dev/null
+++ b/tests/targets/test_stream.py
@@ -0,0 +1,121 @@
+"""Tests of answer streams over connections."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from gypsumsail.core.errors import TransportError, UnavailableError
+from gypsumsail.targets.errors import EngineRefusedError
+from gypsumsail.targets.port import AnswerEnd, AnswerToken, EngineRequest
+from gypsumsail.targets.stream import EngineStreams
+from tests.raw_server import CLOSE, raw_server
+from tests.targets.common import TEXTS, answer_events, engine_request, http_stream
+
+WHOLE = http_stream(b"".join(answer_events()))
+
+
+async def read(
+    streams: EngineStreams, request: EngineRequest | None = None
+) -> list[AnswerToken | AnswerEnd]:
+    """Return all parts of an answer."""
+    found: list[AnswerToken | AnswerEnd] = []
+    async for batch in streams.stream(request or engine_request()):
+        found += batch
+    return found
+
+
+async def test_connection_is_used_again_only_after_a_whole_answer() -> None:
+    async with raw_server([WHOLE]) as server:
+        streams = EngineStreams(server.url)
+        for _ in range(2):
+            parts = await read(streams)
+            assert [p.text for p in parts if isinstance(p, AnswerToken)] == list(TEXTS)
+            assert isinstance(parts[-1], AnswerEnd)
+        assert (server.connections, server.requests) == (1, 2)
+        cancelled = streams.stream(engine_request())
+        await anext(cancelled)
+        await cancelled.aclose()  # type: ignore[attr-defined]
+        await read(streams)
+        assert server.connections == 2
+        await streams.async_close()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        None,
+        WHOLE[:-5] + CLOSE,
+        http_stream(answer_events()[0]),
+        http_stream(answer_events()[0], is_whole=False) + CLOSE,
+        b"HTTP/1.1 200 OK\r\ncontent-type: text/html\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nx: " + b"y" * 1_000_000 + b"\r\n\r\n",
+        b"HTTP/1.1 500 Error\r\ncontent-length: 100000\r\n\r\n" + b"x" * 100_000,
+        b"nonsense\r\n\r\n",
+        WHOLE + b"more",
+    ],
+)
+async def test_broken_answers(answer: bytes | None) -> None:
+    async with raw_server([answer]) as server:
+        streams = EngineStreams(server.url)
+        with pytest.raises(TransportError) as caught:
+            await read(streams)
+        assert caught.value.sent
+        assert not streams.idle
+        await streams.async_close()
+    assert server.requests == 1
+
+
+async def test_reset_of_a_reused_connection_is_not_repeated() -> None:
+    async with raw_server([WHOLE, None]) as server:
+        streams = EngineStreams(server.url)
+        await read(streams)
+        with pytest.raises(TransportError) as caught:
+            await read(streams)
+    assert caught.value.sent
+    assert (server.connections, server.requests) == (1, 2)
+
+
+async def test_nothing_is_sent_when_no_one_listens() -> None:
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        streams = EngineStreams(f"http://127.0.0.1:{closed.getsockname()[1]}")
+        with pytest.raises(TransportError) as caught:
+            await read(streams)
+    assert not caught.value.sent
+
+
+async def test_deadline_ends_a_silent_answer() -> None:
+    async with raw_server([b""]) as server:
+        streams = EngineStreams(server.url)
+        with pytest.raises(TransportError, match="deadline") as caught:
+            await read(streams, engine_request(deadline=0.1))
+    assert caught.value.sent
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "kind", "sent"),
+    [
+        (409, b'{"error": "version"}', EngineRefusedError, False),
+        (409, b'{"error": "model"}', EngineRefusedError, False),
+        (409, b'{"error": "role"}', EngineRefusedError, False),
+        (503, b'{"error": "full"}', EngineRefusedError, False),
+        (409, b'{"error": "full"}', TransportError, True),
+        (409, b'{"error": "id"}', TransportError, True),
+        (503, b'{"error": "outage"}', UnavailableError, True),
+        (503, b"", UnavailableError, True),
+        (500, b'{"error": "full"}', TransportError, True),
+    ],
+)
+async def test_not_run_only_where_the_protocol_promises_it(
+    status: int, body: bytes, kind: type[TransportError], sent: bool
+) -> None:
+    head = f"HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n\r\n"
+    async with raw_server([head.encode() + body]) as server:
+        streams = EngineStreams(server.url)
+        with pytest.raises(TransportError) as caught:
+            await read(streams)
+        await streams.async_close()
+    assert type(caught.value) is kind
+    assert caught.value.sent is sent
--- /dev/null
+++ b/tests/transport/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the transport adapter."""
+
+from __future__ import annotations
