Find entries, targets and stores without an agreed list

Cause: every part needs to know who is there, under cuts, pauses and a list that lags both ways. Ruled out: heartbeats of all to all, random probes (links never settle), an elected reader of the list, hearsay deaths. Conclusion: MembershipCoordinator is usable; set up the network before it.

--- /dev/null
+++ b/src/gypsumsail/membership/coordinator.py
@@ -0,0 +1,238 @@
+"""Keeps the membership of one entry up to date."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import logging
+import random
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.membership.const import (
+    LIST_INTERVAL_SECONDS,
+    LIST_TIMEOUT_SECONDS,
+    PROBE_INTERVAL_SECONDS,
+    REJOIN_ALONE_SECONDS,
+    REJOIN_INTERVAL_SECONDS,
+    REJOIN_TRIES,
+    SWEEP_INTERVAL_SECONDS,
+    SYNC_INTERVAL_SECONDS,
+    SYNC_LOST_SECONDS,
+)
+from gypsumsail.membership.duties import sync_partners, zone_relays
+from gypsumsail.membership.models import (
+    EntryJoined,
+    EntryLost,
+    MembershipChange,
+    MembershipSettings,
+    TargetLeaving,
+    VmsChanged,
+)
+from gypsumsail.membership.port import MembershipNetwork
+from gypsumsail.membership.probing import Prober
+from gypsumsail.membership.sync import Synchronizer
+from gypsumsail.membership.table import MembershipTable
+from gypsumsail.membership.vms import Life, VmView
+from gypsumsail.peers.handshake import Identity
+from gypsumsail.peers.port import EntryId
+from gypsumsail.platform.port import VmList, VmRecord
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.port import Recorder
+
+_LOGGER = logging.getLogger(__name__)
+
+Listener = Callable[[MembershipChange], None]
+
+
+class MembershipCoordinator:
+    """The entries, targets and stores as this entry sees them."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        *,
+        vm_list: VmList,
+        network: MembershipNetwork,
+        recorder: Recorder,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.vm_list = vm_list
+        self.network = network
+        self.recorder = recorder
+        self.clock = clock
+        self.rng = rng
+        self.table = MembershipTable(network.identity, now=clock.monotonic())
+        self.vms = VmView()
+        self.listeners: list[Listener] = []
+        self.synced_at = clock.monotonic()
+        self.round_number = 0
+        self.prober = Prober(self.table, network, clock, rng, self.publish)
+        self.synchronizer = Synchronizer(
+            self.table, self.vms, network, clock, self.publish
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._unsubscribe: list[Callable[[], None]] = []
+
+    async def async_setup(self) -> None:
+        """Look for the other entries and go on doing so."""
+        self.table.set_address(self.network.identity.peer_url)
+        self._unsubscribe = [
+            self.network.subscribe_met(self._met),
+            *self.prober.setup(),
+            *self.synchronizer.setup(),
+        ]
+        self._tasks = [
+            asyncio.create_task(self._async_repeat(step, interval))
+            for step, interval in (
+                (self._async_sweep, lambda: SWEEP_INTERVAL_SECONDS),
+                (self._async_rejoin, self._rejoin_interval),
+                (self._async_read_list, lambda: LIST_INTERVAL_SECONDS),
+                (self._async_sync, lambda: SYNC_INTERVAL_SECONDS),
+                (self.prober.async_probe_next, lambda: PROBE_INTERVAL_SECONDS),
+            )
+        ]
+
+    async def async_unload(self) -> None:
+        """Stop looking for the other entries."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for unsubscribe in self._unsubscribe:
+            unsubscribe()
+
+    @callback
+    def subscribe(self, listener: Listener) -> Callable[[], None]:
+        """Report each change; return the function that ends it."""
+        self.listeners.append(listener)
+        return lambda: self.listeners.remove(listener)
+
+    @callback
+    def entries(self) -> tuple[EntryId, ...]:
+        """Return the entries that are not believed dead, with this one."""
+        others = (member.entry for member in self.table.present())
+        return (self.table.me.entry, *others)
+
+    @callback
+    def zone_entries(self) -> tuple[EntryId, ...]:
+        """Return the entries of this entry's zone, with this one."""
+        zone = self.table.me.entry.zone
+        return tuple(entry for entry in self.entries() if entry.zone == zone)
+
+    @callback
+    def targets(self, service: str) -> tuple[VmRecord, ...]:
+        """Return the targets of a service that may get new work."""
+        return self.vms.targets(service)
+
+    @callback
+    def stores(self, service: str) -> tuple[VmRecord, ...]:
+        """Return the stores of a service that are not leaving."""
+        return self.vms.stores(service)
+
+    @callback
+    def mark_leaving(self, vm_id: str, incarnation: str) -> None:
+        """Take a target's own word that it leaves, and tell the other entries."""
+        life = Life(vm_id=vm_id, incarnation=incarnation)
+        self.publish(self.vms.mark_leaving(life, now=self.clock.monotonic()))
+
+    @callback
+    def is_relay(self, now: float) -> bool:
+        """Return whether this entry asks the platform itself.
+
+        An entry that lost all relays does so too, until it finds one again.
+        """
+        me = self.table.me.entry
+        alive = [member.entry for member in self.table.alive()]
+        cut_off = now - self.synced_at > SYNC_LOST_SECONDS
+        return cut_off or me in zone_relays(alive, me.zone)
+
+    @callback
+    def sync_partners(self, round_number: int) -> tuple[EntryId, ...]:
+        """Return the entries to compare with, best first."""
+        alive = [member.entry for member in self.table.alive()]
+        return sync_partners(
+            self.table.me.entry, alive, round_number=round_number, rng=self.rng
+        )
+
+    @callback
+    def publish(self, changes: tuple[MembershipChange, ...]) -> None:
+        """Report changes to the time line and the listeners."""
+        if any(isinstance(change, EntryJoined | EntryLost) for change in changes):
+            self._fill_address_book()
+        for change in changes:
+            self._record(change)
+            for listener in tuple(self.listeners):
+                listener(change)
+
+    def _fill_address_book(self) -> None:
+        self.network.set_addresses(
+            {member.entry: member.peer_url for member in self.table.present()}
+        )
+
+    def _record(self, change: MembershipChange) -> None:
+        match change:
+            case EntryJoined(entry=entry):
+                event = Event(kind=EventKind.PEER_JOINED, detail=_text(entry))
+            case EntryLost(entry=entry):
+                event = Event(kind=EventKind.PEER_LOST, detail=_text(entry))
+            case TargetLeaving(vm_id=vm_id, incarnation=incarnation):
+                event = Event(
+                    kind=EventKind.TARGET_LEAVING, target=vm_id, detail=incarnation
+                )
+            case VmsChanged():
+                return
+        self.recorder.record(event)
+
+    def _met(self, identity: Identity) -> None:
+        if identity.entry == self.table.me.entry:
+            return
+        self.publish(self.table.meet(identity, now=self.clock.monotonic()))
+
+    async def _async_sweep(self) -> None:
+        self.publish(self.table.sweep(now=self.clock.monotonic()))
+
+    def _rejoin_interval(self) -> float:
+        alone = not self.table.present()
+        return REJOIN_ALONE_SECONDS if alone else REJOIN_INTERVAL_SECONDS
+
+    async def _async_rejoin(self) -> None:
+        """Try addresses at which an entry may be that is not among the members."""
+        known = {member.peer_url for member in self.table.present()}
+        known.add(self.table.me.peer_url)
+        gone = (member.peer_url for member in self.table.members.values())
+        urls = {*self.settings.seeds, *self.vms.entry_urls(), *gone} - known
+        chosen = self.rng.sample(sorted(urls), min(len(urls), REJOIN_TRIES))
+        await asyncio.gather(*(self.prober.async_try(url) for url in chosen))
+
+    async def _async_read_list(self) -> None:
+        asked_at = self.clock.monotonic()
+        if not self.is_relay(asked_at):
+            return
+        async with asyncio.timeout(LIST_TIMEOUT_SECONDS):
+            records = await self.vm_list.async_vms()
+        now = self.clock.monotonic()
+        self.publish(self.vms.take(records, read_at=asked_at, now=now))
+
+    async def _async_sync(self) -> None:
+        self.round_number += 1
+        if await self.synchronizer.async_sync(self.sync_partners(self.round_number)):
+            self.synced_at = self.clock.monotonic()
+
+    async def _async_repeat(
+        self, step: Callable[[], Awaitable[None]], interval: Callable[[], float]
+    ) -> None:
+        while True:
+            try:
+                await step()
+            except (TransportError, TimeoutError) as error:
+                _LOGGER.debug("Membership step failed: %s", error)
+            except Exception:
+                _LOGGER.exception("Membership step failed")
+            await asyncio.sleep(interval() * self.rng.uniform(0.9, 1.1))
+
+
+def _text(entry: EntryId) -> str:
+    return f"{entry.name} {entry.incarnation} {entry.zone}"
--- /dev/null
+++ b/src/gypsumsail/membership/sync.py
@@ -0,0 +1,138 @@
+"""Compares the tables of two entries and evens them out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.membership.const import SYNC_TIMEOUT_SECONDS, SYNC_TRIES
+from gypsumsail.membership.messages import Compare, Compared, Fetch, Fetched
+from gypsumsail.membership.models import MembershipChange
+from gypsumsail.membership.port import MembershipNetwork
+from gypsumsail.membership.table import MembershipTable
+from gypsumsail.membership.vms import Life, VmView
+from gypsumsail.peers.port import EntryId
+
+Publish = Callable[[tuple[MembershipChange, ...]], None]
+
+
+class Synchronizer:
+    """Exchanges members, VM list and leaving lives with other entries."""
+
+    def __init__(
+        self,
+        table: MembershipTable,
+        vms: VmView,
+        network: MembershipNetwork,
+        clock: Clock,
+        publish: Publish,
+    ) -> None:
+        self.table = table
+        self.vms = vms
+        self.network = network
+        self.clock = clock
+        self.publish = publish
+
+    def setup(self) -> list[Callable[[], None]]:
+        """Answer comparisons; return the functions that end it."""
+        return [
+            self.network.subscribe(Compare, self._async_compare),
+            self.network.subscribe(Fetch, self._async_fetch),
+        ]
+
+    async def async_sync(self, partners: tuple[EntryId, ...]) -> bool:
+        """Compare with the first partner that answers; return whether one did."""
+        for partner in partners[:SYNC_TRIES]:
+            try:
+                await self._async_sync_with(partner)
+            except TransportError:
+                continue
+            return True
+        return False
+
+    async def _async_sync_with(self, partner: EntryId) -> None:
+        now = self.clock.monotonic()
+        compare = Compare(
+            members=self.table.digest().root,
+            vms=self.vms.digest().root,
+            leaving=self.vms.shared_marks(now),
+        )
+        answer = await self.network.async_request(
+            partner, compare, timeout=SYNC_TIMEOUT_SECONDS
+        )
+        if not isinstance(answer, Compared):
+            return
+        self._take_marks(answer.leaving)
+        fetch = self._wanted(answer, asked_at=now)
+        if fetch is None:
+            return
+        asked_at = self.clock.monotonic()
+        fetched = await self.network.async_request(
+            partner, fetch, timeout=SYNC_TIMEOUT_SECONDS
+        )
+        if isinstance(fetched, Fetched):
+            self._take(fetch, fetched, asked_at=asked_at)
+
+    def _wanted(self, answer: Compared, *, asked_at: float) -> Fetch | None:
+        """Return what to exchange; take over the age when the lists are alike.
+
+        Ages count from before the question, so that no reading looks younger than
+        it is.
+        """
+        members: tuple[int, ...] = ()
+        vms: tuple[int, ...] = ()
+        if answer.members:
+            members = self.table.digest().differing(answer.members)
+        if answer.vms_age is not None and self.vms.newer(asked_at - answer.vms_age):
+            vms = self._differing_vms(answer, asked_at - answer.vms_age)
+        if not members and not vms:
+            return None
+        return Fetch(
+            member_buckets=members,
+            vm_buckets=vms,
+            members=self.table.in_buckets(members),
+        )
+
+    def _differing_vms(self, answer: Compared, read_at: float) -> tuple[int, ...]:
+        if not answer.vms:
+            self.vms.read_at = read_at
+            return ()
+        return self.vms.digest().differing(answer.vms)
+
+    def _take(self, fetch: Fetch, fetched: Fetched, *, asked_at: float) -> None:
+        now = self.clock.monotonic()
+        self.publish(self.table.merge_all(fetched.members, now=now))
+        if fetch.vm_buckets and fetched.vms_age is not None:
+            changes = self.vms.take_buckets(
+                fetch.vm_buckets,
+                fetched.vms,
+                read_at=asked_at - fetched.vms_age,
+                now=now,
+            )
+            self.publish(changes)
+
+    def _take_marks(self, marks: tuple[Life, ...]) -> None:
+        now = self.clock.monotonic()
+        for life in marks:
+            self.publish(self.vms.mark_leaving(life, now=now))
+
+    async def _async_compare(self, peer: EntryId, request: Compare) -> Compared:
+        self._take_marks(request.leaving)
+        now = self.clock.monotonic()
+        members, vms = self.table.digest(), self.vms.digest()
+        return Compared(
+            members=b"" if members.root == request.members else members.buckets,
+            vms=b"" if vms.root == request.vms else vms.buckets,
+            vms_age=self.vms.age(now),
+            leaving=self.vms.shared_marks(now),
+        )
+
+    async def _async_fetch(self, peer: EntryId, request: Fetch) -> Fetched:
+        now = self.clock.monotonic()
+        self.publish(self.table.merge_all(request.members, now=now))
+        return Fetched(
+            members=self.table.in_buckets(request.member_buckets),
+            vms=self.vms.in_buckets(request.vm_buckets),
+            vms_age=self.vms.age(now),
+        )
--- /dev/null
+++ b/src/gypsumsail/membership/table.py
@@ -0,0 +1,191 @@
+"""What is believed of the entries: suspicion, contradiction, death."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Final
+
+from gypsumsail.membership.const import (
+    FORGET_SECONDS,
+    FREEZE_GAP_SECONDS,
+    MEMBER_BUCKETS,
+    SUSPICION_SECONDS,
+)
+from gypsumsail.membership.digest import BucketDigest, bucket_of, digest_table
+from gypsumsail.membership.models import EntryJoined, EntryLost, Member, MemberStatus
+from gypsumsail.peers.handshake import Identity
+from gypsumsail.peers.port import EntryId
+
+_RANK: Final = {
+    MemberStatus.ALIVE: 0,
+    MemberStatus.SUSPECT: 1,
+    MemberStatus.DEAD: 2,
+}
+
+Changes = tuple[EntryJoined | EntryLost, ...]
+
+
+class MembershipTable:
+    """The members as one entry believes them.
+
+    Attributes
+    ----------
+    me
+        This entry's own record.
+    members
+        All known lives, without this one; dead ones until they are forgotten.
+    since
+        Monotonic seconds at which each got its status here.
+    """
+
+    def __init__(self, me: Identity, *, now: float) -> None:
+        self.me = Member(
+            entry=me.entry, peer_url=me.peer_url, status=MemberStatus.ALIVE, counter=0
+        )
+        self.members: dict[EntryId, Member] = {}
+        self.since: dict[EntryId, float] = {}
+        self.swept = now
+        self._digest: BucketDigest | None = None
+
+    def set_address(self, peer_url: str) -> None:
+        """Set the address of this entry once its links are accepted."""
+        self.me = replace(self.me, peer_url=peer_url)
+
+    def present(self) -> tuple[Member, ...]:
+        """Return the members that are not dead, without this entry."""
+        return tuple(member for member in self.members.values() if member.present)
+
+    def alive(self) -> tuple[Member, ...]:
+        """Return the members beyond suspicion, with this entry."""
+        others = self.members.values()
+        return (
+            self.me,
+            *(one for one in others if one.status is MemberStatus.ALIVE),
+        )
+
+    def get(self, entry: EntryId) -> Member | None:
+        """Return what is believed of an entry."""
+        return self.me if entry == self.me.entry else self.members.get(entry)
+
+    def merge(self, record: Member, *, now: float) -> Changes:
+        """Take what another entry believes; the later word on a life wins.
+
+        Somebody else's belief in a death is a suspicion here: after a cut one side
+        believes the other dead, and death is declared from here only.
+        """
+        if record.entry == self.me.entry:
+            self._contradict(record)
+            return ()
+        known = self.members.get(record.entry)
+        if known is None:
+            return self._set(record, now) if record.present else ()
+        if not record.present:
+            record = replace(record, status=MemberStatus.SUSPECT)
+        return self._set(record, now) if _order(record) > _order(known) else ()
+
+    def merge_all(self, records: Iterable[Member], *, now: float) -> Changes:
+        """Take several records."""
+        return tuple(
+            change for record in records for change in self.merge(record, now=now)
+        )
+
+    def meet(self, identity: Identity, *, now: float) -> Changes:
+        """Take an entry that proved itself at its address.
+
+        Other lives at the same address have ended.
+        """
+        changes: Changes = ()
+        for member in tuple(self.members.values()):
+            at_address = member.peer_url == identity.peer_url
+            if at_address and member.entry != identity.entry and member.present:
+                changes += self._set(replace(member, status=MemberStatus.DEAD), now)
+        record = Member(
+            entry=identity.entry,
+            peer_url=identity.peer_url,
+            status=MemberStatus.ALIVE,
+            counter=0,
+        )
+        return changes + self.merge(record, now=now)
+
+    def suspect(self, entry: EntryId, *, now: float) -> Changes:
+        """Take that an entry could be reached neither directly nor through others."""
+        member = self.members.get(entry)
+        if member is None or member.status is not MemberStatus.ALIVE:
+            return ()
+        return self._set(replace(member, status=MemberStatus.SUSPECT), now)
+
+    def sweep(self, *, now: float) -> Changes:
+        """End suspicions that nobody contradicted; forget what died long ago.
+
+        After a pause of this entry no suspicion ends: its answers may wait unread.
+        """
+        frozen = now - self.swept > FREEZE_GAP_SECONDS
+        self.swept = now
+        if frozen:
+            self._restart_suspicions(now)
+            return ()
+        changes: Changes = ()
+        for member in tuple(self.members.values()):
+            changes += self._sweep_one(member, now - self.since[member.entry], now)
+        return changes
+
+    def digest(self) -> BucketDigest:
+        """Return the digest of the members that are not dead."""
+        if self._digest is None:
+            rows = (_row(member) for member in (self.me, *self.present()))
+            self._digest = digest_table(rows, MEMBER_BUCKETS)
+        return self._digest
+
+    def in_buckets(self, buckets: tuple[int, ...]) -> tuple[Member, ...]:
+        """Return all records of some buckets, dead ones too."""
+        wanted = set(buckets)
+        return tuple(
+            member
+            for member in (self.me, *self.members.values())
+            if bucket_of(_key(member.entry), MEMBER_BUCKETS) in wanted
+        )
+
+    def _contradict(self, record: Member) -> None:
+        doubted = record.status is not MemberStatus.ALIVE
+        if doubted and record.counter >= self.me.counter:
+            self.me = replace(self.me, counter=record.counter + 1)
+            self._digest = None
+
+    def _set(self, record: Member, now: float) -> Changes:
+        known = self.members.get(record.entry)
+        self.members[record.entry] = record
+        self._digest = None
+        if known is None or known.status is not record.status:
+            self.since[record.entry] = now
+        was_present = known is not None and known.present
+        if record.present and not was_present:
+            return (EntryJoined(entry=record.entry),)
+        if was_present and not record.present:
+            return (EntryLost(entry=record.entry),)
+        return ()
+
+    def _sweep_one(self, member: Member, age: float, now: float) -> Changes:
+        if member.status is MemberStatus.SUSPECT and age >= SUSPICION_SECONDS:
+            return self._set(replace(member, status=MemberStatus.DEAD), now)
+        if member.status is MemberStatus.DEAD and age >= FORGET_SECONDS:
+            del self.members[member.entry]
+            del self.since[member.entry]
+        return ()
+
+    def _restart_suspicions(self, now: float) -> None:
+        for member in self.members.values():
+            if member.status is MemberStatus.SUSPECT:
+                self.since[member.entry] = now
+
+
+def _order(member: Member) -> tuple[int, int]:
+    return member.counter, _RANK[member.status]
+
+
+def _key(entry: EntryId) -> str:
+    return f"{entry.name}\0{entry.incarnation}"
+
+
+def _row(member: Member) -> tuple[str, str]:
+    return _key(member.entry), f"{member.status.value}\0{member.counter}"
--- /dev/null
+++ b/src/gypsumsail/membership/vms.py
@@ -0,0 +1,184 @@
+"""The platform's list of VMs as one entry sees it."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from gypsumsail.membership.const import (
+    FORGET_SECONDS,
+    LEAVING_SHARED_SECONDS,
+    VM_BUCKETS,
+)
+from gypsumsail.membership.digest import BucketDigest, bucket_of, digest_table
+from gypsumsail.membership.models import TargetLeaving, VmsChanged
+from gypsumsail.platform.port import VmRecord, VmRole, VmState
+
+TARGET_ROLES = frozenset({VmRole.ENGINE, VmRole.PLAIN})
+
+Changes = tuple[VmsChanged | TargetLeaving, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Life:
+    """One life of a VM."""
+
+    vm_id: str
+    incarnation: str
+
+
+class VmView:
+    """The newest known reading of the list, and the lives that are leaving.
+
+    A life that was once seen leaving stays so: a later reading through a slower
+    connection doesn't bring it back.
+
+    Attributes
+    ----------
+    read_at
+        Monotonic seconds at which the reading was asked for; ``None`` before the
+        first one.
+    leaving
+        Lives that get no new work, with the time at which that was last seen.
+    """
+
+    def __init__(self) -> None:
+        self.read_at: float | None = None
+        self.records: dict[str, VmRecord] = {}
+        self.leaving: dict[Life, float] = {}
+        self.marked: dict[Life, float] = {}
+        self._digest: BucketDigest | None = None
+        self._serving: dict[tuple[bool, str], tuple[VmRecord, ...]] | None = None
+
+    def age(self, now: float) -> float | None:
+        """Return the seconds since the reading was asked for."""
+        return None if self.read_at is None else now - self.read_at
+
+    def newer(self, read_at: float) -> bool:
+        """Return whether a reading is newer than the one in use."""
+        return self.read_at is None or read_at > self.read_at
+
+    def take(
+        self, records: Iterable[VmRecord], *, read_at: float, now: float
+    ) -> Changes:
+        """Use a whole reading when it is newer."""
+        if not self.newer(read_at):
+            return ()
+        self.read_at = read_at
+        return self._replace({record.vm_id: record for record in records}, now)
+
+    def take_buckets(
+        self,
+        buckets: tuple[int, ...],
+        records: Iterable[VmRecord],
+        *,
+        read_at: float,
+        now: float,
+    ) -> Changes:
+        """Use the differing buckets of a peer's reading when it is newer."""
+        if not self.newer(read_at):
+            return ()
+        self.read_at = read_at
+        changed = set(buckets)
+        kept = {
+            vm_id: record
+            for vm_id, record in self.records.items()
+            if bucket_of(vm_id, VM_BUCKETS) not in changed
+        }
+        return self._replace(kept | {record.vm_id: record for record in records}, now)
+
+    def mark_leaving(self, life: Life, *, now: float) -> Changes:
+        """Take a target's own word, or another entry's, that it leaves."""
+        if life in self.marked:
+            return ()
+        self.marked[life] = now
+        return self._leave(life, now)
+
+    def shared_marks(self, now: float) -> tuple[Life, ...]:
+        """Return the marks that are young enough to tell others."""
+        oldest = now - LEAVING_SHARED_SECONDS
+        return tuple(life for life, at in self.marked.items() if at >= oldest)
+
+    def targets(self, service: str) -> tuple[VmRecord, ...]:
+        """Return the targets of a service that may get new work."""
+        return self._index().get((True, service), ())
+
+    def stores(self, service: str) -> tuple[VmRecord, ...]:
+        """Return the stores of a service that are not leaving."""
+        return self._index().get((False, service), ())
+
+    def entry_urls(self) -> tuple[str, ...]:
+        """Return the addresses at which the list shows entries."""
+        return tuple(
+            record.peer_url
+            for record in self.records.values()
+            if record.role is VmRole.ENTRY and record.peer_url
+        )
+
+    def digest(self) -> BucketDigest:
+        """Return the digest of the reading."""
+        if self._digest is None:
+            rows = ((vm_id, repr(one)) for vm_id, one in self.records.items())
+            self._digest = digest_table(rows, VM_BUCKETS)
+        return self._digest
+
+    def in_buckets(self, buckets: tuple[int, ...]) -> tuple[VmRecord, ...]:
+        """Return the records of some buckets."""
+        wanted = set(buckets)
+        return tuple(
+            record
+            for vm_id, record in self.records.items()
+            if bucket_of(vm_id, VM_BUCKETS) in wanted
+        )
+
+    def _replace(self, records: dict[str, VmRecord], now: float) -> Changes:
+        if records == self.records:
+            return ()
+        self.records = records
+        self._digest = None
+        self._serving = None
+        changes: Changes = (VmsChanged(),)
+        for record in records.values():
+            life = Life(vm_id=record.vm_id, incarnation=record.incarnation)
+            if record.state is VmState.LEAVING:
+                changes += self._leave(life, now)
+        self._forget(now)
+        return changes
+
+    def _leave(self, life: Life, now: float) -> Changes:
+        first = life not in self.leaving
+        self.leaving[life] = now
+        self._serving = None
+        if not first:
+            return ()
+        return (TargetLeaving(vm_id=life.vm_id, incarnation=life.incarnation),)
+
+    def _forget(self, now: float) -> None:
+        listed = {
+            Life(vm_id=record.vm_id, incarnation=record.incarnation)
+            for record in self.records.values()
+        }
+        oldest = now - FORGET_SECONDS
+        for marks in (self.leaving, self.marked):
+            for life in [one for one, at in marks.items() if at < oldest]:
+                if life not in listed:
+                    del marks[life]
+
+    def _index(self) -> dict[tuple[bool, str], tuple[VmRecord, ...]]:
+        if self._serving is None:
+            groups: defaultdict[tuple[bool, str], list[VmRecord]] = defaultdict(list)
+            for record in self.records.values():
+                self._add(groups, record)
+            self._serving = {key: tuple(group) for key, group in groups.items()}
+        return self._serving
+
+    def _add(
+        self,
+        groups: defaultdict[tuple[bool, str], list[VmRecord]],
+        record: VmRecord,
+    ) -> None:
+        life = Life(vm_id=record.vm_id, incarnation=record.incarnation)
+        if record.role is VmRole.ENTRY or life in self.leaving:
+            return
+        groups[record.role in TARGET_ROLES, record.service].append(record)
--- /dev/null
+++ b/tests/membership/test_coordinator.py
@@ -0,0 +1,128 @@
+"""Tests of whole fleets in virtual time, under failures."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from gypsumsail.membership.duties import probe_partners
+from gypsumsail.platform.port import VmState
+from gypsumsail.timeline.models import EventKind
+from tests.membership.common import ZONES, Fleet, Node, async_fleet, vm
+from tests.peers.virtual import run_virtual
+
+SETTLE_SECONDS = 30.0
+
+
+def _lost(nodes: Iterable[Node]) -> list[str]:
+    events = [event for node in nodes for event in node.recorder.events]
+    return [one.detail for one in events if one.kind is EventKind.PEER_LOST]
+
+
+async def _async_settled(size: int) -> Fleet:
+    fleet = await async_fleet(size)
+    await asyncio.sleep(SETTLE_SECONDS)
+    assert all(node.names() == fleet.names() for node in fleet.nodes.values())
+    return fleet
+
+
+def test_entries_find_each_other_and_lose_the_dead() -> None:
+    async def async_main() -> None:
+        fleet = await _async_settled(9)
+        await fleet.async_kill("e3")
+        await asyncio.sleep(SETTLE_SECONDS)
+        for node in fleet.nodes.values():
+            assert node.names() == fleet.names()
+            assert len(_lost([node])) == 1
+
+    run_virtual(async_main())
+
+
+def test_restart_at_the_same_address_replaces_the_old_life() -> None:
+    async def async_main() -> None:
+        fleet = await _async_settled(7)
+        await fleet.async_kill("e3")
+        await fleet.async_add("e3", zone=ZONES[0], incarnation="i2")
+        await asyncio.sleep(SETTLE_SECONDS)
+        for node in fleet.nodes.values():
+            lives = [one for one in node.membership.entries() if one.name == "e3"]
+            assert [life.incarnation for life in lives] == ["i2"]
+
+    run_virtual(async_main())
+
+
+def test_one_way_cut_kills_nobody() -> None:
+    async def async_main() -> None:
+        fleet = await _async_settled(7)
+        first = fleet.nodes["e0"]
+        partner = probe_partners(first.entry, first.membership.entries())[0]
+        fleet.hub.cuts.add(("e0", partner.name))
+        await asyncio.sleep(4 * SETTLE_SECONDS)
+        tables = [node.membership.table for node in fleet.nodes.values()]
+        assert [table.me.counter for table in tables] == [0] * len(tables)
+        fleet.hub.cuts |= {("e1", "e2"), ("e4", "e2"), ("e5", "e0")}
+        await asyncio.sleep(4 * SETTLE_SECONDS)
+        assert not _lost(fleet.nodes.values())
+
+    run_virtual(async_main())
+
+
+def test_zone_cut_off_goes_on_and_comes_back_without_false_deaths() -> None:
+    async def async_main() -> None:
+        fleet = await _async_settled(9)
+        inside = fleet.in_zone(ZONES[0])
+        outside = fleet.names() - inside
+        fleet.hub.cut(inside, outside)
+        await asyncio.sleep(4 * SETTLE_SECONDS)
+        for name, node in fleet.nodes.items():
+            assert node.names() == (inside if name in inside else outside)
+        fleet.hub.cuts.clear()
+        before = len(_lost(fleet.nodes.values()))
+        await asyncio.sleep(4 * SETTLE_SECONDS)
+        assert all(node.names() == fleet.names() for node in fleet.nodes.values())
+        assert len(_lost(fleet.nodes.values())) == before
+
+    run_virtual(async_main())
+
+
+def test_whole_zone_replaced_while_the_platform_is_down() -> None:
+    async def async_main() -> None:
+        fleet = await _async_settled(9)
+        fleet.vm_list.records = (vm("t1"), vm("t2"))
+        await asyncio.sleep(SETTLE_SECONDS)
+        fleet.vm_list.down = True
+        for name in sorted(fleet.in_zone(ZONES[2])):
+            await fleet.async_kill(name)
+            await fleet.async_add(f"{name}-new", zone=ZONES[2])
+        await asyncio.sleep(SETTLE_SECONDS)
+        for node in fleet.nodes.values():
+            assert node.names() == fleet.names()
+            assert len(node.membership.targets("claims")) == 2
+
+    run_virtual(async_main())
+
+
+def test_leaving_target_gets_no_new_work_within_five_seconds() -> None:
+    async def async_main() -> None:
+        fleet = await _async_settled(12)
+        fleet.vm_list.records = (vm("t1"), vm("t2"), vm("t3"))
+        await asyncio.sleep(SETTLE_SECONDS)
+        fleet.vm_list.records = (vm("t1", state=VmState.LEAVING), vm("t2"), vm("t3"))
+        fleet.nodes["e5"].membership.mark_leaving("t2", "v1")
+        await asyncio.sleep(5.0)
+        for node in fleet.nodes.values():
+            targets = node.membership.targets("claims")
+            assert [record.vm_id for record in targets] == ["t3"]
+
+    run_virtual(async_main())
+
+
+def test_only_relays_read_the_list() -> None:
+    async def async_main() -> None:
+        fleet = await _async_settled(30)
+        before = fleet.vm_list.reads
+        await asyncio.sleep(60.0)
+        per_second = (fleet.vm_list.reads - before) / 60.0
+        assert per_second < 7.0
+
+    run_virtual(async_main())
