--- /dev/null
+++ b/src/gypsumsail/document/tree.py
@@ -0,0 +1,203 @@
+"""YAML text as plain data, with the position of each part."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any, Final, NoReturn
+
+import yaml  # type: ignore[import-untyped]
+from yaml.events import (  # type: ignore[import-untyped]
+    AliasEvent,
+    DocumentEndEvent,
+    MappingEndEvent,
+    MappingStartEvent,
+    ScalarEvent,
+    SequenceEndEvent,
+    SequenceStartEvent,
+    StreamEndEvent,
+)
+
+from gypsumsail.document.const import MAX_DEPTH, MAX_FINDINGS, MAX_PARTS
+from gypsumsail.document.scalars import read_plain_scalar
+
+Path = tuple[str | int, ...]
+
+_LOADER: Final = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Position:
+    """Place in a text, counted from 1."""
+
+    line: int
+    column: int
+
+
+_START: Final = Position(line=1, column=1)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TreeFault:
+    """A fault of the YAML itself."""
+
+    path: Path
+    position: Position
+    message: str
+
+
+@dataclass(slots=True, kw_only=True)
+class Tree:
+    """Plain data and where its parts stand.
+
+    Attributes
+    ----------
+    whole
+        Whether the text could be read to its end.
+    keys, values
+        Positions by path: of the key that names the part, and of the part.
+    """
+
+    data: Any = None
+    whole: bool = False
+    keys: dict[Path, Position] = field(default_factory=dict)
+    values: dict[Path, Position] = field(default_factory=dict)
+    faults: list[TreeFault] = field(default_factory=list)
+
+    def position(self, path: Path, *, key: bool = False) -> Position:
+        """Return the position of a part, or of the nearest part around it."""
+        if key and path in self.keys:
+            return self.keys[path]
+        while path and path not in self.values:
+            path = path[:-1]
+        return self.values.get(path, _START)
+
+
+class _UnreadableError(Exception):
+    """The reading stops here; the fault is noted."""
+
+
+def read_tree(text: str) -> Tree:
+    """Read one YAML document; its faults are in the result.
+
+    Anchors, aliases and tags are faults: no part can be repeated by reference,
+    so the data is never larger than the text.
+    """
+    tree = Tree()
+    reader = _Reader(tree, yaml.parse(text, Loader=_LOADER))
+    try:
+        reader.read_document()
+    except _UnreadableError:
+        return tree
+    except yaml.MarkedYAMLError as err:
+        reader.note((), _error_position(err), f"YAML: {err.problem or err.context}")
+        return tree
+    except (yaml.YAMLError, ValueError):
+        reader.note((), _START, "YAML: unreadable characters")
+        return tree
+    tree.whole = True
+    return tree
+
+
+class _Reader:
+    """Builds the data from the parser's events."""
+
+    def __init__(self, tree: Tree, events: Iterator[Any]) -> None:
+        self.tree = tree
+        self.events = events
+
+    def read_document(self) -> None:
+        next(self.events)
+        start = next(self.events)
+        if isinstance(start, StreamEndEvent):
+            self.stop((), _START, "is empty")
+        self.tree.data = self.read(next(self.events), ())
+        end = next(self.events)
+        assert isinstance(end, DocumentEndEvent)
+        after = next(self.events)
+        if not isinstance(after, StreamEndEvent):
+            self.stop((), _position(after), "a second document follows")
+
+    def read(self, event: Any, path: Path) -> Any:
+        position = _position(event)
+        self.tree.values[path] = position
+        if len(self.tree.values) > MAX_PARTS:
+            self.stop((), position, "has too many parts")
+        if isinstance(event, AliasEvent):
+            self.add(path, position, "aliases are not allowed")
+            return None
+        if event.anchor is not None:
+            self.add(path, position, "anchors are not allowed")
+        if event.tag is not None:
+            self.add(path, position, "tags are not allowed")
+        if len(path) > MAX_DEPTH:
+            self.stop(path, position, "is nested too deep")
+        if isinstance(event, MappingStartEvent):
+            return self.read_mapping(path)
+        if isinstance(event, SequenceStartEvent):
+            return self.read_sequence(path)
+        assert isinstance(event, ScalarEvent)
+        return _scalar(event)
+
+    def read_sequence(self, path: Path) -> list[Any]:
+        data: list[Any] = []
+        for event in self.events:
+            if isinstance(event, SequenceEndEvent):
+                break
+            data.append(self.read(event, (*path, len(data))))
+        return data
+
+    def read_mapping(self, path: Path) -> dict[str, Any]:
+        data: dict[str, Any] = {}
+        for event in self.events:
+            if isinstance(event, MappingEndEvent):
+                break
+            key = self.read_key(event, path)
+            place = (*path, key)
+            if key in data:
+                self.add(place, _position(event), "the key stands twice")
+            self.tree.keys[place] = _position(event)
+            data[key] = self.read(next(self.events), place)
+        return data
+
+    def read_key(self, event: Any, path: Path) -> str:
+        position = _position(event)
+        if not isinstance(event, ScalarEvent):
+            self.stop(path, position, "a key must be a text")
+        key = _scalar(event)
+        if event.anchor is not None or event.tag is not None:
+            self.add(path, position, "anchors and tags are not allowed")
+        if not isinstance(key, str):
+            self.add(path, position, "a key must be a text")
+        return str(key)
+
+    def stop(self, path: Path, position: Position, message: str) -> NoReturn:
+        self.note(path, position, message)
+        raise _UnreadableError
+
+    def add(self, path: Path, position: Position, message: str) -> None:
+        self.note(path, position, message)
+        if len(self.tree.faults) >= MAX_FINDINGS:
+            raise _UnreadableError
+
+    def note(self, path: Path, position: Position, message: str) -> None:
+        fault = TreeFault(path=path, position=position, message=message)
+        self.tree.faults.append(fault)
+
+
+def _scalar(event: Any) -> Any:
+    if event.style:
+        return event.value
+    return read_plain_scalar(event.value)
+
+
+def _position(event: Any) -> Position:
+    mark = event.start_mark
+    return Position(line=mark.line + 1, column=mark.column + 1)
+
+
+def _error_position(err: Any) -> Position:
+    mark = err.problem_mark or err.context_mark
+    if mark is None:
+        return _START
+    return Position(line=mark.line + 1, column=mark.column + 1)
