--- /dev/null
+++ b/src/gypsumsail/once/committer.py
@@ -0,0 +1,157 @@
+"""Group commit of entries to one partition of the ledger."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+import logging
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.once.const import (
+    COMMIT_INTERVAL_SECONDS,
+    COMMIT_TIMEOUT_SECONDS,
+    ENTRIES_PER_BATCH,
+)
+from gypsumsail.once.errors import (
+    LedgerContendedError,
+    LedgerCorruptError,
+    LedgerUnavailableError,
+    PlatformPausedError,
+)
+from gypsumsail.once.ledger import Verdict
+from gypsumsail.once.pause import PlatformPause
+from gypsumsail.once.records import LedgerEntry
+from gypsumsail.once.store import LedgerStore
+from gypsumsail.platform.port import ObjectApi
+
+LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Waiting:
+    entry: LedgerEntry
+    verdict: asyncio.Future[Verdict]
+
+
+class GroupCommitter:
+    """Collects entries while a commit runs and writes them in the next one.
+
+    A lone entry is written at once; under load commits follow each other at
+    ``COMMIT_INTERVAL_SECONDS``, which bounds the writes to the platform.
+    """
+
+    def __init__(
+        self, api: ObjectApi, clock: Clock, partition: int, pause: PlatformPause
+    ) -> None:
+        self.clock = clock
+        self.store = LedgerStore(api, clock, partition)
+        self.pause = pause
+        self.waiting: list[_Waiting] = []
+        self.task: asyncio.Task[None] | None = None
+        self.lock = asyncio.Lock()
+        self.last_commit = float("-inf")
+        self.commits = 0
+        self.submitted = 0
+
+    async def async_submit(self, entry: LedgerEntry) -> Verdict:
+        """Commit an entry with whatever else waits.
+
+        Raises
+        ------
+        PlatformPausedError
+            The entry was not written.
+        LedgerUnavailableError
+            It isn't known that the entry is in the ledger; it may be.
+        """
+        if not self.pause.may_call(self.clock.monotonic()):
+            raise PlatformPausedError("the platform failed a moment ago")
+        verdict: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
+        self.waiting.append(_Waiting(entry=entry, verdict=verdict))
+        self.submitted += 1
+        if self.task is None:
+            self.task = asyncio.create_task(self._async_run())
+        return await verdict
+
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing waits for a commit."""
+        return self.task is None
+
+    async def async_tick(self) -> None:
+        """Count the time and drop what has expired.
+
+        Raises
+        ------
+        LedgerUnavailableError
+            The partition could not be read or written.
+        TimeoutError
+            The platform did not answer in time.
+        """
+        async with self.lock, asyncio.timeout(COMMIT_TIMEOUT_SECONDS):
+            await self.store.async_tick()
+
+    async def async_close(self) -> None:
+        """Stop committing; entries that wait are refused."""
+        if self.task is None:
+            return
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def _async_run(self) -> None:
+        try:
+            while self.waiting:
+                due = self.last_commit + COMMIT_INTERVAL_SECONDS
+                await asyncio.sleep(max(0.0, due - self.clock.monotonic()))
+                batch = self._take_batch()
+                if batch:
+                    await self._async_commit(batch)
+        finally:
+            self.task = None
+            _refuse(self._take_all(), LedgerUnavailableError("the entry is stopping"))
+
+    def _take_batch(self) -> list[_Waiting]:
+        """Take the next entries, leaving out those whose submitter went away."""
+        batch = [item for item in self.waiting if not item.verdict.done()]
+        self.waiting = batch[ENTRIES_PER_BATCH:]
+        return batch[:ENTRIES_PER_BATCH]
+
+    def _take_all(self) -> list[_Waiting]:
+        waiting, self.waiting = self.waiting, []
+        return waiting
+
+    async def _async_commit(self, batch: list[_Waiting]) -> None:
+        self.last_commit = self.clock.monotonic()
+        self.commits += 1
+        try:
+            async with self.lock, asyncio.timeout(COMMIT_TIMEOUT_SECONDS):
+                verdicts = await self.store.async_commit([item.entry for item in batch])
+        except (LedgerUnavailableError, TimeoutError) as err:
+            self._fail(batch, err)
+            return
+        except BaseException:
+            self.store.ledger = None
+            self.pause.failed(self.clock.monotonic())
+            _refuse(batch, LedgerUnavailableError("the commit was interrupted"))
+            raise
+        self.pause.succeeded()
+        for item, verdict in zip(batch, verdicts, strict=True):
+            if not item.verdict.done():
+                item.verdict.set_result(verdict)
+
+    @callback
+    def _fail(self, batch: list[_Waiting], err: Exception) -> None:
+        LOGGER.warning("Ledger %s unavailable: %s", self.store.partition, err)
+        self.store.ledger = None
+        if isinstance(err, LedgerContendedError | LedgerCorruptError):
+            self.pause.succeeded()
+        else:
+            self.pause.failed(self.clock.monotonic())
+        error = LedgerUnavailableError(f"commit failed: {err}")
+        _refuse([*batch, *self._take_all()], error)
+
+
+def _refuse(waiting: list[_Waiting], error: LedgerUnavailableError) -> None:
+    for item in waiting:
+        if not item.verdict.done():
+            item.verdict.set_exception(error)
--- /dev/null
+++ b/src/gypsumsail/once/coordinator.py
@@ -0,0 +1,280 @@
+"""Coordinator of requests that run at most once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from contextlib import suppress
+import logging
+import random
+from typing import Any, NoReturn
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import (
+    DuplicateRequestError,
+    ReservationUnavailableError,
+    RunState,
+)
+from gypsumsail.core.ids import new_id
+from gypsumsail.once.const import (
+    CLEANUP_INTERVAL_SECONDS,
+    OUTCOME_INTERVAL_SECONDS,
+    RESERVE_TIMEOUT_SECONDS,
+    RETRY_AFTER_JITTER_SECONDS,
+    RETRY_AFTER_SECONDS,
+    RUNNING_RETRY_AFTER_SECONDS,
+    SEND_WINDOW_SECONDS,
+    UNLOAD_TIMEOUT_SECONDS,
+)
+from gypsumsail.once.errors import (
+    KeyReusedError,
+    LedgerUnavailableError,
+    ReservationStateError,
+)
+from gypsumsail.once.keys import key_digest
+from gypsumsail.once.ledger import Verdict, VerdictKind
+from gypsumsail.once.ledgers import Ledgers, Submission
+from gypsumsail.once.models import (
+    OnceRequest,
+    Outcome,
+    Reservation,
+    ReservationState,
+)
+from gypsumsail.once.outcomes import OutcomeQueue
+from gypsumsail.once.records import Abandoned, Ended, Reserved
+from gypsumsail.peers.port import EntryId, PeerNetwork
+from gypsumsail.platform.port import ObjectApi
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.port import Recorder
+
+LOGGER = logging.getLogger(__name__)
+
+
+class OnceCoordinator:
+    """Reserves requests before they are sent and records how they ended."""
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        network: PeerNetwork,
+        recorder: Recorder,
+        clock: Clock,
+        entry: EntryId,
+        *,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.recorder = recorder
+        self.ledgers = Ledgers(api, network, clock, entry)
+        self.outcomes = OutcomeQueue(self.ledgers)
+        self.rng = rng if rng is not None else random.Random()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def async_setup(self) -> None:
+        """Start answering other entries, recording outcomes and cleaning up."""
+        self.ledgers.setup()
+        self.tasks = [
+            asyncio.create_task(
+                _async_repeat(self.outcomes.async_flush, OUTCOME_INTERVAL_SECONDS)
+            ),
+            asyncio.create_task(
+                _async_repeat(self.ledgers.async_tick, CLEANUP_INTERVAL_SECONDS)
+            ),
+        ]
+
+    async def async_unload(self) -> None:
+        """Record the outcomes that wait, then stop."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks = []
+        with suppress(TimeoutError):
+            async with asyncio.timeout(UNLOAD_TIMEOUT_SECONDS):
+                await self.outcomes.async_flush()
+        await self.ledgers.async_unload()
+
+    async def async_reserve(self, request: OnceRequest, now: float) -> Reservation:
+        """Reserve the right to send a request once.
+
+        A request without a key needs no write: its reservation holds in this
+        entry only, which sends it once at most.
+
+        Parameters
+        ----------
+        now
+            Monotonic time before the reservation; the right to send counts
+            from it.
+
+        Raises
+        ------
+        DuplicateRequestError
+            The key is in use or was used; ``run_state`` is that of the first
+            run. With another body it is a ``KeyReusedError``.
+        ReservationUnavailableError
+            The reservation could not be confirmed; the request is not run.
+        """
+        reservation = Reservation(
+            request=request,
+            attempt_id=new_id(),
+            good_until=now + SEND_WINDOW_SECONDS,
+        )
+        if request.key is None:
+            return reservation
+        submission = Submission(entry=_reserved(reservation))
+        try:
+            async with asyncio.timeout(RESERVE_TIMEOUT_SECONDS):
+                verdict = await self.ledgers.async_reserve(submission)
+        except (LedgerUnavailableError, TimeoutError) as err:
+            self._give_up(reservation, submission, now)
+            raise self._unavailable(f"the ledger could not be written: {err}") from err
+        except BaseException:
+            self._give_up(reservation, submission, now)
+            raise
+        if verdict.kind is not VerdictKind.GRANTED:
+            self._give_up(reservation, submission, now)
+            self._raise_for(verdict)
+        self._record(EventKind.RESERVED, reservation, "")
+        return reservation
+
+    @callback
+    def sent(self, reservation: Reservation) -> None:
+        """Note that the request is sent.
+
+        Call it right after ``may_send`` and before the first byte leaves,
+        without awaiting anything in between.
+
+        Raises
+        ------
+        ReservationStateError
+            The request was sent, ended or abandoned before.
+        """
+        if reservation.state is not ReservationState.HELD:
+            raise ReservationStateError(
+                f"a reservation that is {reservation.state} may not be sent"
+            )
+        reservation.state = ReservationState.SENT
+
+    @callback
+    def ended(self, reservation: Reservation, outcome: Outcome, now: float) -> None:
+        """Note how a sent request ended; it is recorded with a later commit.
+
+        Raises
+        ------
+        ReservationStateError
+            The request was not sent, or has ended before.
+        """
+        if reservation.state is not ReservationState.SENT:
+            raise ReservationStateError(
+                f"a reservation that is {reservation.state} can't end"
+            )
+        reservation.state = ReservationState.ENDED
+        self._record(EventKind.RESERVATION_ENDED, reservation, outcome.run_state.value)
+        digest = _digest(reservation.request)
+        if digest is None:
+            return
+        attempt = bytes.fromhex(reservation.attempt_id)
+        if outcome.run_state is RunState.NOT_RUN:
+            self.outcomes.add(Abandoned(key=digest, attempt=attempt), now)
+            return
+        entry = Ended(
+            key=digest,
+            attempt=attempt,
+            run_state=outcome.run_state,
+            status=outcome.status,
+        )
+        self.outcomes.add(entry, now)
+
+    @callback
+    def abandoned(self, reservation: Reservation, now: float) -> None:
+        """Note that the request is not run and never will be under this attempt.
+
+        Raises
+        ------
+        ReservationStateError
+            The request was sent.
+        """
+        if reservation.state is not ReservationState.HELD:
+            raise ReservationStateError(
+                f"a reservation that is {reservation.state} can't be abandoned"
+            )
+        reservation.state = ReservationState.ABANDONED
+        self._record(EventKind.RESERVATION_ENDED, reservation, "abandoned")
+        digest = _digest(reservation.request)
+        if digest is None:
+            return
+        attempt = bytes.fromhex(reservation.attempt_id)
+        self.outcomes.add(Abandoned(key=digest, attempt=attempt), now)
+
+    def _give_up(
+        self, reservation: Reservation, submission: Submission, now: float
+    ) -> None:
+        """End a reservation that was not granted; mark what may yet be written."""
+        if submission.may_be_written:
+            self.abandoned(reservation, now)
+            return
+        reservation.state = ReservationState.ABANDONED
+
+    def _raise_for(self, verdict: Verdict) -> NoReturn:
+        match verdict.kind:
+            case VerdictKind.RUNNING:
+                raise DuplicateRequestError(
+                    "a request with this key was sent and its end isn't known",
+                    run_state=RunState.MAY_HAVE_RUN,
+                    retry_after=RUNNING_RETRY_AFTER_SECONDS,
+                )
+            case VerdictKind.FINISHED:
+                raise DuplicateRequestError(
+                    f"the first request with this key ended with status "
+                    f"{verdict.status}",
+                    run_state=verdict.run_state,
+                )
+            case VerdictKind.OTHER_BODY:
+                raise KeyReusedError("this key was used with another body")
+            case _:
+                raise self._unavailable(f"the ledger refused: {verdict.kind}")
+
+    def _unavailable(self, message: str) -> ReservationUnavailableError:
+        jitter = self.rng.random() * RETRY_AFTER_JITTER_SECONDS
+        return ReservationUnavailableError(
+            message, retry_after=RETRY_AFTER_SECONDS + jitter
+        )
+
+    def _record(self, kind: EventKind, reservation: Reservation, detail: str) -> None:
+        request = reservation.request
+        self.recorder.record(
+            Event(
+                kind=kind,
+                request_id=request.request_id,
+                customer=request.customer,
+                service=request.service,
+                detail=f"{reservation.attempt_id} {detail}".rstrip(),
+            )
+        )
+
+
+def _digest(request: OnceRequest) -> bytes | None:
+    if request.key is None:
+        return None
+    return key_digest(request.customer, request.service, request.key)
+
+
+def _reserved(reservation: Reservation) -> Reserved:
+    request = reservation.request
+    digest = _digest(request)
+    assert digest is not None
+    return Reserved(
+        key=digest,
+        attempt=bytes.fromhex(reservation.attempt_id),
+        body=request.body_digest,
+    )
+
+
+async def _async_repeat(
+    action: Callable[[], Coroutine[Any, Any, None]], interval: float
+) -> None:
+    while True:
+        await asyncio.sleep(interval)
+        try:
+            await action()
+        except Exception:
+            LOGGER.exception("Recurring work on the ledger failed")
--- /dev/null
+++ b/src/gypsumsail/once/keys.py
@@ -0,0 +1,41 @@
+"""Digests of idempotency keys, their partitions and the owners of these."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import Final
+
+from gypsumsail.once.const import PARTITIONS
+from gypsumsail.peers.port import EntryId
+
+DIGEST_BYTES: Final = 16
+LENGTH_BYTES: Final = 4
+
+
+def key_digest(customer: str, service: str, key: str) -> bytes:
+    """Return the digest of a key in the scope of its customer and service."""
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for part in (customer, service, key):
+        encoded = part.encode()
+        digest.update(len(encoded).to_bytes(LENGTH_BYTES))
+        digest.update(encoded)
+    return digest.digest()
+
+
+def partition_of(digest: bytes) -> int:
+    """Return the partition of the ledger that holds a key."""
+    return int.from_bytes(digest[:LENGTH_BYTES]) % PARTITIONS
+
+
+def owner_of(partition: int, entries: Iterable[EntryId]) -> EntryId:
+    """Return the entry that commits a partition, by rendezvous hashing.
+
+    Two entries that disagree on the owner lose batching, not safety.
+    """
+    return max(entries, key=lambda entry: _weight(partition, entry))
+
+
+def _weight(partition: int, entry: EntryId) -> bytes:
+    text = f"{partition}/{entry.name}/{entry.incarnation}"
+    return blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/src/gypsumsail/once/ledgers.py
@@ -0,0 +1,225 @@
+"""Commits to all partitions: through their owners, or directly without them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+import logging
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import RunState, TransportError
+from gypsumsail.once.committer import GroupCommitter
+from gypsumsail.once.const import OWNER_TIMEOUT_SECONDS, PARTITIONS
+from gypsumsail.once.errors import LedgerUnavailableError, PlatformPausedError
+from gypsumsail.once.keys import owner_of, partition_of
+from gypsumsail.once.ledger import Verdict, VerdictKind
+from gypsumsail.once.messages import (
+    LedgerUnavailableMessage,
+    RecordedMessage,
+    RecordMessage,
+    ReserveMessage,
+    VerdictMessage,
+)
+from gypsumsail.once.pause import PlatformPause
+from gypsumsail.once.records import (
+    LedgerEntry,
+    Reserved,
+    decode_entries,
+    encode_entries,
+)
+from gypsumsail.peers.port import EntryId, Message, PeerNetwork
+from gypsumsail.platform.port import ObjectApi
+
+LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, kw_only=True)
+class Submission:
+    """A reservation on its way to the ledger.
+
+    Attributes
+    ----------
+    may_be_written
+        Whether a write that isn't answered may have taken effect, or may yet.
+    """
+
+    entry: Reserved
+    may_be_written: bool = False
+
+
+class Ledgers:
+    """All partitions of the ledger as one entry reaches them."""
+
+    def __init__(
+        self, api: ObjectApi, network: PeerNetwork, clock: Clock, entry: EntryId
+    ) -> None:
+        self.api = api
+        self.network = network
+        self.clock = clock
+        self.entry = entry
+        self.pause = PlatformPause()
+        self.committers: dict[int, GroupCommitter] = {}
+        self.unsubscribe: list[Callable[[], None]] = []
+        self.forwarded = 0
+        self.direct = 0
+
+    def setup(self) -> None:
+        """Answer other entries."""
+        self.unsubscribe = [
+            self.network.subscribe(ReserveMessage, self._async_handle_reserve),
+            self.network.subscribe(RecordMessage, self._async_handle_record),
+        ]
+
+    async def async_unload(self) -> None:
+        """Stop answering and committing."""
+        for unsubscribe in self.unsubscribe:
+            unsubscribe()
+        self.unsubscribe = []
+        for committer in self.committers.values():
+            await committer.async_close()
+
+    async def async_reserve(self, submission: Submission) -> Verdict:
+        """Commit a reservation; keeps ``may_be_written`` true to what was done.
+
+        Raises
+        ------
+        LedgerUnavailableError
+            It isn't known that the entry is in the ledger; it may be.
+        """
+        partition = partition_of(submission.entry.key)
+        owner = self._owner(partition)
+        if owner != self.entry:
+            verdict = await self._async_forward(owner, partition, submission)
+            if verdict is not None:
+                self.forwarded += 1
+                return verdict
+        self.direct += 1
+        return await self._async_reserve_directly(partition, submission)
+
+    async def async_record(
+        self, partition: int, entries: Sequence[LedgerEntry]
+    ) -> None:
+        """Commit outcomes of one partition; safe to repeat.
+
+        Raises
+        ------
+        LedgerUnavailableError
+            Some may not be in the ledger.
+        """
+        owner = self._owner(partition)
+        if owner != self.entry:
+            message = RecordMessage(
+                partition=partition, entries=encode_entries(tuple(entries))
+            )
+            answer = await self._async_ask(owner, message)
+            if isinstance(answer, RecordedMessage):
+                return
+        await self._async_record_directly(partition, entries)
+
+    async def async_tick(self) -> None:
+        """Count the time of the owned partitions and forget the others."""
+        for partition in range(PARTITIONS):
+            if self._owner(partition) == self.entry:
+                await self._async_tick_partition(partition)
+            elif (other := self.committers.get(partition)) and other.idle:
+                del self.committers[partition]
+
+    def _owner(self, partition: int) -> EntryId:
+        return owner_of(partition, (self.entry, *self.network.peers()))
+
+    def _committer(self, partition: int) -> GroupCommitter:
+        committer = self.committers.get(partition)
+        if committer is None:
+            committer = GroupCommitter(self.api, self.clock, partition, self.pause)
+            self.committers[partition] = committer
+        return committer
+
+    async def _async_tick_partition(self, partition: int) -> None:
+        try:
+            await self._committer(partition).async_tick()
+        except (LedgerUnavailableError, TimeoutError) as err:
+            LOGGER.warning("Ledger %s not cleaned: %s", partition, err)
+
+    async def _async_reserve_directly(
+        self, partition: int, submission: Submission
+    ) -> Verdict:
+        before = submission.may_be_written
+        submission.may_be_written = True
+        try:
+            verdict = await self._committer(partition).async_submit(submission.entry)
+        except PlatformPausedError:
+            submission.may_be_written = before
+            raise
+        submission.may_be_written = before
+        return verdict
+
+    async def _async_forward(
+        self, owner: EntryId, partition: int, submission: Submission
+    ) -> Verdict | None:
+        entry = submission.entry
+        message = ReserveMessage(
+            partition=partition, key=entry.key, attempt=entry.attempt, body=entry.body
+        )
+        submission.may_be_written = True
+        answer = await self._async_ask(owner, message)
+        match answer:
+            case VerdictMessage():
+                submission.may_be_written = False
+                return Verdict(
+                    kind=VerdictKind(answer.kind),
+                    run_state=RunState(answer.run_state),
+                    status=answer.status,
+                )
+            case LedgerUnavailableMessage():
+                submission.may_be_written = answer.may_be_written
+        return None
+
+    async def _async_ask(self, owner: EntryId, message: Message) -> Message | None:
+        try:
+            return await self.network.async_request(
+                owner, message, timeout=OWNER_TIMEOUT_SECONDS
+            )
+        except TransportError as err:
+            LOGGER.debug("Owner %s did not answer: %s", owner.name, err)
+            return None
+
+    async def _async_record_directly(
+        self, partition: int, entries: Sequence[LedgerEntry]
+    ) -> None:
+        committer = self._committer(partition)
+        results = await asyncio.gather(
+            *(committer.async_submit(entry) for entry in entries),
+            return_exceptions=True,
+        )
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
+
+    async def _async_handle_reserve(
+        self, _peer: EntryId, message: ReserveMessage
+    ) -> Message:
+        entry = Reserved(key=message.key, attempt=message.attempt, body=message.body)
+        committer = self._committer(message.partition)
+        try:
+            async with asyncio.timeout(OWNER_TIMEOUT_SECONDS):
+                verdict = await committer.async_submit(entry)
+        except PlatformPausedError:
+            return LedgerUnavailableMessage(may_be_written=False)
+        except (LedgerUnavailableError, TimeoutError):
+            return LedgerUnavailableMessage(may_be_written=True)
+        return VerdictMessage(
+            kind=verdict.kind.value,
+            run_state=verdict.run_state.value,
+            status=verdict.status,
+        )
+
+    async def _async_handle_record(
+        self, _peer: EntryId, message: RecordMessage
+    ) -> Message:
+        try:
+            entries = decode_entries(message.entries)
+            await self._async_record_directly(message.partition, entries)
+        except LedgerUnavailableError:
+            return LedgerUnavailableMessage(may_be_written=True)
+        return RecordedMessage()
--- /dev/null
+++ b/src/gypsumsail/once/messages.py
@@ -0,0 +1,52 @@
+"""Messages between the entry of a request and the owner of its partition."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumsail.peers.port import Message
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReserveMessage(Message):
+    """Commit a reservation; answered by a verdict or by unavailable."""
+
+    partition: int
+    key: bytes
+    attempt: bytes
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VerdictMessage(Message):
+    """The ledger's decision on a reservation; enumerations by their values."""
+
+    kind: str
+    run_state: str
+    status: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecordMessage(Message):
+    """Commit outcomes, encoded as ledger entries."""
+
+    partition: int
+    entries: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecordedMessage(Message):
+    """The outcomes are in the ledger."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LedgerUnavailableMessage(Message):
+    """The owner could not confirm the commit.
+
+    Attributes
+    ----------
+    may_be_written
+        Whether a write may have taken effect, or may yet.
+    """
+
+    may_be_written: bool
--- /dev/null
+++ b/src/gypsumsail/once/outcomes.py
@@ -0,0 +1,78 @@
+"""Outcomes that wait to be recorded in a later commit."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass
+import logging
+
+from gypsumsail.core.callback import callback
+from gypsumsail.once.const import OUTCOME_BATCH_LIMIT, OUTCOMES_WAITING_LIMIT
+from gypsumsail.once.errors import LedgerUnavailableError
+from gypsumsail.once.keys import partition_of
+from gypsumsail.once.ledgers import Ledgers
+from gypsumsail.once.records import Abandoned, Ended
+
+LOGGER = logging.getLogger(__name__)
+
+OutcomeEntry = Ended | Abandoned
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitingOutcome:
+    """An outcome and the monotonic time since which it waits."""
+
+    entry: OutcomeEntry
+    since: float
+
+
+class OutcomeQueue:
+    """Holds outcomes until the ledger has them.
+
+    Attributes
+    ----------
+    waiting
+        Outcomes by partition, oldest first.
+    lost
+        Outcomes dropped because too many waited; their keys stay ``may have
+        run`` until the retention ends.
+    """
+
+    def __init__(self, ledgers: Ledgers) -> None:
+        self.ledgers = ledgers
+        self.waiting: dict[int, list[WaitingOutcome]] = {}
+        self.lost = 0
+
+    @callback
+    def add(self, entry: OutcomeEntry, now: float) -> None:
+        """Add an outcome; at the limit it is dropped and counted."""
+        if len(self) >= OUTCOMES_WAITING_LIMIT:
+            self.lost += 1
+            return
+        waiting = self.waiting.setdefault(partition_of(entry.key), [])
+        waiting.append(WaitingOutcome(entry=entry, since=now))
+
+    def __len__(self) -> int:
+        return sum(map(len, self.waiting.values()))
+
+    def __iter__(self) -> Iterator[WaitingOutcome]:
+        for waiting in self.waiting.values():
+            yield from waiting
+
+    async def async_flush(self) -> None:
+        """Record what waits; what can't be recorded stays."""
+        await asyncio.gather(*map(self._async_flush_partition, list(self.waiting)))
+
+    async def _async_flush_partition(self, partition: int) -> None:
+        batch = self.waiting[partition][:OUTCOME_BATCH_LIMIT]
+        try:
+            await self.ledgers.async_record(partition, [item.entry for item in batch])
+        except LedgerUnavailableError as err:
+            LOGGER.debug("Outcomes of ledger %s wait: %s", partition, err)
+            return
+        rest = self.waiting[partition][len(batch) :]
+        if rest:
+            self.waiting[partition] = rest
+            return
+        del self.waiting[partition]
--- /dev/null
+++ b/src/gypsumsail/once/records.py
@@ -0,0 +1,214 @@
+"""Entries of a ledger and their encoding."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+import io
+from typing import Any, Final
+
+import cbor2
+
+from gypsumsail.core.errors import RunState
+from gypsumsail.once.const import LEDGER_PREFIX
+from gypsumsail.once.errors import LedgerCorruptError
+
+FORMAT_VERSION: Final = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reserved:
+    """An attempt may send the request of a key."""
+
+    key: bytes
+    attempt: bytes
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ended:
+    """A sent attempt ended."""
+
+    key: bytes
+    attempt: bytes
+    run_state: RunState
+    status: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Abandoned:
+    """An attempt was not run and never will be, whether it was reserved or not."""
+
+    key: bytes
+    attempt: bytes
+
+
+LedgerEntry = Reserved | Ended | Abandoned
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SealedSegment:
+    """Reference to a full segment.
+
+    Attributes
+    ----------
+    head_version
+        Version of the head whose entries the segment holds; names it.
+    sealed_at
+        Ledger time of the sealing, in seconds.
+    """
+
+    head_version: int
+    sealed_at: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Head:
+    """The object that each commit to a partition replaces.
+
+    Attributes
+    ----------
+    ledger_time
+        Seconds that the writers of the partition have seen pass; never more
+        than the time that really passed.
+    opened_at
+        Ledger time of the first of ``entries``.
+    entries
+        Entries since the last sealing, in order.
+    """
+
+    ledger_time: float
+    opened_at: float
+    sealed: tuple[SealedSegment, ...]
+    entries: tuple[LedgerEntry, ...]
+
+
+EMPTY_HEAD: Final = Head(ledger_time=0.0, opened_at=0.0, sealed=(), entries=())
+
+
+class _Kind(IntEnum):
+    RESERVED = 0
+    ENDED = 1
+    ABANDONED = 2
+
+
+_RUN_STATES: Final = tuple(RunState)
+
+
+def partition_prefix(partition: int) -> str:
+    """Return the prefix of all objects of a partition."""
+    return f"{LEDGER_PREFIX}{partition:03d}/"
+
+
+def head_key(partition: int) -> str:
+    """Return the key of a partition's head."""
+    return f"{partition_prefix(partition)}head"
+
+
+def segment_key(partition: int, head_version: int) -> str:
+    """Return the key of a sealed segment."""
+    return f"{partition_prefix(partition)}segment/{head_version:012d}"
+
+
+def encode_head(head: Head) -> bytes:
+    """Encode a head as CBOR."""
+    sealed = [[segment.head_version, segment.sealed_at] for segment in head.sealed]
+    return cbor2.dumps(
+        [
+            FORMAT_VERSION,
+            head.ledger_time,
+            head.opened_at,
+            sealed,
+            [_encode_entry(entry) for entry in head.entries],
+        ]
+    )
+
+
+def decode_head(value: bytes) -> Head:
+    """Decode a head.
+
+    Raises
+    ------
+    LedgerCorruptError
+        The value is no head of this format.
+    """
+    try:
+        version, ledger_time, opened_at, sealed, entries = _loads(value)
+        if version != FORMAT_VERSION:
+            raise ValueError(f"format {version}")
+        return Head(
+            ledger_time=float(ledger_time),
+            opened_at=float(opened_at),
+            sealed=tuple(
+                SealedSegment(head_version=int(number), sealed_at=float(at))
+                for number, at in sealed
+            ),
+            entries=tuple(_decode_entry(entry) for entry in entries),
+        )
+    except (cbor2.CBORDecodeError, TypeError, ValueError, IndexError) as err:
+        raise LedgerCorruptError(f"ledger head can't be decoded: {err}") from err
+
+
+def encode_entries(entries: tuple[LedgerEntry, ...]) -> bytes:
+    """Encode entries, as a segment or a message holds them, as CBOR."""
+    return cbor2.dumps([FORMAT_VERSION, [_encode_entry(entry) for entry in entries]])
+
+
+def decode_entries(value: bytes) -> tuple[LedgerEntry, ...]:
+    """Decode entries.
+
+    Raises
+    ------
+    LedgerCorruptError
+        The value is no list of entries of this format.
+    """
+    try:
+        version, entries = _loads(value)
+        if version != FORMAT_VERSION:
+            raise ValueError(f"format {version}")
+        return tuple(_decode_entry(entry) for entry in entries)
+    except (cbor2.CBORDecodeError, TypeError, ValueError, IndexError) as err:
+        raise LedgerCorruptError(f"ledger entries can't be decoded: {err}") from err
+
+
+def _loads(value: bytes) -> Any:
+    stream = io.BytesIO(value)
+    decoded = cbor2.load(stream)
+    if stream.read(1):
+        raise ValueError("bytes after the end")
+    return decoded
+
+
+def _encode_entry(entry: LedgerEntry) -> list[object]:
+    match entry:
+        case Reserved():
+            return [_Kind.RESERVED.value, entry.key, entry.attempt, entry.body]
+        case Ended():
+            state = _RUN_STATES.index(entry.run_state)
+            return [_Kind.ENDED.value, entry.key, entry.attempt, state, entry.status]
+        case Abandoned():
+            return [_Kind.ABANDONED.value, entry.key, entry.attempt]
+
+
+def _decode_entry(fields: list[Any]) -> LedgerEntry:
+    kind = _Kind(fields[0])
+    key = _bytes(fields[1])
+    attempt = _bytes(fields[2])
+    match kind:
+        case _Kind.RESERVED:
+            return Reserved(key=key, attempt=attempt, body=_bytes(fields[3]))
+        case _Kind.ENDED:
+            return Ended(
+                key=key,
+                attempt=attempt,
+                run_state=_RUN_STATES[fields[3]],
+                status=int(fields[4]),
+            )
+        case _Kind.ABANDONED:
+            return Abandoned(key=key, attempt=attempt)
+
+
+def _bytes(value: object) -> bytes:
+    if not isinstance(value, bytes):
+        raise TypeError("no byte string")
+    return value
--- /dev/null
+++ b/src/gypsumsail/once/store.py
@@ -0,0 +1,217 @@
+"""One partition of the ledger in the platform's object API."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from contextlib import suppress
+import logging
+from typing import Final
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.once.const import COMMIT_ATTEMPTS
+from gypsumsail.once.errors import (
+    LedgerContendedError,
+    LedgerCorruptError,
+    LedgerUnavailableError,
+)
+from gypsumsail.once.ledger import (
+    CommitPlan,
+    Ledger,
+    Verdict,
+    VerdictKind,
+    advance,
+    apply_entry,
+    plan_commit,
+)
+from gypsumsail.once.records import (
+    EMPTY_HEAD,
+    LedgerEntry,
+    decode_entries,
+    decode_head,
+    encode_entries,
+    encode_head,
+    head_key,
+    partition_prefix,
+    segment_key,
+)
+from gypsumsail.platform.port import MUST_NOT_EXIST, ConflictError, Listing, ObjectApi
+
+LOGGER = logging.getLogger(__name__)
+
+SEGMENT_VERSION: Final = 1
+
+
+class LedgerStore:
+    """Reads and writes a partition; each write is conditional on all before it.
+
+    Attributes
+    ----------
+    ledger
+        Last known contents; ``None`` when they have to be read first.
+    known_at
+        Monotonic time at which ``ledger`` was known to be current or older.
+    orphans
+        Segments that no head refers to and none will.
+    """
+
+    def __init__(self, api: ObjectApi, clock: Clock, partition: int) -> None:
+        self.api = api
+        self.clock = clock
+        self.partition = partition
+        self.ledger: Ledger | None = None
+        self.known_at = 0.0
+        self.least_version = 0
+        self.orphans: tuple[int, ...] = ()
+
+    async def async_commit(
+        self, entries: Sequence[LedgerEntry], *, always: bool = False
+    ) -> tuple[Verdict, ...]:
+        """Commit entries together and return the decision on each.
+
+        A write whose answer is lost is read back: the head either moved on, and
+        then shows whether the write took effect, or the same write is made
+        again under the same condition, so that only one of them can.
+
+        Parameters
+        ----------
+        always
+            Write also without entries, to count the time and drop old segments.
+
+        Raises
+        ------
+        LedgerUnavailableError
+            It isn't known that the entries are in the ledger; they may be.
+        """
+        fresh = False
+        contended = False
+        for _ in range(COMMIT_ATTEMPTS):
+            if self.ledger is None:
+                await self._async_load()
+                fresh = True
+            ledger = self.ledger
+            if ledger is None:
+                continue
+            plan = plan_commit(
+                ledger, entries, elapsed=self.clock.monotonic() - self.known_at
+            )
+            if not fresh and _may_be_outdated(plan):
+                self.ledger = None
+                continue
+            if not plan.entries and not always:
+                return plan.verdicts
+            try:
+                await self._async_write(ledger, plan)
+            except ConflictError as err:
+                self.ledger = None
+                self.least_version = max(self.least_version, err.current)
+                contended = True
+            except TransportError as err:
+                LOGGER.debug("Ledger %s: write not confirmed: %s", self.partition, err)
+                self.ledger = None
+                contended = False
+            else:
+                return plan.verdicts
+        message = f"ledger {self.partition} could not be written"
+        if contended:
+            raise LedgerContendedError(message)
+        raise LedgerUnavailableError(message)
+
+    async def async_tick(self) -> None:
+        """Count the time, drop what has expired and delete what was dropped.
+
+        Raises
+        ------
+        LedgerUnavailableError
+            The partition could not be read or written.
+        """
+        if self.ledger is None:
+            await self._async_load()
+        ledger = self.ledger
+        if ledger is None or not (ledger.head.sealed or ledger.head.entries):
+            return
+        await self.async_commit((), always=True)
+        await self._async_delete_orphans()
+
+    async def _async_delete_orphans(self) -> None:
+        orphans, self.orphans = self.orphans, ()
+        for number in orphans:
+            key = segment_key(self.partition, number)
+            with suppress(TransportError, ConflictError):
+                await self.api.async_delete(key, if_version=SEGMENT_VERSION)
+
+    async def _async_write(self, ledger: Ledger, plan: CommitPlan) -> None:
+        if plan.seal:
+            await self._async_seal(ledger)
+        version = await self.api.async_put(
+            head_key(self.partition),
+            encode_head(plan.head),
+            if_version=ledger.version,
+        )
+        self.known_at = self.clock.monotonic()
+        advance(ledger, plan, version)
+        self.least_version = version
+        if plan.expired:
+            self.orphans = (*self.orphans, *plan.expired)
+            self.ledger = None
+
+    async def _async_seal(self, ledger: Ledger) -> None:
+        """Store the entries of the head's present version as a segment."""
+        with suppress(ConflictError):
+            await self.api.async_put(
+                segment_key(self.partition, ledger.version),
+                encode_entries(ledger.head.entries),
+                if_version=MUST_NOT_EXIST,
+            )
+
+    async def _async_load(self) -> None:
+        try:
+            listing = await self.api.async_list(partition_prefix(self.partition))
+        except TransportError as err:
+            raise LedgerUnavailableError(
+                f"ledger {self.partition} can't be read: {err}"
+            ) from err
+        known_at = self.clock.monotonic()
+        ledger, self.orphans = build_ledger(self.partition, listing)
+        if ledger.version < self.least_version:
+            return
+        self.ledger = ledger
+        self.known_at = known_at
+        self.least_version = ledger.version
+
+
+def build_ledger(partition: int, listing: Listing) -> tuple[Ledger, tuple[int, ...]]:
+    """Build the contents of a partition and find its orphaned segments.
+
+    Raises
+    ------
+    LedgerCorruptError
+        A part that the head refers to is missing, or the head itself is.
+    """
+    objects = {item.key: item for item in listing.objects if item.value is not None}
+    head_object = objects.pop(head_key(partition), None)
+    if head_object is None or head_object.value is None:
+        if objects:
+            raise LedgerCorruptError(f"ledger {partition} has segments but no head")
+        return Ledger(version=0, head=EMPTY_HEAD), ()
+    ledger = Ledger(version=head_object.version, head=decode_head(head_object.value))
+    for reference in ledger.head.sealed:
+        segment = objects.pop(segment_key(partition, reference.head_version), None)
+        if segment is None or segment.value is None:
+            raise LedgerCorruptError(
+                f"ledger {partition} misses segment {reference.head_version}"
+            )
+        for entry in decode_entries(segment.value):
+            apply_entry(ledger.keys, ledger.given_up, entry)
+    for entry in ledger.head.entries:
+        apply_entry(ledger.keys, ledger.given_up, entry)
+    numbers = (int(key.rpartition("/")[2]) for key in objects)
+    return ledger, tuple(number for number in numbers if number < ledger.version)
+
+
+def _may_be_outdated(plan: CommitPlan) -> bool:
+    """Return whether another entry's later commit could change a refusal."""
+    return any(
+        verdict.kind in (VerdictKind.RUNNING, VerdictKind.OTHER_BODY)
+        for verdict in plan.verdicts
+    )
--- /dev/null
+++ b/tests/once/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of requests that run at most once."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/once/common.py
@@ -0,0 +1,228 @@
+"""Builders and fakes for tests of what goes through the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+import random
+from typing import Any, TypeVar
+
+from gypsumsail.core.errors import TransportError, UnavailableError
+from gypsumsail.once.coordinator import OnceCoordinator
+from gypsumsail.once.models import OnceRequest
+from gypsumsail.peers.port import EntryId, Handler, Message
+from gypsumsail.platform.port import ConflictError, Listing, PlatformObject
+from gypsumsail.timeline.models import Event
+
+_MessageT = TypeVar("_MessageT", bound=Message)
+
+
+@dataclass(slots=True, kw_only=True)
+class ManualClock:
+    """A clock that the test moves."""
+
+    now: float = 1_000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+@dataclass(slots=True, kw_only=True)
+class FakeObjectApi:
+    """Object API in memory, with faults.
+
+    Attributes
+    ----------
+    lost_answers
+        Number of coming writes that take effect without an answer.
+    late_writes
+        Number of coming writes that fail now and may take effect at
+        ``async_release_late``.
+    called
+        Set by each call.
+    stale_listings
+        Number of coming listings that show what ``snapshot`` kept.
+    """
+
+    latency: float = 0.0
+    outage: bool = False
+    hanging: bool = False
+    lost_answers: int = 0
+    late_writes: int = 0
+    stale_listings: int = 0
+    objects: dict[str, PlatformObject] = field(default_factory=dict)
+    snapshot: dict[str, PlatformObject] = field(default_factory=dict)
+    late: list[tuple[str, bytes, int]] = field(default_factory=list)
+    called: asyncio.Event = field(default_factory=asyncio.Event)
+    revision: int = 0
+    reads: int = 0
+    writes: int = 0
+
+    async def _async_call(self) -> None:
+        self.called.set()
+        if self.latency:
+            await asyncio.sleep(self.latency)
+        if self.hanging:
+            await asyncio.Event().wait()
+        if self.outage:
+            raise UnavailableError("outage", sent=True)
+
+    async def async_get(self, key: str) -> PlatformObject | None:
+        self.reads += 1
+        await self._async_call()
+        return self.objects.get(key)
+
+    async def async_list(self, prefix: str) -> Listing:
+        self.reads += 1
+        await self._async_call()
+        objects = self.objects
+        if self.stale_listings:
+            self.stale_listings -= 1
+            objects = self.snapshot
+        found = tuple(item for key, item in objects.items() if key.startswith(prefix))
+        return Listing(objects=found, revision=self.revision)
+
+    async def async_put(self, key: str, value: bytes, *, if_version: int) -> int:
+        self.writes += 1
+        await self._async_call()
+        if self.late_writes:
+            self.late_writes -= 1
+            self.late.append((key, value, if_version))
+            raise TransportError("no answer", sent=True)
+        version = self.apply(key, value, if_version)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise TransportError("answer lost", sent=True)
+        return version
+
+    async def async_delete(self, key: str, *, if_version: int) -> None:
+        self.writes += 1
+        await self._async_call()
+        self._check(key, if_version)
+        del self.objects[key]
+        self.revision += 1
+
+    async def async_watch(
+        self, prefix: str, *, after_revision: int, wait: float
+    ) -> Listing:
+        return await self.async_list(prefix)
+
+    def apply(self, key: str, value: bytes, if_version: int) -> int:
+        self._check(key, if_version)
+        version = if_version + 1
+        self.objects[key] = PlatformObject(key=key, version=version, value=value)
+        self.revision += 1
+        return version
+
+    def _check(self, key: str, if_version: int) -> None:
+        found = self.objects.get(key)
+        current = found.version if found else 0
+        if current != if_version:
+            raise ConflictError(f"{key} has version {current}", current=current)
+
+    def release_late(self) -> int:
+        """Let late writes arrive; return how many took effect."""
+        applied = 0
+        for key, value, if_version in self.late:
+            try:
+                self.apply(key, value, if_version)
+            except ConflictError:
+                continue
+            applied += 1
+        self.late.clear()
+        return applied
+
+
+@dataclass(slots=True, kw_only=True)
+class ListRecorder:
+    """Recorder that keeps the events."""
+
+    events: list[Event] = field(default_factory=list)
+
+    def record(self, event: Event) -> None:
+        self.events.append(event)
+
+
+@dataclass(slots=True)
+class FakeFleet:
+    """Entries in one process that reach each other by calls.
+
+    Attributes
+    ----------
+    cut
+        Pairs of names whose messages don't arrive.
+    lose_answers
+        Names of entries whose answers are lost.
+    """
+
+    handlers: dict[EntryId, dict[type[Message], Handler[Any]]] = field(
+        default_factory=dict
+    )
+    cut: set[tuple[str, str]] = field(default_factory=set)
+    lose_answers: set[str] = field(default_factory=set)
+
+    def join(self, entry: EntryId) -> FakeNetwork:
+        self.handlers[entry] = {}
+        return FakeNetwork(fleet=self, entry=entry)
+
+    def leave(self, entry: EntryId) -> None:
+        del self.handlers[entry]
+
+
+@dataclass(slots=True, kw_only=True)
+class FakeNetwork:
+    """The fleet as one entry sees it."""
+
+    fleet: FakeFleet
+    entry: EntryId
+
+    def peers(self) -> tuple[EntryId, ...]:
+        return tuple(entry for entry in self.fleet.handlers if entry != self.entry)
+
+    def subscribe(
+        self, message_type: type[_MessageT], handler: Handler[_MessageT]
+    ) -> Callable[[], None]:
+        handlers = self.fleet.handlers[self.entry]
+        handlers[message_type] = handler
+        return lambda: handlers.pop(message_type, None) and None
+
+    async def async_send(self, peer: EntryId, message: Message) -> None:
+        await self.async_request(peer, message, timeout=1.0)
+
+    async def async_request(
+        self, peer: EntryId, message: Message, *, timeout: float
+    ) -> Message:
+        handler = self.fleet.handlers.get(peer, {}).get(type(message))
+        if handler is None or (self.entry.name, peer.name) in self.fleet.cut:
+            raise TransportError("no link", sent=False)
+        answer: Awaitable[Message | None] = handler(self.entry, message)
+        result = await answer
+        if peer.name in self.fleet.lose_answers or result is None:
+            raise TransportError("answer lost", sent=True)
+        return result
+
+
+def entry_id(name: str) -> EntryId:
+    return EntryId(name=name, incarnation=f"{name}-1", zone="brest-hall")
+
+
+def once_request(key: str | None = "k1", **changes: Any) -> OnceRequest:
+    fields: dict[str, Any] = {
+        "customer": "armor-claims",
+        "service": "letters",
+        "body_digest": b"body",
+    }
+    return OnceRequest(key=key, **(fields | changes))
+
+
+def coordinator(
+    api: FakeObjectApi, fleet: FakeFleet, clock: ManualClock, name: str
+) -> OnceCoordinator:
+    entry = entry_id(name)
+    return OnceCoordinator(
+        api, fleet.join(entry), ListRecorder(), clock, entry, rng=random.Random(7)
+    )
--- /dev/null
+++ b/tests/once/test_ledger.py
@@ -0,0 +1,230 @@
+"""Tests of the decisions on a ledger, and of its store's failures."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+import pytest
+
+from gypsumsail.core.errors import RunState
+from gypsumsail.once.const import (
+    ENTRIES_PER_SEGMENT,
+    RETENTION_SECONDS,
+    SEAL_AGE_SECONDS,
+)
+from gypsumsail.once.errors import LedgerCorruptError, LedgerUnavailableError
+from gypsumsail.once.ledger import Verdict, VerdictKind
+from gypsumsail.once.records import (
+    Abandoned,
+    Ended,
+    Head,
+    LedgerEntry,
+    Reserved,
+    SealedSegment,
+    decode_head,
+    encode_head,
+    head_key,
+)
+from gypsumsail.once.store import LedgerStore
+
+from .common import FakeObjectApi, ManualClock
+
+PARTITION = 3
+
+
+def reserved(key: int, attempt: int, body: int = 0) -> Reserved:
+    return Reserved(key=_name(key), attempt=_name(attempt), body=_name(body))
+
+
+def ended(key: int, attempt: int) -> Ended:
+    return Ended(
+        key=_name(key), attempt=_name(attempt), run_state=RunState.RAN, status=200
+    )
+
+
+def abandoned(key: int, attempt: int) -> Abandoned:
+    return Abandoned(key=_name(key), attempt=_name(attempt))
+
+
+def _name(number: int) -> bytes:
+    return number.to_bytes(4)
+
+
+class NaiveLedger:
+    """One dictionary that never fails, loses or forgets anything."""
+
+    def __init__(self) -> None:
+        self.last: dict[bytes, tuple[bytes, bytes, str]] = {}
+        self.dead: set[bytes] = set()
+
+    def submit(self, entry: LedgerEntry) -> VerdictKind:
+        attempt, body, state = self.last.get(entry.key, (b"", b"", "free"))
+        if isinstance(entry, Reserved):
+            return self._reserve(entry, attempt, body, state)
+        if isinstance(entry, Abandoned):
+            self.dead.add(entry.attempt)
+            if attempt == entry.attempt and state == "reserved":
+                self.last[entry.key] = (attempt, body, "free")
+        elif attempt == entry.attempt and state == "reserved":
+            self.last[entry.key] = (attempt, body, "ended")
+        return VerdictKind.RECORDED
+
+    def _reserve(
+        self, entry: Reserved, attempt: bytes, body: bytes, state: str
+    ) -> VerdictKind:
+        if entry.attempt in self.dead:
+            return VerdictKind.GIVEN_UP
+        if state == "free":
+            self.last[entry.key] = (entry.attempt, entry.body, "reserved")
+            return VerdictKind.GRANTED
+        if attempt == entry.attempt:
+            return VerdictKind.GRANTED
+        if body != entry.body:
+            return VerdictKind.OTHER_BODY
+        return VerdictKind.RUNNING if state == "reserved" else VerdictKind.FINISHED
+
+
+ENTRIES = st.builds(
+    lambda make, key, attempt: make(key, key * 10 + attempt),
+    st.sampled_from([reserved, reserved, ended, abandoned]),
+    st.integers(0, 2),
+    st.integers(0, 3),
+) | st.builds(reserved, st.integers(0, 2), st.integers(100, 103), st.integers(0, 1))
+STEPS = st.lists(
+    st.tuples(
+        st.integers(0, 2),
+        st.lists(
+            ENTRIES, min_size=1, max_size=4, unique_by=lambda entry: entry.attempt
+        ),
+        st.sampled_from(["", "", "lose", "age"]),
+    ),
+    max_size=25,
+)
+
+
+@given(STEPS)
+@settings(derandomize=True, deadline=None, max_examples=200)
+async def test_three_writers_decide_like_one_dictionary(
+    steps: list[tuple[int, list[LedgerEntry], str]],
+) -> None:
+    api, clock = FakeObjectApi(), ManualClock()
+    writers = [LedgerStore(api, clock, PARTITION) for _ in range(3)]
+    naive = NaiveLedger()
+    for number, entries, fault in steps:
+        api.lost_answers = 1 if fault == "lose" else 0
+        clock.now += SEAL_AGE_SECONDS if fault == "age" else 1.0
+        verdicts = await writers[number].async_commit(entries)
+        expected = [naive.submit(entry) for entry in entries]
+        assert [verdict.kind for verdict in verdicts] == expected
+
+
+async def async_verdict(store: LedgerStore, entry: LedgerEntry) -> VerdictKind:
+    (verdict,) = await store.async_commit([entry])
+    return verdict.kind
+
+
+async def test_attempt_given_up_before_it_was_written_is_never_granted() -> None:
+    api, clock = FakeObjectApi(), ManualClock()
+    holder = LedgerStore(api, clock, PARTITION)
+    owner = LedgerStore(api, clock, PARTITION)
+    await async_verdict(owner, reserved(0, 0))
+    await async_verdict(holder, abandoned(1, 11))
+    assert await async_verdict(owner, reserved(1, 11)) is VerdictKind.GIVEN_UP
+    assert await async_verdict(owner, reserved(1, 12)) is VerdictKind.GRANTED
+
+
+async def test_sealed_entries_still_refuse_a_second_run() -> None:
+    api, clock = FakeObjectApi(), ManualClock()
+    store = LedgerStore(api, clock, PARTITION)
+    for number in range(3):
+        first = number * ENTRIES_PER_SEGMENT
+        batch = [reserved(first + n, first + n) for n in range(ENTRIES_PER_SEGMENT)]
+        await store.async_commit(batch)
+    newcomer = LedgerStore(api, clock, PARTITION)
+    assert await async_verdict(newcomer, reserved(1, 9_999, 0)) is VerdictKind.RUNNING
+    assert len(api.objects) == 3
+
+
+async def test_writer_that_dies_while_sealing_leaves_nothing_wrong() -> None:
+    api, clock = FakeObjectApi(), ManualClock()
+    dying = LedgerStore(api, clock, PARTITION)
+    survivor = LedgerStore(api, clock, PARTITION)
+    batch = [reserved(n, n) for n in range(ENTRIES_PER_SEGMENT)]
+    await dying.async_commit(batch[:-1])
+    await survivor.async_commit(batch[-1:])
+    orphan = f"once/{PARTITION:03d}/segment/{1:012d}"
+    await api.async_put(orphan, b"never referred to", if_version=0)
+    assert await async_verdict(survivor, reserved(900, 900)) is VerdictKind.GRANTED
+    newcomer = LedgerStore(api, clock, PARTITION)
+    assert await async_verdict(newcomer, reserved(5, 901)) is VerdictKind.RUNNING
+    await newcomer.async_tick()
+    assert orphan not in api.objects
+
+
+async def test_records_are_dropped_only_after_the_retention() -> None:
+    api, clock = FakeObjectApi(), ManualClock()
+    store = LedgerStore(api, clock, PARTITION)
+    await async_verdict(store, reserved(1, 1))
+    clock.now += SEAL_AGE_SECONDS
+    await store.async_tick()
+    clock.now += RETENTION_SECONDS - 1.0
+    await store.async_tick()
+    assert await async_verdict(store, reserved(1, 2)) is VerdictKind.RUNNING
+    clock.now += 1.0
+    await store.async_tick()
+    assert await async_verdict(store, reserved(1, 3)) is VerdictKind.GRANTED
+    assert list(api.objects) == [head_key(PARTITION)]
+
+
+async def test_ledger_time_never_runs_ahead_with_two_writers() -> None:
+    api, clock = FakeObjectApi(), ManualClock()
+    writers = [LedgerStore(api, clock, PARTITION) for _ in range(2)]
+    await async_verdict(writers[0], reserved(0, 0))
+    start = clock.now
+    for number in range(1, 20):
+        clock.now += 100.0
+        await async_verdict(writers[number % 2], reserved(number, number))
+    value = api.objects[head_key(PARTITION)].value
+    assert value is not None
+    assert decode_head(value).ledger_time <= clock.now - start
+
+
+async def test_missing_segment_or_head_refuses_instead_of_forgetting() -> None:
+    api, clock = FakeObjectApi(), ManualClock()
+    store = LedgerStore(api, clock, PARTITION)
+    await async_verdict(store, reserved(1, 1))
+    clock.now += SEAL_AGE_SECONDS
+    await async_verdict(store, reserved(2, 2))
+    head = api.objects.pop(head_key(PARTITION))
+    with pytest.raises(LedgerCorruptError):
+        await async_verdict(LedgerStore(api, clock, PARTITION), reserved(1, 3))
+    api.objects = {head.key: head}
+    with pytest.raises(LedgerCorruptError):
+        await async_verdict(LedgerStore(api, clock, PARTITION), reserved(1, 3))
+
+
+async def test_ledger_deleted_under_a_writer_is_not_begun_anew() -> None:
+    api, clock = FakeObjectApi(), ManualClock()
+    store = LedgerStore(api, clock, PARTITION)
+    await async_verdict(store, reserved(1, 1))
+    api.objects.clear()
+    with pytest.raises(LedgerUnavailableError):
+        await async_verdict(store, reserved(1, 2))
+
+
+@given(st.binary(max_size=200))
+@settings(derandomize=True, deadline=None)
+def test_hostile_values_are_refused(value: bytes) -> None:
+    with pytest.raises(LedgerCorruptError):
+        decode_head(value)
+
+
+def test_head_survives_its_encoding() -> None:
+    head = Head(
+        ledger_time=12.5,
+        opened_at=1.0,
+        sealed=(SealedSegment(head_version=7, sealed_at=3.5),),
+        entries=(reserved(1, 2), ended(1, 2), abandoned(3, 4)),
+    )
+    assert decode_head(encode_head(head)) == head
+    assert Verdict(kind=VerdictKind.GRANTED).run_state is RunState.NOT_RUN
