Archive promise events of the time line in the platform

Cause: VMs keep nothing, and a regulator asks after they are gone. Ruled out: a value per entry (writes grow with the fleet), copies between entries only (lost when all VMs are replaced). Conclusion: TimelineArchive(recorder.archive, peers, api, clock, zone).

--- /dev/null
+++ b/src/gypsumsail/timeline/archive_queue.py
@@ -0,0 +1,70 @@
+"""Events that are to outlast this VM and are not archived yet."""
+
+from __future__ import annotations
+
+from collections import deque
+from itertools import islice
+from typing import Final
+
+from gypsumsail.timeline.const import ARCHIVE_EVENTS, ARCHIVE_PAGE_EVENTS
+from gypsumsail.timeline.models import EventKind
+from gypsumsail.timeline.records import Page, ProcessId, RecordedEvent
+
+NOT_ARCHIVED: Final = frozenset(
+    {
+        EventKind.REQUEST_ACCEPTED,
+        EventKind.CONTEXT_EXPORTED,
+        EventKind.CONTEXT_IMPORTED,
+        EventKind.PEER_JOINED,
+        EventKind.PEER_LOST,
+    }
+)
+
+
+class ArchiveQueue:
+    """Bounded queue; what it drops is missing from the pages it gives out.
+
+    Attributes
+    ----------
+    first
+        Number of the first event that no page has spoken for.
+    latest
+        Number of the newest event of the process.
+    """
+
+    def __init__(self, process: ProcessId, capacity: int = ARCHIVE_EVENTS) -> None:
+        self.process = process
+        self.capacity = capacity
+        self.waiting: deque[RecordedEvent] = deque()
+        self.first = 1
+        self.latest = 0
+
+    def add(self, recorded: RecordedEvent) -> None:
+        """Take one event; the oldest one goes when there is no room."""
+        self.latest = recorded.sequence
+        if recorded.event.kind in NOT_ARCHIVED:
+            return
+        self.waiting.append(recorded)
+        if len(self.waiting) > self.capacity:
+            self.first = self.waiting.popleft().sequence + 1
+
+    def take(self, limit: int = ARCHIVE_PAGE_EVENTS) -> Page | None:
+        """Return the next page to archive, or ``None`` when nothing waits."""
+        if not self.waiting:
+            return None
+        events = tuple(islice(self.waiting, limit))
+        whole_rest = len(events) == len(self.waiting)
+        return Page(
+            process=self.process,
+            first=self.first,
+            last=self.latest if whole_rest else events[-1].sequence,
+            latest=self.latest,
+            whole=False,
+            events=events,
+        )
+
+    def acknowledge(self, page: Page) -> None:
+        """Forget the events of a page that was archived."""
+        while self.waiting and self.waiting[0].sequence <= page.last:
+            self.waiting.popleft()
+        self.first = max(self.first, page.last + 1)
--- /dev/null
+++ b/src/gypsumsail/timeline/archive_reader.py
@@ -0,0 +1,49 @@
+"""Reads archived pages back from the platform."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumsail.peers.errors import MessageInvalidError
+from gypsumsail.platform.port import ObjectApi, PlatformObject
+from gypsumsail.timeline.records import Page
+from gypsumsail.timeline.segments import (
+    bucket_of,
+    bucket_prefix,
+    decode_page,
+    decode_segment,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ArchivedPages:
+    """Pages of a span of time, and the keys of values that can't be read."""
+
+    pages: tuple[Page, ...]
+    unreadable: tuple[str, ...]
+
+
+async def async_read_archive(
+    api: ObjectApi, *, start: float, end: float
+) -> ArchivedPages:
+    """Return the pages that were written between two wall times.
+
+    Raises
+    ------
+    TransportError
+        The platform could not be asked.
+    """
+    pages: list[Page] = []
+    unreadable: list[str] = []
+    for bucket in range(bucket_of(start), bucket_of(end) + 1):
+        listing = await api.async_list(bucket_prefix(bucket))
+        for item in listing.objects:
+            try:
+                pages += _pages_of(item)
+            except MessageInvalidError:
+                unreadable.append(item.key)
+    return ArchivedPages(pages=tuple(pages), unreadable=tuple(unreadable))
+
+
+def _pages_of(item: PlatformObject) -> list[Page]:
+    return [decode_page(data) for data in decode_segment(item.value or b"")]
--- /dev/null
+++ b/src/gypsumsail/timeline/collector.py
@@ -0,0 +1,78 @@
+"""Writes the pages of many entries to the platform in few calls."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Final
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.platform.port import ConflictError, ObjectApi
+from gypsumsail.timeline.const import MAX_PENDING_BYTES, MAX_SEGMENT_BYTES
+from gypsumsail.timeline.records import ProcessId
+from gypsumsail.timeline.segments import bucket_of, bucket_prefix, encode_segments
+
+_LOGGER: Final = logging.getLogger(__name__)
+
+
+class PageCollector:
+    """Pages that wait for the next write.
+
+    Attributes
+    ----------
+    writes
+        Calls to the platform so far.
+    """
+
+    def __init__(self, api: ObjectApi, process: ProcessId, zone: str) -> None:
+        self.api = api
+        self.process = process
+        self.zone = zone
+        self.pending: list[tuple[bytes, asyncio.Future[bool]]] = []
+        self.pending_bytes = 0
+        self.segments = 0
+        self.writes = 0
+
+    async def async_submit(self, page: bytes) -> bool:
+        """Return whether the page was written with the next write."""
+        too_full = self.pending_bytes + len(page) > MAX_PENDING_BYTES
+        if too_full or len(page) > MAX_SEGMENT_BYTES:
+            return False
+        written: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.pending.append((page, written))
+        self.pending_bytes += len(page)
+        return await written
+
+    async def async_flush(self, wall: float) -> None:
+        """Write what waits and tell those who submitted it."""
+        batch, self.pending, self.pending_bytes = self.pending, [], 0
+        written = False
+        try:
+            for segment in encode_segments([page for page, _ in batch]):
+                await self._async_write(segment, wall)
+            written = True
+        except TransportError as err:
+            _LOGGER.warning("Time line pages were not archived: %s", err)
+        finally:
+            for _, waiter in batch:
+                if not waiter.done():
+                    waiter.set_result(written)
+
+    async def _async_write(self, segment: bytes, wall: float) -> None:
+        self.segments += 1
+        life = f"{self.process.name}-{self.process.incarnation}"
+        key = f"{bucket_prefix(bucket_of(wall), self.zone)}{life}-{self.segments}"
+        try:
+            await self._async_put(key, segment)
+        except TransportError as err:
+            if not err.sent:
+                raise
+            await self._async_put(key, segment)
+
+    async def _async_put(self, key: str, segment: bytes) -> None:
+        """Write a segment; a conflict means that an earlier try took effect."""
+        self.writes += 1
+        try:
+            await self.api.async_put(key, segment, if_version=0)
+        except ConflictError:
+            _LOGGER.debug("Segment %s was written by an earlier try", key)
--- a/src/gypsumsail/timeline/recorder.py
+++ b/src/gypsumsail/timeline/recorder.py
@@ -8,6 +8,7 @@
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
+from gypsumsail.timeline.archive_queue import ArchiveQueue
 from gypsumsail.timeline.const import (
     MAX_DETAIL_LENGTH,
     MAX_FIELD_LENGTH,
@@ -27,6 +28,8 @@
     ----------
     process
         The life of the process whose events these are.
+    archive
+        Events that wait to be archived.
     """
 
     def __init__(
@@ -37,20 +40,21 @@
         self.hybrid = HybridClock()
         self.ring: deque[RecordedEvent] = deque(maxlen=capacity)
         self.latest = 0
+        self.archive = ArchiveQueue(process)
 
     @callback
     def record(self, event: Event) -> None:
         """Take one event; never blocks and never raises."""
         wall_ms = self.wall_ms()
         self.latest += 1
-        self.ring.append(
-            RecordedEvent(
-                sequence=self.latest,
-                stamp=self.hybrid.tick(wall_ms),
-                wall_ms=wall_ms,
-                event=_bounded(event),
-            )
+        recorded = RecordedEvent(
+            sequence=self.latest,
+            stamp=self.hybrid.tick(wall_ms),
+            wall_ms=wall_ms,
+            event=_bounded(event),
         )
+        self.ring.append(recorded)
+        self.archive.add(recorded)
 
     @callback
     def timestamp(self) -> Timestamp:
--- /dev/null
+++ b/src/gypsumsail/timeline/retention.py
@@ -0,0 +1,68 @@
+"""Deletes archived segments that are older than the retention."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from gypsumsail.platform.port import ConflictError, ObjectApi
+from gypsumsail.timeline.const import (
+    ARCHIVE_BUCKET_SECONDS,
+    ARCHIVE_RETENTION_SECONDS,
+    ARCHIVE_SWEEP_BUCKETS,
+    SWEEP_PREFIX,
+)
+from gypsumsail.timeline.segments import bucket_of, bucket_prefix
+
+_RETAINED_BUCKETS: Final = ARCHIVE_RETENTION_SECONDS // ARCHIVE_BUCKET_SECONDS
+
+
+class ArchiveSweeper:
+    """Moves the zone's oldest kept bucket on, a few buckets at a time.
+
+    The small step bounds what a VM with a clock far ahead can delete.
+    """
+
+    def __init__(self, api: ObjectApi, zone: str) -> None:
+        self.api = api
+        self.key = f"{SWEEP_PREFIX}{zone}"
+        self.zone = zone
+
+    async def async_sweep(self, wall: float) -> int:
+        """Delete expired segments; return how many.
+
+        Raises
+        ------
+        TransportError
+            The platform could not be asked; the next turn goes on from here.
+        """
+        oldest_kept = bucket_of(wall) - _RETAINED_BUCKETS
+        mark = await self.api.async_get(self.key)
+        if mark is None or mark.value is None:
+            await self._async_move(oldest_kept, if_version=0)
+            return 0
+        first = int(mark.value)
+        last = min(first + ARCHIVE_SWEEP_BUCKETS, oldest_kept)
+        if last <= first:
+            return 0
+        deleted = 0
+        for bucket in range(first, last):
+            deleted += await self._async_delete_bucket(bucket)
+        await self._async_move(last, if_version=mark.version)
+        return deleted
+
+    async def _async_delete_bucket(self, bucket: int) -> int:
+        listing = await self.api.async_list(bucket_prefix(bucket, self.zone))
+        for item in listing.objects:
+            try:
+                await self.api.async_delete(item.key, if_version=item.version)
+            except ConflictError:
+                continue
+        return len(listing.objects)
+
+    async def _async_move(self, bucket: int, *, if_version: int) -> None:
+        try:
+            await self.api.async_put(
+                self.key, str(bucket).encode(), if_version=if_version
+            )
+        except ConflictError:
+            return
--- /dev/null
+++ b/src/gypsumsail/timeline/segments.py
@@ -0,0 +1,66 @@
+"""Archived pages as values of the platform's object API."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+import zlib
+
+from gypsumsail.peers.codec import dump, load, reader_of, to_plain
+from gypsumsail.peers.errors import MessageInvalidError
+from gypsumsail.timeline.const import (
+    ARCHIVE_BUCKET_SECONDS,
+    ARCHIVE_PREFIX,
+    MAX_PAGE_BYTES,
+    MAX_SEGMENT_BYTES,
+)
+from gypsumsail.timeline.records import Page
+
+
+def bucket_of(wall: float) -> int:
+    """Return the number of the time bucket that a wall time falls in."""
+    return int(wall // ARCHIVE_BUCKET_SECONDS)
+
+
+def bucket_prefix(bucket: int, zone: str = "") -> str:
+    """Return the key prefix of a bucket's segments, of one zone or of all."""
+    prefix = f"{ARCHIVE_PREFIX}{bucket:012d}/"
+    return f"{prefix}{zone}/" if zone else prefix
+
+
+def encode_page(page: Page) -> bytes:
+    """Return a page as compressed bytes."""
+    return zlib.compress(dump(to_plain(page)))
+
+
+def decode_page(data: bytes) -> Page:
+    """Return the page; raises MessageInvalidError."""
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(data, MAX_PAGE_BYTES)
+    except zlib.error as err:
+        raise MessageInvalidError(f"page is not compressed: {err}") from err
+    if not inflater.eof:
+        raise MessageInvalidError("page is cut short or too large")
+    page = reader_of(Page)(load(plain))
+    assert isinstance(page, Page)
+    return page
+
+
+def encode_segments(pages: Sequence[bytes]) -> list[bytes]:
+    """Return encoded pages as few values, each small enough for the platform."""
+    segments: list[list[bytes]] = [[]]
+    size = 0
+    for page in pages:
+        if size + len(page) > MAX_SEGMENT_BYTES and segments[-1]:
+            segments.append([])
+            size = 0
+        segments[-1].append(page)
+        size += len(page)
+    return [dump(segment) for segment in segments if segment]
+
+
+def decode_segment(data: bytes) -> Iterable[bytes]:
+    """Return the encoded pages of a value; raises MessageInvalidError."""
+    pages = reader_of(tuple[bytes, ...])(load(data))
+    assert isinstance(pages, tuple)
+    return pages
--- a/tests/timeline/common.py
+++ b/tests/timeline/common.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.peers.port import EntryId, Message
+from gypsumsail.platform.port import ConflictError, Listing, PlatformObject
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.records import ProcessId
 
@@ -31,3 +37,102 @@
     return Event(
         kind=EventKind.REQUEST_ACCEPTED, request_id=request_id, customer=customer
     )
+
+
+class FakeObjects:
+    """Platform in memory whose next calls can be made to fail.
+
+    Attributes
+    ----------
+    lose_answers
+        Number of writes to come that take effect without an answer.
+    down
+        Whether calls fail before they are sent.
+    """
+
+    def __init__(self) -> None:
+        self.values: dict[str, tuple[int, bytes]] = {}
+        self.lose_answers = 0
+        self.down = False
+
+    def check(self) -> None:
+        """Fail when the platform is down."""
+        if self.down:
+            raise TransportError("down", sent=False)
+
+    async def async_get(self, key: str) -> PlatformObject | None:
+        """Return an object."""
+        self.check()
+        if key not in self.values:
+            return None
+        version, value = self.values[key]
+        return PlatformObject(key=key, version=version, value=value)
+
+    async def async_list(self, prefix: str) -> Listing:
+        """Return the objects under a prefix."""
+        self.check()
+        objects = [
+            PlatformObject(key=key, version=version, value=value)
+            for key, (version, value) in self.values.items()
+            if key.startswith(prefix)
+        ]
+        return Listing(objects=tuple(objects), revision=0)
+
+    async def async_put(self, key: str, value: bytes, *, if_version: int) -> int:
+        """Write an object."""
+        self.check()
+        current = self.values.get(key, (0, b""))[0]
+        if current != if_version:
+            raise ConflictError("conflict", current=current)
+        self.values[key] = (current + 1, value)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise TransportError("answer lost", sent=True)
+        return current + 1
+
+    async def async_delete(self, key: str, *, if_version: int) -> None:
+        """Delete an object."""
+        self.check()
+        del self.values[key]
+
+    async def async_watch(
+        self, prefix: str, *, after_revision: int, wait: float
+    ) -> Listing:
+        """Not used here."""
+        raise NotImplementedError
+
+
+class FakePeers:
+    """Links between archives of one zone in one process."""
+
+    def __init__(self, own: EntryId, network: dict[str, FakePeers]) -> None:
+        self.own = own
+        self.network = network
+        self.handler: Any = None
+        self.cut = False
+        network[own.name] = self
+
+    def peers(self) -> tuple[EntryId, ...]:
+        """Return the others."""
+        others = [peer.own for peer in self.network.values() if peer is not self]
+        return tuple(others)
+
+    def subscribe(self, message_type: Any, handler: Any) -> Callable[[], None]:
+        """Keep the only handler."""
+        self.handler = handler
+        return lambda: None
+
+    async def async_send(self, peer: EntryId, message: Message) -> None:
+        """Not used here."""
+        raise NotImplementedError
+
+    async def async_request(
+        self, peer: EntryId, message: Message, *, timeout: float
+    ) -> Message:
+        """Call the handler of the peer."""
+        other = self.network[peer.name]
+        if other.cut:
+            raise TransportError("cut", sent=True)
+        answer = await other.handler(self.own, message)
+        assert isinstance(answer, Message)
+        return answer
--- /dev/null
+++ b/tests/timeline/test_archive.py
@@ -0,0 +1,130 @@
+"""Tests of what survives a VM."""
+
+from __future__ import annotations
+
+import asyncio
+
+from gypsumsail.peers.port import EntryId
+from gypsumsail.timeline.archive import TimelineArchive
+from gypsumsail.timeline.archive_queue import ArchiveQueue
+from gypsumsail.timeline.archive_reader import async_read_archive
+from gypsumsail.timeline.const import ARCHIVE_RETENTION_SECONDS
+from gypsumsail.timeline.filters import EventFilter
+from gypsumsail.timeline.merge import Timeline, merge_pages
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.recorder import TimelineRecorder
+from gypsumsail.timeline.retention import ArchiveSweeper
+from gypsumsail.timeline.segments import bucket_prefix
+from tests.timeline.common import FakeClock, FakeObjects, FakePeers, accepted, process
+
+WALL = 1_000_000.0
+ENDED = Event(kind=EventKind.REQUEST_ENDED, request_id="r1")
+
+
+class Zone:
+    """Entries of one zone with their archives."""
+
+    def __init__(self, *names: str) -> None:
+        self.api = FakeObjects()
+        self.network: dict[str, FakePeers] = {}
+        self.clock = FakeClock(WALL)
+        self.recorders: dict[str, TimelineRecorder] = {}
+        self.archives: dict[str, TimelineArchive] = {}
+        for name in names:
+            self.add(name)
+
+    def add(self, name: str) -> None:
+        peers = FakePeers(EntryId(name=name, incarnation="1", zone="z"), self.network)
+        recorder = TimelineRecorder(process(name), self.clock)
+        archive = TimelineArchive(recorder.archive, peers, self.api, self.clock, "z")
+        peers.subscribe(None, archive._async_collect)
+        self.recorders[name] = recorder
+        self.archives[name] = archive
+
+    async def turn(self) -> list[bool]:
+        pushes = [
+            asyncio.create_task(archive.async_push(WALL))
+            for archive in self.archives.values()
+        ]
+        for _ in range(5):
+            await asyncio.sleep(0)
+        for archive in self.archives.values():
+            await archive.collector.async_flush(WALL)
+        return await asyncio.gather(*pushes)
+
+    async def read(self) -> Timeline:
+        archived = await async_read_archive(self.api, start=WALL - 60, end=WALL)
+        assert not archived.unreadable
+        return merge_pages(archived.pages, EventFilter(), {})
+
+
+async def test_one_write_keeps_the_events_of_a_zone_through_a_lost_answer() -> None:
+    zone = Zone("a", "b", "c")
+    for recorder in zone.recorders.values():
+        recorder.record(accepted())
+        recorder.record(ENDED)
+    zone.api.lose_answers = 1
+
+    assert await zone.turn() == [True, True, True]
+
+    assert len(zone.api.values) == 1
+    line = await zone.read()
+    assert [item.recorded.event for item in line.events] == [ENDED] * 3
+    assert [(item.lost, item.reduced) for item in line.processes] == [(0, 2)] * 3
+    assert await zone.turn() == [False, False, False]
+
+
+async def test_events_wait_through_an_outage_and_a_cut_collector() -> None:
+    zone = Zone("a", "b", "c")
+    zone.recorders["a"].record(ENDED)
+    zone.api.down = True
+    assert await zone.turn() == [False, False, False]
+    zone.api.down = False
+    for name in ("b", "c"):
+        zone.network[name].cut = True
+
+    results = [(await zone.turn())[0] for _ in range(3)]
+
+    assert results.count(True) == 1
+    line = await zone.read()
+    assert [item.recorded.event for item in line.events] == [ENDED]
+
+
+async def test_a_graceful_shutdown_keeps_the_last_events() -> None:
+    zone = Zone("a")
+    await zone.archives["a"].async_setup()
+    zone.recorders["a"].record(Event(kind=EventKind.ENTRY_STOPPED))
+
+    await zone.archives["a"].async_unload()
+
+    line = await zone.read()
+    assert line.processes[0].stopped
+
+
+def test_what_the_queue_drops_is_shown_as_lost() -> None:
+    recorder = TimelineRecorder(process(), FakeClock())
+    recorder.archive = ArchiveQueue(recorder.process, capacity=2)
+    for _ in range(5):
+        recorder.record(accepted())
+        recorder.record(ENDED)
+
+    page = recorder.archive.take()
+
+    assert page is not None
+    line = merge_pages([page], EventFilter(), {})
+    assert line.processes[0].lost == 6
+    assert line.events[0].recorded.event.kind is EventKind.EVENTS_LOST
+
+
+async def test_a_clock_far_ahead_deletes_little() -> None:
+    api = FakeObjects()
+    sweeper = ArchiveSweeper(api, "z")
+    await sweeper.async_sweep(WALL)
+    first = int(api.values[sweeper.key][1])
+    for bucket in range(first, first + 10):
+        api.values[f"{bucket_prefix(bucket, 'z')}a-1"] = (1, b"")
+
+    assert await sweeper.async_sweep(WALL) == 0
+    assert await sweeper.async_sweep(WALL + 60) == 1
+    assert await sweeper.async_sweep(WALL + 100 * ARCHIVE_RETENTION_SECONDS) == 2
+    assert len(api.values) == 1 + 7
