--- /dev/null
+++ b/src/gypsumsail/cli/entries.py
@@ -0,0 +1,110 @@
+"""Finds the entries and asks all of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Final, Generic, TypeVar
+
+import httpx
+from pydantic import TypeAdapter, ValidationError
+
+from gypsumsail.core.errors import GypsumsailError
+from gypsumsail.platform.port import VmList, VmRole
+
+ANSWER_TIMEOUT_SECONDS: Final = 5.0
+MAX_CALLS_AT_ONCE: Final = 32
+MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
+
+_AnswerT = TypeVar("_AnswerT")
+
+
+@dataclass(slots=True, kw_only=True)
+class Directory:
+    """Addresses of the entries.
+
+    Attributes
+    ----------
+    urls
+        Address by name; an entry given by its address is named by it.
+    unreachable
+        What could not be asked, with the reason.
+    """
+
+    urls: dict[str, str] = field(default_factory=dict)
+    unreachable: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answers(Generic[_AnswerT]):
+    """Answers of the entries by name, and those that could not be asked."""
+
+    answers: dict[str, _AnswerT]
+    unreachable: dict[str, str]
+
+
+async def async_find_entries(vms: VmList | None, urls: Iterable[str]) -> Directory:
+    """Return the entries of the platform's list and those given by address."""
+    directory = Directory()
+    try:
+        records = await vms.async_vms() if vms is not None else ()
+    except GypsumsailError as err:
+        directory.unreachable["platform"] = str(err) or err.code
+        records = ()
+    for record in records:
+        if record.role is VmRole.ENTRY:
+            directory.urls[record.vm_id] = record.url.rstrip("/")
+    known = set(directory.urls.values())
+    for url in urls:
+        if url.rstrip("/") not in known:
+            directory.urls[url.rstrip("/")] = url.rstrip("/")
+    return directory
+
+
+async def async_ask_all(
+    client: httpx.AsyncClient,
+    directory: Directory,
+    path: str,
+    answer_type: TypeAdapter[_AnswerT],
+) -> Answers[_AnswerT]:
+    """Ask all entries at once; each gets its own timeout."""
+    gate = asyncio.Semaphore(MAX_CALLS_AT_ONCE)
+
+    async def ask(url: str) -> _AnswerT | str:
+        async with gate:
+            return await async_ask(client, url + path, answer_type)
+
+    results = await asyncio.gather(*(ask(url) for url in directory.urls.values()))
+    answers: dict[str, _AnswerT] = {}
+    unreachable = dict(directory.unreachable)
+    for name, result in zip(directory.urls, results, strict=True):
+        if isinstance(result, str):
+            unreachable[name] = result
+        else:
+            answers[name] = result
+    return Answers(answers=answers, unreachable=unreachable)
+
+
+async def async_ask(
+    client: httpx.AsyncClient, url: str, answer_type: TypeAdapter[_AnswerT]
+) -> _AnswerT | str:
+    """Return the answer, or why there is none."""
+    try:
+        response = await client.get(url, timeout=ANSWER_TIMEOUT_SECONDS)
+    except httpx.HTTPError as err:
+        return str(err) or type(err).__name__
+    if response.status_code == httpx.codes.UNAUTHORIZED:
+        return "refused the operator key"
+    if response.status_code != httpx.codes.OK:
+        return f"answered {response.status_code}"
+    try:
+        return answer_type.validate_json(response.content)
+    except ValidationError:
+        return "answered what can't be read"
+
+
+def not_listed(known: Mapping[str, str], peers: Iterable[str]) -> dict[str, str]:
+    """Return the entries that only other entries know, as unreachable."""
+    reason = "known to other entries, not in the platform's list"
+    return dict.fromkeys(sorted(set(peers) - set(known)), reason)
--- /dev/null
+++ b/src/gypsumsail/metrics/const.py
@@ -0,0 +1,16 @@
+"""Limits of the metrics."""
+
+from __future__ import annotations
+
+from typing import Final
+
+CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+MAX_SERIES: Final = 2_000
+OTHER_LABEL: Final = "other"
+MAX_LABEL_LENGTH: Final = 128
+
+LOWEST_MICROSECONDS: Final = 1
+HIGHEST_MICROSECONDS: Final = 3_600_000_000
+SIGNIFICANT_DIGITS: Final = 2
+MICROSECONDS_PER_SECOND: Final = 1_000_000
+QUANTILES: Final = (0.5, 0.95, 0.99)
