Read back documents, status and time line by command

Cause: operators drive the system by documents and by reading back. Ruled out: leaving out entries that do not answer (it would read as agreement): they are named and make the exit code 3, also those that only peers know; one HTTP client for platform and entries (the platform would get the operator key).

--- /dev/null
+++ b/src/gypsumsail/cli/connection.py
@@ -0,0 +1,140 @@
+"""Connections of the commands to the platform and to the entries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from functools import wraps
+import os
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+import click
+import httpx
+
+from gypsumsail.cli.const import ExitCode
+from gypsumsail.cli.entries import Directory, async_find_entries
+from gypsumsail.cli.options import setting, variable_of
+from gypsumsail.platform.port import ObjectApi, VmList
+
+PLATFORM_TIMEOUT_SECONDS: Final = 10.0
+
+_ResultT = TypeVar("_ResultT")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Connection:
+    """Where the commands connect to.
+
+    Attributes
+    ----------
+    platform_url
+        Address of the platform; empty when only given entries are asked.
+    operator_key
+        Never shown; empty when none was given.
+    """
+
+    platform_url: str
+    entry_urls: tuple[str, ...]
+    operator_key: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Session:
+    """Open connections.
+
+    Attributes
+    ----------
+    entries
+        Client that sends the operator key; used for entries alone.
+    """
+
+    connection: Connection
+    entries: httpx.AsyncClient
+    api: ObjectApi | None
+    vms: VmList | None
+
+    async def async_find(self) -> Directory:
+        """Return the entries to ask."""
+        return await async_find_entries(self.vms, self.connection.entry_urls)
+
+    def platform(self) -> ObjectApi:
+        """Return the platform; ends the command when none was given."""
+        if self.api is None:
+            raise click.UsageError("--platform-url is needed")
+        return self.api
+
+
+def connection_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the flags of a connection; the command gets it as ``connection``."""
+
+    @setting("--platform-url", default="", help="URL of the platform's object API.")
+    @setting("--entry", multiple=True, help="URL of an entry to ask too; repeatable.")
+    @setting("--operator-key-file", help="File with the operators' key.")
+    @wraps(command)
+    def with_connection(
+        *args: Any,
+        platform_url: str,
+        entry: tuple[str, ...],
+        operator_key_file: str | None,
+        **values: Any,
+    ) -> Any:
+        connection = Connection(
+            platform_url=platform_url.rstrip("/"),
+            entry_urls=entry,
+            operator_key=_read_key(operator_key_file),
+        )
+        return command(*args, connection=connection, **values)
+
+    return with_connection
+
+
+def _read_key(file: str | None) -> str:
+    if file is None:
+        return os.environ.get(variable_of("operator-key"), "")
+    try:
+        return Path(file).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError):
+        raise click.UsageError(
+            "the file of --operator-key-file can't be read"
+        ) from None
+
+
+@asynccontextmanager
+async def async_open(connection: Connection) -> AsyncIterator[Session]:
+    """Open the connections of a command."""
+    headers = {}
+    if connection.operator_key:
+        headers["Authorization"] = f"Bearer {connection.operator_key}"
+    async with (
+        httpx.AsyncClient(headers=headers, trust_env=False) as entries,
+        httpx.AsyncClient(
+            trust_env=False, timeout=PLATFORM_TIMEOUT_SECONDS
+        ) as platform,
+    ):
+        api, vms = _open_platform(connection.platform_url, platform)
+        yield Session(connection=connection, entries=entries, api=api, vms=vms)
+
+
+def _open_platform(
+    url: str, client: httpx.AsyncClient
+) -> tuple[ObjectApi | None, VmList | None]:
+    if not url:
+        return None, None
+    from importlib import import_module
+
+    http = import_module("gypsumsail.platform.http")
+    return http.HttpObjectApi(url, client), http.HttpVmList(url, client)
+
+
+def run(action: Coroutine[Any, Any, _ResultT]) -> _ResultT:
+    """Run a command; what can't be reached ends it with its exit code."""
+    from gypsumsail.core.errors import TransportError
+
+    try:
+        return asyncio.run(action)
+    except TransportError as err:
+        click.echo(f"could not be reached: {err}", err=True)
+        raise SystemExit(ExitCode.UNREACHABLE) from None
--- /dev/null
+++ b/src/gypsumsail/cli/document.py
@@ -0,0 +1,20 @@
+"""Commands for service documents."""
+
+from __future__ import annotations
+
+import click
+
+from gypsumsail.cli.lazy import LazyGroup
+
+
+@click.group(
+    cls=LazyGroup,
+    lazy={
+        "check": "gypsumsail.cli.document_check:check",
+        "in-force": "gypsumsail.cli.document_in_force:in_force",
+        "schema": "gypsumsail.cli.document_check:schema",
+        "show": "gypsumsail.cli.document_show:show",
+    },
+)
+def document() -> None:
+    """Check, apply and read back service documents."""
--- /dev/null
+++ b/src/gypsumsail/cli/document_in_force.py
@@ -0,0 +1,168 @@
+"""Command that reads back which documents are in force."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+import time
+from typing import Final
+
+import click
+from pydantic import TypeAdapter
+
+from gypsumsail.cli.connection import (
+    Connection,
+    Session,
+    async_open,
+    connection_options,
+    run,
+)
+from gypsumsail.cli.const import ExitCode
+from gypsumsail.cli.entries import Answers, async_ask_all, not_listed
+from gypsumsail.cli.options import output_option, setting
+from gypsumsail.cli.output import emit, table, unreachable_lines
+from gypsumsail.entry.operator_models import DocumentStatus, InForce
+
+IN_FORCE_PATH: Final = "/operator/in-force"
+IN_FORCE_TYPE: Final = TypeAdapter(InForce)
+ASK_AGAIN_SECONDS: Final = 0.25
+DIGEST_SHOWN: Final = 12
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Wanted:
+    """What the operator wants to see; empty and 0 mean anything."""
+
+    service: str
+    version: int
+
+    def selects(self, document: DocumentStatus) -> bool:
+        """Return whether the document was asked for."""
+        return self.service in ("", document.service)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InForceResult:
+    """What is in force on each entry, and the entries that did not say."""
+
+    entries: tuple[InForce, ...]
+    unreachable: dict[str, str]
+    agreed: bool
+
+
+@click.command("in-force")
+@click.argument("service", default="")
+@setting("--version", type=int, default=0, help="Least version that all must have.")
+@setting("--wait", type=float, default=0.0, help="Seconds to wait for agreement.")
+@connection_options
+@output_option
+def in_force(
+    service: str, version: int, wait: float, connection: Connection, output: str
+) -> None:
+    """Show what is in force on every entry, and which could not be asked.
+
+    Exit codes: 0 all entries agree, 1 some differ, lag or report findings,
+    3 some could not be asked.
+    """
+    wanted = Wanted(service=service, version=version)
+    result = run(_async_wait(connection, wanted, time.monotonic() + wait))
+    emit(output, result, _lines(result, wanted))
+    raise SystemExit(_exit_code(result))
+
+
+async def _async_wait(
+    connection: Connection, wanted: Wanted, until: float
+) -> InForceResult:
+    async with async_open(connection) as session:
+        while True:
+            result = judge(await async_read_in_force(session), wanted)
+            done = result.agreed and not result.unreachable
+            if done or time.monotonic() >= until:
+                return result
+            await asyncio.sleep(ASK_AGAIN_SECONDS)
+
+
+async def async_read_in_force(session: Session) -> Answers[InForce]:
+    """Ask all entries; those that only others know count as not asked."""
+    directory = await session.async_find()
+    if not directory.urls and not directory.unreachable:
+        directory.unreachable["entries"] = "none are known"
+    answers = await async_ask_all(
+        session.entries, directory, IN_FORCE_PATH, IN_FORCE_TYPE
+    )
+    known = {**answers.unreachable, **directory.urls}
+    known |= {answer.entry: "" for answer in answers.answers.values()}
+    peers = [peer for item in answers.answers.values() for peer in item.peers]
+    missing = not_listed(known, peers)
+    return Answers(
+        answers=answers.answers, unreachable={**answers.unreachable, **missing}
+    )
+
+
+def judge(answers: Answers[InForce], wanted: Wanted) -> InForceResult:
+    """Return the answers with whether all of them agree."""
+    entries = sorted(answers.answers.values(), key=lambda item: item.entry)
+    shown = [
+        {item.service: item for item in entry.documents if wanted.selects(item)}
+        for entry in entries
+    ]
+    services = {service for documents in shown for service in documents}
+    if wanted.service:
+        services.add(wanted.service)
+    agreed = all(
+        _agree([documents.get(service) for documents in shown], wanted.version)
+        for service in services
+    )
+    return InForceResult(
+        entries=tuple(entries), unreachable=answers.unreachable, agreed=agreed
+    )
+
+
+def _agree(documents: Iterable[DocumentStatus | None], version: int) -> bool:
+    found = list(documents)
+    known = [item for item in found if item is not None]
+    if len(known) < len(found):
+        return False
+    if any(item.lag_versions or item.findings for item in known):
+        return False
+    if any(item.version < version for item in known):
+        return False
+    return len({(item.version, item.digest) for item in known}) <= 1
+
+
+def _lines(result: InForceResult, wanted: Wanted) -> list[str]:
+    rows: list[tuple[object, ...]] = [
+        ("ENTRY", "ZONE", "SERVICE", "VERSION", "DIGEST", "LAG", "LAG S")
+    ]
+    findings: list[str] = []
+    for entry in result.entries:
+        documents = [item for item in entry.documents if wanted.selects(item)]
+        if not documents:
+            rows.append((entry.entry, entry.zone, "-", "-", "-", "-", "-"))
+        for item in documents:
+            rows.append(
+                (
+                    entry.entry,
+                    entry.zone,
+                    item.service,
+                    item.version,
+                    item.digest[:DIGEST_SHOWN],
+                    item.lag_versions,
+                    round(item.lag_seconds, 1),
+                )
+            )
+            findings += [f"{entry.entry}: {finding}" for finding in item.findings]
+    verdict = "agreed" if result.agreed else "NOT AGREED"
+    return [
+        *table(rows),
+        *findings,
+        *unreachable_lines(result.unreachable),
+        f"{len(result.entries)} entries asked: {verdict}",
+    ]
+
+
+def _exit_code(result: InForceResult) -> ExitCode:
+    if result.unreachable:
+        return ExitCode.UNREACHABLE
+    return ExitCode.OK if result.agreed else ExitCode.FINDINGS
--- a/src/gypsumsail/cli/main.py
+++ b/src/gypsumsail/cli/main.py
@@ -18,7 +18,10 @@
     cls=LazyGroup,
     help=HELP,
     lazy={
+        "document": "gypsumsail.cli.document:document",
         "entry": "gypsumsail.cli.entry:entry",
+        "status": "gypsumsail.cli.status:status",
+        "timeline": "gypsumsail.cli.timeline:timeline",
         "version": "gypsumsail.cli.version:version",
     },
 )
--- /dev/null
+++ b/src/gypsumsail/cli/status.py
@@ -0,0 +1,81 @@
+"""Command that shows the entries at a glance."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+import click
+from pydantic import TypeAdapter
+
+from gypsumsail.cli.connection import Connection, async_open, connection_options, run
+from gypsumsail.cli.const import ExitCode
+from gypsumsail.cli.entries import async_ask_all, not_listed
+from gypsumsail.cli.options import output_option
+from gypsumsail.cli.output import emit, table, unreachable_lines
+from gypsumsail.entry.operator_models import EntryStatus
+
+STATUS_TYPE: Final = TypeAdapter(EntryStatus)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StatusResult:
+    """Status of the entries, and those that did not say."""
+
+    entries: tuple[EntryStatus, ...]
+    unreachable: dict[str, str]
+
+
+@click.command()
+@connection_options
+@output_option
+def status(connection: Connection, output: str) -> None:
+    """Show every entry at a glance.
+
+    Exit codes: 0 all were asked, 3 some could not be asked.
+    """
+    result = run(_async_status(connection))
+    emit(output, result, _lines(result))
+    raise SystemExit(ExitCode.UNREACHABLE if result.unreachable else ExitCode.OK)
+
+
+async def _async_status(connection: Connection) -> StatusResult:
+    async with async_open(connection) as session:
+        directory = await session.async_find()
+        answers = await async_ask_all(
+            session.entries, directory, "/operator/status", STATUS_TYPE
+        )
+    entries = sorted(answers.answers.values(), key=lambda item: item.entry)
+    known = {**answers.unreachable, **directory.urls}
+    known |= {item.entry: "" for item in entries}
+    missing = not_listed(known, [peer for item in entries for peer in item.peers])
+    return StatusResult(
+        entries=tuple(entries), unreachable={**answers.unreachable, **missing}
+    )
+
+
+def _lines(result: StatusResult) -> list[str]:
+    rows: list[tuple[object, ...]] = [
+        ("ENTRY", "ZONE", "BUILD", "STATE", "UP S", "REQUESTS", "PLATFORM S", "DUTIES")
+    ]
+    for item in result.entries:
+        age = item.platform_age_seconds
+        rows.append(
+            (
+                item.entry,
+                item.zone,
+                item.build,
+                item.state.value,
+                round(item.uptime_seconds),
+                item.requests,
+                "never" if age is None else round(age, 1),
+                ", ".join(item.duties) or "-",
+            )
+        )
+    targets = [
+        f"{item.entry} sees {target.target} ({target.service}, {target.zone}): "
+        f"{target.state}, {target.requests} requests"
+        for item in result.entries
+        for target in item.targets
+    ]
+    return [*table(rows), *targets, *unreachable_lines(result.unreachable)]
--- /dev/null
+++ b/src/gypsumsail/cli/timeline.py
@@ -0,0 +1,210 @@
+"""Command that shows the merged time line."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from datetime import UTC, datetime
+import time
+from typing import Final
+
+import click
+import httpx
+from pydantic import TypeAdapter
+
+from gypsumsail.cli.connection import (
+    Connection,
+    Session,
+    async_open,
+    connection_options,
+    run,
+)
+from gypsumsail.cli.const import ExitCode
+from gypsumsail.cli.entries import Directory, async_ask
+from gypsumsail.cli.options import output_option, setting
+from gypsumsail.cli.output import emit, unreachable_lines
+from gypsumsail.core.errors import TransportError
+from gypsumsail.timeline.const import MILLISECONDS_PER_SECOND
+from gypsumsail.timeline.filters import EventFilter
+from gypsumsail.timeline.merge import MergedEvent, ProcessSummary, Timeline, merge_pages
+from gypsumsail.timeline.records import Page
+from gypsumsail.timeline.rows import EventRow, PageRow, event_to_row, page_from_row
+
+PAGE_TYPE: Final = TypeAdapter(PageRow)
+MAX_PAGES: Final = 1_000
+SECONDS_PER_MINUTE: Final = 60
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Line:
+    """One event with its process."""
+
+    process: str
+    incarnation: str
+    event: EventRow
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TimelineResult:
+    """The merged time line, and what it lacks."""
+
+    events: tuple[Line, ...]
+    processes: tuple[ProcessSummary, ...]
+    unreachable: dict[str, str]
+    unreadable: tuple[str, ...]
+
+
+@click.command()
+@setting("--request", default="", help="Only events of this request.")
+@setting("--customer", default="", help="Only events of this customer.")
+@setting("--target", default="", help="Only events of this target.")
+@setting("--document", default="", help="Only events of this service's document.")
+@setting(
+    "--archive-minutes", default=0, type=int, help="Read so much of the archive too."
+)
+@connection_options
+@output_option
+def timeline(
+    request: str,
+    customer: str,
+    target: str,
+    document: str,
+    archive_minutes: int,
+    connection: Connection,
+    output: str,
+) -> None:
+    """Show the events of all processes in one order.
+
+    Exit codes: 0 all were asked and nothing is lost, 1 events are lost,
+    3 some could not be asked.
+    """
+    wanted = EventFilter(
+        request_id=request, customer=customer, target=target, document=document
+    )
+    result = run(_async_timeline(connection, wanted, archive_minutes))
+    emit(output, result, _lines(result))
+    raise SystemExit(_exit_code(result))
+
+
+async def _async_timeline(
+    connection: Connection, wanted: EventFilter, archive_minutes: int
+) -> TimelineResult:
+    async with async_open(connection) as session:
+        directory = await session.async_find()
+        pages, unreachable = await _async_live_pages(session, directory)
+        unreadable: tuple[str, ...] = ()
+        if archive_minutes > 0:
+            archived, unreadable = await _async_archived(
+                session, archive_minutes, unreachable
+            )
+            pages += archived
+    return _result(merge_pages(pages, wanted, unreachable), unreadable)
+
+
+async def _async_live_pages(
+    session: Session, directory: Directory
+) -> tuple[list[Page], dict[str, str]]:
+    unreachable = dict(directory.unreachable)
+    results = await asyncio.gather(
+        *(_async_pages(session.entries, url) for url in directory.urls.values())
+    )
+    pages: list[Page] = []
+    for name, (own, reason) in zip(directory.urls, results, strict=True):
+        pages += own
+        if reason:
+            unreachable[name] = reason
+    return pages, unreachable
+
+
+async def _async_pages(client: httpx.AsyncClient, url: str) -> tuple[list[Page], str]:
+    """Return the pages of one entry, and why there are no more of them."""
+    pages: list[Page] = []
+    after = 0
+    for _ in range(MAX_PAGES):
+        path = f"{url}/operator/timeline?after={after}"
+        answer = await async_ask(client, path, PAGE_TYPE)
+        if isinstance(answer, str):
+            return pages, answer
+        page = page_from_row(answer)
+        pages.append(page)
+        if page.last >= page.latest or page.last <= after:
+            return pages, ""
+        after = page.last
+    return pages, "has more pages than are read"
+
+
+async def _async_archived(
+    session: Session, minutes: int, unreachable: dict[str, str]
+) -> tuple[list[Page], tuple[str, ...]]:
+    from gypsumsail.timeline.archive_reader import async_read_archive
+
+    end = time.time()
+    start = end - minutes * SECONDS_PER_MINUTE
+    try:
+        archived = await async_read_archive(session.platform(), start=start, end=end)
+    except TransportError as err:
+        unreachable["archive"] = str(err) or err.code
+        return [], ()
+    return list(archived.pages), archived.unreadable
+
+
+def _result(merged: Timeline, unreadable: tuple[str, ...]) -> TimelineResult:
+    return TimelineResult(
+        events=tuple(_line(item) for item in merged.events),
+        processes=merged.processes,
+        unreachable=merged.unreachable,
+        unreadable=unreadable,
+    )
+
+
+def _line(item: MergedEvent) -> Line:
+    return Line(
+        process=item.process.name,
+        incarnation=item.process.incarnation,
+        event=event_to_row(item.recorded),
+    )
+
+
+def _lines(result: TimelineResult) -> list[str]:
+    return [
+        *(_event_line(line) for line in result.events),
+        *(_process_line(process) for process in result.processes),
+        *unreachable_lines(result.unreachable),
+        *(f"NOT READABLE {key}" for key in result.unreadable),
+    ]
+
+
+def _event_line(line: Line) -> str:
+    row = line.event
+    at = datetime.fromtimestamp(row.stamp_ms / MILLISECONDS_PER_SECOND, UTC)
+    time_text = at.isoformat(timespec="milliseconds").removesuffix("+00:00")
+    fields = {
+        "request": row.request,
+        "customer": row.customer,
+        "service": row.service,
+        "target": row.target,
+        "document": row.document,
+        "version": row.version,
+        "detail": row.detail,
+    }
+    shown = " ".join(f"{name}={value}" for name, value in fields.items() if value)
+    return (
+        f"{time_text}Z {line.process}#{row.sequence} {row.kind.value} {shown}".rstrip()
+    )
+
+
+def _process_line(item: ProcessSummary) -> str:
+    text = f"{item.process.name} ({item.process.incarnation}): {item.latest} events"
+    if item.lost:
+        text += f", {item.lost} LOST"
+    if item.reduced:
+        text += f", {item.reduced} reduced to those that prove a promise"
+    return f"{text}, stopped" if item.stopped else text
+
+
+def _exit_code(result: TimelineResult) -> ExitCode:
+    if result.unreachable or result.unreadable:
+        return ExitCode.UNREACHABLE
+    if any(process.lost for process in result.processes):
+        return ExitCode.FINDINGS
+    return ExitCode.OK
--- /dev/null
+++ b/src/gypsumsail/document/together.py
@@ -0,0 +1,30 @@
+"""Checks of several service documents side by side."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from gypsumsail.core.findings import Finding
+from gypsumsail.document.models import ServiceDocument, ServiceKind
+
+
+def check_together(documents: Mapping[str, ServiceDocument]) -> list[Finding]:
+    """Return what two documents, given by their place, must not both claim."""
+    findings: list[Finding] = []
+    owners: dict[str, str] = {}
+    for place, document in documents.items():
+        for claim in _claims(document):
+            if claim in owners:
+                message = f"{claim} is claimed by {owners[claim]} too"
+                findings.append(Finding(place=place, message=message))
+            owners.setdefault(claim, place)
+    return findings
+
+
+def _claims(document: ServiceDocument) -> Iterator[str]:
+    yield f"service {document.service}"
+    for model in document.models:
+        yield f"model {model.name}"
+    if document.kind is ServiceKind.PLAIN:
+        for route in document.routes:
+            yield f"path {route.path}"
--- /dev/null
+++ b/tests/cli/test_document_check.py
@@ -0,0 +1,37 @@
+"""Tests of the commands that check documents."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from gypsumsail.cli.const import ExitCode
+from tests.cli.common import invoke, invoke_json
+from tests.document.common import FAULTY_TEXT, MODEL_TEXT
+
+
+def test_check_reports_the_findings_of_all_files(tmp_path: Path) -> None:
+    good, twin, bad = (tmp_path / name for name in ("good", "twin", "bad"))
+    good.write_text(MODEL_TEXT)
+    twin.write_text(MODEL_TEXT.replace("service: claims", "service: portal"))
+    bad.write_text(FAULTY_TEXT)
+
+    assert invoke("document", "check", str(good)).exit_code == ExitCode.OK
+    code, result = invoke_json(
+        "document", "check", str(good), str(twin), str(bad), str(tmp_path / "none")
+    )
+
+    assert code == ExitCode.FINDINGS
+    places = [finding["place"] for finding in result["findings"]]
+    assert places.count(str(bad)) == 10
+    assert str(tmp_path / "none") in places
+    assert f"model claims is claimed by {good} too" in {
+        finding["message"] for finding in result["findings"]
+    }
+
+
+def test_schema_is_json_and_names_the_fields() -> None:
+    schema = json.loads(invoke("document", "schema").stdout)
+
+    assert {"service", "customers", "routes"} <= set(schema["required"])
+    assert schema["additionalProperties"] is False
--- a/tests/entry/common.py
+++ b/tests/entry/common.py
@@ -34,7 +34,7 @@
 
     def __init__(self, name: str = "entry-1") -> None:
         self.name = name
-        self.documents = (document_status(),)
+        self.documents: tuple[DocumentStatus, ...] = (document_status(),)
         self.peers: tuple[str, ...] = ()
         self.is_ready = True
         process = ProcessId(name=name, incarnation=f"{name}-life")
