--- /dev/null
+++ b/src/gypsumsail/context/chain.py
@@ -0,0 +1,44 @@
+"""The blocks of one prompt for one customer, model, adapter and version."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumsail.context.blocks import block_hashes, cache_salt
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Chain:
+    """Chained hashes of a prompt's full blocks under one salt."""
+
+    service: str
+    customer: str
+    weight_version: str
+    salt: str
+    hashes: tuple[str, ...]
+
+
+def make_chain(
+    prompt: str,
+    *,
+    service: str,
+    customer: str,
+    model: str,
+    adapter: str,
+    weight_version: str,
+) -> Chain:
+    """Return the chain of a prompt."""
+    salt = cache_salt(
+        service=service,
+        customer=customer,
+        model=model,
+        adapter=adapter,
+        weight_version=weight_version,
+    )
+    return Chain(
+        service=service,
+        customer=customer,
+        weight_version=weight_version,
+        salt=salt,
+        hashes=block_hashes(prompt, salt),
+    )
--- /dev/null
+++ b/src/gypsumsail/entry/acceptance.py
@@ -0,0 +1,170 @@
+"""Turns a call into a job, or refuses it before anything is sent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from hashlib import blake2b, sha256
+from typing import Final
+
+from pydantic import ValidationError
+
+from gypsumsail.core.errors import InvalidRequestError
+from gypsumsail.document.models import DocumentInForce, ServiceDocument
+from gypsumsail.entry.models import (
+    CallHead,
+    CompletionBody,
+    Job,
+    ModelJob,
+    Placement,
+    PlainJob,
+)
+from gypsumsail.entry.resolve import KeyRing, model_placement, plain_placement
+
+FINGERPRINT_BYTES: Final = 16
+
+
+class Acceptance:
+    """Checks of calls against the documents in force."""
+
+    def __init__(self, documents: Callable[[], Iterable[DocumentInForce]]) -> None:
+        self.documents = documents
+        self.key_ring = KeyRing(())
+
+    def refresh(self) -> None:
+        """Take over the documents in force; called whenever they change."""
+        self.key_ring = KeyRing(self.documents())
+
+    def placements(self, head: CallHead) -> list[Placement]:
+        """Return where the call may go, before its body is read.
+
+        Raises
+        ------
+        RequestError
+            The key or the path is unknown.
+        """
+        return self.key_ring.placements(head.api_key, head.path)
+
+    def accept(
+        self,
+        request_id: str,
+        head: CallHead,
+        placements: list[Placement],
+        body: bytes,
+        now: float,
+    ) -> Job:
+        """Return the job of a call.
+
+        Raises
+        ------
+        RequestError
+            The call is malformed, or the model is unknown.
+        """
+        plain = plain_placement(placements)
+        if plain is not None:
+            return self._plain_job(request_id, head, plain, body, now)
+        return self._model_job(request_id, head, placements, body, now)
+
+    def _plain_job(
+        self,
+        request_id: str,
+        head: CallHead,
+        placement: Placement,
+        body: bytes,
+        now: float,
+    ) -> PlainJob:
+        digest = _digest(head, body)
+        return PlainJob(
+            request_id=request_id,
+            head=head,
+            placement=placement,
+            priority=_priority(head, placement),
+            accepted_at=now,
+            deadline_at=now + _deadline(head, placement.document.document),
+            fingerprint=_fingerprint(placement, "", digest),
+            body_digest=digest,
+            body=body,
+        )
+
+    def _model_job(
+        self,
+        request_id: str,
+        head: CallHead,
+        placements: list[Placement],
+        body: bytes,
+        now: float,
+    ) -> ModelJob:
+        if head.method != "POST":
+            raise InvalidRequestError("completions are asked for with POST")
+        parsed = parse_completion(body)
+        found = model_placement(placements, parsed.model, parsed.adapter)
+        placement = found.placement
+        digest = _digest(head, body)
+        return ModelJob(
+            request_id=request_id,
+            head=head,
+            placement=placement,
+            priority=_priority(head, placement),
+            accepted_at=now,
+            deadline_at=now + _deadline(head, placement.document.document),
+            fingerprint=_fingerprint(
+                placement,
+                found.model.weight_version,
+                sha256(parsed.prompt.encode()).digest(),
+            ),
+            body_digest=digest,
+            model=found.model,
+            body=parsed,
+        )
+
+
+def parse_completion(body: bytes) -> CompletionBody:
+    """Return the checked body of a completions call.
+
+    Raises
+    ------
+    InvalidRequestError
+        The body is not such a body; the message names each finding's place.
+    """
+    try:
+        parsed = CompletionBody.model_validate_json(body)
+    except ValidationError as error:
+        findings = [
+            f"{'.'.join(str(part) for part in item['loc']) or 'body'}: {item['msg']}"
+            for item in error.errors(include_input=False, include_url=False)
+        ]
+        raise InvalidRequestError("; ".join(findings)) from None
+    try:
+        parsed.prompt.encode()
+    except UnicodeEncodeError:
+        raise InvalidRequestError("prompt: is not Unicode text") from None
+    return parsed
+
+
+def _priority(head: CallHead, placement: Placement) -> int:
+    """Return the priority; a customer can't get a better one than the document's."""
+    asked = head.priority
+    if asked is None:
+        asked = placement.document.document.default_priority
+    return max(asked, placement.customer.max_priority)
+
+
+def _deadline(head: CallHead, document: ServiceDocument) -> float:
+    if head.deadline is None:
+        return document.deadlines.default
+    return min(head.deadline, document.deadlines.longest)
+
+
+def _digest(head: CallHead, body: bytes) -> bytes:
+    digest = sha256()
+    for part in (head.method, head.path, head.query, head.content_type):
+        digest.update(f"{len(part)}:{part}".encode())
+    digest.update(body)
+    return digest.digest()
+
+
+def _fingerprint(placement: Placement, version: str, content: bytes) -> str:
+    digest = blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (placement.service, placement.customer.name, version):
+        digest.update(f"{len(part)}:{part}".encode())
+    digest.update(content)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/gypsumsail/entry/adapters.py
@@ -0,0 +1,72 @@
+"""Adapters to targets and stores, one for each VM that is known."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+import logging
+from typing import Generic, Protocol, TypeVar
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.errors import TransportError
+from gypsumsail.platform.port import VmRecord
+from gypsumsail.targets.http import HttpEngine
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Closable(Protocol):
+    """An adapter that holds connections."""
+
+    async def async_close(self) -> None:
+        """Close the idle connections."""
+
+
+_AdapterT = TypeVar("_AdapterT", bound=Closable)
+
+
+class AdapterPool(Generic[_AdapterT]):
+    """Adapters by VM; one is made when its VM is first used."""
+
+    def __init__(self, make: Callable[[str], _AdapterT]) -> None:
+        self.make = make
+        self.adapters: dict[str, _AdapterT] = {}
+
+    @callback
+    def get(self, vm: VmRecord) -> _AdapterT:
+        """Return the adapter of a VM."""
+        adapter = self.adapters.get(vm.url)
+        if adapter is None:
+            adapter = self.adapters[vm.url] = self.make(vm.url)
+        return adapter
+
+    async def async_keep(self, vms: Iterable[VmRecord]) -> None:
+        """Close the adapters of all other VMs."""
+        known = {vm.url for vm in vms}
+        for url in [url for url in self.adapters if url not in known]:
+            await self.adapters.pop(url).async_close()
+
+    async def async_unload(self) -> None:
+        """Close all adapters."""
+        await self.async_keep(())
+
+
+class Canceller:
+    """Cancels work at engines in the background."""
+
+    def __init__(self, engines: AdapterPool[HttpEngine]) -> None:
+        self.engines = engines
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @callback
+    def cancel(self, vm: VmRecord, attempt_id: str) -> None:
+        """Tell an engine to stop the work on an attempt."""
+        task = asyncio.create_task(self._async_cancel(vm, attempt_id))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _async_cancel(self, vm: VmRecord, attempt_id: str) -> None:
+        try:
+            await self.engines.get(vm).async_cancel(attempt_id)
+        except TransportError as error:
+            _LOGGER.info("Attempt %s was not cancelled: %s", attempt_id, error)
--- /dev/null
+++ b/src/gypsumsail/entry/call.py
@@ -0,0 +1,127 @@
+"""One accepted call: its work, its answer and its end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import RequestError
+from gypsumsail.entry.answers import (
+    StreamSink,
+    WholeSink,
+    async_send_error,
+    async_send_plain,
+)
+from gypsumsail.entry.head import Send
+from gypsumsail.entry.models import Job, ModelJob, PlainJob
+from gypsumsail.platform.port import VmRecord
+from gypsumsail.relay.model_work import EngineSelector, ModelWork
+from gypsumsail.relay.plain_work import PlainSelector, PlainWork
+from gypsumsail.relay.port import Work
+from gypsumsail.targets.port import Engine, PlainService
+
+
+class Call(Protocol):
+    """An accepted call."""
+
+    @property
+    def work(self) -> Work[Any]:
+        """Return the call's job and the way it is attempted."""
+
+    async def async_finish(self) -> None:
+        """Send what is left of the whole answer."""
+
+    async def async_fail(self, error: RequestError) -> None:
+        """Send the error that ends the call."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallFactory:
+    """Makes calls of accepted jobs."""
+
+    engine_selector: EngineSelector
+    plain_selector: PlainSelector
+    engine_of: Callable[[VmRecord], Engine]
+    plain_of: Callable[[VmRecord], PlainService]
+    cancel: Callable[[VmRecord, str], None]
+    clock: Clock
+
+    def make(self, job: Job, send: Send) -> Call:
+        """Return the call of a job."""
+        match job:
+            case ModelJob():
+                return ModelCall(job, send, self)
+            case PlainJob():
+                return PlainCall(job, send, self)
+        raise TypeError(f"no call for {type(job).__name__}")
+
+
+class ModelCall:
+    """A call to a model engine."""
+
+    def __init__(self, job: ModelJob, send: Send, factory: CallFactory) -> None:
+        self.send = send
+        self.job = job
+        self.closed = False
+        make_sink = StreamSink if job.body.stream else WholeSink
+        self.sink: StreamSink | WholeSink = make_sink(
+            self._async_send, job.request_id, job.body.model
+        )
+        self.work = ModelWork(
+            job,
+            self.sink,
+            selector=factory.engine_selector,
+            engine_of=factory.engine_of,
+            cancel=factory.cancel,
+            clock=factory.clock,
+        )
+
+    async def _async_send(self, message: object) -> None:
+        """Send unless the call was ended while its run goes on."""
+        if not self.closed:
+            await self.send(message)
+
+    async def async_finish(self) -> None:
+        """Do nothing: the sink sent the whole answer."""
+        self.closed = True
+
+    async def async_fail(self, error: RequestError) -> None:
+        """Send the error as the answer, or as the last event of a stream."""
+        if self.closed:
+            return
+        if isinstance(self.sink, StreamSink) and self.sink.started:
+            await self.sink.async_fail(error)
+        elif not self.sink.started:
+            await async_send_error(self.send, error, self.job.request_id)
+        self.closed = True
+
+
+class PlainCall:
+    """A call to a plain service."""
+
+    def __init__(self, job: PlainJob, send: Send, factory: CallFactory) -> None:
+        self.send = send
+        self.job = job
+        self.closed = False
+        self.work = PlainWork(
+            job,
+            selector=factory.plain_selector,
+            service_of=factory.plain_of,
+            clock=factory.clock,
+        )
+
+    async def async_finish(self) -> None:
+        """Send the whole answer."""
+        if self.closed or self.work.answer is None:
+            return
+        self.closed = True
+        await async_send_plain(self.send, self.work.answer, self.job.request_id)
+
+    async def async_fail(self, error: RequestError) -> None:
+        """Send the error as the answer."""
+        if self.closed:
+            return
+        self.closed = True
+        await async_send_error(self.send, error, self.job.request_id)
--- /dev/null
+++ b/src/gypsumsail/entry/caller_api.py
@@ -0,0 +1,206 @@
+"""ASGI handler of callers' requests."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+import logging
+import random
+
+from gypsumsail.core.errors import (
+    DeadlineError,
+    RequestError,
+    RunState,
+    TargetLostError,
+)
+from gypsumsail.core.ids import new_id
+from gypsumsail.entry.acceptance import Acceptance
+from gypsumsail.entry.answers import async_send_error, spread_retry_after
+from gypsumsail.entry.call import Call, CallFactory
+from gypsumsail.entry.const import AFTER_DEADLINE_SECONDS
+from gypsumsail.entry.head import (
+    CallerGoneError,
+    Receive,
+    Scope,
+    Send,
+    async_read_body,
+    read_head,
+)
+from gypsumsail.entry.models import Job
+from gypsumsail.entry.port import Admission, Reservations
+from gypsumsail.once.models import OnceRequest, Reservation
+from gypsumsail.relay.attempts import AttemptLoop, RelayPorts
+from gypsumsail.timeline.models import Event, EventKind
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerPorts:
+    """The other parts of the entry that calls go through."""
+
+    acceptance: Acceptance
+    admission: Admission
+    reservations: Reservations
+    factory: CallFactory
+    relay: RelayPorts
+    body_limit: int
+    rng: random.Random
+
+
+class CallerApi:
+    """Serves calls of callers.
+
+    Attributes
+    ----------
+    active
+        Jobs under way by request id; a graceful shutdown waits for them.
+    """
+
+    def __init__(self, ports: CallerPorts) -> None:
+        self.ports = ports
+        self.clock = ports.relay.clock
+        self.recorder = ports.relay.recorder
+        self.active: dict[str, Job] = {}
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        request_id = new_id()
+        try:
+            job = await self._async_accept(request_id, scope, receive)
+        except RequestError as error:
+            self._refused(request_id, error)
+            await async_send_error(send, error, request_id)
+            return
+        except CallerGoneError:
+            return
+        self.active[request_id] = job
+        await self._async_serve(job, receive, send)
+
+    async def _async_accept(
+        self, request_id: str, scope: Scope, receive: Receive
+    ) -> Job:
+        acceptance = self.ports.acceptance
+        head = read_head(scope)
+        placements = acceptance.placements(head)
+        body = await async_read_body(scope, receive, self.ports.body_limit)
+        now = self.clock.monotonic()
+        return acceptance.accept(request_id, head, placements, body, now)
+
+    async def _async_serve(self, job: Job, receive: Receive, send: Send) -> None:
+        call = self.ports.factory.make(job, send)
+        run = asyncio.create_task(self._async_run(job, call))
+        watched: set[asyncio.Task[None]] = {run}
+        gone: asyncio.Task[None] | None = None
+        if job.placement.route.repeatable:
+            gone = asyncio.create_task(_async_wait_gone(receive))
+            watched.add(gone)
+        left = max(job.deadline_at - self.clock.monotonic(), 0.0)
+        await asyncio.wait(watched, timeout=left, return_when=asyncio.FIRST_COMPLETED)
+        if gone is not None:
+            gone.cancel()
+        if run.done():
+            return
+        if job.placement.route.repeatable or not call.work.progress.attempts:
+            run.cancel()
+            await asyncio.wait({run})
+        await call.async_fail(_late(call))
+
+    async def _async_run(self, job: Job, call: Call) -> None:
+        """Run a job to its end; a job that is not repeatable outlives its call."""
+        try:
+            async with asyncio.timeout(self._longest(job)):
+                await self._async_admitted(job, call)
+        except RequestError as error:
+            self._ended(job, error)
+            await self._async_refuse(call, error)
+        except TimeoutError:
+            self._ended(job, None)
+        except Exception:
+            _LOGGER.exception("Request %s failed", job.request_id)
+            failure = TargetLostError(
+                "the entry failed", run_state=call.work.progress.run_state
+            )
+            self._ended(job, failure)
+            await self._async_refuse(call, failure)
+        finally:
+            self.active.pop(job.request_id, None)
+
+    def _longest(self, job: Job) -> float:
+        left = max(job.deadline_at - self.clock.monotonic(), 0.0)
+        return left + AFTER_DEADLINE_SECONDS
+
+    async def _async_admitted(self, job: Job, call: Call) -> None:
+        now = self.clock.monotonic()
+        self.ports.admission.admit(job, now)
+        self._record(job, EventKind.REQUEST_ACCEPTED, "")
+        try:
+            reservation = await self._async_reserve(job)
+            await AttemptLoop(self.ports.relay, call.work, reservation).async_run()
+            await call.async_finish()
+        finally:
+            self.ports.admission.finished(job, call.work, self.clock.monotonic())
+        self._record(job, EventKind.REQUEST_ENDED, RunState.RAN.value)
+
+    async def _async_reserve(self, job: Job) -> Reservation | None:
+        if job.placement.route.repeatable:
+            return None
+        request = OnceRequest(
+            customer=job.placement.customer.name,
+            service=job.placement.service,
+            key=job.head.idempotency_key or None,
+            body_digest=job.body_digest,
+            request_id=job.request_id,
+        )
+        now = self.clock.monotonic()
+        return await self.ports.reservations.async_reserve(request, now)
+
+    async def _async_refuse(self, call: Call, error: RequestError) -> None:
+        if error.retry_after is not None:
+            error.retry_after = spread_retry_after(error.retry_after, self.ports.rng)
+        await call.async_fail(error)
+
+    def _ended(self, job: Job, error: RequestError | None) -> None:
+        if error is None:
+            self._record(job, EventKind.REQUEST_ENDED, RunState.MAY_HAVE_RUN.value)
+            return
+        refused = error.run_state is RunState.NOT_RUN
+        kind = EventKind.REQUEST_REFUSED if refused else EventKind.REQUEST_ENDED
+        self._record(job, kind, f"{error.code}: {error.run_state.value}")
+
+    def _refused(self, request_id: str, error: RequestError) -> None:
+        self.recorder.record(
+            Event(
+                kind=EventKind.REQUEST_REFUSED,
+                request_id=request_id,
+                detail=f"{error.code}: {error.run_state.value}",
+            )
+        )
+
+    def _record(self, job: Job, kind: EventKind, detail: str) -> None:
+        self.recorder.record(
+            Event(
+                kind=kind,
+                request_id=job.request_id,
+                customer=job.placement.customer.name,
+                service=job.placement.service,
+                version=job.placement.document.version,
+                detail=detail,
+            )
+        )
+
+
+def _late(call: Call) -> RequestError:
+    """Return the error of a call whose deadline passed or whose caller left.
+
+    A call without an attempt was cancelled before anything could be sent.
+    """
+    sent = bool(call.work.progress.attempts)
+    state = RunState.MAY_HAVE_RUN if sent else RunState.NOT_RUN
+    return DeadlineError("the deadline passed", run_state=state)
+
+
+async def _async_wait_gone(receive: Receive) -> None:
+    """Return when the caller hangs up."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
--- /dev/null
+++ b/src/gypsumsail/entry/chain.py
@@ -0,0 +1,65 @@
+"""What an entry asks of the directory of kept context."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from gypsumsail.context.chain import Chain, make_chain
+from gypsumsail.entry.models import ModelJob
+from gypsumsail.relay.models import EngineSelection
+from gypsumsail.routing.models import KeptPrefix
+from gypsumsail.targets.port import AnswerEnd
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChainView:
+    """Where blocks of a chain are believed to be.
+
+    Attributes
+    ----------
+    cached_blocks
+        Blocks from the start in each engine's cache, by target.
+    kept
+        What stores hold, for each store.
+    """
+
+    cached_blocks: dict[str, int] = field(default_factory=dict)
+    kept: tuple[KeptPrefix, ...] = ()
+
+
+class ContextView(Protocol):
+    """The directory of kept context."""
+
+    async def async_lookup(self, chain: Chain) -> ChainView:
+        """Return what is known; empty when nobody answers in time."""
+
+    def on_ended(
+        self, job: ModelJob, selection: EngineSelection, end: AnswerEnd
+    ) -> None:
+        """Note that an engine computed a whole answer on the chain."""
+
+
+class NoContextView:
+    """A directory that knows nothing."""
+
+    async def async_lookup(self, chain: Chain) -> ChainView:
+        """Return an empty view."""
+        return ChainView()
+
+    def on_ended(
+        self, job: ModelJob, selection: EngineSelection, end: AnswerEnd
+    ) -> None:
+        """Do nothing."""
+
+
+def chain_of(job: ModelJob, weight_version: str) -> Chain:
+    """Return the chain of a job's prompt under a weight version."""
+    return make_chain(
+        job.body.prompt,
+        service=job.placement.service,
+        customer=job.placement.customer.name,
+        model=job.body.model,
+        adapter=job.body.adapter,
+        weight_version=weight_version,
+    )
--- /dev/null
+++ b/src/gypsumsail/entry/engine_selector.py
@@ -0,0 +1,204 @@
+"""Chooses the engine of a model job."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+from gypsumsail.context.blocks import token_count
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import NoTargetError, OverloadedError
+from gypsumsail.entry.chain import ChainView, ContextView, chain_of
+from gypsumsail.entry.const import RETRY_AFTER_SECONDS
+from gypsumsail.entry.models import ModelJob
+from gypsumsail.entry.versions import Server, allowed_servers, servers
+from gypsumsail.fleet.models import EngineSighting, load_of
+from gypsumsail.platform.port import VmRecord
+from gypsumsail.relay.models import Constraints, EngineSelection
+from gypsumsail.routing.choose import choose
+from gypsumsail.routing.const import OTHER_ZONE_SECONDS, SAME_ZONE_SECONDS
+from gypsumsail.routing.loads import EngineLoads, SentWork
+from gypsumsail.routing.models import (
+    Candidate,
+    RefusalReason,
+    Refused,
+    RouteRequest,
+)
+from gypsumsail.routing.policies import LeastLoaded, Policy
+from gypsumsail.targets.port import AnswerEnd
+
+
+class PolicyEngineSelector:
+    """Chooses by policy among the engines that serve the job's model.
+
+    Parameters
+    ----------
+    targets
+        Returns the targets of a service that may get new work.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        *,
+        policy: Policy,
+        targets: Callable[[str], tuple[VmRecord, ...]],
+        context: ContextView,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.zone = zone
+        self.policy = policy
+        self.targets = targets
+        self.context = context
+        self.clock = clock
+        self.rng = rng
+        self.loads = EngineLoads()
+        self.sightings: dict[str, EngineSighting] = {}
+        self.sequence = 0
+
+    def on_sighting(self, sighting: EngineSighting, now: float) -> None:
+        """Take what was read of an engine."""
+        self.sightings[sighting.target] = sighting
+        self.loads.on_report(sighting.target, load_of(sighting), now=now)
+
+    async def async_select(
+        self, job: ModelJob, constraints: Constraints
+    ) -> EngineSelection:
+        """Choose an engine; raises RequestError when there is none."""
+        found = servers(
+            self.targets(job.placement.service),
+            self.sightings,
+            model=job.body.model,
+            adapter=job.body.adapter,
+        )
+        allowed = allowed_servers(found, constraints, job.model.weight_version)
+        self.sequence += 1
+        options = [
+            await self._async_option(job, version, group, constraints)
+            for version, group in _by_version(allowed).items()
+        ]
+        return _best(options)
+
+    def sent(self, job: ModelJob, selection: EngineSelection, attempt_id: str) -> None:
+        """Count a request in that is about to be sent."""
+        work = SentWork(
+            tokens=selection.expected.computed_tokens,
+            tokens_ahead=selection.tokens_ahead,
+            priority=job.priority,
+            sent_at=self.clock.monotonic(),
+            imported=selection.kept is not None,
+        )
+        self.loads.on_sent(selection.vm.vm_id, attempt_id, work)
+
+    def first_token(self, selection: EngineSelection, attempt_id: str) -> None:
+        """Learn from the time of the first token."""
+        now = self.clock.monotonic()
+        self.loads.on_first_token(selection.vm.vm_id, attempt_id, now=now)
+
+    def ended(
+        self,
+        job: ModelJob,
+        selection: EngineSelection,
+        attempt_id: str,
+        end: AnswerEnd | None,
+    ) -> None:
+        """Count a request out, and tell the directory of a whole answer."""
+        tokens = end.answer_tokens if end is not None else 0
+        self.loads.on_ended(
+            selection.vm.vm_id,
+            attempt_id,
+            answer_tokens=tokens,
+            now=self.clock.monotonic(),
+        )
+        if end is not None:
+            self.context.on_ended(job, selection, end)
+
+    async def _async_option(
+        self,
+        job: ModelJob,
+        weight_version: str,
+        group: list[Server],
+        constraints: Constraints,
+    ) -> EngineSelection | Refused:
+        """Return the best choice among the engines of one weight version."""
+        chain = chain_of(job, weight_version)
+        view = await self.context.async_lookup(chain)
+        now = self.clock.monotonic()
+        candidates = {
+            server.vm.vm_id: self._candidate(job, server, view, now) for server in group
+        }
+        policy = LeastLoaded() if constraints.isolated else self.policy
+        choice = choose(
+            policy,
+            self._route_request(job, view, now),
+            list(candidates.values()),
+            job.placement.document.document.tiers.weights,
+            self.rng,
+        )
+        if isinstance(choice, Refused):
+            return choice
+        vms = {server.vm.vm_id: server.vm for server in group}
+        return EngineSelection(
+            vm=vms[choice.target],
+            incarnation=self.sightings[choice.target].incarnation,
+            chain=chain,
+            kept=choice.kept,
+            expected=choice.expected,
+            tokens_ahead=candidates[choice.target].tokens_ahead,
+        )
+
+    def _candidate(
+        self, job: ModelJob, server: Server, view: ChainView, now: float
+    ) -> Candidate:
+        same_zone = server.vm.zone == self.zone
+        return self.loads.candidate(
+            server.vm.vm_id,
+            cached_blocks=view.cached_blocks.get(server.vm.vm_id, 0),
+            priority=job.priority,
+            zone_seconds=SAME_ZONE_SECONDS if same_zone else OTHER_ZONE_SECONDS,
+            now=now,
+        )
+
+    def _route_request(
+        self, job: ModelJob, view: ChainView, now: float
+    ) -> RouteRequest:
+        return RouteRequest(
+            customer=job.placement.customer.name,
+            prompt_tokens=token_count(job.body.prompt),
+            answer_tokens=job.body.max_tokens,
+            priority=job.priority,
+            deadline=max(job.deadline_at - now, 0.0),
+            sequence=self.sequence,
+            kept=view.kept,
+        )
+
+
+def _by_version(found: list[Server]) -> dict[str, list[Server]]:
+    groups: dict[str, list[Server]] = {}
+    for server in found:
+        groups.setdefault(server.weight_version, []).append(server)
+    return groups
+
+
+def _best(options: list[EngineSelection | Refused]) -> EngineSelection:
+    """Return the option with the earliest first token.
+
+    Raises
+    ------
+    NoTargetError
+        No engine serves the model.
+    OverloadedError
+        No engine can meet the deadline.
+    """
+    selections = [option for option in options if isinstance(option, EngineSelection)]
+    if selections:
+        return min(selections, key=lambda option: option.expected.first_token)
+    refusals = [option for option in options if isinstance(option, Refused)]
+    retry_after = min(
+        (refused.retry_after for refused in refusals), default=RETRY_AFTER_SECONDS
+    )
+    late = [refused for refused in refusals if refused.reason is RefusalReason.DEADLINE]
+    if late:
+        raise OverloadedError("the deadline can't be met", retry_after=retry_after)
+    raise NoTargetError("no engine serves the model now", retry_after=retry_after)
--- a/src/gypsumsail/entry/head.py
+++ b/src/gypsumsail/entry/head.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 import math
 from typing import Any, TypeAlias
+from urllib.parse import unquote
 
 from gypsumsail.core.errors import BodyTooLargeError, InvalidRequestError
 from gypsumsail.entry.const import (
@@ -44,7 +45,7 @@
     findings: list[str] = []
     head = CallHead(
         method=scope["method"],
-        path=scope["path"],
+        path=_path(scope, findings),
         query=scope["query_string"].decode("latin-1"),
         content_type=headers.get(HEADER_CONTENT_TYPE, b"").decode("latin-1"),
         api_key=_api_key(headers),
@@ -57,6 +58,14 @@
     return head
 
 
+def _path(scope: Scope, findings: list[str]) -> str:
+    """Return the path as it was sent; a mount has changed the decoded one."""
+    path: str = scope["raw_path"].partition(b"?")[0].decode("latin-1")
+    if any(unquote(segment) in {".", ".."} for segment in path.split("/")):
+        findings.append("the path has dot segments")
+    return path
+
+
 def _api_key(headers: dict[bytes, bytes]) -> str:
     value = headers.get(HEADER_AUTHORIZATION, b"")
     if not value.startswith(BEARER_PREFIX):
--- a/src/gypsumsail/entry/models.py
+++ b/src/gypsumsail/entry/models.py
@@ -82,7 +82,7 @@
     accepted_at: float
     deadline_at: float
     fingerprint: str
-    body_digest: str
+    body_digest: bytes
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gypsumsail/entry/operator_api.py
+++ b/src/gypsumsail/entry/operator_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from hashlib import sha256
 from hmac import compare_digest
 from typing import Annotated, Any, Final, Protocol
@@ -12,6 +13,7 @@
 from litestar.exceptions import NotAuthorizedException
 from litestar.handlers.base import BaseRouteHandler
 from litestar.params import Parameter
+from litestar.types import ControllerRouterHandler
 
 from gypsumsail.core.clock import Clock
 from gypsumsail.entry.operator_models import EntryStatus, InForce, Readiness
@@ -44,7 +46,10 @@
 
 
 def create_operator_api(
-    source: StatusSource, operator_key: str, clock: Clock
+    source: StatusSource,
+    operator_key: str,
+    clock: Clock,
+    others: Sequence[ControllerRouterHandler] = (),
 ) -> Litestar:
     """Return the ASGI application of the operator API.
 
@@ -52,6 +57,8 @@
     ----------
     operator_key
         Key that opens all paths but ``/health`` and ``/ready``.
+    others
+        Further routes, which the key does not guard.
     """
     digest = sha256(operator_key.encode()).digest()
 
@@ -68,7 +75,7 @@
         route_handlers=[in_force, status, timeline, metrics],
     )
     return Litestar(
-        route_handlers=[operators, health, ready],
+        route_handlers=[operators, health, ready, *others],
         state=State({"source": source, "clock": clock}),
         openapi_config=None,
         logging_config=None,
--- /dev/null
+++ b/src/gypsumsail/entry/prober.py
@@ -0,0 +1,49 @@
+"""Tells a lost connection from a crashed target."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from urllib.parse import urlsplit
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.platform.port import VmRecord, VmRole
+from gypsumsail.relay.const import PROBE_TIMEOUT_SECONDS
+from gypsumsail.relay.models import Selection
+from gypsumsail.targets.port import Engine
+
+
+class TargetProber:
+    """Asks a target whether it is still the one that a request was sent to.
+
+    Only a refused connection or another incarnation counts as a crash: a target
+    that can't be reached may be well on the other side of a cut.
+    """
+
+    def __init__(self, engine_of: Callable[[VmRecord], Engine]) -> None:
+        self.engine_of = engine_of
+
+    async def async_crashed(self, selection: Selection) -> bool:
+        """Return whether this incarnation of the target is certainly gone."""
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                if await _async_refused(selection.vm):
+                    return True
+                if selection.vm.role is not VmRole.ENGINE:
+                    return False
+                load = await self.engine_of(selection.vm).async_load()
+        except (TransportError, TimeoutError):
+            return False
+        return load.incarnation != selection.incarnation
+
+
+async def _async_refused(vm: VmRecord) -> bool:
+    address = urlsplit(vm.url)
+    try:
+        _, writer = await asyncio.open_connection(address.hostname, address.port)
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    writer.close()
+    return False
--- /dev/null
+++ b/src/gypsumsail/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""What the entries together see of the engines."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/gypsumsail/relay/attempts.py
@@ -0,0 +1,301 @@
+"""Runs a job in attempts until its answer is whole or it is given up."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+import logging
+from typing import Generic, TypeVar
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import (
+    CrashSuspectError,
+    OverloadedError,
+    RequestError,
+    ReservationUnavailableError,
+    RunState,
+)
+from gypsumsail.core.ids import new_id
+from gypsumsail.once.models import Outcome, Reservation, may_send
+from gypsumsail.relay.const import (
+    GIVE_UP_RETRY_SECONDS,
+    SLOT_TRIES,
+    UNPLACED_WAIT_SECONDS,
+    UNPLACED_WAITS,
+)
+from gypsumsail.relay.models import (
+    AttemptFailedError,
+    Constraints,
+    FailureKind,
+    GiveUp,
+    Selection,
+    TryAgain,
+)
+from gypsumsail.relay.next_step import next_step, run_state_after
+from gypsumsail.relay.port import Once, Prober, RetryBudget, Suspects, Work
+from gypsumsail.suspects.models import (
+    Busy,
+    Clear,
+    Convicted,
+    Isolate,
+    RunOn,
+    TargetLife,
+    Unplaced,
+    Verdict,
+)
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.port import Recorder
+
+_LOGGER = logging.getLogger(__name__)
+
+_SelectionT = TypeVar("_SelectionT", bound=Selection)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayPorts:
+    """The other parts of the entry that attempts go through."""
+
+    suspects: Suspects
+    once: Once
+    budget: RetryBudget
+    prober: Prober
+    recorder: Recorder
+    clock: Clock
+
+
+class AttemptLoop(Generic[_SelectionT]):
+    """Attempts of one job.
+
+    Parameters
+    ----------
+    reservation
+        The right to send, for a job that may not be repeated; ``None`` for a
+        repeatable one.
+    """
+
+    def __init__(
+        self,
+        ports: RelayPorts,
+        work: Work[_SelectionT],
+        reservation: Reservation | None,
+    ) -> None:
+        self.ports = ports
+        self.work = work
+        self.job = work.job
+        self.progress = work.progress
+        self.reservation = reservation
+        self.was_sent = False
+
+    async def async_run(self) -> None:
+        """Run the job to its whole answer.
+
+        Raises
+        ------
+        RequestError
+            The job was given up; its run state is true.
+        """
+        try:
+            while not await self._async_try():
+                pass
+        except RequestError as error:
+            # What an earlier attempt may have run outlasts a later refusal.
+            if self.progress.run_state is not RunState.NOT_RUN:
+                error.run_state = self.progress.run_state
+            raise
+        finally:
+            self._settle()
+
+    async def _async_try(self) -> bool:
+        """Make one attempt; return whether its answer was whole."""
+        attempt_id = new_id()
+        verdict = await self._async_permission(attempt_id)
+        isolated = isinstance(verdict, Isolate)
+        try:
+            selection = await self._async_select(verdict, attempt_id)
+        except RequestError:
+            await self._async_end(attempt_id, whole=False)
+            raise
+        try:
+            await self._async_attempt(selection, attempt_id)
+        except AttemptFailedError as failure:
+            await self._async_failed(selection, attempt_id, failure, isolated)
+            return False
+        except RequestError:
+            await self._async_end(attempt_id, whole=False)
+            raise
+        finally:
+            if isolated:
+                await self.ports.suspects.async_free_slot(
+                    selection.vm.vm_id, attempt_id
+                )
+        self.progress.run_state = RunState.RAN
+        self.ports.budget.succeeded(self.ports.clock.monotonic())
+        await self._async_end(attempt_id, whole=True)
+        return True
+
+    async def _async_permission(self, attempt_id: str) -> Verdict:
+        """Return a verdict under which an attempt may be made."""
+        for _ in range(UNPLACED_WAITS):
+            verdict = await self.ports.suspects.async_begin(
+                self.job.fingerprint, attempt_id
+            )
+            match verdict:
+                case Clear() | RunOn() | Isolate():
+                    return verdict
+                case Convicted(seconds_left=seconds):
+                    raise CrashSuspectError(
+                        "the request crashed the targets that ran it",
+                        retry_after=seconds,
+                    )
+                case Busy(retry_after=seconds):
+                    raise self._overloaded("the same request is being tried", seconds)
+                case Unplaced():
+                    await asyncio.sleep(UNPLACED_WAIT_SECONDS)
+        raise self._overloaded("the same request is being placed", 1.0)
+
+    async def _async_select(self, verdict: Verdict, attempt_id: str) -> _SelectionT:
+        constraints = Constraints(
+            excluded=self.progress.excluded,
+            weight_version=self.progress.weight_version,
+        )
+        match verdict:
+            case RunOn(target=target) if target not in self.progress.excluded:
+                constraints = Constraints(
+                    only=target, weight_version=self.progress.weight_version
+                )
+            case Isolate():
+                return await self._async_select_isolated(attempt_id)
+            case _:
+                pass
+        return await self.work.async_select(constraints)
+
+    async def _async_select_isolated(self, attempt_id: str) -> _SelectionT:
+        excluded = self.progress.excluded
+        for _ in range(SLOT_TRIES):
+            selection = await self.work.async_select(
+                Constraints(
+                    excluded=excluded,
+                    weight_version=self.progress.weight_version,
+                    isolated=True,
+                )
+            )
+            target = selection.vm.vm_id
+            if await self.ports.suspects.async_take_slot(target, attempt_id):
+                return selection
+            excluded |= {target}
+        raise self._overloaded("no target is free for a suspect", GIVE_UP_RETRY_SECONDS)
+
+    async def _async_attempt(self, selection: _SelectionT, attempt_id: str) -> None:
+        await self.ports.suspects.async_place(
+            self.job.fingerprint, attempt_id, _life_of(selection)
+        )
+        self._mark_sent()
+        self.progress.attempts += 1
+        self._record(
+            EventKind.REQUEST_RESUMED
+            if self.progress.tokens_out
+            else EventKind.REQUEST_SENT,
+            selection,
+            f"attempt {attempt_id}",
+        )
+        try:
+            await self.work.async_attempt(selection, attempt_id)
+        except asyncio.CancelledError:
+            self.progress.run_state = RunState.MAY_HAVE_RUN
+            self.work.abandon(selection, attempt_id)
+            await self._async_end(attempt_id, whole=False)
+            self._record(EventKind.REQUEST_CANCELLED, selection, "")
+            raise
+
+    def _mark_sent(self) -> None:
+        """Make the last check of a reservation and note the sending."""
+        if self.reservation is None:
+            return
+        now = self.ports.clock.monotonic()
+        if self.was_sent:
+            in_time = now < self.reservation.good_until
+        else:
+            in_time = may_send(self.reservation, now)
+        if not in_time:
+            raise ReservationUnavailableError(
+                "the reservation ran out before the request was sent",
+                retry_after=GIVE_UP_RETRY_SECONDS,
+            )
+        if not self.was_sent:
+            self.ports.once.sent(self.reservation)
+            self.was_sent = True
+
+    async def _async_failed(
+        self,
+        selection: Selection,
+        attempt_id: str,
+        failure: AttemptFailedError,
+        isolated: bool,
+    ) -> None:
+        """Report a failed attempt; raise when the job is given up."""
+        target = selection.vm.vm_id
+        kind = failure.kind
+        if kind is FailureKind.LOST and await self.ports.prober.async_crashed(
+            selection
+        ):
+            kind = FailureKind.CRASHED
+        _LOGGER.info("Attempt %s on %s %s: %s", attempt_id, target, kind, failure)
+        self._record(EventKind.TARGET_LOST, selection, f"{kind.value}: {failure}")
+        self.progress.run_state = run_state_after(kind, self.progress.run_state)
+        if kind is FailureKind.CRASHED:
+            await self.ports.suspects.async_crash(
+                self.job.fingerprint, attempt_id, _life_of(selection), isolated=isolated
+            )
+        else:
+            await self._async_end(attempt_id, whole=False)
+        now = self.ports.clock.monotonic()
+        step = next_step(
+            self.progress,
+            kind,
+            target,
+            repeatable=self.reservation is None,
+            budget_allows=self.ports.budget.take(now),
+            seconds_left=self.job.deadline_at - now,
+        )
+        match step:
+            case GiveUp(error=error):
+                raise error
+            case TryAgain(excluded=excluded):
+                self.progress.excluded = excluded
+
+    async def _async_end(self, attempt_id: str, *, whole: bool) -> None:
+        await self.ports.suspects.async_end(
+            self.job.fingerprint, attempt_id, whole=whole
+        )
+
+    def _settle(self) -> None:
+        """Record what became of the reservation; each is settled once."""
+        if self.reservation is None:
+            return
+        now = self.ports.clock.monotonic()
+        if self.was_sent:
+            outcome = Outcome(run_state=self.progress.run_state)
+            self.ports.once.ended(self.reservation, outcome, now)
+        else:
+            self.ports.once.abandoned(self.reservation, now)
+
+    def _overloaded(self, message: str, retry_after: float) -> OverloadedError:
+        return OverloadedError(message, retry_after=retry_after)
+
+    def _record(self, kind: EventKind, selection: Selection, detail: str) -> None:
+        placement = self.job.placement
+        self.ports.recorder.record(
+            Event(
+                kind=kind,
+                request_id=self.job.request_id,
+                customer=placement.customer.name,
+                service=placement.service,
+                target=selection.vm.vm_id,
+                version=placement.document.version,
+                detail=detail,
+            )
+        )
+
+
+def _life_of(selection: Selection) -> TargetLife:
+    return TargetLife(target=selection.vm.vm_id, incarnation=selection.incarnation)
--- /dev/null
+++ b/src/gypsumsail/relay/model_work.py
@@ -0,0 +1,149 @@
+"""Runs a model job on engines and forwards its tokens."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.entry.answers import AnswerSink
+from gypsumsail.entry.models import ModelJob
+from gypsumsail.platform.port import VmRecord
+from gypsumsail.relay.models import (
+    AttemptFailedError,
+    Constraints,
+    EngineSelection,
+    FailureKind,
+    Progress,
+)
+from gypsumsail.targets.port import (
+    AnswerEnd,
+    AnswerToken,
+    Engine,
+    EngineRequest,
+)
+
+
+class EngineSelector(Protocol):
+    """Chooses engines, and learns how the choices turned out."""
+
+    async def async_select(
+        self, job: ModelJob, constraints: Constraints
+    ) -> EngineSelection:
+        """Choose an engine; raises RequestError when there is none."""
+
+    def sent(self, job: ModelJob, selection: EngineSelection, attempt_id: str) -> None:
+        """Count a request in that is about to be sent."""
+
+    def first_token(self, selection: EngineSelection, attempt_id: str) -> None:
+        """Note that the first token came."""
+
+    def ended(
+        self,
+        job: ModelJob,
+        selection: EngineSelection,
+        attempt_id: str,
+        end: AnswerEnd | None,
+    ) -> None:
+        """Note the end of an attempt; ``end`` is ``None`` when it failed."""
+
+
+class ModelWork:
+    """One model job and what is out of its answer."""
+
+    def __init__(
+        self,
+        job: ModelJob,
+        sink: AnswerSink,
+        *,
+        selector: EngineSelector,
+        engine_of: Callable[[VmRecord], Engine],
+        cancel: Callable[[VmRecord, str], None],
+        clock: Clock,
+    ) -> None:
+        self.job = job
+        self.sink = sink
+        self.progress = Progress()
+        self.selector = selector
+        self.engine_of = engine_of
+        self.cancel = cancel
+        self.clock = clock
+
+    async def async_select(self, constraints: Constraints) -> EngineSelection:
+        """Choose an engine."""
+        return await self.selector.async_select(self.job, constraints)
+
+    async def async_attempt(self, selection: EngineSelection, attempt_id: str) -> None:
+        """Stream the rest of the answer from one engine to the caller."""
+        self.selector.sent(self.job, selection, attempt_id)
+        end: AnswerEnd | None = None
+        try:
+            end = await self._async_forward(selection, attempt_id)
+        except TransportError as error:
+            raise AttemptFailedError(str(error), kind=_kind_of(error)) from error
+        finally:
+            self.selector.ended(self.job, selection, attempt_id, end)
+        await self.sink.async_end(end)
+
+    def abandon(self, selection: EngineSelection, attempt_id: str) -> None:
+        """Cancel the work at the engine."""
+        self.cancel(selection.vm, attempt_id)
+
+    async def _async_forward(
+        self, selection: EngineSelection, attempt_id: str
+    ) -> AnswerEnd:
+        progress = self.progress
+        sink = self.sink
+        stream = self.engine_of(selection.vm).stream(
+            self._request(selection, attempt_id)
+        )
+        awaiting_first = True
+        async for batch in stream:
+            last = batch[-1]
+            end = last if isinstance(last, AnswerEnd) else None
+            tokens = [item for item in batch if isinstance(item, AnswerToken)]
+            if tokens:
+                if awaiting_first:
+                    self.selector.first_token(selection, attempt_id)
+                    awaiting_first = False
+                _check_order(tokens, progress)
+                progress.weight_version = selection.chain.weight_version
+                await sink.async_tokens(tokens)
+                progress.tokens_out += len(tokens)
+            if end is not None:
+                _check_end(end, selection, progress)
+                return end
+        raise TransportError("the stream ended without a finish reason", sent=True)
+
+    def _request(self, selection: EngineSelection, attempt_id: str) -> EngineRequest:
+        body = self.job.body
+        return EngineRequest(
+            attempt_id=attempt_id,
+            model=body.model,
+            adapter=body.adapter,
+            weight_version=selection.chain.weight_version,
+            prompt=body.prompt,
+            max_tokens=body.max_tokens,
+            cache_salt=selection.chain.salt,
+            priority=self.job.priority,
+            deadline=max(self.job.deadline_at - self.clock.monotonic(), 0.0),
+            first_token=self.progress.tokens_out,
+            kept=selection.kept,
+        )
+
+
+def _check_order(tokens: list[AnswerToken], progress: Progress) -> None:
+    if tokens[0].index != progress.tokens_out:
+        raise TransportError("the stream goes on at the wrong token", sent=True)
+
+
+def _check_end(end: AnswerEnd, selection: EngineSelection, progress: Progress) -> None:
+    if end.weight_version != selection.chain.weight_version:
+        raise TransportError("the answer is of another weight version", sent=True)
+    if end.answer_tokens != progress.tokens_out:
+        raise TransportError("the answer lacks tokens", sent=True)
+
+
+def _kind_of(error: TransportError) -> FailureKind:
+    return FailureKind.LOST if error.sent else FailureKind.NOT_SENT
--- /dev/null
+++ b/src/gypsumsail/relay/models.py
@@ -0,0 +1,121 @@
+"""Attempts at a job, how they fail and what comes next."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TypeAlias
+
+from gypsumsail.context.chain import Chain
+from gypsumsail.core.errors import GypsumsailError, RequestError, RunState
+from gypsumsail.platform.port import VmRecord
+from gypsumsail.routing.models import Expectation
+from gypsumsail.targets.port import KeptBlocks
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Constraints:
+    """What the choice of a target must keep to.
+
+    Attributes
+    ----------
+    excluded
+        Targets that failed this job.
+    only
+        The one target allowed; empty for any.
+    weight_version
+        The one version allowed, once tokens of it are out; empty for any.
+    isolated
+        Whether the job is a suspect and needs the idlest target.
+    """
+
+    excluded: frozenset[str] = frozenset()
+    only: str = ""
+    weight_version: str = ""
+    isolated: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Selection:
+    """The target of one attempt.
+
+    Attributes
+    ----------
+    incarnation
+        The target's incarnation as last read from itself, which is newer than
+        the platform's list.
+    """
+
+    vm: VmRecord
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineSelection(Selection):
+    """The engine of one attempt and what was expected of it.
+
+    Attributes
+    ----------
+    tokens_ahead
+        Prompt tokens that were believed to be computed before.
+    """
+
+    chain: Chain
+    kept: KeptBlocks | None
+    expected: Expectation
+    tokens_ahead: float
+
+
+class FailureKind(StrEnum):
+    """What is known of a failed attempt."""
+
+    NOT_SENT = "not sent"
+    REFUSED = "refused"
+    LOST = "lost"
+    CRASHED = "crashed"
+
+
+class AttemptFailedError(GypsumsailError):
+    """An attempt ended without the whole answer."""
+
+    code = "attempt_failed"
+
+    def __init__(self, message: str, *, kind: FailureKind) -> None:
+        super().__init__(message)
+        self.kind = kind
+
+
+@dataclass(slots=True, kw_only=True)
+class Progress:
+    """How far a job has come over all its attempts.
+
+    Attributes
+    ----------
+    tokens_out
+        Answer tokens that the caller was sent.
+    weight_version
+        Version that computed them; empty while there are none.
+    """
+
+    attempts: int = 0
+    tokens_out: int = 0
+    weight_version: str = ""
+    run_state: RunState = RunState.NOT_RUN
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TryAgain:
+    """Another attempt may be made."""
+
+    excluded: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GiveUp:
+    """The job ends with an error."""
+
+    error: RequestError
+
+
+NextStep: TypeAlias = TryAgain | GiveUp
--- /dev/null
+++ b/src/gypsumsail/relay/plain_work.py
@@ -0,0 +1,79 @@
+"""Runs a job on a plain service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.entry.models import PlainJob
+from gypsumsail.platform.port import VmRecord
+from gypsumsail.relay.models import (
+    AttemptFailedError,
+    Constraints,
+    FailureKind,
+    Progress,
+    Selection,
+)
+from gypsumsail.targets.port import PlainAnswer, PlainRequest, PlainService
+
+
+class PlainSelector(Protocol):
+    """Chooses plain targets and counts what is under way on each."""
+
+    def select(self, job: PlainJob, constraints: Constraints) -> Selection:
+        """Choose a target; raises RequestError when there is none."""
+
+    def sent(self, selection: Selection) -> None:
+        """Count a call in."""
+
+    def ended(self, selection: Selection) -> None:
+        """Count a call out."""
+
+
+class PlainWork:
+    """One plain job and its whole answer."""
+
+    def __init__(
+        self,
+        job: PlainJob,
+        *,
+        selector: PlainSelector,
+        service_of: Callable[[VmRecord], PlainService],
+        clock: Clock,
+    ) -> None:
+        self.job = job
+        self.progress = Progress()
+        self.selector = selector
+        self.service_of = service_of
+        self.clock = clock
+        self.answer: PlainAnswer | None = None
+
+    async def async_select(self, constraints: Constraints) -> Selection:
+        """Choose a target."""
+        return self.selector.select(self.job, constraints)
+
+    async def async_attempt(self, selection: Selection, attempt_id: str) -> None:
+        """Make one call and keep its answer."""
+        head = self.job.head
+        request = PlainRequest(
+            attempt_id=attempt_id,
+            method=head.method,
+            path=head.path,
+            query=head.query,
+            content_type=head.content_type,
+            body=self.job.body,
+            deadline=max(self.job.deadline_at - self.clock.monotonic(), 0.0),
+        )
+        self.selector.sent(selection)
+        try:
+            self.answer = await self.service_of(selection.vm).async_call(request)
+        except TransportError as error:
+            kind = FailureKind.LOST if error.sent else FailureKind.NOT_SENT
+            raise AttemptFailedError(str(error), kind=kind) from error
+        finally:
+            self.selector.ended(selection)
+
+    def abandon(self, selection: Selection, attempt_id: str) -> None:
+        """Do nothing: a plain service has no way to cancel a call."""
--- a/src/gypsumsail/suspects/models.py
+++ b/src/gypsumsail/suspects/models.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import TypeAlias
 
+from gypsumsail.peers.codec import message
 from gypsumsail.peers.port import Message
 
 
@@ -62,6 +63,7 @@
     incarnation: str
 
 
+@message("suspects.begin")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BeginAttempt(Message):
     """Asks the fingerprint's owner whether an attempt may start."""
@@ -70,6 +72,7 @@
     attempt_id: str
 
 
+@message("suspects.place")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlaceAttempt(Message):
     """Tells the owner where an attempt runs."""
@@ -80,6 +83,7 @@
     incarnation: str
 
 
+@message("suspects.end")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EndAttempt(Message):
     """Tells the owner that an attempt ended without a crash of its target.
@@ -95,6 +99,7 @@
     whole: bool
 
 
+@message("suspects.crash")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReportCrash(Message):
     """Tells the owner that a target crashed under an attempt."""
@@ -117,6 +122,7 @@
     CONVICTED = "convicted"
 
 
+@message("suspects.verdict")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VerdictAnswer(Message):
     """Answer to `BeginAttempt` and `ReportCrash`.
@@ -134,6 +140,7 @@
     seconds: float = 0.0
 
 
+@message("suspects.take_slot")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TakeSlot(Message):
     """Asks the target's owner for the target's one place for a suspect."""
@@ -142,6 +149,7 @@
     attempt_id: str
 
 
+@message("suspects.slot")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SlotAnswer(Message):
     """Whether the place was given."""
@@ -149,6 +157,7 @@
     given: bool
 
 
+@message("suspects.free_slot")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FreeSlot(Message):
     """Gives the place for a suspect back."""
@@ -157,6 +166,7 @@
     attempt_id: str
 
 
+@message("suspects.explain")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ExplainCrash(Message):
     """Tells all that a crash is explained by a convicted request."""
--- /dev/null
+++ b/tests/entry/test_acceptance.py
@@ -0,0 +1,129 @@
+"""Tests of what happens to a call before anything is sent."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from gypsumsail.core.errors import (
+    InvalidRequestError,
+    RequestError,
+    RunState,
+    UnauthorizedError,
+    UnknownServiceError,
+)
+from gypsumsail.document.models import Route, ServiceKind
+from gypsumsail.entry.acceptance import Acceptance
+from gypsumsail.entry.head import read_head
+from gypsumsail.entry.models import Job, ModelJob, PlainJob
+from tests.common import make_customer, make_document
+
+COMPLETION = {"model": "dossier", "prompt": "Vol AF 1234 annulé", "max_tokens": 8}
+
+
+def make_scope(
+    path: str = "/v1/completions", *, key: str = "key-1", **headers: str
+) -> dict[str, Any]:
+    pairs = [(b"authorization", f"Bearer {key}".encode())]
+    pairs += [
+        (name.replace("_", "-").encode(), value.encode())
+        for name, value in headers.items()
+    ]
+    return {
+        "method": "POST",
+        "path": path,
+        "raw_path": path.encode(),
+        "query_string": b"",
+        "headers": pairs,
+    }
+
+
+def make_acceptance() -> Acceptance:
+    other = make_customer("other", "key-2")
+    documents = [
+        make_document(customers=(make_customer(), other)),
+        make_document(
+            "certificates",
+            kind=ServiceKind.PLAIN,
+            routes=(
+                Route(path="/certificates", repeatable=False),
+                Route(path="/certificates/list", repeatable=True),
+            ),
+        ),
+    ]
+    acceptance = Acceptance(lambda: documents)
+    acceptance.refresh()
+    return acceptance
+
+
+def accept(scope: dict[str, Any], body: bytes) -> Job:
+    acceptance = make_acceptance()
+    head = read_head(scope)
+    return acceptance.accept("r1", head, acceptance.placements(head), body, 100.0)
+
+
+def accept_completion(scope: dict[str, Any]) -> Job:
+    return accept(scope, json.dumps(COMPLETION).encode())
+
+
+def test_a_completion_goes_to_the_service_that_has_the_model() -> None:
+    job = accept_completion(make_scope(x_deadline="5"))
+    assert isinstance(job, ModelJob)
+    assert job.placement.service == "claims"
+    assert job.deadline_at == 105.0
+
+
+def test_a_customer_cannot_raise_its_priority_above_the_document() -> None:
+    assert accept_completion(make_scope(x_priority="0")).priority == 3
+
+
+def test_the_longest_path_decides_whether_a_call_may_be_repeated() -> None:
+    create = accept(make_scope("/certificates/new"), b"{}")
+    listing = accept(make_scope("/certificates/list/2026"), b"")
+    assert isinstance(create, PlainJob)
+    assert not create.placement.route.repeatable
+    assert listing.placement.route.repeatable
+
+
+def test_a_path_that_only_begins_alike_is_another_path() -> None:
+    with pytest.raises(UnknownServiceError):
+        accept(make_scope("/certificatesx"), b"")
+
+
+def test_the_same_prompt_of_two_customers_has_two_fingerprints() -> None:
+    first = accept_completion(make_scope())
+    second = accept_completion(make_scope(key="key-2"))
+    assert first.fingerprint != second.fingerprint
+
+
+@pytest.mark.parametrize(
+    ("scope", "body", "error"),
+    [
+        (make_scope(key="wrong"), b"{}", UnauthorizedError),
+        (make_scope(key=""), b"{}", UnauthorizedError),
+        (make_scope("/nowhere"), b"{}", UnknownServiceError),
+        (make_scope("/certificates/%2e%2e/x"), b"", InvalidRequestError),
+        (make_scope(x_priority="10"), b"", InvalidRequestError),
+        (make_scope(x_deadline="nan"), b"", InvalidRequestError),
+        (make_scope(idempotency_key="k" * 201), b"", InvalidRequestError),
+        (make_scope(), b"not json", InvalidRequestError),
+        (make_scope(), b'{"model": "dossier"}', InvalidRequestError),
+        (make_scope(), b'{"model":"dossier","prompt":"\\ud800"}', InvalidRequestError),
+        (make_scope(), b'{"model":"x","prompt":"a"}', UnknownServiceError),
+    ],
+)
+def test_a_bad_call_is_refused_and_was_not_run(
+    scope: dict[str, Any], body: bytes, error: type[RequestError]
+) -> None:
+    with pytest.raises(error) as caught:
+        accept(scope, body)
+    assert caught.value.run_state is RunState.NOT_RUN
+
+
+def test_all_findings_of_a_body_are_reported_together() -> None:
+    with pytest.raises(InvalidRequestError) as caught:
+        accept(make_scope(), b'{"prompt": "", "max_tokens": 0}')
+    message = str(caught.value)
+    assert all(place in message for place in ("model:", "prompt:", "max_tokens:"))
--- /dev/null
+++ b/tests/relay/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of relay."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/relay/common.py
@@ -0,0 +1,347 @@
+"""Builders and doubles for tests of the relay."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import cast
+
+from gypsumsail.context.chain import make_chain
+from gypsumsail.core.errors import NoTargetError, TransportError
+from gypsumsail.document.models import Route
+from gypsumsail.entry.models import CallHead, CompletionBody, ModelJob, Placement
+from gypsumsail.once.models import OnceRequest, Outcome, Reservation
+from gypsumsail.platform.port import VmRecord, VmRole, VmState
+from gypsumsail.relay.attempts import RelayPorts
+from gypsumsail.relay.model_work import ModelWork
+from gypsumsail.relay.models import Constraints, EngineSelection, Selection
+from gypsumsail.routing.models import Expectation
+from gypsumsail.suspects.models import TargetLife, Verdict
+from gypsumsail.suspects.table import SlotTable, SuspectTable
+from gypsumsail.targets.port import (
+    AnswerEnd,
+    AnswerToken,
+    Engine,
+    EngineRequest,
+    FinishReason,
+)
+from tests.common import EventLog, ManualClock, make_document
+
+ANSWER = ("Oui", ",", " le", " vol", " est", " éligible", ".")
+
+
+def make_vm(name: str) -> VmRecord:
+    """Return an engine's VM."""
+    return VmRecord(
+        vm_id=name,
+        incarnation="1",
+        zone="brest-hall",
+        role=VmRole.ENGINE,
+        service="claims",
+        state=VmState.LIVE,
+        url="http://127.0.0.1:1",
+    )
+
+
+def make_job(*, repeatable: bool = True) -> ModelJob:
+    """Return a model job."""
+    route = Route(path="/v1/completions", repeatable=repeatable)
+    document = make_document(routes=(route,))
+    return ModelJob(
+        request_id="request-1",
+        head=CallHead(
+            method="POST",
+            path="/v1/completions",
+            query="",
+            content_type="application/json",
+            api_key="key-1",
+            idempotency_key="",
+            priority=None,
+            deadline=None,
+        ),
+        placement=Placement(
+            document=document, route=route, customer=document.document.customers[0]
+        ),
+        priority=5,
+        accepted_at=1_000.0,
+        deadline_at=1_030.0,
+        fingerprint="fingerprint",
+        body_digest=b"digest",
+        model=document.document.models[0],
+        body=CompletionBody(model="dossier", prompt="Vol AF 1234", stream=True),
+    )
+
+
+def make_selection(name: str) -> EngineSelection:
+    """Return the selection of an engine."""
+    chain = make_chain(
+        "Vol AF 1234",
+        service="claims",
+        customer="bretagne-vols",
+        model="dossier",
+        adapter="",
+        weight_version="w1",
+    )
+    return EngineSelection(
+        vm=make_vm(name),
+        incarnation="1",
+        chain=chain,
+        kept=None,
+        expected=Expectation(
+            first_token=0.1,
+            whole_answer=0.2,
+            computed_tokens=3,
+            imported_tokens=0,
+            link_bytes=0,
+        ),
+        tokens_ahead=0.0,
+    )
+
+
+@dataclass
+class ScriptedEngine:
+    """An engine whose answer breaks where the test says.
+
+    Attributes
+    ----------
+    fail_after
+        Tokens after which the stream breaks; ``None`` for a whole answer.
+    sent
+        What the error says of the request having left.
+    skip
+        Tokens that the engine leaves out at the start.
+    """
+
+    fail_after: int | None = None
+    sent: bool = True
+    skip: int = 0
+    crashes: bool = False
+    requests: list[EngineRequest] = field(default_factory=list)
+
+    async def stream(
+        self, request: EngineRequest
+    ) -> AsyncIterator[tuple[AnswerToken | AnswerEnd, ...]]:
+        """Yield the rest of the answer."""
+        self.requests.append(request)
+        if self.fail_after == 0:
+            raise TransportError("broken", sent=self.sent)
+        start = request.first_token + self.skip
+        for count, index in enumerate(range(start, len(ANSWER)), start=1):
+            yield (AnswerToken(index=index, text=ANSWER[index]),)
+            if count == self.fail_after:
+                raise TransportError("broken", sent=True)
+        yield (
+            AnswerEnd(
+                finish_reason=FinishReason.STOP,
+                weight_version="w1",
+                prompt_tokens=3,
+                cached_tokens=0,
+                imported_tokens=0,
+                answer_tokens=len(ANSWER),
+            ),
+        )
+
+
+class ScriptedSelector:
+    """Takes the engines in order and skips excluded ones."""
+
+    def __init__(self, engines: dict[str, ScriptedEngine]) -> None:
+        self.engines = engines
+        self.asked: list[Constraints] = []
+
+    async def async_select(
+        self, job: ModelJob, constraints: Constraints
+    ) -> EngineSelection:
+        """Return the first engine that the constraints allow."""
+        self.asked.append(constraints)
+        for name in self.engines:
+            if name not in constraints.excluded:
+                return make_selection(name)
+        raise NoTargetError("none left")
+
+    def sent(self, job: ModelJob, selection: EngineSelection, attempt_id: str) -> None:
+        """Do nothing."""
+
+    def first_token(self, selection: EngineSelection, attempt_id: str) -> None:
+        """Do nothing."""
+
+    def ended(
+        self,
+        job: ModelJob,
+        selection: EngineSelection,
+        attempt_id: str,
+        end: AnswerEnd | None,
+    ) -> None:
+        """Do nothing."""
+
+
+class TokenSink:
+    """Keeps what a caller would get."""
+
+    def __init__(self) -> None:
+        self.started = False
+        self.parts: list[str] = []
+        self.end: AnswerEnd | None = None
+
+    async def async_tokens(self, tokens: list[AnswerToken]) -> None:
+        """Keep the tokens."""
+        self.parts += [token.text for token in tokens]
+
+    async def async_end(self, end: AnswerEnd) -> None:
+        """Keep the end."""
+        self.end = end
+
+
+class BlockedSink(TokenSink):
+    """A caller that stops reading.
+
+    Attributes
+    ----------
+    reached
+        Set when the first tokens wait for the caller.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reached = asyncio.Event()
+
+    async def async_tokens(self, tokens: list[AnswerToken]) -> None:
+        """Wait for ever."""
+        self.reached.set()
+        await asyncio.Event().wait()
+
+
+class LocalSuspects:
+    """Verdicts of one entry's own tables."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.table = SuspectTable()
+        self.slots = SlotTable()
+
+    async def async_begin(self, fingerprint: str, attempt_id: str) -> Verdict:
+        """Ask the table."""
+        return self.table.begin(fingerprint, attempt_id, "entry/1", self.clock.now)
+
+    async def async_place(
+        self, fingerprint: str, attempt_id: str, life: TargetLife
+    ) -> None:
+        """Tell the table."""
+        self.table.place(fingerprint, attempt_id, life)
+
+    async def async_end(
+        self, fingerprint: str, attempt_id: str, *, whole: bool
+    ) -> None:
+        """Tell the table."""
+        self.table.end(fingerprint, attempt_id, whole=whole)
+
+    async def async_crash(
+        self, fingerprint: str, attempt_id: str, life: TargetLife, *, isolated: bool
+    ) -> Verdict:
+        """Tell the table."""
+        return self.table.crash(
+            fingerprint, attempt_id, life, isolated=isolated, now=self.clock.now
+        )
+
+    async def async_take_slot(self, target: str, attempt_id: str) -> bool:
+        """Ask the slots."""
+        return self.slots.take(target, attempt_id, self.clock.now)
+
+    async def async_free_slot(self, target: str, attempt_id: str) -> None:
+        """Tell the slots."""
+        self.slots.free(target, attempt_id)
+
+
+class OnceLog:
+    """Keeps what became of reservations."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+
+    def sent(self, reservation: Reservation) -> None:
+        """Keep the call."""
+        self.calls.append("sent")
+
+    def ended(self, reservation: Reservation, outcome: Outcome, now: float) -> None:
+        """Keep the outcome."""
+        self.calls.append(f"ended: {outcome.run_state.value}")
+
+    def abandoned(self, reservation: Reservation, now: float) -> None:
+        """Keep the call."""
+        self.calls.append("abandoned")
+
+
+class OpenBudget:
+    """A retry budget without a bound."""
+
+    def take(self, now: float) -> bool:
+        """Allow every retry."""
+        return True
+
+    def succeeded(self, now: float) -> None:
+        """Do nothing."""
+
+
+class ScriptedProber:
+    """Says which engines crashed."""
+
+    def __init__(self, engines: dict[str, ScriptedEngine]) -> None:
+        self.engines = engines
+
+    async def async_crashed(self, selection: Selection) -> bool:
+        """Return what the test set."""
+        return self.engines[selection.vm.vm_id].crashes
+
+
+@dataclass
+class Bench:
+    """Everything that an attempt loop goes through."""
+
+    engines: dict[str, ScriptedEngine]
+    clock: ManualClock = field(default_factory=ManualClock)
+    once: OnceLog = field(default_factory=OnceLog)
+    log: EventLog = field(default_factory=EventLog)
+    sink: TokenSink = field(default_factory=TokenSink)
+    cancelled: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Make the parts that need others."""
+        self.suspects = LocalSuspects(self.clock)
+        self.selector = ScriptedSelector(self.engines)
+
+    def ports(self) -> RelayPorts:
+        """Return the ports of the loop."""
+        return RelayPorts(
+            suspects=self.suspects,
+            once=self.once,
+            budget=OpenBudget(),
+            prober=ScriptedProber(self.engines),
+            recorder=self.log,
+            clock=self.clock,
+        )
+
+    def work(self, job: ModelJob) -> ModelWork:
+        """Return the work of a job."""
+
+        def engine_of(vm: VmRecord) -> Engine:
+            return cast(Engine, self.engines[vm.vm_id])
+
+        return ModelWork(
+            job,
+            self.sink,
+            selector=self.selector,
+            engine_of=engine_of,
+            cancel=lambda vm, _: self.cancelled.append(vm.vm_id),
+            clock=self.clock,
+        )
+
+
+def make_reservation(clock: ManualClock) -> Reservation:
+    """Return a reservation that is good for five seconds."""
+    request = OnceRequest(
+        customer="bretagne-vols", service="claims", key="k", body_digest=b"digest"
+    )
+    return Reservation(
+        request=request, attempt_id="attempt", good_until=clock.now + 5.0
+    )
