--- a/src/gypsumsail/relay/next_step.py
+++ b/src/gypsumsail/relay/next_step.py
@@ -1,35 +1,81 @@
-"""Takes keys and long texts out of log messages."""
+"""Decides what follows a failed attempt."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-import re
-from typing import Final
+from gypsumsail.core.errors import (
+    DeadlineError,
+    NoTargetError,
+    RequestError,
+    RunState,
+    TargetLostError,
+)
+from gypsumsail.relay.const import GIVE_UP_RETRY_SECONDS, MAX_ATTEMPTS
+from gypsumsail.relay.models import (
+    FailureKind,
+    GiveUp,
+    NextStep,
+    Progress,
+    TryAgain,
+)
 
-REDACTED: Final = "[redacted]"
 
-_BEARER: Final = re.compile(r"(?i)(bearer\s+)\S+")
-_FIELD: Final = re.compile(
-    r"""(?ix)
-    (["']?\b(?:prompt|text|messages|content|api[_-]?key|authorization|secret|
-    operator[_-]?key|peer[_-]?secret)\b["']?\s*[:=]\s*)
-    ("(?:[^"\\]|\\.)*"?|'(?:[^'\\]|\\.)*'?|(?!bearer\b)[^\s,}]+)
-    """
-)
+def run_state_after(kind: FailureKind, before: RunState) -> RunState:
+    """Return what is known of the run after one more failed attempt."""
+    match kind:
+        case FailureKind.NOT_SENT | FailureKind.REFUSED:
+            return before
+        case FailureKind.LOST | FailureKind.CRASHED:
+            return RunState.MAY_HAVE_RUN
 
 
-class Redactor:
-    """Replaces known secrets and what stands where prompts and keys stand.
+def next_step(
+    progress: Progress,
+    kind: FailureKind,
+    target: str,
+    *,
+    repeatable: bool,
+    budget_allows: bool,
+    seconds_left: float,
+) -> NextStep:
+    """Return whether to try again.
 
-    It is the second line: no call passes prompt text or keys to a logger.
+    Parameters
+    ----------
+    progress
+        The job's progress, the failed attempt already counted in.
+    budget_allows
+        Whether the retry budget has room; an attempt that certainly wasn't run
+        needs it too, since retries must not amplify an outage.
     """
+    if progress.run_state is not RunState.NOT_RUN and not repeatable:
+        return GiveUp(error=_lost(progress))
+    if seconds_left <= 0:
+        return GiveUp(
+            error=DeadlineError("the deadline passed", run_state=progress.run_state)
+        )
+    if progress.attempts >= MAX_ATTEMPTS or not budget_allows:
+        return GiveUp(error=_out_of_tries(progress))
+    match kind:
+        case FailureKind.LOST:
+            return TryAgain(excluded=progress.excluded)
+        case FailureKind.NOT_SENT | FailureKind.REFUSED | FailureKind.CRASHED:
+            return TryAgain(excluded=progress.excluded | {target})
+
+
+def _lost(progress: Progress) -> RequestError:
+    return TargetLostError(
+        "the target was lost before its answer was whole",
+        run_state=progress.run_state,
+    )
 
-    def __init__(self, secrets: Iterable[str] = ()) -> None:
-        self.secrets = tuple(secret for secret in secrets if secret)
 
-    def clean(self, message: str) -> str:
-        """Return the message without secrets."""
-        for secret in self.secrets:
-            message = message.replace(secret, REDACTED)
-        message = _BEARER.sub(rf"\1{REDACTED}", message)
-        return _FIELD.sub(rf"\1{REDACTED}", message)
+def _out_of_tries(progress: Progress) -> RequestError:
+    if progress.run_state is RunState.NOT_RUN:
+        return NoTargetError(
+            "no target took the request", retry_after=GIVE_UP_RETRY_SECONDS
+        )
+    return TargetLostError(
+        "targets were lost before the answer was whole",
+        run_state=progress.run_state,
+        retry_after=GIVE_UP_RETRY_SECONDS,
+    )
