Bring documents into force through one gate, and write them safely

Cause: an accepted document must be in force everywhere within 7 s and never revert. Ruled out: a watch on every entry, order by time, unconditional writes, pushing without comparing. Conclusion: DocumentsCoordinator and async_apply are usable; the version expected by async_apply is the one in force, the floor the highest read back.

--- /dev/null
+++ b/src/gypsumsail/documents/apply.py
@@ -0,0 +1,209 @@
+"""Writes a document to the platform for an operator, losing nobody's work."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+import difflib
+from typing import ClassVar
+
+from gypsumsail.core.errors import GypsumsailError, TransportError
+from gypsumsail.documents.codec import (
+    StoredValueError,
+    decode_stored,
+    document_key,
+    encode_stored,
+)
+from gypsumsail.documents.const import APPLY_RETRY_SECONDS, APPLY_TRIES
+from gypsumsail.documents.models import StoredDocument
+from gypsumsail.platform.port import (
+    MUST_NOT_EXIST,
+    ConflictError,
+    ObjectApi,
+    PlatformObject,
+)
+
+
+class ApplyUnknownError(GypsumsailError):
+    """The platform went away; the write may have taken effect or may still."""
+
+    code: ClassVar[str] = "apply_unknown"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Applied:
+    """The document is written and comes into force with this version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConflictFound:
+    """Somebody else changed the document; nothing of theirs was overwritten.
+
+    Attributes
+    ----------
+    version
+        Version that the platform has; 0 when there is none.
+    text
+        Text that the platform has.
+    difference
+        Unified difference from that text to the operator's own.
+    may_have_been_applied
+        Whether the operator's text may have been in force in between.
+    """
+
+    version: int
+    text: str
+    difference: str
+    may_have_been_applied: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlannedWrite:
+    """A conditional write; safe to repeat."""
+
+    value: bytes
+    if_version: int
+    version: int
+
+
+async def async_apply(
+    api: ObjectApi,
+    service: str,
+    text: str,
+    *,
+    expected_version: int | None,
+    floor: int,
+) -> Applied | ConflictFound:
+    """Write a document that was checked before.
+
+    Parameters
+    ----------
+    expected_version
+        Version that the operator's edit started from; ``None`` for a first one.
+    floor
+        Highest version in force on any entry, as read back.
+
+    Raises
+    ------
+    TransportError
+        The platform could not be read; nothing was written.
+    ApplyUnknownError
+        The platform went away in the middle.
+    """
+    key = document_key(service)
+    before = await _async_read(api, key)
+    plan = plan_write(before, text, expected_version=expected_version, floor=floor)
+    if isinstance(plan, ConflictFound):
+        return plan
+    lost_answer = False
+    for _ in range(APPLY_TRIES):
+        try:
+            await api.async_put(key, plan.value, if_version=plan.if_version)
+            return Applied(version=plan.version)
+        except ConflictError:
+            pass
+        except TransportError as error:
+            lost_answer = lost_answer or error.sent
+        await asyncio.sleep(APPLY_RETRY_SECONDS)
+        try:
+            now_there = await _async_read(api, key)
+        except TransportError as error:
+            raise ApplyUnknownError(f"the platform went away: {error}") from error
+        if now_there != before:
+            return _outcome(now_there, plan, text, lost_answer=lost_answer)
+    raise ApplyUnknownError("the platform takes no writes")
+
+
+def plan_write(
+    current: PlatformObject | None,
+    text: str,
+    *,
+    expected_version: int | None,
+    floor: int,
+) -> PlannedWrite | ConflictFound:
+    """Decide on the write; its version is above all others."""
+    if current is None or current.value is None:
+        return _plan_creation(text, expected_version=expected_version, floor=floor)
+    try:
+        stored = decode_stored(current.value)
+    except StoredValueError:
+        stored = None
+    found = floor if stored is None else stored.base + current.version
+    if found != (expected_version or 0):
+        return _conflict(current, text)
+    base = max(0 if stored is None else stored.base, floor - current.version)
+    return _plan(text, base=base, if_version=current.version)
+
+
+def _plan_creation(
+    text: str, *, expected_version: int | None, floor: int
+) -> PlannedWrite | ConflictFound:
+    if (expected_version or 0) != floor:
+        return ConflictFound(version=0, text="", difference=_difference("", text))
+    return _plan(text, base=floor, if_version=MUST_NOT_EXIST)
+
+
+def _plan(text: str, *, base: int, if_version: int) -> PlannedWrite:
+    return PlannedWrite(
+        value=encode_stored(StoredDocument(base=base, text=text)),
+        if_version=if_version,
+        version=base + if_version + 1,
+    )
+
+
+def _outcome(
+    found: PlatformObject | None,
+    plan: PlannedWrite,
+    text: str,
+    *,
+    lost_answer: bool,
+) -> Applied | ConflictFound:
+    """Decide what became of a write whose answer did not say so."""
+    written = found is not None and found.version == plan.if_version + 1
+    if found is not None and written and found.value == plan.value:
+        return Applied(version=plan.version)
+    return _conflict(found, text, may_have_been_applied=lost_answer)
+
+
+def _conflict(
+    found: PlatformObject | None, text: str, *, may_have_been_applied: bool = False
+) -> ConflictFound:
+    version, there = _readable(found)
+    return ConflictFound(
+        version=version,
+        text=there,
+        difference=_difference(there, text),
+        may_have_been_applied=may_have_been_applied,
+    )
+
+
+def _readable(found: PlatformObject | None) -> tuple[int, str]:
+    if found is None or found.value is None:
+        return 0, ""
+    try:
+        stored = decode_stored(found.value)
+    except StoredValueError:
+        return found.version, found.value.decode(errors="replace")
+    return stored.base + found.version, stored.text
+
+
+def _difference(there: str, own: str) -> str:
+    lines = difflib.unified_diff(
+        there.splitlines(),
+        own.splitlines(),
+        fromfile="on the platform",
+        tofile="yours",
+        lineterm="",
+    )
+    return "\n".join(lines)
+
+
+async def _async_read(api: ObjectApi, key: str) -> PlatformObject | None:
+    for _ in range(APPLY_TRIES - 1):
+        try:
+            return await api.async_get(key)
+        except TransportError:
+            await asyncio.sleep(APPLY_RETRY_SECONDS)
+    return await api.async_get(key)
--- /dev/null
+++ b/src/gypsumsail/documents/const.py
@@ -0,0 +1,30 @@
+"""Constants of the documents in force."""
+
+from __future__ import annotations
+
+from typing import Final
+
+DOCUMENT_PREFIX: Final = "documents/"
+
+WATCH_WAIT_SECONDS: Final = 10.0
+WATCH_TIMEOUT_SECONDS: Final = 15.0
+EMPTY_WATCH_SECONDS: Final = 0.1
+LIST_INTERVAL_SECONDS: Final = 5.0
+LIST_TIMEOUT_SECONDS: Final = 4.0
+RETRY_SECONDS: Final = 1.0
+DUTY_CHECK_SECONDS: Final = 0.5
+
+COMPARE_INTERVAL_SECONDS: Final = 1.0
+COMPARE_TIMEOUT_SECONDS: Final = 2.0
+COMPARE_TRIES: Final = 3
+COPIES_BYTES: Final = 2 * 1024 * 1024
+DIGEST_BYTES: Final = 8
+
+READ_BACK_AT_ONCE: Final = 16
+
+LAG_LIMIT_SECONDS: Final = 7.0
+LAG_STUCK_SECONDS: Final = 3.0
+UNCONFIRMED_LIMIT_SECONDS: Final = 15.0
+
+APPLY_TRIES: Final = 5
+APPLY_RETRY_SECONDS: Final = 0.2
--- /dev/null
+++ b/src/gypsumsail/documents/coordinator.py
@@ -0,0 +1,250 @@
+"""Keeps the documents in force on one entry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.document.models import DocumentInForce
+from gypsumsail.documents.codec import StoredValueError, decode_stored, service_of
+from gypsumsail.documents.const import COMPARE_INTERVAL_SECONDS
+from gypsumsail.documents.gate import (
+    Accepted,
+    DocumentGate,
+    Gated,
+    Parse,
+    Rejected,
+    Repeated,
+    Verdict,
+)
+from gypsumsail.documents.lag import LagMonitor
+from gypsumsail.documents.messages import AskReport, Reported
+from gypsumsail.documents.models import (
+    Candidate,
+    DocumentLag,
+    EntryReport,
+    LagAlarm,
+    ReadBack,
+    Rejection,
+    Source,
+)
+from gypsumsail.documents.readback import async_read_back, report
+from gypsumsail.documents.sync import DocumentExchange
+from gypsumsail.documents.watching import PlatformWatcher
+from gypsumsail.membership.coordinator import MembershipCoordinator
+from gypsumsail.peers.port import EntryId, PeerNetwork
+from gypsumsail.platform.port import ObjectApi, PlatformObject
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.port import Recorder
+
+_LOGGER = logging.getLogger(__name__)
+
+DELETED_FINDING = "the object was deleted; the last good document stays in force"
+
+Listener = Callable[[DocumentInForce], None]
+
+
+class DocumentsCoordinator:
+    """The documents in force, as this entry knows them."""
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        network: PeerNetwork,
+        membership: MembershipCoordinator,
+        recorder: Recorder,
+        clock: Clock,
+        *,
+        parse: Parse,
+        rng: random.Random,
+    ) -> None:
+        self.network = network
+        self.membership = membership
+        self.recorder = recorder
+        self.clock = clock
+        self.rng = rng
+        self.gate = DocumentGate(parse)
+        self.lag = LagMonitor()
+        self.listeners: list[Listener] = []
+        self.round_number = 0
+        self.exchange = DocumentExchange(
+            self.gate, self.lag, network, clock, self.offer
+        )
+        self.watcher = PlatformWatcher(
+            api,
+            clock=clock,
+            rng=rng,
+            on_duty=membership.is_relay,
+            take=self.take_object,
+            confirm=self.lag.confirm,
+        )
+        self._task: asyncio.Task[None] | None = None
+        self._unsubscribe: list[Callable[[], None]] = []
+
+    async def async_setup(self) -> None:
+        """Follow the platform or the entries that do."""
+        self._unsubscribe = [
+            self.network.subscribe(AskReport, self._async_report),
+            *self.exchange.setup(),
+        ]
+        await self.watcher.async_setup()
+        self._task = asyncio.create_task(self._async_exchange())
+
+    async def async_unload(self) -> None:
+        """Stop following."""
+        await self.watcher.async_unload()
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        for unsubscribe in self._unsubscribe:
+            unsubscribe()
+
+    @callback
+    def subscribe(self, listener: Listener) -> Callable[[], None]:
+        """Report each document that comes into force; return what ends it."""
+        self.listeners.append(listener)
+        return lambda: self.listeners.remove(listener)
+
+    @property
+    def known(self) -> bool:
+        """Whether the documents were compared with the platform or with a peer."""
+        return self.lag.confirmed_at is not None or bool(self.gate.in_force)
+
+    @callback
+    def in_force(self, service: str) -> DocumentInForce | None:
+        """Return the document of a service."""
+        return self.gate.in_force.get(service)
+
+    @callback
+    def all_in_force(self) -> tuple[DocumentInForce, ...]:
+        """Return all documents, by service."""
+        return tuple(known for _, known in sorted(self.gate.in_force.items()))
+
+    @callback
+    def lags(self, now: float) -> tuple[DocumentLag, ...]:
+        """Return how far each service is behind."""
+        return self.lag.lags(now)
+
+    @callback
+    def alarms(self, now: float) -> tuple[LagAlarm, ...]:
+        """Return the lags that need attention."""
+        return self.lag.alarms(now)
+
+    @callback
+    def rejected(self) -> tuple[Rejection, ...]:
+        """Return the newest writes that did not come into force."""
+        return tuple(known for _, known in sorted(self.gate.rejections.items()))
+
+    @callback
+    def report(self) -> EntryReport:
+        """Return what is in force on this entry."""
+        me = self.membership.table.me.entry
+        return report(me, self.gate, self.lag, now=self.clock.monotonic())
+
+    async def async_read_back(self, *, timeout: float) -> ReadBack:
+        """Return what is in force on all entries; works in an outage as well."""
+        others = (member.entry for member in self.membership.table.present())
+        return await async_read_back(
+            self.report(),
+            self.network,
+            others=tuple(others),
+            missing=self.membership.missing_entries(),
+            timeout=timeout,
+        )
+
+    @callback
+    def take_object(self, found: PlatformObject, source: Source) -> None:
+        """Take a document's object as the platform gave it."""
+        service = service_of(found.key)
+        if found.value is None:
+            self._reject(service, (DELETED_FINDING,))
+            return
+        try:
+            stored = decode_stored(found.value)
+        except StoredValueError as error:
+            place = f"object version {found.version}"
+            self._reject(service, tuple(f"{place}: {one}" for one in error.findings))
+            return
+        self.offer(
+            Candidate(
+                service=service,
+                version=stored.base + found.version,
+                text=stored.text,
+                source=source,
+            )
+        )
+
+    @callback
+    def offer(self, candidate: Candidate) -> None:
+        """Offer a candidate to the gate and report what came of it."""
+        now = self.clock.monotonic()
+        self.lag.heard_of(candidate.service, candidate.version, now=now)
+        self._report_verdict(self.gate.offer(candidate), now)
+
+    def _reject(self, service: str, findings: tuple[str, ...]) -> None:
+        rejection = Rejection(service=service, version=0, findings=findings)
+        self._report_verdict(self.gate.reject(rejection), self.clock.monotonic())
+
+    def _report_verdict(self, verdict: Verdict, now: float) -> None:
+        match verdict:
+            case Accepted(in_force=accepted):
+                self._accepted(accepted, now)
+            case Gated(candidate=candidate, in_force=version):
+                detail = f"from {candidate.source.value}, {version} is in force"
+                self._record(
+                    EventKind.DOCUMENT_GATED,
+                    candidate.service,
+                    candidate.version,
+                    detail,
+                )
+            case Rejected(rejection=rejection):
+                _LOGGER.warning(
+                    "Document of %s rejected: %s",
+                    rejection.service,
+                    "; ".join(rejection.findings),
+                )
+                self._record(
+                    EventKind.DOCUMENT_REJECTED,
+                    rejection.service,
+                    rejection.version,
+                    "; ".join(rejection.findings),
+                )
+            case Repeated():
+                return
+
+    def _accepted(self, accepted: DocumentInForce, now: float) -> None:
+        service = accepted.document.service
+        self.exchange.changed()
+        self.lag.came_into_force(service, accepted.version, now=now)
+        self._record(EventKind.DOCUMENT_IN_FORCE, service, accepted.version, "")
+        for listener in tuple(self.listeners):
+            listener(accepted)
+
+    def _record(self, kind: EventKind, service: str, version: int, detail: str) -> None:
+        self.recorder.record(
+            Event(
+                kind=kind,
+                service=service,
+                document=service,
+                version=version,
+                detail=detail,
+            )
+        )
+
+    async def _async_report(self, peer: EntryId, request: AskReport) -> Reported:
+        return Reported(report=self.report())
+
+    async def _async_exchange(self) -> None:
+        while True:
+            self.round_number += 1
+            partners = self.membership.sync_partners(self.round_number)
+            try:
+                await self.exchange.async_exchange(partners)
+            except Exception:
+                _LOGGER.exception("Exchange of documents failed")
+            jitter = self.rng.uniform(0.9, 1.1)
+            await asyncio.sleep(COMPARE_INTERVAL_SECONDS * jitter)
--- /dev/null
+++ b/src/gypsumsail/documents/lag.py
@@ -0,0 +1,112 @@
+"""How far documents are behind, and when that needs attention."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumsail.documents.const import (
+    LAG_LIMIT_SECONDS,
+    LAG_STUCK_SECONDS,
+    UNCONFIRMED_LIMIT_SECONDS,
+)
+from gypsumsail.documents.models import AlarmKind, DocumentLag, LagAlarm
+
+
+@dataclass(slots=True, kw_only=True)
+class _Behind:
+    """A service that is behind.
+
+    Attributes
+    ----------
+    since
+        Monotonic seconds at which it fell behind.
+    smallest
+        Smallest number of versions missing so far.
+    shrunk_at
+        Monotonic seconds at which that number last became smaller.
+    """
+
+    since: float
+    smallest: int
+    shrunk_at: float
+
+
+class LagMonitor:
+    """Follows the versions known and in force.
+
+    Attributes
+    ----------
+    confirmed_at
+        Monotonic seconds at which the documents were last known to be those of the
+        platform.
+    """
+
+    def __init__(self) -> None:
+        self.known: dict[str, int] = {}
+        self.in_force: dict[str, int] = {}
+        self.behind: dict[str, _Behind] = {}
+        self.confirmed_at: float | None = None
+
+    def heard_of(self, service: str, version: int, *, now: float) -> None:
+        """Take that a version exists."""
+        if version > self.known.get(service, 0):
+            self.known[service] = version
+            self._update(service, now)
+
+    def came_into_force(self, service: str, version: int, *, now: float) -> None:
+        """Take the version in force."""
+        self.in_force[service] = version
+        self.known[service] = max(version, self.known.get(service, 0))
+        self._update(service, now)
+
+    def confirm(self, at: float) -> None:
+        """Take that everything the platform had at a time has been offered here."""
+        if self.confirmed_at is None or at > self.confirmed_at:
+            self.confirmed_at = at
+
+    def unconfirmed_seconds(self, now: float) -> float | None:
+        """Return the time since the last comparison with the platform."""
+        return None if self.confirmed_at is None else now - self.confirmed_at
+
+    def lags(self, now: float) -> tuple[DocumentLag, ...]:
+        """Return the lag of each service."""
+        return tuple(self._lag(service, now) for service in sorted(self.known))
+
+    def alarms(self, now: float) -> tuple[LagAlarm, ...]:
+        """Return what needs attention: a large lag, and one that does not shrink."""
+        found: list[LagAlarm] = []
+        for service, behind in sorted(self.behind.items()):
+            lasting, stuck = now - behind.since, now - behind.shrunk_at
+            if lasting > LAG_LIMIT_SECONDS:
+                found.append(_alarm(AlarmKind.LARGE, service, lasting))
+            if stuck > LAG_STUCK_SECONDS:
+                found.append(_alarm(AlarmKind.NOT_SHRINKING, service, stuck))
+        unconfirmed = self.unconfirmed_seconds(now)
+        if unconfirmed is None or unconfirmed > UNCONFIRMED_LIMIT_SECONDS:
+            found.append(_alarm(AlarmKind.UNCONFIRMED, "", unconfirmed or 0.0))
+        return tuple(found)
+
+    def _update(self, service: str, now: float) -> None:
+        missing = self.known.get(service, 0) - self.in_force.get(service, 0)
+        behind = self.behind.get(service)
+        if missing <= 0:
+            self.behind.pop(service, None)
+        elif behind is None:
+            self.behind[service] = _Behind(since=now, smallest=missing, shrunk_at=now)
+        elif missing < behind.smallest:
+            behind.smallest = missing
+            behind.shrunk_at = now
+
+    def _lag(self, service: str, now: float) -> DocumentLag:
+        behind = self.behind.get(service)
+        return DocumentLag(
+            service=service,
+            in_force=self.in_force.get(service, 0),
+            known=self.known[service],
+            behind_seconds=0.0 if behind is None else now - behind.since,
+            unconfirmed_seconds=self.unconfirmed_seconds(now),
+        )
+
+
+def _alarm(kind: AlarmKind, service: str, seconds: float) -> LagAlarm:
+    return LagAlarm(kind=kind, service=service, seconds=seconds)
--- /dev/null
+++ b/src/gypsumsail/documents/readback.py
@@ -0,0 +1,85 @@
+"""Asks every entry what is in force on it."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.documents.const import READ_BACK_AT_ONCE
+from gypsumsail.documents.gate import DocumentGate
+from gypsumsail.documents.lag import LagMonitor
+from gypsumsail.documents.messages import AskReport, Reported
+from gypsumsail.documents.models import (
+    EntryReport,
+    ReadBack,
+    Rejection,
+    ServiceInForce,
+)
+from gypsumsail.peers.port import EntryId, PeerNetwork
+
+TEXT_DIGEST_BYTES = 16
+
+
+def report(
+    entry: EntryId, gate: DocumentGate, lag: LagMonitor, *, now: float
+) -> EntryReport:
+    """Return what is in force on this entry."""
+    behind = {one.service: one.behind_seconds for one in lag.lags(now)}
+    services = sorted({*behind, *gate.in_force, *gate.rejections})
+    return EntryReport(
+        entry=entry,
+        services=tuple(
+            _service(service, gate, behind.get(service, 0.0)) for service in services
+        ),
+        unconfirmed_seconds=lag.unconfirmed_seconds(now),
+    )
+
+
+async def async_read_back(
+    own: EntryReport,
+    network: PeerNetwork,
+    *,
+    others: tuple[EntryId, ...],
+    missing: tuple[str, ...],
+    timeout: float,
+) -> ReadBack:
+    """Ask the other entries; name those that did not answer."""
+    room = asyncio.Semaphore(READ_BACK_AT_ONCE)
+
+    async def async_ask(peer: EntryId) -> EntryReport | None:
+        async with room:
+            try:
+                answer = await network.async_request(peer, AskReport(), timeout=timeout)
+            except TransportError:
+                return None
+        return answer.report if isinstance(answer, Reported) else None
+
+    answers = await asyncio.gather(*(async_ask(peer) for peer in others))
+    silent = {
+        peer.name
+        for peer, answer in zip(others, answers, strict=True)
+        if answer is None
+    }
+    return ReadBack(
+        entries=(own, *(answer for answer in answers if answer is not None)),
+        not_asked=tuple(sorted(silent | set(missing))),
+    )
+
+
+def _service(service: str, gate: DocumentGate, behind: float) -> ServiceInForce:
+    known = gate.in_force.get(service)
+    rejection: Rejection | None = gate.rejections.get(service)
+    return ServiceInForce(
+        service=service,
+        version=0 if known is None else known.version,
+        text_digest="" if known is None else text_digest(known.text),
+        behind_seconds=behind,
+        findings=() if rejection is None else rejection.findings,
+    )
+
+
+def text_digest(text: str) -> str:
+    """Return the digest by which texts are compared in reports."""
+    digest = hashlib.blake2b(text.encode(), digest_size=TEXT_DIGEST_BYTES)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/gypsumsail/documents/sync.py
@@ -0,0 +1,176 @@
+"""Evens out the documents of two entries."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+import hashlib
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.documents.const import (
+    COMPARE_TIMEOUT_SECONDS,
+    COMPARE_TRIES,
+    COPIES_BYTES,
+    DIGEST_BYTES,
+)
+from gypsumsail.documents.gate import DocumentGate
+from gypsumsail.documents.lag import LagMonitor
+from gypsumsail.documents.messages import (
+    ComparedDocuments,
+    CompareDocuments,
+    DocumentCopies,
+    DocumentCopy,
+    FetchDocuments,
+    ServiceVersion,
+)
+from gypsumsail.documents.models import Candidate, Source
+from gypsumsail.peers.port import EntryId, PeerNetwork
+
+Offer = Callable[[Candidate], None]
+
+
+class DocumentExchange:
+    """Compares versions with other entries and exchanges what is newer."""
+
+    def __init__(
+        self,
+        gate: DocumentGate,
+        lag: LagMonitor,
+        network: PeerNetwork,
+        clock: Clock,
+        offer: Offer,
+    ) -> None:
+        self.gate = gate
+        self.lag = lag
+        self.network = network
+        self.clock = clock
+        self.offer = offer
+        self._digest: bytes | None = None
+
+    def setup(self) -> list[Callable[[], None]]:
+        """Answer other entries; return the functions that end it."""
+        return [
+            self.network.subscribe(CompareDocuments, self._async_compare),
+            self.network.subscribe(FetchDocuments, self._async_fetch),
+            self.network.subscribe(DocumentCopies, self._async_copies),
+        ]
+
+    def changed(self) -> None:
+        """Take that a document came into force."""
+        self._digest = None
+
+    async def async_exchange(self, partners: tuple[EntryId, ...]) -> bool:
+        """Exchange with the first partner that answers; return whether one did."""
+        for partner in partners[:COMPARE_TRIES]:
+            try:
+                await self._async_exchange_with(partner)
+            except TransportError:
+                continue
+            return True
+        return False
+
+    async def _async_exchange_with(self, partner: EntryId) -> None:
+        asked_at = self.clock.monotonic()
+        answer = await self.network.async_request(
+            partner,
+            CompareDocuments(digest=self._current_digest()),
+            timeout=COMPARE_TIMEOUT_SECONDS,
+        )
+        if not isinstance(answer, ComparedDocuments):
+            return
+        if not answer.alike:
+            theirs = {item.service: item.version for item in answer.versions}
+            await self._async_take_newer(partner, theirs)
+            await self._async_give_newer(partner, theirs)
+        if answer.unconfirmed_seconds is not None and self._covers(answer):
+            self.lag.confirm(asked_at - answer.unconfirmed_seconds)
+
+    async def _async_take_newer(self, partner: EntryId, theirs: dict[str, int]) -> None:
+        now = self.clock.monotonic()
+        wanted = []
+        for service, version in theirs.items():
+            self.lag.heard_of(service, version, now=now)
+            if version > self.gate.version(service):
+                wanted.append(service)
+        if not wanted:
+            return
+        answer = await self.network.async_request(
+            partner,
+            FetchDocuments(services=tuple(wanted)),
+            timeout=COMPARE_TIMEOUT_SECONDS,
+        )
+        if isinstance(answer, DocumentCopies):
+            self._offer_all(answer)
+
+    async def _async_give_newer(self, partner: EntryId, theirs: dict[str, int]) -> None:
+        newer = [
+            service
+            for service in self.gate.in_force
+            if self.gate.version(service) > theirs.get(service, 0)
+        ]
+        if newer:
+            await self.network.async_send(partner, self._copies(newer))
+
+    def _covers(self, answer: ComparedDocuments) -> bool:
+        """Return whether all that the partner had is in force here too."""
+        return all(
+            self.gate.version(item.service) >= item.version for item in answer.versions
+        )
+
+    async def _async_compare(
+        self, peer: EntryId, request: CompareDocuments
+    ) -> ComparedDocuments:
+        alike = request.digest == self._current_digest()
+        return ComparedDocuments(
+            alike=alike,
+            versions=() if alike else self._versions(),
+            unconfirmed_seconds=self.lag.unconfirmed_seconds(self.clock.monotonic()),
+        )
+
+    async def _async_fetch(
+        self, peer: EntryId, request: FetchDocuments
+    ) -> DocumentCopies:
+        return self._copies(request.services)
+
+    async def _async_copies(self, peer: EntryId, copies: DocumentCopies) -> None:
+        self._offer_all(copies)
+
+    def _offer_all(self, copies: DocumentCopies) -> None:
+        for copy in copies.copies:
+            self.offer(
+                Candidate(
+                    service=copy.service,
+                    version=copy.version,
+                    text=copy.text,
+                    source=Source.PEER,
+                )
+            )
+
+    def _copies(self, services: Iterable[str]) -> DocumentCopies:
+        """Return copies up to a size; the rest follows in the next round."""
+        copies: list[DocumentCopy] = []
+        size = 0
+        for service in services:
+            known = self.gate.in_force.get(service)
+            if known is None:
+                continue
+            size += len(known.text)
+            if copies and size > COPIES_BYTES:
+                break
+            copies.append(
+                DocumentCopy(service=service, version=known.version, text=known.text)
+            )
+        return DocumentCopies(copies=tuple(copies))
+
+    def _versions(self) -> tuple[ServiceVersion, ...]:
+        return tuple(
+            ServiceVersion(service=service, version=known.version)
+            for service, known in sorted(self.gate.in_force.items())
+        )
+
+    def _current_digest(self) -> bytes:
+        if self._digest is None:
+            rows = (f"{one.service}\0{one.version}\n" for one in self._versions())
+            joined = "".join(rows).encode()
+            self._digest = hashlib.blake2b(joined, digest_size=DIGEST_BYTES).digest()
+        return self._digest
--- /dev/null
+++ b/src/gypsumsail/documents/watching.py
@@ -0,0 +1,127 @@
+"""Follows the platform's documents on the entries whose duty it is."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+import logging
+import random
+from typing import Any
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.documents.const import (
+    DOCUMENT_PREFIX,
+    DUTY_CHECK_SECONDS,
+    EMPTY_WATCH_SECONDS,
+    LIST_INTERVAL_SECONDS,
+    LIST_TIMEOUT_SECONDS,
+    RETRY_SECONDS,
+    WATCH_TIMEOUT_SECONDS,
+    WATCH_WAIT_SECONDS,
+)
+from gypsumsail.documents.models import Source
+from gypsumsail.platform.port import (
+    Listing,
+    ObjectApi,
+    PlatformObject,
+    WatchExpiredError,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+TakeObject = Callable[[PlatformObject, Source], None]
+
+
+class PlatformWatcher:
+    """Watches, and lists now and then in case the watch is silent.
+
+    Attributes
+    ----------
+    on_duty
+        Tells whether this entry asks the platform now.
+    confirm
+        Called after a list with the time at which it was asked for.
+    """
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        on_duty: Callable[[float], bool],
+        take: TakeObject,
+        confirm: Callable[[float], None],
+    ) -> None:
+        self.api = api
+        self.clock = clock
+        self.rng = rng
+        self.on_duty = on_duty
+        self.take = take
+        self.confirm = confirm
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def async_setup(self) -> None:
+        """Start following."""
+        self._tasks = [
+            asyncio.create_task(self._async_repeat(step, pause))
+            for step, pause in (
+                (self._async_watch_until_lost, DUTY_CHECK_SECONDS),
+                (self._async_list_on_duty, LIST_INTERVAL_SECONDS),
+            )
+        ]
+
+    async def async_unload(self) -> None:
+        """Stop following."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _async_watch_until_lost(self) -> None:
+        """List, then follow from there until the watch or the duty ends."""
+        if not self.on_duty(self.clock.monotonic()):
+            return
+        revision = (await self._async_list()).revision
+        while self.on_duty(self.clock.monotonic()):
+            async with asyncio.timeout(WATCH_TIMEOUT_SECONDS):
+                changed = await self.api.async_watch(
+                    DOCUMENT_PREFIX, after_revision=revision, wait=WATCH_WAIT_SECONDS
+                )
+            self._take_all(changed, Source.WATCH)
+            revision = changed.revision
+            if not changed.objects:
+                await asyncio.sleep(EMPTY_WATCH_SECONDS)
+
+    async def _async_list_on_duty(self) -> None:
+        if self.on_duty(self.clock.monotonic()):
+            await self._async_list()
+
+    async def _async_list(self) -> Listing:
+        asked_at = self.clock.monotonic()
+        async with asyncio.timeout(LIST_TIMEOUT_SECONDS):
+            listing = await self.api.async_list(DOCUMENT_PREFIX)
+        self._take_all(listing, Source.LIST)
+        self.confirm(asked_at)
+        return listing
+
+    def _take_all(self, listing: Listing, source: Source) -> None:
+        for found in listing.objects:
+            self.take(found, source)
+
+    async def _async_repeat(
+        self, step: Callable[[], Coroutine[Any, Any, None]], pause: float
+    ) -> None:
+        while True:
+            try:
+                await step()
+                wait = pause
+            except WatchExpiredError:
+                wait = pause
+            except (TransportError, TimeoutError) as error:
+                _LOGGER.debug("The platform does not answer: %s", error)
+                wait = max(pause, RETRY_SECONDS)
+            except Exception:
+                _LOGGER.exception("Following the documents failed")
+                wait = max(pause, RETRY_SECONDS)
+            await asyncio.sleep(wait * self.rng.uniform(0.8, 1.2))
--- a/src/gypsumsail/membership/coordinator.py
+++ b/src/gypsumsail/membership/coordinator.py
@@ -122,6 +122,24 @@
         zone = self.table.me.entry.zone
         return tuple(entry for entry in self.entries() if entry.zone == zone)
 
+    @callback
+    def missing_entries(self) -> tuple[str, ...]:
+        """Return the names of entries that should be there and are not.
+
+        These are entries of the platform's list whose address no member has, and
+        lives believed dead whose name has no other life.
+        """
+        present = (self.table.me, *self.table.present())
+        urls = {member.peer_url for member in present}
+        names = {member.entry.name for member in present}
+        listed = {vm.vm_id for vm in self.vms.entries() if vm.peer_url not in urls}
+        dead = {
+            entry.name
+            for entry, member in self.table.members.items()
+            if not member.present and member.peer_url not in urls
+        }
+        return tuple(sorted(listed | (dead - names)))
+
     @callback
     def targets(self, service: str) -> tuple[VmRecord, ...]:
         """Return the targets of a service that may get new work."""
@@ -202,8 +220,9 @@
         """Try addresses at which an entry may be that is not among the members."""
         known = {member.peer_url for member in self.table.present()}
         known.add(self.table.me.peer_url)
+        listed = (vm.peer_url for vm in self.vms.entries())
         gone = (member.peer_url for member in self.table.members.values())
-        urls = {*self.settings.seeds, *self.vms.entry_urls(), *gone} - known
+        urls = {*self.settings.seeds, *listed, *gone} - known
         chosen = self.rng.sample(sorted(urls), min(len(urls), REJOIN_TRIES))
         await asyncio.gather(*(self.prober.async_try(url) for url in chosen))
 
--- a/src/gypsumsail/membership/vms.py
+++ b/src/gypsumsail/membership/vms.py
@@ -108,10 +108,10 @@
         """Return the stores of a service that are not leaving."""
         return self._index().get((False, service), ())
 
-    def entry_urls(self) -> tuple[str, ...]:
-        """Return the addresses at which the list shows entries."""
+    def entries(self) -> tuple[VmRecord, ...]:
+        """Return the entries that the list shows with an address."""
         return tuple(
-            record.peer_url
+            record
             for record in self.records.values()
             if record.role is VmRole.ENTRY and record.peer_url
         )
--- /dev/null
+++ b/tests/documents/test_apply.py
@@ -0,0 +1,146 @@
+"""Tests of writes by operators, with races and lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+import pytest
+
+from gypsumsail.documents.apply import (
+    Applied,
+    ApplyUnknownError,
+    ConflictFound,
+    async_apply,
+)
+from gypsumsail.documents.codec import StoredValueError, decode_stored, document_key
+from tests.documents.common import SERVICE, FakeObjectApi, text
+from tests.peers.virtual import run_virtual
+
+KEY = document_key(SERVICE)
+
+
+def _stored_version(api: FakeObjectApi) -> int:
+    found = api.objects[KEY]
+    assert found.value is not None
+    return decode_stored(found.value).base + found.version
+
+
+def test_loser_of_a_race_gets_the_difference_and_overwrites_nothing() -> None:
+    async def async_main() -> None:
+        api = FakeObjectApi()
+        first = await async_apply(
+            api, SERVICE, text("one"), expected_version=None, floor=0
+        )
+        assert first == Applied(version=1)
+        outcomes = await asyncio.gather(
+            *(
+                async_apply(api, SERVICE, text(note), expected_version=1, floor=1)
+                for note in ("left", "right")
+            )
+        )
+        lost = [one for one in outcomes if isinstance(one, ConflictFound)]
+        assert Applied(version=2) in outcomes
+        assert len(lost) == 1
+        assert "-claims: left" in lost[0].difference
+        assert "+claims: right" in lost[0].difference
+        assert lost[0].version == 2
+
+    run_virtual(async_main())
+
+
+def test_object_deleted_and_made_again_goes_on_above_the_floor() -> None:
+    async def async_main() -> None:
+        api = FakeObjectApi()
+        for note in range(4):
+            api.write(note)
+        api.delete(KEY)
+        applied = await async_apply(
+            api, SERVICE, text("again"), expected_version=4, floor=4
+        )
+        assert applied == Applied(version=5)
+        assert _stored_version(api) == 5
+        api.write_raw(b"not json")
+        assert await async_apply(
+            api, SERVICE, text("mended"), expected_version=5, floor=5
+        ) == Applied(version=6)
+
+    run_virtual(async_main())
+
+
+def test_lost_answers_are_read_back() -> None:
+    async def async_main() -> None:
+        api = FakeObjectApi(lose_answers=1.0)
+        for edit in range(5):
+            applied = await async_apply(
+                api, SERVICE, text(edit), expected_version=edit, floor=edit
+            )
+            assert applied == Applied(version=edit + 1)
+
+    run_virtual(async_main())
+
+
+def test_outage_in_the_middle_is_said_so() -> None:
+    async def async_main() -> None:
+        api = FakeObjectApi(lose_answers=1.0)
+        write = asyncio.create_task(
+            async_apply(api, SERVICE, text("x"), expected_version=None, floor=0)
+        )
+        await asyncio.sleep(0.1)
+        api.down = True
+        with pytest.raises(ApplyUnknownError):
+            await write
+
+    run_virtual(async_main())
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.integers(0, 2**32), st.integers(2, 4), st.sampled_from([0.0, 0.3, 0.6]))
+def test_racing_operators_lose_nothing_with_faults(
+    seed: int, operators: int, share: float
+) -> None:
+    """Each applied text was written once over the text its operator had seen."""
+
+    async def async_main() -> None:
+        rng = random.Random(seed)
+        api = FakeObjectApi(
+            lose_answers=share, delay_writes=share / 2, rng=random.Random(seed + 1)
+        )
+        applied: dict[int, tuple[int, str]] = {}
+
+        async def async_operate(name: int) -> None:
+            seen = 0
+            for edit in range(4):
+                await asyncio.sleep(rng.uniform(0.0, 0.5))
+                own = text(f"{name}/{edit}")
+                try:
+                    outcome = await async_apply(
+                        api, SERVICE, own, expected_version=seen, floor=seen
+                    )
+                except ApplyUnknownError:
+                    continue
+                if isinstance(outcome, Applied):
+                    assert outcome.version not in applied
+                    applied[outcome.version] = (seen, own)
+                seen = outcome.version
+
+        await asyncio.gather(*(async_operate(name) for name in range(operators)))
+        await asyncio.gather(*api.late)
+        history = [decode_stored(one.value or b"").text for one in api.log]
+        for version, (seen, own) in applied.items():
+            assert history[version - 1] == own
+            assert version == seen + 1
+
+    run_virtual(async_main())
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"[]", b'{"base":-1,"text":""}', b'{"base":1}', b'{"base":1.5,"text":""}'],
+)
+def test_values_written_past_the_command_line_are_told(value: bytes) -> None:
+    with pytest.raises(StoredValueError) as caught:
+        decode_stored(value)
+    assert caught.value.findings
--- /dev/null
+++ b/tests/documents/test_lag.py
@@ -0,0 +1,46 @@
+"""Tests of lag and its alarms."""
+
+from __future__ import annotations
+
+from gypsumsail.documents.const import LAG_LIMIT_SECONDS, LAG_STUCK_SECONDS
+from gypsumsail.documents.lag import LagMonitor
+from gypsumsail.documents.models import AlarmKind
+from tests.documents.common import SERVICE
+
+
+def _kinds(monitor: LagMonitor, now: float) -> set[AlarmKind]:
+    return {alarm.kind for alarm in monitor.alarms(now)}
+
+
+def test_stuck_lag_is_told_before_it_is_large() -> None:
+    monitor = LagMonitor()
+    monitor.confirm(0.0)
+    monitor.came_into_force(SERVICE, 1, now=0.0)
+    monitor.heard_of(SERVICE, 5, now=0.0)
+    assert not _kinds(monitor, LAG_STUCK_SECONDS)
+    stuck = LAG_STUCK_SECONDS + 0.1
+    assert _kinds(monitor, stuck) == {AlarmKind.NOT_SHRINKING}
+    late = LAG_LIMIT_SECONDS + 0.1
+    assert _kinds(monitor, late) == {AlarmKind.NOT_SHRINKING, AlarmKind.LARGE}
+    monitor.came_into_force(SERVICE, 5, now=late)
+    assert not _kinds(monitor, late)
+
+
+def test_lag_that_shrinks_is_told_by_its_size_alone() -> None:
+    monitor = LagMonitor()
+    monitor.confirm(0.0)
+    monitor.heard_of(SERVICE, 10, now=0.0)
+    for version in range(1, 9):
+        monitor.came_into_force(SERVICE, version, now=float(version))
+        assert AlarmKind.NOT_SHRINKING not in _kinds(monitor, float(version))
+    assert _kinds(monitor, 8.0) == {AlarmKind.LARGE}
+    assert monitor.lags(8.0)[0].behind_seconds == 8.0
+
+
+def test_silence_of_the_platform_is_told() -> None:
+    monitor = LagMonitor()
+    assert _kinds(monitor, 0.0) == {AlarmKind.UNCONFIRMED}
+    monitor.confirm(1.0)
+    monitor.confirm(0.5)
+    assert monitor.unconfirmed_seconds(2.0) == 1.0
+    assert _kinds(monitor, 100.0) == {AlarmKind.UNCONFIRMED}
