Record outcomes along with later reservations; measure ways to run once

Ruled out: lingering before the first commit (adds latency when idle), fewer than 16 partitions (memory of an owner at the target size).

Conclusion: outcomes ride with reservations of the same entry and partition.

--- /dev/null
+++ b/bench/once.py
@@ -0,0 +1,236 @@
+"""Compares ways to run requests at most once: platform calls and latency.
+
+Run with ``python -m bench.once``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass
+import json
+import random
+import time
+from typing import Final, Protocol
+
+import click
+
+from gypsumsail.core.clock import SystemClock
+from gypsumsail.core.errors import RunState
+from gypsumsail.core.ids import new_id
+from gypsumsail.once.coordinator import OnceCoordinator
+from gypsumsail.once.keys import key_digest
+from gypsumsail.once.models import Outcome
+from tests.once.common import (
+    FakeFleet,
+    FakeObjectApi,
+    ListRecorder,
+    entry_id,
+    once_request,
+)
+
+ENTRIES: Final = 7
+PLATFORM_LATENCY_SECONDS: Final = 0.005
+PEER_LATENCY_SECONDS: Final = 0.001
+RATES_PER_SECOND: Final = (5, 50, 500)
+RAN: Final = Outcome(run_state=RunState.RAN, status=200)
+
+
+class Way(Protocol):
+    """A way to run requests at most once."""
+
+    name: str
+
+    async def async_setup(self) -> None:
+        """Start."""
+
+    async def async_unload(self) -> None:
+        """Record what waits and stop."""
+
+    async def async_run(self, entry: int, key: str) -> float:
+        """Reserve, send and end a request; return the seconds of reserving."""
+
+
+class ConditionalCreateWay:
+    """One object a request: created before sending, updated and deleted later."""
+
+    name = "conditional create"
+
+    def __init__(self, api: FakeObjectApi) -> None:
+        self.api = api
+        self.keys: list[str] = []
+
+    async def async_setup(self) -> None:
+        """Start."""
+
+    async def async_unload(self) -> None:
+        """Clean up as the end of the retention would."""
+        for key in self.keys:
+            await self.api.async_delete(key, if_version=2)
+
+    async def async_run(self, entry: int, key: str) -> float:
+        """Create the request's object, then write the outcome into it."""
+        started = time.perf_counter()
+        name = f"once/{key_digest('armor-claims', 'letters', key).hex()}"
+        await self.api.async_put(name, b"reserved", if_version=0)
+        seconds = time.perf_counter() - started
+        await self.api.async_put(name, b"ended", if_version=1)
+        self.keys.append(name)
+        return seconds
+
+
+class IssuedKeyWay:
+    """Keys issued by an entry's incarnation, which alone may run them."""
+
+    name = "issued keys"
+
+    def __init__(self, api: FakeObjectApi) -> None:
+        self.api = api
+        self.used: list[set[str]] = [set() for _ in range(ENTRIES)]
+        self.issuer = random.Random(5)
+
+    async def async_setup(self) -> None:
+        """Write down each incarnation once."""
+        for entry in range(ENTRIES):
+            await self.api.async_put(f"incarnation/{entry}", b"", if_version=0)
+
+    async def async_unload(self) -> None:
+        """Stop."""
+
+    async def async_run(self, entry: int, key: str) -> float:
+        """Fetch a key, then run at its issuer, through another entry or not."""
+        started = time.perf_counter()
+        issuer = self.issuer.randrange(ENTRIES)
+        await asyncio.sleep(PEER_LATENCY_SECONDS)
+        if issuer != entry:
+            await asyncio.sleep(PEER_LATENCY_SECONDS)
+        self.used[issuer].add(f"{issuer}/{key}/{new_id()}")
+        return time.perf_counter() - started
+
+
+class LedgerWay:
+    """The product's ledger with group commit."""
+
+    name = "ledger"
+
+    def __init__(self, api: FakeObjectApi) -> None:
+        fleet = FakeFleet(latency=PEER_LATENCY_SECONDS)
+        clock = SystemClock()
+        self.entries = [
+            OnceCoordinator(
+                api,
+                fleet.join(entry_id(f"entry-{number}")),
+                ListRecorder(),
+                clock,
+                entry_id(f"entry-{number}"),
+                rng=random.Random(number),
+            )
+            for number in range(ENTRIES)
+        ]
+
+    async def async_setup(self) -> None:
+        """Start the coordinators."""
+        for entry in self.entries:
+            await entry.async_setup()
+
+    async def async_unload(self) -> None:
+        """Record the outcomes that wait and stop."""
+        for entry in self.entries:
+            await entry.async_unload()
+
+    async def async_run(self, entry: int, key: str) -> float:
+        """Reserve through the ledger."""
+        started = time.perf_counter()
+        coordinator = self.entries[entry]
+        now = SystemClock().monotonic()
+        reservation = await coordinator.async_reserve(once_request(key), now)
+        seconds = time.perf_counter() - started
+        coordinator.sent(reservation)
+        coordinator.ended(reservation, RAN, now)
+        return seconds
+
+
+WAYS: Final[tuple[Callable[[FakeObjectApi], Way], ...]] = (
+    ConditionalCreateWay,
+    IssuedKeyWay,
+    LedgerWay,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Result:
+    """Figures of one way at one rate of requests marked not repeatable."""
+
+    way: str
+    rate: int
+    requests: int
+    writes_per_request: float
+    reads_per_request: float
+    reserve_p50_ms: float
+    reserve_p99_ms: float
+
+
+async def async_measure(
+    make: Callable[[FakeObjectApi], Way], rate: int, seconds: float, seed: int
+) -> Result:
+    """Send requests at a rate for some seconds to random entries."""
+    api = FakeObjectApi(latency=PLATFORM_LATENCY_SECONDS)
+    way = make(api)
+    rng = random.Random(seed)
+    await way.async_setup()
+    calls: list[Awaitable[float]] = []
+    loop = asyncio.get_running_loop()
+    due = loop.time()
+    for number in range(int(rate * seconds)):
+        due += rng.expovariate(rate)
+        await asyncio.sleep(max(0.0, due - loop.time()))
+        call = way.async_run(rng.randrange(ENTRIES), f"key-{number}")
+        calls.append(asyncio.ensure_future(call))
+    latencies = sorted(await asyncio.gather(*calls))
+    await way.async_unload()
+    return Result(
+        way=way.name,
+        rate=rate,
+        requests=len(latencies),
+        writes_per_request=round(api.writes / len(latencies), 3),
+        reads_per_request=round(api.reads / len(latencies), 3),
+        reserve_p50_ms=_percentile(latencies, 0.50),
+        reserve_p99_ms=_percentile(latencies, 0.99),
+    )
+
+
+def _percentile(latencies: list[float], share: float) -> float:
+    place = min(len(latencies) - 1, int(share * len(latencies)))
+    return round(latencies[place] * 1_000, 1)
+
+
+async def async_measure_all(seconds: float, seed: int) -> list[Result]:
+    """Measure each way at each rate."""
+    return [
+        await async_measure(make, rate, seconds, seed)
+        for rate in RATES_PER_SECOND
+        for make in WAYS
+    ]
+
+
+@click.command()
+@click.option("--seconds", default=5.0, show_default=True, help="Length of a run.")
+@click.option("--seed", default=1, show_default=True, help="Seed of the arrivals.")
+@click.option("--output", type=click.Choice(["text", "json"]), default="text")
+def main(seconds: float, seed: int, output: str) -> None:
+    """Compare ways to run requests at most once."""
+    results = asyncio.run(async_measure_all(seconds, seed))
+    if output == "json":
+        print(json.dumps([asdict(result) for result in results], indent=2))
+        return
+    print("way                 rate/s  writes/req  reads/req  p50 ms  p99 ms")
+    for result in results:
+        print(
+            f"{result.way:18} {result.rate:7} {result.writes_per_request:11}"
+            f" {result.reads_per_request:10} {result.reserve_p50_ms:7}"
+            f" {result.reserve_p99_ms:7}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/gypsumsail/once/committer.py
+++ b/src/gypsumsail/once/committer.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
+from itertools import islice
 import logging
 
 from gypsumsail.core.callback import callback
@@ -30,8 +32,8 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Waiting:
-    entry: LedgerEntry
-    verdict: asyncio.Future[Verdict]
+    entries: tuple[LedgerEntry, ...]
+    verdicts: asyncio.Future[tuple[Verdict, ...]]
 
 
 class GroupCommitter:
@@ -54,24 +56,25 @@
         self.commits = 0
         self.submitted = 0
 
-    async def async_submit(self, entry: LedgerEntry) -> Verdict:
-        """Commit an entry with whatever else waits.
+    async def async_submit(self, entries: Sequence[LedgerEntry]) -> tuple[Verdict, ...]:
+        """Commit entries together with whatever else waits.
 
         Raises
         ------
         PlatformPausedError
-            The entry was not written.
+            The entries were not written.
         LedgerUnavailableError
-            It isn't known that the entry is in the ledger; it may be.
+            It isn't known that the entries are in the ledger; they may be.
         """
         if not self.pause.may_call(self.clock.monotonic()):
             raise PlatformPausedError("the platform failed a moment ago")
-        verdict: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
-        self.waiting.append(_Waiting(entry=entry, verdict=verdict))
-        self.submitted += 1
+        loop = asyncio.get_running_loop()
+        verdicts: asyncio.Future[tuple[Verdict, ...]] = loop.create_future()
+        self.waiting.append(_Waiting(entries=tuple(entries), verdicts=verdicts))
+        self.submitted += len(entries)
         if self.task is None:
             self.task = asyncio.create_task(self._async_run())
-        return await verdict
+        return await verdicts
 
     @property
     def idle(self) -> bool:
@@ -112,9 +115,14 @@
 
     def _take_batch(self) -> list[_Waiting]:
         """Take the next entries, leaving out those whose submitter went away."""
-        batch = [item for item in self.waiting if not item.verdict.done()]
-        self.waiting = batch[ENTRIES_PER_BATCH:]
-        return batch[:ENTRIES_PER_BATCH]
+        waiting = [item for item in self.waiting if not item.verdicts.done()]
+        count = 0
+        entries = 0
+        while count < len(waiting) and entries < ENTRIES_PER_BATCH:
+            entries += len(waiting[count].entries)
+            count += 1
+        self.waiting = waiting[count:]
+        return waiting[:count]
 
     def _take_all(self) -> list[_Waiting]:
         waiting, self.waiting = self.waiting, []
@@ -123,9 +131,10 @@
     async def _async_commit(self, batch: list[_Waiting]) -> None:
         self.last_commit = self.clock.monotonic()
         self.commits += 1
+        entries = [entry for item in batch for entry in item.entries]
         try:
             async with self.lock, asyncio.timeout(COMMIT_TIMEOUT_SECONDS):
-                verdicts = await self.store.async_commit([item.entry for item in batch])
+                verdicts = iter(await self.store.async_commit(entries))
         except (LedgerUnavailableError, TimeoutError) as err:
             self._fail(batch, err)
             return
@@ -135,9 +144,10 @@
             _refuse(batch, LedgerUnavailableError("the commit was interrupted"))
             raise
         self.pause.succeeded()
-        for item, verdict in zip(batch, verdicts, strict=True):
-            if not item.verdict.done():
-                item.verdict.set_result(verdict)
+        for item in batch:
+            own = tuple(islice(verdicts, len(item.entries)))
+            if not item.verdicts.done():
+                item.verdicts.set_result(own)
 
     @callback
     def _fail(self, batch: list[_Waiting], err: Exception) -> None:
@@ -153,5 +163,5 @@
 
 def _refuse(waiting: list[_Waiting], error: LedgerUnavailableError) -> None:
     for item in waiting:
-        if not item.verdict.done():
-            item.verdict.set_exception(error)
+        if not item.verdicts.done():
+            item.verdicts.set_exception(error)
--- a/src/gypsumsail/once/coordinator.py
+++ b/src/gypsumsail/once/coordinator.py
@@ -32,7 +32,7 @@
     LedgerUnavailableError,
     ReservationStateError,
 )
-from gypsumsail.once.keys import key_digest
+from gypsumsail.once.keys import key_digest, partition_of
 from gypsumsail.once.ledger import Verdict, VerdictKind
 from gypsumsail.once.ledgers import Ledgers, Submission
 from gypsumsail.once.models import (
@@ -41,7 +41,7 @@
     Reservation,
     ReservationState,
 )
-from gypsumsail.once.outcomes import OutcomeQueue
+from gypsumsail.once.outcomes import OutcomeQueue, entries_of
 from gypsumsail.once.records import Abandoned, Ended, Reserved
 from gypsumsail.peers.port import EntryId, PeerNetwork
 from gypsumsail.platform.port import ObjectApi
@@ -122,8 +122,7 @@
             return reservation
         submission = Submission(entry=_reserved(reservation))
         try:
-            async with asyncio.timeout(RESERVE_TIMEOUT_SECONDS):
-                verdict = await self.ledgers.async_reserve(submission)
+            verdict = await self._async_submit(submission)
         except (LedgerUnavailableError, TimeoutError) as err:
             self._give_up(reservation, submission, now)
             raise self._unavailable(f"the ledger could not be written: {err}") from err
@@ -205,6 +204,18 @@
         attempt = bytes.fromhex(reservation.attempt_id)
         self.outcomes.add(Abandoned(key=digest, attempt=attempt), now)
 
+    async def _async_submit(self, submission: Submission) -> Verdict:
+        """Commit a reservation and, along with it, outcomes of its partition."""
+        partition = partition_of(submission.entry.key)
+        taken = self.outcomes.take(partition)
+        submission.outcomes = entries_of(taken)
+        try:
+            async with asyncio.timeout(RESERVE_TIMEOUT_SECONDS):
+                return await self.ledgers.async_reserve(submission)
+        except BaseException:
+            self.outcomes.put_back(partition, taken)
+            raise
+
     def _give_up(
         self, reservation: Reservation, submission: Submission, now: float
     ) -> None:
--- a/src/gypsumsail/once/ledgers.py
+++ b/src/gypsumsail/once/ledgers.py
@@ -40,11 +40,14 @@
 
     Attributes
     ----------
+    outcomes
+        Outcomes of earlier requests of its partition, to commit along with it.
     may_be_written
         Whether a write that isn't answered may have taken effect, or may yet.
     """
 
     entry: Reserved
+    outcomes: tuple[LedgerEntry, ...] = ()
     may_be_written: bool = False
 
 
@@ -115,7 +118,7 @@
             answer = await self._async_ask(owner, message)
             if isinstance(answer, RecordedMessage):
                 return
-        await self._async_record_directly(partition, entries)
+        await self._committer(partition).async_submit(entries)
 
     async def async_tick(self) -> None:
         """Count the time of the owned partitions and forget the others."""
@@ -147,7 +150,9 @@
         before = submission.may_be_written
         submission.may_be_written = True
         try:
-            verdict = await self._committer(partition).async_submit(submission.entry)
+            *_, verdict = await self._committer(partition).async_submit(
+                (*submission.outcomes, submission.entry)
+            )
         except PlatformPausedError:
             submission.may_be_written = before
             raise
@@ -159,7 +164,11 @@
     ) -> Verdict | None:
         entry = submission.entry
         message = ReserveMessage(
-            partition=partition, key=entry.key, attempt=entry.attempt, body=entry.body
+            partition=partition,
+            key=entry.key,
+            attempt=entry.attempt,
+            body=entry.body,
+            outcomes=encode_entries(submission.outcomes),
         )
         submission.may_be_written = True
         answer = await self._async_ask(owner, message)
@@ -184,26 +193,15 @@
             LOGGER.debug("Owner %s did not answer: %s", owner.name, err)
             return None
 
-    async def _async_record_directly(
-        self, partition: int, entries: Sequence[LedgerEntry]
-    ) -> None:
-        committer = self._committer(partition)
-        results = await asyncio.gather(
-            *(committer.async_submit(entry) for entry in entries),
-            return_exceptions=True,
-        )
-        for result in results:
-            if isinstance(result, BaseException):
-                raise result
-
     async def _async_handle_reserve(
         self, _peer: EntryId, message: ReserveMessage
     ) -> Message:
         entry = Reserved(key=message.key, attempt=message.attempt, body=message.body)
         committer = self._committer(message.partition)
         try:
+            outcomes = decode_entries(message.outcomes)
             async with asyncio.timeout(OWNER_TIMEOUT_SECONDS):
-                verdict = await committer.async_submit(entry)
+                *_, verdict = await committer.async_submit((*outcomes, entry))
         except PlatformPausedError:
             return LedgerUnavailableMessage(may_be_written=False)
         except (LedgerUnavailableError, TimeoutError):
@@ -219,7 +217,7 @@
     ) -> Message:
         try:
             entries = decode_entries(message.entries)
-            await self._async_record_directly(message.partition, entries)
+            await self._committer(message.partition).async_submit(entries)
         except LedgerUnavailableError:
             return LedgerUnavailableMessage(may_be_written=True)
         return RecordedMessage()
--- a/src/gypsumsail/once/messages.py
+++ b/src/gypsumsail/once/messages.py
@@ -9,12 +9,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReserveMessage(Message):
-    """Commit a reservation; answered by a verdict or by unavailable."""
+    """Commit a reservation; answered by a verdict or by unavailable.
+
+    Attributes
+    ----------
+    outcomes
+        Encoded outcomes of earlier requests, committed along with it.
+    """
 
     partition: int
     key: bytes
     attempt: bytes
     body: bytes
+    outcomes: bytes
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gypsumsail/once/outcomes.py
+++ b/src/gypsumsail/once/outcomes.py
@@ -12,7 +12,7 @@
 from gypsumsail.once.errors import LedgerUnavailableError
 from gypsumsail.once.keys import partition_of
 from gypsumsail.once.ledgers import Ledgers
-from gypsumsail.once.records import Abandoned, Ended
+from gypsumsail.once.records import Abandoned, Ended, LedgerEntry
 
 LOGGER = logging.getLogger(__name__)
 
@@ -60,19 +60,36 @@
         for waiting in self.waiting.values():
             yield from waiting
 
+    @callback
+    def take(self, partition: int) -> tuple[WaitingOutcome, ...]:
+        """Take outcomes of a partition to record them; ``put_back`` on failure."""
+        waiting = self.waiting.pop(partition, [])
+        if len(waiting) > OUTCOME_BATCH_LIMIT:
+            self.waiting[partition] = waiting[OUTCOME_BATCH_LIMIT:]
+        return tuple(waiting[:OUTCOME_BATCH_LIMIT])
+
+    @callback
+    def put_back(self, partition: int, outcomes: tuple[WaitingOutcome, ...]) -> None:
+        """Keep outcomes that could not be recorded."""
+        if outcomes:
+            self.waiting.setdefault(partition, [])[:0] = outcomes
+
     async def async_flush(self) -> None:
         """Record what waits; what can't be recorded stays."""
         await asyncio.gather(*map(self._async_flush_partition, list(self.waiting)))
 
     async def _async_flush_partition(self, partition: int) -> None:
-        batch = self.waiting[partition][:OUTCOME_BATCH_LIMIT]
+        taken = self.take(partition)
         try:
-            await self.ledgers.async_record(partition, [item.entry for item in batch])
+            await self.ledgers.async_record(partition, entries_of(taken))
         except LedgerUnavailableError as err:
             LOGGER.debug("Outcomes of ledger %s wait: %s", partition, err)
-            return
-        rest = self.waiting[partition][len(batch) :]
-        if rest:
-            self.waiting[partition] = rest
-            return
-        del self.waiting[partition]
+            self.put_back(partition, taken)
+        except BaseException:
+            self.put_back(partition, taken)
+            raise
+
+
+def entries_of(outcomes: tuple[WaitingOutcome, ...]) -> tuple[LedgerEntry, ...]:
+    """Return the ledger entries of outcomes."""
+    return tuple(outcome.entry for outcome in outcomes)
--- a/tests/once/common.py
+++ b/tests/once/common.py
@@ -164,6 +164,7 @@
     )
     cut: set[tuple[str, str]] = field(default_factory=set)
     lose_answers: set[str] = field(default_factory=set)
+    latency: float = 0.0
 
     def join(self, entry: EntryId) -> FakeNetwork:
         self.handlers[entry] = {}
@@ -199,6 +200,8 @@
         handler = self.fleet.handlers.get(peer, {}).get(type(message))
         if handler is None or (self.entry.name, peer.name) in self.fleet.cut:
             raise TransportError("no link", sent=False)
+        if self.fleet.latency:
+            await asyncio.sleep(self.fleet.latency)
         answer: Awaitable[Message | None] = handler(self.entry, message)
         result = await answer
         if peer.name in self.fleet.lose_answers or result is None:
