Give orders to engines under a lease, as wanted end states

Cause: engines load models and versions on orders; an issuer may pause, lose its lease or its answers, and some engines don't check fencing numbers. Each zone has one issuer under a lease (conditional writes, counted from before the write, a margin, taken over only after the full time without a change). Which engines are out is kept in one book of turns for all zones, written under its version before any order, so that two issuers share one limit of unavailable engines and one of loads at the weight store. Orders state the wanted end state, after one more look.

Ruled out: a limit per zone (three issuers of a service would take three times its share); trust in fencing numbers (ignored by some engines); a lease object deleted restarting the numbers (they go on above the highest that engines show).

Conclusion: late orders on targets that ignore fencing are undone by the next look; such an order can cost one needless load, not a wrong answer.

--- /dev/null
+++ b/src/gypsumsail/orders/coordinator.py
@@ -0,0 +1,232 @@
+"""Coordinator of orders: the issuer of a zone while it holds the lease."""
+
+from __future__ import annotations
+
+import asyncio
+from hashlib import blake2b
+import logging
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import GypsumsailError
+from gypsumsail.orders.book import async_read_book, async_write_book
+from gypsumsail.orders.const import (
+    CALL_TIMEOUT_SECONDS,
+    LEASE_CANDIDATES,
+    STEP_INTERVAL_SECONDS,
+)
+from gypsumsail.orders.keeper import LeaseKeeper
+from gypsumsail.orders.lease import may_order
+from gypsumsail.orders.models import ObservedEngine
+from gypsumsail.orders.planner import PlannedOrder, plan_orders
+from gypsumsail.orders.port import DocumentSource, EngineFactory, MembershipSource
+from gypsumsail.orders.wanted import is_loading, is_wanted
+from gypsumsail.peers.port import EntryId
+from gypsumsail.platform.port import ObjectApi, VmRecord, VmRole, VmState
+from gypsumsail.targets.port import Engine, EngineState, SetState
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.port import Recorder
+
+LOGGER = logging.getLogger(__name__)
+
+
+class OrdersCoordinator:
+    """Brings the engines of this entry's zone to what the documents want."""
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        documents: DocumentSource,
+        membership: MembershipSource,
+        engine_factory: EngineFactory,
+        recorder: Recorder,
+        clock: Clock,
+        entry: EntryId,
+    ) -> None:
+        self.api = api
+        self.documents = documents
+        self.membership = membership
+        self.engine_factory = engine_factory
+        self.recorder = recorder
+        self.clock = clock
+        self.entry = entry
+        holder = f"{entry.name}/{entry.incarnation}"
+        self.keeper = LeaseKeeper(api, clock, entry.zone, holder)
+        self.engines: dict[tuple[str, str], Engine] = {}
+        self.highest_fence = 0
+        self.task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start taking the lease and giving orders."""
+        self.task = asyncio.create_task(self._async_run())
+
+    async def async_unload(self) -> None:
+        """Stop giving orders, then give the lease back."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+            self.task = None
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+                await self.keeper.async_give_back()
+        except TimeoutError:
+            LOGGER.info("Lease not given back in time")
+
+    async def async_step(self) -> None:
+        """Keep the lease and, while it is held, take each rollout a step on.
+
+        Raises
+        ------
+        TransportError
+            The platform could not be reached.
+        ConflictError
+            The issuer of another zone wrote the book of turns first.
+        """
+        if self.keeper.held is None and not self._is_candidate():
+            return
+        await self._async_keep_lease()
+        if not self._may_order():
+            return
+        engines = await self._async_observe()
+        if not any(engine.zone == self.entry.zone for engine in engines):
+            return
+        stored = await async_read_book(self.api)
+        plan = plan_orders(
+            self.documents.in_force(), engines, stored.book, self.entry.zone
+        )
+        if not self._may_order():
+            return
+        if plan.orders or plan.book != stored.book:
+            await async_write_book(self.api, stored, plan.book)
+        for target in plan.done:
+            self._record(EventKind.ORDER_DONE, target)
+        await asyncio.gather(*map(self._async_order, plan.orders))
+
+    async def _async_run(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(CALL_TIMEOUT_SECONDS * 4):
+                    await self.async_step()
+            except (GypsumsailError, TimeoutError) as err:
+                LOGGER.info("Orders wait: %s", err)
+            except Exception:
+                LOGGER.exception("Step of orders failed")
+            await asyncio.sleep(STEP_INTERVAL_SECONDS)
+
+    def _may_order(self) -> bool:
+        return may_order(self.keeper.held, self.clock.monotonic())
+
+    def _is_candidate(self) -> bool:
+        """Return whether this entry ranks among those that watch the lease."""
+        zone = self.entry.zone
+        others = {
+            entry for entry in self.membership.live_entries() if entry.zone == zone
+        }
+        ranked = sorted(others | {self.entry}, key=_rank)
+        return self.entry in ranked[:LEASE_CANDIDATES]
+
+    async def _async_keep_lease(self) -> None:
+        before = self.keeper.held
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+                await self.keeper.async_step(self.highest_fence)
+        finally:
+            after = self.keeper.held
+            if after is not None and (before is None or before.fence != after.fence):
+                self._record(EventKind.LEASE_ACQUIRED, "", f"fence {after.fence}")
+            if before is not None and after is None:
+                self._record(EventKind.LEASE_LOST, "", f"fence {before.fence}")
+
+    async def _async_observe(self) -> list[ObservedEngine]:
+        """Read the state of all engines; they are not ordered here."""
+        vms = [vm for vm in self.membership.vms() if vm.role is VmRole.ENGINE]
+        listed = {(vm.vm_id, vm.incarnation) for vm in vms}
+        self.engines = {key: e for key, e in self.engines.items() if key in listed}
+        states = await asyncio.gather(*map(self._async_state, vms))
+        observed = [
+            ObservedEngine(
+                target=vm.vm_id,
+                service=vm.service,
+                zone=vm.zone,
+                leaving=vm.state is VmState.LEAVING,
+                state=state,
+            )
+            for vm, state in zip(vms, states, strict=True)
+        ]
+        self.highest_fence = max(
+            (
+                engine.state.highest_fence
+                for engine in observed
+                if engine.state is not None and engine.zone == self.entry.zone
+            ),
+            default=0,
+        )
+        return observed
+
+    def _engine(self, vm: VmRecord) -> Engine:
+        key = (vm.vm_id, vm.incarnation)
+        if key not in self.engines:
+            self.engines[key] = self.engine_factory(vm)
+        return self.engines[key]
+
+    async def _async_state(self, vm: VmRecord) -> EngineState | None:
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+                return await self._engine(vm).async_state()
+        except (GypsumsailError, TimeoutError) as err:
+            LOGGER.debug("State of %s not read: %s", vm.vm_id, err)
+            return None
+
+    async def _async_order(self, order: PlannedOrder) -> None:
+        """Look once more, then state the wanted end state.
+
+        Whether it was reached is seen by the next step's look; an unanswered or
+        refused order is simply stated again.
+        """
+        vm = next(
+            (vm for vm in self.membership.vms() if vm.vm_id == order.target), None
+        )
+        if vm is None:
+            return
+        state = await self._async_state(vm)
+        held = self.keeper.held
+        if state is None or held is None or not self._may_order():
+            return
+        if is_wanted(state, order.models) or is_loading(state, order.models):
+            return
+        message = SetState(fence=held.fence, role=order.role, models=order.models)
+        self._record(
+            EventKind.ORDER_SENT,
+            order.target,
+            f"fence {held.fence}",
+            service=order.service,
+            version=order.document_version,
+        )
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+                await self._engine(vm).async_set_state(message)
+        except (GypsumsailError, TimeoutError) as err:
+            LOGGER.info("Order to %s not confirmed: %s", order.target, err)
+
+    def _record(
+        self,
+        kind: EventKind,
+        target: str,
+        detail: str = "",
+        *,
+        service: str = "",
+        version: int = 0,
+    ) -> None:
+        self.recorder.record(
+            Event(
+                kind=kind,
+                target=target,
+                service=service,
+                version=version,
+                detail=detail,
+            )
+        )
+
+
+def _rank(entry: EntryId) -> bytes:
+    text = f"{entry.zone}/{entry.name}/{entry.incarnation}"
+    return blake2b(text.encode()).digest()
--- /dev/null
+++ b/src/gypsumsail/orders/lease.py
@@ -0,0 +1,126 @@
+"""Pure decisions on the lease of a zone's issuer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumsail.orders.const import (
+    LEASE_MARGIN_SECONDS,
+    LEASE_RENEW_SECONDS,
+    LEASE_SECONDS,
+)
+from gypsumsail.orders.models import LeaseRecord
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseView:
+    """The lease as one entry last saw it.
+
+    Attributes
+    ----------
+    version
+        Version of the platform's object; 0 when it does not exist.
+    since
+        Monotonic time at which this entry first saw this version.
+    """
+
+    version: int
+    record: LeaseRecord | None
+    since: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldLease:
+    """A lease that this entry holds.
+
+    Attributes
+    ----------
+    good_until
+        Monotonic time from which no order may be sent; counted from before the
+        last confirmed write was sent, less the margin.
+    """
+
+    version: int
+    fence: int
+    renewed_at: float
+    good_until: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteLease:
+    """Write the lease under a condition."""
+
+    if_version: int
+    record: LeaseRecord
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitForLease:
+    """Leave the lease alone for now."""
+
+
+LeaseStep = WriteLease | WaitForLease
+
+
+def observe(
+    before: LeaseView | None, version: int, record: LeaseRecord | None, now: float
+) -> LeaseView:
+    """Return the view after a read whose answer came at ``now``."""
+    if before is not None and before.version == version and before.record == record:
+        return before
+    return LeaseView(version=version, record=record, since=now)
+
+
+def step_without_lease(
+    view: LeaseView, holder: str, highest_fence: int, now: float
+) -> LeaseStep:
+    """Decide whether an entry that does not hold the lease takes it.
+
+    A record of its own is that of a write whose answer was lost: nobody else
+    wrote since, so that it may write on, and holds once that is confirmed.
+
+    Parameters
+    ----------
+    highest_fence
+        Highest fencing number that any engine of the zone has shown, so that
+        the numbers grow even when the lease object was deleted.
+    """
+    last = view.record
+    if last is not None and last.holder == holder and last.fence >= highest_fence:
+        return _write(view.version, holder, last.fence)
+    if last is None:
+        return _write(view.version, holder, highest_fence + 1)
+    if last.holder and now - view.since < last.seconds:
+        return WaitForLease()
+    return _write(view.version, holder, max(highest_fence, last.fence) + 1)
+
+
+def _write(if_version: int, holder: str, fence: int) -> WriteLease:
+    record = LeaseRecord(holder=holder, fence=fence, seconds=LEASE_SECONDS)
+    return WriteLease(if_version=if_version, record=record)
+
+
+def step_with_lease(
+    held: HeldLease, holder: str, highest_fence: int, now: float
+) -> LeaseStep:
+    """Decide whether a holder renews its lease."""
+    outdated = highest_fence > held.fence
+    if not outdated and now - held.renewed_at < LEASE_RENEW_SECONDS:
+        return WaitForLease()
+    fence = highest_fence + 1 if outdated else held.fence
+    return _write(held.version, holder, fence)
+
+
+def confirmed(step: WriteLease, version: int, sent_at: float) -> HeldLease:
+    """Return the lease after a write was confirmed that was sent at ``sent_at``."""
+    return HeldLease(
+        version=version,
+        fence=step.record.fence,
+        renewed_at=sent_at,
+        good_until=sent_at + step.record.seconds - LEASE_MARGIN_SECONDS,
+    )
+
+
+def may_order(held: HeldLease | None, now: float) -> bool:
+    """Return whether orders may be sent; the last check before each one."""
+    return held is not None and now < held.good_until
--- /dev/null
+++ b/src/gypsumsail/orders/models.py
@@ -0,0 +1,80 @@
+"""Lease, turns and observed engines as the decisions see them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from gypsumsail.targets.port import EngineState
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseRecord:
+    """Lease of a zone as the platform keeps it.
+
+    Attributes
+    ----------
+    holder
+        Name and incarnation of the entry that issues orders; empty when it was
+        given back.
+    fence
+        Fencing number; grows with each new holder.
+    seconds
+        Time that others wait without seeing a change before they take over.
+    """
+
+    holder: str
+    fence: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Turn:
+    """Leave to take one engine out of service to load what is wanted.
+
+    Attributes
+    ----------
+    document_version
+        Version of the document whose state is being loaded.
+    """
+
+    target: str
+    service: str
+    zone: str
+    document_version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NewestOrdered:
+    """Newest document version of a service that any issuer acted on."""
+
+    service: str
+    document_version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TurnBook:
+    """What the issuers of all zones have under way; one platform object."""
+
+    turns: tuple[Turn, ...] = ()
+    newest: tuple[NewestOrdered, ...] = ()
+
+
+EMPTY_BOOK: Final = TurnBook()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObservedEngine:
+    """An engine of the platform's list and its state as just read.
+
+    Attributes
+    ----------
+    state
+        ``None`` when it could not be read.
+    """
+
+    target: str
+    service: str
+    zone: str
+    leaving: bool
+    state: EngineState | None
--- /dev/null
+++ b/src/gypsumsail/orders/wanted.py
@@ -0,0 +1,51 @@
+"""End state that a service document wants of its engines."""
+
+from __future__ import annotations
+
+from gypsumsail.document.models import Adapter, ServiceDocument
+from gypsumsail.targets.port import EngineRole, EngineState, LoadedModel
+
+
+def adapter_id(adapter: Adapter) -> str:
+    """Return how an engine names an adapter with its version."""
+    return f"{adapter.name}@{adapter.version}"
+
+
+def wanted_models(document: ServiceDocument) -> tuple[LoadedModel, ...]:
+    """Return the models that each engine of the service is to have loaded."""
+    return tuple(
+        LoadedModel(
+            model=model.name,
+            weight_version=model.weight_version,
+            adapters=tuple(map(adapter_id, model.adapters)),
+        )
+        for model in document.models
+    )
+
+
+def is_wanted(state: EngineState, models: tuple[LoadedModel, ...]) -> bool:
+    """Return whether an engine serves exactly what is wanted."""
+    if state.role is not EngineRole.SERVE or state.loading:
+        return False
+    return _normal(state.models) == _normal(models)
+
+
+def is_loading(state: EngineState, models: tuple[LoadedModel, ...]) -> bool:
+    """Return whether an engine is on its way to what is wanted."""
+    if state.role is not EngineRole.SERVE or not state.loading:
+        return False
+    return _normal(state.loading) <= _normal(models)
+
+
+def is_serving(state: EngineState | None) -> bool:
+    """Return whether an engine answers requests of any version."""
+    if state is None or state.role is not EngineRole.SERVE:
+        return False
+    return bool(state.models) and not state.loading
+
+
+def _normal(models: tuple[LoadedModel, ...]) -> set[tuple[str, str, frozenset[str]]]:
+    return {
+        (model.model, model.weight_version, frozenset(model.adapters))
+        for model in models
+    }
--- a/tests/once/common.py
+++ b/tests/once/common.py
@@ -44,6 +44,8 @@
         ``async_release_late``.
     called
         Set by each call.
+    stale
+        Objects that a read of their keys shows, whatever is stored.
     stale_listings
         Number of coming listings that show what ``snapshot`` kept.
     """
@@ -56,6 +58,7 @@
     stale_listings: int = 0
     objects: dict[str, PlatformObject] = field(default_factory=dict)
     snapshot: dict[str, PlatformObject] = field(default_factory=dict)
+    stale: dict[str, PlatformObject] = field(default_factory=dict)
     late: list[tuple[str, bytes, int]] = field(default_factory=list)
     called: asyncio.Event = field(default_factory=asyncio.Event)
     revision: int = 0
@@ -74,7 +77,7 @@
     async def async_get(self, key: str) -> PlatformObject | None:
         self.reads += 1
         await self._async_call()
-        return self.objects.get(key)
+        return self.stale.get(key) or self.objects.get(key)
 
     async def async_list(self, prefix: str) -> Listing:
         self.reads += 1
--- /dev/null
+++ b/tests/orders/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of orders to targets."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/orders/common.py
@@ -0,0 +1,211 @@
+"""Builders and fakes for tests of orders."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.document.models import (
+    Deadlines,
+    DocumentInForce,
+    Model,
+    ServiceDocument,
+    ServiceKind,
+    TierPolicy,
+    TierWeights,
+)
+from gypsumsail.orders.coordinator import OrdersCoordinator
+from gypsumsail.orders.models import ObservedEngine
+from gypsumsail.peers.port import EntryId
+from gypsumsail.platform.port import VmRecord, VmRole, VmState
+from gypsumsail.targets.port import (
+    AnswerEnd,
+    AnswerToken,
+    CacheEvents,
+    EngineRequest,
+    EngineRole,
+    EngineState,
+    ExportBlocks,
+    ExportResult,
+    LoadedModel,
+    LoadReport,
+    SetState,
+)
+from tests.once.common import FakeObjectApi, ListRecorder, ManualClock
+
+SERVICE = "claims"
+MODEL = "verdict"
+ZONES = ("brest-hall", "rennes-hall", "lorient-hall")
+
+
+def document(version: int, weights: str, share: float = 0.25) -> DocumentInForce:
+    return DocumentInForce(
+        document=ServiceDocument(
+            service=SERVICE,
+            kind=ServiceKind.MODEL,
+            owner="claims team",
+            models=(Model(name=MODEL, weight_version=weights),),
+            customers=(),
+            routes=(),
+            deadlines=Deadlines(default=30.0, longest=300.0),
+            tiers=TierPolicy(
+                weights=TierWeights(first_token=0.5, recomputed=0.3, link_use=0.2),
+                link_bytes_per_second=1e6,
+            ),
+            unavailable_share=share,
+        ),
+        version=version,
+        text="",
+    )
+
+
+def loaded(weights: str) -> tuple[LoadedModel, ...]:
+    return (LoadedModel(model=MODEL, weight_version=weights),)
+
+
+def serving(weights: str, **changes: Any) -> EngineState:
+    state = EngineState(
+        incarnation="i1",
+        role=EngineRole.SERVE,
+        models=loaded(weights),
+        loading=(),
+        highest_fence=0,
+    )
+    return replace(state, **changes)
+
+
+@dataclass(slots=True, kw_only=True)
+class FakeEngine:
+    """An engine whose load ends when the test says so.
+
+    Attributes
+    ----------
+    fencing
+        Whether orders with an old fencing number are refused.
+    on_look
+        Called with the number of the look before each one.
+    held_orders
+        Orders that are on their way while ``hold`` is set.
+    """
+
+    state: EngineState
+    fencing: bool = False
+    down: bool = False
+    hold: bool = False
+    looks: int = 0
+    on_look: Callable[[int], None] = lambda _: None
+    held_orders: list[SetState] = field(default_factory=list)
+    orders: list[SetState] = field(default_factory=list)
+
+    async def async_state(self) -> EngineState:
+        self.looks += 1
+        self.on_look(self.looks)
+        if self.down:
+            raise TransportError("down", sent=False)
+        return self.state
+
+    async def async_set_state(self, order: SetState) -> EngineState:
+        if self.hold:
+            self.held_orders.append(order)
+            raise TransportError("no answer", sent=True)
+        return self.arrive(order)
+
+    def arrive(self, order: SetState) -> EngineState:
+        if self.fencing:
+            if order.fence < self.state.highest_fence:
+                raise TransportError("old fencing number", sent=True)
+            self.state = replace(self.state, highest_fence=order.fence)
+        self.orders.append(order)
+        if self.state.loading or order.models != self.state.models:
+            self.state = replace(self.state, loading=order.models)
+        return self.state
+
+    def finish(self) -> None:
+        if self.state.loading:
+            models, role = self.state.loading, EngineRole.SERVE
+            self.state = replace(self.state, models=models, loading=(), role=role)
+
+    def stream(
+        self, request: EngineRequest
+    ) -> AsyncIterator[tuple[AnswerToken | AnswerEnd, ...]]:
+        raise NotImplementedError
+
+    async def async_cancel(self, attempt_id: str) -> None:
+        raise NotImplementedError
+
+    async def async_load(self) -> LoadReport:
+        raise NotImplementedError
+
+    async def async_cache_events(self, *, after: int, wait: float) -> CacheEvents:
+        raise NotImplementedError
+
+    async def async_cache_contents(self) -> CacheEvents:
+        raise NotImplementedError
+
+    async def async_export(self, order: ExportBlocks) -> ExportResult:
+        raise NotImplementedError
+
+
+class Deployment:
+    """Engines over three zones, and any number of issuers."""
+
+    def __init__(self, engines: int = 6, *, fencing: bool = False) -> None:
+        self.api = FakeObjectApi()
+        self.clock = ManualClock()
+        self.documents = (document(1, "v1"),)
+        self.engines = {
+            f"engine-{number}": FakeEngine(state=serving("v1"), fencing=fencing)
+            for number in range(engines)
+        }
+        self.entries: tuple[EntryId, ...] = ()
+
+    def vms(self) -> tuple[VmRecord, ...]:
+        return tuple(
+            VmRecord(
+                vm_id=name,
+                incarnation="i1",
+                zone=ZONES[number % len(ZONES)],
+                role=VmRole.ENGINE,
+                service=SERVICE,
+                state=VmState.LIVE,
+                url="",
+            )
+            for number, name in enumerate(self.engines)
+        )
+
+    def live_entries(self) -> tuple[EntryId, ...]:
+        return self.entries
+
+    def in_force(self) -> tuple[DocumentInForce, ...]:
+        return self.documents
+
+    def issuer(self, name: str, zone: str = ZONES[0]) -> OrdersCoordinator:
+        entry = EntryId(name=name, incarnation=f"{name}-1", zone=zone)
+        return OrdersCoordinator(
+            self.api,
+            self,
+            self,
+            lambda vm: self.engines[vm.vm_id],
+            ListRecorder(),
+            self.clock,
+            entry,
+        )
+
+    def out(self) -> int:
+        return sum(bool(engine.state.loading) for engine in self.engines.values())
+
+    def observed(self) -> list[ObservedEngine]:
+        return [
+            ObservedEngine(
+                target=vm.vm_id,
+                service=vm.service,
+                zone=vm.zone,
+                leaving=False,
+                state=None
+                if self.engines[vm.vm_id].down
+                else self.engines[vm.vm_id].state,
+            )
+            for vm in self.vms()
+        ]
--- /dev/null
+++ b/tests/orders/test_coordinator.py
@@ -0,0 +1,134 @@
+"""Tests of issuers with pauses, late orders and two of them at once."""
+
+from __future__ import annotations
+
+import pytest
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.orders.const import LEASE_SECONDS, TURNS_KEY
+from gypsumsail.orders.coordinator import OrdersCoordinator
+from gypsumsail.platform.port import ConflictError
+
+from .common import ZONES, Deployment, document, loaded, serving
+
+ENGINE = "engine-0"
+
+
+async def async_settle(
+    deployment: Deployment, issuers: list[OrdersCoordinator]
+) -> None:
+    for _ in range(30):
+        deployment.clock.now += 1.0
+        for issuer in issuers:
+            try:
+                await issuer.async_step()
+            except (ConflictError, TransportError):
+                continue
+        for engine in deployment.engines.values():
+            engine.finish()
+
+
+async def async_succeed(deployment: Deployment, issuer: OrdersCoordinator) -> None:
+    """Let an issuer see the lease unchanged until it takes it over."""
+    await issuer.async_step()
+    deployment.clock.now += LEASE_SECONDS
+    await issuer.async_step()
+
+
+async def test_issuers_of_three_zones_share_one_limit() -> None:
+    deployment = Deployment(9)
+    deployment.documents = (document(2, "v2"),)
+    issuers = [deployment.issuer(f"entry-{zone}", zone) for zone in ZONES]
+    for issuer in issuers:
+        await issuer.async_step()
+    assert deployment.out() == 2
+    await async_settle(deployment, issuers)
+    models = [engine.state.models for engine in deployment.engines.values()]
+    assert models == [loaded("v2")] * 9
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+async def test_late_order_of_a_paused_issuer_does_not_last(fencing: bool) -> None:
+    deployment = Deployment(6, fencing=fencing)
+    deployment.documents = (document(2, "v2"),)
+    engine = deployment.engines[ENGINE]
+    paused = deployment.issuer("entry-1")
+    engine.hold = True
+    await paused.async_step()
+    engine.hold = False
+    (late,) = engine.held_orders
+    deployment.documents = (document(3, "v3"),)
+    successor = deployment.issuer("entry-2")
+    await async_succeed(deployment, successor)
+    issuers = [successor, *(deployment.issuer(f"e-{z}", z) for z in ZONES[1:])]
+    await async_settle(deployment, issuers)
+    assert engine.state.models == loaded("v3")
+    if fencing:
+        with pytest.raises(TransportError):
+            engine.arrive(late)
+    else:
+        engine.arrive(late)
+        engine.finish()
+        assert engine.state.models == loaded("v2")
+    await async_settle(deployment, issuers)
+    models = [item.state.models for item in deployment.engines.values()]
+    assert models == [loaded("v3")] * 6
+
+
+async def test_thawed_issuer_sends_nothing_on_its_old_lease() -> None:
+    deployment = Deployment()
+    paused = deployment.issuer("entry-1")
+    await paused.async_step()
+    successor = deployment.issuer("entry-2")
+    await async_succeed(deployment, successor)
+    deployment.documents = (document(2, "v2"),)
+    await paused.async_step()
+    assert deployment.out() == 0
+    assert paused.keeper.held is None
+    await successor.async_step()
+    assert deployment.out() == 1
+
+
+async def test_lease_that_ends_between_look_and_order_sends_nothing() -> None:
+    deployment = Deployment()
+    deployment.documents = (document(2, "v2"),)
+    issuer = deployment.issuer("entry-1")
+    engine = deployment.engines[ENGINE]
+
+    def pass_time(look: int) -> None:
+        deployment.clock.now += LEASE_SECONDS if look == 2 else 0.0
+
+    engine.on_look = pass_time
+    await issuer.async_step()
+    assert engine.looks == 2
+    assert engine.orders == []
+
+
+async def test_stale_book_sends_no_order() -> None:
+    deployment = Deployment()
+    deployment.documents = (document(2, "v2"),)
+    first = deployment.issuer("entry-1")
+    await first.async_step()
+    deployment.engines[ENGINE].finish()
+    stale = deployment.api.objects[TURNS_KEY]
+    await first.async_step()
+    await deployment.issuer("entry-3", ZONES[1]).async_step()
+    deployment.engines[ENGINE].state = serving("v1")
+    deployment.api.stale[TURNS_KEY] = stale
+    with pytest.raises(ConflictError):
+        await first.async_step()
+    assert deployment.out() == 1
+
+
+async def test_issuer_raises_its_fence_above_one_that_engines_have_seen() -> None:
+    deployment = Deployment(fencing=True)
+    deployment.documents = (document(2, "v2"),)
+    old = deployment.issuer("entry-1")
+    await async_settle(deployment, [old])
+    deployment.api.objects.clear()
+    successor = deployment.issuer("entry-2")
+    deployment.documents = (document(3, "v3"),)
+    issuers = [successor, *(deployment.issuer(f"e-{z}", z) for z in ZONES[1:])]
+    await async_settle(deployment, issuers)
+    models = [engine.state.models for engine in deployment.engines.values()]
+    assert models == [loaded("v3")] * 6
--- /dev/null
+++ b/tests/orders/test_lease.py
@@ -0,0 +1,100 @@
+"""Tests of the lease with paused holders, lost answers and deletion."""
+
+from __future__ import annotations
+
+import pytest
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.orders.const import LEASE_RENEW_SECONDS, LEASE_SECONDS
+from gypsumsail.orders.keeper import LeaseKeeper
+from gypsumsail.orders.lease import may_order
+from tests.once.common import FakeObjectApi, ManualClock
+
+ZONE = "karen"
+
+
+class Pair:
+    """Two entries that want the same lease."""
+
+    def __init__(self) -> None:
+        self.api = FakeObjectApi()
+        self.clock = ManualClock()
+        self.first = LeaseKeeper(self.api, self.clock, ZONE, "entry-1/a")
+        self.second = LeaseKeeper(self.api, self.clock, ZONE, "entry-2/a")
+
+    def may_order(self, keeper: LeaseKeeper) -> bool:
+        return may_order(keeper.held, self.clock.now)
+
+
+async def test_successor_waits_the_whole_time_and_has_a_higher_fence() -> None:
+    pair = Pair()
+    await pair.first.async_step(0)
+    pair.clock.now += LEASE_SECONDS - 1.0
+    await pair.second.async_step(0)
+    assert not pair.may_order(pair.first)
+    pair.clock.now += LEASE_SECONDS - 1.0
+    await pair.second.async_step(0)
+    assert not pair.may_order(pair.second)
+    pair.clock.now += 1.0
+    await pair.second.async_step(0)
+    assert pair.may_order(pair.second)
+    assert pair.first.held is not None
+    assert pair.second.held is not None
+    assert pair.second.held.fence > pair.first.held.fence
+    await pair.first.async_step(0)
+    assert pair.first.held is None
+
+
+@pytest.mark.parametrize("step", [0.5, 2.0, 5.0, 7.5])
+async def test_two_holders_never_may_order_at_once(step: float) -> None:
+    pair = Pair()
+    for number in range(200):
+        pair.clock.now += step
+        pair.api.lost_answers = 1 if number % 5 == 0 else 0
+        paused = number // 20 % 2
+        for keeper in (pair.first, pair.second)[paused:]:
+            try:
+                await keeper.async_step(0)
+            except TransportError:
+                continue
+        assert not (pair.may_order(pair.first) and pair.may_order(pair.second))
+
+
+async def test_lost_answer_is_no_renewal() -> None:
+    pair = Pair()
+    await pair.first.async_step(0)
+    assert pair.first.held is not None
+    good_until = pair.first.held.good_until
+    pair.clock.now += LEASE_RENEW_SECONDS
+    pair.api.lost_answers = 1
+    with pytest.raises(TransportError):
+        await pair.first.async_step(0)
+    assert pair.first.held.good_until == good_until
+    await pair.first.async_step(0)
+    assert not pair.may_order(pair.first)
+    await pair.first.async_step(0)
+    assert pair.may_order(pair.first)
+    assert pair.first.held is not None
+    assert pair.first.held.fence == 1
+
+
+async def test_deleted_lease_does_not_restart_the_fence() -> None:
+    pair = Pair()
+    await pair.first.async_step(6)
+    assert pair.first.held is not None
+    fence = pair.first.held.fence
+    pair.api.objects.clear()
+    await pair.second.async_step(fence)
+    assert pair.second.held is not None
+    assert pair.second.held.fence > fence
+
+
+async def test_lease_given_back_is_taken_at_once() -> None:
+    pair = Pair()
+    await pair.first.async_step(0)
+    await pair.first.async_give_back()
+    assert not pair.may_order(pair.first)
+    await pair.second.async_step(0)
+    assert pair.may_order(pair.second)
+    assert pair.second.held is not None
+    assert pair.second.held.fence == 2
--- /dev/null
+++ b/tests/orders/test_planner.py
@@ -0,0 +1,154 @@
+"""Tests of rollouts against a naive one, over arbitrary interruptions."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsumsail.document.models import DocumentInForce
+from gypsumsail.orders.const import LOADS_AT_ONCE
+from gypsumsail.orders.models import EMPTY_BOOK, TurnBook
+from gypsumsail.orders.planner import allowed_out, plan_orders
+from gypsumsail.orders.wanted import is_serving
+from gypsumsail.targets.port import EngineRole, LoadedModel, SetState
+
+from .common import ZONES, Deployment, document, serving
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["plan", "plan", "plan", "finish", "finish", "restart", "document", "down"]
+        ),
+        st.integers(0, 20),
+    ),
+    max_size=60,
+)
+
+
+def naive_end_states(
+    engines: list[str], last: DocumentInForce
+) -> dict[str, tuple[LoadedModel, ...]]:
+    """Say where a rollout ends that is done in one moment, without failures."""
+    model = last.document.models[0]
+    wanted = (
+        LoadedModel(model=model.name, weight_version=model.weight_version, adapters=()),
+    )
+    return dict.fromkeys(engines, wanted)
+
+
+class Rollout:
+    """Planner and engines, driven step by step."""
+
+    def __init__(self, engines: int, share: float) -> None:
+        self.deployment = Deployment(engines)
+        self.share = share
+        self.book: TurnBook = EMPTY_BOOK
+        self.deployment.documents = (document(2, "v2", share),)
+        self.restarted: set[str] = set()
+
+    def serving(self) -> set[str]:
+        return {
+            name
+            for name, engine in self.deployment.engines.items()
+            if not engine.down and is_serving(engine.state)
+        }
+
+    def plan(self, zone: str) -> None:
+        before = self.serving()
+        plan = plan_orders(
+            self.deployment.documents, self.deployment.observed(), self.book, zone
+        )
+        self.book = plan.book
+        for order in plan.orders:
+            message = SetState(fence=1, role=order.role, models=order.models)
+            self.deployment.engines[order.target].arrive(message)
+        self.check_taken(before)
+
+    def check_taken(self, before: set[str]) -> None:
+        after = self.serving()
+        total = len(self.deployment.engines)
+        assert len(self.book.turns) <= max(LOADS_AT_ONCE, 1)
+        if before == after:
+            return
+        assert total - len(after) <= allowed_out(total, self.share)
+        assert after or total == 1
+
+    def apply(self, event: str, number: int) -> None:
+        names = list(self.deployment.engines)
+        engine = self.deployment.engines[names[number % len(names)]]
+        match event:
+            case "plan":
+                self.plan(ZONES[number % len(ZONES)])
+            case "finish":
+                engine.finish()
+            case "restart":
+                engine.state = serving("", models=(), role=EngineRole.STANDBY)
+            case "document":
+                version = self.deployment.documents[0].version + 1
+                self.deployment.documents = (
+                    document(version, f"v{number % 3}", self.share),
+                )
+            case "down":
+                engine.down = not engine.down
+
+    def settle(self) -> None:
+        for engine in self.deployment.engines.values():
+            engine.down = False
+        for _ in range(4 * len(self.deployment.engines) + 4):
+            for zone in ZONES:
+                self.plan(zone)
+            for engine in self.deployment.engines.values():
+                engine.finish()
+        for zone in ZONES:
+            self.plan(zone)
+
+
+@given(st.integers(1, 9), st.sampled_from([0.0, 0.25, 0.5, 1.0]), EVENTS)
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_rollouts_end_like_the_naive_one_and_never_take_too_many(
+    engines: int, share: float, events: list[tuple[str, int]]
+) -> None:
+    rollout = Rollout(engines, share)
+    for event, number in events:
+        rollout.apply(event, number)
+    rollout.settle()
+    deployment = rollout.deployment
+    end = {name: engine.state.models for name, engine in deployment.engines.items()}
+    assert end == naive_end_states(list(end), deployment.documents[0])
+    assert rollout.book.turns == ()
+
+
+def test_version_that_does_not_load_stops_the_rollout_at_its_share() -> None:
+    rollout = Rollout(8, 0.25)
+    for _ in range(10):
+        for zone in ZONES:
+            rollout.plan(zone)
+    assert len(rollout.serving()) == 6
+
+
+def test_older_document_than_one_acted_on_is_not_ordered() -> None:
+    rollout = Rollout(6, 0.25)
+    rollout.plan(ZONES[0])
+    rollout.deployment.documents = (document(1, "v1"),)
+    plan = plan_orders(
+        rollout.deployment.documents,
+        rollout.deployment.observed(),
+        rollout.book,
+        ZONES[0],
+    )
+    assert plan.orders == ()
+
+
+def test_turn_of_an_engine_that_left_is_given_up() -> None:
+    rollout = Rollout(6, 0.25)
+    rollout.plan(ZONES[0])
+    (turn,) = rollout.book.turns
+    observed = [
+        replace(engine, leaving=engine.target == turn.target)
+        for engine in rollout.deployment.observed()
+    ]
+    plan = plan_orders(rollout.deployment.documents, observed, rollout.book, ZONES[0])
+    assert turn.target not in {item.target for item in plan.book.turns}
+    assert len(plan.orders) == 1
