--- /dev/null
+++ b/tests/logs/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of gypsumsail.logs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/metrics/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of gypsumsail.metrics."""
+
+from __future__ import annotations
