--- /dev/null
+++ b/src/gypsumsail/logs/const.py
@@ -0,0 +1,10 @@
+"""Limits and names of the logs."""
+
+from __future__ import annotations
+
+from typing import Final
+
+MAX_MESSAGE_LENGTH: Final = 2_000
+MAX_TRACEBACK_LENGTH: Final = 8_000
+NO_REQUEST: Final = "-"
+QUIET_LOGGERS: Final = ("httpx", "httpcore", "websockets", "uvicorn.access")
--- /dev/null
+++ b/src/gypsumsail/logs/redact.py
@@ -0,0 +1,35 @@
+"""Takes keys and long texts out of log messages."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import re
+from typing import Final
+
+REDACTED: Final = "[redacted]"
+
+_BEARER: Final = re.compile(r"(?i)(bearer\s+)\S+")
+_FIELD: Final = re.compile(
+    r"""(?ix)
+    (["']?\b(?:prompt|text|messages|content|api[_-]?key|authorization|secret|
+    operator[_-]?key|peer[_-]?secret)\b["']?\s*[:=]\s*)
+    ("(?:[^"\\]|\\.)*"?|'(?:[^'\\]|\\.)*'?|(?!bearer\b)[^\s,}]+)
+    """
+)
+
+
+class Redactor:
+    """Replaces known secrets and what stands where prompts and keys stand.
+
+    It is the second line: no call passes prompt text or keys to a logger.
+    """
+
+    def __init__(self, secrets: Iterable[str] = ()) -> None:
+        self.secrets = tuple(secret for secret in secrets if secret)
+
+    def clean(self, message: str) -> str:
+        """Return the message without secrets."""
+        for secret in self.secrets:
+            message = message.replace(secret, REDACTED)
+        message = _BEARER.sub(rf"\1{REDACTED}", message)
+        return _FIELD.sub(rf"\1{REDACTED}", message)
