--- a/tests/logs/test_logs.py
+++ b/tests/logs/test_logs.py
@@ -74,6 +74,7 @@
 
     LOGGER.info("call with operator-key-of-the-test")
     LOGGER.info("headers {'Authorization': 'Bearer sk-caller'}")
+    LOGGER.info("sent bearer sk-second to the target")
     LOGGER.info('body {"prompt": "Flight \\"AF 12\\" was late", "max_tokens": 5}')
     LOGGER.info("first\nsecond")
     try:
@@ -82,10 +83,17 @@
         LOGGER.exception("Relay failed")
 
     logged = stream.getvalue()
-    for hidden in ("operator-key-of", "sk-caller", "Flight", "AF 12", "late"):
+    for hidden in (
+        "operator-key-of",
+        "sk-caller",
+        "sk-second",
+        "Flight",
+        "AF 12",
+        "late",
+    ):
         assert hidden not in logged
     assert "ValueError" in logged
-    assert len(logged.splitlines()) == 5
+    assert len(logged.splitlines()) == 6
 
 
 def test_no_logging_call_of_the_product_names_a_prompt_or_a_key() -> None:
