Reach the platform from the commands

Cause: the commands find the entries from the platform's list and show what the platform holds. Conclusion: document show, and in-force, status and timeline by the VM list.

--- a/src/gypsumsail/cli/connection.py
+++ b/src/gypsumsail/cli/connection.py
@@ -4,12 +4,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from functools import wraps
 import os
 from pathlib import Path
-from typing import Any, Final, TypeVar
+from typing import Any, TypeVar
 
 import click
 import httpx
@@ -17,10 +17,9 @@
 from gypsumsail.cli.const import ExitCode
 from gypsumsail.cli.entries import Directory, async_find_entries
 from gypsumsail.cli.options import setting, variable_of
+from gypsumsail.platform.http import HttpPlatform
 from gypsumsail.platform.port import ObjectApi, VmList
 
-PLATFORM_TIMEOUT_SECONDS: Final = 10.0
-
 _ResultT = TypeVar("_ResultT")
 
 
@@ -108,25 +107,17 @@
     headers = {}
     if connection.operator_key:
         headers["Authorization"] = f"Bearer {connection.operator_key}"
-    async with (
-        httpx.AsyncClient(headers=headers, trust_env=False) as entries,
-        httpx.AsyncClient(
-            trust_env=False, timeout=PLATFORM_TIMEOUT_SECONDS
-        ) as platform,
-    ):
-        api, vms = _open_platform(connection.platform_url, platform)
-        yield Session(connection=connection, entries=entries, api=api, vms=vms)
-
-
-def _open_platform(
-    url: str, client: httpx.AsyncClient
-) -> tuple[ObjectApi | None, VmList | None]:
-    if not url:
-        return None, None
-    from importlib import import_module
-
-    http = import_module("gypsumsail.platform.http")
-    return http.HttpObjectApi(url, client), http.HttpVmList(url, client)
+    async with AsyncExitStack() as stack:
+        entries = await stack.enter_async_context(
+            httpx.AsyncClient(headers=headers, trust_env=False)
+        )
+        platform = None
+        if connection.platform_url:
+            platform = HttpPlatform(connection.platform_url)
+            stack.push_async_callback(platform.async_close)
+        yield Session(
+            connection=connection, entries=entries, api=platform, vms=platform
+        )
 
 
 def run(action: Coroutine[Any, Any, _ResultT]) -> _ResultT:
--- /dev/null
+++ b/tests/cli/test_platform.py
@@ -0,0 +1,74 @@
+"""Tests of the commands against the platform's stand-in."""
+
+from __future__ import annotations
+
+from asyncio import to_thread
+import json
+
+import httpx
+
+from bench.processes import Launcher
+from gypsumsail.cli.const import ExitCode
+from tests.cli.common import closed_url, invoke, invoke_json, serve
+from tests.document.common import MODEL_TEXT
+from tests.entry.common import FakeStatusSource
+
+
+def vm(name: str, url: str, role: str = "entry") -> dict[str, str]:
+    return {
+        "vm_id": name,
+        "incarnation": "1",
+        "zone": "brest-hall",
+        "role": role,
+        "service": "",
+        "state": "live",
+        "url": url,
+    }
+
+
+async def test_entries_come_from_the_platform_and_dead_ones_are_named(
+    launcher: Launcher, client: httpx.AsyncClient
+) -> None:
+    platform = await launcher.start_module("platform", "stand_ins.platform")
+    flags = ["--platform-url", platform.url]
+    with serve(FakeStatusSource("entry-1")) as url:
+        vms = [
+            vm("entry-1", url),
+            vm("entry-2", closed_url()),
+            vm("engine-1", closed_url(), "engine"),
+        ]
+        await client.put(f"{platform.url}/control/vms", json={"vms": vms})
+        code, result = await to_thread(invoke_json, "document", "in-force", *flags)
+        assert code == ExitCode.UNREACHABLE
+        assert [item["entry"] for item in result["entries"]] == ["entry-1"]
+        assert set(result["unreachable"]) == {"entry-2"}
+
+        await platform.kill()
+        code, result = await to_thread(
+            invoke_json, "document", "in-force", *flags, "--entry", url
+        )
+        assert code == ExitCode.UNREACHABLE
+        assert [item["entry"] for item in result["entries"]] == ["entry-1"]
+        assert set(result["unreachable"]) == {"platform"}
+
+
+async def test_show_gives_the_text_and_its_version(
+    launcher: Launcher, client: httpx.AsyncClient
+) -> None:
+    platform = await launcher.start_module("platform", "stand_ins.platform")
+    flags = ["--platform-url", platform.url]
+    value = json.dumps({"base": 6, "text": MODEL_TEXT})
+    for service, content in (("claims", value), ("portal", "no document")):
+        url = f"{platform.url}/objects/documents/{service}"
+        await client.put(url, content=content, headers={"If-Version": "0"})
+
+    shown = await to_thread(invoke, "document", "show", "claims", *flags)
+    assert (shown.exit_code, shown.stdout) == (ExitCode.OK, MODEL_TEXT)
+    assert shown.stderr == "version 7\n"
+    for service in ("portal", "letters"):
+        other = await to_thread(invoke, "document", "show", service, *flags)
+        assert other.exit_code == ExitCode.FINDINGS
+
+    await platform.kill()
+    lost = await to_thread(invoke, "document", "show", "claims", *flags)
+    assert lost.exit_code == ExitCode.UNREACHABLE
