--- a/src/gypsumsail/targets/events.py
+++ b/src/gypsumsail/targets/events.py
@@ -9,8 +9,9 @@
 from gypsumsail.targets.port import AnswerEnd, AnswerToken, FinishReason
 from gypsumsail.transport.const import EVENT_LIMIT_BYTES
 
-_DATA: Final = b"data: "
-_DONE: Final = b"data: [DONE]"
+_DATA: Final = "data: "
+_DONE: Final = "data: [DONE]"
+_raw_decode: Final = json.JSONDecoder().raw_decode
 _NOT_RUN: Final = "not run"
 
 
@@ -47,10 +48,15 @@
         EngineGaveUpError
             The engine has ended the request.
         """
-        lines = (self._tail + chunk if self._tail else chunk).split(b"\n")
-        self._tail = lines.pop()
+        data = self._tail + chunk if self._tail else chunk
+        whole = data.rfind(b"\n") + 1
+        self._tail = data[whole:]
         if len(self._tail) > EVENT_LIMIT_BYTES:
             raise BrokenStreamError("an event is too large")
+        try:
+            lines = data[:whole].decode().split("\n")
+        except UnicodeDecodeError:
+            raise BrokenStreamError("an event that is not UTF-8") from None
         return [
             token for line in lines if line and (token := self._take(line)) is not None
         ]
@@ -67,7 +73,7 @@
             raise BrokenStreamError("the answer ended early")
         return self.end
 
-    def _take(self, line: bytes) -> AnswerToken | None:
+    def _take(self, line: str) -> AnswerToken | None:
         if self.is_done:
             raise BrokenStreamError("an event after the last one")
         if line == _DONE:
@@ -123,16 +129,16 @@
         return end
 
 
-def _decode(line: bytes) -> dict[str, Any]:
+def _decode(line: str) -> dict[str, Any]:
     if not line.startswith(_DATA):
         raise BrokenStreamError("a line that is no event")
     if len(line) > EVENT_LIMIT_BYTES:
         raise BrokenStreamError("an event is too large")
     try:
-        event = json.loads(line[len(_DATA) :])
+        event, stop = _raw_decode(line, len(_DATA))
     except (ValueError, RecursionError):
         raise BrokenStreamError("a malformed event") from None
-    if type(event) is not dict:
+    if type(event) is not dict or line[stop:].strip():
         raise BrokenStreamError("a malformed event")
     return event
 
--- a/tests/targets/test_stream.py
+++ b/tests/targets/test_stream.py
@@ -5,6 +5,7 @@
 import socket
 
 import pytest
+import uvloop
 
 from gypsumsail.core.errors import TransportError, UnavailableError
 from gypsumsail.targets.errors import EngineRefusedError
@@ -26,6 +27,18 @@
     return found
 
 
+def test_streams_run_on_uvloop() -> None:
+    async def read_twice() -> int:
+        async with raw_server([WHOLE]) as server:
+            streams = EngineStreams(server.url)
+            await read(streams)
+            await read(streams)
+            await streams.async_close()
+            return server.connections
+
+    assert uvloop.run(read_twice()) == 1
+
+
 async def test_connection_is_used_again_only_after_a_whole_answer() -> None:
     async with raw_server([WHOLE]) as server:
         streams = EngineStreams(server.url)
