Lay out both deployments, their traffic and measures as data and small modules

Cause: demo, bench and process tests need the same deployments. Ruled out: a simulator; everything runs as real processes.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,73 @@
+"""Command line of the bench."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import sys
+
+import click
+import uvloop
+
+from bench.faults import FAULTS, find_faults
+from bench.layouts import LAYOUTS
+from bench.report import as_json, as_table
+from bench.run import RunPlan, async_run
+
+
+@click.group()
+def bench() -> None:
+    """Measure gypsumsail on its real processes."""
+
+
+@bench.command()
+@click.option("--deployment", type=click.Choice(sorted(LAYOUTS)), default="kerlann")
+@click.option("--policy", default="default", help="An entry's --routing-policy.")
+@click.option("--load", type=float, default=1.0, help="Factor on the arrival rates.")
+@click.option(
+    "--fault", default="none", help=f"none, or joined by +: {', '.join(FAULTS)}."
+)
+@click.option("--seeds", type=click.IntRange(1), default=1)
+@click.option("--first-seed", type=int, default=1)
+@click.option("--seconds", type=click.FloatRange(1), default=30.0)
+@click.option("--json", "json_file", type=click.Path(path_type=Path))
+def run(
+    deployment: str,
+    policy: str,
+    load: float,
+    fault: str,
+    seeds: int,
+    first_seed: int,
+    seconds: float,
+    json_file: Path | None,
+) -> None:
+    """Run the traffic of each seed on a deployment of its own.
+
+    Exit codes: 0 done, 1 an answer was wrong or a call ran twice.
+    """
+    try:
+        find_faults(fault)
+    except ValueError as error:
+        raise click.BadParameter(str(error)) from None
+    results = [
+        uvloop.run(
+            async_run(
+                RunPlan(
+                    deployment=deployment,
+                    policy=policy,
+                    load=load,
+                    fault=fault,
+                    seed=seed,
+                    seconds=seconds,
+                )
+            )
+        )
+        for seed in range(first_seed, first_seed + seeds)
+    ]
+    if json_file is not None:
+        json_file.write_text(as_json(results), encoding="utf-8")
+    print(as_table(results))
+    sys.exit(any(result.faults_found for result in results))
+
+
+if __name__ == "__main__":
+    bench()
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,74 @@
+"""Shows a whole deployment at work and ends by itself."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+import signal
+import sys
+import tempfile
+
+import click
+import httpx
+
+from bench.deployment import Deployment, async_bring_up
+from bench.layouts import LAYOUTS
+from bench.processes import Launcher
+from bench.report import as_table
+from bench.run import RunPlan, RunResult, async_measure
+
+
+async def async_demo(plan: RunPlan) -> RunResult:
+    """Start the layout, apply its documents, send traffic, show what happened."""
+    layout = LAYOUTS[plan.deployment]
+    task = asyncio.current_task()
+    if task is not None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    with tempfile.TemporaryDirectory() as directory:
+        async with (
+            Launcher() as launcher,
+            httpx.AsyncClient(trust_env=False, timeout=10.0) as client,
+        ):
+            print(f"starting {layout.name}: {len(layout.entry_zones)} entries", end="")
+            engines = sum(len(s.engine_zones) for s in layout.model_services)
+            print(f", {engines} engines, 2 stores, 1 plain service", flush=True)
+            deployment = await async_bring_up(
+                layout, launcher, client, policy=plan.policy, directory=Path(directory)
+            )
+            print(f"sending the traffic of {plan.seconds:g} seconds", flush=True)
+            result = await async_measure(deployment, plan)
+            print(as_table([result]))
+            await async_show_in_force(deployment)
+            await deployment.async_stop_entries()
+            return result
+
+
+async def async_show_in_force(deployment: Deployment) -> None:
+    """Print what is in force on each entry, by the operator's command."""
+    shown = await deployment.async_operate("document", "in-force")
+    print("\n".join(shown.output))
+
+
+@click.command()
+@click.argument("deployment", type=click.Choice(sorted(LAYOUTS)), default="kerlann")
+@click.option("--seconds", type=click.FloatRange(1), default=20.0)
+@click.option("--policy", default="default")
+def main(deployment: str, seconds: float, policy: str) -> None:
+    """Run the demo; the exit code is 1 on any wrong answer."""
+    plan = RunPlan(
+        deployment=deployment,
+        policy=policy,
+        load=1.0,
+        fault="none",
+        seed=1,
+        seconds=seconds,
+    )
+    result = asyncio.run(async_demo(plan))
+    classes = result.measures.classes.values()
+    unanswered = [row for row in classes if row.calls and not row.whole]
+    sys.exit(bool(result.faults_found or unanswered))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,315 @@
+"""A whole deployment on loopback, as separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+import json
+from pathlib import Path
+import time
+from typing import Any, Final
+
+import httpx
+
+from bench.layouts import WEIGHT_VERSION, Layout, ModelServiceLayout, documents
+from bench.processes import Launcher, RunningProcess
+
+OPERATOR_KEY: Final = "bench-operator-key-0123456789"
+PEER_SECRET: Final = "bench-peer-secret-0123456789"
+START_AT_ONCE: Final = 4
+IN_FORCE_TIMEOUT_SECONDS: Final = 60.0
+ENTRY_STOP_SECONDS: Final = 10.0
+
+
+class DeploymentError(Exception):
+    """The deployment could not be brought up."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Vm:
+    """One VM of the deployment and the process on it.
+
+    Attributes
+    ----------
+    arguments
+        Arguments of its process, to start it again under a new incarnation.
+    """
+
+    vm_id: str
+    zone: str
+    role: str
+    service: str
+    module: str
+    arguments: tuple[str, ...]
+    process: RunningProcess | None = None
+    url: str = ""
+    peer_url: str = ""
+    life: int = 0
+
+    def record(self) -> dict[str, str]:
+        """Return the VM as the platform lists it."""
+        return {
+            "vm_id": self.vm_id,
+            "incarnation": f"{self.vm_id}-{self.life}",
+            "zone": self.zone,
+            "role": self.role,
+            "service": self.service,
+            "state": "live",
+            "url": self.url,
+            "peer_url": self.peer_url,
+        }
+
+
+@dataclass(slots=True, kw_only=True)
+class Deployment:
+    """Processes of one layout.
+
+    Attributes
+    ----------
+    vms
+        All VMs but the platform, by id; listed as long as they live.
+    """
+
+    layout: Layout
+    launcher: Launcher
+    client: httpx.AsyncClient
+    policy: str
+    platform: RunningProcess
+    vms: dict[str, Vm] = field(default_factory=dict)
+
+    @property
+    def environment(self) -> dict[str, str]:
+        """Return the variables of entries and operators' commands."""
+        return {
+            "GYPSUMSAIL_PLATFORM_URL": self.platform.url,
+            "GYPSUMSAIL_OPERATOR_KEY": OPERATOR_KEY,
+            "GYPSUMSAIL_PEER_SECRET": PEER_SECRET,
+        }
+
+    def of_role(self, role: str, service: str = "") -> list[Vm]:
+        """Return the VMs of a role, and of a service when one is named."""
+        return [
+            vm
+            for vm in self.vms.values()
+            if vm.role == role and service in ("", vm.service)
+        ]
+
+    def entry_url(self, number: int) -> str:
+        """Return the numbered entry, or the next one whose process lives."""
+        entries = self.of_role("entry")
+        for step in range(len(entries)):
+            vm = entries[(number + step) % len(entries)]
+            if vm.process is not None and vm.process.is_running:
+                return vm.url
+        return entries[number % len(entries)].url
+
+    async def async_start(self, vm: Vm) -> None:
+        """Start the process of a VM under a new incarnation."""
+        is_entry = vm.role == "entry"
+        vm.life += 1
+        vm.process = await self.launcher.start_module(
+            vm.vm_id,
+            vm.module,
+            vm.arguments,
+            environment=self.environment if is_entry else None,
+        )
+        port, *peer_port = vm.process.ready_line.split()
+        vm.url = f"http://127.0.0.1:{port}"
+        vm.peer_url = f"ws://127.0.0.1:{peer_port[0]}" if peer_port else ""
+        self.vms[vm.vm_id] = vm
+
+    async def async_start_all(self, vms: Sequence[Vm]) -> None:
+        """Start VMs, a few at once."""
+        slots = asyncio.Semaphore(START_AT_ONCE)
+
+        async def start(vm: Vm) -> None:
+            async with slots:
+                await self.async_start(vm)
+
+        for vm in vms:
+            self.vms[vm.vm_id] = vm
+        await asyncio.gather(*(start(vm) for vm in vms))
+
+    async def async_list_vms(self) -> None:
+        """Give the platform the list of the VMs whose processes run."""
+        live = [vm.record() for vm in self.vms.values() if is_live(vm)]
+        response = await self.client.put(
+            f"{self.platform.url}/control/vms", json={"vms": live}
+        )
+        response.raise_for_status()
+
+    async def async_operate(self, *arguments: str) -> RunningProcess:
+        """Run an operator's command."""
+        return await self.launcher.run_module(
+            arguments[0], "gypsumsail", arguments, environment=self.environment
+        )
+
+    async def async_apply_documents(self, directory: Path) -> None:
+        """Apply the service documents and wait until all entries have them."""
+        texts = documents(self.layout)
+        for service, text in texts.items():
+            file = directory / f"{service}.yaml"
+            file.write_text(text, encoding="utf-8")
+            done = await self.async_operate("document", "apply", str(file))
+            if done.process.returncode:
+                raise DeploymentError(f"apply {service}: {list(done.output)}")
+        deadline = time.monotonic() + IN_FORCE_TIMEOUT_SECONDS
+        while not await self._async_is_in_force(len(texts)):
+            if time.monotonic() > deadline:
+                raise DeploymentError("the documents are not in force in time")
+            await asyncio.sleep(0.2)
+
+    async def _async_is_in_force(self, wanted: int) -> bool:
+        shown = await self.async_in_force()
+        return len(shown) == len(self.layout.entry_zones) and all(
+            len(found) == wanted for found in shown.values()
+        )
+
+    async def async_in_force(self) -> dict[str, dict[str, int]]:
+        """Return the version in force of each service on each entry."""
+        shown: dict[str, dict[str, int]] = {}
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        for vm in self.of_role("entry"):
+            try:
+                response = await self.client.get(
+                    f"{vm.url}/operator/in-force", headers=headers
+                )
+                found = response.raise_for_status().json()["documents"]
+            except httpx.HTTPError:
+                continue
+            shown[vm.vm_id] = {row["service"]: row["version"] for row in found}
+        return shown
+
+    async def async_counters(self, process: RunningProcess) -> dict[str, Any]:
+        """Return the counters of a stand-in, empty when it can't be asked."""
+        try:
+            response = await self.client.get(f"{process.url}/control")
+        except httpx.HTTPError:
+            return {}
+        found: dict[str, Any] = response.json()["counters"]
+        return found
+
+    async def async_fault(
+        self, process: RunningProcess, fault: str, **values: Any
+    ) -> None:
+        """Switch a fault of a stand-in."""
+        order = json.dumps({"fault": fault, **values})
+        await self.client.post(f"{process.url}/control", content=order)
+
+    async def async_stop_entries(self) -> None:
+        """Stop the entries as a rolling replacement would, all at once."""
+        await asyncio.gather(
+            *(
+                vm.process.terminate(ENTRY_STOP_SECONDS)
+                for vm in self.of_role("entry")
+                if vm.process is not None
+            )
+        )
+
+
+def is_live(vm: Vm) -> bool:
+    """Return whether the process of a VM runs."""
+    return vm.process is not None and vm.process.is_running
+
+
+def target_vms(layout: Layout, platform_url: str) -> list[Vm]:
+    """Return the VMs of targets and stores."""
+    plain = layout.plain_service
+    found = [
+        vm
+        for service in layout.model_services
+        for vm in _service_vms(service, platform_url)
+    ]
+    found.append(
+        Vm(
+            vm_id=f"{plain.service}-1",
+            zone=plain.zone,
+            role="plain",
+            service=plain.service,
+            module="stand_ins.plain",
+            arguments=(),
+        )
+    )
+    return found
+
+
+def _service_vms(service: ModelServiceLayout, platform_url: str) -> list[Vm]:
+    speed = service.link_bytes_per_second
+    engine_arguments = (
+        f"--model={service.model}:{WEIGHT_VERSION}",
+        f"--cache-tokens={service.cache_tokens}",
+        f"--platform-url={platform_url}",
+    )
+    store = Vm(
+        vm_id=f"{service.service}-store",
+        zone=service.store_zone,
+        role="store",
+        service=service.service,
+        module="stand_ins.store",
+        arguments=(
+            f"--memory-bytes-per-second={speed}",
+            f"--disk-bytes-per-second={speed / 4}",
+        ),
+    )
+    engines = [
+        Vm(
+            vm_id=f"{service.service}-engine-{number}",
+            zone=zone,
+            role="engine",
+            service=service.service,
+            module="stand_ins.engine",
+            arguments=engine_arguments,
+        )
+        for number, zone in enumerate(service.engine_zones, 1)
+    ]
+    return [store, *engines]
+
+
+def entry_vms(layout: Layout, policy: str) -> list[Vm]:
+    """Return the VMs of the entries."""
+    return [
+        Vm(
+            vm_id=f"entry-{number}",
+            zone=zone,
+            role="entry",
+            service="",
+            module="gypsumsail",
+            arguments=(
+                "entry",
+                f"--name=entry-{number}",
+                f"--zone={zone}",
+                f"--region={layout.region}",
+                "--listen=127.0.0.1:0",
+                "--peer-listen=127.0.0.1:0",
+                f"--routing-policy={policy}",
+                "--log-level=warning",
+                "--log-format=text",
+            ),
+        )
+        for number, zone in enumerate(layout.entry_zones, 1)
+    ]
+
+
+async def async_bring_up(
+    layout: Layout,
+    launcher: Launcher,
+    client: httpx.AsyncClient,
+    *,
+    policy: str,
+    directory: Path,
+) -> Deployment:
+    """Start all processes of a layout and apply its documents."""
+    platform = await launcher.start_module("platform", "stand_ins.platform")
+    deployment = Deployment(
+        layout=layout,
+        launcher=launcher,
+        client=client,
+        policy=policy,
+        platform=platform,
+    )
+    await deployment.async_start_all(target_vms(layout, platform.url))
+    await deployment.async_start_all(entry_vms(layout, policy))
+    await deployment.async_list_vms()
+    await deployment.async_apply_documents(directory)
+    return deployment
--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,170 @@
+"""Measures of a run from the outcomes of its calls."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+from bench.callers import DEADLINE_SECONDS, Outcome
+from bench.layouts import Layout
+from bench.traffic import CallClass
+
+MICROSECONDS: Final = 1_000_000
+LONGEST_SECONDS: Final = 120
+SIGNIFICANT_FIGURES: Final = 3
+RECOVERED_SHARE: Final = 0.8
+RECOVERY_WINDOW_SECONDS: Final = 2.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Percentiles:
+    """Percentiles in seconds; all 0 when nothing was measured."""
+
+    count: int
+    p50: float
+    p95: float
+    p99: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClassMeasures:
+    """Measures of one class of calls.
+
+    Attributes
+    ----------
+    goodput
+        Whole and right answers in time, a second.
+    """
+
+    calls: int
+    whole: int
+    first_token: Percentiles
+    goodput: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Measures:
+    """Measures of one run.
+
+    Attributes
+    ----------
+    between_tokens
+        Seconds between two tokens, over all answers.
+    recomputed
+        Share of the long prompts' tokens that engines computed.
+    fairness
+        Least share of a customer's calls that got their whole answer.
+    recovery_seconds
+        Seconds from the start of a fault until the whole answers of a window
+        are back at 80% of those before; ``None`` without a fault, negative
+        when they did not come back.
+    link_bytes
+        Bytes over the link of each tier of each store.
+    """
+
+    classes: dict[str, ClassMeasures]
+    between_tokens: Percentiles
+    recomputed: float
+    refusals: dict[str, int]
+    wrong: tuple[str, ...]
+    fairness: float
+    recovery_seconds: float | None
+    link_bytes: dict[str, int]
+
+
+def percentiles(seconds: Sequence[float]) -> Percentiles:
+    """Return the percentiles of times."""
+    histogram = HdrHistogram(1, LONGEST_SECONDS * MICROSECONDS, SIGNIFICANT_FIGURES)
+    for value in seconds:
+        histogram.record_value(max(1, int(value * MICROSECONDS)))
+
+    def at(percentile: float) -> float:
+        if not seconds:
+            return 0.0
+        value: int = histogram.get_value_at_percentile(percentile)
+        return round(value / MICROSECONDS, 4)
+
+    return Percentiles(count=len(seconds), p50=at(50), p95=at(95), p99=at(99))
+
+
+def is_good(outcome: Outcome) -> bool:
+    """Return whether the whole and right answer came in time."""
+    in_time = outcome.ended - outcome.started <= DEADLINE_SECONDS
+    return outcome.whole and not outcome.wrong and in_time
+
+
+def measure(
+    layout: Layout,
+    outcomes: Sequence[Outcome],
+    *,
+    seconds: float,
+    fault_at: float | None,
+    link_bytes: dict[str, int],
+) -> Measures:
+    """Return the measures of a run of ``seconds``."""
+    gaps = [gap for outcome in outcomes for gap in outcome.token_gaps]
+    return Measures(
+        classes={
+            str(call_class): _measure_class(
+                [o for o in outcomes if o.call.call_class is call_class], seconds
+            )
+            for call_class in CallClass
+        },
+        between_tokens=percentiles(gaps),
+        recomputed=recomputed_share(outcomes),
+        refusals=dict(Counter(o.refusal for o in outcomes if o.refusal)),
+        wrong=tuple(f"{o.call.prompt[-60:]}: {o.wrong}" for o in outcomes if o.wrong),
+        fairness=least_share(layout, outcomes),
+        recovery_seconds=None
+        if fault_at is None
+        else recovery(outcomes, fault_at, seconds),
+        link_bytes=link_bytes,
+    )
+
+
+def _measure_class(outcomes: Sequence[Outcome], seconds: float) -> ClassMeasures:
+    first = [o.first_token for o in outcomes if o.whole and o.first_token is not None]
+    return ClassMeasures(
+        calls=len(outcomes),
+        whole=sum(outcome.whole for outcome in outcomes),
+        first_token=percentiles(first),
+        goodput=round(sum(is_good(outcome) for outcome in outcomes) / seconds, 2),
+    )
+
+
+def recomputed_share(outcomes: Sequence[Outcome]) -> float:
+    """Return the share of the long prompts' tokens that was computed."""
+    long = [o for o in outcomes if o.whole and o.call.call_class is CallClass.LONG]
+    prompt = sum(o.prompt_tokens for o in long)
+    saved = sum(o.cached_tokens + o.imported_tokens for o in long)
+    return round(1 - saved / prompt, 4) if prompt else 0.0
+
+
+def least_share(layout: Layout, outcomes: Sequence[Outcome]) -> float:
+    """Return the least share of a customer's calls that got their whole answer."""
+    asked = Counter(o.call.customer for o in outcomes)
+    met = Counter(o.call.customer for o in outcomes if is_good(o))
+    shares = [
+        met[number] / asked[number]
+        for number in range(len(layout.customers))
+        if asked[number]
+    ]
+    return round(min(shares, default=1.0), 4)
+
+
+def recovery(outcomes: Sequence[Outcome], fault_at: float, seconds: float) -> float:
+    """Return the seconds until calls get their answers again as before a fault."""
+    good = [(o.call.at, is_good(o)) for o in outcomes]
+    before = [ok for at, ok in good if at < fault_at]
+    wanted = RECOVERED_SHARE * (sum(before) / len(before) if before else 1.0)
+    at = fault_at
+    while at + RECOVERY_WINDOW_SECONDS <= seconds:
+        window = [ok for t, ok in good if at <= t < at + RECOVERY_WINDOW_SECONDS]
+        if window and sum(window) / len(window) >= wanted:
+            return round(at - fault_at, 2)
+        at += RECOVERY_WINDOW_SECONDS / 8
+    return -1.0
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -17,6 +17,7 @@
 ROOT: Final = Path(__file__).resolve().parent.parent
 START_TIMEOUT_SECONDS: Final = 30.0
 OUTPUT_LINES_KEPT: Final = 200
+OUTPUT_LINE_LIMIT_BYTES: Final = 16 * 1024 * 1024
 LISTENING: Final = "listening "
 
 
@@ -134,7 +135,39 @@
         StartError
             The process ended first, or stayed silent for too long.
         """
-        paths = [str(ROOT / "src"), str(ROOT)]
+        running = await self._spawn(name, module, arguments, environment or {})
+        ready: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        running.reader = asyncio.create_task(read_output(running, ready, ready_prefix))
+        try:
+            async with asyncio.timeout(START_TIMEOUT_SECONDS):
+                running.ready_line = await ready
+        except TimeoutError:
+            raise StartError(f"{name} stayed silent: {list(running.output)}") from None
+        return running
+
+    async def run_module(
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str] = (),
+        *,
+        environment: dict[str, str] | None = None,
+    ) -> RunningProcess:
+        """Run a Python module to its end; its output is in the result."""
+        running = await self._spawn(name, module, arguments, environment or {})
+        running.reader = asyncio.create_task(read_output(running, None, ""))
+        await running.process.wait()
+        await running.finish_output()
+        return running
+
+    async def _spawn(
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str],
+        environment: dict[str, str],
+    ) -> RunningProcess:
+        paths = os.pathsep.join((str(ROOT / "src"), str(ROOT)))
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -144,29 +177,22 @@
             stdout=PIPE,
             stderr=asyncio.subprocess.STDOUT,
             cwd=ROOT,
-            env={
-                **os.environ,
-                "PYTHONPATH": os.pathsep.join(paths),
-                **(environment or {}),
-            },
+            env={**os.environ, "PYTHONPATH": paths, **environment},
             start_new_session=True,
+            limit=OUTPUT_LINE_LIMIT_BYTES,
         )
         running = RunningProcess(name=name, process=process)
         self.processes.append(running)
-        ready: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        running.reader = asyncio.create_task(read_output(running, ready, ready_prefix))
-        try:
-            async with asyncio.timeout(START_TIMEOUT_SECONDS):
-                running.ready_line = await ready
-        except TimeoutError:
-            raise StartError(f"{name} stayed silent: {list(running.output)}") from None
         return running
 
 
 async def read_output(
-    running: RunningProcess, ready: asyncio.Future[str], prefix: str
+    running: RunningProcess, ready: asyncio.Future[str] | None, prefix: str
 ) -> None:
     """Keep the last lines of a process and find the one that says it is ready."""
+    if ready is None:
+        ready = asyncio.get_running_loop().create_future()
+        ready.cancel()
     stream = running.process.stdout
     while stream is not None and (raw := await stream.readline()):
         line = raw.decode(errors="replace").rstrip()
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,153 @@
+"""One run: a deployment, its traffic, its faults and what they measured."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+import hashlib
+from pathlib import Path
+import tempfile
+from typing import Any
+
+import httpx
+
+from bench.callers import Callers, Outcome
+from bench.deployment import Deployment, async_bring_up
+from bench.faults import async_inject, find_faults
+from bench.layouts import LAYOUTS
+from bench.measures import Measures, measure
+from bench.processes import Launcher
+from bench.traffic import Call, CallClass, Traffic
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunPlan:
+    """What one run does.
+
+    Attributes
+    ----------
+    seconds
+        Length of the traffic; a fault holds during its middle third.
+    """
+
+    deployment: str
+    policy: str
+    load: float
+    fault: str
+    seed: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunResult:
+    """A run and its measures."""
+
+    plan: RunPlan
+    measures: Measures
+    once_runs: int
+    run_twice: tuple[str, ...]
+    in_force: dict[str, dict[str, int]]
+    platform: dict[str, Any]
+
+    @property
+    def faults_found(self) -> list[str]:
+        """Return what broke a promise in this run."""
+        return [
+            *self.measures.wrong,
+            *(f"run twice: {name}" for name in self.run_twice),
+        ]
+
+
+async def async_run(plan: RunPlan) -> RunResult:
+    """Bring a deployment up, send its traffic and measure it."""
+    layout = LAYOUTS[plan.deployment]
+    with tempfile.TemporaryDirectory() as directory:
+        async with (
+            Launcher() as launcher,
+            httpx.AsyncClient(trust_env=False, timeout=10.0) as client,
+        ):
+            deployment = await async_bring_up(
+                layout,
+                launcher,
+                client,
+                policy=plan.policy,
+                directory=Path(directory),
+            )
+            return await async_measure(deployment, plan)
+
+
+async def async_measure(deployment: Deployment, plan: RunPlan) -> RunResult:
+    """Send the traffic of a plan through a deployment and measure it."""
+    traffic = Traffic(deployment.layout, plan.seed)
+    calls = traffic.calls(seconds=plan.seconds, load=plan.load)
+    outcomes = await _async_traffic(deployment, plan, calls)
+    return await _async_result(deployment, plan, outcomes)
+
+
+async def _async_traffic(
+    deployment: Deployment, plan: RunPlan, calls: list[Call]
+) -> list[Outcome]:
+    callers = Callers(deployment.layout, deployment)
+    third = plan.seconds / 3
+    faults = find_faults(plan.fault)
+    try:
+        async with asyncio.TaskGroup() as group:
+            running = group.create_task(callers.async_run(calls))
+            if faults:
+                group.create_task(
+                    async_inject(deployment, faults, at=third, seconds=third)
+                )
+    finally:
+        await callers.async_close()
+    return running.result()
+
+
+async def _async_result(
+    deployment: Deployment, plan: RunPlan, outcomes: list[Outcome]
+) -> RunResult:
+    runs = await _async_plain_runs(deployment)
+    measures = measure(
+        deployment.layout,
+        outcomes,
+        seconds=plan.seconds,
+        fault_at=None if plan.fault == "none" else plan.seconds / 3,
+        link_bytes=await _async_link_bytes(deployment),
+    )
+    return RunResult(
+        plan=plan,
+        measures=measures,
+        once_runs=sum(runs.values()),
+        run_twice=_run_twice(runs, outcomes),
+        in_force=await deployment.async_in_force(),
+        platform=await deployment.async_counters(deployment.platform),
+    )
+
+
+async def _async_plain_runs(deployment: Deployment) -> dict[str, int]:
+    """Return the runs of each body at the plain service."""
+    (vm,) = deployment.of_role("plain")
+    if vm.process is None:
+        return {}
+    counters = await deployment.async_counters(vm.process)
+    return dict(counters.get("runs_by_body", {}))
+
+
+def _run_twice(runs: dict[str, int], outcomes: list[Outcome]) -> tuple[str, ...]:
+    """Return the calls that were run more than once; each body is sent once."""
+    digests = {
+        hashlib.sha256(outcome.call.prompt.encode()).hexdigest(): outcome.call.key
+        for outcome in outcomes
+        if outcome.call.call_class is CallClass.PLAIN
+    }
+    return tuple(digests.get(body, body) for body, count in runs.items() if count > 1)
+
+
+async def _async_link_bytes(deployment: Deployment) -> dict[str, int]:
+    moved: dict[str, int] = {}
+    for vm in deployment.of_role("store"):
+        if vm.process is None:
+            continue
+        counters = await deployment.async_counters(vm.process)
+        for tier, count in counters.get("bytes_moved", {}).items():
+            moved[f"{vm.vm_id}/{tier}"] = count
+    return moved
