--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -114,9 +114,9 @@
             vm.arguments,
             environment=self.environment if is_entry else None,
         )
-        port, *peer_port = vm.process.ready_line.split()
+        port, *peers = vm.process.ready_line.split()
         vm.url = f"http://127.0.0.1:{port}"
-        vm.peer_url = f"ws://127.0.0.1:{peer_port[0]}" if peer_port else ""
+        vm.peer_url = f"ws://127.0.0.1:{peers[-1]}" if peers else ""
         self.vms[vm.vm_id] = vm
 
     async def async_start_all(self, vms: Sequence[Vm]) -> None:
--- a/bench/report.py
+++ b/bench/report.py
@@ -49,7 +49,7 @@
     recoveries = [
         m.recovery_seconds for m in measures if m.recovery_seconds is not None
     ]
-    if recoveries:
+    if plan.fault != "none":
         lines.append(f"seconds to recover, by seed: {recoveries}")
     refusals: dict[str, int] = {}
     for found in measures:
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the bench."""
+
+from __future__ import annotations
