Keep a directory of kept context, split among the entries of a zone

Cause: any entry may get any request, so what is kept of a prompt must be found without asking every entry, engine or store. Seen to fail with the guard removed: gap, incarnation, sequence restart and replay checks of the engine view; cutting what is stored to the certain depth, merge share, LRU; handover; store restart. Conclusion: one record per document with a few marks of its chain.

--- /dev/null
+++ b/bench/directory.py
@@ -0,0 +1,134 @@
+"""Memory and time of the directory of kept context.
+
+``python -m bench.directory`` prints a table, with ``--json`` its figures.
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+import gc
+import json
+from random import Random
+import time
+import tracemalloc
+from typing import Final
+
+import click
+
+from gypsumsail.context.blocks import block_hashes
+from gypsumsail.context.chain import directory_keys, make_chain
+from gypsumsail.context.const import BLOCK_BYTES
+from gypsumsail.context.directory import Directory
+from gypsumsail.context.generation import new_generation
+from gypsumsail.context.models import EngineHint, LookUp, PromptNote, Stored, StoredRun
+from gypsumsail.peers.codec import dump, pack_message
+
+TARGET_PROMPTS: Final = 1_700_000
+TARGET_ENTRIES: Final = 340
+TARGET_ZONES: Final = 5
+SALT: Final = "bench"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Figures:
+    """Figures of one size.
+
+    Attributes
+    ----------
+    entry_megabytes
+        Memory of one entry at the target, worked out from ``prompt_bytes``.
+    """
+
+    prompts: int
+    blocks: int
+    prompt_bytes: float
+    publish_microseconds: float
+    lookup_microseconds: float
+    hash_microseconds: float
+    lookup_message_bytes: int
+    entry_megabytes: float
+
+
+def make_prompts(count: int, blocks: int, seed: int) -> list[tuple[str, ...]]:
+    """Return made-up hash chains that share nothing."""
+    rng = Random(seed)
+    return [tuple(rng.randbytes(16).hex() for _ in range(blocks)) for _ in range(count)]
+
+
+def make_note(hashes: tuple[str, ...]) -> PromptNote:
+    """Return the note of a prompt that is cached and stored whole."""
+    key = directory_keys(hashes)[0]
+    run = StoredRun(end=len(hashes), generation=str(new_generation(0, key)))
+    return PromptNote(
+        key=key,
+        chain=make_chain(hashes),
+        age=0.0,
+        engine=EngineHint(target="engine-1", depth=len(hashes), age=0.0),
+        stored=Stored(store_url="http://127.0.0.1:9000", tier="memory", runs=(run,)),
+    )
+
+
+def microseconds(started: float, count: int) -> float:
+    """Return the microseconds of one of so many steps."""
+    return (time.perf_counter() - started) / count * 1e6
+
+
+def measure(count: int, blocks: int, seed: int) -> Figures:
+    """Fill a directory and look everything up."""
+    prompts = make_prompts(count, blocks, seed)
+    gc.collect()
+    tracemalloc.start()
+    directory = Directory(max_records=count)
+    for hashes in prompts:
+        directory.publish(make_note(hashes), now=0.0)
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    notes = [make_note(hashes) for hashes in prompts]
+    started = time.perf_counter()
+    for note in notes:
+        directory.publish(note, now=1.0)
+    publish = microseconds(started, count)
+    started = time.perf_counter()
+    for hashes in prompts:
+        directory.look_up(directory_keys(hashes)[0], make_chain(hashes), now=2.0)
+    lookup = microseconds(started, count)
+    text = "x" * (blocks * BLOCK_BYTES)
+    started = time.perf_counter()
+    for _ in range(50):
+        block_hashes(text, SALT)
+    message = LookUp(key=directory_keys(prompts[0])[0], chain=make_chain(prompts[0]))
+    share = TARGET_PROMPTS * TARGET_ZONES / TARGET_ENTRIES
+    return Figures(
+        prompts=count,
+        blocks=blocks,
+        prompt_bytes=round(size / count, 1),
+        publish_microseconds=round(publish, 1),
+        lookup_microseconds=round(lookup, 1),
+        hash_microseconds=round(microseconds(started, 50), 1),
+        lookup_message_bytes=len(dump(pack_message(message))),
+        entry_megabytes=round(size / count * share / 1e6, 1),
+    )
+
+
+@click.command()
+@click.option("--prompts", default=5000, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def main(prompts: int, seed: int, as_json: bool) -> None:
+    """Measure the directory at several prompt lengths."""
+    rows = [measure(prompts, blocks, seed) for blocks in (8, 32, 100, 400)]
+    if as_json:
+        print(json.dumps([asdict(row) for row in rows]))
+        return
+    print("blocks  B/prompt  publish us  lookup us  hash us  message B  MB/entry")
+    for row in rows:
+        print(
+            f"{row.blocks:6} {row.prompt_bytes:9} {row.publish_microseconds:11} "
+            f"{row.lookup_microseconds:10} {row.hash_microseconds:8} "
+            f"{row.lookup_message_bytes:10} {row.entry_megabytes:9}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/gypsumsail/context/coordinator.py
@@ -0,0 +1,268 @@
+"""Looks up and publishes what is kept, over the entries of all zones."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from gypsumsail.context.chain import (
+    Chain,
+    common_depth,
+    directory_keys,
+    make_chain,
+)
+from gypsumsail.context.const import (
+    HANDOVER_BATCH,
+    HANDOVER_INTERVAL_SECONDS,
+    HINT_FRESH_SECONDS,
+    LOOKUP_KEYS,
+    LOOKUP_TIMEOUT_SECONDS,
+    PUBLISH_INTERVAL_SECONDS,
+)
+from gypsumsail.context.directory import NOT_FOUND, Directory, PromptRecord
+from gypsumsail.context.engine_watch import EngineWatch
+from gypsumsail.context.models import (
+    NOTHING_KEPT,
+    EngineHint,
+    Found,
+    Kept,
+    LookUp,
+    PromptNote,
+    Publish,
+    Stored,
+    StoreLost,
+    Withdraw,
+)
+from gypsumsail.context.owners import owner_in_zone, owners
+from gypsumsail.context.port import TargetSource
+from gypsumsail.context.publisher import PublishQueue
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.peers.port import EntryId, Message, PeerNetwork
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ContextCoordinator:
+    """One entry's part of the directory, and its way to the others.
+
+    Each zone has a whole directory of what it was told, split among its entries.
+    A lookup stays in the zone; what is published goes to all zones.
+    """
+
+    def __init__(
+        self, me: EntryId, network: PeerNetwork, source: TargetSource, clock: Clock
+    ) -> None:
+        self.me = me
+        self.network = network
+        self.clock = clock
+        self.directory = Directory()
+        self.watch = EngineWatch(source, entry_name=me.name, zone=me.zone)
+        self.queue = PublishQueue(me.zone)
+        self.missed_lookups = 0
+        self._unsubscribe: list[Callable[[], None]] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def async_setup(self) -> None:
+        """Start to answer, publish and follow engines."""
+        subscribe = self.network.subscribe
+        self._unsubscribe = [
+            subscribe(Publish, self._async_on_publish),
+            subscribe(LookUp, self._async_on_look_up),
+            subscribe(Withdraw, self._async_on_withdraw),
+            subscribe(StoreLost, self._async_on_store_lost),
+        ]
+        await self.watch.async_setup()
+        self._tasks = [
+            asyncio.create_task(self._async_publish()),
+            asyncio.create_task(self._async_hand_over()),
+        ]
+
+    async def async_unload(self) -> None:
+        """Stop; what this entry knew is lost with it or handed over before."""
+        for unsubscribe in self._unsubscribe:
+            unsubscribe()
+        self._unsubscribe = []
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+        await self.watch.async_unload()
+
+    async def async_lookup(self, hashes: tuple[str, ...]) -> Kept:
+        """Return what is kept of a prompt; nothing when no answer comes in time."""
+        if not hashes:
+            return NOTHING_KEPT
+        chain = make_chain(hashes)
+        keys = directory_keys(hashes)[:LOOKUP_KEYS]
+        answers = await asyncio.gather(*(self._async_ask(key, chain) for key in keys))
+        found = max(answers, key=lambda answer: _depth(hashes, answer))
+        return _kept(hashes, found)
+
+    @callback
+    def cached_blocks(self, target: str, hashes: tuple[str, ...], kept: Kept) -> int:
+        """Return how many blocks an engine is believed to have cached.
+
+        A hint counts beside the view as long as the engine's events may still be
+        on their way, and alone where the engine isn't followed.
+        """
+        view = self.watch.views.get(target)
+        hint = kept.engine
+        hinted = hint.depth if hint is not None and hint.target == target else 0
+        if view is None or not view.synced:
+            return hinted
+        if hint is not None and hint.age > HINT_FRESH_SECONDS:
+            hinted = 0
+        return max(view.cached_blocks(hashes), hinted)
+
+    @callback
+    def on_answer_ended(self, hashes: tuple[str, ...], target: str) -> None:
+        """Publish that an engine has just computed a prompt."""
+        if hashes:
+            hint = EngineHint(target=target, depth=len(hashes), age=0.0)
+            self._publish(hashes, engine=hint, stored=None)
+
+    @callback
+    def on_stored(self, hashes: tuple[str, ...], stored: Stored) -> None:
+        """Publish that a store holds a prompt's blocks whole."""
+        self._publish(hashes[: stored.depth], engine=None, stored=stored)
+
+    async def async_withdraw(
+        self, hashes: tuple[str, ...], store_url: str, depth: int
+    ) -> None:
+        """Tell the directories that a store holds no more than ``depth`` blocks."""
+        chain = make_chain(hashes)
+        for key in directory_keys(hashes)[:LOOKUP_KEYS]:
+            message = Withdraw(key=key, chain=chain, store_url=store_url, depth=depth)
+            self.directory.withdraw(key, chain, store_url, depth)
+            for entry in owners(key, self.network.peers()):
+                await self._async_tell(entry, message)
+
+    async def async_store_lost(self, store_url: str) -> None:
+        """Tell all entries that a store holds nothing any more."""
+        self.directory.drop_store(store_url)
+        message = StoreLost(store_url=store_url)
+        for entry in self.network.peers():
+            await self._async_tell(entry, message)
+
+    @callback
+    def publish_note(self, note: PromptNote) -> None:
+        """Send a note to the owner of its key in each zone."""
+        now = self.clock.monotonic()
+        owner_ids = owners(note.key, (self.me, *self.network.peers()))
+        if self.me in owner_ids:
+            self.directory.publish(note, now=now)
+        others = (entry for entry in owner_ids if entry != self.me)
+        self.queue.add(note, others, now=now)
+
+    def _publish(
+        self,
+        hashes: tuple[str, ...],
+        *,
+        engine: EngineHint | None,
+        stored: Stored | None,
+    ) -> None:
+        self.publish_note(
+            PromptNote(
+                key=directory_keys(hashes)[0],
+                chain=make_chain(hashes),
+                age=0.0,
+                engine=engine,
+                stored=stored,
+            )
+        )
+
+    async def _async_ask(self, key: str, chain: Chain) -> Found:
+        entries = (self.me, *self.network.peers())
+        owner = owner_in_zone(key, self.me.zone, entries)
+        if owner is None or owner == self.me:
+            return self.directory.look_up(key, chain, now=self.clock.monotonic())
+        try:
+            answer = await self.network.async_request(
+                owner, LookUp(key=key, chain=chain), timeout=LOOKUP_TIMEOUT_SECONDS
+            )
+        except TransportError as error:
+            _LOGGER.debug("Lookup at %s failed: %s", owner.name, error)
+            self.missed_lookups += 1
+            return NOT_FOUND
+        return answer if isinstance(answer, Found) else NOT_FOUND
+
+    async def _async_tell(self, entry: EntryId, message: Message) -> None:
+        try:
+            await self.network.async_send(entry, message)
+        except TransportError as error:
+            _LOGGER.debug("Message to %s failed: %s", entry.name, error)
+
+    async def _async_publish(self) -> None:
+        while True:
+            await asyncio.sleep(PUBLISH_INTERVAL_SECONDS)
+            for entry, notes in self.queue.take_batches():
+                await self._async_tell(entry, Publish(notes=notes))
+
+    async def _async_hand_over(self) -> None:
+        known: frozenset[EntryId] = frozenset()
+        while True:
+            await asyncio.sleep(HANDOVER_INTERVAL_SECONDS)
+            entries = frozenset(self._zone_entries())
+            if entries == known:
+                continue
+            records = list(self.directory.oldest_first())
+            for start in range(0, len(records), HANDOVER_BATCH):
+                self._hand_over(records[start : start + HANDOVER_BATCH])
+                await asyncio.sleep(PUBLISH_INTERVAL_SECONDS)
+            known = entries
+
+    def _hand_over(self, records: list[PromptRecord]) -> None:
+        now = self.clock.monotonic()
+        entries = self._zone_entries()
+        for record in records:
+            owner = owner_in_zone(record.key, self.me.zone, entries)
+            if owner is None or owner == self.me:
+                continue
+            for note in self.directory.note_of(record, now=now):
+                self.queue.add(note, (owner,), now=now)
+            self.directory.remove(record)
+
+    def _zone_entries(self) -> list[EntryId]:
+        entries = (self.me, *self.network.peers())
+        return [entry for entry in entries if entry.zone == self.me.zone]
+
+    async def _async_on_publish(self, _peer: EntryId, message: Publish) -> None:
+        now = self.clock.monotonic()
+        for note in message.notes:
+            self.directory.publish(note, now=now)
+
+    async def _async_on_look_up(self, _peer: EntryId, message: LookUp) -> Message:
+        now = self.clock.monotonic()
+        return self.directory.look_up(message.key, message.chain, now=now)
+
+    async def _async_on_withdraw(self, _peer: EntryId, message: Withdraw) -> None:
+        self.directory.withdraw(
+            message.key, message.chain, message.store_url, message.depth
+        )
+
+    async def _async_on_store_lost(self, _peer: EntryId, message: StoreLost) -> None:
+        self.directory.drop_store(message.store_url)
+
+
+def _depth(hashes: tuple[str, ...], found: Found) -> int:
+    return common_depth(hashes, found.chain) if found.chain is not None else 0
+
+
+def _kept(hashes: tuple[str, ...], found: Found) -> Kept:
+    depth = _depth(hashes, found)
+    if not depth:
+        return NOTHING_KEPT
+    cut = (stored.cut(depth) for stored in found.stored)
+    hint = found.engine
+    if hint is not None:
+        hint = EngineHint(
+            target=hint.target, depth=min(hint.depth, depth), age=hint.age
+        )
+    return Kept(
+        stored=tuple(stored for stored in cut if stored.runs),
+        engine=hint,
+        seen_age=found.age,
+    )
--- /dev/null
+++ b/src/gypsumsail/context/directory.py
@@ -0,0 +1,217 @@
+"""One entry's part of the directory of kept context."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from sys import intern
+from typing import Final
+
+from gypsumsail.context.chain import Chain, common_marks
+from gypsumsail.context.const import (
+    MARK_STRIDE_BLOCKS,
+    MAX_RECORDS,
+    MAX_STORED_PER_RECORD,
+    MERGE_SHARE,
+)
+from gypsumsail.context.models import EngineHint, Found, PromptNote, Stored
+
+NOT_FOUND: Final = Found()
+
+
+@dataclass(slots=True, kw_only=True)
+class PromptRecord:
+    """What the directory knows of one prompt, or of several with one document.
+
+    Attributes
+    ----------
+    seen_at, engine_at
+        Times by this entry's clock.
+    """
+
+    key: str
+    chain: Chain
+    seen_at: float
+    stored: tuple[Stored, ...] = ()
+    engine: str = ""
+    engine_depth: int = 0
+    engine_at: float = 0.0
+
+
+class Directory:
+    """Records by their marks; the least recently seen leave first.
+
+    A record is a hint. Names of blocks are built by the asking entry from its
+    own hashes, so a wrong record can name no other prompt's blocks.
+
+    Attributes
+    ----------
+    index
+        The record published last for each key, mark and tail.
+    """
+
+    def __init__(self, *, max_records: int = MAX_RECORDS) -> None:
+        self.max_records = max_records
+        self.records: OrderedDict[int, PromptRecord] = OrderedDict()
+        self.index: dict[bytes, PromptRecord] = {}
+
+    def publish(self, note: PromptNote, *, now: float) -> None:
+        """Take what another entry, or this one, tells of a prompt."""
+        record = self._find(note.key, note.chain)
+        if record is None or not _same_document(record.chain, note.chain):
+            record = self._add(note, now=now)
+        elif note.chain.depth >= record.chain.depth:
+            self._replace_chain(record, note.chain)
+        record.seen_at = max(record.seen_at, now - note.age)
+        self.records.move_to_end(id(record))
+        self._take_engine(record, note, now=now)
+        if note.stored is not None and note.stored.runs:
+            self._take_stored(record, note.chain, note.stored)
+
+    def look_up(self, key: str, chain: Chain, *, now: float) -> Found:
+        """Return the record that shares most with a prompt."""
+        record = self._find(key, chain)
+        if record is None:
+            return NOT_FOUND
+        age = max(now - record.seen_at, 0.0)
+        record.seen_at = now
+        self.records.move_to_end(id(record))
+        return Found(
+            chain=record.chain, stored=record.stored, engine=_hint(record, now), age=age
+        )
+
+    def withdraw(self, key: str, chain: Chain, store_url: str, depth: int) -> None:
+        """Take that a store holds no more than ``depth`` blocks of a prompt."""
+        record = self._find(key, chain)
+        if record is None:
+            return
+        shorter = (
+            stored.cut(depth) if stored.store_url == store_url else stored
+            for stored in record.stored
+        )
+        record.stored = tuple(stored for stored in shorter if stored.runs)
+
+    def drop_store(self, store_url: str) -> None:
+        """Forget all that a store held."""
+        for record in self.records.values():
+            record.stored = tuple(
+                stored for stored in record.stored if stored.store_url != store_url
+            )
+
+    def remove(self, record: PromptRecord) -> None:
+        """Forget a prompt."""
+        if self.records.pop(id(record), None) is None:
+            return
+        self._unindex(record)
+
+    def oldest_first(self) -> Iterator[PromptRecord]:
+        """Return the records, the least recently seen first."""
+        return iter(self.records.values())
+
+    def note_of(self, record: PromptRecord, *, now: float) -> tuple[PromptNote, ...]:
+        """Return the notes that rebuild a record in another directory."""
+        first = PromptNote(
+            key=record.key,
+            chain=record.chain,
+            age=max(now - record.seen_at, 0.0),
+            engine=_hint(record, now),
+        )
+        if not record.stored:
+            return (first,)
+        return tuple(replace(first, stored=stored) for stored in record.stored)
+
+    def _find(self, key: str, chain: Chain) -> PromptRecord | None:
+        for mark in reversed(_marks(key, chain)):
+            record = self.index.get(mark)
+            if record is not None:
+                return record
+        return None
+
+    def _add(self, note: PromptNote, *, now: float) -> PromptRecord:
+        while len(self.records) >= self.max_records:
+            self.remove(next(iter(self.records.values())))
+        record = PromptRecord(key=note.key, chain=note.chain, seen_at=now - note.age)
+        self.records[id(record)] = record
+        self._index(record)
+        return record
+
+    def _replace_chain(self, record: PromptRecord, chain: Chain) -> None:
+        certain = _certain_depth(record.chain, chain)
+        cut = (stored.cut(certain) for stored in record.stored)
+        record.stored = tuple(stored for stored in cut if stored.runs)
+        self._unindex(record)
+        record.chain = chain
+        self._index(record)
+
+    def _take_engine(
+        self, record: PromptRecord, note: PromptNote, *, now: float
+    ) -> None:
+        if note.engine is None:
+            return
+        seen_at = now - note.engine.age
+        if seen_at >= record.engine_at:
+            record.engine = intern(note.engine.target)
+            record.engine_depth = note.engine.depth
+            record.engine_at = seen_at
+
+    @staticmethod
+    def _take_stored(record: PromptRecord, chain: Chain, stored: Stored) -> None:
+        stored = _interned(stored.cut(_certain_depth(record.chain, chain)))
+        others = [
+            known for known in record.stored if known.store_url != stored.store_url
+        ]
+        if stored.runs:
+            others.append(stored)
+        record.stored = tuple(others[-MAX_STORED_PER_RECORD:])
+
+    def _index(self, record: PromptRecord) -> None:
+        for mark in _marks(record.key, record.chain):
+            self.index[mark] = record
+
+    def _unindex(self, record: PromptRecord) -> None:
+        for mark in _marks(record.key, record.chain):
+            if self.index.get(mark) is record:
+                del self.index[mark]
+
+
+def _marks(key: str, chain: Chain) -> list[bytes]:
+    """Return what a prompt is found by, the shallowest first.
+
+    All that is asked here shares the key. Of the marks beyond it these are the
+    first, second, fourth and so on of the chain, and the last: memory grows with
+    the logarithm of a prompt's length.
+    """
+    root = bytes.fromhex(key)
+    marks = chain.mark_keys()
+    beyond = marks.index(root) + 1 if root in marks else 0
+    powers = (2**power for power in range(len(marks).bit_length()))
+    chosen = [marks[power - 1] for power in powers if power > beyond]
+    return [root, *chosen, *marks[-1:], chain.tail]
+
+
+def _same_document(known: Chain, new: Chain) -> bool:
+    """Return whether one record can stand for both chains.
+
+    It can't where most of the shorter chain would be lost by it.
+    """
+    shorter = min(known.depth, new.depth)
+    return _certain_depth(known, new) >= MERGE_SHARE * shorter
+
+
+def _certain_depth(first: Chain, second: Chain) -> int:
+    if first.depth == second.depth and first.tail == second.tail:
+        return first.depth
+    return common_marks(first, second) * MARK_STRIDE_BLOCKS
+
+
+def _interned(stored: Stored) -> Stored:
+    """Return the same with names that all records share in memory."""
+    return replace(stored, store_url=intern(stored.store_url), tier=intern(stored.tier))
+
+
+def _hint(record: PromptRecord, now: float) -> EngineHint | None:
+    if not record.engine:
+        return None
+    age = max(now - record.engine_at, 0.0)
+    return EngineHint(target=record.engine, depth=record.engine_depth, age=age)
--- /dev/null
+++ b/src/gypsumsail/context/engine_watch.py
@@ -0,0 +1,115 @@
+"""Follows the prefix caches of engines."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import logging
+
+from gypsumsail.context.const import (
+    CACHE_EVENTS_WAIT_SECONDS,
+    CACHE_LONGEST_RETRY_SECONDS,
+    CACHE_POLL_GAP_SECONDS,
+    CACHE_RETRY_SECONDS,
+    MAX_WATCHED_ENGINES,
+    WATCH_INTERVAL_SECONDS,
+)
+from gypsumsail.context.engine_view import EngineView
+from gypsumsail.context.port import EngineLink, TargetSource
+from gypsumsail.core.errors import GypsumsailError
+from gypsumsail.core.rendezvous import rank
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def watched(
+    links: Sequence[EngineLink], *, entry_name: str, zone: str
+) -> list[EngineLink]:
+    """Return the engines that an entry follows, those of its own zone first.
+
+    With more engines than an entry can follow, each entry takes others.
+    """
+    if len(links) <= MAX_WATCHED_ENGINES:
+        return list(links)
+    by_target = {link.target: link for link in links}
+    ordered = [by_target[target] for target in rank(entry_name, by_target)]
+    ordered.sort(key=lambda link: link.zone != zone)
+    return ordered[:MAX_WATCHED_ENGINES]
+
+
+class EngineWatch:
+    """Views of the engines' caches, kept up by their events.
+
+    Attributes
+    ----------
+    views
+        View by target, for the engines that are followed.
+    resyncs
+        How often the whole contents were read.
+    """
+
+    def __init__(self, source: TargetSource, *, entry_name: str, zone: str) -> None:
+        self.source = source
+        self.entry_name = entry_name
+        self.zone = zone
+        self.views: dict[str, EngineView] = {}
+        self.resyncs = 0
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._runner: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to follow engines."""
+        self._runner = asyncio.create_task(self._async_run())
+
+    async def async_unload(self) -> None:
+        """Stop to follow engines."""
+        tasks = list(self._tasks.values())
+        if self._runner is not None:
+            tasks.append(self._runner)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._tasks.clear()
+        self._runner = None
+
+    async def _async_run(self) -> None:
+        while True:
+            self._adjust()
+            await asyncio.sleep(WATCH_INTERVAL_SECONDS)
+
+    def _adjust(self) -> None:
+        links = watched(
+            self.source.engines(), entry_name=self.entry_name, zone=self.zone
+        )
+        wanted = {link.target: link for link in links}
+        for target in self._tasks.keys() - wanted.keys():
+            self._tasks.pop(target).cancel()
+            self.views.pop(target, None)
+        for target, link in wanted.items():
+            if target not in self._tasks:
+                view = self.views[target] = EngineView()
+                follower = self._async_follow(link, view)
+                self._tasks[target] = asyncio.create_task(follower)
+
+    async def _async_follow(self, link: EngineLink, view: EngineView) -> None:
+        pause = CACHE_RETRY_SECONDS
+        while True:
+            try:
+                await self._async_poll(link, view)
+            except GypsumsailError as error:
+                _LOGGER.debug("Cache events of %s failed: %s", link.target, error)
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, CACHE_LONGEST_RETRY_SECONDS)
+                continue
+            pause = CACHE_RETRY_SECONDS
+            quiet = CACHE_POLL_GAP_SECONDS if view.synced else CACHE_RETRY_SECONDS
+            await asyncio.sleep(quiet)
+
+    async def _async_poll(self, link: EngineLink, view: EngineView) -> None:
+        if not view.synced:
+            view.replace(await link.engine.async_cache_contents())
+            self.resyncs += 1
+        events = await link.engine.async_cache_events(
+            after=view.sequence, wait=CACHE_EVENTS_WAIT_SECONDS
+        )
+        view.apply(events)
