Merge the directory of kept context

The chain of the directory is the compact form; the full hashes of one prompt under one salt are now context/prompt.py. Ruled out: one type for both, since the directory keeps 1.7 million of the compact ones.

--- a/src/gypsumsail/relay/model_work.py
+++ b/src/gypsumsail/relay/model_work.py
@@ -108,7 +108,7 @@
                     self.selector.first_token(selection, attempt_id)
                     awaiting_first = False
                 _check_order(tokens, progress)
-                progress.weight_version = selection.chain.weight_version
+                progress.weight_version = selection.blocks.weight_version
                 await sink.async_tokens(tokens)
                 progress.tokens_out += len(tokens)
             if end is not None:
@@ -122,10 +122,10 @@
             attempt_id=attempt_id,
             model=body.model,
             adapter=body.adapter,
-            weight_version=selection.chain.weight_version,
+            weight_version=selection.blocks.weight_version,
             prompt=body.prompt,
             max_tokens=body.max_tokens,
-            cache_salt=selection.chain.salt,
+            cache_salt=selection.blocks.salt,
             priority=self.job.priority,
             deadline=max(self.job.deadline_at - self.clock.monotonic(), 0.0),
             first_token=self.progress.tokens_out,
@@ -139,7 +139,7 @@
 
 
 def _check_end(end: AnswerEnd, selection: EngineSelection, progress: Progress) -> None:
-    if end.weight_version != selection.chain.weight_version:
+    if end.weight_version != selection.blocks.weight_version:
         raise TransportError("the answer is of another weight version", sent=True)
     if end.answer_tokens != progress.tokens_out:
         raise TransportError("the answer lacks tokens", sent=True)
