--- a/tests/orders/test_coordinator.py
+++ b/tests/orders/test_coordinator.py
@@ -105,7 +105,7 @@
 
 
 async def test_stale_book_sends_no_order() -> None:
-    deployment = Deployment()
+    deployment = Deployment(3)
     deployment.documents = (document(2, "v2"),)
     first = deployment.issuer("entry-1")
     await first.async_step()
