--- /dev/null
+++ b/src/gypsumsail/timeline/const.py
@@ -0,0 +1,27 @@
+"""Limits of the time line."""
+
+from __future__ import annotations
+
+from typing import Final
+
+MILLISECONDS_PER_SECOND: Final = 1_000
+MAX_AHEAD_MILLISECONDS: Final = 5_000
+MAX_DETAIL_LENGTH: Final = 200
+MAX_FIELD_LENGTH: Final = 128
+
+RING_EVENTS: Final = 20_000
+PAGE_EVENTS: Final = 2_000
+
+ARCHIVE_EVENTS: Final = 20_000
+ARCHIVE_PAGE_EVENTS: Final = 1_000
+ARCHIVE_BUCKET_SECONDS: Final = 60
+ARCHIVE_PUSH_SECONDS: Final = 5.0
+ARCHIVE_FLUSH_SECONDS: Final = 5.0
+ARCHIVE_ANSWER_SECONDS: Final = 20.0
+ARCHIVE_RETENTION_SECONDS: Final = 7 * 86_400
+ARCHIVE_SWEEP_BUCKETS: Final = 2
+MAX_PENDING_BYTES: Final = 8 * 1024 * 1024
+MAX_SEGMENT_BYTES: Final = 900_000
+MAX_PAGE_BYTES: Final = 4 * 1024 * 1024
+ARCHIVE_PREFIX: Final = "timeline/"
+SWEEP_PREFIX: Final = "timeline-sweep/"
