--- a/bench/once.py
+++ b/bench/once.py
@@ -21,10 +21,10 @@
 from gypsumsail.once.coordinator import OnceCoordinator
 from gypsumsail.once.keys import key_digest
 from gypsumsail.once.models import Outcome
+from tests.common import EventLog
 from tests.once.common import (
     FakeFleet,
     FakeObjectApi,
-    ListRecorder,
     entry_id,
     once_request,
 )
@@ -120,7 +120,7 @@
             OnceCoordinator(
                 api,
                 fleet.join(entry_id(f"entry-{number}")),
-                ListRecorder(),
+                EventLog(),
                 clock,
                 entry_id(f"entry-{number}"),
                 rng=random.Random(number),
--- a/src/gypsumsail/once/keys.py
+++ b/src/gypsumsail/once/keys.py
@@ -6,7 +6,8 @@
 from hashlib import blake2b
 from typing import Final
 
-from gypsumsail.once.const import PARTITIONS
+from gypsumsail.core import rendezvous
+from gypsumsail.once.const import LEDGER_PREFIX, PARTITIONS
 from gypsumsail.peers.port import EntryId
 
 DIGEST_BYTES: Final = 16
@@ -33,9 +34,5 @@
 
     Two entries that disagree on the owner lose batching, not safety.
     """
-    return max(entries, key=lambda entry: _weight(partition, entry))
-
-
-def _weight(partition: int, entry: EntryId) -> bytes:
-    text = f"{partition}/{entry.name}/{entry.incarnation}"
-    return blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+    by_name = {f"{entry.name}/{entry.incarnation}": entry for entry in entries}
+    return by_name[rendezvous.owner(f"{LEDGER_PREFIX}{partition}", by_name)]
--- a/src/gypsumsail/once/ledgers.py
+++ b/src/gypsumsail/once/ledgers.py
@@ -8,12 +8,12 @@
 import logging
 
 from gypsumsail.core.clock import Clock
-from gypsumsail.core.errors import RunState, TransportError
+from gypsumsail.core.errors import TransportError
 from gypsumsail.once.committer import GroupCommitter
 from gypsumsail.once.const import OWNER_TIMEOUT_SECONDS, PARTITIONS
 from gypsumsail.once.errors import LedgerUnavailableError, PlatformPausedError
 from gypsumsail.once.keys import owner_of, partition_of
-from gypsumsail.once.ledger import Verdict, VerdictKind
+from gypsumsail.once.ledger import Verdict
 from gypsumsail.once.messages import (
     LedgerUnavailableMessage,
     RecordedMessage,
@@ -176,8 +176,8 @@
             case VerdictMessage():
                 submission.may_be_written = False
                 return Verdict(
-                    kind=VerdictKind(answer.kind),
-                    run_state=RunState(answer.run_state),
+                    kind=answer.kind,
+                    run_state=answer.run_state,
                     status=answer.status,
                 )
             case LedgerUnavailableMessage():
@@ -207,8 +207,8 @@
         except (LedgerUnavailableError, TimeoutError):
             return LedgerUnavailableMessage(may_be_written=True)
         return VerdictMessage(
-            kind=verdict.kind.value,
-            run_state=verdict.run_state.value,
+            kind=verdict.kind,
+            run_state=verdict.run_state,
             status=verdict.status,
         )
 
--- a/src/gypsumsail/once/messages.py
+++ b/src/gypsumsail/once/messages.py
@@ -4,9 +4,13 @@
 
 from dataclasses import dataclass
 
+from gypsumsail.core.errors import RunState
+from gypsumsail.once.ledger import VerdictKind
+from gypsumsail.peers.codec import message
 from gypsumsail.peers.port import Message
 
 
+@message("once.reserve")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReserveMessage(Message):
     """Commit a reservation; answered by a verdict or by unavailable.
@@ -24,15 +28,17 @@
     outcomes: bytes
 
 
+@message("once.verdict")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VerdictMessage(Message):
-    """The ledger's decision on a reservation; enumerations by their values."""
+    """The ledger's decision on a reservation."""
 
-    kind: str
-    run_state: str
+    kind: VerdictKind
+    run_state: RunState
     status: int
 
 
+@message("once.record")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RecordMessage(Message):
     """Commit outcomes, encoded as ledger entries."""
@@ -41,11 +47,13 @@
     entries: bytes
 
 
+@message("once.recorded")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RecordedMessage(Message):
     """The outcomes are in the ledger."""
 
 
+@message("once.unavailable")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LedgerUnavailableMessage(Message):
     """The owner could not confirm the commit.
--- a/src/gypsumsail/orders/coordinator.py
+++ b/src/gypsumsail/orders/coordinator.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from hashlib import blake2b
+from itertools import chain
 import logging
 
+from gypsumsail.core import rendezvous
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import GypsumsailError
 from gypsumsail.orders.book import async_read_book, async_write_book
@@ -21,8 +22,8 @@
 from gypsumsail.orders.port import DocumentSource, EngineFactory, MembershipSource
 from gypsumsail.orders.wanted import is_loading, is_wanted
 from gypsumsail.peers.port import EntryId
-from gypsumsail.platform.port import ObjectApi, VmRecord, VmRole, VmState
-from gypsumsail.targets.port import Engine, EngineState, SetState
+from gypsumsail.platform.port import ObjectApi, VmRecord, VmRole
+from gypsumsail.targets.port import EngineState, SetState
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.port import Recorder
 
@@ -49,9 +50,7 @@
         self.recorder = recorder
         self.clock = clock
         self.entry = entry
-        holder = f"{entry.name}/{entry.incarnation}"
-        self.keeper = LeaseKeeper(api, clock, entry.zone, holder)
-        self.engines: dict[tuple[str, str], Engine] = {}
+        self.keeper = LeaseKeeper(api, clock, entry.zone, _holder(entry))
         self.highest_fence = 0
         self.task: asyncio.Task[None] | None = None
 
@@ -91,7 +90,7 @@
             return
         stored = await async_read_book(self.api)
         plan = plan_orders(
-            self.documents.in_force(), engines, stored.book, self.entry.zone
+            self.documents.all_in_force(), engines, stored.book, self.entry.zone
         )
         if not self._may_order():
             return
@@ -117,12 +116,9 @@
 
     def _is_candidate(self) -> bool:
         """Return whether this entry ranks among those that watch the lease."""
-        zone = self.entry.zone
-        others = {
-            entry for entry in self.membership.live_entries() if entry.zone == zone
-        }
-        ranked = sorted(others | {self.entry}, key=_rank)
-        return self.entry in ranked[:LEASE_CANDIDATES]
+        names = {self.keeper.holder, *map(_holder, self.membership.zone_entries())}
+        ranked = rendezvous.rank(self.keeper.key, names)
+        return self.keeper.holder in ranked[:LEASE_CANDIDATES]
 
     async def _async_keep_lease(self) -> None:
         before = self.keeper.held
@@ -138,16 +134,13 @@
 
     async def _async_observe(self) -> list[ObservedEngine]:
         """Read the state of all engines; they are not ordered here."""
-        vms = [vm for vm in self.membership.vms() if vm.role is VmRole.ENGINE]
-        listed = {(vm.vm_id, vm.incarnation) for vm in vms}
-        self.engines = {key: e for key, e in self.engines.items() if key in listed}
+        vms = self._engines_listed()
         states = await asyncio.gather(*map(self._async_state, vms))
         observed = [
             ObservedEngine(
                 target=vm.vm_id,
                 service=vm.service,
                 zone=vm.zone,
-                leaving=vm.state is VmState.LEAVING,
                 state=state,
             )
             for vm, state in zip(vms, states, strict=True)
@@ -162,16 +155,17 @@
         )
         return observed
 
-    def _engine(self, vm: VmRecord) -> Engine:
-        key = (vm.vm_id, vm.incarnation)
-        if key not in self.engines:
-            self.engines[key] = self.engine_factory(vm)
-        return self.engines[key]
+    def _engines_listed(self) -> list[VmRecord]:
+        services = [
+            document.document.service for document in self.documents.all_in_force()
+        ]
+        targets = chain.from_iterable(map(self.membership.targets, services))
+        return [vm for vm in targets if vm.role is VmRole.ENGINE]
 
     async def _async_state(self, vm: VmRecord) -> EngineState | None:
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
-                return await self._engine(vm).async_state()
+                return await self.engine_factory(vm).async_state()
         except (GypsumsailError, TimeoutError) as err:
             LOGGER.debug("State of %s not read: %s", vm.vm_id, err)
             return None
@@ -182,9 +176,8 @@
         Whether it was reached is seen by the next step's look; an unanswered or
         refused order is simply stated again.
         """
-        vm = next(
-            (vm for vm in self.membership.vms() if vm.vm_id == order.target), None
-        )
+        targets = self.membership.targets(order.service)
+        vm = next((vm for vm in targets if vm.vm_id == order.target), None)
         if vm is None:
             return
         state = await self._async_state(vm)
@@ -203,7 +196,7 @@
         )
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
-                await self._engine(vm).async_set_state(message)
+                await self.engine_factory(vm).async_set_state(message)
         except (GypsumsailError, TimeoutError) as err:
             LOGGER.info("Order to %s not confirmed: %s", order.target, err)
 
@@ -227,6 +220,5 @@
         )
 
 
-def _rank(entry: EntryId) -> bytes:
-    text = f"{entry.zone}/{entry.name}/{entry.incarnation}"
-    return blake2b(text.encode()).digest()
+def _holder(entry: EntryId) -> str:
+    return f"{entry.name}/{entry.incarnation}"
--- a/src/gypsumsail/orders/planner.py
+++ b/src/gypsumsail/orders/planner.py
@@ -63,17 +63,13 @@
     Parameters
     ----------
     engines
-        Engines of all zones of the platform's list.
+        Engines of all zones that are not leaving.
     book
         Turns of all zones as just read.
     """
     newest = {item.service: item.document_version for item in book.newest}
     services = {document.document.service for document in documents}
-    staying = {
-        engine.target
-        for engine in engines
-        if engine.service in services and not engine.leaving
-    }
+    staying = {engine.target for engine in engines if engine.service in services}
     turns = [turn for turn in book.turns if turn.zone != zone or turn.target in staying]
     orders: list[PlannedOrder] = []
     done: list[str] = []
@@ -83,11 +79,7 @@
             continue
         if document.version < newest.get(service, 0):
             continue
-        members = [
-            engine
-            for engine in engines
-            if engine.service == service and not engine.leaving
-        ]
+        members = [engine for engine in engines if engine.service == service]
         rollout = _ServiceRollout(document, members, zone, turns)
         turns = rollout.turns
         orders.extend(rollout.orders)
--- a/src/gypsumsail/orders/port.py
+++ b/src/gypsumsail/orders/port.py
@@ -14,18 +14,19 @@
 class DocumentSource(Protocol):
     """Source of the documents in force."""
 
-    def in_force(self) -> tuple[DocumentInForce, ...]:
+    def all_in_force(self) -> tuple[DocumentInForce, ...]:
         """Return the document in force of each service."""
 
 
 class MembershipSource(Protocol):
     """Source of the machines that are there."""
 
-    def vms(self) -> tuple[VmRecord, ...]:
-        """Return the platform's list as last read."""
+    def targets(self, service: str) -> tuple[VmRecord, ...]:
+        """Return the targets of a service that are not leaving."""
 
-    def live_entries(self) -> tuple[EntryId, ...]:
-        """Return the entries believed alive, with this one."""
+    def zone_entries(self) -> tuple[EntryId, ...]:
+        """Return the entries of this entry's zone, with this one."""
 
 
+# Called for each use: it is expected to keep its adapters.
 EngineFactory = Callable[[VmRecord], Engine]
--- a/src/gypsumsail/orders/wanted.py
+++ b/src/gypsumsail/orders/wanted.py
@@ -7,8 +7,12 @@
 
 
 def adapter_id(adapter: Adapter) -> str:
-    """Return how an engine names an adapter with its version."""
-    return f"{adapter.name}@{adapter.version}"
+    """Return how orders name an adapter: as requests to engines name it.
+
+    Engines know adapters by one name only, so that a document that changes just
+    the version of an adapter has to give the adapter a new name.
+    """
+    return adapter.name
 
 
 def wanted_models(document: ServiceDocument) -> tuple[LoadedModel, ...]:
--- a/tests/once/test_ledger.py
+++ b/tests/once/test_ledger.py
@@ -26,8 +26,9 @@
     head_key,
 )
 from gypsumsail.once.store import LedgerStore
+from tests.common import ManualClock
 
-from .common import FakeObjectApi, ManualClock
+from .common import FakeObjectApi
 
 PARTITION = 3
 
--- a/tests/orders/test_lease.py
+++ b/tests/orders/test_lease.py
@@ -8,7 +8,8 @@
 from gypsumsail.orders.const import LEASE_RENEW_SECONDS, LEASE_SECONDS
 from gypsumsail.orders.keeper import LeaseKeeper
 from gypsumsail.orders.lease import may_order
-from tests.once.common import FakeObjectApi, ManualClock
+from tests.common import ManualClock
+from tests.once.common import FakeObjectApi
 
 ZONE = "karen"
 
