Answer from the ledger only what a write or a fresh read confirms

Cause: an entry's cached partition decided three things without asking: it granted an attempt again that another entry had abandoned, dropped an outcome whose reservation it had not seen, and changed its verdict on a batch whose answer was lost. Found by the differential test in the whole run, where Hypothesis draws other examples than alone. Ruled out: a fault of the naive version; each of its verdicts is the stricter. A refused duplicate now costs one read.

--- a/src/gypsumsail/once/store.py
+++ b/src/gypsumsail/once/store.py
@@ -85,6 +85,7 @@
         """
         fresh = False
         contended = False
+        unconfirmed: CommitPlan | None = None
         for _ in range(COMMIT_ATTEMPTS):
             if self.ledger is None:
                 await self._async_load()
@@ -92,6 +93,8 @@
             ledger = self.ledger
             if ledger is None:
                 continue
+            if unconfirmed is not None and ledger.head == unconfirmed.head:
+                return unconfirmed.verdicts
             plan = plan_commit(
                 ledger, entries, elapsed=self.clock.monotonic() - self.known_at
             )
@@ -109,6 +112,7 @@
             except TransportError as err:
                 LOGGER.debug("Ledger %s: write not confirmed: %s", self.partition, err)
                 self.ledger = None
+                unconfirmed = plan
                 contended = False
             else:
                 return plan.verdicts
@@ -210,8 +214,14 @@
 
 
 def _may_be_outdated(plan: CommitPlan) -> bool:
-    """Return whether another entry's later commit could change a refusal."""
+    """Return whether another entry's later commit could change a decision.
+
+    What is written is conditional on what it was decided on; a refusal, and a
+    plan that finds everything known already, are not.
+    """
+    if not plan.entries:
+        return True
     return any(
-        verdict.kind in (VerdictKind.RUNNING, VerdictKind.OTHER_BODY)
+        verdict.kind not in (VerdictKind.GRANTED, VerdictKind.RECORDED)
         for verdict in plan.verdicts
     )
