Measure the cost of control per entry, and keep to one relay

An ordinary entry now keeps to one relay of its zone by rendezvous rank, so that a relay has links to its share of the zone, not to all of it. Ruled out: shared processor time as a figure for the relay.

--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,292 @@
+"""Measures what control costs per entry as the fleet grows.
+
+Each fleet runs in one process with all its entries on one loop, but for one relay,
+which has a process of its own; so has the platform's stand-in. Processor time and
+memory of the fleet are divided by its entries, those of the relay are its own.
+Clients of the platform are in them, the forwarding of requests is not.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import asdict, dataclass, fields
+import json
+from pathlib import Path
+import resource
+import statistics
+import sys
+import time
+from typing import Final
+
+import click
+
+from bench.control_fleet import (
+    FIRST_ZONE,
+    MODELS,
+    ControlFleet,
+    ControlNode,
+    document_text,
+    relay_name,
+)
+from bench.fit import fit_line
+from bench.processes import LISTENING, Launcher, RunningProcess
+from gypsumsail.documents.apply import Applied, async_apply
+
+TARGET_ENTRIES: Final = 340
+SETTLE_SECONDS: Final = 10.0
+CHANGES: Final = 10
+CHANGE_PAUSE_SECONDS: Final = 0.7
+CHANGE_LIMIT_SECONDS: Final = 60.0
+PAGE_BYTES: Final = resource.getpagesize()
+RESULT: Final = "result "
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ControlCost:
+    """Cost of control in one fleet; per entry unless said otherwise.
+
+    Attributes
+    ----------
+    relay_cpu_percent, relay_memory_bytes
+        Share of one core and growth of the resident size of the lone relay.
+    cpu_percent
+        Share of one core.
+    memory_bytes
+        Growth of the resident size from before the first entry.
+    sent_most, received_most
+        Bytes a second of the entry that has most.
+    in_force_p50, in_force_most
+        Seconds from the start of a write to its being in force on the last entry.
+    platform_reads, platform_writes, platform_waiting
+        Of the whole fleet: reads and writes a second without the waiting watches;
+        the watches that wait.
+    """
+
+    entries: int
+    relay_cpu_percent: float
+    relay_memory_bytes: float
+    relay_sent_per_second: float
+    relay_received_per_second: float
+    relay_links: float
+    frames_per_second: float
+    sent_per_second: float
+    sent_most: float
+    received_most: float
+    links: float
+    cpu_percent: float
+    memory_bytes: float
+    in_force_p50: float
+    in_force_most: float
+    platform_reads: float
+    platform_writes: float
+    platform_waiting: float
+
+
+def resident_bytes() -> int:
+    """Return the resident size of this process."""
+    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+def bytes_of(nodes: list[ControlNode]) -> list[tuple[int, int, int]]:
+    """Return bytes sent, bytes received and frames sent of each entry."""
+    counters = [node.network.counters for node in nodes]
+    return [(one.bytes_sent, one.bytes_received, one.frames_sent) for one in counters]
+
+
+async def async_measure(
+    count: int, *, zones: int, seconds: float, platform_url: str
+) -> dict[str, float]:
+    """Run a fleet without its lone relay and measure it."""
+    before = resident_bytes()
+    fleet = ControlFleet(platform_url=platform_url)
+    await fleet.async_start(count, zones)
+    for index in range(MODELS):
+        await async_change(fleet, f"service-{index}", 0)
+    click.echo(f"{LISTENING}{fleet.nodes[0].network.peer_url}")
+    await asyncio.sleep(SETTLE_SECONDS)
+    start, start_cpu = time.monotonic(), time.process_time()
+    start_bytes, start_calls = bytes_of(fleet.nodes), await fleet.async_counters()
+    await asyncio.sleep(seconds)
+    lasted, cpu = time.monotonic() - start, time.process_time() - start_cpu
+    calls = await fleet.async_counters()
+    rates = [
+        tuple((b - a) / lasted for a, b in zip(one, two, strict=True))
+        for one, two in zip(start_bytes, bytes_of(fleet.nodes), strict=True)
+    ]
+    links = [len(node.network.links) for node in fleet.nodes]
+    memory = resident_bytes() - before
+    times = [await async_change(fleet, "service-0", 1 + n) for n in range(CHANGES)]
+    await fleet.async_stop()
+    reads = sum(calls[kind] - start_calls[kind] for kind in ("reads", "vm_lists"))
+    return {
+        "frames_per_second": statistics.fmean(rate[2] for rate in rates),
+        "sent_per_second": statistics.fmean(rate[0] for rate in rates),
+        "sent_most": max(rate[0] for rate in rates),
+        "received_most": max(rate[1] for rate in rates),
+        "links": statistics.fmean(links),
+        "cpu_percent": 100 * cpu / lasted / count,
+        "memory_bytes": memory / count,
+        "in_force_p50": statistics.median(times),
+        "in_force_most": max(times),
+        "platform_reads": reads / lasted,
+        "platform_writes": (calls["writes"] - start_calls["writes"]) / lasted,
+        "platform_waiting": calls["waiting"],
+    }
+
+
+async def async_measure_relay(
+    name: str, *, seed: str, seconds: float, platform_url: str
+) -> dict[str, float]:
+    """Run the lone relay of a fleet and measure it."""
+    before = resident_bytes()
+    fleet = ControlFleet(platform_url=platform_url, seeds=(seed,))
+    await fleet.async_start_one(name, FIRST_ZONE)
+    await asyncio.sleep(SETTLE_SECONDS)
+    start, start_cpu = time.monotonic(), time.process_time()
+    (start_bytes,) = bytes_of(fleet.nodes)
+    await asyncio.sleep(seconds)
+    lasted, cpu = time.monotonic() - start, time.process_time() - start_cpu
+    (end_bytes,) = bytes_of(fleet.nodes)
+    node = fleet.nodes[0]
+    if not node.membership.is_relay(node.membership.clock.monotonic()):
+        raise click.ClickException(f"{name} is not a relay")
+    return {
+        "relay_cpu_percent": 100 * cpu / lasted,
+        "relay_memory_bytes": resident_bytes() - before,
+        "relay_sent_per_second": (end_bytes[0] - start_bytes[0]) / lasted,
+        "relay_received_per_second": (end_bytes[1] - start_bytes[1]) / lasted,
+        "relay_links": len(node.network.links),
+    }
+
+
+async def async_change(fleet: ControlFleet, service: str, number: int) -> float:
+    """Change a document; return the seconds until it is in force everywhere."""
+    await asyncio.sleep(CHANGE_PAUSE_SECONDS)
+    node = fleet.nodes[0]
+    known = node.documents.in_force(service)
+    version = 0 if known is None else known.version
+    sent_at = time.monotonic()
+    applied = await async_apply(
+        node.platform,
+        service,
+        document_text(service, len(fleet.nodes), f"v{number}"),
+        expected_version=version or None,
+        floor=version,
+    )
+    if not isinstance(applied, Applied):
+        raise click.ClickException(f"write {number} of {service} met a conflict")
+    async with asyncio.timeout(CHANGE_LIMIT_SECONDS):
+        await fleet.when_in_force(service, applied.version)
+    return time.monotonic() - sent_at
+
+
+async def async_run_size(size: int, *, zones: int, seconds: float) -> ControlCost:
+    """Measure one fleet; the last of its entries is the lone relay."""
+    async with Launcher() as launcher:
+        platform = await launcher.start_module("platform", "stand_ins.platform")
+        common = ["--platform-url", platform.url, "--seconds", str(seconds)]
+        common += ["--zones", str(zones), "--single", str(size - 1)]
+        fleet = await launcher.start_module("fleet", "bench.control", common)
+        common += ["--seed-peer", fleet.ready_line]
+        relay = await launcher.run_module("relay", "bench.control", common)
+        await fleet.process.wait()
+        await fleet.finish_output()
+        return ControlCost(entries=size, **result_of(fleet), **result_of(relay))
+
+
+def result_of(process: RunningProcess) -> dict[str, float]:
+    """Return what a process measured."""
+    lines = [one for one in process.output if one.startswith(RESULT)]
+    if not lines:
+        raise click.ClickException("\n".join(process.output))
+    result: dict[str, float] = json.loads(lines[-1].removeprefix(RESULT))
+    return result
+
+
+async def async_run_sizes(
+    sizes: list[int], *, zones: int, seconds: float
+) -> list[ControlCost]:
+    """Measure one fleet after the other."""
+    costs = []
+    for size in sizes:
+        costs.append(await async_run_size(size, zones=zones, seconds=seconds))
+        click.echo(f"{size} entries done", err=True)
+    return costs
+
+
+def table(costs: list[ControlCost], *, fit_from: int) -> str:
+    """Return the costs and the lines through the larger ones as Markdown."""
+    names = [item.name for item in fields(ControlCost) if item.name != "entries"]
+    fitted = [cost for cost in costs if cost.entries >= fit_from]
+    sizes = [float(cost.entries) for cost in fitted]
+    heads = [*(f"{cost.entries}" for cost in costs), "slope", "± ", "at 340", "±"]
+    lines = ["| per entry | " + " | ".join(heads) + " |"]
+    lines.append("| --- |" + " ---: |" * len(heads))
+    for name in names:
+        values = [float(getattr(cost, name)) for cost in costs]
+        cells = [f"{value:.4g}" for value in values]
+        if len(fitted) > 2:
+            line = fit_line(sizes, [float(getattr(one, name)) for one in fitted])
+            cells += [f"{line.slope:.3g}", f"{line.slope_error:.2g}"]
+            cells.append(f"{line.at(TARGET_ENTRIES):.4g}")
+            cells.append(f"{line.error_at(TARGET_ENTRIES):.2g}")
+        lines.append(f"| {name} | " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+@click.command()
+@click.option("--entries", default="3,7,15,30,50", help="Sizes, joined by commas.")
+@click.option("--zones", default=5, help="Availability zones.")
+@click.option("--seconds", default=20.0, help="Length of the steady measurement.")
+@click.option("--fit-from", default=15, help="Smallest size that the lines go by.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON, not a table.")
+@click.option("--single", type=int, hidden=True)
+@click.option("--seed-peer", hidden=True)
+@click.option("--platform-url", default="", hidden=True)
+def main(
+    entries: str,
+    zones: int,
+    seconds: float,
+    fit_from: int,
+    as_json: bool,
+    single: int | None,
+    seed_peer: str | None,
+    platform_url: str,
+) -> None:
+    """Measure the control cost per entry and its growth."""
+    if single is not None:
+        part = async_measure_part(
+            single,
+            zones=zones,
+            seconds=seconds,
+            seed_peer=seed_peer,
+            platform_url=platform_url,
+        )
+        click.echo(RESULT + json.dumps(asyncio.run(part)))
+        return
+    sizes = [int(part) for part in entries.split(",")]
+    costs = asyncio.run(async_run_sizes(sizes, zones=zones, seconds=seconds))
+    if as_json:
+        click.echo(json.dumps([asdict(cost) for cost in costs], indent=2))
+    else:
+        click.echo(table(costs, fit_from=fit_from))
+
+
+async def async_measure_part(
+    single: int, *, zones: int, seconds: float, seed_peer: str | None, platform_url: str
+) -> dict[str, float]:
+    """Measure what this process runs: the fleet, or its lone relay."""
+    if seed_peer is None:
+        return await async_measure(
+            single, zones=zones, seconds=seconds, platform_url=platform_url
+        )
+    return await async_measure_relay(
+        relay_name(single, zones),
+        seed=seed_peer,
+        seconds=seconds,
+        platform_url=platform_url,
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/fit.py
@@ -0,0 +1,58 @@
+"""Straight lines through measurements, with their errors."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from math import nan, sqrt
+import statistics
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LinearFit:
+    """A straight line by least squares.
+
+    Attributes
+    ----------
+    slope_error
+        Standard error of the slope; not a number with fewer than three points.
+    deviation
+        Standard deviation of the points from the line.
+    """
+
+    intercept: float
+    slope: float
+    slope_error: float
+    deviation: float
+    mean_x: float
+    sum_squares: float
+    points: int
+
+    def at(self, x: float) -> float:
+        """Return the line's value."""
+        return self.intercept + self.slope * x
+
+    def error_at(self, x: float) -> float:
+        """Return the standard error of the line's value, also far outside."""
+        spread = 1 / self.points + (x - self.mean_x) ** 2 / self.sum_squares
+        return self.deviation * sqrt(spread)
+
+
+def fit_line(xs: Sequence[float], ys: Sequence[float]) -> LinearFit:
+    """Return the line through points; needs two different ``xs``."""
+    slope, intercept = statistics.linear_regression(xs, ys)
+    mean_x = statistics.fmean(xs)
+    sum_squares = sum((x - mean_x) ** 2 for x in xs)
+    residuals = (y - intercept - slope * x for x, y in zip(xs, ys, strict=True))
+    freedom = len(xs) - 2
+    squared = sum(residual**2 for residual in residuals)
+    deviation = sqrt(squared / freedom) if freedom > 0 else nan
+    return LinearFit(
+        intercept=intercept,
+        slope=slope,
+        slope_error=deviation / sqrt(sum_squares),
+        deviation=deviation,
+        mean_x=mean_x,
+        sum_squares=sum_squares,
+        points=len(xs),
+    )
--- a/src/gypsumsail/membership/duties.py
+++ b/src/gypsumsail/membership/duties.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-import hashlib
 from math import ceil
 import random
 
+from gypsumsail.core.rendezvous import rank
 from gypsumsail.membership.const import (
     ENTRIES_PER_RELAY,
     PROBE_PARTNERS,
@@ -21,14 +21,14 @@
 
 def zone_relays(entries: Iterable[EntryId], zone: str) -> tuple[EntryId, ...]:
     """Return the entries of a zone that watch the platform for the others."""
-    ranked = sorted((entry for entry in entries if entry.zone == zone), key=_rank)
+    ranked = _ranked(zone, (entry for entry in entries if entry.zone == zone))
     count = max(RELAYS_PER_ZONE, ceil(len(ranked) / ENTRIES_PER_RELAY))
     return tuple(ranked[:count])
 
 
 def probe_partners(me: EntryId, entries: Iterable[EntryId]) -> tuple[EntryId, ...]:
     """Return the entries that follow this one on a ring of all entries."""
-    ring = sorted({me, *entries}, key=_rank)
+    ring = _ranked("ring", {me, *entries})
     place = ring.index(me)
     following = ring[place + 1 :] + ring[:place]
     return tuple(following[:PROBE_PARTNERS])
@@ -39,22 +39,24 @@
 ) -> tuple[EntryId, ...]:
     """Return the entries to compare tables with, best first.
 
-    A relay turns to relays of its own zone and of others in turn, another entry to
-    the relays of its zone. Whoever remains comes last.
+    A relay turns to relays of its own zone and of others in turn, mixing them.
+    Another entry keeps to one relay of its zone, which needs fewer links. Whoever
+    remains comes last.
     """
     zones = sorted({entry.zone for entry in entries})
     relays = {zone: zone_relays(entries, zone) for zone in zones}
     own = [entry for entry in relays.get(me.zone, ()) if entry != me]
     far = [entry for zone in zones if zone != me.zone for entry in relays[zone]]
-    rng.shuffle(own)
-    rng.shuffle(far)
-    abroad = me in relays.get(me.zone, ()) and round_number % 2 == 1
-    first, second = (far, own) if abroad else (own, far)
     rest = [entry for entry in entries if entry != me and entry.zone == me.zone]
+    rng.shuffle(far)
     rng.shuffle(rest)
+    if me not in relays.get(me.zone, ()):
+        return tuple(dict.fromkeys([*_ranked(me.name, own), *far, *rest]))
+    rng.shuffle(own)
+    first, second = (far, own) if round_number % 2 == 1 else (own, far)
     return tuple(dict.fromkeys([*first, *second, *rest]))
 
 
-def _rank(entry: EntryId) -> bytes:
-    text = f"{entry.name}\0{entry.incarnation}"
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+def _ranked(key: str, entries: Iterable[EntryId]) -> list[EntryId]:
+    by_life = {f"{entry.name}\0{entry.incarnation}": entry for entry in entries}
+    return [by_life[life] for life in rank(key, by_life)]
