Name missing entries until the list shows that they are gone

Cause: reading back named a dead entry for 600 s, or would have left out one that the list only lags on. Ruled out: leaving out all dead lives, which would read as agreement. Conclusion: an entry is dropped from the names when a later reading that shows this entry doesn't show it.

--- a/src/gypsumsail/membership/coordinator.py
+++ b/src/gypsumsail/membership/coordinator.py
@@ -25,6 +25,7 @@
 from gypsumsail.membership.models import (
     EntryJoined,
     EntryLost,
+    Member,
     MembershipChange,
     MembershipSettings,
     TargetLeaving,
@@ -127,7 +128,8 @@
         """Return the names of entries that should be there and are not.
 
         These are entries of the platform's list whose address no member has, and
-        lives believed dead whose name has no other life.
+        lives believed dead, until another life has their name or a later reading of
+        the list shows this entry but not them.
         """
         present = (self.table.me, *self.table.present())
         urls = {member.peer_url for member in present}
@@ -136,10 +138,17 @@
         dead = {
             entry.name
             for entry, member in self.table.members.items()
-            if not member.present and member.peer_url not in urls
+            if not member.present and not self._is_unlisted(member)
         }
         return tuple(sorted(listed | (dead - names)))
 
+    def _is_unlisted(self, member: Member) -> bool:
+        urls = {vm.peer_url for vm in self.vms.entries()}
+        if self.vms.read_at is None or self.table.me.peer_url not in urls:
+            return False
+        read_since = self.vms.read_at > self.table.since[member.entry]
+        return read_since and member.peer_url not in urls
+
     @callback
     def targets(self, service: str) -> tuple[VmRecord, ...]:
         """Return the targets of a service that may get new work."""
--- a/tests/membership/common.py
+++ b/tests/membership/common.py
@@ -140,3 +140,17 @@
         state=state,
         url=f"http://{vm_id}",
     )
+
+
+def listed_entry(node: Node) -> VmRecord:
+    """Build an entry as the list shows it."""
+    return VmRecord(
+        vm_id=node.entry.name,
+        incarnation=node.entry.incarnation,
+        zone=node.entry.zone,
+        role=VmRole.ENTRY,
+        service="",
+        state=VmState.LIVE,
+        url="",
+        peer_url=node.network.identity.peer_url,
+    )
--- a/tests/membership/test_coordinator.py
+++ b/tests/membership/test_coordinator.py
@@ -8,7 +8,7 @@
 from gypsumsail.membership.duties import probe_partners
 from gypsumsail.platform.port import VmState
 from gypsumsail.timeline.models import EventKind
-from tests.membership.common import ZONES, Fleet, Node, async_fleet, vm
+from tests.membership.common import ZONES, Fleet, Node, async_fleet, listed_entry, vm
 from tests.peers.virtual import run_virtual
 
 SETTLE_SECONDS = 30.0
@@ -117,6 +117,27 @@
     run_virtual(async_main())
 
 
+def test_missing_entry_is_named_until_the_list_shows_that_it_is_gone() -> None:
+    async def async_main() -> None:
+        fleet = await _async_settled(6)
+        listed = {name: listed_entry(node) for name, node in fleet.nodes.items()}
+        fleet.vm_list.records = tuple(listed.values())
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert not fleet.nodes["e0"].membership.missing_entries()
+        await fleet.async_kill("e3")
+        await asyncio.sleep(SETTLE_SECONDS)
+        fleet.vm_list.down = True
+        del listed["e3"]
+        fleet.vm_list.records = tuple(listed.values())
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert fleet.nodes["e0"].membership.missing_entries() == ("e3",)
+        fleet.vm_list.down = False
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert not fleet.nodes["e0"].membership.missing_entries()
+
+    run_virtual(async_main())
+
+
 def test_only_relays_read_the_list() -> None:
     async def async_main() -> None:
         fleet = await _async_settled(30)
