--- a/src/gypsumsail/entry/engine_selector.py
+++ b/src/gypsumsail/entry/engine_selector.py
@@ -8,8 +8,8 @@
 from gypsumsail.context.blocks import token_count
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import NoTargetError, OverloadedError
-from gypsumsail.entry.chain import ChainView, ContextView, chain_of
 from gypsumsail.entry.const import RETRY_AFTER_SECONDS
+from gypsumsail.entry.context_view import ContextView, KeptView, blocks_of
 from gypsumsail.entry.models import ModelJob
 from gypsumsail.entry.versions import Server, allowed_servers, servers
 from gypsumsail.fleet.models import EngineSighting, load_of
@@ -122,8 +122,8 @@
         constraints: Constraints,
     ) -> EngineSelection | Refused:
         """Return the best choice among the engines of one weight version."""
-        chain = chain_of(job, weight_version)
-        view = await self.context.async_lookup(chain)
+        blocks = blocks_of(job, weight_version)
+        view = await self.context.async_lookup(blocks)
         now = self.clock.monotonic()
         candidates = {
             server.vm.vm_id: self._candidate(job, server, view, now) for server in group
@@ -142,14 +142,14 @@
         return EngineSelection(
             vm=vms[choice.target],
             incarnation=self.sightings[choice.target].incarnation,
-            chain=chain,
+            blocks=blocks,
             kept=choice.kept,
             expected=choice.expected,
             tokens_ahead=candidates[choice.target].tokens_ahead,
         )
 
     def _candidate(
-        self, job: ModelJob, server: Server, view: ChainView, now: float
+        self, job: ModelJob, server: Server, view: KeptView, now: float
     ) -> Candidate:
         same_zone = server.vm.zone == self.zone
         return self.loads.candidate(
@@ -160,9 +160,7 @@
             now=now,
         )
 
-    def _route_request(
-        self, job: ModelJob, view: ChainView, now: float
-    ) -> RouteRequest:
+    def _route_request(self, job: ModelJob, view: KeptView, now: float) -> RouteRequest:
         return RouteRequest(
             customer=job.placement.customer.name,
             prompt_tokens=token_count(job.body.prompt),
--- a/tests/relay/common.py
+++ b/tests/relay/common.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-from gypsumsail.context.chain import make_chain
+from gypsumsail.context.prompt import make_prompt_blocks
 from gypsumsail.core.errors import NoTargetError, TransportError
 from gypsumsail.document.models import Route
 from gypsumsail.entry.models import CallHead, CompletionBody, ModelJob, Placement
@@ -75,7 +75,7 @@
 
 def make_selection(name: str) -> EngineSelection:
     """Return the selection of an engine."""
-    chain = make_chain(
+    blocks = make_prompt_blocks(
         "Vol AF 1234",
         service="claims",
         customer="bretagne-vols",
@@ -86,7 +86,7 @@
     return EngineSelection(
         vm=make_vm(name),
         incarnation="1",
-        chain=chain,
+        blocks=blocks,
         kept=None,
         expected=Expectation(
             first_token=0.1,
