Carry the hybrid clock on the links between entries

Cause: nothing took over timestamps of other entries, so the time line could show an effect before its cause. Ruled out: a field in every message, which each developer would have to fill in. Conclusion: give the recorder as stamps= to WebsocketPeerNetwork.

--- a/src/gypsumsail/peers/link.py
+++ b/src/gypsumsail/peers/link.py
@@ -33,6 +33,7 @@
 )
 from gypsumsail.peers.handshake import Identity, Seal
 from gypsumsail.peers.port import EntryId, Message
+from gypsumsail.peers.stamps import Stamps, put_stamp, take_stamp
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -78,6 +79,7 @@
         seal_in: Seal,
         dispatch: Dispatch,
         counters: PeerCounters,
+        stamps: Stamps,
         now: float,
     ) -> None:
         self.connection = connection
@@ -86,6 +88,7 @@
         self.seal_in = seal_in
         self.dispatch = dispatch
         self.counters = counters
+        self.stamps = stamps
         self.last_used = now
         self.closed = False
         self.queue: deque[_Outgoing] = deque()
@@ -175,7 +178,8 @@
         if outgoing.withdrawn:
             return
         outgoing.started = True
-        frame = self.seal_out.close(outgoing.body)
+        stamped = put_stamp(self.stamps.timestamp(), outgoing.body)
+        frame = self.seal_out.close(stamped)
         self.counters.count_sent(len(frame))
         await self.connection.send(frame)
 
@@ -184,7 +188,9 @@
             if isinstance(data, str):
                 raise MessageInvalidError("frame is not binary")
             self.counters.count_received(len(data))
-            await self._async_take(decode_frame(self.seal_in.open(data)))
+            stamp, body = take_stamp(self.seal_in.open(data))
+            self.stamps.observe(stamp)
+            await self._async_take(decode_frame(body))
 
     async def _async_take(self, frame: Frame) -> None:
         match frame:
--- a/src/gypsumsail/peers/network.py
+++ b/src/gypsumsail/peers/network.py
@@ -31,6 +31,7 @@
 from gypsumsail.peers.handshake import Identity, Seal
 from gypsumsail.peers.link import Link
 from gypsumsail.peers.port import EntryId, Handler, Message
+from gypsumsail.peers.stamps import NoStamps, Stamps
 
 _LOGGER = logging.getLogger(__name__)
 _MessageT = TypeVar("_MessageT", bound=Message)
@@ -47,6 +48,8 @@
         Address at which other entries open links; known after set-up.
     addresses
         Entries believed alive and their addresses, as membership sets them.
+    stamps
+        Hybrid clock whose timestamps travel with all frames.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         port: int,
         clock: Clock,
         public_url: str = "",
+        stamps: Stamps | None = None,
     ) -> None:
         if len(secret) < MIN_SECRET_BYTES:
             raise ValueError(f"peer secret is shorter than {MIN_SECRET_BYTES} bytes")
@@ -68,6 +72,7 @@
         self.clock = clock
         self.peer_url = public_url
         self.counters = PeerCounters()
+        self.stamps = stamps or NoStamps()
         self.addresses: dict[EntryId, str] = {}
         self.links: dict[EntryId, list[Link]] = {}
         self.handlers: dict[type[Message], list[Handler[Any]]] = {}
@@ -253,6 +258,7 @@
             seal_in=seal_in,
             dispatch=self._async_dispatch,
             counters=self.counters,
+            stamps=self.stamps,
             now=self.clock.monotonic(),
         )
         self.links.setdefault(peer.entry, []).append(link)
--- a/tests/peers/common.py
+++ b/tests/peers/common.py
@@ -11,6 +11,7 @@
 from gypsumsail.peers.codec import message
 from gypsumsail.peers.network import WebsocketPeerNetwork
 from gypsumsail.peers.port import EntryId, Message
+from gypsumsail.peers.stamps import Stamps
 
 SECRET: Final = b"a secret of the deployment"
 WAIT_SECONDS: Final = 30.0
@@ -32,10 +33,17 @@
     return EntryId(name=name, incarnation=incarnation, zone=zone)
 
 
-def network(entry: EntryId, *, secret: bytes = SECRET) -> WebsocketPeerNetwork:
+def network(
+    entry: EntryId, *, secret: bytes = SECRET, stamps: Stamps | None = None
+) -> WebsocketPeerNetwork:
     """Build a network that takes a free port."""
     return WebsocketPeerNetwork(
-        entry, secret=secret, host="127.0.0.1", port=0, clock=SystemClock()
+        entry,
+        secret=secret,
+        host="127.0.0.1",
+        port=0,
+        clock=SystemClock(),
+        stamps=stamps,
     )
 
 
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -9,11 +9,14 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed
 
+from gypsumsail.core.clock import SystemClock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.peers.errors import HandshakeError, MessageInvalidError, OtherEntryError
 from gypsumsail.peers.handshake import Seal, Side
 from gypsumsail.peers.network import WebsocketPeerNetwork
 from gypsumsail.peers.port import EntryId, Message
+from gypsumsail.timeline.recorder import TimelineRecorder
+from gypsumsail.timeline.records import ProcessId
 from tests.peers.common import Words, async_until, entry_id, network
 
 Pair = tuple[WebsocketPeerNetwork, WebsocketPeerNetwork]
@@ -103,3 +106,33 @@
         Seal(b"secret", Side.CONNECTS, b"proofs").open(frames[1])
     with pytest.raises(MessageInvalidError):
         Seal(b"secret", Side.ACCEPTS, b"proofs").open(frames[0])
+
+
+async def test_events_follow_a_message_though_the_clock_is_behind() -> None:
+    clocks = [_Clock(1_000.0), _Clock(997.0)]
+    recorders = [
+        TimelineRecorder(ProcessId(name=name, incarnation="i1"), clock)
+        for name, clock in zip("ab", clocks, strict=True)
+    ]
+    pair = [
+        network(entry_id(name), stamps=recorder)
+        for name, recorder in zip("ab", recorders, strict=True)
+    ]
+    for one in pair:
+        await one.async_setup()
+        one.subscribe(Words, _async_echo)
+    first, second = pair
+    first.set_addresses({second.entry: second.peer_url})
+    cause = recorders[0].timestamp()
+    await first.async_request(second.entry, Words(text="t"), timeout=10)
+    assert recorders[1].timestamp() > cause
+    for one in pair:
+        await one.async_unload()
+
+
+class _Clock(SystemClock):
+    def __init__(self, shown: float) -> None:
+        self.shown = shown
+
+    def wall(self) -> float:
+        return self.shown
