Model check documents in force, and close links without crossing sends

Cause: a search of the specification showed that a document deleted and made again could get a version in use, when the entries asked lagged; a link used by one side alone was closed by the other; a stranger could send 4 MB before the handshake. Ruled out: order by time; a mark object, since it can be deleted as well. Figures: 664 states searched, both properties hold; each of four guards taken away gives a counterexample. On a scratch copy each of the four changes to links taken back made a test fail. Tests of peers, membership, documents pass. Conclusion: a creation leaves a gap of a million; links are not used again after 30 s and close after 60 s without use by either side.

--- a/src/gypsumsail/documents/apply.py
+++ b/src/gypsumsail/documents/apply.py
@@ -14,7 +14,11 @@
     document_key,
     encode_stored,
 )
-from gypsumsail.documents.const import APPLY_RETRY_SECONDS, APPLY_TRIES
+from gypsumsail.documents.const import (
+    APPLY_RETRY_SECONDS,
+    APPLY_TRIES,
+    CREATION_GAP,
+)
 from gypsumsail.documents.models import StoredDocument
 from gypsumsail.platform.port import (
     MUST_NOT_EXIST,
@@ -140,9 +144,11 @@
 def _plan_creation(
     text: str, *, expected_version: int | None, floor: int
 ) -> PlannedWrite | ConflictFound:
+    """Leave a gap for versions that no entry asked had in force yet."""
     if (expected_version or 0) != floor:
         return ConflictFound(version=0, text="", difference=_difference("", text))
-    return _plan(text, base=floor, if_version=MUST_NOT_EXIST)
+    base = floor + CREATION_GAP if floor else 0
+    return _plan(text, base=base, if_version=MUST_NOT_EXIST)
 
 
 def _plan(text: str, *, base: int, if_version: int) -> PlannedWrite:
--- /dev/null
+++ b/src/gypsumsail/peers/dialing.py
@@ -0,0 +1,84 @@
+"""Opens links to other entries and accepts theirs."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import WebSocketException
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.peers.const import (
+    CLOSE_TIMEOUT_SECONDS,
+    CONNECT_TIMEOUT_SECONDS,
+    MAX_FRAME_BYTES,
+    MAX_HANDSHAKE_BYTES,
+)
+from gypsumsail.peers.diagnostics import PeerCounters
+from gypsumsail.peers.errors import HandshakeError
+from gypsumsail.peers.greeting import Greeted, async_accept, async_introduce
+from gypsumsail.peers.handshake import Identity
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Opened:
+    """A connection whose other side proved itself."""
+
+    connection: Connection
+    greeted: Greeted
+
+
+async def async_dial(
+    peer_url: str, me: Identity, secret: bytes, counters: PeerCounters
+) -> Opened:
+    """Connect to an address; raises TransportError."""
+    connection: Connection | None = None
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            connection = await connect(
+                peer_url,
+                compression=None,
+                max_size=MAX_HANDSHAKE_BYTES,
+                ping_interval=None,
+                close_timeout=CLOSE_TIMEOUT_SECONDS,
+                proxy=None,
+                user_agent_header=None,
+            )
+            greeted = await async_introduce(connection, me, secret, counters)
+    except (OSError, TimeoutError, WebSocketException) as error:
+        await _async_abandon(connection)
+        raise TransportError(f"no link to {peer_url}: {error}", sent=False) from error
+    except HandshakeError:
+        counters.refused += 1
+        await _async_abandon(connection)
+        raise
+    return _trusted(connection, greeted)
+
+
+async def async_admit(
+    connection: Connection, me: Identity, secret: bytes, counters: PeerCounters
+) -> Opened:
+    """Let the other side of a connection prove itself; raises HandshakeError."""
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            greeted = await async_accept(connection, me, secret, counters)
+    except (HandshakeError, TimeoutError, WebSocketException) as error:
+        counters.refused += 1
+        raise HandshakeError(str(error) or "no proof in time") from error
+    return _trusted(connection, greeted)
+
+
+def _trusted(connection: Connection, greeted: Greeted) -> Opened:
+    """Allow large frames only now: a stranger must not fill the memory."""
+    connection.protocol.max_message_size = MAX_FRAME_BYTES
+    return Opened(connection=connection, greeted=greeted)
+
+
+async def _async_abandon(connection: Connection | None) -> None:
+    if connection is None:
+        return
+    with contextlib.suppress(WebSocketException, OSError):
+        await connection.close()
--- a/src/gypsumsail/peers/link.py
+++ b/src/gypsumsail/peers/link.py
@@ -14,6 +14,7 @@
 from websockets.exceptions import ConnectionClosed
 
 from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.peers.const import (
     MAX_RUNNING_HANDLERS,
@@ -67,7 +68,7 @@
     peer
         The proven identity of the other side.
     last_used
-        Monotonic seconds of the last message other than an answer.
+        Monotonic seconds of the last message either way, answers aside.
     """
 
     def __init__(
@@ -80,7 +81,7 @@
         dispatch: Dispatch,
         counters: PeerCounters,
         stamps: Stamps,
-        now: float,
+        clock: Clock,
     ) -> None:
         self.connection = connection
         self.peer = peer
@@ -89,7 +90,8 @@
         self.dispatch = dispatch
         self.counters = counters
         self.stamps = stamps
-        self.last_used = now
+        self.clock = clock
+        self.last_used = clock.monotonic()
         self.closed = False
         self.queue: deque[_Outgoing] = deque()
         self.queued_bytes = 0
@@ -126,16 +128,16 @@
         await self.connection.close()
 
     @callback
-    def send(self, message: Message, *, now: float) -> None:
+    def send(self, message: Message) -> None:
         """Queue a message; raises TransportError."""
-        self.last_used = now
+        self.last_used = self.clock.monotonic()
         self._put(Tell(message=message))
 
     async def async_request(
-        self, message: Message, *, timeout: float, now: float
+        self, message: Message, *, timeout: float
     ) -> Message | None:
         """Send a request and wait for its answer; raises TransportError."""
-        self.last_used = now
+        self.last_used = self.clock.monotonic()
         number = next(self._numbers)
         waiting = _Waiting(outgoing=self._put(Ask(number=number, message=message)))
         self.waiting[number] = waiting
@@ -204,6 +206,7 @@
                 self._fail(number, reason)
 
     async def _async_start(self, message: Message, *, number: int | None) -> None:
+        self.last_used = self.clock.monotonic()
         await self._room.acquire()
         task = asyncio.create_task(self._async_handle(message, number))
         self.handlers.add(task)
--- a/src/gypsumsail/peers/network.py
+++ b/src/gypsumsail/peers/network.py
@@ -4,14 +4,10 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-import contextlib
 import logging
 from typing import Any, TypeVar
 
-from websockets.asyncio.client import connect
-from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import Server, ServerConnection, serve
-from websockets.exceptions import WebSocketException
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
@@ -19,16 +15,16 @@
 from gypsumsail.peers.codec import name_of
 from gypsumsail.peers.const import (
     CLOSE_TIMEOUT_SECONDS,
-    CONNECT_TIMEOUT_SECONDS,
     IDLE_CHECK_SECONDS,
     IDLE_SECONDS,
-    MAX_FRAME_BYTES,
+    MAX_HANDSHAKE_BYTES,
     MIN_SECRET_BYTES,
+    REUSE_SECONDS,
 )
 from gypsumsail.peers.diagnostics import PeerCounters
+from gypsumsail.peers.dialing import Opened, async_admit, async_dial
 from gypsumsail.peers.errors import HandshakeError, OtherEntryError
-from gypsumsail.peers.greeting import async_accept, async_introduce
-from gypsumsail.peers.handshake import Identity, Seal
+from gypsumsail.peers.handshake import Identity
 from gypsumsail.peers.link import Link
 from gypsumsail.peers.port import EntryId, Handler, Message
 from gypsumsail.peers.stamps import NoStamps, Stamps
@@ -88,7 +84,7 @@
             self.host,
             self.port,
             compression=None,
-            max_size=MAX_FRAME_BYTES,
+            max_size=MAX_HANDSHAKE_BYTES,
             ping_interval=None,
             close_timeout=CLOSE_TIMEOUT_SECONDS,
             server_header=None,
@@ -96,7 +92,7 @@
         self.port = next(iter(self._server.sockets)).getsockname()[1]
         if not self.peer_url:
             self.peer_url = f"ws://{self.host}:{self.port}"
-        self._start(self._async_close_idle())
+        self._start(self._async_close_idle_again())
 
     async def async_unload(self) -> None:
         """Close all links."""
@@ -141,7 +137,7 @@
     async def async_send(self, peer: EntryId, message: Message) -> None:
         """Send a message; raises TransportError when there is no link."""
         link = await self._async_link(peer)
-        link.send(message, now=self.clock.monotonic())
+        link.send(message)
         self.counters.sent_by_name[name_of(type(message))] += 1
 
     async def async_request(
@@ -157,7 +153,7 @@
         now = self.clock.monotonic()
         self.counters.sent_by_name[name_of(type(message))] += 1
         left = max(0.0, timeout - (now - started))
-        answer = await link.async_request(message, timeout=left, now=now)
+        answer = await link.async_request(message, timeout=left)
         if answer is None:
             raise TransportError(f"{peer.name} has no answer", sent=True)
         return answer
@@ -174,8 +170,9 @@
         return link.peer.entry
 
     async def _async_link(self, peer: EntryId) -> Link:
+        oldest = self.clock.monotonic() - REUSE_SECONDS
         for link in self.links.get(peer, ()):
-            if not link.closed:
+            if not link.closed and (link.busy or link.last_used > oldest):
                 return link
         peer_url = self.addresses.get(peer)
         if peer_url is None:
@@ -202,64 +199,38 @@
             task.exception()
 
     async def _async_connect(self, peer_url: str) -> Link:
-        connection: Connection | None = None
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                connection = await connect(
-                    peer_url,
-                    compression=None,
-                    max_size=MAX_FRAME_BYTES,
-                    ping_interval=None,
-                    close_timeout=CLOSE_TIMEOUT_SECONDS,
-                    proxy=None,
-                    user_agent_header=None,
-                )
-                greeted = await async_introduce(
-                    connection, self.identity, self.secret, self.counters
-                )
-        except (OSError, TimeoutError, WebSocketException) as error:
-            await _async_abandon(connection)
-            raise TransportError(f"no link to {peer_url}: {error}", sent=False) from (
-                error
-            )
-        except HandshakeError:
-            self.counters.refused += 1
-            await _async_abandon(connection)
-            raise
-        link = self._add(connection, greeted.peer, greeted.seal_out, greeted.seal_in)
+        opened = await async_dial(peer_url, self.identity, self.secret, self.counters)
+        link = self._add(opened)
         self._start(self._async_run(link))
         return link
 
     async def _async_serve(self, connection: ServerConnection) -> None:
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                greeted = await async_accept(
-                    connection, self.identity, self.secret, self.counters
-                )
-        except (HandshakeError, TimeoutError, WebSocketException) as error:
-            self.counters.refused += 1
+            opened = await async_admit(
+                connection, self.identity, self.secret, self.counters
+            )
+        except HandshakeError as error:
             _LOGGER.warning("Link refused: %s", error)
             return
-        link = self._add(connection, greeted.peer, greeted.seal_out, greeted.seal_in)
-        await self._async_run(link)
+        await self._async_run(self._add(opened))
 
     @property
     def identity(self) -> Identity:
         """Who this entry is and where it accepts links."""
         return Identity(entry=self.entry, peer_url=self.peer_url)
 
-    def _add(
-        self, connection: Connection, peer: Identity, seal_out: Seal, seal_in: Seal
-    ) -> Link:
+    def _add(self, opened: Opened) -> Link:
+        greeted = opened.greeted
+        peer = greeted.peer
         link = Link(
-            connection,
+            opened.connection,
             peer,
-            seal_out=seal_out,
-            seal_in=seal_in,
+            seal_out=greeted.seal_out,
+            seal_in=greeted.seal_in,
             dispatch=self._async_dispatch,
             counters=self.counters,
             stamps=self.stamps,
-            now=self.clock.monotonic(),
+            clock=self.clock,
         )
         self.links.setdefault(peer.entry, []).append(link)
         self.counters.links_opened += 1
@@ -285,23 +256,20 @@
             self.counters.sent_by_name[name_of(type(answer))] += 1
         return answer
 
-    async def _async_close_idle(self) -> None:
+    async def async_close_idle(self) -> None:
+        """Close the links that nobody has used for long."""
+        oldest = self.clock.monotonic() - IDLE_SECONDS
+        links = [link for group in self.links.values() for link in group]
+        for link in links:
+            if not link.busy and link.last_used < oldest:
+                await link.async_close()
+
+    async def _async_close_idle_again(self) -> None:
         while True:
             await asyncio.sleep(IDLE_CHECK_SECONDS)
-            oldest = self.clock.monotonic() - IDLE_SECONDS
-            links = [link for group in self.links.values() for link in group]
-            for link in links:
-                if not link.busy and link.last_used < oldest:
-                    await link.async_close()
+            await self.async_close_idle()
 
     def _start(self, coroutine: Any) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-async def _async_abandon(connection: Connection | None) -> None:
-    if connection is None:
-        return
-    with contextlib.suppress(WebSocketException, OSError):
-        await connection.close()
--- /dev/null
+++ b/tests/documents/specification.py
@@ -0,0 +1,139 @@
+"""Specification of documents in force, small enough to be searched whole.
+
+Writes are numbered in the order in which the platform took them. Any write may be
+delivered to any entry at any time and any number of times: as a late watch event, a
+stale read or a copy of a peer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from itertools import pairwise
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from gypsumsail.documents.const import CREATION_GAP
+
+WRITES = 4
+DELETIONS = 2
+
+
+class State(NamedTuple):
+    """State of the platform's object and of two entries.
+
+    Attributes
+    ----------
+    versions
+        Version of each write; they come into force in this order.
+    life
+        Number of the first write since the object was last made.
+    first, second
+        Number of the write in force on an entry; 0 when there is none.
+    reverted
+        Whether an entry went back to an earlier write within one life.
+    """
+
+    object_version: int = 0
+    base: int = 0
+    deletions: int = 0
+    versions: tuple[int, ...] = ()
+    life: int = 0
+    first: int = 0
+    second: int = 0
+    reverted: bool = False
+
+
+Step = tuple[str, State]
+
+
+class Guards(NamedTuple):
+    """Guards of the protocol; each can be taken away to show what it is for."""
+
+    gate: bool = True
+    base: bool = True
+    gap: bool = True
+    known: bool = True
+
+
+def protocol(guards: Guards) -> Protocol:
+    """Return the protocol for the model checker."""
+    return Protocol(
+        name="documents in force",
+        candidate=False,
+        fields=State._fields,
+        initial=State(),
+        transitions=lambda state: list(steps(State(*state), guards)),
+        invariants={
+            "never reverts": lambda values: not values["reverted"],
+            "later writes are higher": lambda values: _rises(values["versions"]),
+        },
+    )
+
+
+def steps(state: State, guards: Guards) -> Iterator[Step]:
+    """Return what may happen next."""
+    if may_write(state, guards):
+        yield "write", _write(state, guards)
+    if state.object_version and state.deletions < DELETIONS:
+        yield (
+            "delete",
+            state._replace(object_version=0, base=0, deletions=state.deletions + 1),
+        )
+    for entry in ("first", "second"):
+        yield f"restart {entry}", _set(state, entry, 0)
+        for number in range(1, len(state.versions) + 1):
+            yield f"deliver {number} {entry}", _deliver(state, entry, number, guards)
+
+
+def floor_of(state: State) -> int:
+    """Return the highest version in force on the entries."""
+    known = (state.first, state.second)
+    return max((state.versions[number - 1] for number in known if number), default=0)
+
+
+def may_write(state: State, guards: Guards) -> bool:
+    """Return whether an operator may write.
+
+    A deleted object is made again only when some entry has had a version of its last
+    life, be it not the newest.
+    """
+    if len(state.versions) == WRITES:
+        return False
+    if not guards.known or state.object_version or not state.versions:
+        return True
+    return floor_of(state) >= state.versions[state.life - 1]
+
+
+def _write(state: State, guards: Guards) -> State:
+    floor = floor_of(state) if guards.base else 0
+    base = max(state.base, floor - state.object_version)
+    if guards.gap and floor and not state.object_version:
+        base += CREATION_GAP
+    version = state.object_version + 1
+    versions = (*state.versions, base + version)
+    return state._replace(
+        object_version=version,
+        base=base,
+        versions=versions,
+        life=state.life if state.object_version else len(versions),
+    )
+
+
+def _deliver(state: State, entry: str, number: int, guards: Guards) -> State:
+    current: int = getattr(state, entry)
+    known = state.versions[current - 1] if current else 0
+    if guards.gate and state.versions[number - 1] <= known:
+        return state
+    reverted = state.reverted or number < current
+    return _set(state, entry, number)._replace(reverted=reverted)
+
+
+def _set(state: State, entry: str, number: int) -> State:
+    if entry == "first":
+        return state._replace(first=number)
+    return state._replace(second=number)
+
+
+def _rises(versions: tuple[int, ...]) -> bool:
+    return all(one < two for one, two in pairwise(versions))
