--- a/src/gypsumsail/peers/link.py
+++ b/src/gypsumsail/peers/link.py
@@ -14,6 +14,7 @@
 from websockets.exceptions import ConnectionClosed
 
 from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.peers.const import (
     MAX_RUNNING_HANDLERS,
@@ -33,6 +34,7 @@
 )
 from gypsumsail.peers.handshake import Identity, Seal
 from gypsumsail.peers.port import EntryId, Message
+from gypsumsail.peers.stamps import Stamps, put_stamp, take_stamp
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -66,7 +68,7 @@
     peer
         The proven identity of the other side.
     last_used
-        Monotonic seconds of the last message other than an answer.
+        Monotonic seconds of the last message either way, answers aside.
     """
 
     def __init__(
@@ -78,7 +80,8 @@
         seal_in: Seal,
         dispatch: Dispatch,
         counters: PeerCounters,
-        now: float,
+        stamps: Stamps,
+        clock: Clock,
     ) -> None:
         self.connection = connection
         self.peer = peer
@@ -86,7 +89,9 @@
         self.seal_in = seal_in
         self.dispatch = dispatch
         self.counters = counters
-        self.last_used = now
+        self.stamps = stamps
+        self.clock = clock
+        self.last_used = clock.monotonic()
         self.closed = False
         self.queue: deque[_Outgoing] = deque()
         self.queued_bytes = 0
@@ -123,16 +128,16 @@
         await self.connection.close()
 
     @callback
-    def send(self, message: Message, *, now: float) -> None:
+    def send(self, message: Message) -> None:
         """Queue a message; raises TransportError."""
-        self.last_used = now
+        self.last_used = self.clock.monotonic()
         self._put(Tell(message=message))
 
     async def async_request(
-        self, message: Message, *, timeout: float, now: float
+        self, message: Message, *, timeout: float
     ) -> Message | None:
         """Send a request and wait for its answer; raises TransportError."""
-        self.last_used = now
+        self.last_used = self.clock.monotonic()
         number = next(self._numbers)
         waiting = _Waiting(outgoing=self._put(Ask(number=number, message=message)))
         self.waiting[number] = waiting
@@ -175,7 +180,8 @@
         if outgoing.withdrawn:
             return
         outgoing.started = True
-        frame = self.seal_out.close(outgoing.body)
+        stamped = put_stamp(self.stamps.timestamp(), outgoing.body)
+        frame = self.seal_out.close(stamped)
         self.counters.count_sent(len(frame))
         await self.connection.send(frame)
 
@@ -184,7 +190,9 @@
             if isinstance(data, str):
                 raise MessageInvalidError("frame is not binary")
             self.counters.count_received(len(data))
-            await self._async_take(decode_frame(self.seal_in.open(data)))
+            stamp, body = take_stamp(self.seal_in.open(data))
+            self.stamps.observe(stamp)
+            await self._async_take(decode_frame(body))
 
     async def _async_take(self, frame: Frame) -> None:
         match frame:
@@ -198,6 +206,7 @@
                 self._fail(number, reason)
 
     async def _async_start(self, message: Message, *, number: int | None) -> None:
+        self.last_used = self.clock.monotonic()
         await self._room.acquire()
         task = asyncio.create_task(self._async_handle(message, number))
         self.handlers.add(task)
