--- /dev/null
+++ b/script/collect.py
@@ -0,0 +1,118 @@
+"""Copies the product and the libraries that it runs with into one directory."""
+
+from __future__ import annotations
+
+from importlib.metadata import Distribution, distribution
+import importlib.util
+from pathlib import Path
+import py_compile
+import re
+import shutil
+import sys
+import tomllib
+from typing import Final
+import zipfile
+
+from packaging.requirements import Requirement
+
+FILE_MODE: Final = 0o100644
+ROOT: Final = Path(__file__).resolve().parent.parent
+
+# Brought by litestar and hdrhistogram for their tests, command lines and builds.
+NOT_AT_RUN_TIME: Final = frozenset(
+    {
+        "faker",
+        "markdown-it-py",
+        "mdurl",
+        "pbr",
+        "polyfactory",
+        "rich-click",
+        "setuptools",
+    }
+)
+LEFT_OUT_DIRECTORIES: Final = frozenset({"__pycache__", "tests", "test", "testing"})
+LEFT_OUT_SUFFIXES: Final = frozenset({".pyc", ".pyi", ".pyx", ".pxd", ".pxi", ".c"})
+
+
+def needed_distributions() -> dict[str, Distribution]:
+    """Return the installed libraries that pyproject asks for, and theirs."""
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))
+    waiting = [Requirement(text) for text in project["project"]["dependencies"]]
+    found: dict[str, Distribution] = {}
+    while waiting:
+        requirement = waiting.pop()
+        name = re.sub(r"[-_.]+", "-", requirement.name).lower()
+        if name in found or name in NOT_AT_RUN_TIME:
+            continue
+        if requirement.marker and not requirement.marker.evaluate({"extra": ""}):
+            continue
+        found[name] = distribution(name)
+        waiting += [Requirement(text) for text in found[name].requires or ()]
+    return found
+
+
+def copy_distribution(library: Distribution, target: Path) -> None:
+    """Copy the files of a library that a run needs."""
+    for file in library.files or ():
+        parts = set(file.parts)
+        if ".." in parts or parts & LEFT_OUT_DIRECTORIES:
+            continue
+        if file.suffix in LEFT_OUT_SUFFIXES:
+            continue
+        place = target / file
+        place.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copyfile(str(library.locate_file(file)), place)
+
+
+def collect(target: Path) -> None:
+    """Fill a directory with the product and its libraries."""
+    shutil.rmtree(target, ignore_errors=True)
+    for library in needed_distributions().values():
+        copy_distribution(library, target)
+    ignored = shutil.ignore_patterns("__pycache__")
+    shutil.copytree(ROOT / "src" / "gypsumsail", target / "gypsumsail", ignore=ignored)
+
+
+def add_compiled(program: Path, work: Path) -> None:
+    """Add compiled modules to a program built by shiv, which leaves them out."""
+    with zipfile.ZipFile(program, "a") as archive:
+        names = [name for name in archive.namelist() if name.endswith(".py")]
+        archive.extractall(work, names)
+        for name in names:
+            source = work / name
+            compiled = py_compile.compile(
+                str(source),
+                dfile=name,
+                doraise=True,
+                invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+            )
+            entry = zipfile.ZipInfo(compiled_name(name))
+            entry.compress_type = zipfile.ZIP_DEFLATED
+            entry.external_attr = FILE_MODE << 16
+            archive.writestr(entry, Path(compiled).read_bytes())
+
+
+def compiled_name(name: str) -> str:
+    """Return where a compiled module belongs.
+
+    Modules that run from the archive stand beside their source, those that are
+    unpacked first in the cache directory.
+    """
+    if not name.startswith("site-packages/"):
+        return f"{name}c"
+    return importlib.util.cache_from_source(name)
+
+
+def main() -> None:
+    """Run a step of the build: ``collect SITE`` or ``compile PROGRAM WORK``."""
+    match sys.argv[1:]:
+        case ["collect", site]:
+            collect(Path(site))
+        case ["compile", program, work]:
+            add_compiled(Path(program), Path(work))
+        case _:
+            sys.exit(main.__doc__)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/packaging/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the program as one file."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/packaging/test_program.py
@@ -0,0 +1,102 @@
+"""Tests that build the program and run it as operators do."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+import subprocess
+import sys
+
+import pytest
+
+from bench.processes import ROOT
+from gypsumsail import VERSION
+from gypsumsail.cli.const import ExitCode
+from tests.document.common import FAULTY_TEXT, MODEL_TEXT
+from tests.packaging.common import Run, run_watched
+
+IMPORT_EVERYTHING = """
+import importlib, pkgutil
+import gypsumsail, uvicorn.protocols.http.httptools_impl, uvloop
+
+for module in pkgutil.walk_packages(gypsumsail.__path__, "gypsumsail."):
+    if not module.name.endswith("__main__"):
+        importlib.import_module(module.name)
+print(gypsumsail.__file__)
+"""
+
+# The first line of the program names the same, but finds it on the PATH, where a
+# version manager may have put a shell script that starts processes of its own.
+INTERPRETER = (os.path.realpath(sys.executable), "-I", "-S")
+
+
+class Program:
+    """The built program with a place of its own to unpack to."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.file = directory / "gypsumsail"
+        subprocess.run(
+            [ROOT / "script" / "build", self.file],
+            check=True,
+            stdout=subprocess.DEVNULL,
+        )
+
+    def run(self, *arguments: str, **variables: str) -> Run:
+        environment = {
+            "PATH": os.environ["PATH"],
+            "SHIV_ROOT": str(self.directory / "unpacked"),
+            **variables,
+        }
+        command = [*INTERPRETER, str(self.file), *arguments]
+        return run_watched(command, environment, self.directory)
+
+
+@pytest.fixture(scope="module")
+def program(tmp_path_factory: pytest.TempPathFactory) -> Program:
+    return Program(tmp_path_factory.mktemp("program"))
+
+
+def test_first_line_names_the_interpreter(program: Program) -> None:
+    with program.file.open("rb") as file:
+        assert file.readline() == b"#!/usr/bin/env -S python3.11 -I -S\n"
+
+
+def test_first_run_unpacks_and_starts_no_process(program: Program) -> None:
+    first = program.run("version")
+    again = program.run("version")
+
+    assert first.stdout == again.stdout == f"gypsumsail {VERSION}\n"
+    assert not first.children | again.children
+
+
+def test_checks_documents(program: Program, tmp_path: Path) -> None:
+    good, bad = tmp_path / "good.yaml", tmp_path / "bad.yaml"
+    good.write_text(MODEL_TEXT)
+    bad.write_text(FAULTY_TEXT)
+
+    checked = program.run("document", "check", str(good))
+    refused = program.run("document", "check", str(good), str(bad))
+
+    assert checked.exit_code == ExitCode.OK, checked.stderr
+    assert refused.exit_code == ExitCode.FINDINGS
+    assert len(refused.stdout.splitlines()) == 10
+    assert not checked.children | refused.children
+
+
+def test_holds_all_that_the_product_imports(program: Program, tmp_path: Path) -> None:
+    script = tmp_path / "everything.py"
+    script.write_text(IMPORT_EVERYTHING)
+
+    run = program.run(str(script), SHIV_INTERPRETER="1", PYTHONPATH=str(ROOT / "src"))
+
+    assert run.exit_code == 0, run.stderr
+    assert run.stdout.startswith(str(program.directory / "unpacked"))
+    assert not run.children
+
+
+def test_starts_nothing_on_bad_settings(program: Program) -> None:
+    run = program.run("entry", "--listen", "nowhere")
+
+    assert run.exit_code == ExitCode.USAGE
+    assert "--listen: listen: must have the form IP:PORT" in run.stderr
