Apply service documents by command

Cause: an edit must lose nobody's work, and a faulty document must not get to the platform. Ruled out: taking the platform's present version when none is named (the last of two operators would overwrite the first without seeing it).

--- a/src/gypsumsail/cli/document.py
+++ b/src/gypsumsail/cli/document.py
@@ -10,6 +10,7 @@
 @click.group(
     cls=LazyGroup,
     lazy={
+        "apply": "gypsumsail.cli.document_apply:apply",
         "check": "gypsumsail.cli.document_check:check",
         "in-force": "gypsumsail.cli.document_in_force:in_force",
         "schema": "gypsumsail.cli.document_check:schema",
--- /dev/null
+++ b/src/gypsumsail/cli/document_apply.py
@@ -0,0 +1,218 @@
+"""Command that applies a service document."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+import time
+
+import click
+
+from gypsumsail.cli.connection import (
+    Connection,
+    Session,
+    async_open,
+    connection_options,
+    run,
+)
+from gypsumsail.cli.const import ExitCode
+from gypsumsail.cli.document_check import read_text
+from gypsumsail.cli.document_in_force import (
+    InForceResult,
+    Wanted,
+    async_read_in_force,
+    async_wait_in_force,
+    exit_code_of,
+)
+from gypsumsail.cli.options import output_option, setting
+from gypsumsail.cli.output import emit, unreachable_lines
+from gypsumsail.core.findings import FindingsError
+from gypsumsail.document.errors import DocumentInvalidError
+from gypsumsail.document.models import ServiceDocument
+from gypsumsail.document.parser import parse_document
+from gypsumsail.document.together import check_together
+from gypsumsail.documents.apply import (
+    Applied,
+    ApplyUnknownError,
+    ConflictFound,
+    async_apply,
+)
+from gypsumsail.documents.codec import StoredValueError, decode_stored
+from gypsumsail.documents.const import DOCUMENT_PREFIX
+from gypsumsail.platform.port import PlatformObject
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ApplyResult:
+    """What became of a document.
+
+    Attributes
+    ----------
+    not_asked
+        Entries whose version in force is not known, with the reason.
+    in_force
+        What was in force at the end; ``None`` when it was not waited for.
+    """
+
+    service: str
+    outcome: Applied | ConflictFound
+    not_asked: dict[str, str]
+    in_force: InForceResult | None
+
+
+@click.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@setting(
+    "--expected-version",
+    type=int,
+    help='Version that the text was edited from, as "document show" gives it.',
+)
+@setting("--wait", type=float, default=0.0, help="Seconds to wait for all entries.")
+@connection_options
+@output_option
+def apply(
+    file: str,
+    expected_version: int | None,
+    wait: float,
+    connection: Connection,
+    output: str,
+) -> None:
+    """Check a document and bring it into force.
+
+    Without --expected-version the service must not have a document yet. When
+    somebody else has changed it, nothing is written and the difference is shown.
+
+    Exit codes: 0 applied (with --wait: in force on all entries), 1 findings, or
+    not in force everywhere in time, 3 something could not be reached, 4 somebody
+    else changed the document.
+    """
+    try:
+        text = read_text(file)
+        document = parse_document(text, file)
+        plan = _Plan(
+            file=file,
+            document=document,
+            text=text,
+            expected_version=expected_version,
+            wait=wait,
+        )
+        result = run(_async_run(connection, plan))
+    except FindingsError as err:
+        emit(output, {"findings": err.findings}, map(str, err.findings))
+        raise SystemExit(ExitCode.FINDINGS) from None
+    except ApplyUnknownError as err:
+        click.echo(f"it is not known whether it was applied: {err}", err=True)
+        raise SystemExit(ExitCode.UNREACHABLE) from None
+    emit(output, result, _lines(result))
+    raise SystemExit(_exit_code(result))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Plan:
+    file: str
+    document: ServiceDocument
+    text: str
+    expected_version: int | None
+    wait: float
+
+
+async def _async_run(connection: Connection, plan: _Plan) -> ApplyResult:
+    async with async_open(connection) as session:
+        await _async_check_others(session, plan)
+        floor, not_asked = await _async_floor(session, plan.document.service)
+        outcome = await async_apply(
+            session.platform(),
+            plan.document.service,
+            plan.text,
+            expected_version=plan.expected_version,
+            floor=floor,
+        )
+        in_force = await _async_wait(session, plan, outcome)
+    return ApplyResult(
+        service=plan.document.service,
+        outcome=outcome,
+        not_asked=not_asked,
+        in_force=in_force,
+    )
+
+
+async def _async_check_others(session: Session, plan: _Plan) -> None:
+    """Check the document beside those of the other services.
+
+    Raises
+    ------
+    DocumentInvalidError
+        Another document claims the same model or path.
+    """
+    listing = await session.platform().async_list(DOCUMENT_PREFIX)
+    others = dict(_readable(listing.objects))
+    others.pop(DOCUMENT_PREFIX + plan.document.service, None)
+    findings = check_together({**others, plan.file: plan.document})
+    own = [finding for finding in findings if finding.place == plan.file]
+    if own:
+        raise DocumentInvalidError(own)
+
+
+def _readable(
+    objects: Iterable[PlatformObject],
+) -> Iterable[tuple[str, ServiceDocument]]:
+    for found in objects:
+        try:
+            stored = decode_stored(found.value or b"")
+            yield found.key, parse_document(stored.text, found.key)
+        except (StoredValueError, DocumentInvalidError):
+            continue
+
+
+async def _async_floor(session: Session, service: str) -> tuple[int, dict[str, str]]:
+    """Return the highest version in force, and the entries that did not say."""
+    answers = await async_read_in_force(session)
+    versions = [
+        document.version
+        for entry in answers.answers.values()
+        for document in entry.documents
+        if document.service == service
+    ]
+    return max(versions, default=0), answers.unreachable
+
+
+async def _async_wait(
+    session: Session, plan: _Plan, outcome: Applied | ConflictFound
+) -> InForceResult | None:
+    if plan.wait <= 0 or isinstance(outcome, ConflictFound):
+        return None
+    wanted = Wanted(service=plan.document.service, version=outcome.version)
+    return await async_wait_in_force(session, wanted, time.monotonic() + plan.wait)
+
+
+def _lines(result: ApplyResult) -> list[str]:
+    lines = unreachable_lines(result.not_asked)
+    match result.outcome:
+        case Applied(version=version):
+            lines.append(f"{result.service}: applied as version {version}")
+        case ConflictFound() as conflict:
+            lines += [
+                f"{result.service}: not applied, the platform has version "
+                f"{conflict.version}; the difference from it to your text:",
+                conflict.difference,
+            ]
+            if conflict.may_have_been_applied:
+                lines.append("your text may have been in force in between")
+    if result.in_force is not None:
+        lines.append(_in_force_line(result.in_force))
+    return lines
+
+
+def _in_force_line(result: InForceResult) -> str:
+    if result.agreed and not result.unreachable:
+        return f"in force on all {len(result.entries)} entries"
+    silent = ", ".join(result.unreachable) or "none"
+    return f"NOT IN FORCE EVERYWHERE in time; not asked: {silent}"
+
+
+def _exit_code(result: ApplyResult) -> ExitCode:
+    if isinstance(result.outcome, ConflictFound):
+        return ExitCode.CONFLICT
+    if result.in_force is None:
+        return ExitCode.OK
+    return exit_code_of(result.in_force)
--- a/src/gypsumsail/cli/document_in_force.py
+++ b/src/gypsumsail/cli/document_in_force.py
@@ -66,21 +66,28 @@
     3 some could not be asked.
     """
     wanted = Wanted(service=service, version=version)
-    result = run(_async_wait(connection, wanted, time.monotonic() + wait))
+    result = run(_async_in_force(connection, wanted, time.monotonic() + wait))
     emit(output, result, _lines(result, wanted))
-    raise SystemExit(_exit_code(result))
+    raise SystemExit(exit_code_of(result))
 
 
-async def _async_wait(
+async def _async_in_force(
     connection: Connection, wanted: Wanted, until: float
 ) -> InForceResult:
     async with async_open(connection) as session:
-        while True:
-            result = judge(await async_read_in_force(session), wanted)
-            done = result.agreed and not result.unreachable
-            if done or time.monotonic() >= until:
-                return result
-            await asyncio.sleep(ASK_AGAIN_SECONDS)
+        return await async_wait_in_force(session, wanted, until)
+
+
+async def async_wait_in_force(
+    session: Session, wanted: Wanted, until: float
+) -> InForceResult:
+    """Ask until all entries agree or the monotonic time ``until`` has come."""
+    while True:
+        result = judge(await async_read_in_force(session), wanted)
+        done = result.agreed and not result.unreachable
+        if done or time.monotonic() >= until:
+            return result
+        await asyncio.sleep(ASK_AGAIN_SECONDS)
 
 
 async def async_read_in_force(session: Session) -> Answers[InForce]:
@@ -162,7 +169,8 @@
     ]
 
 
-def _exit_code(result: InForceResult) -> ExitCode:
+def exit_code_of(result: InForceResult) -> ExitCode:
+    """Return the exit code that tells the result."""
     if result.unreachable:
         return ExitCode.UNREACHABLE
     return ExitCode.OK if result.agreed else ExitCode.FINDINGS
--- a/src/gypsumsail/cli/document_show.py
+++ b/src/gypsumsail/cli/document_show.py
@@ -3,29 +3,21 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from hashlib import sha256
-from typing import Final
 
 import click
-from pydantic import BaseModel, ConfigDict, ValidationError
 
 from gypsumsail.cli.connection import Connection, async_open, connection_options, run
 from gypsumsail.cli.const import ExitCode
 from gypsumsail.cli.options import output_option
 from gypsumsail.cli.output import emit
+from gypsumsail.documents.codec import (
+    StoredValueError,
+    decode_stored,
+    document_key,
+)
+from gypsumsail.documents.readback import text_digest
 from gypsumsail.platform.port import PlatformObject
 
-KEY_PREFIX: Final = "documents/"
-
-
-class StoredDocument(BaseModel):
-    """Value of a service document in the platform."""
-
-    model_config = ConfigDict(frozen=True, strict=True)
-
-    base: int
-    text: str
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShownDocument:
@@ -63,8 +55,8 @@
         raise SystemExit(ExitCode.FINDINGS)
     try:
         shown = shown_document(service, found)
-    except ValidationError:
-        click.echo("the platform's value is not a service document", err=True)
+    except StoredValueError as err:
+        click.echo(f"the platform's value is not a service document: {err}", err=True)
         raise SystemExit(ExitCode.FINDINGS) from None
     emit(output, shown, [shown.text.rstrip("\n")])
     if output == "text":
@@ -72,16 +64,16 @@
 
 
 def shown_document(service: str, found: PlatformObject) -> ShownDocument:
-    """Return the document of an object; raises ValidationError."""
-    stored = StoredDocument.model_validate_json(found.value or b"")
+    """Return the document of an object; raises StoredValueError."""
+    stored = decode_stored(found.value or b"")
     return ShownDocument(
         service=service,
         version=stored.base + found.version,
-        digest=sha256(stored.text.encode()).hexdigest(),
+        digest=text_digest(stored.text),
         text=stored.text,
     )
 
 
 async def _async_get(connection: Connection, service: str) -> PlatformObject | None:
     async with async_open(connection) as session:
-        return await session.platform().async_get(KEY_PREFIX + service)
+        return await session.platform().async_get(document_key(service))
--- a/src/gypsumsail/entry/operator_models.py
+++ b/src/gypsumsail/entry/operator_models.py
@@ -23,7 +23,7 @@
     version
         Version in force; 0 when only a faulty document is known.
     digest
-        SHA-256, in hexadecimal, of the text in force.
+        BLAKE2b digest, in hexadecimal, of the text in force.
     lag_versions, lag_seconds
         How far the entry knows itself to be behind, and since when.
     findings
--- /dev/null
+++ b/tests/cli/test_document_apply.py
@@ -0,0 +1,91 @@
+"""Tests of applying documents against the platform's stand-in."""
+
+from __future__ import annotations
+
+from asyncio import to_thread
+from pathlib import Path
+
+import pytest
+
+from bench.processes import Launcher, RunningProcess
+from gypsumsail.cli.const import ExitCode
+from tests.cli.common import invoke, invoke_json, serve
+from tests.document.common import FAULTY_TEXT, MODEL_TEXT
+from tests.entry.common import FakeStatusSource, document_status
+
+
+@pytest.fixture
+async def platform(launcher: Launcher) -> RunningProcess:
+    return await launcher.start_module("platform", "stand_ins.platform")
+
+
+@pytest.fixture
+def file(tmp_path: Path) -> Path:
+    path = tmp_path / "claims.yaml"
+    path.write_text(MODEL_TEXT)
+    return path
+
+
+def edit(file: Path, text: str) -> None:
+    file.write_text(text)
+
+
+async def test_the_loser_of_a_race_gets_the_difference(
+    platform: RunningProcess, file: Path
+) -> None:
+    arguments = ["document", "apply", str(file), "--platform-url", platform.url]
+    code, first = await to_thread(invoke_json, *arguments)
+    assert (code, first["outcome"]["version"]) == (ExitCode.OK, 1)
+
+    edit(file, MODEL_TEXT.replace("share: 4", "share: 5"))
+    winner = await to_thread(invoke, *arguments, "--expected-version", "1")
+    edit(file, MODEL_TEXT.replace("share: 4", "share: 6"))
+    loser = await to_thread(invoke, *arguments, "--expected-version", "1")
+
+    assert winner.exit_code == ExitCode.OK
+    assert loser.exit_code == ExitCode.CONFLICT
+    assert "-    share: 5\n+    share: 6" in loser.stdout
+    assert "the platform has version 2" in loser.stdout
+    shown = await to_thread(
+        invoke, "document", "show", "claims", "--platform-url", platform.url
+    )
+    assert "share: 5" in shown.stdout
+
+
+async def test_nothing_faulty_gets_to_the_platform(
+    platform: RunningProcess, file: Path
+) -> None:
+    arguments = ["document", "apply", str(file), "--platform-url", platform.url]
+    await to_thread(invoke, *arguments)
+
+    edit(file, FAULTY_TEXT)
+    faulty = await to_thread(invoke, *arguments, "--expected-version", "1")
+    assert faulty.exit_code == ExitCode.FINDINGS
+    assert len(faulty.stdout.splitlines()) == 10
+
+    edit(file, MODEL_TEXT.replace("service: claims", "service: portal"))
+    twin = await to_thread(invoke, *arguments)
+    assert twin.exit_code == ExitCode.FINDINGS
+    assert "model claims is claimed by documents/claims too" in twin.stdout
+
+    await platform.kill()
+    lost = await to_thread(invoke, *arguments)
+    assert lost.exit_code == ExitCode.UNREACHABLE
+
+
+async def test_versions_go_on_above_what_is_in_force(
+    platform: RunningProcess, file: Path
+) -> None:
+    source = FakeStatusSource("entry-1")
+    source.documents = (document_status(version=9),)
+    arguments = ["document", "apply", str(file), "--platform-url", platform.url]
+    with serve(source) as url:
+        flags = ["--entry", url, "--expected-version", "9"]
+        code, result = await to_thread(invoke_json, *arguments, *flags)
+        assert (code, result["outcome"]["version"]) == (ExitCode.OK, 10)
+
+        edit(file, MODEL_TEXT + "default_priority: 4\n")
+        flags = ["--entry", url, "--expected-version", "10", "--wait", "0.1"]
+        late = await to_thread(invoke, *arguments, *flags)
+        assert late.exit_code == ExitCode.FINDINGS
+        assert "NOT IN FORCE EVERYWHERE" in late.stdout
--- a/tests/cli/test_read_back.py
+++ b/tests/cli/test_read_back.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 import pytest
 
@@ -39,6 +40,11 @@
     assert differs.exit_code == ExitCode.FINDINGS
     assert "NOT AGREED" in differs.stdout
 
+    second.documents = (replace(document_status(), findings=("share: wrong",)),)
+    faulty = invoke("document", "in-force", *flags)
+    assert faulty.exit_code == ExitCode.FINDINGS
+    assert "entry-2: share: wrong" in faulty.stdout
+
     second.documents = ()
     code, result = invoke_json("document", "in-force", "claims", *flags)
     assert code == ExitCode.FINDINGS
