--- /dev/null
+++ b/tests/document/test_examples.py
@@ -0,0 +1,31 @@
+"""Tests of the example documents."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+from pathlib import Path
+
+import pytest
+
+from gypsumsail.document.parser import parse_document
+from gypsumsail.document.together import check_together
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+
+
+@pytest.mark.parametrize(("deployment", "count"), [("kerlann", 4), ("association", 3)])
+def test_examples_are_valid_together(deployment: str, count: int) -> None:
+    files = sorted((EXAMPLES / deployment).glob("*.yaml"))
+    documents = {
+        file.name: parse_document(file.read_text(encoding="utf-8"), file.name)
+        for file in files
+    }
+
+    assert len(documents) == count
+    assert check_together(documents) == []
+    for name, document in documents.items():
+        assert f"{document.service}.yaml" == name
+        assert len(document.customers) == 10
+        for customer in document.customers:
+            key = f"example-key-of-{customer.name}"
+            assert customer.key_digests == (sha256(key.encode()).hexdigest(),)
