Name listed entries whose address is another entry's by now

Cause: the platform's list lags: an address may belong to a new entry, and one VM may stand in it twice; both would have read as agreement. Ruled out: matching the list's incarnation (an entry makes its own). Seen to fail first: with either guard taken out the test of the platform fails. Conclusion: such entries are named as not asked.

--- a/src/gypsumsail/cli/document_in_force.py
+++ b/src/gypsumsail/cli/document_in_force.py
@@ -96,10 +96,13 @@
     if not directory.urls and not directory.unreachable:
         directory.unreachable["entries"] = "none are known"
     answers = await async_ask_all(
-        session.entries, directory, IN_FORCE_PATH, IN_FORCE_TYPE
+        session.entries,
+        directory,
+        IN_FORCE_PATH,
+        IN_FORCE_TYPE,
+        lambda answer: answer.entry,
     )
-    known = {**answers.unreachable, **directory.urls}
-    known |= {answer.entry: "" for answer in answers.answers.values()}
+    known = {*answers.unreachable, *directory.urls, *answers.answers}
     peers = [peer for item in answers.answers.values() for peer in item.peers]
     missing = not_listed(known, peers)
     return Answers(
--- a/src/gypsumsail/cli/entries.py
+++ b/src/gypsumsail/cli/entries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Final, Generic, TypeVar
 
@@ -11,7 +11,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from gypsumsail.core.errors import GypsumsailError
-from gypsumsail.platform.port import VmList, VmRole
+from gypsumsail.platform.port import VmList, VmRecord, VmRole
 
 ANSWER_TIMEOUT_SECONDS: Final = 5.0
 MAX_CALLS_AT_ONCE: Final = 32
@@ -28,13 +28,33 @@
     ----------
     urls
         Address by name; an entry given by its address is named by it.
+    listed
+        Names that the platform's list gives.
     unreachable
         What could not be asked, with the reason.
     """
 
     urls: dict[str, str] = field(default_factory=dict)
+    listed: set[str] = field(default_factory=set)
     unreachable: dict[str, str] = field(default_factory=dict)
 
+    def add_listed(self, record: VmRecord) -> None:
+        """Add an entry of the platform's list, which may name one twice."""
+        name = record.vm_id
+        if name in self.urls:
+            name = f"{record.vm_id}/{record.incarnation}"
+        self.urls[name] = record.url.rstrip("/")
+        self.listed.add(name)
+
+    def why_wrong(self, name: str, entry: str) -> str:
+        """Return why an answer is not that of the named entry, or nothing.
+
+        An address of the platform's lagging list may be another entry's by now.
+        """
+        if name not in self.listed or name.partition("/")[0] == entry:
+            return ""
+        return f"its address answers as {entry}"
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Answers(Generic[_AnswerT]):
@@ -54,7 +74,7 @@
         records = ()
     for record in records:
         if record.role is VmRole.ENTRY:
-            directory.urls[record.vm_id] = record.url.rstrip("/")
+            directory.add_listed(record)
     known = set(directory.urls.values())
     for url in urls:
         if url.rstrip("/") not in known:
@@ -67,8 +87,12 @@
     directory: Directory,
     path: str,
     answer_type: TypeAdapter[_AnswerT],
+    entry_of: Callable[[_AnswerT], str],
 ) -> Answers[_AnswerT]:
-    """Ask all entries at once; each gets its own timeout."""
+    """Ask all entries at once; each gets its own timeout.
+
+    The answers stand under the names that the entries give themselves.
+    """
     gate = asyncio.Semaphore(MAX_CALLS_AT_ONCE)
 
     async def ask(url: str) -> _AnswerT | str:
@@ -81,8 +105,11 @@
     for name, result in zip(directory.urls, results, strict=True):
         if isinstance(result, str):
             unreachable[name] = result
-        else:
-            answers[name] = result
+            continue
+        entry = entry_of(result)
+        answers[entry] = result
+        if reason := directory.why_wrong(name, entry):
+            unreachable[name] = reason
     return Answers(answers=answers, unreachable=unreachable)
 
 
@@ -104,7 +131,7 @@
         return "answered what can't be read"
 
 
-def not_listed(known: Mapping[str, str], peers: Iterable[str]) -> dict[str, str]:
+def not_listed(known: Collection[str], peers: Iterable[str]) -> dict[str, str]:
     """Return the entries that only other entries know, as unreachable."""
     reason = "known to other entries, not in the platform's list"
     return dict.fromkeys(sorted(set(peers) - set(known)), reason)
--- a/src/gypsumsail/cli/status.py
+++ b/src/gypsumsail/cli/status.py
@@ -43,11 +43,14 @@
     async with async_open(connection) as session:
         directory = await session.async_find()
         answers = await async_ask_all(
-            session.entries, directory, "/operator/status", STATUS_TYPE
+            session.entries,
+            directory,
+            "/operator/status",
+            STATUS_TYPE,
+            lambda answer: answer.entry,
         )
     entries = sorted(answers.answers.values(), key=lambda item: item.entry)
-    known = {**answers.unreachable, **directory.urls}
-    known |= {item.entry: "" for item in entries}
+    known = {*answers.unreachable, *directory.urls, *answers.answers}
     missing = not_listed(known, [peer for item in entries for peer in item.peers])
     return StatusResult(
         entries=tuple(entries), unreachable={**answers.unreachable, **missing}
--- a/src/gypsumsail/cli/timeline.py
+++ b/src/gypsumsail/cli/timeline.py
@@ -111,8 +111,10 @@
     pages: list[Page] = []
     for name, (own, reason) in zip(directory.urls, results, strict=True):
         pages += own
-        if reason:
-            unreachable[name] = reason
+        answered_as = own[0].process.name if own else name
+        wrong = reason or directory.why_wrong(name, answered_as)
+        if wrong:
+            unreachable[name] = wrong
     return pages, unreachable
 
 
--- a/tests/cli/test_platform.py
+++ b/tests/cli/test_platform.py
@@ -43,6 +43,14 @@
         assert [item["entry"] for item in result["entries"]] == ["entry-1"]
         assert set(result["unreachable"]) == {"entry-2"}
 
+        vms = [vm("entry-1", url), vm("entry-1", closed_url()), vm("entry-3", url)]
+        await client.put(f"{platform.url}/control/vms", json={"vms": vms})
+        for command in (["document", "in-force"], ["status"], ["timeline"]):
+            code, result = await to_thread(invoke_json, *command, *flags)
+            assert code == ExitCode.UNREACHABLE
+            assert set(result["unreachable"]) == {"entry-1/1", "entry-3"}
+            assert result["unreachable"]["entry-3"].endswith("answers as entry-1")
+
         await platform.kill()
         code, result = await to_thread(
             invoke_json, "document", "in-force", *flags, "--entry", url
