Guard events of the time line like log lines

Cause: a detail of an event could hold a caller's text as well as a log line. A named prompt in an event made the guard fail. Conclusion: the guard covers loggers and Event(...).

--- a/tests/logs/test_logs.py
+++ b/tests/logs/test_logs.py
@@ -96,12 +96,12 @@
     assert len(logged.splitlines()) == 6
 
 
-def test_no_logging_call_of_the_product_names_a_prompt_or_a_key() -> None:
+def test_no_log_call_and_no_event_names_a_prompt_or_a_key() -> None:
     source = Path(gypsumsail.__file__).parent
     found = [
         f"{path.relative_to(source)}:{call.lineno}: {name}"
         for path in sorted(source.rglob("*.py"))
-        for call in logging_calls(ast.parse(path.read_text(encoding="utf-8")))
+        for call in recording_calls(ast.parse(path.read_text(encoding="utf-8")))
         for name in names_in(call)
         if name in FORBIDDEN
     ]
@@ -109,19 +109,27 @@
     assert found == []
 
 
-def logging_calls(tree: ast.AST) -> Iterator[ast.Call]:
+def recording_calls(tree: ast.AST) -> Iterator[ast.Call]:
+    """Find calls of loggers, and those that make an event of the time line."""
     for node in ast.walk(tree):
-        if (
-            isinstance(node, ast.Call)
-            and isinstance(node.func, ast.Attribute)
-            and isinstance(node.func.value, ast.Name)
-            and node.func.value.id.lower().endswith(("logger", "logging", "log"))
-        ):
+        if isinstance(node, ast.Call) and (makes_event(node) or is_logging(node)):
             yield node
 
 
+def makes_event(call: ast.Call) -> bool:
+    return isinstance(call.func, ast.Name) and call.func.id == "Event"
+
+
+def is_logging(call: ast.Call) -> bool:
+    return (
+        isinstance(call.func, ast.Attribute)
+        and isinstance(call.func.value, ast.Name)
+        and call.func.value.id.lower().endswith(("logger", "logging", "log"))
+    )
+
+
 def names_in(call: ast.Call) -> Iterator[str]:
-    for argument in call.args:
+    for argument in [*call.args, *(keyword.value for keyword in call.keywords)]:
         for node in ast.walk(argument):
             if isinstance(node, ast.Name):
                 yield node.id
