Test the archive over real links and the platform's stand-in

Cause: the tests with fakes pass around the codec of the links and the HTTP adapter. Conclusion: async_collect is the handler that TimelineArchive subscribes.

--- a/src/gypsumsail/timeline/archive.py
+++ b/src/gypsumsail/timeline/archive.py
@@ -50,7 +50,7 @@
 
     async def async_setup(self) -> None:
         """Start to archive, and to collect for the other entries of the zone."""
-        self.unsubscribe = self.peers.subscribe(ArchivePage, self._async_collect)
+        self.unsubscribe = self.peers.subscribe(ArchivePage, self.async_collect)
         turns = self._async_repeat(ARCHIVE_PUSH_SECONDS, self._async_turn)
         flushes = self._async_repeat(ARCHIVE_FLUSH_SECONDS, self._async_flush_now)
         self.tasks = [asyncio.create_task(turns), asyncio.create_task(flushes)]
@@ -79,6 +79,10 @@
         self.failures = 0
         return True
 
+    async def async_collect(self, _peer: EntryId, message: ArchivePage) -> Message:
+        """Take the page of another entry; answer when it is written."""
+        return ArchiveAnswer(written=await self.collector.async_submit(message.page))
+
     def collectors(self, wall: float) -> tuple[str, ...]:
         """Return the entries of the zone that may write, the next one first.
 
@@ -115,9 +119,6 @@
             return False
         return isinstance(answer, ArchiveAnswer) and answer.written
 
-    async def _async_collect(self, _peer: EntryId, message: ArchivePage) -> Message:
-        return ArchiveAnswer(written=await self.collector.async_submit(message.page))
-
     async def _async_turn(self) -> None:
         wall = self.clock.wall()
         while await self.async_push(wall):
--- a/tests/timeline/test_archive.py
+++ b/tests/timeline/test_archive.py
@@ -37,7 +37,7 @@
         peers = FakePeers(EntryId(name=name, incarnation="1", zone="z"), self.network)
         recorder = TimelineRecorder(process(name), self.clock)
         archive = TimelineArchive(recorder.archive, peers, self.api, self.clock, "z")
-        peers.subscribe(None, archive._async_collect)
+        peers.subscribe(None, archive.async_collect)
         self.recorders[name] = recorder
         self.archives[name] = archive
 
--- /dev/null
+++ b/tests/timeline/test_archive_links.py
@@ -0,0 +1,63 @@
+"""Test of the archive over real links and the platform's stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bench.processes import Launcher
+from gypsumsail.core.clock import SystemClock
+from gypsumsail.peers.network import WebsocketPeerNetwork
+from gypsumsail.platform.http import HttpPlatform
+from gypsumsail.timeline.archive import TimelineArchive
+from gypsumsail.timeline.archive_reader import async_read_archive
+from gypsumsail.timeline.const import ARCHIVE_BUCKET_SECONDS
+from gypsumsail.timeline.filters import EventFilter
+from gypsumsail.timeline.merge import merge_pages
+from gypsumsail.timeline.messages import ArchivePage
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.recorder import TimelineRecorder
+from gypsumsail.timeline.records import ProcessId
+from tests.peers.common import async_until, entry_id, network
+
+CLOCK = SystemClock()
+
+
+def archive_of(peers: WebsocketPeerNetwork, api: HttpPlatform) -> TimelineArchive:
+    entry = peers.entry
+    recorder = TimelineRecorder(
+        ProcessId(name=entry.name, incarnation=entry.incarnation), CLOCK
+    )
+    recorder.record(Event(kind=EventKind.REQUEST_ENDED, request_id=entry.name))
+    return TimelineArchive(recorder.archive, peers, api, CLOCK, entry.zone)
+
+
+async def test_an_entry_archives_through_another(launcher: Launcher) -> None:
+    platform = await launcher.start_module("platform", "stand_ins.platform")
+    api = HttpPlatform(platform.url)
+    first, second = network(entry_id("a")), network(entry_id("b"))
+    for one in (first, second):
+        await one.async_setup()
+    first.set_addresses({second.entry: second.peer_url})
+    second.set_addresses({first.entry: first.peer_url})
+    archives = {"a": archive_of(first, api), "b": archive_of(second, api)}
+    for peers, name in ((first, "a"), (second, "b")):
+        peers.subscribe(ArchivePage, archives[name].async_collect)
+    wall = CLOCK.wall()
+    collector = archives["a"].collectors(wall)[0]
+    sender = next(name for name in archives if name != collector)
+
+    pushed = asyncio.create_task(archives[sender].async_push(wall))
+    await async_until(lambda: bool(archives[collector].collector.pending))
+    await archives[collector].collector.async_flush(wall)
+
+    assert await pushed
+    for archive in archives.values():
+        await archive.async_unload()
+    start = wall - ARCHIVE_BUCKET_SECONDS
+    found = await async_read_archive(api, start=start, end=CLOCK.wall())
+    line = merge_pages(found.pages, EventFilter(), {})
+    assert sorted(item.recorded.event.request_id for item in line.events) == ["a", "b"]
+    assert archives[collector].collector.writes == 2
+    for one in (first, second):
+        await one.async_unload()
+    await api.async_close()
