Tell older events from lost ones, and read damaged archives

Cause: every process that has run for a while lacks its first events, in the ring or in the asked part of the archive; counted as lost they made each answer end with exit code 1 and would have hidden a real loss. One damaged page hid all pages of its value.

--- a/src/gypsumsail/cli/timeline.py
+++ b/src/gypsumsail/cli/timeline.py
@@ -197,6 +197,8 @@
 
 def _process_line(item: ProcessSummary) -> str:
     text = f"{item.process.name} ({item.process.incarnation}): {item.latest} events"
+    if item.earlier:
+        text += f", {item.earlier} older than what was read"
     if item.lost:
         text += f", {item.lost} LOST"
     if item.reduced:
--- a/src/gypsumsail/timeline/archive_reader.py
+++ b/src/gypsumsail/timeline/archive_reader.py
@@ -38,12 +38,22 @@
     for bucket in range(bucket_of(start), bucket_of(end) + 1):
         listing = await api.async_list(bucket_prefix(bucket))
         for item in listing.objects:
-            try:
-                pages += _pages_of(item)
-            except MessageInvalidError:
+            readable = _read_pages(item, pages)
+            if not readable:
                 unreadable.append(item.key)
     return ArchivedPages(pages=tuple(pages), unreadable=tuple(unreadable))
 
 
-def _pages_of(item: PlatformObject) -> list[Page]:
-    return [decode_page(data) for data in decode_segment(item.value or b"")]
+def _read_pages(item: PlatformObject, pages: list[Page]) -> bool:
+    """Add the pages of a value; return whether all could be read."""
+    try:
+        encoded = decode_segment(item.value or b"")
+    except MessageInvalidError:
+        return False
+    readable = True
+    for data in encoded:
+        try:
+            pages.append(decode_page(data))
+        except MessageInvalidError:
+            readable = False
+    return readable
--- a/src/gypsumsail/timeline/merge.py
+++ b/src/gypsumsail/timeline/merge.py
@@ -25,8 +25,11 @@
 
     Attributes
     ----------
+    earlier
+        Events before the first one that was read: overwritten in the process, or
+        older than the span that was read of the archive.
     lost
-        Events that are missing below ``latest``.
+        Events that are missing between ``earlier`` and ``latest``.
     reduced
         Events of which only those that prove a promise were kept.
     stopped
@@ -36,6 +39,7 @@
 
     process: ProcessId
     latest: int
+    earlier: int
     lost: int
     reduced: int
     stopped: bool
@@ -63,6 +67,14 @@
     first: int
     last: int
 
+    @property
+    def size(self) -> int:
+        return self.last - self.first + 1
+
+    @property
+    def is_leading(self) -> bool:
+        return self.first == 1
+
 
 def merge_pages(
     pages: Iterable[Page], wanted: EventFilter, unreachable: dict[str, str]
@@ -128,7 +140,8 @@
     after = [item for number, item in known.items() if number > gap.last]
     stamp = after[0].stamp if after else before[-1].stamp if before else START
     wall_ms = after[0].wall_ms if after else before[-1].wall_ms if before else 0
-    detail = f"events {gap.first} to {gap.last} of this process are lost"
+    what = "older than what was read" if gap.is_leading else "lost"
+    detail = f"events {gap.first} to {gap.last} of this process are {what}"
     return RecordedEvent(
         sequence=gap.last,
         stamp=stamp,
@@ -144,15 +157,17 @@
     gaps: list[_Range],
 ) -> ProcessSummary:
     latest = max(page.latest for page in pages)
-    lost = sum(gap.last - gap.first + 1 for gap in gaps)
+    earlier = sum(gap.size for gap in gaps if gap.is_leading)
+    lost = sum(gap.size for gap in gaps) - earlier
     unread = _gaps([page for page in pages if page.whole] + [_nothing(process, latest)])
-    not_whole = sum(gap.last - gap.first + 1 for gap in unread)
+    not_whole = sum(gap.size for gap in unread)
     last = known.get(latest)
     return ProcessSummary(
         process=process,
         latest=latest,
+        earlier=earlier,
         lost=lost,
-        reduced=not_whole - lost,
+        reduced=not_whole - lost - earlier,
         stopped=last is not None and last.event.kind is EventKind.ENTRY_STOPPED,
     )
 
--- /dev/null
+++ b/tests/timeline/test_hostile.py
@@ -0,0 +1,53 @@
+"""Tests of archived values that somebody else wrote."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+import zlib
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+import pytest
+
+from gypsumsail.peers.codec import dump
+from gypsumsail.peers.errors import MessageInvalidError
+from gypsumsail.timeline.archive_reader import async_read_archive
+from gypsumsail.timeline.const import MAX_PAGE_BYTES
+from gypsumsail.timeline.recorder import TimelineRecorder
+from gypsumsail.timeline.segments import bucket_prefix, decode_page, encode_page
+from tests.timeline.common import FakeClock, FakeObjects, accepted, process
+
+
+def valid_page() -> bytes:
+    recorder = TimelineRecorder(process(), FakeClock())
+    recorder.record(accepted())
+    return encode_page(recorder.since(0))
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.binary(max_size=60), st.integers(0, 200), st.booleans())
+def test_damaged_pages_are_refused_or_read(
+    damage: bytes, start: int, compressed: bool
+) -> None:
+    page = valid_page()
+    data = zlib.decompress(page) if compressed else page
+    damaged = data[:start] + damage + data[start + len(damage) :]
+    with suppress(MessageInvalidError):
+        decode_page(zlib.compress(damaged) if compressed else damaged)
+
+
+def test_a_page_that_inflates_without_end_is_refused() -> None:
+    with pytest.raises(MessageInvalidError, match="too large"):
+        decode_page(zlib.compress(bytes(MAX_PAGE_BYTES + 1)))
+
+
+async def test_one_unreadable_page_hides_no_other() -> None:
+    api = FakeObjects()
+    key = f"{bucket_prefix(0)}z/a-1"
+    api.values[key] = (1, dump([b"damaged", valid_page()]))
+    api.values[f"{key}0"] = (1, b"\xff")
+
+    found = await async_read_archive(api, start=0.0, end=1.0)
+
+    assert len(found.pages) == 1
+    assert found.unreadable == (key, f"{key}0")
