Name the metrics of an entry in one typed place

Cause: the caller path needs handles, and operators a list of what to look at. Conclusion: EntryMetrics, with count_answer, count_error, count_tokens and the histograms; the caller path has yet to call them.

--- /dev/null
+++ b/src/gypsumsail/metrics/entry.py
@@ -0,0 +1,99 @@
+"""Metrics of an entry."""
+
+from __future__ import annotations
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.errors import RequestError
+from gypsumsail.metrics.registry import MetricsRegistry
+from gypsumsail.targets.port import AnswerEnd
+
+
+class EntryMetrics:
+    """Typed handles to all metrics that an entry keeps.
+
+    Attributes
+    ----------
+    registry
+        Gives the text for the operator API.
+    """
+
+    def __init__(self) -> None:
+        self.registry = registry = MetricsRegistry()
+        self.answers = registry.counter(
+            "gypsumsail_answers_total",
+            "Whole answers.",
+            ("service", "customer"),
+        )
+        self.errors = registry.counter(
+            "gypsumsail_errors_total",
+            "Requests that ended without their result, by code and whether they ran.",
+            ("service", "code", "run"),
+        )
+        self.prompt_tokens = registry.counter(
+            "gypsumsail_prompt_tokens_total",
+            "Prompt tokens by where they came from: cached, imported or computed.",
+            ("service", "source"),
+        )
+        self.answer_tokens = registry.counter(
+            "gypsumsail_answer_tokens_total", "Answer tokens.", ("service",)
+        )
+        self.first_token = registry.histogram(
+            "gypsumsail_first_token_seconds",
+            "Time from the request to the first token.",
+            ("service",),
+        )
+        self.between_tokens = registry.histogram(
+            "gypsumsail_between_tokens_seconds",
+            "Time between two sendings of tokens of an answer.",
+            ("service",),
+        )
+        self.whole_answer = registry.histogram(
+            "gypsumsail_answer_seconds",
+            "Time from the request to the end of the whole answer.",
+            ("service",),
+        )
+        self.in_flight = registry.gauge(
+            "gypsumsail_requests_in_flight", "Requests that are served now."
+        )
+        self.peers = registry.gauge(
+            "gypsumsail_peers", "Other entries that are believed alive."
+        )
+        self.document_version = registry.gauge(
+            "gypsumsail_document_version",
+            "Version of the service document in force.",
+            ("service",),
+        )
+        self.document_lag = registry.gauge(
+            "gypsumsail_document_lag",
+            "Seconds for which a newer document has been known.",
+            ("service",),
+        )
+
+    @callback
+    def count_answer(self, service: str, customer: str, seconds: float) -> None:
+        """Count a whole answer and the time it took."""
+        self.answers.labels(service, customer).increment()
+        self.whole_answer.labels(service).observe(seconds)
+
+    @callback
+    def count_error(self, service: str, error: RequestError) -> None:
+        """Count a request that ended without its result.
+
+        Parameters
+        ----------
+        service
+            Empty when the request could not be assigned to one.
+        """
+        self.errors.labels(service, error.code, error.run_state.value).increment()
+
+    @callback
+    def count_tokens(self, service: str, end: AnswerEnd) -> None:
+        """Count the tokens of a whole answer."""
+        computed = end.prompt_tokens - end.cached_tokens - end.imported_tokens
+        for source, tokens in (
+            ("cached", end.cached_tokens),
+            ("imported", end.imported_tokens),
+            ("computed", max(0, computed)),
+        ):
+            self.prompt_tokens.labels(service, source).increment(tokens)
+        self.answer_tokens.labels(service).increment(end.answer_tokens)
