Read any span of the archive, and set how long it is kept

Ruled out: merging values by the hour now (more writes; noted as a limit). Addresses of the settings have a module of their own.

--- a/src/gypsumsail/cli/entry.py
+++ b/src/gypsumsail/cli/entry.py
@@ -34,6 +34,7 @@
 @setting("--drain-seconds", help="Longest wait of a graceful shutdown.")
 @setting("--body-limit", help="Bytes of the largest request body.")
 @setting("--routing-policy", help="Policy that chooses targets.")
+@setting("--timeline-retention-days", help="Days that the time line is kept.")
 @click.pass_context
 def entry(context: click.Context, /, **values: Any) -> None:
     """Run an entry until it is told to stop.
--- a/src/gypsumsail/cli/timeline.py
+++ b/src/gypsumsail/cli/timeline.py
@@ -44,6 +44,14 @@
     event: EventRow
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ArchiveSpan:
+    """Part of the archive to read, in seconds since the Unix epoch."""
+
+    start: float
+    end: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TimelineResult:
     """The merged time line, and what it lacks."""
@@ -62,6 +70,11 @@
 @setting(
     "--archive-minutes", default=0, type=int, help="Read so much of the archive too."
 )
+@setting(
+    "--archive-end",
+    type=click.DateTime(["%Y-%m-%dT%H:%M:%S"]),
+    help="End of that part of the archive, in UTC; now by default.",
+)
 @connection_options
 @output_option
 def timeline(
@@ -70,6 +83,7 @@
     target: str,
     document: str,
     archive_minutes: int,
+    archive_end: datetime | None,
     connection: Connection,
     output: str,
 ) -> None:
@@ -81,22 +95,24 @@
     wanted = EventFilter(
         request_id=request, customer=customer, target=target, document=document
     )
-    result = run(_async_timeline(connection, wanted, archive_minutes))
+    end = time.time()
+    if archive_end is not None:
+        end = archive_end.replace(tzinfo=UTC).timestamp()
+    span = ArchiveSpan(start=end - archive_minutes * SECONDS_PER_MINUTE, end=end)
+    result = run(_async_timeline(connection, wanted, span))
     emit(output, result, _lines(result))
     raise SystemExit(_exit_code(result))
 
 
 async def _async_timeline(
-    connection: Connection, wanted: EventFilter, archive_minutes: int
+    connection: Connection, wanted: EventFilter, span: ArchiveSpan
 ) -> TimelineResult:
     async with async_open(connection) as session:
         directory = await session.async_find()
         pages, unreachable = await _async_live_pages(session, directory)
         unreadable: tuple[str, ...] = ()
-        if archive_minutes > 0:
-            archived, unreadable = await _async_archived(
-                session, archive_minutes, unreachable
-            )
+        if span.start < span.end:
+            archived, unreadable = await _async_archived(session, span, unreachable)
             pages += archived
     return _result(merge_pages(pages, wanted, unreachable), unreadable)
 
@@ -136,14 +152,13 @@
 
 
 async def _async_archived(
-    session: Session, minutes: int, unreachable: dict[str, str]
+    session: Session, span: ArchiveSpan, unreachable: dict[str, str]
 ) -> tuple[list[Page], tuple[str, ...]]:
     from gypsumsail.timeline.archive_reader import async_read_archive
 
-    end = time.time()
-    start = end - minutes * SECONDS_PER_MINUTE
+    api = session.platform()
     try:
-        archived = await async_read_archive(session.platform(), start=start, end=end)
+        archived = await async_read_archive(api, start=span.start, end=span.end)
     except TransportError as err:
         unreachable["archive"] = str(err) or err.code
         return [], ()
--- a/src/gypsumsail/entry/settings.py
+++ b/src/gypsumsail/entry/settings.py
@@ -4,15 +4,12 @@
 
 from collections.abc import Mapping
 from enum import StrEnum
-from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated, Any, ClassVar, Final
-from urllib.parse import urlsplit
 
 from pydantic import (
     AfterValidator,
     BaseModel,
-    BeforeValidator,
     ConfigDict,
     Field,
     SecretStr,
@@ -20,11 +17,18 @@
 )
 
 from gypsumsail.core.findings import Finding, FindingsError
+from gypsumsail.entry.addresses import (
+    Address,
+    HttpUrl,
+    ListenAddress,
+    PeerUrl,
+)
+from gypsumsail.timeline.const import ARCHIVE_RETENTION_DAYS
 
 MIN_SECRET_LENGTH: Final = 16
 MAX_SECRET_FILE_BYTES: Final = 4_096
 MAX_BODY_LIMIT_BYTES: Final = 256 * 1024 * 1024
-MAX_PORT: Final = 65_535
+MAX_RETENTION_DAYS: Final = 3_650
 NAME_PATTERN: Final = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
 
 
@@ -50,72 +54,6 @@
     ERROR = "error"
 
 
-class Address(BaseModel):
-    """IP number and port to listen on; port 0 lets the system choose.
-
-    Attributes
-    ----------
-    host
-        Number under which the other processes reach this one.
-    """
-
-    model_config = ConfigDict(frozen=True)
-
-    host: str
-    port: int
-
-
-def _parse_address(value: object) -> Address:
-    if isinstance(value, Address):
-        return value
-    host, separator, port = str(value).rpartition(":")
-    if not separator or not port.isascii() or not port.isdigit():
-        msg = "must have the form IP:PORT"
-        raise ValueError(msg)
-    if int(port) > MAX_PORT:
-        msg = f"the port must be at most {MAX_PORT}"
-        raise ValueError(msg)
-    return Address(
-        host=_parse_host(host.removeprefix("[").removesuffix("]")), port=int(port)
-    )
-
-
-def _parse_host(host: str) -> str:
-    try:
-        number = ip_address(host)
-    except ValueError:
-        msg = "the host must be an IP number"
-        raise ValueError(msg) from None
-    if number.is_unspecified:
-        msg = "the host must be a number that other processes can reach"
-        raise ValueError(msg)
-    return str(number)
-
-
-def _check_url(value: str, schemes: tuple[str, ...]) -> str:
-    try:
-        parts = urlsplit(value)
-        port = parts.port
-    except ValueError:
-        msg = "is not a URL"
-        raise ValueError(msg) from None
-    if parts.scheme not in schemes or not parts.hostname or port is None:
-        msg = f"must have the form {schemes[0]}://HOST:PORT"
-        raise ValueError(msg)
-    if parts.username or parts.password:
-        msg = "must not hold a password"
-        raise ValueError(msg)
-    return value.rstrip("/")
-
-
-def _check_http_url(value: str) -> str:
-    return _check_url(value, ("http", "https"))
-
-
-def _check_peer_url(value: str) -> str:
-    return _check_url(value, ("ws", "wss"))
-
-
 def _check_secret(value: SecretStr) -> SecretStr:
     if len(value) < MIN_SECRET_LENGTH:
         msg = f"must have at least {MIN_SECRET_LENGTH} characters"
@@ -124,9 +62,6 @@
 
 
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
-ListenAddress = Annotated[Address, BeforeValidator(_parse_address)]
-HttpUrl = Annotated[str, AfterValidator(_check_http_url)]
-PeerUrl = Annotated[str, AfterValidator(_check_peer_url)]
 Secret = Annotated[SecretStr, AfterValidator(_check_secret)]
 
 
@@ -151,6 +86,8 @@
         Bytes of the largest request body that is taken.
     routing_policy
         Name of the policy that chooses targets.
+    timeline_retention_days
+        Days for which the platform keeps archived events of the time line.
     """
 
     model_config = ConfigDict(frozen=True, extra="forbid")
@@ -169,6 +106,9 @@
     drain_seconds: float = Field(default=30.0, ge=0, le=86_400, allow_inf_nan=False)
     body_limit: int = Field(default=8 * 1024 * 1024, ge=1024, le=MAX_BODY_LIMIT_BYTES)
     routing_policy: Name = "default"
+    timeline_retention_days: int = Field(
+        default=ARCHIVE_RETENTION_DAYS, ge=1, le=MAX_RETENTION_DAYS
+    )
 
 
 def load_settings(
--- a/src/gypsumsail/timeline/archive.py
+++ b/src/gypsumsail/timeline/archive.py
@@ -18,6 +18,7 @@
     ARCHIVE_ANSWER_SECONDS,
     ARCHIVE_FLUSH_SECONDS,
     ARCHIVE_PUSH_SECONDS,
+    ARCHIVE_RETENTION_DAYS,
 )
 from gypsumsail.timeline.messages import ArchiveAnswer, ArchivePage
 from gypsumsail.timeline.retention import ArchiveSweeper
@@ -36,13 +37,14 @@
         api: ObjectApi,
         clock: Clock,
         zone: str,
+        retention_days: int = ARCHIVE_RETENTION_DAYS,
     ) -> None:
         self.queue = queue
         self.peers = peers
         self.clock = clock
         self.zone = zone
         self.collector = PageCollector(api, queue.process, zone)
-        self.sweeper = ArchiveSweeper(api, zone)
+        self.sweeper = ArchiveSweeper(api, zone, retention_days)
         self.swept_bucket = 0
         self.failures = 0
         self.tasks: list[asyncio.Task[None]] = []
--- a/src/gypsumsail/timeline/retention.py
+++ b/src/gypsumsail/timeline/retention.py
@@ -7,13 +7,13 @@
 from gypsumsail.platform.port import ConflictError, ObjectApi
 from gypsumsail.timeline.const import (
     ARCHIVE_BUCKET_SECONDS,
-    ARCHIVE_RETENTION_SECONDS,
     ARCHIVE_SWEEP_BUCKETS,
+    SECONDS_PER_DAY,
     SWEEP_PREFIX,
 )
 from gypsumsail.timeline.segments import bucket_of, bucket_prefix
 
-_RETAINED_BUCKETS: Final = ARCHIVE_RETENTION_SECONDS // ARCHIVE_BUCKET_SECONDS
+_BUCKETS_PER_DAY: Final = SECONDS_PER_DAY // ARCHIVE_BUCKET_SECONDS
 
 
 class ArchiveSweeper:
@@ -22,8 +22,9 @@
     The small step bounds what a VM with a clock far ahead can delete.
     """
 
-    def __init__(self, api: ObjectApi, zone: str) -> None:
+    def __init__(self, api: ObjectApi, zone: str, retention_days: int) -> None:
         self.api = api
+        self.retained_buckets = retention_days * _BUCKETS_PER_DAY
         self.key = f"{SWEEP_PREFIX}{zone}"
         self.zone = zone
 
@@ -35,7 +36,7 @@
         TransportError
             The platform could not be asked; the next turn goes on from here.
         """
-        oldest_kept = bucket_of(wall) - _RETAINED_BUCKETS
+        oldest_kept = bucket_of(wall) - self.retained_buckets
         mark = await self.api.async_get(self.key)
         if mark is None or mark.value is None:
             await self._async_move(oldest_kept, if_version=0)
--- a/tests/cli/test_platform.py
+++ b/tests/cli/test_platform.py
@@ -9,6 +9,7 @@
 
 from bench.processes import Launcher
 from gypsumsail.cli.const import ExitCode
+from gypsumsail.timeline.segments import bucket_prefix, encode_page, encode_segments
 from tests.cli.common import closed_url, invoke, invoke_json, serve
 from tests.document.common import MODEL_TEXT
 from tests.entry.common import FakeStatusSource
@@ -80,3 +81,29 @@
     await platform.kill()
     lost = await to_thread(invoke, "document", "show", "claims", *flags)
     assert lost.exit_code == ExitCode.UNREACHABLE
+
+
+async def test_timeline_shows_what_a_lost_vm_has_archived(
+    launcher: Launcher, client: httpx.AsyncClient
+) -> None:
+    platform = await launcher.start_module("platform", "stand_ins.platform")
+    flags = ["--platform-url", platform.url, "--archive-end", "1970-01-01T00:30:00"]
+    lost = FakeStatusSource("entry-7").recorder
+    page = lost.archive.take()
+    assert page is not None
+    url = f"{platform.url}/objects/{bucket_prefix(20)}brest-hall/entry-7-life-1"
+    [segment] = encode_segments([encode_page(page)])
+    await client.put(url, content=segment, headers={"If-Version": "0"})
+
+    for minutes, expected in (("20", ["entry-7"]), ("5", [])):
+        code, result = await to_thread(
+            invoke_json,
+            "timeline",
+            *flags,
+            "--archive-minutes",
+            minutes,
+            "--request",
+            "r2",
+        )
+        assert code == ExitCode.OK
+        assert [line["process"] for line in result["events"]] == expected
--- a/tests/timeline/test_archive.py
+++ b/tests/timeline/test_archive.py
@@ -8,13 +8,13 @@
 from gypsumsail.timeline.archive import TimelineArchive
 from gypsumsail.timeline.archive_queue import ArchiveQueue
 from gypsumsail.timeline.archive_reader import async_read_archive
-from gypsumsail.timeline.const import ARCHIVE_RETENTION_SECONDS
+from gypsumsail.timeline.const import SECONDS_PER_DAY
 from gypsumsail.timeline.filters import EventFilter
 from gypsumsail.timeline.merge import Timeline, merge_pages
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.recorder import TimelineRecorder
 from gypsumsail.timeline.retention import ArchiveSweeper
-from gypsumsail.timeline.segments import bucket_prefix
+from gypsumsail.timeline.segments import bucket_of, bucket_prefix
 from tests.timeline.common import FakeClock, FakeObjects, FakePeers, accepted, process
 
 WALL = 1_000_000.0
@@ -120,13 +120,14 @@
 
 async def test_a_clock_far_ahead_deletes_little() -> None:
     api = FakeObjects()
-    sweeper = ArchiveSweeper(api, "z")
+    sweeper = ArchiveSweeper(api, "z", 7)
     await sweeper.async_sweep(WALL)
     first = int(api.values[sweeper.key][1])
+    assert first == bucket_of(WALL - 7 * SECONDS_PER_DAY)
     for bucket in range(first, first + 10):
         api.values[f"{bucket_prefix(bucket, 'z')}a-1"] = (1, b"")
 
     assert await sweeper.async_sweep(WALL) == 0
     assert await sweeper.async_sweep(WALL + 60) == 1
-    assert await sweeper.async_sweep(WALL + 100 * ARCHIVE_RETENTION_SECONDS) == 2
+    assert await sweeper.async_sweep(WALL + 700 * SECONDS_PER_DAY) == 2
     assert len(api.values) == 1 + 7
