Show a held loop, the links and the process in the metrics

Cause: control traffic has a budget, and a held loop delays every stream of an entry without any other sign. Conclusion: LoopMonitor(metrics.loop_delay.labels()), show_links, show_process.

--- a/src/gypsumsail/metrics/entry.py
+++ b/src/gypsumsail/metrics/entry.py
@@ -4,7 +4,9 @@
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.errors import RequestError
+from gypsumsail.metrics.process import ProcessUse
 from gypsumsail.metrics.registry import MetricsRegistry
+from gypsumsail.peers.diagnostics import PeerCounters
 from gypsumsail.targets.port import AnswerEnd
 
 
@@ -69,6 +71,26 @@
             ("service",),
         )
 
+        self.loop_delay = registry.histogram(
+            "gypsumsail_loop_delay_seconds", "Delay of what is due on the loop."
+        )
+        self.link_bytes = registry.counter(
+            "gypsumsail_link_bytes_total",
+            "Bytes on the links between entries.",
+            ("direction",),
+        )
+        self.link_messages = registry.counter(
+            "gypsumsail_link_messages_total",
+            "Messages sent to other entries.",
+            ("message",),
+        )
+        self.cpu = registry.counter(
+            "process_cpu_seconds_total", "Processor time of this process."
+        )
+        self.memory = registry.gauge(
+            "process_resident_memory_bytes", "Memory of this process."
+        )
+
     @callback
     def count_answer(self, service: str, customer: str, seconds: float) -> None:
         """Count a whole answer and the time it took."""
@@ -97,3 +119,17 @@
         ):
             self.prompt_tokens.labels(service, source).increment(tokens)
         self.answer_tokens.labels(service).increment(end.answer_tokens)
+
+    @callback
+    def show_links(self, counters: PeerCounters) -> None:
+        """Take over the counters of the links."""
+        self.link_bytes.labels("sent").advance(counters.bytes_sent)
+        self.link_bytes.labels("received").advance(counters.bytes_received)
+        for name, count in counters.sent_by_name.items():
+            self.link_messages.labels(name).advance(count)
+
+    @callback
+    def show_process(self, use: ProcessUse) -> None:
+        """Take over what the process uses."""
+        self.cpu.labels().advance(use.cpu_seconds)
+        self.memory.labels().set(use.resident_bytes)
--- a/src/gypsumsail/metrics/families.py
+++ b/src/gypsumsail/metrics/families.py
@@ -28,6 +28,10 @@
         """Add to the counter."""
         self.value += amount
 
+    def advance(self, total: float) -> None:
+        """Take over a total that is counted elsewhere; it never goes back."""
+        self.value = max(self.value, total)
+
 
 @dataclass(slots=True)
 class Gauge:
--- a/tests/metrics/test_entry.py
+++ b/tests/metrics/test_entry.py
@@ -2,10 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import Counter
+import time
+
 from gypsumsail.core.errors import OverloadedError, RunState
 from gypsumsail.metrics.entry import EntryMetrics
+from gypsumsail.metrics.loop import LoopMonitor
+from gypsumsail.metrics.process import read_process_use
+from gypsumsail.peers.diagnostics import PeerCounters
 from gypsumsail.targets.port import AnswerEnd, FinishReason
 
+HELD_SECONDS = 0.4
+
+
+def hold_the_loop() -> None:
+    time.sleep(HELD_SECONDS)
+
 
 def test_shares_of_context_and_refusals_can_be_read() -> None:
     metrics = EntryMetrics()
@@ -34,3 +47,28 @@
         'gypsumsail_answer_seconds_bucket{service="claims",le="0.2"} 0',
         'gypsumsail_answer_seconds_bucket{service="claims",le="0.5"} 1',
     } <= set(lines)
+
+
+async def test_a_held_loop_and_the_links_show() -> None:
+    metrics = EntryMetrics()
+    monitor = LoopMonitor(metrics.loop_delay.labels())
+    await monitor.async_setup()
+    while not metrics.loop_delay.labels().values.get_total_count():
+        await asyncio.sleep(0)
+        hold_the_loop()
+    await monitor.async_unload()
+    counters = PeerCounters(bytes_sent=10, sent_by_name=Counter({"ask": 3}))
+    metrics.show_links(counters)
+    metrics.show_process(read_process_use())
+
+    lines = dict(
+        line.rsplit(" ", 1)
+        for line in metrics.registry.exposition().splitlines()
+        if not line.startswith("#")
+    )
+
+    assert lines['gypsumsail_loop_delay_seconds_bucket{le="0.1"}'] == "0"
+    assert lines['gypsumsail_link_bytes_total{direction="sent"}'] == "10"
+    assert lines['gypsumsail_link_messages_total{message="ask"}'] == "3"
+    assert float(lines["process_cpu_seconds_total"]) > 0
+    assert float(lines["process_resident_memory_bytes"]) > 1_000_000
