--- a/src/gypsumsail/entry/chain.py
+++ b/src/gypsumsail/entry/context_view.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from gypsumsail.context.chain import Chain, make_chain
+from gypsumsail.context.prompt import PromptBlocks, make_prompt_blocks
 from gypsumsail.entry.models import ModelJob
 from gypsumsail.relay.models import EngineSelection
 from gypsumsail.routing.models import KeptPrefix
@@ -13,8 +13,8 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class ChainView:
-    """Where blocks of a chain are believed to be.
+class KeptView:
+    """Where blocks of a prompt are believed to be.
 
     Attributes
     ----------
@@ -31,21 +31,21 @@
 class ContextView(Protocol):
     """The directory of kept context."""
 
-    async def async_lookup(self, chain: Chain) -> ChainView:
+    async def async_lookup(self, blocks: PromptBlocks) -> KeptView:
         """Return what is known; empty when nobody answers in time."""
 
     def on_ended(
         self, job: ModelJob, selection: EngineSelection, end: AnswerEnd
     ) -> None:
-        """Note that an engine computed a whole answer on the chain."""
+        """Note that an engine computed a whole answer on the blocks."""
 
 
 class NoContextView:
     """A directory that knows nothing."""
 
-    async def async_lookup(self, chain: Chain) -> ChainView:
+    async def async_lookup(self, blocks: PromptBlocks) -> KeptView:
         """Return an empty view."""
-        return ChainView()
+        return KeptView()
 
     def on_ended(
         self, job: ModelJob, selection: EngineSelection, end: AnswerEnd
@@ -53,9 +53,9 @@
         """Do nothing."""
 
 
-def chain_of(job: ModelJob, weight_version: str) -> Chain:
-    """Return the chain of a job's prompt under a weight version."""
-    return make_chain(
+def blocks_of(job: ModelJob, weight_version: str) -> PromptBlocks:
+    """Return the blocks of a job's prompt under a weight version."""
+    return make_prompt_blocks(
         job.body.prompt,
         service=job.placement.service,
         customer=job.placement.customer.name,
