Check the callers' own checks of answers

Seen to fail first: a stream cut after its last event counted as whole, and wrong tokens before a cut went unnoticed; both fixed. Conclusion: a caller counts an answer as whole only when its HTTP message is.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 from bench.layouts import LAYOUTS
 from bench.report import as_json, as_table
 from bench.run import RunPlan, async_run
+from gypsumsail.routing.const import DEFAULT_POLICY
 
 
 @click.group()
@@ -21,7 +22,7 @@
 
 @bench.command()
 @click.option("--deployment", type=click.Choice(sorted(LAYOUTS)), default="kerlann")
-@click.option("--policy", default="default", help="An entry's --routing-policy.")
+@click.option("--policy", default=DEFAULT_POLICY, help="An entry's --routing-policy.")
 @click.option("--load", type=float, default=1.0, help="Factor on the arrival rates.")
 @click.option(
     "--fault", default="none", help=f"none, or joined by +: {', '.join(FAULTS)}."
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -88,6 +88,7 @@
                     await self._async_completion(outcome)
         except (httpx.HTTPError, TimeoutError) as error:
             outcome.refusal = type(error).__name__
+            outcome.whole = False
         outcome.ended = time.monotonic()
         return outcome
 
@@ -137,6 +138,16 @@
         self, outcome: Outcome, service: ModelServiceLayout, response: httpx.Response
     ) -> None:
         texts: list[str] = []
+        try:
+            await self._async_read_events(outcome, texts, response)
+        finally:
+            self._check(outcome, service, texts)
+        if not outcome.whole and not outcome.refusal:
+            outcome.refusal = "ended early without an error"
+
+    async def _async_read_events(
+        self, outcome: Outcome, texts: list[str], response: httpx.Response
+    ) -> None:
         previous = outcome.started
         async for line in response.aiter_lines():
             if line == "data: [DONE]":
@@ -158,7 +169,6 @@
             else:
                 outcome.token_gaps.append(now - previous)
             previous = now
-        self._check(outcome, service, texts)
 
     def _check(
         self, outcome: Outcome, service: ModelServiceLayout, texts: list[str]
@@ -183,8 +193,6 @@
             outcome.wrong = "other tokens than the right answer"
         elif outcome.whole and len(texts) != len(right):
             outcome.wrong = "a whole answer of another length"
-        if not outcome.whole and not outcome.refusal:
-            outcome.refusal = "ended early without an error"
 
 
 def read_refusal(body: bytes) -> str:
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -16,6 +16,7 @@
 from bench.processes import Launcher
 from bench.report import as_table
 from bench.run import RunPlan, RunResult, async_measure
+from gypsumsail.routing.const import DEFAULT_POLICY
 
 
 async def async_demo(plan: RunPlan) -> RunResult:
@@ -53,7 +54,7 @@
 @click.command()
 @click.argument("deployment", type=click.Choice(sorted(LAYOUTS)), default="kerlann")
 @click.option("--seconds", type=click.FloatRange(1), default=20.0)
-@click.option("--policy", default="default")
+@click.option("--policy", default=DEFAULT_POLICY)
 def main(deployment: str, seconds: float, policy: str) -> None:
     """Run the demo; the exit code is 1 on any wrong answer."""
     plan = RunPlan(
--- /dev/null
+++ b/tests/bench/test_callers.py
@@ -0,0 +1,133 @@
+"""Tests of the callers' checks of answers."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+import json
+
+import pytest
+
+from bench.callers import Callers, Outcome
+from bench.layouts import KERLANN
+from bench.traffic import Call, CallClass
+from gypsumsail.context.blocks import cache_salt
+from stand_ins.expected import expected_answer
+from tests.raw_server import CLOSE, raw_server
+from tests.targets.common import http_stream
+
+CALL = Call(
+    at=0.0,
+    call_class=CallClass.LONG,
+    customer=3,
+    entry=0,
+    prompt="is it eligible? " * 200,
+    max_tokens=20,
+    key="",
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OneEntry:
+    """The address that all calls go to."""
+
+    url: str
+
+    def entry_url(self, number: int) -> str:
+        return self.url
+
+
+def right_tokens(customer: int = CALL.customer) -> list[str]:
+    salt = cache_salt(
+        service="claims",
+        customer=KERLANN.customers[customer].name,
+        model="claims",
+        adapter="",
+        weight_version="v1",
+    )
+    return list(
+        expected_answer(
+            prompt=CALL.prompt,
+            max_tokens=CALL.max_tokens,
+            model="claims",
+            adapter="",
+            weight_version="v1",
+            cache_salt=salt,
+        )
+    )
+
+
+def stream_of(tokens: Sequence[str], *, ends: bool = True) -> bytes:
+    """Return a caller's answer with these tokens."""
+    events = [{"choices": [{"text": text}]} for text in tokens]
+    usage = {"prompt_tokens": 800, "cached_tokens": 512, "imported_tokens": 256}
+    last = {"choices": [{"text": "", "finish_reason": "length"}], "usage": usage}
+    lines = [json.dumps(event) for event in [*events, *([last] if ends else [])]]
+    lines += ["[DONE]"] if ends else []
+    return http_stream("".join(f"data: {line}\n\n" for line in lines).encode())
+
+
+async def outcome_of(answer: bytes | None) -> Outcome:
+    """Return the outcome of one call that gets these bytes."""
+    async with raw_server([answer]) as server:
+        callers = Callers(KERLANN, OneEntry(url=server.url))
+        (outcome,) = await callers.async_run([CALL])
+        await callers.async_close()
+    return outcome
+
+
+async def test_right_answer() -> None:
+    outcome = await outcome_of(stream_of(right_tokens()))
+    assert outcome.whole
+    assert (outcome.wrong, outcome.refusal) == ("", "")
+    assert (outcome.cached_tokens, outcome.imported_tokens) == (512, 256)
+    assert len(outcome.token_gaps) == len(right_tokens()) - 1
+
+
+@pytest.mark.parametrize(
+    "tokens",
+    [
+        right_tokens(customer=4),
+        right_tokens()[:-1],
+        [*right_tokens(), " more"],
+        [*right_tokens()[1:], right_tokens()[0]],
+        [],
+    ],
+)
+async def test_other_whole_answer_is_wrong(tokens: list[str]) -> None:
+    assert (await outcome_of(stream_of(tokens))).wrong
+
+
+@pytest.mark.parametrize(
+    ("answer", "refusal"),
+    [
+        (stream_of(right_tokens(), ends=False), "ended early without an error"),
+        (stream_of(right_tokens())[:-5] + CLOSE, "RemoteProtocolError"),
+        (None, "RemoteProtocolError"),
+        (
+            http_stream(b'data: {"error": {"code": "deadline", "run": "ran"}}\n\n'),
+            "deadline: ran",
+        ),
+        (
+            b"HTTP/1.1 429 X\r\ncontent-length: 2\r\n\r\n{}",
+            "an answer that is neither the result nor an error",
+        ),
+        (
+            b"HTTP/1.1 429 X\r\ncontent-length: 50\r\n\r\n"
+            b'{"error": {"code": "overloaded", "run":"not run"}}',
+            "overloaded: not run",
+        ),
+    ],
+)
+async def test_refusals_and_broken_answers(answer: bytes | None, refusal: str) -> None:
+    outcome = await outcome_of(answer)
+    assert outcome.refusal == refusal
+    assert not outcome.wrong
+    assert not outcome.whole
+
+
+async def test_wrong_tokens_before_a_break_are_noticed() -> None:
+    answer = stream_of(["wrong"], ends=False)[:-5] + CLOSE
+    outcome = await outcome_of(answer)
+    assert outcome.refusal == "RemoteProtocolError"
+    assert outcome.wrong
