Measure an entry's processor time for each request and token

Cause: 40 microseconds a token is asked of the whole forwarding path, so the entry's process itself must be measured. Ruled out: client-side figures, which leave the entry out. Conclusion: python -m bench.entry_cost solves two loads, answers of one token and of up to 64, for the cost of a request and of a token; a deployment now waits until each entry has answered a call to each service.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -12,13 +12,20 @@
 
 import httpx
 
-from bench.layouts import WEIGHT_VERSION, Layout, ModelServiceLayout, documents
+from bench.layouts import (
+    MODEL_PATH,
+    WEIGHT_VERSION,
+    Layout,
+    ModelServiceLayout,
+    documents,
+)
 from bench.processes import Launcher, RunningProcess
 
 OPERATOR_KEY: Final = "bench-operator-key-0123456789"
 PEER_SECRET: Final = "bench-peer-secret-0123456789"
 START_AT_ONCE: Final = 4
 IN_FORCE_TIMEOUT_SECONDS: Final = 60.0
+SERVING_TIMEOUT_SECONDS: Final = 60.0
 ENTRY_STOP_SECONDS: Final = 10.0
 
 
@@ -166,6 +173,35 @@
             len(found) == wanted for found in shown.values()
         )
 
+    async def async_wait_serving(self) -> None:
+        """Wait until each entry has answered a call to each service."""
+        key = self.layout.customers[0].api_key
+        headers = {"Authorization": f"Bearer {key}"}
+        calls = [
+            (vm.url + MODEL_PATH, {"model": service.model, "prompt": "are you there?"})
+            for vm in self.of_role("entry")
+            for service in self.layout.model_services
+        ]
+        calls += [
+            (vm.url + self.layout.plain_service.path, {"prompt": f"from {vm.vm_id}"})
+            for vm in self.of_role("entry")
+        ]
+        deadline = time.monotonic() + SERVING_TIMEOUT_SECONDS
+        for url, body in calls:
+            while (await self._async_call(url, body, headers)) != httpx.codes.OK:
+                if time.monotonic() > deadline:
+                    raise DeploymentError(f"{url} does not serve in time")
+                await asyncio.sleep(0.2)
+
+    async def _async_call(
+        self, url: str, body: dict[str, str], headers: dict[str, str]
+    ) -> int:
+        try:
+            response = await self.client.post(url, json=body, headers=headers)
+        except httpx.HTTPError:
+            return 0
+        return response.status_code
+
     async def async_in_force(self) -> dict[str, dict[str, int]]:
         """Return the version in force of each service on each entry."""
         shown: dict[str, dict[str, int]] = {}
@@ -239,6 +275,7 @@
     engine_arguments = (
         f"--model={service.model}:{WEIGHT_VERSION}",
         f"--cache-tokens={service.cache_tokens}",
+        f"--step-seconds={service.step_seconds}",
         f"--platform-url={platform_url}",
     )
     store = Vm(
@@ -312,4 +349,5 @@
     await deployment.async_start_all(entry_vms(layout, policy))
     await deployment.async_list_vms()
     await deployment.async_apply_documents(directory)
+    await deployment.async_wait_serving()
     return deployment
--- /dev/null
+++ b/bench/entry_cost.py
@@ -0,0 +1,190 @@
+"""Processor time of one entry for each request and each token it forwards."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, replace
+import json
+import os
+from pathlib import Path
+import tempfile
+import time
+from typing import Final
+
+import click
+import httpx
+
+from bench.deployment import Deployment, DeploymentError, async_bring_up
+from bench.layouts import KERLANN, MODEL_PATH, Layout, ModelServiceLayout
+from bench.processes import Launcher
+from gypsumsail.routing.const import DEFAULT_POLICY
+
+STREAMS: Final = 24
+LONGEST_ANSWER_TOKENS: Final = 64
+FAST_STEP_SECONDS: Final = 0.002
+WARM_UP_ANSWERS: Final = 2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Load:
+    """What an entry forwarded and what that took.
+
+    Attributes
+    ----------
+    cpu_seconds
+        Processor time of the entry, without what it uses when idle.
+    """
+
+    requests: int
+    tokens: int
+    seconds: float
+    cpu_seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Costs:
+    """Processor time solved from a load of short and one of long answers."""
+
+    milliseconds_per_request: float
+    microseconds_per_token: float
+    idle_share_of_core: float
+
+
+def one_entry_layout() -> Layout:
+    """Return a deployment of one entry and two fast engines."""
+    zone = KERLANN.entry_zones[0]
+    return replace(
+        KERLANN,
+        entry_zones=(zone,),
+        long_service=_with_fast_engine(KERLANN.long_service, zone),
+        short_service=_with_fast_engine(KERLANN.short_service, zone),
+    )
+
+
+def _with_fast_engine(service: ModelServiceLayout, zone: str) -> ModelServiceLayout:
+    return replace(service, engine_zones=(zone,), step_seconds=FAST_STEP_SECONDS)
+
+
+def processor_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    statistics = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    user, system = statistics.rpartition(")")[2].split()[11:13]
+    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
+
+class EntryLoad:
+    """Sends calls through the one entry of a deployment."""
+
+    def __init__(self, deployment: Deployment, client: httpx.AsyncClient) -> None:
+        (vm,) = deployment.of_role("entry")
+        if vm.process is None:
+            raise ValueError("the entry has no process")
+        self.url = vm.url + MODEL_PATH
+        self.pid = vm.process.process.pid
+        self.client = client
+        self.layout = deployment.layout
+
+    async def async_answers(self, count: int, max_tokens: int, name: str) -> int:
+        """Read answers one after the other; return the number of their tokens."""
+        tokens = 0
+        key = self.layout.customers[0].api_key
+        for number in range(count):
+            body = {
+                "model": self.layout.short_service.model,
+                "prompt": f"{name}/{number}",
+                "max_tokens": max_tokens,
+                "stream": True,
+            }
+            response = await self.client.post(
+                self.url, json=body, headers={"Authorization": f"Bearer {key}"}
+            )
+            if response.status_code != httpx.codes.OK:
+                raise DeploymentError(response.text)
+            usage = json.loads(response.text.split("data: ")[-2])["usage"]
+            tokens += usage["completion_tokens"]
+        return tokens
+
+    async def async_idle_share(self, seconds: float) -> float:
+        """Return the share of a core that the entry uses without calls."""
+        before = processor_seconds(self.pid)
+        await asyncio.sleep(seconds)
+        return (processor_seconds(self.pid) - before) / seconds
+
+    async def async_load(self, count: int, max_tokens: int, idle_share: float) -> Load:
+        """Send ``count`` calls on each of 24 streams at once."""
+        before, started = processor_seconds(self.pid), time.monotonic()
+        tokens = await asyncio.gather(
+            *(
+                self.async_answers(count, max_tokens, f"{max_tokens}/{stream}")
+                for stream in range(STREAMS)
+            )
+        )
+        seconds = time.monotonic() - started
+        used = processor_seconds(self.pid) - before - idle_share * seconds
+        return Load(
+            requests=STREAMS * count,
+            tokens=sum(tokens),
+            seconds=seconds,
+            cpu_seconds=used,
+        )
+
+
+def solve(short: Load, long: Load, idle_share: float) -> Costs:
+    """Return the costs that explain both loads."""
+    determinant = short.requests * long.tokens - long.requests * short.tokens
+    per_request = (
+        short.cpu_seconds * long.tokens - long.cpu_seconds * short.tokens
+    ) / determinant
+    per_token = (
+        long.cpu_seconds * short.requests - short.cpu_seconds * long.requests
+    ) / determinant
+    return Costs(
+        milliseconds_per_request=per_request * 1e3,
+        microseconds_per_token=per_token * 1e6,
+        idle_share_of_core=idle_share,
+    )
+
+
+async def async_run(answers: int, rounds: int, idle_seconds: float) -> list[Costs]:
+    """Measure the costs some times on one deployment."""
+    layout, found = one_entry_layout(), []
+    limits = httpx.Limits(max_connections=None)
+    with tempfile.TemporaryDirectory() as directory:
+        async with (
+            Launcher() as launcher,
+            httpx.AsyncClient(trust_env=False, timeout=60, limits=limits) as client,
+        ):
+            deployment = await async_bring_up(
+                layout,
+                launcher,
+                client,
+                policy=DEFAULT_POLICY,
+                directory=Path(directory),
+            )
+            load = EntryLoad(deployment, client)
+            await load.async_load(WARM_UP_ANSWERS, LONGEST_ANSWER_TOKENS, 0.0)
+            idle_share = await load.async_idle_share(idle_seconds)
+            for _ in range(rounds):
+                short = await load.async_load(answers, 1, idle_share)
+                long = await load.async_load(answers, LONGEST_ANSWER_TOKENS, idle_share)
+                found.append(solve(short, long, idle_share))
+    return found
+
+
+@click.command()
+@click.option("--answers", default=30, help="Answers on each of 24 streams.")
+@click.option("--rounds", default=3)
+@click.option("--idle-seconds", default=10.0)
+def main(answers: int, rounds: int, idle_seconds: float) -> None:
+    """Print the processor time of an entry for each request and token."""
+    for costs in asyncio.run(async_run(answers, rounds, idle_seconds)):
+        line = {
+            "ms_per_request": round(costs.milliseconds_per_request, 2),
+            "us_per_token": round(costs.microseconds_per_token, 1),
+            "idle_share_of_core": round(costs.idle_share_of_core, 4),
+        }
+        print(json.dumps(line))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/layouts.py
+++ b/bench/layouts.py
@@ -36,6 +36,8 @@
         Limit of each engine's prefix cache.
     link_bytes_per_second
         Speed of the store's memory tier; the disk tier has a quarter.
+    step_seconds
+        Fixed cost of an engine's step.
     """
 
     service: str
@@ -44,6 +46,7 @@
     store_zone: str
     cache_tokens: int
     link_bytes_per_second: float
+    step_seconds: float = 0.02
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
