Share the TLS context of HTTP clients

Ruled out: switching verification off. Seen to fail first: the new test on the old code. Conclusion: clients of plain HTTP share a context that trusts nobody; those of HTTPS share the default one.

--- a/src/gypsumsail/transport/client.py
+++ b/src/gypsumsail/transport/client.py
@@ -5,7 +5,9 @@
 import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import cache
 import logging
+import ssl
 from typing import Final, TypeVar
 from urllib.parse import quote
 
@@ -61,7 +63,11 @@
         )
         self.client = httpx.AsyncClient(
             limits=limits,
-            transport=httpx.AsyncHTTPTransport(limits=limits, retries=0),
+            transport=httpx.AsyncHTTPTransport(
+                verify=_tls_context(httpx.URL(base_url).scheme),
+                limits=limits,
+                retries=0,
+            ),
             follow_redirects=False,
             trust_env=False,
         )
@@ -128,6 +134,18 @@
         )
 
 
+@cache
+def _tls_context(scheme: str) -> ssl.SSLContext:
+    """Return the TLS context of a scheme, shared by all clients.
+
+    Loading the trusted certificates blocks the loop for tens of milliseconds, so
+    plain HTTP gets a context without any, which no TLS peer would pass.
+    """
+    if scheme == "https":
+        return ssl.create_default_context()
+    return ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+
+
 def quote_path(path: str) -> str:
     """Return a path as it goes into a URL; dot segments stay as they are."""
     segments = (quote(segment, safe="") for segment in path.split("/"))
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -4,6 +4,7 @@
 
 import logging
 import socket
+import ssl
 
 import pytest
 
@@ -83,3 +84,14 @@
 
 def test_path_is_quoted_whole() -> None:
     assert quote_path("/a b/../%2F?x") == "/a%20b/%2E%2E/%252F%3Fx"
+
+
+async def test_client_of_plain_http_loads_no_certificates(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def refuse(*args: object, **values: object) -> None:
+        raise AssertionError("certificates are loaded")
+
+    monkeypatch.setattr(ssl.SSLContext, "load_verify_locations", refuse)
+    monkeypatch.setattr(ssl.SSLContext, "load_default_certs", refuse)
+    await HttpClient("http://127.0.0.1:1").async_close()
