--- /dev/null
+++ b/tests/specs/__init__.py
@@ -0,0 +1,3 @@
+"""Specifications of the core protocols, checked by minicheck."""
+
+from __future__ import annotations
