--- a/src/gypsumsail/orders/const.py
+++ b/src/gypsumsail/orders/const.py
@@ -8,7 +8,7 @@
 TURNS_KEY: Final = "orders/turns"
 
 LEASE_SECONDS: Final = 15.0
-LEASE_MARGIN_SECONDS: Final = 4.0
+LEASE_MARGIN_SECONDS: Final = 5.0
 LEASE_RENEW_SECONDS: Final = 5.0
 LEASE_CANDIDATES: Final = 2
 
