Share customers' limits among entries without a platform call

Cause: limits and fairness have to hold wherever a customer's calls land. Conclusion: one owner per service and zone, zones tell each other sums; the link budget is shared the same way.

--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,80 @@
+"""Time and message sizes of the decisions about limits.
+
+``python -m bench.limits`` prints the figures as JSON.
+"""
+
+from __future__ import annotations
+
+import json
+from random import Random
+import time
+from typing import Final
+
+import click
+
+from gypsumsail.limits.admission import AdmissionState, admit
+from gypsumsail.limits.capacity import Capacity
+from gypsumsail.limits.models import AdmitRequest, DemandReport, DemandRow, Terms
+from gypsumsail.limits.share_table import ShareTable
+from gypsumsail.peers.codec import dump, pack_message
+
+ZONE_ENTRIES: Final = 68
+SERVICES: Final = 9
+CUSTOMERS: Final = 1500
+ACTIVE_PER_ENTRY: Final = 17
+
+
+def make_report(customers: list[str], rng: Random) -> DemandReport:
+    """Return the report of an entry on one of the services."""
+    active = rng.sample(customers, max(ACTIVE_PER_ENTRY // SERVICES, 1))
+    rows = tuple(
+        DemandRow(customer=name, wanted=rng.random() * 9000) for name in active
+    )
+    return DemandReport(service="service", rows=rows, served=5600.0, backlog=0.5)
+
+
+def measure_admission(count: int, rng: Random) -> float:
+    """Return the microseconds of one admission."""
+    terms = {f"customer-{index}": Terms(share=1, limit=1e9) for index in range(100)}
+    state = AdmissionState(terms=terms)
+    started = time.perf_counter()
+    for index in range(count):
+        request = AdmitRequest(
+            customer=f"customer-{index % 100}", tokens=1, priority=5, backlog=0.1
+        )
+        admit(request, state, index * 0.001, rng)
+    return (time.perf_counter() - started) / count * 1e6
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+def main(seed: int) -> None:
+    """Measure admission, and one owner's round at the target."""
+    rng = Random(seed)
+    customers = [f"customer-{index}" for index in range(CUSTOMERS // SERVICES)]
+    terms = {name: Terms(share=1.0, limit=1000.0) for name in customers}
+    table = ShareTable("service", "a", capacity=Capacity(tokens=1e5, overloaded=True))
+    reports = [make_report(customers, rng) for _ in range(ZONE_ENTRIES)]
+    for zone in ("b", "c", "d", "e"):
+        other = ShareTable("service", zone)
+        for entry, report in enumerate(reports):
+            other.on_report(str(entry), report, now=0.0)
+        table.on_zone(other.zone_demand(), now=0.0)
+    started = time.perf_counter()
+    for entry, report in enumerate(reports):
+        table.on_report(str(entry), report, now=0.0)
+    grants = [table.grant(str(entry), terms) for entry in range(ZONE_ENTRIES)]
+    table.update(terms, now=0.1)
+    seconds = time.perf_counter() - started
+    figures = {
+        "admission_microseconds": round(measure_admission(20_000, rng), 2),
+        "owner_round_milliseconds": round(seconds * 1e3, 2),
+        "report_bytes": len(dump(pack_message(reports[0]))),
+        "grant_bytes": len(dump(pack_message(grants[0]))),
+        "zone_demand_bytes": len(dump(pack_message(table.zone_demand()))),
+    }
+    print(json.dumps(figures))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/gypsumsail/limits/admission.py
@@ -0,0 +1,159 @@
+"""Decides at once whether a request may run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import isfinite
+from random import Random
+
+from gypsumsail.limits.bucket import TokenBucket
+from gypsumsail.limits.const import (
+    BURST_SECONDS,
+    GRANT_LIFETIME_SECONDS,
+    LEAST_RETRY_SECONDS,
+    LEAST_URGENT_BACKLOG_SECONDS,
+    LONGEST_RETRY_SECONDS,
+    MOST_URGENT_BACKLOG_SECONDS,
+    PRIORITIES,
+    RETRY_JITTER_SHARE,
+    STARTING_SHARE,
+    UNDER_SHARE_FACTOR,
+)
+from gypsumsail.limits.demand import Meter
+from gypsumsail.limits.models import (
+    Admission,
+    AdmitRequest,
+    Admitted,
+    ShareGrant,
+    Shed,
+    ShedReason,
+    TermsByCustomer,
+)
+
+
+@dataclass(slots=True)
+class CustomerState:
+    """What one entry knows of one customer of a service.
+
+    Attributes
+    ----------
+    wanted
+        Tokens asked for, admitted or not.
+    bucket
+        Credit while the customer is limited, else ``None``.
+    """
+
+    wanted: Meter = field(default_factory=Meter)
+    bucket: TokenBucket | None = None
+
+
+@dataclass(slots=True)
+class AdmissionState:
+    """What one entry knows of one service.
+
+    Attributes
+    ----------
+    terms
+        Shares and limits of the document in force.
+    live_entries
+        Number of entries believed alive, this one counted.
+    granted_at
+        Time of the last grant; without a fresh one each entry keeps to an even
+        part of each limit.
+    """
+
+    terms: TermsByCustomer
+    live_entries: int = 1
+    overloaded: bool = False
+    granted_at: float = float("-inf")
+    backlog: float = 0.0
+    served: Meter = field(default_factory=Meter)
+    customers: dict[str, CustomerState] = field(default_factory=dict)
+
+    def customer(self, name: str) -> CustomerState:
+        """Return the state of a customer."""
+        return self.customers.setdefault(name, CustomerState())
+
+    def on_grant(self, grant: ShareGrant, *, now: float) -> None:
+        """Take the rates of the next seconds."""
+        self.overloaded = grant.overloaded
+        self.granted_at = now
+        rates = {row.customer: row.rate for row in grant.rows}
+        for name, state in self.customers.items():
+            if name in rates:
+                _set_rate(state, rates[name], now=now)
+            elif isfinite(self.limit(name)):
+                _set_rate(state, self.starting_rate(name), now=now)
+            else:
+                state.bucket = None
+
+    def limit(self, customer: str) -> float:
+        """Return the hard limit of a customer over all entries."""
+        terms = self.terms.get(customer)
+        return terms.limit if terms is not None else float("inf")
+
+    def starting_rate(self, customer: str) -> float:
+        """Return the rate of a limited customer that was not reported yet."""
+        return STARTING_SHARE * self.limit(customer) / self.live_entries
+
+    def refresh(self, customer: str, *, now: float) -> CustomerState:
+        """Return a customer's state with a bucket if it has a limit."""
+        state = self.customer(customer)
+        limit = self.limit(customer)
+        stale = now - self.granted_at > GRANT_LIFETIME_SECONDS
+        if stale and isfinite(limit):
+            _set_rate(state, limit / self.live_entries, now=now)
+        elif stale:
+            state.bucket = None
+        elif state.bucket is None and isfinite(limit):
+            _set_rate(state, self.starting_rate(customer), now=now)
+        return state
+
+
+def admit(
+    request: AdmitRequest, state: AdmissionState, now: float, rng: Random
+) -> Admission:
+    """Return whether a request may run; count it."""
+    customer = state.refresh(request.customer, now=now)
+    customer.wanted.add(request.tokens, now=now)
+    state.backlog = request.backlog
+    bucket = customer.bucket
+    if bucket is not None and not bucket.open(now=now):
+        return _shed(_limit_reason(state, request), bucket.wait(now=now), rng)
+    most = backlog_limit(request.priority)
+    if bucket is not None and state.overloaded and bucket.full(now=now):
+        most *= UNDER_SHARE_FACTOR
+    if request.backlog > most:
+        return _shed(ShedReason.OVERLOAD, request.backlog - most, rng)
+    if bucket is not None:
+        bucket.take(request.tokens, now=now)
+    return Admitted()
+
+
+def backlog_limit(priority: int) -> float:
+    """Return the backlog in seconds up to which a priority is admitted."""
+    step = (LEAST_URGENT_BACKLOG_SECONDS / MOST_URGENT_BACKLOG_SECONDS) ** (
+        1 / (PRIORITIES - 1)
+    )
+    return float(MOST_URGENT_BACKLOG_SECONDS * step**priority)
+
+
+def _set_rate(state: CustomerState, rate: float, *, now: float) -> None:
+    if state.bucket is None:
+        credit = rate * BURST_SECONDS
+        state.bucket = TokenBucket(rate=rate, credit=credit, updated=now)
+        return
+    state.bucket.set_rate(rate, now=now)
+
+
+def _limit_reason(state: AdmissionState, request: AdmitRequest) -> ShedReason:
+    if state.overloaded:
+        return ShedReason.SHARE
+    return ShedReason.LIMIT
+
+
+def _shed(reason: ShedReason, wait: float, rng: Random) -> Shed:
+    wait = min(max(wait, LEAST_RETRY_SECONDS), LONGEST_RETRY_SECONDS)
+    return Shed(
+        reason=reason, retry_after=wait * (1 + RETRY_JITTER_SHARE * rng.random())
+    )
--- /dev/null
+++ b/src/gypsumsail/limits/coordinator.py
@@ -0,0 +1,254 @@
+"""Shares limits among the entries without a call to the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+from math import inf
+from random import Random
+from typing import Protocol
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.core.rendezvous import owner
+from gypsumsail.document.models import ServiceDocument
+from gypsumsail.limits.admission import AdmissionState, admit
+from gypsumsail.limits.const import (
+    ENTRIES_PER_INTERVAL,
+    LEAST_DEMAND,
+    LINK,
+    REPORT_INTERVAL_SECONDS,
+    REPORT_TIMEOUT_SECONDS,
+)
+from gypsumsail.limits.models import (
+    Admission,
+    AdmitRequest,
+    DemandReport,
+    DemandRow,
+    ShareGrant,
+    Terms,
+    TermsByCustomer,
+    ZoneDemand,
+)
+from gypsumsail.limits.retry_budget import RetryBudget
+from gypsumsail.limits.share_table import ShareTable
+from gypsumsail.peers.port import EntryId, Message, PeerNetwork
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class DocumentSource(Protocol):
+    """Documents in force at this entry."""
+
+    def document(self, service: str) -> ServiceDocument | None:
+        """Return the document of a service, or ``None`` without one."""
+
+
+def terms_of(document: ServiceDocument) -> TermsByCustomer:
+    """Return the customers' terms, and those of the link between tiers."""
+    terms = {
+        customer.name: Terms(
+            share=customer.share, limit=customer.tokens_per_second or inf
+        )
+        for customer in document.customers
+    }
+    terms[LINK] = Terms(share=0.0, limit=document.tiers.link_bytes_per_second)
+    return terms
+
+
+class LimitCoordinator:
+    """Admission at one entry, and its part in sharing the limits.
+
+    In each zone one entry owns a service: the others tell it their demand and get
+    their part of each limit. The owners of all zones tell each other their sums.
+    """
+
+    def __init__(
+        self,
+        me: EntryId,
+        network: PeerNetwork,
+        documents: DocumentSource,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self.me = me
+        self.network = network
+        self.documents = documents
+        self.clock = clock
+        self.rng = rng
+        self.states: dict[str, AdmissionState] = {}
+        self.tables: dict[str, ShareTable] = {}
+        self.retries: dict[str, RetryBudget] = {}
+        self._unsubscribe: list[Callable[[], None]] = []
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to report and to answer reports."""
+        self._unsubscribe = [
+            self.network.subscribe(DemandReport, self._async_on_report),
+            self.network.subscribe(ZoneDemand, self._async_on_zone),
+        ]
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_unload(self) -> None:
+        """Stop; other owners take over with the next reports."""
+        for unsubscribe in self._unsubscribe:
+            unsubscribe()
+        self._unsubscribe = []
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+
+    @callback
+    def admit(self, service: str, request: AdmitRequest) -> Admission:
+        """Return at once whether a request may run."""
+        now = self.clock.monotonic()
+        return admit(request, self._state(service), now, self.rng)
+
+    @callback
+    def on_answer_ended(self, service: str, tokens: float) -> None:
+        """Count a request that ended with its whole answer."""
+        now = self.clock.monotonic()
+        self._state(service).served.add(tokens, now=now)
+        self.retry_budget(service).on_success()
+
+    @callback
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Return the budget from which a retry must be taken before it is sent."""
+        return self.retries.setdefault(service, RetryBudget())
+
+    @callback
+    def link_credit(self, service: str) -> float:
+        """Return the bytes that this entry may now move between tiers."""
+        now = self.clock.monotonic()
+        bucket = self._state(service).refresh(LINK, now=now).bucket
+        if bucket is None:
+            return inf
+        return bucket.credit if bucket.open(now=now) else 0.0
+
+    @callback
+    def want_link(self, service: str, size: float) -> None:
+        """Count bytes that would be moved if the budget let them."""
+        now = self.clock.monotonic()
+        self._state(service).customer(LINK).wanted.add(size, now=now)
+
+    @callback
+    def take_link(self, service: str, size: float) -> None:
+        """Count bytes that are moved; a negative size gives them back."""
+        now = self.clock.monotonic()
+        bucket = self._state(service).refresh(LINK, now=now).bucket
+        if bucket is not None:
+            bucket.take(size, now=now)
+
+    def _state(self, service: str) -> AdmissionState:
+        state = self.states.get(service)
+        if state is None:
+            state = self.states[service] = AdmissionState(terms={})
+            self._refresh(service, state)
+        return state
+
+    def _terms(self, service: str) -> TermsByCustomer:
+        document = self.documents.document(service)
+        return terms_of(document) if document is not None else {}
+
+    def _refresh(self, service: str, state: AdmissionState) -> None:
+        state.terms = self._terms(service)
+        state.live_entries = 1 + len(self.network.peers())
+
+    async def _async_run(self) -> None:
+        while True:
+            await asyncio.sleep(self._interval())
+            await self.async_round()
+
+    def _interval(self) -> float:
+        """Return the time between reports, longer for an owner of many entries."""
+        peers = sum(peer.zone == self.me.zone for peer in self.network.peers())
+        return REPORT_INTERVAL_SECONDS * max(1.0, (1 + peers) / ENTRIES_PER_INTERVAL)
+
+    async def async_round(self) -> None:
+        """Report every service's demand once, and tell the other zones."""
+        for service, state in list(self.states.items()):
+            self._refresh(service, state)
+            await self._async_report(service, state)
+        for service, table in list(self.tables.items()):
+            table.update(self._terms(service), now=self.clock.monotonic())
+            if not table.sources:
+                del self.tables[service]
+            elif self._owner(service, self.me.zone) == self.me:
+                await self._async_tell_zones(service, table)
+
+    async def _async_report(self, service: str, state: AdmissionState) -> None:
+        now = self.clock.monotonic()
+        report = self._report(service, state, now)
+        holder = self._owner(service, self.me.zone)
+        grant: ShareGrant | None
+        if holder == self.me:
+            grant = self._take_report(self.me, report)
+        else:
+            grant = await self._async_ask(holder, report)
+        if grant is not None:
+            state.on_grant(grant, now=self.clock.monotonic())
+
+    def _report(self, service: str, state: AdmissionState, now: float) -> DemandReport:
+        rows = []
+        for name, customer in list(state.customers.items()):
+            wanted = customer.wanted.rate(now=now)
+            if wanted > LEAST_DEMAND:
+                rows.append(DemandRow(customer=name, wanted=wanted))
+            elif customer.bucket is None or customer.bucket.full(now=now):
+                del state.customers[name]
+        return DemandReport(
+            service=service,
+            rows=tuple(rows),
+            served=state.served.rate(now=now),
+            backlog=state.backlog if rows else 0.0,
+        )
+
+    async def _async_ask(
+        self, holder: EntryId, report: DemandReport
+    ) -> ShareGrant | None:
+        try:
+            answer = await self.network.async_request(
+                holder, report, timeout=REPORT_TIMEOUT_SECONDS
+            )
+        except TransportError as error:
+            _LOGGER.debug("Report to %s failed: %s", holder.name, error)
+            return None
+        return answer if isinstance(answer, ShareGrant) else None
+
+    async def _async_tell_zones(self, service: str, table: ShareTable) -> None:
+        message = table.zone_demand()
+        zones = {peer.zone for peer in self.network.peers()} - {self.me.zone}
+        for zone in sorted(zones):
+            try:
+                await self.network.async_send(self._owner(service, zone), message)
+            except TransportError as error:
+                _LOGGER.debug("Demand to zone %s failed: %s", zone, error)
+
+    def _owner(self, service: str, zone: str) -> EntryId:
+        entries = {
+            entry.name: entry
+            for entry in (self.me, *self.network.peers())
+            if entry.zone == zone
+        }
+        return entries[owner(service, entries)]
+
+    def _table(self, service: str) -> ShareTable:
+        table = self.tables.get(service)
+        if table is None:
+            table = self.tables[service] = ShareTable(service, self.me.zone)
+        return table
+
+    def _take_report(self, entry: EntryId, report: DemandReport) -> ShareGrant:
+        table = self._table(report.service)
+        table.on_report(entry.name, report, now=self.clock.monotonic())
+        return table.grant(entry.name, self._terms(report.service))
+
+    async def _async_on_report(self, peer: EntryId, message: DemandReport) -> Message:
+        return self._take_report(peer, message)
+
+    async def _async_on_zone(self, _peer: EntryId, message: ZoneDemand) -> None:
+        self._table(message.service).on_zone(message, now=self.clock.monotonic())
--- /dev/null
+++ b/src/gypsumsail/limits/demand.py
@@ -0,0 +1,37 @@
+"""Rates of what was asked for, fading with time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import log
+
+from gypsumsail.limits.const import DEMAND_HALF_LIFE_SECONDS
+
+_DECAY_PER_SECOND = log(2) / DEMAND_HALF_LIFE_SECONDS
+
+
+@dataclass(slots=True)
+class Meter:
+    """Amount a second over the last few seconds.
+
+    Attributes
+    ----------
+    amount
+        Sum of the amounts, halved every `DEMAND_HALF_LIFE_SECONDS`.
+    """
+
+    amount: float = 0.0
+    updated: float = 0.0
+
+    def add(self, amount: float, *, now: float) -> None:
+        """Count an amount."""
+        self.amount = self._faded(now) + amount
+        self.updated = max(now, self.updated)
+
+    def rate(self, *, now: float) -> float:
+        """Return the amount a second; a steady stream gives its own rate."""
+        return self._faded(now) * _DECAY_PER_SECOND
+
+    def _faded(self, now: float) -> float:
+        age = max(now - self.updated, 0.0)
+        return float(self.amount * 0.5 ** (age / DEMAND_HALF_LIFE_SECONDS))
--- /dev/null
+++ b/src/gypsumsail/limits/share_table.py
@@ -0,0 +1,202 @@
+"""The owner's view of one service: who wants what, and who gets it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import inf, isfinite
+
+from gypsumsail.limits.capacity import Capacity
+from gypsumsail.limits.const import LINK, REPORT_LIFETIME_SECONDS, ZONE_LIFETIME_SECONDS
+from gypsumsail.limits.fair_share import Claim, fair_level, max_min_shares
+from gypsumsail.limits.models import (
+    DemandReport,
+    DemandRow,
+    ShareGrant,
+    ShareRow,
+    TermsByCustomer,
+    ZoneDemand,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Source:
+    """What an entry, or another zone as a whole, wants.
+
+    Attributes
+    ----------
+    entries
+        Number of entries that it stands for.
+    expires_at
+        Time after which it counts no more.
+    """
+
+    wanted: dict[str, float]
+    entries: int
+    served: float
+    backlog: float
+    expires_at: float
+
+    def wanted_tokens(self) -> float:
+        """Return the tokens a second that all customers want."""
+        return sum(
+            wanted for customer, wanted in self.wanted.items() if customer != LINK
+        )
+
+
+@dataclass(slots=True)
+class ShareTable:
+    """Demand on one service at the zone's owner.
+
+    Attributes
+    ----------
+    sources
+        Entries of the zone and the other zones, by name.
+    rates
+        Rates over all entries of the customers limited in this round.
+    """
+
+    service: str
+    zone: str
+    capacity: Capacity = field(default_factory=Capacity)
+    sources: dict[str, Source] = field(default_factory=dict)
+    rates: dict[str, float] = field(default_factory=dict)
+
+    def on_report(self, entry: str, report: DemandReport, *, now: float) -> None:
+        """Take the report of an entry of this zone."""
+        self.sources[f"entry/{entry}"] = Source(
+            wanted=_wanted(report.rows),
+            entries=1,
+            served=report.served,
+            backlog=report.backlog,
+            expires_at=now + REPORT_LIFETIME_SECONDS,
+        )
+
+    def on_zone(self, demand: ZoneDemand, *, now: float) -> None:
+        """Take the sums of another zone.
+
+        They count for a while after the zone was heard last, so that a short cut
+        doesn't hand its part of each limit out a second time.
+        """
+        if demand.zone == self.zone:
+            return
+        self.sources[f"zone/{demand.zone}"] = Source(
+            wanted=_wanted(demand.rows),
+            entries=max(demand.entries, 1),
+            served=demand.served,
+            backlog=demand.backlog,
+            expires_at=now + ZONE_LIFETIME_SECONDS,
+        )
+        if self.capacity.overloaded and demand.capacity > 0:
+            self.capacity.tokens = (self.capacity.tokens + demand.capacity) / 2
+
+    def update(self, terms: TermsByCustomer, *, now: float) -> None:
+        """Drop what is old, follow the capacity, set the rates of the round."""
+        self.sources = {
+            name: source
+            for name, source in self.sources.items()
+            if source.expires_at > now
+        }
+        sources = self.sources.values()
+        self.capacity.update(
+            served=sum(source.served for source in sources),
+            wanted=sum(source.wanted_tokens() for source in sources),
+            backlog=max((source.backlog for source in sources), default=0.0),
+        )
+        self.rates = self.customer_rates(terms)
+
+    def zone_demand(self) -> ZoneDemand:
+        """Return the sums of this zone's entries for the other zones."""
+        own = [
+            source for name, source in self.sources.items() if name.startswith("entry/")
+        ]
+        total = _sum_wanted(own)
+        return ZoneDemand(
+            service=self.service,
+            zone=self.zone,
+            rows=tuple(
+                DemandRow(customer=customer, wanted=wanted)
+                for customer, wanted in sorted(total.items())
+            ),
+            entries=len(own),
+            served=sum(source.served for source in own),
+            backlog=max((source.backlog for source in own), default=0.0),
+            capacity=self.capacity.tokens if self.capacity.overloaded else 0.0,
+        )
+
+    def grant(self, entry: str, terms: TermsByCustomer) -> ShareGrant:
+        """Return what an entry may admit of each limited customer.
+
+        A customer that came after the round began has its hard limit.
+        """
+        name = f"entry/{entry}"
+        own = self.sources.get(name)
+        rates = {
+            customer: self.rates.get(customer, terms[customer].limit)
+            for customer in sorted(own.wanted if own is not None else ())
+            if customer in terms
+        }
+        rows = [
+            ShareRow(customer=customer, rate=self._part(name, customer, rate))
+            for customer, rate in rates.items()
+            if isfinite(rate)
+        ]
+        return ShareGrant(
+            service=self.service,
+            rows=tuple(rows),
+            overloaded=self.capacity.overloaded,
+        )
+
+    def customer_rates(self, terms: TermsByCustomer) -> dict[str, float]:
+        """Return the rates over all entries of the customers limited now."""
+        total = _sum_wanted(self.sources.values())
+        limits = {
+            customer: terms[customer].limit
+            for customer in total
+            if customer in terms and isfinite(terms[customer].limit)
+        }
+        if not self.capacity.overloaded:
+            return limits
+        claims = [
+            Claim(
+                name=customer,
+                weight=terms[customer].share,
+                wanted=min(wanted, limits.get(customer, wanted)),
+            )
+            for customer, wanted in total.items()
+            if customer in terms and terms[customer].share > 0
+        ]
+        level = fair_level(self.capacity.tokens, claims)
+        shares = {
+            claim.name: min(level * claim.weight, limits.get(claim.name, inf))
+            for claim in claims
+        }
+        return limits | shares
+
+    def _part(self, name: str, customer: str, rate: float) -> float:
+        """Return one entry's part of a customer's rate.
+
+        What nobody asked for is split by the number of entries, so that demand
+        can grow before the next round.
+        """
+        claims = [
+            Claim(name=source, weight=held.entries, wanted=held.wanted[customer])
+            for source, held in self.sources.items()
+            if customer in held.wanted
+        ]
+        shares = max_min_shares(rate, claims)
+        unused = max(rate - sum(shares.values()), 0.0)
+        weight = sum(claim.weight for claim in claims)
+        return shares[name] + unused / weight
+
+
+def _wanted(rows: Iterable[DemandRow]) -> dict[str, float]:
+    return {row.customer: row.wanted for row in rows if row.wanted > 0}
+
+
+def _sum_wanted(sources: Iterable[Source]) -> dict[str, float]:
+    total: dict[str, float] = {}
+    for source in sources:
+        for customer, wanted in source.wanted.items():
+            total[customer] = total.get(customer, 0.0) + wanted
+    return total
--- /dev/null
+++ b/tests/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of limits and fairness."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/limits/test_limits.py
@@ -0,0 +1,236 @@
+"""Tests of limits over several entries, without a network."""
+
+from __future__ import annotations
+
+from collections import Counter
+from math import inf
+from random import Random
+
+import pytest
+
+from gypsumsail.limits.admission import AdmissionState, admit, backlog_limit
+from gypsumsail.limits.bucket import TokenBucket
+from gypsumsail.limits.capacity import Capacity
+from gypsumsail.limits.demand import Meter
+from gypsumsail.limits.models import (
+    AdmitRequest,
+    Admitted,
+    DemandReport,
+    DemandRow,
+    ShareGrant,
+    ShareRow,
+    Shed,
+    ShedReason,
+    Terms,
+    TermsByCustomer,
+)
+from gypsumsail.limits.retry_budget import RetryBudget
+from gypsumsail.limits.share_table import ShareTable
+
+ENTRIES = 7
+REQUEST_TOKENS = 50.0
+STEP_SECONDS = 0.05
+
+
+class Entries:
+    """Entries of one zone that report to one table each half second."""
+
+    def __init__(self, terms: TermsByCustomer) -> None:
+        self.terms = terms
+        self.table = ShareTable("claims", "a")
+        self.states = [
+            AdmissionState(terms=terms, live_entries=ENTRIES) for _ in range(ENTRIES)
+        ]
+        self.admitted: Counter[str] = Counter()
+        self.rng = Random(1)
+
+    def offer(self, customer: str, entry: int, now: float, backlog: float) -> None:
+        request = AdmitRequest(
+            customer=customer, tokens=REQUEST_TOKENS, priority=5, backlog=backlog
+        )
+        if isinstance(admit(request, self.states[entry], now, self.rng), Admitted):
+            self.admitted[customer] += int(REQUEST_TOKENS)
+            self.states[entry].served.add(REQUEST_TOKENS, now=now)
+
+    def round(self, now: float) -> None:
+        for entry, state in enumerate(self.states):
+            rows = tuple(
+                DemandRow(customer=name, wanted=customer.wanted.rate(now=now))
+                for name, customer in state.customers.items()
+            )
+            report = DemandReport(
+                service="claims",
+                rows=rows,
+                served=state.served.rate(now=now),
+                backlog=state.backlog,
+            )
+            self.table.on_report(str(entry), report, now=now)
+            state.on_grant(self.table.grant(str(entry), self.terms), now=now)
+        self.table.update(self.terms, now=now)
+
+    def run(
+        self, offered: dict[str, float], *, seconds: int, spread: bool, backlog: float
+    ) -> None:
+        """Offer tokens a second, to all entries or to the first one alone."""
+        owed = dict.fromkeys(offered, 0.0)
+        for step in range(int(seconds / STEP_SECONDS)):
+            now = step * STEP_SECONDS
+            for customer, rate in offered.items():
+                owed[customer] += rate * STEP_SECONDS
+                while owed[customer] >= REQUEST_TOKENS:
+                    owed[customer] -= REQUEST_TOKENS
+                    entry = self.rng.randrange(ENTRIES) if spread else 0
+                    self.offer(customer, entry, now, backlog)
+            if step % 10 == 9:
+                self.round(now)
+
+
+@pytest.mark.parametrize("spread", [False, True])
+def test_a_limit_holds_on_one_entry_and_spread_over_all(spread: bool) -> None:
+    entries = Entries({"ares": Terms(share=1.0, limit=1000.0)})
+    entries.run({"ares": 5000.0}, seconds=60, spread=spread, backlog=0.0)
+    assert 0.85 * 60_000 < entries.admitted["ares"] < 1.05 * 60_000 + 2000
+
+
+@pytest.mark.parametrize("spread", [False, True])
+def test_large_customers_do_not_starve_small_ones(spread: bool) -> None:
+    names = ["large", *[f"small{index}" for index in range(4)]]
+    entries = Entries({name: Terms(share=1.0, limit=inf) for name in names})
+    entries.table.capacity = Capacity(tokens=2000.0, overloaded=True)
+    offered = {"large": 20_000.0} | dict.fromkeys(names[1:], 200.0)
+    entries.run(offered, seconds=40, spread=spread, backlog=1.0)
+    for name in names[1:]:
+        assert entries.admitted[name] > 0.85 * 200 * 40
+    assert entries.admitted["large"] < 0.3 * 20_000 * 40
+
+
+def test_unused_share_is_lent() -> None:
+    entries = Entries({name: Terms(share=1.0, limit=inf) for name in ("a", "b")})
+    entries.table.capacity = Capacity(tokens=1000.0, overloaded=True)
+    report = DemandReport(
+        service="claims",
+        rows=(
+            DemandRow(customer="a", wanted=5000.0),
+            DemandRow(customer="b", wanted=100.0),
+        ),
+        served=0.0,
+        backlog=1.0,
+    )
+    entries.table.on_report("0", report, now=0.0)
+    assert entries.table.customer_rates(entries.terms)["a"] == pytest.approx(900.0)
+
+
+def test_a_dead_entry_gives_its_part_back() -> None:
+    terms = {"ares": Terms(share=1.0, limit=1000.0)}
+    table = ShareTable("claims", "a")
+    rows = (DemandRow(customer="ares", wanted=1000.0),)
+    report = DemandReport(service="claims", rows=rows, served=0.0, backlog=0.0)
+    for entry in ("0", "1"):
+        table.on_report(entry, report, now=0.0)
+    table.on_report("0", report, now=2.9)
+    assert table.grant("0", terms).rows[0].rate == pytest.approx(500.0)
+    table.update(terms, now=4.0)
+    assert table.grant("0", terms).rows[0].rate == pytest.approx(1000.0)
+
+
+def test_a_silent_zone_keeps_its_part_for_a_while() -> None:
+    terms = {"ares": Terms(share=1.0, limit=1000.0)}
+    rows = (DemandRow(customer="ares", wanted=1000.0),)
+    report = DemandReport(service="claims", rows=rows, served=0.0, backlog=0.0)
+    here, there = ShareTable("claims", "a"), ShareTable("claims", "b")
+    for table in (here, there):
+        table.on_report("0", report, now=0.0)
+    here.on_zone(there.zone_demand(), now=0.0)
+    here.on_zone(here.zone_demand(), now=0.0)
+    here.on_report("0", report, now=9.0)
+    here.update(terms, now=10.0)
+    assert here.grant("0", terms).rows[0].rate == pytest.approx(500.0)
+
+
+def test_the_debt_of_a_large_request_is_paid_before_the_next() -> None:
+    bucket = TokenBucket(rate=100.0, credit=10.0, updated=0.0)
+    assert bucket.open(now=0.0)
+    bucket.take(1010.0, now=0.0)
+    assert bucket.wait(now=0.0) == pytest.approx(10.0)
+    assert not bucket.open(now=9.9)
+    assert bucket.open(now=10.1)
+
+
+def test_an_idle_hour_earns_no_more_than_a_burst() -> None:
+    bucket = TokenBucket(rate=100.0, credit=0.0, updated=0.0)
+    assert bucket.full(now=3600.0)
+    bucket.take(200.0, now=3600.0)
+    assert not bucket.open(now=3600.0)
+
+
+def test_shares_of_a_lost_owner_end() -> None:
+    state = AdmissionState(terms={"ares": Terms(share=1.0, limit=inf)})
+    state.refresh("ares", now=0.0)
+    row = ShareRow(customer="ares", rate=5.0)
+    grant = ShareGrant(service="claims", rows=(row,), overloaded=True)
+    state.on_grant(grant, now=0.0)
+    assert state.refresh("ares", now=2.0).bucket is not None
+    assert state.refresh("ares", now=9.0).bucket is None
+
+
+def test_without_grants_each_entry_keeps_to_an_even_part() -> None:
+    state = AdmissionState(
+        terms={"ares": Terms(share=1.0, limit=700.0)}, live_entries=7
+    )
+    bucket = state.refresh("ares", now=100.0).bucket
+    assert bucket is not None
+    assert bucket.rate == pytest.approx(100.0)
+
+
+def test_overload_sheds_the_least_urgent_first() -> None:
+    limits = [backlog_limit(priority) for priority in range(10)]
+    assert limits == sorted(limits, reverse=True)
+    state = AdmissionState(terms={"ares": Terms(share=1.0, limit=inf)})
+    delays = set()
+    for seed in range(5):
+        outcomes = [
+            admit(
+                AdmitRequest(customer="ares", tokens=1, priority=priority, backlog=3.0),
+                state,
+                0.0,
+                Random(seed),
+            )
+            for priority in range(10)
+        ]
+        shed = [isinstance(outcome, Shed) for outcome in outcomes]
+        assert shed == [limit < 3.0 for limit in limits]
+        assert isinstance(outcomes[9], Shed)
+        assert outcomes[9].reason is ShedReason.OVERLOAD
+        delays.add(outcomes[9].retry_after)
+    assert len(delays) == 5
+
+
+def test_capacity_follows_what_is_served() -> None:
+    capacity = Capacity()
+    capacity.update(served=900.0, wanted=1000.0, backlog=0.1)
+    assert not capacity.overloaded
+    for _ in range(20):
+        capacity.update(served=1000.0, wanted=4000.0, backlog=3.0)
+    assert capacity.overloaded
+    assert 400 < capacity.tokens < 1000
+    for _ in range(40):
+        capacity.update(served=1000.0, wanted=1000.0, backlog=0.1)
+    assert not capacity.overloaded
+
+
+def test_a_meter_shows_the_rate_of_a_steady_stream() -> None:
+    meter = Meter()
+    for step in range(400):
+        meter.add(10.0, now=step * 0.1)
+    assert meter.rate(now=40.0) == pytest.approx(100.0, rel=0.05)
+    assert meter.rate(now=80.0) < 0.01
+
+
+def test_retries_cannot_amplify_an_outage() -> None:
+    budget = RetryBudget()
+    for _ in range(1000):
+        budget.on_success()
+    assert sum(budget.take() for _ in range(10_000)) == 20
+    for _ in range(100):
+        budget.on_success()
+    assert 9 <= sum(budget.take() for _ in range(100)) <= 10
