Export, hold, import and evict kept context by expected value

Cause: kept context has to outlive the engines' caches behind a limited link. Ruled out: rebuilding directories from a listing's order (blocks of one export become whole in any order): keepers are asked with the prompt's hashes instead; publishing part of a prompt under its own shorter key (the lookup preferred the longer record without the stored part; a test failed with it). Conclusion: TierCoordinator carries it; decisions are pure.

--- a/src/gypsumsail/context/coordinator.py
+++ b/src/gypsumsail/context/coordinator.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 import logging
 
 from gypsumsail.context.chain import (
@@ -19,6 +19,7 @@
     LOOKUP_KEYS,
     LOOKUP_TIMEOUT_SECONDS,
     PUBLISH_INTERVAL_SECONDS,
+    RETURN_SHARE,
 )
 from gypsumsail.context.directory import NOT_FOUND, Directory, PromptRecord
 from gypsumsail.context.engine_watch import EngineWatch
@@ -98,8 +99,7 @@
         chain = make_chain(hashes)
         keys = directory_keys(hashes)[:LOOKUP_KEYS]
         answers = await asyncio.gather(*(self._async_ask(key, chain) for key in keys))
-        found = max(answers, key=lambda answer: _depth(hashes, answer))
-        return _kept(hashes, found)
+        return _together([_kept(hashes, answer) for answer in answers])
 
     @callback
     def cached_blocks(self, target: str, hashes: tuple[str, ...], kept: Kept) -> int:
@@ -127,7 +127,7 @@
     @callback
     def on_stored(self, hashes: tuple[str, ...], stored: Stored) -> None:
         """Publish that a store holds a prompt's blocks whole."""
-        self._publish(hashes[: stored.depth], engine=None, stored=stored)
+        self._publish(hashes, engine=None, stored=stored)
 
     async def async_withdraw(
         self, hashes: tuple[str, ...], store_url: str, depth: int
@@ -247,12 +247,27 @@
         self.directory.drop_store(message.store_url)
 
 
-def _depth(hashes: tuple[str, ...], found: Found) -> int:
-    return common_depth(hashes, found.chain) if found.chain is not None else 0
+def _together(parts: Sequence[Kept]) -> Kept:
+    """Return the deepest of each store, and what was seen last."""
+    stored: dict[str, Stored] = {}
+    for part in parts:
+        for one in part.stored:
+            known = stored.get(one.store_url)
+            if known is None or one.depth > known.depth:
+                stored[one.store_url] = one
+    hints = [part.engine for part in parts if part.engine is not None]
+    ages = [part.seen_age for part in parts if part.seen_age is not None]
+    return Kept(
+        stored=tuple(stored.values()),
+        engine=max(hints, key=lambda hint: hint.depth, default=None),
+        seen_age=min(ages, default=None),
+    )
 
 
 def _kept(hashes: tuple[str, ...], found: Found) -> Kept:
-    depth = _depth(hashes, found)
+    if found.chain is None:
+        return NOTHING_KEPT
+    depth = common_depth(hashes, found.chain)
     if not depth:
         return NOTHING_KEPT
     cut = (stored.cut(depth) for stored in found.stored)
@@ -264,5 +279,5 @@
     return Kept(
         stored=tuple(stored for stored in cut if stored.runs),
         engine=hint,
-        seen_age=found.age,
+        seen_age=found.age if depth >= RETURN_SHARE * len(hashes) else None,
     )
--- a/src/gypsumsail/context/store_view.py
+++ b/src/gypsumsail/context/store_view.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from gypsumsail.context.chain import make_chain
 from gypsumsail.context.const import HASH_BYTES
 from gypsumsail.context.generation import Generation, is_hex, parse_generation
-from gypsumsail.context.models import PromptNote, Stored, StoredRun
+from gypsumsail.context.models import Stored, StoredRun
 from gypsumsail.stores.port import StoreContents, StoredBlock, Tier
 
 
@@ -19,7 +18,7 @@
     Attributes
     ----------
     hashes
-        Hashes of the blocks in the order of the prompt, `HASH_BYTES` each.
+        Hashes of the blocks, `HASH_BYTES` each.
     block_size
         Bytes that one block takes in the store.
     used_at
@@ -51,6 +50,13 @@
         if packed not in self.hashes:
             self.hashes += packed
 
+    def leading(self, hashes: tuple[str, ...]) -> int:
+        """Return how many of the hashes, from the first on, were written."""
+        for count, block_hash in enumerate(hashes):
+            if bytes.fromhex(block_hash) not in self.hashes:
+                return count
+        return len(hashes)
+
     def hex_hashes(self) -> list[str]:
         """Return the hashes in hexadecimal."""
         text = self.hashes.hex()
@@ -72,6 +78,8 @@
     ----------
     exports
         Exports by the text of their generation.
+    by_key
+        Generations by the directory key of their prompt.
     foreign
         Names that no export of this system can have written.
     """
@@ -81,6 +89,7 @@
         self.incarnation = ""
         self.sequence = 0
         self.exports: dict[str, StoredExport] = {}
+        self.by_key: dict[str, list[str]] = {}
         self.foreign = 0
 
     def apply(self, contents: StoreContents, *, now: float) -> bool:
@@ -93,6 +102,7 @@
             self.incarnation = contents.incarnation
             self.sequence = 0
             self.exports.clear()
+            self.by_key.clear()
             if not first:
                 return True
         for block in contents.blocks:
@@ -110,20 +120,34 @@
 
     def freed(self, generation: str) -> None:
         """Take that the blocks of an export were freed."""
-        self.exports.pop(generation, None)
-
-    def notes(self, *, now: float) -> Iterator[PromptNote]:
-        """Return notes on all prompts, from which directories are rebuilt.
-
-        Where a block is missing in the middle the note is wrong, and a reader's
-        hold shows it before anything is read.
+        export = self.exports.pop(generation, None)
+        if export is None:
+            return
+        others = [
+            name for name in self.by_key[export.generation.key] if name != generation
+        ]
+        if others:
+            self.by_key[export.generation.key] = others
+        else:
+            del self.by_key[export.generation.key]
+
+    def find(self, key: str, hashes: tuple[str, ...]) -> Stored | None:
+        """Return what the store holds of a prompt, from its start.
+
+        This is how a directory that was lost is filled again. The order of a
+        listing isn't relied on, since blocks become whole in any order.
         """
-        by_key: dict[str, list[StoredExport]] = {}
-        for export in self.exports.values():
-            by_key.setdefault(export.generation.key, []).append(export)
-        for exports in by_key.values():
-            exports.sort(key=lambda export: export.generation.start)
-            yield from self._notes_of_key(exports, now=now)
+        exports = [self.exports[name] for name in self.by_key.get(key, ())]
+        best: tuple[StoredRun, ...] = ()
+        for head in exports:
+            if head.generation.start:
+                continue
+            runs = _runs(head, exports, hashes)
+            if runs and (not best or runs[-1].end > best[-1].end):
+                best, tier = runs, head.tier
+        if not best:
+            return None
+        return Stored(store_url=self.store_url, tier=str(tier), runs=best)
 
     def _add(self, block: StoredBlock, *, now: float) -> None:
         block_hash, _, text = block.name.partition(".")
@@ -143,28 +167,28 @@
                 used_at=now,
             )
             self.exports[text] = export
+            self.by_key.setdefault(generation.key, []).append(text)
+        export.tier = block.tier
         export.add(block_hash)
 
-    def _notes_of_key(
-        self, exports: list[StoredExport], *, now: float
-    ) -> Iterator[PromptNote]:
-        heads = [export for export in exports if export.generation.start == 0]
-        for head in heads:
-            hashes = head.hex_hashes()
-            runs = [StoredRun(end=len(hashes), generation=str(head.generation))]
-            for export in exports if len(heads) == 1 else ():
-                if export.generation.start == len(hashes):
-                    hashes.extend(export.hex_hashes())
-                    run = StoredRun(end=len(hashes), generation=str(export.generation))
-                    runs.append(run)
-            yield PromptNote(
-                key=head.generation.key,
-                chain=make_chain(hashes),
-                age=max(now - head.used_at, 0.0),
-                stored=Stored(
-                    store_url=self.store_url, tier=str(head.tier), runs=tuple(runs)
-                ),
-            )
+
+def _runs(
+    head: StoredExport, exports: list[StoredExport], hashes: tuple[str, ...]
+) -> tuple[StoredRun, ...]:
+    """Return the unbroken runs of a prompt that begin with one export."""
+    depth = 0
+    runs: list[StoredRun] = []
+    parts = [head, *exports]
+    while True:
+        for part in parts:
+            end = depth + part.leading(hashes[depth:])
+            if part.generation.start == depth and end > depth:
+                runs.append(StoredRun(end=end, generation=str(part.generation)))
+                break
+        else:
+            return tuple(runs)
+        parts = exports
+        depth = runs[-1].end
 
 
 def _is_hash(text: str) -> bool:
--- a/src/gypsumsail/limits/coordinator.py
+++ b/src/gypsumsail/limits/coordinator.py
@@ -113,7 +113,7 @@
         """Count a request that ended with its whole answer."""
         now = self.clock.monotonic()
         self._state(service).served.add(tokens, now=now)
-        self.retry_budget(service).on_success()
+        self.retry_budget(service).succeeded(now)
 
     @callback
     def retry_budget(self, service: str) -> RetryBudget:
@@ -129,6 +129,15 @@
             return inf
         return bucket.credit if bucket.open(now=now) else 0.0
 
+    @callback
+    def link_free_share(self, service: str) -> float:
+        """Return the link credit as a share of the most that is saved up."""
+        now = self.clock.monotonic()
+        bucket = self._state(service).refresh(LINK, now=now).bucket
+        if bucket is None or bucket.full(now=now):
+            return 1.0
+        return max(bucket.credit, 0.0) / bucket.burst
+
     @callback
     def want_link(self, service: str, size: float) -> None:
         """Count bytes that would be moved if the budget let them."""
--- /dev/null
+++ b/src/gypsumsail/tiers/coordinator.py
@@ -0,0 +1,359 @@
+"""Kept context in stores: looked up, held, imported, exported, kept."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, replace
+import logging
+from random import Random
+from typing import Any
+
+from gypsumsail.context.chain import directory_keys
+from gypsumsail.context.const import KEPT_BYTES_PER_BLOCK, TOKENS_PER_BLOCK
+from gypsumsail.context.coordinator import ContextCoordinator
+from gypsumsail.context.models import NOTHING_KEPT, Kept, Stored
+from gypsumsail.context.port import StoreLink, TargetSource
+from gypsumsail.context.prompt import PromptBlocks
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import GypsumsailError
+from gypsumsail.core.rendezvous import owner
+from gypsumsail.limits.coordinator import DocumentSource, LimitCoordinator
+from gypsumsail.peers.port import EntryId, PeerNetwork
+from gypsumsail.routing.models import KeptPrefix
+from gypsumsail.targets.port import AnswerEnd, KeptBlocks
+from gypsumsail.tiers.board import StoreBoard
+from gypsumsail.tiers.const import (
+    BRING_BACK_WITHIN_SECONDS,
+    HOLD_SECONDS,
+    HOLD_TIMEOUT_SECONDS,
+    IMPORT_RESERVE_SHARE,
+    MAX_REMEMBERED_LOOKUPS,
+)
+from gypsumsail.tiers.export import ExportFacts, plan_export
+from gypsumsail.tiers.export_queue import ExportJob
+from gypsumsail.tiers.exporter import Exporter
+from gypsumsail.tiers.finder import StoreFinder
+from gypsumsail.tiers.keeper import StoreKeeper
+from gypsumsail.tiers.messages import StoreReport
+from gypsumsail.tiers.returns import ReturnModel
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.port import Recorder
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnsweredPrompt:
+    """A prompt that an engine has just answered whole.
+
+    Attributes
+    ----------
+    kept
+        What the engine was told to import.
+    prefill_tokens_per_second
+        Speed of the engine as learnt.
+    """
+
+    request_id: str
+    blocks: PromptBlocks
+    target: str
+    kept: KeptBlocks | None
+    end: AnswerEnd
+    prefill_tokens_per_second: float
+
+
+class TierCoordinator:
+    """One entry's use of the stores."""
+
+    def __init__(
+        self,
+        me: EntryId,
+        network: PeerNetwork,
+        context: ContextCoordinator,
+        limits: LimitCoordinator,
+        source: TargetSource,
+        documents: DocumentSource,
+        recorder: Recorder,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self.me = me
+        self.network = network
+        self.context = context
+        self.limits = limits
+        self.source = source
+        self.documents = documents
+        self.recorder = recorder
+        self.clock = clock
+        self.board = StoreBoard(rng)
+        self.returns: dict[str, ReturnModel] = {}
+        self.lookups: OrderedDict[str, Kept] = OrderedDict()
+        self.exporter = Exporter(
+            context,
+            limits,
+            self.board,
+            source,
+            recorder,
+            clock,
+            may_start=self._may_export,
+        )
+        self.keeper = StoreKeeper(
+            me,
+            network,
+            source,
+            clock,
+            returns=self._returns,
+            on_report=self._on_report,
+            async_on_lost=context.async_store_lost,
+        )
+        self.finder = StoreFinder(me, network, self.keeper, clock)
+        self._unsubscribe: list[Callable[[], None]] = []
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def async_setup(self) -> None:
+        """Start to keep stores and to export."""
+        self._unsubscribe = [self.network.subscribe(StoreReport, self._async_on_report)]
+        await self.finder.async_setup()
+        await self.keeper.async_setup()
+        await self.exporter.async_setup()
+
+    async def async_unload(self) -> None:
+        """Stop."""
+        for unsubscribe in self._unsubscribe:
+            unsubscribe()
+        self._unsubscribe = []
+        await self.exporter.async_unload()
+        await self.keeper.async_unload()
+        await self.finder.async_unload()
+        for task in self._background:
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
+
+    async def async_lookup(self, blocks: PromptBlocks) -> Kept:
+        """Return what is kept of a prompt, in engines and stores."""
+        kept = await self.context.async_lookup(blocks.hashes)
+        if not blocks.hashes:
+            return kept
+        if self.finder.uncertain() and not kept.stored:
+            links = self._stores(blocks.service)
+            found = await self.finder.async_find(links, blocks.hashes)
+            kept = replace(kept, stored=found)
+        self.lookups[blocks.hashes[-1]] = kept
+        self.lookups.move_to_end(blocks.hashes[-1])
+        if len(self.lookups) > MAX_REMEMBERED_LOOKUPS:
+            self.lookups.popitem(last=False)
+        return kept
+
+    @callback
+    def prefixes(self, blocks: PromptBlocks, kept: Kept) -> tuple[KeptPrefix, ...]:
+        """Return what may be imported now, for the choice of an engine."""
+        now = self.clock.monotonic()
+        known = {link.store_url for link in self.source.stores()}
+        credit = self.limits.link_credit(blocks.service)
+        found = []
+        for stored in kept.stored:
+            if stored.store_url not in known:
+                continue
+            if not self.board.usable(stored.store_url, now=now):
+                continue
+            size = stored.depth * KEPT_BYTES_PER_BLOCK
+            if credit < size:
+                self.limits.want_link(blocks.service, size)
+            prefix = self._prefix(blocks, stored, credit, now)
+            found.append(prefix)
+        return tuple(found)
+
+    async def async_hold(
+        self,
+        blocks: PromptBlocks,
+        kept: KeptBlocks | None,
+        *,
+        cached_blocks: int,
+        deadline: float,
+    ) -> KeptBlocks | None:
+        """Hold blocks before the engine is told to import them.
+
+        Returns those from the start that are really there, or ``None`` when no
+        import is left. Never raises: without the store the engine computes.
+        """
+        if kept is None:
+            return None
+        link = self._store(kept.store_url)
+        if link is None:
+            return None
+        try:
+            async with asyncio.timeout(HOLD_TIMEOUT_SECONDS):
+                held = await link.store.async_hold(
+                    kept.names, seconds=min(deadline, HOLD_SECONDS)
+                )
+        except (GypsumsailError, TimeoutError) as error:
+            _LOGGER.debug("Hold at %s failed: %s", kept.store_url, error)
+            self._called(kept.store_url, well=False)
+            return None
+        self._called(kept.store_url, well=True)
+        depth = _leading(kept.names, held)
+        if depth < len(kept.names):
+            withdraw = self.context.async_withdraw(blocks.hashes, kept.store_url, depth)
+            self._start(withdraw)
+        if depth <= cached_blocks:
+            return None
+        self._count_import(blocks, kept, depth - cached_blocks)
+        self._start(self.finder.async_used(link, kept.names))
+        return KeptBlocks(store_url=kept.store_url, names=kept.names[:depth])
+
+    @callback
+    def on_answer_ended(self, answer: AnsweredPrompt) -> None:
+        """Publish what the engine has now, and plan an export.
+
+        An answer of another weight version than the hashes are for says nothing
+        about them.
+        """
+        blocks = answer.blocks
+        if not blocks.hashes or answer.end.weight_version != blocks.weight_version:
+            return
+        kept = self.lookups.pop(blocks.hashes[-1], NOTHING_KEPT)
+        self._returns(blocks.service).observe(blocks.customer, kept.seen_age)
+        self.context.on_answer_ended(blocks.hashes, answer.target)
+        self._check_import(answer)
+        self._plan_export(answer, kept)
+
+    def _prefix(
+        self, blocks: PromptBlocks, stored: Stored, credit: float, now: float
+    ) -> KeptPrefix:
+        store_url, tier = stored.store_url, stored.tier
+        return KeptPrefix(
+            store_url=store_url,
+            names=stored.names(blocks.hashes),
+            queued_bytes=self.board.queued_bytes(store_url, tier, now=now),
+            bytes_per_second=self.board.bytes_per_second(store_url, tier, now=now),
+            allowed_bytes=credit,
+        )
+
+    def _count_import(
+        self, blocks: PromptBlocks, kept: KeptBlocks, imported: int
+    ) -> None:
+        size = imported * KEPT_BYTES_PER_BLOCK
+        self.limits.want_link(blocks.service, size)
+        self.limits.take_link(blocks.service, size)
+        tier = self._tier_of(blocks, kept.store_url)
+        if tier:
+            self.board.on_moved(kept.store_url, tier, size)
+
+    def _check_import(self, answer: AnsweredPrompt) -> None:
+        """Give back what wasn't imported; leave a store alone that gave nothing."""
+        if answer.kept is None:
+            return
+        named = len(answer.kept.names) * TOKENS_PER_BLOCK
+        missing = named - answer.end.cached_tokens - answer.end.imported_tokens
+        now = self.clock.monotonic()
+        if missing > 0:
+            size = missing // TOKENS_PER_BLOCK * KEPT_BYTES_PER_BLOCK
+            self.limits.take_link(answer.blocks.service, -size)
+            self.board.on_import(answer.kept.store_url, well=False, now=now)
+        elif answer.end.imported_tokens:
+            self.board.on_import(answer.kept.store_url, well=True, now=now)
+        if answer.end.imported_tokens:
+            self.recorder.record(
+                Event(
+                    kind=EventKind.CONTEXT_IMPORTED,
+                    request_id=answer.request_id,
+                    customer=answer.blocks.customer,
+                    service=answer.blocks.service,
+                    target=answer.target,
+                    detail=f"{answer.end.imported_tokens} tokens",
+                )
+            )
+
+    def _plan_export(self, answer: AnsweredPrompt, kept: Kept) -> None:
+        blocks = answer.blocks
+        document = self.documents.document(blocks.service)
+        now = self.clock.monotonic()
+        store_url = self._export_store(blocks, kept, now)
+        if document is None or not store_url:
+            return
+        base = next((one for one in kept.stored if one.store_url == store_url), None)
+        returns = self._returns(blocks.service)
+        facts = ExportFacts(
+            blocks=len(blocks.hashes),
+            stored_blocks=base.depth if base is not None else 0,
+            return_probability=returns.probability(blocks.customer),
+            soon_probability=returns.soon(0.0, BRING_BACK_WITHIN_SECONDS),
+            prefill_tokens_per_second=answer.prefill_tokens_per_second,
+            tiers=self.board.tiers(store_url, now=now),
+        )
+        plan = plan_export(facts, document.tiers.weights)
+        if plan is None:
+            return
+        self.limits.want_link(blocks.service, plan.size)
+        self.exporter.queue.add(
+            ExportJob(
+                service=blocks.service,
+                customer=blocks.customer,
+                target=answer.target,
+                store_url=store_url,
+                salt=blocks.salt,
+                weight_version=blocks.weight_version,
+                key=directory_keys(blocks.hashes)[0],
+                hashes=blocks.hashes,
+                base=base.runs if base is not None else (),
+                plan=plan,
+                queued_at=now,
+            )
+        )
+
+    def _export_store(self, blocks: PromptBlocks, kept: Kept, now: float) -> str:
+        """Return the store that has the prompt's start, else one by its key."""
+        usable = [
+            link.store_url
+            for link in self._stores(blocks.service)
+            if self.board.usable(link.store_url, now=now)
+        ]
+        for stored in kept.stored:
+            if stored.store_url in usable:
+                return stored.store_url
+        return owner(directory_keys(blocks.hashes)[0], usable) if usable else ""
+
+    def _may_export(self, service: str) -> bool:
+        """Return whether there is credit beyond what is reserved for imports."""
+        return self.limits.link_free_share(service) > IMPORT_RESERVE_SHARE
+
+    def _returns(self, service: str) -> ReturnModel:
+        return self.returns.setdefault(service, ReturnModel())
+
+    def _called(self, store_url: str, *, well: bool) -> None:
+        self.board.on_call(store_url, well=well, now=self.clock.monotonic())
+
+    def _store(self, store_url: str) -> StoreLink | None:
+        links = (link for link in self.source.stores() if link.store_url == store_url)
+        return next(links, None)
+
+    def _stores(self, service: str) -> Sequence[StoreLink]:
+        return [link for link in self.source.stores() if link.service == service]
+
+    def _tier_of(self, blocks: PromptBlocks, store_url: str) -> str:
+        kept = self.lookups.get(blocks.hashes[-1], NOTHING_KEPT)
+        tiers = (one.tier for one in kept.stored if one.store_url == store_url)
+        return next(tiers, "")
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def _on_report(self, report: StoreReport) -> None:
+        now = self.clock.monotonic()
+        self.board.on_report(report.store_url, report.tiers, now=now)
+
+    async def _async_on_report(self, _peer: EntryId, message: StoreReport) -> None:
+        self._on_report(message)
+
+
+def _leading(names: tuple[str, ...], held: set[str]) -> int:
+    """Return how many names from the first on are held."""
+    for count, name in enumerate(names):
+        if name not in held:
+            return count
+    return len(names)
--- /dev/null
+++ b/src/gypsumsail/tiers/export.py
@@ -0,0 +1,111 @@
+"""Decides what is exported after an answer, and where to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumsail.context.const import KEPT_BYTES_PER_BLOCK, TOKENS_PER_BLOCK
+from gypsumsail.document.models import TierWeights
+from gypsumsail.stores.port import Tier, TierLoad
+from gypsumsail.tiers.const import (
+    DEFAULT_LINK_BYTES_PER_SECOND,
+    LEAST_EXPORT_BLOCKS,
+    MEMORY_FOR_RETURNS,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ExportFacts:
+    """What speaks for and against an export.
+
+    Attributes
+    ----------
+    blocks
+        Full blocks of the prompt.
+    stored_blocks
+        Blocks from its start that the store has already.
+    return_probability
+        Chance that the prompt comes back.
+    soon_probability
+        Chance that a return comes within `BRING_BACK_WITHIN_SECONDS`.
+    prefill_tokens_per_second
+        Speed at which the engine would compute the blocks again.
+    """
+
+    blocks: int
+    stored_blocks: int
+    return_probability: float
+    soon_probability: float
+    prefill_tokens_per_second: float
+    tiers: tuple[TierLoad, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ExportPlan:
+    """Blocks to export from ``start`` on.
+
+    Attributes
+    ----------
+    value
+        Weighted seconds that the export is expected to save.
+    """
+
+    start: int
+    blocks: int
+    tier: Tier
+    value: float
+
+    @property
+    def size(self) -> int:
+        """Return the bytes on the link."""
+        return self.blocks * KEPT_BYTES_PER_BLOCK
+
+    @property
+    def value_per_byte(self) -> float:
+        """Return by what exports are ordered while the link is short."""
+        return self.value / self.size
+
+
+def plan_export(facts: ExportFacts, weights: TierWeights) -> ExportPlan | None:
+    """Return the export that pays, or ``None``.
+
+    A return saves computing the blocks and costs an import; the export costs the
+    link now. All three are in seconds, weighed as the service document says.
+    """
+    blocks = facts.blocks - facts.stored_blocks
+    if blocks < LEAST_EXPORT_BLOCKS:
+        return None
+    tier = choose_tier(facts, blocks * KEPT_BYTES_PER_BLOCK)
+    if tier is None:
+        return None
+    computing = blocks * TOKENS_PER_BLOCK / facts.prefill_tokens_per_second
+    moving = blocks * KEPT_BYTES_PER_BLOCK / _speed(tier)
+    saved = (weights.first_token + weights.recomputed) * computing
+    imported = (weights.first_token + weights.link_use) * moving
+    exported = weights.link_use * moving
+    value = facts.return_probability * max(saved - imported, 0.0) - exported
+    if value <= 0:
+        return None
+    return ExportPlan(
+        start=facts.stored_blocks, blocks=blocks, tier=tier.tier, value=value
+    )
+
+
+def choose_tier(facts: ExportFacts, size: int) -> TierLoad | None:
+    """Return the tier to write to, or ``None`` when neither has room.
+
+    Memory is for prompts that are likely back soon, and for all while it has
+    plenty of room.
+    """
+    with_room = {
+        load.tier: load for load in facts.tiers if load.used + size <= load.limit
+    }
+    memory, disk = with_room.get(Tier.MEMORY), with_room.get(Tier.DISK)
+    if memory is None or disk is None:
+        return memory or disk
+    plenty = memory.used + size <= MEMORY_FOR_RETURNS * memory.limit
+    return memory if plenty or facts.soon_probability > 0.5 else disk
+
+
+def _speed(load: TierLoad) -> float:
+    return load.bytes_per_second or DEFAULT_LINK_BYTES_PER_SECOND
--- /dev/null
+++ b/src/gypsumsail/tiers/exporter.py
@@ -0,0 +1,197 @@
+"""Carries out planned exports within the link budget."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from gypsumsail.context.coordinator import ContextCoordinator
+from gypsumsail.context.generation import Generation, new_generation
+from gypsumsail.context.models import Stored, StoredRun
+from gypsumsail.context.port import EngineLink, TargetSource
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import GypsumsailError, TransportError
+from gypsumsail.limits.coordinator import LimitCoordinator
+from gypsumsail.targets.port import ExportBlocks
+from gypsumsail.tiers.board import StoreBoard
+from gypsumsail.tiers.const import (
+    BUSY_LINK_SECONDS,
+    EXPORT_INTERVAL_SECONDS,
+    EXPORT_TIMEOUT_SECONDS,
+    MAX_EXPORT_BLOCKS_PER_CALL,
+    MAX_RUNNING_EXPORTS,
+)
+from gypsumsail.tiers.export_queue import ExportJob, ExportQueue
+from gypsumsail.timeline.models import Event, EventKind
+from gypsumsail.timeline.port import Recorder
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Exporter:
+    """Runs the exports of one entry, a few at a time.
+
+    Parameters
+    ----------
+    may_start
+        Returns whether the link budget of a service has credit for exports.
+    """
+
+    def __init__(
+        self,
+        context: ContextCoordinator,
+        limits: LimitCoordinator,
+        board: StoreBoard,
+        source: TargetSource,
+        recorder: Recorder,
+        clock: Clock,
+        *,
+        may_start: Callable[[str], bool],
+    ) -> None:
+        self.context = context
+        self.limits = limits
+        self.board = board
+        self.source = source
+        self.recorder = recorder
+        self.clock = clock
+        self.may_start = may_start
+        self.queue = ExportQueue()
+        self.running: set[asyncio.Task[None]] = set()
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to export."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_unload(self) -> None:
+        """Stop; an export cut off leaves blocks that no directory names."""
+        tasks = list(self.running)
+        if self._task is not None:
+            tasks.append(self._task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._task = None
+
+    async def _async_run(self) -> None:
+        while True:
+            await asyncio.sleep(EXPORT_INTERVAL_SECONDS)
+            self.start_next()
+
+    @callback
+    def start_next(self) -> None:
+        """Start the most valuable export if the link has room for it."""
+        if len(self.running) >= MAX_RUNNING_EXPORTS:
+            return
+        now = self.clock.monotonic()
+        job = self.queue.take(now=now)
+        if job is None:
+            return
+        if not self.may_start(job.service) or self._link_busy(job, now):
+            self.queue.add(job)
+            return
+        task = asyncio.create_task(self._async_export(job))
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+
+    def _link_busy(self, job: ExportJob, now: float) -> bool:
+        tier = job.plan.tier
+        if not self.board.usable(job.store_url, now=now):
+            return True
+        queued = self.board.queued_bytes(job.store_url, tier, now=now)
+        speed = self.board.bytes_per_second(job.store_url, tier, now=now)
+        return queued / speed > BUSY_LINK_SECONDS
+
+    async def _async_export(self, job: ExportJob) -> None:
+        link = self._engine(job.target)
+        if link is None:
+            return
+        generation = new_generation(job.plan.start, job.key)
+        end = job.plan.start
+        last = job.plan.start + job.plan.blocks
+        while end < last:
+            stop = min(end + MAX_EXPORT_BLOCKS_PER_CALL, last)
+            wrote = await self._async_write(job, link, generation, end, stop)
+            end += wrote
+            if end < stop:
+                break
+        if end > job.plan.start:
+            self._publish(job, generation, end)
+
+    async def _async_write(
+        self,
+        job: ExportJob,
+        link: EngineLink,
+        generation: Generation,
+        start: int,
+        stop: int,
+    ) -> int:
+        """Write some blocks; return how many are whole from ``start`` on.
+
+        A call that failed isn't repeated: its names may be in use already.
+        """
+        part = job.hashes[start:stop]
+        order = ExportBlocks(
+            cache_salt=job.salt,
+            weight_version=job.weight_version,
+            block_hashes=part,
+            generation=str(generation),
+            store_url=job.store_url,
+            tier=str(job.plan.tier),
+        )
+        try:
+            async with asyncio.timeout(EXPORT_TIMEOUT_SECONDS):
+                result = await link.engine.async_export(order)
+        except (GypsumsailError, TimeoutError) as error:
+            _LOGGER.info("Export from %s failed: %s", job.target, error)
+            return 0
+        self.limits.take_link(job.service, result.bytes_sent)
+        self.board.on_moved(job.store_url, job.plan.tier, result.bytes_sent)
+        stored = set(result.stored)
+        whole = 0
+        while whole < len(part) and part[whole] in stored:
+            whole += 1
+        await self._async_free_rest(job, generation, part[whole:], stored)
+        return whole
+
+    async def _async_free_rest(
+        self,
+        job: ExportJob,
+        generation: Generation,
+        rest: tuple[str, ...],
+        stored: set[str],
+    ) -> None:
+        """Free blocks that were written after one that wasn't."""
+        names = tuple(f"{block}.{generation}" for block in rest if block in stored)
+        links = (
+            link for link in self.source.stores() if link.store_url == job.store_url
+        )
+        store = next((link.store for link in links), None)
+        if not names or store is None:
+            return
+        try:
+            await store.async_free(names)
+        except TransportError as error:
+            _LOGGER.debug("Freeing at %s failed: %s", job.store_url, error)
+
+    def _publish(self, job: ExportJob, generation: Generation, end: int) -> None:
+        run = StoredRun(end=end, generation=str(generation))
+        stored = Stored(
+            store_url=job.store_url, tier=str(job.plan.tier), runs=(*job.base, run)
+        )
+        self.context.on_stored(job.hashes, stored)
+        self.recorder.record(
+            Event(
+                kind=EventKind.CONTEXT_EXPORTED,
+                customer=job.customer,
+                service=job.service,
+                target=job.target,
+                detail=f"{end - job.plan.start} blocks to {job.plan.tier}",
+            )
+        )
+
+    def _engine(self, target: str) -> EngineLink | None:
+        links = (link for link in self.source.engines() if link.target == target)
+        return next(links, None)
--- /dev/null
+++ b/src/gypsumsail/tiers/keeper.py
@@ -0,0 +1,186 @@
+"""Keeps the stores that this entry is responsible for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+import logging
+from typing import TypeVar
+
+from gypsumsail.context.owners import owner_in_zone
+from gypsumsail.context.port import StoreLink, TargetSource
+from gypsumsail.context.store_view import StoredExport, StoreView
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import GypsumsailError, TransportError
+from gypsumsail.core.rendezvous import owner
+from gypsumsail.peers.port import EntryId, PeerNetwork
+from gypsumsail.stores.port import StoreLoad, Tier
+from gypsumsail.tiers.const import (
+    CONTENTS_ROUNDS,
+    FREE_BATCH,
+    KEEP_INTERVAL_SECONDS,
+    STORE_TIMEOUT_SECONDS,
+)
+from gypsumsail.tiers.eviction import plan_room
+from gypsumsail.tiers.messages import StoreReport
+from gypsumsail.tiers.returns import ReturnModel
+
+_LOGGER = logging.getLogger(__name__)
+_ResultT = TypeVar("_ResultT")
+
+
+def keeper_of(link: StoreLink, entries: Iterable[EntryId]) -> EntryId:
+    """Return the entry that keeps a store: of the store's zone, if there is one."""
+    known = tuple(entries)
+    found = owner_in_zone(link.store_url, link.zone, known)
+    if found is not None:
+        return found
+    by_name = {entry.name: entry for entry in known}
+    return by_name[owner(link.store_url, by_name)]
+
+
+@dataclass(slots=True)
+class KeptStore:
+    """A store that this entry keeps."""
+
+    link: StoreLink
+    view: StoreView
+    rounds: int = 0
+
+
+class StoreKeeper:
+    """Reads the stores' loads for all entries, and makes room in them.
+
+    Parameters
+    ----------
+    on_report
+        Called with each report, also those that go to the other entries.
+    async_on_lost
+        Called when a store came back empty.
+    """
+
+    def __init__(
+        self,
+        me: EntryId,
+        network: PeerNetwork,
+        source: TargetSource,
+        clock: Clock,
+        *,
+        returns: Callable[[str], ReturnModel],
+        on_report: Callable[[StoreReport], None],
+        async_on_lost: Callable[[str], Awaitable[None]],
+    ) -> None:
+        self.me = me
+        self.network = network
+        self.source = source
+        self.clock = clock
+        self.returns = returns
+        self.on_report = on_report
+        self.async_on_lost = async_on_lost
+        self.stores: dict[str, KeptStore] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to keep stores."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_unload(self) -> None:
+        """Stop; another entry keeps the stores as soon as this one is gone."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+
+    async def _async_run(self) -> None:
+        while True:
+            await self.async_round()
+            await asyncio.sleep(KEEP_INTERVAL_SECONDS)
+
+    async def async_round(self) -> None:
+        """Look after each store once, all at the same time."""
+        self._adjust()
+        kept = list(self.stores.values())
+        await asyncio.gather(*(self._async_keep(store) for store in kept))
+
+    def _adjust(self) -> None:
+        entries = (self.me, *self.network.peers())
+        mine = {
+            link.store_url: link
+            for link in self.source.stores()
+            if keeper_of(link, entries) == self.me
+        }
+        for store_url in self.stores.keys() - mine.keys():
+            del self.stores[store_url]
+        for store_url, link in mine.items():
+            if store_url not in self.stores:
+                self.stores[store_url] = KeptStore(link, StoreView(store_url))
+
+    async def _async_keep(self, kept: KeptStore) -> None:
+        try:
+            load = await _async_limited(kept.link.store.async_load())
+        except GypsumsailError as error:
+            _LOGGER.debug("Store %s failed: %s", kept.link.store_url, error)
+            await self._async_report(kept.link.store_url, None)
+            return
+        await self._async_report(kept.link.store_url, load)
+        restarted = load.incarnation != kept.view.incarnation
+        if restarted or kept.rounds % CONTENTS_ROUNDS == 0:
+            await self._async_follow(kept, load)
+        kept.rounds += 1
+
+    async def _async_report(self, store_url: str, load: StoreLoad | None) -> None:
+        report = StoreReport(
+            store_url=store_url,
+            incarnation=load.incarnation if load is not None else "",
+            tiers=load.tiers if load is not None else (),
+        )
+        self.on_report(report)
+        for peer in self.network.peers():
+            try:
+                await self.network.async_send(peer, report)
+            except TransportError as error:
+                _LOGGER.debug("Store report to %s failed: %s", peer.name, error)
+
+    async def _async_follow(self, kept: KeptStore, load: StoreLoad) -> None:
+        store, view = kept.link.store, kept.view
+        try:
+            contents = await _async_limited(store.async_contents(after=view.sequence))
+            if view.apply(contents, now=self.clock.monotonic()):
+                await self.async_on_lost(kept.link.store_url)
+                contents = await _async_limited(store.async_contents(after=0))
+                view.apply(contents, now=self.clock.monotonic())
+            await self._async_make_room(kept, load)
+        except GypsumsailError as error:
+            _LOGGER.info("Keeping store %s failed: %s", kept.link.store_url, error)
+
+    async def _async_make_room(self, kept: KeptStore, load: StoreLoad) -> None:
+        plan = plan_room(
+            kept.view.exports.values(),
+            load,
+            self.returns(kept.link.service),
+            now=self.clock.monotonic(),
+        )
+        store = kept.link.store
+        for export in plan.free:
+            kept.view.freed(str(export.generation))
+        for names in _batches(plan.free):
+            await _async_limited(store.async_free(names))
+        for names in _batches(plan.to_disk):
+            await store.async_move(names, tier=Tier.DISK)
+        for names in _batches(plan.to_memory):
+            await store.async_move(names, tier=Tier.MEMORY)
+
+
+async def _async_limited(call: Awaitable[_ResultT]) -> _ResultT:
+    try:
+        async with asyncio.timeout(STORE_TIMEOUT_SECONDS):
+            return await call
+    except TimeoutError as error:
+        raise TransportError("store gave no answer in time", sent=True) from error
+
+
+def _batches(exports: Iterable[StoredExport]) -> Iterable[tuple[str, ...]]:
+    names = [name for export in exports for name in export.names()]
+    for start in range(0, len(names), FREE_BATCH):
+        yield tuple(names[start : start + FREE_BATCH])
--- a/tests/context/test_coordinator.py
+++ b/tests/context/test_coordinator.py
@@ -122,6 +122,16 @@
     await joined.async_unload()
 
 
+async def test_a_shared_start_is_no_return(entries: Entries) -> None:
+    entries.other("a").on_stored(DOSSIER, make_stored((40, "g")))
+    await async_until(lambda: entries.knows(entries.owner("a")))
+    longer = make_hashes([*range(40), *["other"] * 60])
+    kept = await entries.other("a").async_lookup(longer)
+    assert kept.stored[0].depth == 40
+    assert kept.seen_age is None
+    assert (await entries.other("a").async_lookup(DOSSIER)).seen_age is not None
+
+
 async def test_withdrawn_blocks_are_not_offered_again(entries: Entries) -> None:
     asker = entries.other("b")
     asker.on_stored(DOSSIER, make_stored((40, "g")))
--- /dev/null
+++ b/tests/tiers/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the memory and disk tiers."""
+
+from __future__ import annotations
