Fit tiers and limits to the entry's ports, and tell peers' choices

Cause: the entry asks for a context view, an admission and a retry budget by its own ports; entries with one stale report don't see each other's choices.

--- a/src/gypsumsail/limits/bucket.py
+++ b/src/gypsumsail/limits/bucket.py
@@ -51,6 +51,10 @@
         self._earn(now)
         self.credit -= amount
 
+    def give_back(self, amount: float) -> None:
+        """Take back what was counted and not used."""
+        self.credit = min(self.credit + amount, max(self.burst, self.credit))
+
     def wait(self, *, now: float) -> float:
         """Return the seconds until a request may start."""
         self._earn(now)
--- a/src/gypsumsail/limits/coordinator.py
+++ b/src/gypsumsail/limits/coordinator.py
@@ -115,6 +115,13 @@
         self._state(service).served.add(tokens, now=now)
         self.retry_budget(service).succeeded(now)
 
+    @callback
+    def give_back(self, service: str, customer: str, tokens: float) -> None:
+        """Return tokens that an admitted request didn't use."""
+        state = self._state(service).customers.get(customer)
+        if state is not None and state.bucket is not None:
+            state.bucket.give_back(tokens)
+
     @callback
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the budget from which a retry must be taken before it is sent."""
--- /dev/null
+++ b/src/gypsumsail/routing/choice_gossip.py
@@ -0,0 +1,127 @@
+"""Tells the other entries what was sent where, ahead of the engines' reports."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+import logging
+
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.peers.codec import message
+from gypsumsail.peers.port import EntryId, Message, PeerNetwork
+from gypsumsail.routing.const import (
+    MAX_TOLD_PEERS,
+    PEER_WORK_SECONDS,
+    PRIORITIES,
+    TELL_INTERVAL_SECONDS,
+)
+from gypsumsail.routing.loads import EngineLoads, SentWork
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChoiceRow:
+    """One request that an entry sent.
+
+    Attributes
+    ----------
+    age
+        Seconds since it was sent.
+    """
+
+    target: str
+    tokens: int
+    priority: int
+    age: float
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.priority < PRIORITIES or self.tokens < 0 or self.age < 0:
+            raise ValueError("choice is out of range")
+
+
+@message("routing.choices")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChoicesMade(Message):
+    """Requests that the sender has sent since its last message."""
+
+    rows: tuple[ChoiceRow, ...]
+
+
+class ChoiceGossip:
+    """Counts other entries' choices into this entry's view of the loads.
+
+    With more than `MAX_TOLD_PEERS` peers nothing is told, since it would cost more
+    than it helps: each entry then sees little of the load anyway, and the drawn
+    choice alone keeps entries apart.
+    """
+
+    def __init__(self, network: PeerNetwork, loads: EngineLoads, clock: Clock) -> None:
+        self.network = network
+        self.loads = loads
+        self.clock = clock
+        self._unsubscribe: Callable[[], None] | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to tell and to listen."""
+        self._unsubscribe = self.network.subscribe(ChoicesMade, self._async_on_choices)
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_unload(self) -> None:
+        """Stop to tell and to listen."""
+        if self._unsubscribe is not None:
+            self._unsubscribe()
+            self._unsubscribe = None
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+
+    async def _async_run(self) -> None:
+        while True:
+            await asyncio.sleep(TELL_INTERVAL_SECONDS)
+            await self.async_tell()
+
+    async def async_tell(self) -> None:
+        """Tell the peers what was sent since the last time."""
+        choices = self._take()
+        peers = self.network.peers()
+        if choices is None or len(peers) > MAX_TOLD_PEERS:
+            return
+        for peer in peers:
+            try:
+                await self.network.async_send(peer, choices)
+            except TransportError as error:
+                _LOGGER.debug("Choices to %s failed: %s", peer.name, error)
+
+    def _take(self) -> ChoicesMade | None:
+        if not self.loads.untold:
+            return None
+        now = self.clock.monotonic()
+        rows = tuple(
+            ChoiceRow(
+                target=sent.target,
+                tokens=sent.work.tokens,
+                priority=sent.work.priority,
+                age=max(now - sent.work.sent_at, 0.0),
+            )
+            for sent in self.loads.untold
+        )
+        self.loads.untold.clear()
+        return ChoicesMade(rows=rows)
+
+    async def _async_on_choices(self, _peer: EntryId, message: ChoicesMade) -> None:
+        now = self.clock.monotonic()
+        for row in message.rows:
+            if row.age > PEER_WORK_SECONDS:
+                continue
+            work = SentWork(
+                tokens=row.tokens,
+                tokens_ahead=0.0,
+                priority=row.priority,
+                sent_at=now - row.age,
+            )
+            self.loads.on_peer_sent(row.target, work)
--- a/src/gypsumsail/routing/loads.py
+++ b/src/gypsumsail/routing/loads.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from gypsumsail.routing.const import (
     DEFAULT_DECODE_STEP_SECONDS,
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
+    MAX_UNTOLD,
     PEER_WORK_SECONDS,
     PRIORITIES,
     UNREPORTED_STALENESS_SECONDS,
@@ -40,6 +42,14 @@
     first_token_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetWork:
+    """Work and the engine that it was sent to."""
+
+    target: str
+    work: SentWork
+
+
 @dataclass(slots=True, kw_only=True)
 class EngineLoad:
     """What is believed of one engine."""
@@ -98,11 +108,14 @@
         Load by target.
     urgency
         Prompt tokens sent by priority, by which a reported queue is split.
+    untold
+        Work sent by this entry that the other entries weren't told of yet.
     """
 
     def __init__(self) -> None:
         self.engines: dict[str, EngineLoad] = {}
         self.urgency = [1.0] * PRIORITIES
+        self.untold: deque[TargetWork] = deque(maxlen=MAX_UNTOLD)
 
     def on_report(self, target: str, report: LoadReport, *, now: float) -> None:
         """Take a load report; an older one than the last is dropped."""
@@ -121,6 +134,7 @@
     def on_sent(self, target: str, attempt_id: str, work: SentWork) -> None:
         """Count a request that this entry sends."""
         self._load(target).sent[attempt_id] = work
+        self.untold.append(TargetWork(target=target, work=work))
         self.urgency = [URGENCY_FADING * tokens for tokens in self.urgency]
         self.urgency[work.priority] += work.tokens
 
@@ -154,6 +168,21 @@
             return
         load.decode.observe(answer_tokens - 1, now - work.first_token_at, now=now)
 
+    def prefill_rate(self, target: str, *, now: float) -> float:
+        """Return the prompt tokens a second that an engine computes."""
+        return self._load(target).prefill.rate(now=now)
+
+    def backlog_seconds(self, targets: Iterable[str], *, now: float) -> float:
+        """Return the wait for the least loaded of some engines; 0 without any."""
+        loads = [self._load(target) for target in targets]
+        least_urgent = PRIORITIES - 1
+        waits = (
+            load.tokens_ahead(least_urgent, urgent_share=1.0, now=now)
+            / load.prefill.rate(now=now)
+            for load in loads
+        )
+        return min(waits, default=0.0)
+
     def forget(self, target: str) -> None:
         """Drop an engine that is gone."""
         self.engines.pop(target, None)
--- a/tests/context/common.py
+++ b/tests/context/common.py
@@ -61,19 +61,6 @@
     return CacheEvents(incarnation=incarnation, events=events, next_sequence=last)
 
 
-class ManualClock:
-    """Clock that stands still unless moved."""
-
-    def __init__(self) -> None:
-        self.time = 1000.0
-
-    def monotonic(self) -> float:
-        return self.time
-
-    def wall(self) -> float:
-        return self.time
-
-
 class FakeNetwork:
     """Links within one process; entries in ``cut`` can't be reached.
 
--- a/tests/context/test_coordinator.py
+++ b/tests/context/test_coordinator.py
@@ -13,12 +13,12 @@
 from gypsumsail.context.owners import owner_in_zone
 from gypsumsail.context.port import EngineLink, StoreLink
 from gypsumsail.peers.port import EntryId
+from tests.common import ManualClock
 from tests.peers.common import async_until
 
 from .common import (
     STORE,
     FakeNetwork,
-    ManualClock,
     make_hashes,
     make_stored,
 )
--- a/tests/limits/test_coordinator.py
+++ b/tests/limits/test_coordinator.py
@@ -19,7 +19,8 @@
 from gypsumsail.limits.models import AdmitRequest, Admitted
 from gypsumsail.limits.priority import effective_priority
 from gypsumsail.peers.port import EntryId
-from tests.context.common import FakeNetwork, ManualClock
+from tests.common import ManualClock
+from tests.context.common import FakeNetwork
 
 ARES = Customer(
     name="ares", key_digests=(), share=1.0, tokens_per_second=1000.0, max_priority=3
@@ -77,7 +78,7 @@
     request = AdmitRequest(customer="ares", tokens=50.0, priority=5, backlog=0.0)
     admitted = 0.0
     for step in range(seconds * 10):
-        clock.time += 0.1
+        clock.now += 0.1
         for number in range(20):
             coordinator = busy[number % len(busy)]
             if isinstance(coordinator.admit("claims", request), Admitted):
@@ -116,7 +117,7 @@
     assert isinstance(clock, ManualClock)
     moved = 0.0
     for step in range(300):
-        clock.time += 0.1
+        clock.now += 0.1
         for coordinator in coordinators:
             coordinator.want_link("claims", 500.0)
             if coordinator.link_credit("claims") > 0:
--- /dev/null
+++ b/tests/limits/test_entry_admission.py
@@ -0,0 +1,97 @@
+"""Tests of the admission of an entry's jobs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from random import Random
+
+import pytest
+
+from gypsumsail.core.errors import OverloadedError, RunState
+from gypsumsail.document.models import ServiceDocument
+from gypsumsail.entry.models import ModelJob
+from gypsumsail.limits.coordinator import LimitCoordinator
+from gypsumsail.limits.entry_admission import LimitAdmission
+from gypsumsail.peers.port import EntryId
+from gypsumsail.relay.models import Constraints, Progress, Selection
+from tests.common import ManualClock
+from tests.context.common import FakeNetwork
+from tests.relay.common import make_job
+
+
+@dataclass
+class DoneWork:
+    """Work of a job that has ended."""
+
+    progress: Progress
+    job: ModelJob = field(default_factory=make_job)
+
+    async def async_select(self, constraints: Constraints) -> Selection:
+        raise NotImplementedError
+
+    async def async_attempt(self, selection: Selection, attempt_id: str) -> None:
+        raise NotImplementedError
+
+    def abandon(self, selection: Selection, attempt_id: str) -> None:
+        raise NotImplementedError
+
+
+class JobDocument:
+    """Source of the document of the job's service, with a limit."""
+
+    def document(self, service: str) -> ServiceDocument | None:
+        document = make_job().placement.document.document
+        (customer,) = document.customers
+        limited = replace(customer, tokens_per_second=100.0)
+        return replace(document, customers=(limited,))
+
+
+def make_admission(backlog: float) -> LimitAdmission:
+    me = EntryId(name="a", incarnation="1", zone="z")
+    limits = LimitCoordinator(
+        me, FakeNetwork(me, {}), JobDocument(), ManualClock(), Random(1)
+    )
+    return LimitAdmission(limits, backlog=lambda _: backlog)
+
+
+def admitted(admission: LimitAdmission) -> int:
+    """Return how many jobs are admitted before the first refusal."""
+    for count in range(100):
+        try:
+            admission.admit(make_job(), 1000.0)
+        except OverloadedError:
+            return count
+    return 100
+
+
+def test_a_customer_at_its_limit_is_refused_as_not_run() -> None:
+    admission = make_admission(0.0)
+    assert 0 < admitted(admission) < 100
+    with pytest.raises(OverloadedError) as refusal:
+        admission.admit(make_job(), 1000.0)
+    assert refusal.value.run_state is RunState.NOT_RUN
+    assert refusal.value.retry_after is not None
+
+
+def test_a_backlog_refuses_at_once() -> None:
+    assert admitted(make_admission(1000.0)) == 0
+
+
+@pytest.mark.parametrize(
+    ("state", "tokens_out", "room"),
+    [
+        (RunState.NOT_RUN, 0, True),
+        (RunState.RAN, 0, True),
+        (RunState.RAN, 10**6, False),
+    ],
+)
+def test_what_was_not_used_is_given_back(
+    state: RunState, tokens_out: int, room: bool
+) -> None:
+    admission = make_admission(0.0)
+    admitted(admission)
+    work = DoneWork(Progress(run_state=state, tokens_out=tokens_out))
+    admission.finished(make_job(), work, 1000.0)
+    assert (admitted(admission) > 0) == room
+    served = admission.limits.states["claims"].served.amount
+    assert (served > 0) == (state is RunState.RAN)
--- a/tests/routing/test_loads.py
+++ b/tests/routing/test_loads.py
@@ -76,3 +76,12 @@
     assert rates.prefill_tokens_per_second == pytest.approx(10_000, rel=0.1)
     assert rates.decode_step_seconds == pytest.approx(0.04, rel=0.1)
     assert not loads.engines["e"].sent
+
+
+def test_the_backlog_is_that_of_the_least_loaded_engine() -> None:
+    loads = EngineLoads()
+    loads.on_report("e", make_report(queued_prompt_tokens=40_000), now=10.0)
+    assert loads.backlog_seconds(["e"], now=10.0) == pytest.approx(2.0)
+    loads.on_sent("f", "1", make_work(9.5, tokens=20_000, priority=9))
+    assert loads.backlog_seconds(["e", "f"], now=10.0) == pytest.approx(1.0)
+    assert loads.backlog_seconds([], now=10.0) == 0.0
--- a/tests/tiers/common.py
+++ b/tests/tiers/common.py
@@ -35,8 +35,8 @@
 )
 from gypsumsail.tiers.coordinator import AnsweredPrompt, TierCoordinator
 from gypsumsail.tiers.export import ExportFacts
-from gypsumsail.timeline.models import Event
-from tests.context.common import STORE, FakeNetwork, ManualClock, make_hashes
+from tests.common import EventLog, ManualClock
+from tests.context.common import STORE, FakeNetwork, make_hashes
 from tests.limits.test_coordinator import OneDocument
 
 SERVICE: Final = "claims"
@@ -199,16 +199,6 @@
         return [StoreLink(store_url=STORE, service=SERVICE, zone="a", store=self.store)]
 
 
-class Events:
-    """Recorder that keeps the events."""
-
-    def __init__(self) -> None:
-        self.events: list[Event] = []
-
-    def record(self, event: Event) -> None:
-        self.events.append(event)
-
-
 class Entry:
     """The parts of one entry that handle kept context."""
 
@@ -222,7 +212,7 @@
         me = EntryId(name=name, incarnation="1", zone="a")
         network = FakeNetwork(me, networks)
         documents = OneDocument()
-        self.events = Events()
+        self.events = EventLog()
         self.clock = clock
         self.context = ContextCoordinator(me, network, source, clock)
         self.limits = LimitCoordinator(me, network, documents, clock, Random(1))
--- a/tests/tiers/test_coordinator.py
+++ b/tests/tiers/test_coordinator.py
@@ -11,7 +11,8 @@
 from gypsumsail.peers.port import EntryId
 from gypsumsail.targets.port import KeptBlocks
 from gypsumsail.timeline.models import EventKind
-from tests.context.common import STORE, FakeNetwork, ManualClock
+from tests.common import ManualClock
+from tests.context.common import STORE, FakeNetwork
 from tests.peers.common import async_until
 
 from .common import (
@@ -73,7 +74,7 @@
         await entry.async_setup()
     for entry in (first, second):
         board = entry.tiers.board
-        await async_until(lambda board=board: bool(board.tiers(STORE, now=clock.time)))  # type: ignore[misc]
+        await async_until(lambda board=board: bool(board.tiers(STORE, now=clock.now)))  # type: ignore[misc]
     yield Setup(first, second, engine, store, clock)
     for entry in (first, second):
         await entry.async_unload()
@@ -108,7 +109,7 @@
     two.store.dead = False
     for entry in (two.first, two.second):
         await entry.tiers.keeper.async_round()
-    two.clock.time += 2.0
+    two.clock.now += 2.0
     assert two.second.tiers.prefixes(make_blocks(), found)
     assert await two.second.async_held(kept) == kept
 
@@ -139,7 +140,7 @@
             entry.context.directory.remove(record)
     found = await two.second.tiers.async_lookup(make_blocks())
     assert found.stored[0].names(HASHES) == kept.names
-    two.clock.time += 10_000
+    two.clock.now += 10_000
     assert not (await two.second.tiers.async_lookup(make_blocks())).stored
 
 
@@ -161,7 +162,7 @@
         two.first.tiers.exporter.start_next()
     assert not two.engine.orders
     assert two.first.tiers.exporter.queue.jobs
-    two.clock.time += 30.0
+    two.clock.now += 30.0
     two.first.tiers.exporter.start_next()
     await async_until(lambda: bool(two.engine.orders))
 
