--- a/src/gypsumsail/routing/choose.py
+++ b/src/gypsumsail/routing/choose.py
@@ -23,7 +23,7 @@
     StickyByCustomer,
 )
 from gypsumsail.routing.policies.baselines import (
-    plan_on,
+    carry_out_on,
     take_in_turn,
     take_least_loaded,
     take_longest_prefix,
@@ -59,4 +59,4 @@
             candidate = take_sticky(request, candidates)
         case PrefixAffinity():
             candidate = take_longest_prefix(candidates, rng)
-    return plan_on(request, candidate, weights, use_store=use_store).chosen
+    return carry_out_on(request, candidate, use_store=use_store)
--- a/src/gypsumsail/routing/cost.py
+++ b/src/gypsumsail/routing/cost.py
@@ -18,40 +18,56 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Plan:
-    """One way to serve a request on one engine, and its weighted cost."""
+    """One way to serve a request on one engine.
+
+    Attributes
+    ----------
+    imported_blocks
+        Blocks to import from ``kept``.
+    score
+        Weighted seconds that it costs; the lowest is the best.
+    """
 
-    chosen: Chosen
+    candidate: Candidate
+    kept: KeptPrefix | None
+    imported_blocks: int
     score: float
 
 
-def expect(
+def first_token_seconds(
     request: RouteRequest,
     candidate: Candidate,
     kept: KeptPrefix | None,
     imported_blocks: int,
-) -> Expectation:
-    """Return what to expect when so many blocks are imported.
+) -> float:
+    """Return the time to the first token when so many blocks are imported.
 
     The import runs while the request waits for the tokens ahead of it.
     """
     rate = candidate.rates.prefill_tokens_per_second
-    reused_blocks = candidate.cached_blocks + imported_blocks
-    computed = max(request.prompt_tokens - reused_blocks * TOKENS_PER_BLOCK, 0)
     waiting = candidate.tokens_ahead / rate
-    link_bytes = 0
     if kept is not None and imported_blocks:
-        link_bytes = imported_blocks * kept.block_bytes
-        moved = (kept.queued_bytes + link_bytes) / kept.bytes_per_second
-        waiting = max(waiting, moved)
-    first_token = candidate.zone_seconds + waiting + computed / rate
-    answer = request.answer_tokens * candidate.rates.decode_step_seconds
-    return Expectation(
-        first_token=first_token,
-        whole_answer=first_token + answer,
-        computed_tokens=computed,
-        imported_tokens=imported_blocks * TOKENS_PER_BLOCK,
-        link_bytes=link_bytes,
+        size = kept.queued_bytes + imported_blocks * kept.block_bytes
+        waiting = max(waiting, size / kept.bytes_per_second)
+    computed = computed_tokens(request, candidate, imported_blocks)
+    return candidate.zone_seconds + waiting + computed / rate
+
+
+def computed_tokens(
+    request: RouteRequest, candidate: Candidate, imported_blocks: int
+) -> int:
+    """Return the prompt tokens that the engine has to compute."""
+    reused = (candidate.cached_blocks + imported_blocks) * TOKENS_PER_BLOCK
+    return max(request.prompt_tokens - reused, 0)
+
+
+def whole_answer_seconds(request: RouteRequest, plan: Plan) -> float:
+    """Return the time to the end of the answer."""
+    first_token = first_token_seconds(
+        request, plan.candidate, plan.kept, plan.imported_blocks
     )
+    step = plan.candidate.rates.decode_step_seconds
+    return first_token + request.answer_tokens * step
 
 
 def importable_blocks(candidate: Candidate, kept: KeptPrefix) -> int:
@@ -67,40 +83,54 @@
     request: RouteRequest, candidate: Candidate, weights: TierWeights
 ) -> Plan:
     """Return the cheapest mix of import and computing on an engine."""
-    best = make_plan(request, candidate, weights, None, 0)
+    best_kept: KeptPrefix | None = None
+    best_blocks = 0
+    best_score = score(request, candidate, weights, None, 0)
     for kept in request.kept:
         for blocks in _import_sizes(candidate, kept):
-            plan = make_plan(request, candidate, weights, kept, blocks)
-            if plan.score < best.score:
-                best = plan
-    return best
+            found = score(request, candidate, weights, kept, blocks)
+            if found < best_score:
+                best_kept, best_blocks, best_score = kept, blocks, found
+    return Plan(
+        candidate=candidate,
+        kept=best_kept,
+        imported_blocks=best_blocks,
+        score=best_score,
+    )
 
 
-def make_plan(
+def score(
     request: RouteRequest,
     candidate: Candidate,
     weights: TierWeights,
     kept: KeptPrefix | None,
     blocks: int,
-) -> Plan:
-    """Return the plan that imports so many blocks.
-
-    The score adds seconds: to the first token, of engine work, of link use.
-    """
-    expected = expect(request, candidate, kept, blocks)
-    recomputed = expected.computed_tokens / candidate.rates.prefill_tokens_per_second
-    link = expected.link_bytes / kept.bytes_per_second if kept else 0.0
-    score = (
-        weights.first_token * expected.first_token
+) -> float:
+    """Return the weighted seconds to the first token, of computing, of the link."""
+    first_token = first_token_seconds(request, candidate, kept, blocks)
+    computed = computed_tokens(request, candidate, blocks)
+    recomputed = computed / candidate.rates.prefill_tokens_per_second
+    link = blocks * kept.block_bytes / kept.bytes_per_second if kept else 0.0
+    return (
+        weights.first_token * first_token
         + weights.recomputed * recomputed
         + weights.link_use * link
     )
-    chosen = Chosen(
-        target=candidate.target,
-        expected=expected,
-        kept=_kept_blocks(candidate, kept, blocks),
+
+
+def carry_out(request: RouteRequest, plan: Plan) -> Chosen:
+    """Return the choice of a plan, with what is expected of it."""
+    candidate, blocks = plan.candidate, plan.imported_blocks
+    whole_answer = whole_answer_seconds(request, plan)
+    step = candidate.rates.decode_step_seconds
+    expected = Expectation(
+        first_token=whole_answer - request.answer_tokens * step,
+        whole_answer=whole_answer,
+        computed_tokens=computed_tokens(request, candidate, blocks),
+        imported_tokens=blocks * TOKENS_PER_BLOCK,
+        link_bytes=blocks * plan.kept.block_bytes if plan.kept else 0,
     )
-    return Plan(chosen=chosen, score=score)
+    return Chosen(target=candidate.target, expected=expected, kept=_kept_blocks(plan))
 
 
 def _import_sizes(candidate: Candidate, kept: KeptPrefix) -> set[int]:
@@ -116,10 +146,8 @@
     return {size for size in (kink, kink + 1, most) if 0 < size <= most}
 
 
-def _kept_blocks(
-    candidate: Candidate, kept: KeptPrefix | None, blocks: int
-) -> KeptBlocks | None:
-    if kept is None or not blocks:
+def _kept_blocks(plan: Plan) -> KeptBlocks | None:
+    if plan.kept is None or not plan.imported_blocks:
         return None
-    names = kept.names[: candidate.cached_blocks + blocks]
-    return KeptBlocks(store_url=kept.store_url, names=names)
+    last = plan.candidate.cached_blocks + plan.imported_blocks
+    return KeptBlocks(store_url=plan.kept.store_url, names=plan.kept.names[:last])
--- a/src/gypsumsail/routing/loads.py
+++ b/src/gypsumsail/routing/loads.py
@@ -65,18 +65,20 @@
         default_factory=lambda: RateEstimate(prior=1 / DEFAULT_DECODE_STEP_SECONDS)
     )
 
-    def tokens_ahead(self, priority: int, *, urgent_share: float, now: float) -> float:
+    def tokens_ahead(
+        self, priority: int, *, urgent_share: float, rate: float, now: float
+    ) -> float:
         """Return the prompt tokens computed before a request of a priority.
 
-        The reported queue is drained at the learnt rate since it was read. Of
+        The reported queue is drained at the learnt ``rate`` since it was read. Of
         it, ``urgent_share`` is taken to be as urgent as the request.
         """
         reported = 0.0
         if self.report is not None:
-            drained = (now - self.taken_at) * self.prefill.rate(now=now)
+            drained = (now - self.taken_at) * rate
             reported = max(self.report.queued_prompt_tokens - drained, 0.0)
         return reported * urgent_share + sum(
-            work.tokens for work in self._unreported() if work.priority <= priority
+            work.tokens for work in self.unreported() if work.priority <= priority
         )
 
     def requests(self) -> int:
@@ -84,19 +86,15 @@
         reported = 0
         if self.report is not None:
             reported = self.report.running + self.report.waiting
-        return reported + sum(1 for _ in self._unreported())
+        return reported + len(self.unreported())
 
-    def rates(self, *, now: float) -> EngineRates:
-        """Return the learnt speeds."""
-        return EngineRates(
-            prefill_tokens_per_second=self.prefill.rate(now=now),
-            decode_step_seconds=1 / self.decode.rate(now=now),
-        )
-
-    def _unreported(self) -> Iterable[SentWork]:
-        for work in (*self.sent.values(), *self.peer_work):
-            if work.first_token_at is None and work.sent_at >= self.taken_at:
-                yield work
+    def unreported(self) -> list[SentWork]:
+        """Return the work that the last report can't show yet."""
+        return [
+            work
+            for work in (*self.sent.values(), *self.peer_work)
+            if work.first_token_at is None and work.sent_at >= self.taken_at
+        ]
 
 
 class EngineLoads:
@@ -174,13 +172,7 @@
 
     def backlog_seconds(self, targets: Iterable[str], *, now: float) -> float:
         """Return the wait for the least loaded of some engines; 0 without any."""
-        loads = [self._load(target) for target in targets]
-        least_urgent = PRIORITIES - 1
-        waits = (
-            load.tokens_ahead(least_urgent, urgent_share=1.0, now=now)
-            / load.prefill.rate(now=now)
-            for load in loads
-        )
+        waits = (self._wait(self._load(target), now) for target in targets)
         return min(waits, default=0.0)
 
     def forget(self, target: str) -> None:
@@ -201,16 +193,29 @@
         staleness = UNREPORTED_STALENESS_SECONDS
         if load.report is not None:
             staleness = max(now - load.taken_at, 0.0)
+        rate = load.prefill.rate(now=now)
         share = sum(self.urgency[: priority + 1]) / sum(self.urgency)
         return Candidate(
             target=target,
             cached_blocks=cached_blocks,
             requests=load.requests(),
-            tokens_ahead=load.tokens_ahead(priority, urgent_share=share, now=now),
+            tokens_ahead=load.tokens_ahead(
+                priority, urgent_share=share, rate=rate, now=now
+            ),
             staleness=staleness,
             zone_seconds=zone_seconds,
-            rates=load.rates(now=now),
+            rates=EngineRates(
+                prefill_tokens_per_second=rate,
+                decode_step_seconds=1 / load.decode.rate(now=now),
+            ),
         )
 
     def _load(self, target: str) -> EngineLoad:
         return self.engines.setdefault(target, EngineLoad())
+
+    @staticmethod
+    def _wait(load: EngineLoad, now: float) -> float:
+        rate = load.prefill.rate(now=now)
+        least_urgent = PRIORITIES - 1
+        ahead = load.tokens_ahead(least_urgent, urgent_share=1.0, rate=rate, now=now)
+        return ahead / rate
--- a/src/gypsumsail/routing/policies/baselines.py
+++ b/src/gypsumsail/routing/policies/baselines.py
@@ -6,9 +6,8 @@
 from hashlib import blake2b
 from random import Random
 
-from gypsumsail.document.models import TierWeights
-from gypsumsail.routing.cost import Plan, importable_blocks, make_plan
-from gypsumsail.routing.models import Candidate, RouteRequest
+from gypsumsail.routing.cost import Plan, carry_out, importable_blocks
+from gypsumsail.routing.models import Candidate, Chosen, RouteRequest
 
 
 def take_in_turn(request: RouteRequest, candidates: Sequence[Candidate]) -> Candidate:
@@ -44,16 +43,13 @@
     )
 
 
-def plan_on(
-    request: RouteRequest,
-    candidate: Candidate,
-    weights: TierWeights,
-    *,
-    use_store: bool,
-) -> Plan:
-    """Return the plan that imports all that is kept, or nothing."""
+def carry_out_on(
+    request: RouteRequest, candidate: Candidate, *, use_store: bool
+) -> Chosen:
+    """Return the choice that imports all that is kept, or nothing."""
     longest = max(request.kept, key=lambda kept: len(kept.names), default=None)
-    if not use_store or longest is None:
-        return make_plan(request, candidate, weights, None, 0)
-    blocks = importable_blocks(candidate, longest)
-    return make_plan(request, candidate, weights, longest, blocks)
+    if not use_store:
+        longest = None
+    blocks = importable_blocks(candidate, longest) if longest is not None else 0
+    plan = Plan(candidate=candidate, kept=longest, imported_blocks=blocks, score=0.0)
+    return carry_out(request, plan)
--- a/src/gypsumsail/routing/policies/expected_first_token.py
+++ b/src/gypsumsail/routing/policies/expected_first_token.py
@@ -14,7 +14,7 @@
     RETRY_JITTER_SHARE,
     UNSEEN_WORK_PER_STALE_SECOND,
 )
-from gypsumsail.routing.cost import Plan, best_plan
+from gypsumsail.routing.cost import Plan, best_plan, carry_out, whole_answer_seconds
 from gypsumsail.routing.models import (
     Candidate,
     Choice,
@@ -33,12 +33,14 @@
     """Return the cheapest engine that meets the deadline, or a refusal."""
     plans = [best_plan(request, candidate, weights) for candidate in candidates]
     in_time = [
-        plan for plan in plans if plan.chosen.expected.whole_answer <= request.deadline
+        plan
+        for plan in plans
+        if whole_answer_seconds(request, plan) <= request.deadline
     ]
     if not in_time:
         return _refuse(request, plans, rng)
     staleness = sum(candidate.staleness for candidate in candidates) / len(candidates)
-    return _draw(in_time, staleness, rng).chosen
+    return carry_out(request, _draw(in_time, staleness, rng))
 
 
 def _draw(plans: Sequence[Plan], staleness: float, rng: Random) -> Plan:
@@ -56,7 +58,7 @@
 
 
 def _refuse(request: RouteRequest, plans: Sequence[Plan], rng: Random) -> Refused:
-    soonest = min(plan.chosen.expected.whole_answer for plan in plans)
+    soonest = min(whole_answer_seconds(request, plan) for plan in plans)
     wait = min(
         max(soonest - request.deadline, LEAST_RETRY_SECONDS), LONGEST_RETRY_SECONDS
     )
--- /dev/null
+++ b/tests/routing/test_answer_length.py
@@ -0,0 +1,17 @@
+"""Tests of the expected length of answers."""
+
+from __future__ import annotations
+
+from gypsumsail.routing.answer_length import AnswerLengths
+
+
+def test_expects_the_most_until_it_has_learnt() -> None:
+    lengths = AnswerLengths()
+    assert lengths.expected("ares", 500) == 500
+    for _ in range(100):
+        lengths.observe("ares", max_tokens=500, answer_tokens=50)
+    assert 50 <= lengths.expected("ares", 500) <= 75
+    assert lengths.expected("other", 500) == 500
+    for _ in range(300):
+        lengths.observe("ares", max_tokens=500, answer_tokens=600)
+    assert 450 <= lengths.expected("ares", 500) <= 500
--- a/tests/routing/test_choose.py
+++ b/tests/routing/test_choose.py
@@ -11,7 +11,7 @@
 
 from gypsumsail.document.models import TierWeights
 from gypsumsail.routing.choose import choose
-from gypsumsail.routing.cost import best_plan, importable_blocks, make_plan
+from gypsumsail.routing.cost import best_plan, importable_blocks, score
 from gypsumsail.routing.models import (
     Candidate,
     Chosen,
@@ -70,8 +70,8 @@
     request = make_request(kept=(kept,))
     frugal = TierWeights(first_token=0.1, recomputed=0.1, link_use=0.8)
     eager = TierWeights(first_token=0.5, recomputed=0.5, link_use=0.0)
-    assert best_plan(request, make_candidate("a"), frugal).chosen.kept is None
-    assert best_plan(request, make_candidate("a"), eager).chosen.kept is not None
+    assert best_plan(request, make_candidate("a"), frugal).kept is None
+    assert best_plan(request, make_candidate("a"), eager).kept is not None
 
 
 @settings(derandomize=True, max_examples=300)
@@ -106,9 +106,7 @@
     request = make_request(prompt_tokens=12 * 256, kept=(kept,))
     best = best_plan(request, candidate, weights)
     sizes = range(importable_blocks(candidate, kept) + 1)
-    naive = min(
-        make_plan(request, candidate, weights, kept, size).score for size in sizes
-    )
+    naive = min(score(request, candidate, weights, kept, size) for size in sizes)
     assert best.score == pytest.approx(naive)
 
 
