--- a/src/gypsumsail/routing/loads.py
+++ b/src/gypsumsail/routing/loads.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from gypsumsail.routing.const import (
     DEFAULT_DECODE_STEP_SECONDS,
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
+    MAX_UNTOLD,
     PEER_WORK_SECONDS,
     PRIORITIES,
     UNREPORTED_STALENESS_SECONDS,
@@ -40,6 +42,14 @@
     first_token_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetWork:
+    """Work and the engine that it was sent to."""
+
+    target: str
+    work: SentWork
+
+
 @dataclass(slots=True, kw_only=True)
 class EngineLoad:
     """What is believed of one engine."""
@@ -55,18 +65,20 @@
         default_factory=lambda: RateEstimate(prior=1 / DEFAULT_DECODE_STEP_SECONDS)
     )
 
-    def tokens_ahead(self, priority: int, *, urgent_share: float, now: float) -> float:
+    def tokens_ahead(
+        self, priority: int, *, urgent_share: float, rate: float, now: float
+    ) -> float:
         """Return the prompt tokens computed before a request of a priority.
 
-        The reported queue is drained at the learnt rate since it was read. Of
+        The reported queue is drained at the learnt ``rate`` since it was read. Of
         it, ``urgent_share`` is taken to be as urgent as the request.
         """
         reported = 0.0
         if self.report is not None:
-            drained = (now - self.taken_at) * self.prefill.rate(now=now)
+            drained = (now - self.taken_at) * rate
             reported = max(self.report.queued_prompt_tokens - drained, 0.0)
         return reported * urgent_share + sum(
-            work.tokens for work in self._unreported() if work.priority <= priority
+            work.tokens for work in self.unreported() if work.priority <= priority
         )
 
     def requests(self) -> int:
@@ -74,19 +86,15 @@
         reported = 0
         if self.report is not None:
             reported = self.report.running + self.report.waiting
-        return reported + sum(1 for _ in self._unreported())
-
-    def rates(self, *, now: float) -> EngineRates:
-        """Return the learnt speeds."""
-        return EngineRates(
-            prefill_tokens_per_second=self.prefill.rate(now=now),
-            decode_step_seconds=1 / self.decode.rate(now=now),
-        )
+        return reported + len(self.unreported())
 
-    def _unreported(self) -> Iterable[SentWork]:
-        for work in (*self.sent.values(), *self.peer_work):
-            if work.first_token_at is None and work.sent_at >= self.taken_at:
-                yield work
+    def unreported(self) -> list[SentWork]:
+        """Return the work that the last report can't show yet."""
+        return [
+            work
+            for work in (*self.sent.values(), *self.peer_work)
+            if work.first_token_at is None and work.sent_at >= self.taken_at
+        ]
 
 
 class EngineLoads:
@@ -98,11 +106,14 @@
         Load by target.
     urgency
         Prompt tokens sent by priority, by which a reported queue is split.
+    untold
+        Work sent by this entry that the other entries weren't told of yet.
     """
 
     def __init__(self) -> None:
         self.engines: dict[str, EngineLoad] = {}
         self.urgency = [1.0] * PRIORITIES
+        self.untold: deque[TargetWork] = deque(maxlen=MAX_UNTOLD)
 
     def on_report(self, target: str, report: LoadReport, *, now: float) -> None:
         """Take a load report; an older one than the last is dropped."""
@@ -121,6 +132,7 @@
     def on_sent(self, target: str, attempt_id: str, work: SentWork) -> None:
         """Count a request that this entry sends."""
         self._load(target).sent[attempt_id] = work
+        self.untold.append(TargetWork(target=target, work=work))
         self.urgency = [URGENCY_FADING * tokens for tokens in self.urgency]
         self.urgency[work.priority] += work.tokens
 
@@ -154,6 +166,15 @@
             return
         load.decode.observe(answer_tokens - 1, now - work.first_token_at, now=now)
 
+    def prefill_rate(self, target: str, *, now: float) -> float:
+        """Return the prompt tokens a second that an engine computes."""
+        return self._load(target).prefill.rate(now=now)
+
+    def backlog_seconds(self, targets: Iterable[str], *, now: float) -> float:
+        """Return the wait for the least loaded of some engines; 0 without any."""
+        waits = (self._wait(self._load(target), now) for target in targets)
+        return min(waits, default=0.0)
+
     def forget(self, target: str) -> None:
         """Drop an engine that is gone."""
         self.engines.pop(target, None)
@@ -172,16 +193,29 @@
         staleness = UNREPORTED_STALENESS_SECONDS
         if load.report is not None:
             staleness = max(now - load.taken_at, 0.0)
+        rate = load.prefill.rate(now=now)
         share = sum(self.urgency[: priority + 1]) / sum(self.urgency)
         return Candidate(
             target=target,
             cached_blocks=cached_blocks,
             requests=load.requests(),
-            tokens_ahead=load.tokens_ahead(priority, urgent_share=share, now=now),
+            tokens_ahead=load.tokens_ahead(
+                priority, urgent_share=share, rate=rate, now=now
+            ),
             staleness=staleness,
             zone_seconds=zone_seconds,
-            rates=load.rates(now=now),
+            rates=EngineRates(
+                prefill_tokens_per_second=rate,
+                decode_step_seconds=1 / load.decode.rate(now=now),
+            ),
         )
 
     def _load(self, target: str) -> EngineLoad:
         return self.engines.setdefault(target, EngineLoad())
+
+    @staticmethod
+    def _wait(load: EngineLoad, now: float) -> float:
+        rate = load.prefill.rate(now=now)
+        least_urgent = PRIORITIES - 1
+        ahead = load.tokens_ahead(least_urgent, urgent_share=1.0, rate=rate, now=now)
+        return ahead / rate
