--- /dev/null
+++ b/src/gypsumsail/entry/app.py
@@ -0,0 +1,111 @@
+"""Runs an entry until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+from typing import Final
+from urllib.parse import urlsplit
+
+import click
+
+from gypsumsail.core.clock import SystemClock
+from gypsumsail.entry.operator_models import EntryState
+from gypsumsail.entry.runtime import EntryRuntime
+from gypsumsail.entry.settings import EntrySettings
+from gypsumsail.logs.setup import setup_logs
+from gypsumsail.membership.drain import (
+    Drain,
+    DrainSettings,
+    HandOverDuties,
+    Stop,
+    TurnUnready,
+)
+from gypsumsail.timeline.models import Event, EventKind
+
+DRAIN_TICK_SECONDS: Final = 0.1
+EXIT_CUT: Final = 1
+
+_LOGGER = logging.getLogger(__name__)
+
+
+async def async_run_entry(settings: EntrySettings) -> int:
+    """Run an entry; return the exit status of the process."""
+    setup_logs(settings)
+    runtime = EntryRuntime(settings, SystemClock())
+    stops = StopSignals()
+    stops.listen()
+    await runtime.async_setup()
+    peer_port = urlsplit(runtime.network.peer_url).port
+    click.echo(f"listening {runtime.server.port} peers {peer_port}")
+    await stops.async_first()
+    stop = await _async_drain(runtime, stops)
+    _report_stop(runtime, stop)
+    await runtime.async_unload()
+    return EXIT_CUT if stop.cut else 0
+
+
+class StopSignals:
+    """Counts the signals that ask the process to stop."""
+
+    def __init__(self) -> None:
+        self.first = asyncio.Event()
+        self.second = asyncio.Event()
+
+    def listen(self) -> None:
+        """Take SIGTERM and SIGINT."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.take)
+
+    def take(self) -> None:
+        """Count one signal."""
+        event = self.second if self.first.is_set() else self.first
+        event.set()
+
+    async def async_first(self) -> None:
+        """Wait for the first signal."""
+        await self.first.wait()
+
+
+async def _async_drain(runtime: EntryRuntime, stops: StopSignals) -> Stop:
+    """Turn unready, hand the duties over and wait until the entry may end."""
+    clock = runtime.clock
+    drain = Drain(DrainSettings(limit=runtime.settings.drain_seconds))
+    actions = drain.signal(now=clock.monotonic(), running=runtime.running())
+    runtime.recorder.record(Event(kind=EventKind.ENTRY_DRAINING))
+    while True:
+        for action in actions:
+            match action:
+                case TurnUnready():
+                    runtime.status.state = EntryState.DRAINING
+                case HandOverDuties():
+                    await runtime.async_hand_over()
+                case Stop():
+                    return action
+        await asyncio.sleep(DRAIN_TICK_SECONDS)
+        now = clock.monotonic()
+        running = runtime.running()
+        if stops.second.is_set():
+            actions = drain.signal(now=now, running=running)
+        else:
+            actions = drain.tick(now=now, running=running)
+
+
+def _report_stop(runtime: EntryRuntime, stop: Stop) -> None:
+    """Say why the entry ended and what it cut."""
+    for request in stop.cut:
+        _LOGGER.warning("Request %s was cut off", request.request_id)
+    _LOGGER.info(
+        "Stopped after %.1f s (%s), %d requests cut off",
+        stop.seconds,
+        stop.reason.value,
+        len(stop.cut),
+    )
+    runtime.recorder.record(
+        Event(
+            kind=EventKind.ENTRY_STOPPED,
+            detail=f"{stop.reason.value}, {len(stop.cut)} cut off",
+        )
+    )
