Join kept context, limits, orders, archive and metrics to the entry

Ruled out: a directory call to the platform per request; the directory is split among the entries of a zone.

--- a/src/gypsumsail/entry/admission.py
+++ b/src/gypsumsail/entry/admission.py
@@ -1,29 +1,86 @@
-"""Admission of jobs without any limit."""
+"""Admits jobs by the limits and shares of their customers."""
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Protocol
 
-from gypsumsail.entry.models import Job
+from gypsumsail.context.blocks import token_count
+from gypsumsail.core.errors import OverloadedError, RunState
+from gypsumsail.entry.models import Job, ModelJob
+from gypsumsail.limits.coordinator import LimitCoordinator
+from gypsumsail.limits.models import AdmitRequest, Admitted, Shed
 from gypsumsail.relay.port import Work
 
 
-class OpenAdmission:
-    """Admits every job."""
+class Workload(Protocol):
+    """What is expected of jobs and engines."""
+
+    def expected_answer(self, job: ModelJob) -> int:
+        """Return the expected answer tokens of a job."""
+
+    def backlog(self, service: str) -> float:
+        """Return the seconds until the least loaded engine would start a job."""
+
+
+class LimitAdmission:
+    """Asks the limits whether a job may run."""
+
+    def __init__(self, limits: LimitCoordinator, workload: Workload) -> None:
+        self.limits = limits
+        self.workload = workload
 
     def admit(self, job: Job, now: float) -> None:
-        """Admit the job."""
+        """Count a job in.
+
+        Raises
+        ------
+        OverloadedError
+            The job is over a limit or is shed.
+        """
+        service = job.placement.service
+        request = AdmitRequest(
+            customer=job.placement.customer.name,
+            tokens=self._tokens(job),
+            priority=job.priority,
+            backlog=self._backlog(job),
+        )
+        match self.limits.admit(service, request):
+            case Admitted():
+                return
+            case Shed(reason=reason, retry_after=retry_after):
+                raise OverloadedError(reason.value, retry_after=retry_after)
 
     def finished(self, job: Job, work: Work[Any], now: float) -> None:
-        """Do nothing."""
+        """Count a job out; what was not run is not charged."""
+        service = job.placement.service
+        tokens = self._tokens(job)
+        match work.progress.run_state:
+            case RunState.RAN:
+                self.limits.on_answer_ended(service, tokens)
+            case RunState.NOT_RUN:
+                customer = job.placement.customer.name
+                self.limits.give_back(service, customer, tokens)
+            case RunState.MAY_HAVE_RUN:
+                pass
+
+    def _tokens(self, job: Job) -> float:
+        """Return the tokens that a job counts for; a plain call counts as one."""
+        if not isinstance(job, ModelJob):
+            return 1.0
+        return token_count(job.body.prompt) + self.workload.expected_answer(job)
+
+    def _backlog(self, job: Job) -> float:
+        if not isinstance(job, ModelJob):
+            return 0.0
+        return self.workload.backlog(job.placement.service)
 
 
-class OpenRetryBudget:
-    """Allows every retry."""
+class ServiceRetryBudgets:
+    """Retry budgets by service."""
 
-    def take(self, now: float) -> bool:
-        """Allow the retry."""
-        return True
+    def __init__(self, limits: LimitCoordinator) -> None:
+        self.limits = limits
 
-    def succeeded(self, now: float) -> None:
-        """Do nothing."""
+    def take(self, service: str, now: float) -> bool:
+        """Take one retry when there is room."""
+        return self.limits.retry_budget(service).take(now)
--- a/src/gypsumsail/entry/app.py
+++ b/src/gypsumsail/entry/app.py
@@ -37,7 +37,7 @@
     stops = StopSignals()
     stops.listen()
     await runtime.async_setup()
-    peer_port = urlsplit(runtime.network.peer_url).port
+    peer_port = urlsplit(runtime.shared.network.peer_url).port
     click.echo(f"listening {runtime.server.port} peers {peer_port}")
     await stops.async_first()
     stop = await _async_drain(runtime, stops)
@@ -74,7 +74,7 @@
     clock = runtime.clock
     drain = Drain(DrainSettings(limit=runtime.settings.drain_seconds))
     actions = drain.signal(now=clock.monotonic(), running=runtime.running())
-    runtime.recorder.record(Event(kind=EventKind.ENTRY_DRAINING))
+    runtime.shared.recorder.record(Event(kind=EventKind.ENTRY_DRAINING))
     while True:
         for action in actions:
             match action:
@@ -103,7 +103,7 @@
         stop.reason.value,
         len(stop.cut),
     )
-    runtime.recorder.record(
+    runtime.shared.recorder.record(
         Event(
             kind=EventKind.ENTRY_STOPPED,
             detail=f"{stop.reason.value}, {len(stop.cut)} cut off",
--- a/src/gypsumsail/entry/caller_api.py
+++ b/src/gypsumsail/entry/caller_api.py
@@ -28,6 +28,8 @@
 )
 from gypsumsail.entry.models import Job
 from gypsumsail.entry.port import Admission, Reservations
+from gypsumsail.logs.request import log_request
+from gypsumsail.metrics.entry import EntryMetrics
 from gypsumsail.once.models import OnceRequest, Reservation
 from gypsumsail.relay.attempts import AttemptLoop, RelayPorts
 from gypsumsail.timeline.models import Event, EventKind
@@ -44,6 +46,7 @@
     reservations: Reservations
     factory: CallFactory
     relay: RelayPorts
+    metrics: EntryMetrics
     body_limit: int
     rng: random.Random
 
@@ -66,6 +69,12 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
         request_id = new_id()
+        with log_request(request_id):
+            await self._async_call(request_id, scope, receive, send)
+
+    async def _async_call(
+        self, request_id: str, scope: Scope, receive: Receive, send: Send
+    ) -> None:
         try:
             job = await self._async_accept(request_id, scope, receive)
         except RequestError as error:
@@ -141,6 +150,23 @@
         finally:
             self.ports.admission.finished(job, call.work, self.clock.monotonic())
         self._record(job, EventKind.REQUEST_ENDED, RunState.RAN.value)
+        self._count_answer(job, call)
+
+    def _count_answer(self, job: Job, call: Call) -> None:
+        service = job.placement.service
+        now = self.clock.monotonic()
+        metrics = self.ports.metrics
+        metrics.count_answer(
+            service, job.placement.customer.name, now - job.accepted_at
+        )
+        progress = call.work.progress
+        if progress.first_token_at is None:
+            return
+        waited = progress.first_token_at - job.accepted_at
+        metrics.first_token.labels(service).observe(waited)
+        if progress.tokens_out > 1:
+            mean = (now - progress.first_token_at) / (progress.tokens_out - 1)
+            metrics.between_tokens.labels(service).observe(mean)
 
     async def _async_reserve(self, job: Job) -> Reservation | None:
         if job.placement.route.repeatable:
@@ -164,11 +190,13 @@
         if error is None:
             self._record(job, EventKind.REQUEST_ENDED, RunState.MAY_HAVE_RUN.value)
             return
+        self.ports.metrics.count_error(job.placement.service, error)
         refused = error.run_state is RunState.NOT_RUN
         kind = EventKind.REQUEST_REFUSED if refused else EventKind.REQUEST_ENDED
         self._record(job, kind, f"{error.code}: {error.run_state.value}")
 
     def _refused(self, request_id: str, error: RequestError) -> None:
+        self.ports.metrics.count_error("", error)
         self.recorder.record(
             Event(
                 kind=EventKind.REQUEST_REFUSED,
--- a/src/gypsumsail/entry/context_view.py
+++ b/src/gypsumsail/entry/context_view.py
@@ -34,23 +34,15 @@
     async def async_lookup(self, blocks: PromptBlocks) -> KeptView:
         """Return what is known; empty when nobody answers in time."""
 
-    def on_ended(
-        self, job: ModelJob, selection: EngineSelection, end: AnswerEnd
-    ) -> None:
-        """Note that an engine computed a whole answer on the blocks."""
-
-
-class NoContextView:
-    """A directory that knows nothing."""
-
-    async def async_lookup(self, blocks: PromptBlocks) -> KeptView:
-        """Return an empty view."""
-        return KeptView()
+    async def async_hold(
+        self, selection: EngineSelection, deadline: float
+    ) -> EngineSelection:
+        """Hold what the selection imports; return it with what is really held."""
 
     def on_ended(
         self, job: ModelJob, selection: EngineSelection, end: AnswerEnd
     ) -> None:
-        """Do nothing."""
+        """Note that an engine computed a whole answer on the blocks."""
 
 
 def blocks_of(job: ModelJob, weight_version: str) -> PromptBlocks:
--- a/src/gypsumsail/entry/engine_selector.py
+++ b/src/gypsumsail/entry/engine_selector.py
@@ -15,6 +15,7 @@
 from gypsumsail.fleet.models import EngineSighting, load_of
 from gypsumsail.platform.port import VmRecord
 from gypsumsail.relay.models import Constraints, EngineSelection
+from gypsumsail.routing.answer_length import AnswerLengths
 from gypsumsail.routing.choose import choose
 from gypsumsail.routing.const import OTHER_ZONE_SECONDS, SAME_ZONE_SECONDS
 from gypsumsail.routing.loads import EngineLoads, SentWork
@@ -25,6 +26,7 @@
     RouteRequest,
 )
 from gypsumsail.routing.policies import LeastLoaded, Policy
+from gypsumsail.routing.sample import sample_targets
 from gypsumsail.targets.port import AnswerEnd
 
 
@@ -43,6 +45,7 @@
         *,
         policy: Policy,
         targets: Callable[[str], tuple[VmRecord, ...]],
+        loads: EngineLoads,
         context: ContextView,
         clock: Clock,
         rng: random.Random,
@@ -50,10 +53,11 @@
         self.zone = zone
         self.policy = policy
         self.targets = targets
+        self.loads = loads
         self.context = context
         self.clock = clock
         self.rng = rng
-        self.loads = EngineLoads()
+        self.lengths = AnswerLengths()
         self.sightings: dict[str, EngineSighting] = {}
         self.sequence = 0
 
@@ -78,7 +82,19 @@
             await self._async_option(job, version, group, constraints)
             for version, group in _by_version(allowed).items()
         ]
-        return _best(options)
+        left = max(job.deadline_at - self.clock.monotonic(), 0.0)
+        return await self.context.async_hold(_best(options), left)
+
+    def expected_answer(self, job: ModelJob) -> int:
+        """Return the expected answer tokens of a job."""
+        customer = job.placement.customer.name
+        return self.lengths.expected(customer, job.body.max_tokens)
+
+    def backlog(self, service: str) -> float:
+        """Return the seconds until the least loaded engine would start a job."""
+        names = [vm.vm_id for vm in self.targets(service)]
+        now = self.clock.monotonic()
+        return self.loads.backlog_seconds(sample_targets(names, {}, self.rng), now=now)
 
     def sent(self, job: ModelJob, selection: EngineSelection, attempt_id: str) -> None:
         """Count a request in that is about to be sent."""
@@ -111,8 +127,14 @@
             answer_tokens=tokens,
             now=self.clock.monotonic(),
         )
-        if end is not None:
-            self.context.on_ended(job, selection, end)
+        if end is None:
+            return
+        self.lengths.observe(
+            job.placement.customer.name,
+            max_tokens=job.body.max_tokens,
+            answer_tokens=end.answer_tokens,
+        )
+        self.context.on_ended(job, selection, end)
 
     async def _async_option(
         self,
@@ -125,12 +147,13 @@
         blocks = blocks_of(job, weight_version)
         view = await self.context.async_lookup(blocks)
         now = self.clock.monotonic()
+        vms = {server.vm.vm_id: server.vm for server in group}
         candidates = {
-            server.vm.vm_id: self._candidate(job, server, view, now) for server in group
+            name: self._candidate(job, vms[name], view, now)
+            for name in sample_targets(list(vms), view.cached_blocks, self.rng)
         }
-        policy = LeastLoaded() if constraints.isolated else self.policy
         choice = choose(
-            policy,
+            LeastLoaded() if constraints.isolated else self.policy,
             self._route_request(job, view, now),
             list(candidates.values()),
             job.placement.document.document.tiers.weights,
@@ -138,7 +161,6 @@
         )
         if isinstance(choice, Refused):
             return choice
-        vms = {server.vm.vm_id: server.vm for server in group}
         return EngineSelection(
             vm=vms[choice.target],
             incarnation=self.sightings[choice.target].incarnation,
@@ -149,12 +171,12 @@
         )
 
     def _candidate(
-        self, job: ModelJob, server: Server, view: KeptView, now: float
+        self, job: ModelJob, vm: VmRecord, view: KeptView, now: float
     ) -> Candidate:
-        same_zone = server.vm.zone == self.zone
+        same_zone = vm.zone == self.zone
         return self.loads.candidate(
-            server.vm.vm_id,
-            cached_blocks=view.cached_blocks.get(server.vm.vm_id, 0),
+            vm.vm_id,
+            cached_blocks=view.cached_blocks.get(vm.vm_id, 0),
             priority=job.priority,
             zone_seconds=SAME_ZONE_SECONDS if same_zone else OTHER_ZONE_SECONDS,
             now=now,
@@ -164,7 +186,7 @@
         return RouteRequest(
             customer=job.placement.customer.name,
             prompt_tokens=token_count(job.body.prompt),
-            answer_tokens=job.body.max_tokens,
+            answer_tokens=self.expected_answer(job),
             priority=job.priority,
             deadline=max(job.deadline_at - now, 0.0),
             sequence=self.sequence,
--- /dev/null
+++ b/src/gypsumsail/entry/shared.py
@@ -0,0 +1,129 @@
+"""The parts of an entry that work together with other entries."""
+
+from __future__ import annotations
+
+import random
+
+from gypsumsail.context.coordinator import ContextCoordinator
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.ids import new_id
+from gypsumsail.document.parser import parse_document
+from gypsumsail.documents.coordinator import DocumentsCoordinator
+from gypsumsail.entry.adapters import AdapterPool
+from gypsumsail.entry.settings import EntrySettings
+from gypsumsail.entry.sources import DocumentsByService, KnownTargets
+from gypsumsail.limits.coordinator import LimitCoordinator
+from gypsumsail.membership.coordinator import MembershipCoordinator
+from gypsumsail.membership.models import MembershipSettings
+from gypsumsail.once.coordinator import OnceCoordinator
+from gypsumsail.orders.coordinator import OrdersCoordinator
+from gypsumsail.peers.network import WebsocketPeerNetwork
+from gypsumsail.peers.port import EntryId
+from gypsumsail.platform.http import HttpPlatform
+from gypsumsail.stores.http import HttpStore
+from gypsumsail.suspects.coordinator import SuspectsCoordinator
+from gypsumsail.targets.http import HttpEngine
+from gypsumsail.tiers.coordinator import TierCoordinator
+from gypsumsail.timeline.archive import TimelineArchive
+from gypsumsail.timeline.recorder import TimelineRecorder
+from gypsumsail.timeline.records import ProcessId
+
+
+class SharedParts:
+    """Links, membership, documents and what is built on them."""
+
+    def __init__(
+        self, settings: EntrySettings, clock: Clock, rng: random.Random
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.me = EntryId(name=settings.name, incarnation=new_id(), zone=settings.zone)
+        self.recorder = TimelineRecorder(
+            ProcessId(name=self.me.name, incarnation=self.me.incarnation), clock
+        )
+        self.platform = HttpPlatform(settings.platform_url)
+        self.engines = AdapterPool(HttpEngine)
+        self.stores = AdapterPool(HttpStore)
+        self._make_base()
+        self._make_agreed()
+        self._make_kept()
+
+    def _make_base(self) -> None:
+        """Make links, membership and documents."""
+        settings = self.settings
+        self.network = WebsocketPeerNetwork(
+            self.me,
+            secret=settings.peer_secret.get_secret_value().encode(),
+            host=settings.peer_listen.host,
+            port=settings.peer_listen.port,
+            clock=self.clock,
+            stamps=self.recorder,
+        )
+        self.membership = MembershipCoordinator(
+            MembershipSettings(seeds=settings.seed_peers),
+            vm_list=self.platform,
+            network=self.network,
+            recorder=self.recorder,
+            clock=self.clock,
+            rng=self.rng,
+        )
+        self.documents = DocumentsCoordinator(
+            self.platform,
+            self.network,
+            self.membership,
+            self.recorder,
+            self.clock,
+            parse=parse_document,
+            rng=self.rng,
+        )
+        self.targets = KnownTargets(
+            self.membership, self.documents, self.engines, self.stores
+        )
+        self.by_service = DocumentsByService(self.documents)
+
+    def _make_agreed(self) -> None:
+        """Make the parts that go through the platform."""
+        self.once = OnceCoordinator(
+            self.platform, self.network, self.recorder, self.clock, self.me
+        )
+        self.orders = OrdersCoordinator(
+            self.platform,
+            self.documents,
+            self.membership,
+            self.engines.get,
+            self.recorder,
+            self.clock,
+            self.me,
+        )
+        self.archive = TimelineArchive(
+            self.recorder.archive,
+            self.network,
+            self.platform,
+            self.clock,
+            self.me.zone,
+            self.settings.timeline_retention_days,
+        )
+
+    def _make_kept(self) -> None:
+        """Make the parts that keep soft state among the entries."""
+        self.suspects = SuspectsCoordinator(
+            self.me, self.network, self.recorder, self.clock
+        )
+        self.limits = LimitCoordinator(
+            self.me, self.network, self.by_service, self.clock, self.rng
+        )
+        self.context = ContextCoordinator(
+            self.me, self.network, self.targets, self.clock
+        )
+        self.tiers = TierCoordinator(
+            self.me,
+            self.network,
+            self.context,
+            self.limits,
+            self.targets,
+            self.by_service,
+            self.recorder,
+            self.clock,
+            self.rng,
+        )
--- /dev/null
+++ b/src/gypsumsail/entry/sources.py
@@ -0,0 +1,113 @@
+"""Documents, targets and stores in the form that the other parts ask for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from gypsumsail.context.port import EngineLink, StoreLink
+from gypsumsail.core.callback import callback
+from gypsumsail.document.models import ServiceDocument
+from gypsumsail.documents.coordinator import DocumentsCoordinator
+from gypsumsail.entry.adapters import AdapterPool
+from gypsumsail.membership.coordinator import MembershipCoordinator
+from gypsumsail.platform.port import VmRecord, VmRole
+from gypsumsail.stores.http import HttpStore
+from gypsumsail.targets.http import HttpEngine
+
+
+class DocumentsByService:
+    """Documents in force by service."""
+
+    def __init__(self, documents: DocumentsCoordinator) -> None:
+        self.documents = documents
+
+    @callback
+    def document(self, service: str) -> ServiceDocument | None:
+        """Return the document of a service, or ``None`` without one."""
+        found = self.documents.in_force(service)
+        return found.document if found is not None else None
+
+
+class KnownTargets:
+    """Engines and stores of all services with a document in force.
+
+    The lists are made again only after membership or a document changed.
+    """
+
+    def __init__(
+        self,
+        membership: MembershipCoordinator,
+        documents: DocumentsCoordinator,
+        engine_pool: AdapterPool[HttpEngine],
+        store_pool: AdapterPool[HttpStore],
+    ) -> None:
+        self.membership = membership
+        self.documents = documents
+        self.engine_pool = engine_pool
+        self.store_pool = store_pool
+        self.unsubscribe: list[Callable[[], None]] = []
+        self.engine_vms: tuple[VmRecord, ...] = ()
+        self.engine_links: tuple[EngineLink, ...] = ()
+        self.store_links: tuple[StoreLink, ...] = ()
+
+    async def async_setup(self) -> None:
+        """Start to follow membership and documents."""
+        self.unsubscribe = [
+            self.membership.subscribe(lambda _: self.refresh()),
+            self.documents.subscribe(lambda _: self.refresh()),
+        ]
+        self.refresh()
+
+    async def async_unload(self) -> None:
+        """Stop to follow."""
+        for unsubscribe in self.unsubscribe:
+            unsubscribe()
+        self.unsubscribe = []
+
+    @callback
+    def refresh(self) -> None:
+        """Make the lists again."""
+        services = [found.document.service for found in self.documents.all_in_force()]
+        self.engine_vms = tuple(
+            vm
+            for service in services
+            for vm in self.membership.targets(service)
+            if vm.role is VmRole.ENGINE
+        )
+        self.engine_links = tuple(self._engine_link(vm) for vm in self.engine_vms)
+        self.store_links = tuple(
+            self._store_link(vm)
+            for service in services
+            for vm in self.membership.stores(service)
+        )
+
+    @callback
+    def engines(self) -> tuple[EngineLink, ...]:
+        """Return the engines that are not leaving."""
+        return self.engine_links
+
+    @callback
+    def stores(self) -> tuple[StoreLink, ...]:
+        """Return the stores that are not leaving."""
+        return self.store_links
+
+    @callback
+    def vms(self) -> tuple[VmRecord, ...]:
+        """Return the VMs of the engines that are not leaving."""
+        return self.engine_vms
+
+    def _engine_link(self, vm: VmRecord) -> EngineLink:
+        return EngineLink(
+            target=vm.vm_id,
+            service=vm.service,
+            zone=vm.zone,
+            engine=self.engine_pool.get(vm),
+        )
+
+    def _store_link(self, vm: VmRecord) -> StoreLink:
+        return StoreLink(
+            store_url=vm.url,
+            service=vm.service,
+            zone=vm.zone,
+            store=self.store_pool.get(vm),
+        )
--- a/src/gypsumsail/entry/status.py
+++ b/src/gypsumsail/entry/status.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
-from hashlib import sha256
 
 from gypsumsail import VERSION
 from gypsumsail.document.models import DocumentInForce
-from gypsumsail.documents.coordinator import DocumentsCoordinator
+from gypsumsail.documents.models import DocumentLag
+from gypsumsail.documents.readback import text_digest
 from gypsumsail.entry.caller_api import CallerApi
 from gypsumsail.entry.operator_models import (
     DocumentStatus,
@@ -18,10 +17,11 @@
     Readiness,
     TargetStatus,
 )
-from gypsumsail.membership.coordinator import MembershipCoordinator
-from gypsumsail.peers.port import EntryId
+from gypsumsail.entry.shared import SharedParts
+from gypsumsail.metrics.entry import EntryMetrics
+from gypsumsail.metrics.process import read_process_use
 from gypsumsail.platform.port import VmRecord
-from gypsumsail.timeline.recorder import TimelineRecorder
+from gypsumsail.routing.loads import EngineLoads
 from gypsumsail.timeline.records import Page
 
 
@@ -29,58 +29,75 @@
 class EntryStatusSource:
     """Gathers the status from the coordinators."""
 
-    me: EntryId
+    shared: SharedParts
     started_at: float
-    membership: MembershipCoordinator
-    documents: DocumentsCoordinator
     caller_api: CallerApi
-    recorder: TimelineRecorder
+    loads: EngineLoads
+    metrics_kept: EntryMetrics
     state: EntryState = EntryState.STARTING
-    requests_on: Callable[[VmRecord], int] = lambda vm: 0
-    metrics_text: Callable[[float], str] = lambda now: ""
 
     def in_force(self, now: float) -> InForce:
-        """Return the documents in force."""
+        """Return the documents in force, and what was not put in force."""
+        documents = self.shared.documents
+        lags = {lag.service: lag for lag in documents.lags(now)}
+        findings = {found.service: found.findings for found in documents.rejected()}
+        rows = [
+            _document_status(
+                document,
+                lags.get(document.document.service),
+                findings.pop(document.document.service, ()),
+            )
+            for document in documents.all_in_force()
+        ]
+        rows += [_faulty(service, texts) for service, texts in findings.items()]
+        me = self.shared.me
         return InForce(
-            entry=self.me.name,
-            incarnation=self.me.incarnation,
-            zone=self.me.zone,
-            documents=tuple(
-                self._document(document, now)
-                for document in self.documents.all_in_force()
-            ),
+            entry=me.name,
+            incarnation=me.incarnation,
+            zone=me.zone,
+            documents=tuple(rows),
             peers=self._peers(),
         )
 
     def status(self, now: float) -> EntryStatus:
         """Return the entry at a glance."""
-        services = [
-            document.document.service for document in self.documents.all_in_force()
-        ]
+        me = self.shared.me
+        documents = self.shared.documents.all_in_force()
+        lags = self.shared.documents.lags(now)
+        unconfirmed = [lag.unconfirmed_seconds for lag in lags]
         return EntryStatus(
-            entry=self.me.name,
-            incarnation=self.me.incarnation,
-            zone=self.me.zone,
+            entry=me.name,
+            incarnation=me.incarnation,
+            zone=me.zone,
             build=VERSION,
             state=self.state,
             uptime_seconds=now - self.started_at,
             requests=len(self.caller_api.active),
-            platform_age_seconds=None,
+            platform_age_seconds=unconfirmed[0] if unconfirmed else None,
             peers=self._peers(),
             targets=tuple(
                 self._target(vm)
-                for service in services
-                for vm in self.membership.targets(service)
+                for document in documents
+                for vm in self.shared.membership.targets(document.document.service)
             ),
+            duties=self._duties(now),
         )
 
     def timeline(self, after: int) -> Page:
         """Return the events after a sequence number."""
-        return self.recorder.since(after)
+        return self.shared.recorder.since(after)
 
     def metrics(self, now: float) -> str:
         """Return the metrics in the text exposition format."""
-        return self.metrics_text(now)
+        kept = self.metrics_kept
+        kept.in_flight.labels().set(len(self.caller_api.active))
+        kept.peers.labels().set(len(self._peers()))
+        for lag in self.shared.documents.lags(now):
+            kept.document_version.labels(lag.service).set(lag.in_force)
+            kept.document_lag.labels(lag.service).set(lag.behind_seconds)
+        kept.show_links(self.shared.network.counters)
+        kept.show_process(read_process_use())
+        return kept.registry.exposition()
 
     def readiness(self, now: float) -> Readiness:
         """Return whether callers should come here.
@@ -93,24 +110,51 @@
         return Readiness(ready=False, reason=self.state.value)
 
     def _peers(self) -> tuple[str, ...]:
-        entries = self.membership.entries()
-        return tuple(sorted(entry.name for entry in entries if entry != self.me))
-
-    def _document(self, document: DocumentInForce, now: float) -> DocumentStatus:
-        return DocumentStatus(
-            service=document.document.service,
-            version=document.version,
-            digest=sha256(document.text.encode()).hexdigest(),
-            owner=document.document.owner,
-            lag_versions=0,
-            lag_seconds=0.0,
-        )
+        me = self.shared.me
+        entries = self.shared.membership.entries()
+        return tuple(sorted(entry.name for entry in entries if entry != me))
+
+    def _duties(self, now: float) -> tuple[str, ...]:
+        duties = []
+        if self.shared.membership.is_relay(now):
+            duties.append("reads the platform for its zone")
+        if self.shared.orders.may_order(now):
+            duties.append("gives orders to the engines of its zone")
+        return tuple(duties)
 
     def _target(self, vm: VmRecord) -> TargetStatus:
+        load = self.loads.engines.get(vm.vm_id)
         return TargetStatus(
             target=vm.vm_id,
             service=vm.service,
             zone=vm.zone,
             state=vm.state.value,
-            requests=self.requests_on(vm),
+            requests=load.requests() if load is not None else 0,
         )
+
+
+def _document_status(
+    document: DocumentInForce, lag: DocumentLag | None, findings: tuple[str, ...]
+) -> DocumentStatus:
+    behind = lag.known - lag.in_force if lag is not None else 0
+    return DocumentStatus(
+        service=document.document.service,
+        version=document.version,
+        digest=text_digest(document.text),
+        owner=document.document.owner,
+        lag_versions=max(behind, 0),
+        lag_seconds=lag.behind_seconds if lag is not None else 0.0,
+        findings=findings,
+    )
+
+
+def _faulty(service: str, findings: tuple[str, ...]) -> DocumentStatus:
+    return DocumentStatus(
+        service=service,
+        version=0,
+        digest="",
+        owner="",
+        lag_versions=0,
+        lag_seconds=0.0,
+        findings=findings,
+    )
--- a/src/gypsumsail/metrics/entry.py
+++ b/src/gypsumsail/metrics/entry.py
@@ -46,7 +46,7 @@
         )
         self.between_tokens = registry.histogram(
             "gypsumsail_between_tokens_seconds",
-            "Time between two sendings of tokens of an answer.",
+            "Mean time between the tokens of an answer.",
             ("service",),
         )
         self.whole_answer = registry.histogram(
--- a/src/gypsumsail/orders/coordinator.py
+++ b/src/gypsumsail/orders/coordinator.py
@@ -83,7 +83,7 @@
         if self.keeper.held is None and not self._is_candidate():
             return
         await self._async_keep_lease()
-        if not self._may_order():
+        if not self.may_order(self.clock.monotonic()):
             return
         engines = await self._async_observe()
         if not any(engine.zone == self.entry.zone for engine in engines):
@@ -92,7 +92,7 @@
         plan = plan_orders(
             self.documents.all_in_force(), engines, stored.book, self.entry.zone
         )
-        if not self._may_order():
+        if not self.may_order(self.clock.monotonic()):
             return
         if plan.orders or plan.book != stored.book:
             await async_write_book(self.api, stored, plan.book)
@@ -111,8 +111,9 @@
                 LOGGER.exception("Step of orders failed")
             await asyncio.sleep(STEP_INTERVAL_SECONDS)
 
-    def _may_order(self) -> bool:
-        return may_order(self.keeper.held, self.clock.monotonic())
+    def may_order(self, now: float) -> bool:
+        """Return whether this entry may give orders now."""
+        return may_order(self.keeper.held, now)
 
     def _is_candidate(self) -> bool:
         """Return whether this entry ranks among those that watch the lease."""
@@ -182,7 +183,7 @@
             return
         state = await self._async_state(vm)
         held = self.keeper.held
-        if state is None or held is None or not self._may_order():
+        if state is None or held is None or not self.may_order(self.clock.monotonic()):
             return
         if is_wanted(state, order.models) or is_loading(state, order.models):
             return
--- a/src/gypsumsail/relay/attempts.py
+++ b/src/gypsumsail/relay/attempts.py
@@ -32,7 +32,7 @@
     TryAgain,
 )
 from gypsumsail.relay.next_step import next_step, run_state_after
-from gypsumsail.relay.port import Once, Prober, RetryBudget, Suspects, Work
+from gypsumsail.relay.port import Once, Prober, RetryBudgets, Suspects, Work
 from gypsumsail.suspects.models import (
     Busy,
     Clear,
@@ -57,7 +57,7 @@
 
     suspects: Suspects
     once: Once
-    budget: RetryBudget
+    budgets: RetryBudgets
     prober: Prober
     recorder: Recorder
     clock: Clock
@@ -129,7 +129,6 @@
                     selection.vm.vm_id, attempt_id
                 )
         self.progress.run_state = RunState.RAN
-        self.ports.budget.succeeded(self.ports.clock.monotonic())
         await self._async_end(attempt_id, whole=True)
         return True
 
@@ -254,7 +253,7 @@
             kind,
             target,
             repeatable=self.reservation is None,
-            budget_allows=self.ports.budget.take(now),
+            budget_allows=self.ports.budgets.take(self.job.placement.service, now),
             seconds_left=self.job.deadline_at - now,
         )
         match step:
--- a/src/gypsumsail/relay/model_work.py
+++ b/src/gypsumsail/relay/model_work.py
@@ -107,6 +107,8 @@
                 if awaiting_first:
                     self.selector.first_token(selection, attempt_id)
                     awaiting_first = False
+                    if progress.first_token_at is None:
+                        progress.first_token_at = self.clock.monotonic()
                 _check_order(tokens, progress)
                 progress.weight_version = selection.blocks.weight_version
                 await sink.async_tokens(tokens)
--- a/src/gypsumsail/relay/models.py
+++ b/src/gypsumsail/relay/models.py
@@ -91,6 +91,8 @@
 
     Attributes
     ----------
+    first_token_at
+        Monotonic time at which the first token was sent to the caller.
     tokens_out
         Answer tokens that the caller was sent.
     weight_version
@@ -98,6 +100,7 @@
     """
 
     attempts: int = 0
+    first_token_at: float | None = None
     tokens_out: int = 0
     weight_version: str = ""
     run_state: RunState = RunState.NOT_RUN
--- a/src/gypsumsail/relay/port.py
+++ b/src/gypsumsail/relay/port.py
@@ -80,15 +80,12 @@
         """Note that the request was never sent."""
 
 
-class RetryBudget(Protocol):
-    """Room for retries in relation to what succeeds."""
+class RetryBudgets(Protocol):
+    """Room for retries of each service in relation to what succeeds."""
 
-    def take(self, now: float) -> bool:
+    def take(self, service: str, now: float) -> bool:
         """Take one retry when there is room."""
 
-    def succeeded(self, now: float) -> None:
-        """Count one success."""
-
 
 class Prober(Protocol):
     """Tells a lost connection from a crashed target."""
--- a/tests/relay/common.py
+++ b/tests/relay/common.py
@@ -272,16 +272,13 @@
         self.calls.append("abandoned")
 
 
-class OpenBudget:
-    """A retry budget without a bound."""
+class OpenBudgets:
+    """Retry budgets without a bound."""
 
-    def take(self, now: float) -> bool:
+    def take(self, service: str, now: float) -> bool:
         """Allow every retry."""
         return True
 
-    def succeeded(self, now: float) -> None:
-        """Do nothing."""
-
 
 class ScriptedProber:
     """Says which engines crashed."""
@@ -315,7 +312,7 @@
         return RelayPorts(
             suspects=self.suspects,
             once=self.once,
-            budget=OpenBudget(),
+            budgets=OpenBudgets(),
             prober=ScriptedProber(self.engines),
             recorder=self.log,
             clock=self.clock,
