Work out an entry's duties once per change of the members

Cause: a profile of 40 entries showed the ranking of all members four times a second on each entry; its cost grows with the fleet. Ruled out: ranking less often by time, which would leave duties stale. Conclusion: duties follow the table's revision.

--- a/src/gypsumsail/membership/coordinator.py
+++ b/src/gypsumsail/membership/coordinator.py
@@ -21,15 +21,14 @@
     SYNC_INTERVAL_SECONDS,
     SYNC_LOST_SECONDS,
 )
-from gypsumsail.membership.duties import sync_partners, zone_relays
+from gypsumsail.membership.duties import Duties, assign_duties, sync_partners
+from gypsumsail.membership.events import event_of
 from gypsumsail.membership.models import (
     EntryJoined,
     EntryLost,
     Member,
     MembershipChange,
     MembershipSettings,
-    TargetLeaving,
-    VmsChanged,
 )
 from gypsumsail.membership.port import MembershipNetwork
 from gypsumsail.membership.probing import Prober
@@ -39,7 +38,6 @@
 from gypsumsail.peers.handshake import Identity
 from gypsumsail.peers.port import EntryId
 from gypsumsail.platform.port import VmList, VmRecord
-from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.port import Recorder
 
 _LOGGER = logging.getLogger(__name__)
@@ -71,10 +69,14 @@
         self.listeners: list[Listener] = []
         self.synced_at = clock.monotonic()
         self.round_number = 0
-        self.prober = Prober(self.table, network, clock, rng, self.publish)
+        self.prober = Prober(
+            self.table, network, clock, rng, self.publish, lambda: self.duties().probes
+        )
         self.synchronizer = Synchronizer(
             self.table, self.vms, network, clock, self.publish
         )
+        self._duties: Duties | None = None
+        self._duties_revision = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._unsubscribe: list[Callable[[], None]] = []
 
@@ -171,18 +173,25 @@
 
         An entry that lost all relays does so too, until it finds one again.
         """
-        me = self.table.me.entry
-        alive = [member.entry for member in self.table.alive()]
         cut_off = now - self.synced_at > SYNC_LOST_SECONDS
-        return cut_off or me in zone_relays(alive, me.zone)
+        return cut_off or self.duties().is_relay
+
+    @callback
+    def duties(self) -> Duties:
+        """Return what follows from the present members for this entry."""
+        if self._duties is None or self._duties_revision != self.table.revision:
+            self._duties_revision = self.table.revision
+            self._duties = assign_duties(
+                self.table.me.entry,
+                alive=[member.entry for member in self.table.alive()],
+                present=[member.entry for member in self.table.present()],
+            )
+        return self._duties
 
     @callback
     def sync_partners(self, round_number: int) -> tuple[EntryId, ...]:
         """Return the entries to compare with, best first."""
-        alive = [member.entry for member in self.table.alive()]
-        return sync_partners(
-            self.table.me.entry, alive, round_number=round_number, rng=self.rng
-        )
+        return sync_partners(self.duties(), round_number=round_number, rng=self.rng)
 
     @callback
     def publish(self, changes: tuple[MembershipChange, ...]) -> None:
@@ -190,7 +199,9 @@
         if any(isinstance(change, EntryJoined | EntryLost) for change in changes):
             self._fill_address_book()
         for change in changes:
-            self._record(change)
+            event = event_of(change)
+            if event is not None:
+                self.recorder.record(event)
             for listener in tuple(self.listeners):
                 listener(change)
 
@@ -199,20 +210,6 @@
             {member.entry: member.peer_url for member in self.table.present()}
         )
 
-    def _record(self, change: MembershipChange) -> None:
-        match change:
-            case EntryJoined(entry=entry):
-                event = Event(kind=EventKind.PEER_JOINED, detail=_text(entry))
-            case EntryLost(entry=entry):
-                event = Event(kind=EventKind.PEER_LOST, detail=_text(entry))
-            case TargetLeaving(vm_id=vm_id, incarnation=incarnation):
-                event = Event(
-                    kind=EventKind.TARGET_LEAVING, target=vm_id, detail=incarnation
-                )
-            case VmsChanged():
-                return
-        self.recorder.record(event)
-
     def _met(self, identity: Identity) -> None:
         if identity.entry == self.table.me.entry:
             return
@@ -260,7 +257,3 @@
             except Exception:
                 _LOGGER.exception("Membership step failed")
             await asyncio.sleep(interval() * self.rng.uniform(0.9, 1.1))
-
-
-def _text(entry: EntryId) -> str:
-    return f"{entry.name} {entry.incarnation} {entry.zone}"
--- a/src/gypsumsail/membership/duties.py
+++ b/src/gypsumsail/membership/duties.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from math import ceil
 import random
 
@@ -15,6 +17,7 @@
     ENTRIES_PER_RELAY,
     PROBE_PARTNERS,
     RELAYS_PER_ZONE,
+    SYNC_TRIES,
 )
 from gypsumsail.peers.port import EntryId
 
@@ -34,29 +37,85 @@
     return tuple(following[:PROBE_PARTNERS])
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Duties:
+    """What follows from the members for one entry.
+
+    Attributes
+    ----------
+    is_relay
+        Whether this entry watches the platform for its zone.
+    probes
+        Entries that this one probes in turn.
+    own_relays
+        Other relays of the zone; an ordinary entry's own one first.
+    far_relays
+        Relays of the other zones.
+    neighbours
+        All other entries of the zone.
+    """
+
+    is_relay: bool
+    probes: tuple[EntryId, ...]
+    own_relays: tuple[EntryId, ...]
+    far_relays: tuple[EntryId, ...]
+    neighbours: tuple[EntryId, ...]
+
+
+def assign_duties(
+    me: EntryId, *, alive: Sequence[EntryId], present: Sequence[EntryId]
+) -> Duties:
+    """Return the duties of an entry.
+
+    Parameters
+    ----------
+    alive
+        Entries beyond suspicion, with this one.
+    present
+        Entries not believed dead.
+    """
+    by_zone: defaultdict[str, list[EntryId]] = defaultdict(list)
+    for entry in alive:
+        by_zone[entry.zone].append(entry)
+    relays = {zone: zone_relays(by_zone[zone], zone) for zone in sorted(by_zone)}
+    own = [entry for entry in relays[me.zone] if entry != me]
+    return Duties(
+        is_relay=me in relays[me.zone],
+        probes=probe_partners(me, present),
+        own_relays=tuple(_ranked(me.name, own)),
+        far_relays=tuple(
+            entry
+            for zone, group in relays.items()
+            if zone != me.zone
+            for entry in group
+        ),
+        neighbours=tuple(entry for entry in by_zone[me.zone] if entry != me),
+    )
+
+
 def sync_partners(
-    me: EntryId, entries: Sequence[EntryId], *, round_number: int, rng: random.Random
+    duties: Duties, *, round_number: int, rng: random.Random
 ) -> tuple[EntryId, ...]:
     """Return the entries to compare tables with, best first.
 
     A relay turns to relays of its own zone and of others in turn, mixing them.
-    Another entry keeps to one relay of its zone, which needs fewer links. Whoever
-    remains comes last.
+    Another entry keeps to one relay of its zone, which needs fewer links. A few
+    others come last, in case no relay answers.
     """
-    zones = sorted({entry.zone for entry in entries})
-    relays = {zone: zone_relays(entries, zone) for zone in zones}
-    own = [entry for entry in relays.get(me.zone, ()) if entry != me]
-    far = [entry for zone in zones if zone != me.zone for entry in relays[zone]]
-    rest = [entry for entry in entries if entry != me and entry.zone == me.zone]
-    rng.shuffle(far)
-    rng.shuffle(rest)
-    if me not in relays.get(me.zone, ()):
-        return tuple(dict.fromkeys([*_ranked(me.name, own), *far, *rest]))
+    own = list(duties.own_relays)
+    far = _some(duties.far_relays, rng)
+    rest = _some(duties.neighbours, rng)
+    if not duties.is_relay:
+        return tuple(dict.fromkeys([*own, *far, *rest]))
     rng.shuffle(own)
     first, second = (far, own) if round_number % 2 == 1 else (own, far)
     return tuple(dict.fromkeys([*first, *second, *rest]))
 
 
+def _some(entries: Sequence[EntryId], rng: random.Random) -> list[EntryId]:
+    return rng.sample(entries, min(len(entries), SYNC_TRIES))
+
+
 def _ranked(key: str, entries: Iterable[EntryId]) -> list[EntryId]:
     by_life = {f"{entry.name}\0{entry.incarnation}": entry for entry in entries}
     return [by_life[life] for life in rank(key, by_life)]
--- a/src/gypsumsail/membership/probing.py
+++ b/src/gypsumsail/membership/probing.py
@@ -14,7 +14,6 @@
     INDIRECT_TIMEOUT_SECONDS,
     PROBE_TIMEOUT_SECONDS,
 )
-from gypsumsail.membership.duties import probe_partners
 from gypsumsail.membership.messages import Probe, Probed, ProbedFor, ProbeFor
 from gypsumsail.membership.models import Member, MembershipChange, MemberStatus
 from gypsumsail.membership.port import MembershipNetwork
@@ -34,12 +33,14 @@
         clock: Clock,
         rng: random.Random,
         publish: Publish,
+        partners: Callable[[], tuple[EntryId, ...]],
     ) -> None:
         self.table = table
         self.network = network
         self.clock = clock
         self.rng = rng
         self.publish = publish
+        self.partners = partners
         self.turn = 0
 
     def setup(self) -> list[Callable[[], None]]:
@@ -51,14 +52,13 @@
 
     async def async_probe_next(self) -> None:
         """Probe the next partner; suspect it when nobody reaches it."""
-        others = [member.entry for member in self.table.present()]
-        partners = probe_partners(self.table.me.entry, others)
+        partners = self.partners()
         if not partners:
             return
         self.turn += 1
         partner = partners[self.turn % len(partners)]
         started = self.clock.monotonic()
-        if await self._async_reaches(partner, others):
+        if await self._async_reaches(partner):
             return
         now = self.clock.monotonic()
         longest = PROBE_TIMEOUT_SECONDS + INDIRECT_TIMEOUT_SECONDS
@@ -84,17 +84,16 @@
         if isinstance(answer, Probed):
             self._take(answer)
 
-    async def _async_reaches(self, partner: EntryId, others: list[EntryId]) -> bool:
+    async def _async_reaches(self, partner: EntryId) -> bool:
         try:
             await self.async_probe(partner)
         except TransportError:
-            return await self._async_reaches_through(partner, others)
+            return await self._async_reaches_through(partner)
         return True
 
-    async def _async_reaches_through(
-        self, partner: EntryId, others: list[EntryId]
-    ) -> bool:
-        able = [entry for entry in others if entry != partner]
+    async def _async_reaches_through(self, partner: EntryId) -> bool:
+        present = (member.entry for member in self.table.present())
+        able = [entry for entry in present if entry != partner]
         helpers = self.rng.sample(able, min(len(able), INDIRECT_HELPERS))
         reached = await asyncio.gather(
             *(self._async_ask(helper, partner) for helper in helpers)
--- a/src/gypsumsail/membership/table.py
+++ b/src/gypsumsail/membership/table.py
@@ -37,6 +37,8 @@
         All known lives, without this one; dead ones until they are forgotten.
     since
         Monotonic seconds at which each got its status here.
+    revision
+        Grows with each change.
     """
 
     def __init__(self, me: Identity, *, now: float) -> None:
@@ -46,6 +48,7 @@
         self.members: dict[EntryId, Member] = {}
         self.since: dict[EntryId, float] = {}
         self.swept = now
+        self.revision = 0
         self._digest: BucketDigest | None = None
 
     def set_address(self, peer_url: str) -> None:
@@ -155,6 +158,7 @@
     def _set(self, record: Member, now: float) -> Changes:
         known = self.members.get(record.entry)
         self.members[record.entry] = record
+        self.revision += 1
         self._digest = None
         if known is None or known.status is not record.status:
             self.since[record.entry] = now
@@ -171,6 +175,7 @@
         if member.status is MemberStatus.DEAD and age >= FORGET_SECONDS:
             del self.members[member.entry]
             del self.since[member.entry]
+            self.revision += 1
         return ()
 
     def _restart_suspicions(self, now: float) -> None:
