--- a/tests/once/common.py
+++ b/tests/once/common.py
@@ -8,13 +8,14 @@
 import random
 from typing import Any, TypeVar
 
+from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError, UnavailableError
 from gypsumsail.once.coordinator import OnceCoordinator
 from gypsumsail.once.models import OnceRequest
 from gypsumsail.peers.codec import pack_message, unpack_message
 from gypsumsail.peers.port import EntryId, Handler, Message
-from gypsumsail.platform.port import ConflictError, Listing, PlatformObject
-from tests.common import EventLog, ManualClock
+from gypsumsail.platform.port import ConflictError, Listing, ObjectApi, PlatformObject
+from tests.common import EventLog
 
 _MessageT = TypeVar("_MessageT", bound=Message)
 
@@ -205,7 +206,7 @@
 
 
 def coordinator(
-    api: FakeObjectApi, fleet: FakeFleet, clock: ManualClock, name: str
+    api: ObjectApi, fleet: FakeFleet, clock: Clock, name: str
 ) -> OnceCoordinator:
     entry = entry_id(name)
     return OnceCoordinator(
