--- a/src/gypsumsail/orders/coordinator.py
+++ b/src/gypsumsail/orders/coordinator.py
@@ -20,7 +20,7 @@
 from gypsumsail.orders.models import ObservedEngine
 from gypsumsail.orders.planner import PlannedOrder, plan_orders
 from gypsumsail.orders.port import DocumentSource, EngineFactory, MembershipSource
-from gypsumsail.orders.wanted import is_loading, is_wanted
+from gypsumsail.orders.wanted import is_loading, is_wanted, wanted_models
 from gypsumsail.peers.port import EntryId
 from gypsumsail.platform.port import ObjectApi, VmRecord, VmRole
 from gypsumsail.targets.port import EngineState, SetState
@@ -133,10 +133,45 @@
                 self._record(EventKind.LEASE_LOST, "", f"fence {before.fence}")
 
     async def _async_observe(self) -> list[ObservedEngine]:
-        """Read the state of all engines; they are not ordered here."""
-        vms = self._engines_listed()
+        """Read the states of the zone's engines, and those they depend on.
+
+        Engines of other zones are read only for services of which an engine here
+        differs from what is wanted: the others have no turn to be given.
+        """
+        listed = self._engines_listed()
+        own = await self._async_read_states(
+            [vm for vm in listed if vm.zone == self.entry.zone]
+        )
+        differing = self._differing_services(own)
+        others = await self._async_read_states(
+            [
+                vm
+                for vm in listed
+                if vm.zone != self.entry.zone and vm.service in differing
+            ]
+        )
+        self.highest_fence = max(
+            (engine.state.highest_fence for engine in own if engine.state is not None),
+            default=0,
+        )
+        return [*own, *others]
+
+    def _differing_services(self, engines: list[ObservedEngine]) -> set[str]:
+        """Return the services of which an engine isn't as it is wanted."""
+        wanted = {
+            document.document.service: wanted_models(document.document)
+            for document in self.documents.all_in_force()
+        }
+        return {
+            engine.service
+            for engine in engines
+            if engine.state is None
+            or not is_wanted(engine.state, wanted[engine.service])
+        }
+
+    async def _async_read_states(self, vms: list[VmRecord]) -> list[ObservedEngine]:
         states = await asyncio.gather(*map(self._async_state, vms))
-        observed = [
+        return [
             ObservedEngine(
                 target=vm.vm_id,
                 service=vm.service,
@@ -145,15 +180,6 @@
             )
             for vm, state in zip(vms, states, strict=True)
         ]
-        self.highest_fence = max(
-            (
-                engine.state.highest_fence
-                for engine in observed
-                if engine.state is not None and engine.zone == self.entry.zone
-            ),
-            default=0,
-        )
-        return observed
 
     def _engines_listed(self) -> list[VmRecord]:
         services = [
--- a/tests/orders/test_coordinator.py
+++ b/tests/orders/test_coordinator.py
@@ -104,6 +104,18 @@
     assert engine.orders == []
 
 
+async def test_other_zones_are_read_only_when_an_engine_here_differs() -> None:
+    deployment = Deployment(3)
+    issuer = deployment.issuer("entry-1")
+    await issuer.async_step()
+    looks = [engine.looks for engine in deployment.engines.values()]
+    assert looks == [1, 0, 0]
+    deployment.documents = (document(2, "v2"),)
+    await issuer.async_step()
+    looks = [engine.looks for engine in deployment.engines.values()]
+    assert looks == [3, 1, 1]
+
+
 async def test_stale_book_sends_no_order() -> None:
     deployment = Deployment(3)
     deployment.documents = (document(2, "v2"),)
