Read ledgers, leases and the book of turns strictly

Cause: values of the platform are a border. An infinite number in a ledger's head raised OverflowError past the handler, negative run states and infinite times were taken.

Ruled out: the codec of the links for this, since it takes bytes that follow the value and knows no choice between kinds of entries.

--- a/src/gypsumsail/once/records.py
+++ b/src/gypsumsail/once/records.py
@@ -4,16 +4,19 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
-import io
-from typing import Any, Final
+from typing import Final
 
 import cbor2
 
+from gypsumsail.core import cbor
 from gypsumsail.core.errors import RunState
 from gypsumsail.once.const import LEDGER_PREFIX
 from gypsumsail.once.errors import LedgerCorruptError
 
 FORMAT_VERSION: Final = 1
+HEAD_FIELDS: Final = 5
+SEGMENT_FIELDS: Final = 2
+SEALED_FIELDS: Final = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -133,19 +136,17 @@
         The value is no head of this format.
     """
     try:
-        version, ledger_time, opened_at, sealed, entries = _loads(value)
-        if version != FORMAT_VERSION:
-            raise ValueError(f"format {version}")
+        version, ledger_time, opened_at, sealed, entries = cbor.read_list(
+            cbor.load(value), HEAD_FIELDS
+        )
+        _check_format(version)
         return Head(
-            ledger_time=float(ledger_time),
-            opened_at=float(opened_at),
-            sealed=tuple(
-                SealedSegment(head_version=int(number), sealed_at=float(at))
-                for number, at in sealed
-            ),
-            entries=tuple(_decode_entry(entry) for entry in entries),
+            ledger_time=cbor.read_seconds(ledger_time),
+            opened_at=cbor.read_seconds(opened_at),
+            sealed=tuple(map(_decode_sealed, cbor.read_list(sealed))),
+            entries=tuple(map(_decode_entry, cbor.read_list(entries))),
         )
-    except (cbor2.CBORDecodeError, TypeError, ValueError, IndexError) as err:
+    except cbor.ValueInvalidError as err:
         raise LedgerCorruptError(f"ledger head can't be decoded: {err}") from err
 
 
@@ -163,20 +164,16 @@
         The value is no list of entries of this format.
     """
     try:
-        version, entries = _loads(value)
-        if version != FORMAT_VERSION:
-            raise ValueError(f"format {version}")
-        return tuple(_decode_entry(entry) for entry in entries)
-    except (cbor2.CBORDecodeError, TypeError, ValueError, IndexError) as err:
+        version, entries = cbor.read_list(cbor.load(value), SEGMENT_FIELDS)
+        _check_format(version)
+        return tuple(map(_decode_entry, cbor.read_list(entries)))
+    except cbor.ValueInvalidError as err:
         raise LedgerCorruptError(f"ledger entries can't be decoded: {err}") from err
 
 
-def _loads(value: bytes) -> Any:
-    stream = io.BytesIO(value)
-    decoded = cbor2.load(stream)
-    if stream.read(1):
-        raise ValueError("bytes after the end")
-    return decoded
+def _check_format(version: object) -> None:
+    if version != FORMAT_VERSION:
+        raise cbor.ValueInvalidError(f"format {version!r}")
 
 
 def _encode_entry(entry: LedgerEntry) -> list[object]:
@@ -190,25 +187,36 @@
             return [_Kind.ABANDONED.value, entry.key, entry.attempt]
 
 
-def _decode_entry(fields: list[Any]) -> LedgerEntry:
-    kind = _Kind(fields[0])
-    key = _bytes(fields[1])
-    attempt = _bytes(fields[2])
-    match kind:
-        case _Kind.RESERVED:
-            return Reserved(key=key, attempt=attempt, body=_bytes(fields[3]))
-        case _Kind.ENDED:
+def _decode_sealed(value: object) -> SealedSegment:
+    head_version, sealed_at = cbor.read_list(value, SEALED_FIELDS)
+    return SealedSegment(
+        head_version=cbor.read_count(head_version),
+        sealed_at=cbor.read_seconds(sealed_at),
+    )
+
+
+def _decode_entry(value: object) -> LedgerEntry:
+    match cbor.read_list(value):
+        case [_Kind.RESERVED.value, key, attempt, body]:
+            return Reserved(
+                key=cbor.read_bytes(key),
+                attempt=cbor.read_bytes(attempt),
+                body=cbor.read_bytes(body),
+            )
+        case [_Kind.ENDED.value, key, attempt, run_state, status]:
             return Ended(
-                key=key,
-                attempt=attempt,
-                run_state=_RUN_STATES[fields[3]],
-                status=int(fields[4]),
+                key=cbor.read_bytes(key),
+                attempt=cbor.read_bytes(attempt),
+                run_state=_decode_run_state(run_state),
+                status=cbor.read_count(status),
             )
-        case _Kind.ABANDONED:
-            return Abandoned(key=key, attempt=attempt)
+        case [_Kind.ABANDONED.value, key, attempt]:
+            return Abandoned(key=cbor.read_bytes(key), attempt=cbor.read_bytes(attempt))
+    raise cbor.ValueInvalidError("not a ledger entry")
 
 
-def _bytes(value: object) -> bytes:
-    if not isinstance(value, bytes):
-        raise TypeError("no byte string")
-    return value
+def _decode_run_state(value: object) -> RunState:
+    place = cbor.read_count(value)
+    if place >= len(_RUN_STATES):
+        raise cbor.ValueInvalidError("not a run state")
+    return _RUN_STATES[place]
--- a/src/gypsumsail/orders/codec.py
+++ b/src/gypsumsail/orders/codec.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Final
 
 import cbor2
 
+from gypsumsail.core import cbor
 from gypsumsail.orders.errors import OrdersCorruptError
 from gypsumsail.orders.models import LeaseRecord, NewestOrdered, Turn, TurnBook
 
-_DECODE_ERRORS = (cbor2.CBORDecodeError, TypeError, ValueError)
+LEASE_FIELDS: Final = 3
+BOOK_FIELDS: Final = 2
+TURN_FIELDS: Final = 4
+NEWEST_FIELDS: Final = 2
 
 
 def encode_lease(lease: LeaseRecord) -> bytes:
@@ -26,11 +30,13 @@
         The value is no lease.
     """
     try:
-        holder, fence, seconds = cbor2.loads(value)
+        holder, fence, seconds = cbor.read_list(cbor.load(value), LEASE_FIELDS)
         return LeaseRecord(
-            holder=_text(holder), fence=int(fence), seconds=float(seconds)
+            holder=cbor.read_text(holder),
+            fence=cbor.read_count(fence),
+            seconds=cbor.read_seconds(seconds),
         )
-    except _DECODE_ERRORS as err:
+    except cbor.ValueInvalidError as err:
         raise OrdersCorruptError(f"lease can't be decoded: {err}") from err
 
 
@@ -53,28 +59,27 @@
         The value is no book of turns.
     """
     try:
-        turns, newest = cbor2.loads(value)
+        turns, newest = cbor.read_list(cbor.load(value), BOOK_FIELDS)
         return TurnBook(
-            turns=tuple(_turn(*fields) for fields in turns),
-            newest=tuple(
-                NewestOrdered(service=_text(service), document_version=int(version))
-                for service, version in newest
-            ),
+            turns=tuple(map(_turn, cbor.read_list(turns))),
+            newest=tuple(map(_newest, cbor.read_list(newest))),
         )
-    except _DECODE_ERRORS as err:
+    except cbor.ValueInvalidError as err:
         raise OrdersCorruptError(f"book of turns can't be decoded: {err}") from err
 
 
-def _turn(target: Any, service: Any, zone: Any, version: Any) -> Turn:
+def _turn(value: object) -> Turn:
+    target, service, zone, version = cbor.read_list(value, TURN_FIELDS)
     return Turn(
-        target=_text(target),
-        service=_text(service),
-        zone=_text(zone),
-        document_version=int(version),
+        target=cbor.read_text(target),
+        service=cbor.read_text(service),
+        zone=cbor.read_text(zone),
+        document_version=cbor.read_count(version),
     )
 
 
-def _text(value: object) -> str:
-    if not isinstance(value, str):
-        raise TypeError("no text")
-    return value
+def _newest(value: object) -> NewestOrdered:
+    service, version = cbor.read_list(value, NEWEST_FIELDS)
+    return NewestOrdered(
+        service=cbor.read_text(service), document_version=cbor.read_count(version)
+    )
--- a/tests/once/test_ledger.py
+++ b/tests/once/test_ledger.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+
+import cbor2
 from hypothesis import given, settings
 from hypothesis import strategies as st
 import pytest
@@ -31,6 +34,8 @@
 from .common import FakeObjectApi
 
 PARTITION = 3
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.binary()
+HOSTILE = st.recursive(SCALARS, st.lists, max_leaves=20)
 
 
 def reserved(key: int, attempt: int, body: int = 0) -> Reserved:
@@ -213,13 +218,28 @@
         await async_verdict(store, reserved(1, 2))
 
 
-@given(st.binary(max_size=200))
-@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=200) | HOSTILE.map(cbor2.dumps))
+@settings(derandomize=True, deadline=None, max_examples=500)
 def test_hostile_values_are_refused(value: bytes) -> None:
     with pytest.raises(LedgerCorruptError):
         decode_head(value)
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        [1, math.inf, 0, [], []],
+        [1, 0, 0, [[math.inf, 0]], []],
+        [1, 0, 0, [], [[1, b"k", b"a", -1, 200]]],
+        [1, 0, 0, [], [[0, "k", b"a", b"b"]]],
+        [2, 0, 0, [], []],
+    ],
+)
+def test_head_that_is_nearly_right_is_refused(value: list[object]) -> None:
+    with pytest.raises(LedgerCorruptError):
+        decode_head(cbor2.dumps(value))
+
+
 def test_head_survives_its_encoding() -> None:
     head = Head(
         ledger_time=12.5,
--- a/tests/orders/test_lease.py
+++ b/tests/orders/test_lease.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+
+import cbor2
+from hypothesis import given, settings
+from hypothesis import strategies as st
 import pytest
 
 from gypsumsail.core.errors import TransportError
+from gypsumsail.orders.codec import decode_book, decode_lease
 from gypsumsail.orders.const import LEASE_RENEW_SECONDS, LEASE_SECONDS
+from gypsumsail.orders.errors import OrdersCorruptError
 from gypsumsail.orders.keeper import LeaseKeeper
 from gypsumsail.orders.lease import may_order
 from tests.common import ManualClock
@@ -99,3 +106,15 @@
     assert pair.may_order(pair.second)
     assert pair.second.held is not None
     assert pair.second.held.fence == 2
+
+
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text()
+HOSTILE = st.recursive(SCALARS, st.lists, max_leaves=20)
+
+
+@given(st.binary(max_size=100) | HOSTILE.map(cbor2.dumps))
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_hostile_values_are_refused(value: bytes) -> None:
+    for decode in (decode_lease, decode_book):
+        with suppress(OrdersCorruptError):
+            decode(value)
