Split the ledger's planning and refusals off, and add diagnostics

Ruled out: counters in the committers, which are dropped when a partition gets another owner, so that sums would fall.

--- a/src/gypsumsail/once/committer.py
+++ b/src/gypsumsail/once/committer.py
@@ -36,6 +36,14 @@
     verdicts: asyncio.Future[tuple[Verdict, ...]]
 
 
+@dataclass(slots=True, kw_only=True)
+class CommitCounters:
+    """Commits of all partitions of an entry, and the entries in them."""
+
+    commits: int = 0
+    entries: int = 0
+
+
 class GroupCommitter:
     """Collects entries while a commit runs and writes them in the next one.
 
@@ -44,17 +52,21 @@
     """
 
     def __init__(
-        self, api: ObjectApi, clock: Clock, partition: int, pause: PlatformPause
+        self,
+        api: ObjectApi,
+        clock: Clock,
+        partition: int,
+        pause: PlatformPause,
+        counters: CommitCounters,
     ) -> None:
         self.clock = clock
         self.store = LedgerStore(api, clock, partition)
         self.pause = pause
+        self.counters = counters
         self.waiting: list[_Waiting] = []
         self.task: asyncio.Task[None] | None = None
         self.lock = asyncio.Lock()
         self.last_commit = float("-inf")
-        self.commits = 0
-        self.submitted = 0
 
     async def async_submit(self, entries: Sequence[LedgerEntry]) -> tuple[Verdict, ...]:
         """Commit entries together with whatever else waits.
@@ -71,7 +83,6 @@
         loop = asyncio.get_running_loop()
         verdicts: asyncio.Future[tuple[Verdict, ...]] = loop.create_future()
         self.waiting.append(_Waiting(entries=tuple(entries), verdicts=verdicts))
-        self.submitted += len(entries)
         if self.task is None:
             self.task = asyncio.create_task(self._async_run())
         return await verdicts
@@ -130,8 +141,9 @@
 
     async def _async_commit(self, batch: list[_Waiting]) -> None:
         self.last_commit = self.clock.monotonic()
-        self.commits += 1
         entries = [entry for item in batch for entry in item.entries]
+        self.counters.commits += 1
+        self.counters.entries += len(entries)
         try:
             async with self.lock, asyncio.timeout(COMMIT_TIMEOUT_SECONDS):
                 verdicts = iter(await self.store.async_commit(entries))
--- a/src/gypsumsail/once/coordinator.py
+++ b/src/gypsumsail/once/coordinator.py
@@ -7,31 +7,20 @@
 from contextlib import suppress
 import logging
 import random
-from typing import Any, NoReturn
+from typing import Any
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
-from gypsumsail.core.errors import (
-    DuplicateRequestError,
-    ReservationUnavailableError,
-    RunState,
-)
+from gypsumsail.core.errors import RunState
 from gypsumsail.core.ids import new_id
 from gypsumsail.once.const import (
     CLEANUP_INTERVAL_SECONDS,
     OUTCOME_INTERVAL_SECONDS,
     RESERVE_TIMEOUT_SECONDS,
-    RETRY_AFTER_JITTER_SECONDS,
-    RETRY_AFTER_SECONDS,
-    RUNNING_RETRY_AFTER_SECONDS,
     SEND_WINDOW_SECONDS,
     UNLOAD_TIMEOUT_SECONDS,
 )
-from gypsumsail.once.errors import (
-    KeyReusedError,
-    LedgerUnavailableError,
-    ReservationStateError,
-)
+from gypsumsail.once.errors import LedgerUnavailableError, ReservationStateError
 from gypsumsail.once.keys import key_digest, partition_of
 from gypsumsail.once.ledger import Verdict, VerdictKind
 from gypsumsail.once.ledgers import Ledgers, Submission
@@ -43,6 +32,7 @@
 )
 from gypsumsail.once.outcomes import OutcomeQueue, entries_of
 from gypsumsail.once.records import Abandoned, Ended, Reserved
+from gypsumsail.once.refusals import refusal, unavailable
 from gypsumsail.peers.port import EntryId, PeerNetwork
 from gypsumsail.platform.port import ObjectApi
 from gypsumsail.timeline.models import Event, EventKind
@@ -125,13 +115,15 @@
             verdict = await self._async_submit(submission)
         except (LedgerUnavailableError, TimeoutError) as err:
             self._give_up(reservation, submission, now)
-            raise self._unavailable(f"the ledger could not be written: {err}") from err
+            raise unavailable(
+                f"the ledger could not be written: {err}", self.rng
+            ) from err
         except BaseException:
             self._give_up(reservation, submission, now)
             raise
         if verdict.kind is not VerdictKind.GRANTED:
             self._give_up(reservation, submission, now)
-            self._raise_for(verdict)
+            raise refusal(verdict, self.rng)
         self._record(EventKind.RESERVED, reservation, "")
         return reservation
 
@@ -225,31 +217,6 @@
             return
         reservation.state = ReservationState.ABANDONED
 
-    def _raise_for(self, verdict: Verdict) -> NoReturn:
-        match verdict.kind:
-            case VerdictKind.RUNNING:
-                raise DuplicateRequestError(
-                    "a request with this key was sent and its end isn't known",
-                    run_state=RunState.MAY_HAVE_RUN,
-                    retry_after=RUNNING_RETRY_AFTER_SECONDS,
-                )
-            case VerdictKind.FINISHED:
-                raise DuplicateRequestError(
-                    f"the first request with this key ended with status "
-                    f"{verdict.status}",
-                    run_state=verdict.run_state,
-                )
-            case VerdictKind.OTHER_BODY:
-                raise KeyReusedError("this key was used with another body")
-            case _:
-                raise self._unavailable(f"the ledger refused: {verdict.kind}")
-
-    def _unavailable(self, message: str) -> ReservationUnavailableError:
-        jitter = self.rng.random() * RETRY_AFTER_JITTER_SECONDS
-        return ReservationUnavailableError(
-            message, retry_after=RETRY_AFTER_SECONDS + jitter
-        )
-
     def _record(self, kind: EventKind, reservation: Reservation, detail: str) -> None:
         request = reservation.request
         self.recorder.record(
--- a/src/gypsumsail/once/ledgers.py
+++ b/src/gypsumsail/once/ledgers.py
@@ -9,7 +9,7 @@
 
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
-from gypsumsail.once.committer import GroupCommitter
+from gypsumsail.once.committer import CommitCounters, GroupCommitter
 from gypsumsail.once.const import OWNER_TIMEOUT_SECONDS, PARTITIONS
 from gypsumsail.once.errors import LedgerUnavailableError, PlatformPausedError
 from gypsumsail.once.keys import owner_of, partition_of
@@ -62,6 +62,7 @@
         self.clock = clock
         self.entry = entry
         self.pause = PlatformPause()
+        self.counters = CommitCounters()
         self.committers: dict[int, GroupCommitter] = {}
         self.unsubscribe: list[Callable[[], None]] = []
         self.forwarded = 0
@@ -134,7 +135,9 @@
     def _committer(self, partition: int) -> GroupCommitter:
         committer = self.committers.get(partition)
         if committer is None:
-            committer = GroupCommitter(self.api, self.clock, partition, self.pause)
+            committer = GroupCommitter(
+                self.api, self.clock, partition, self.pause, self.counters
+            )
             self.committers[partition] = committer
         return committer
 
--- /dev/null
+++ b/src/gypsumsail/once/planning.py
@@ -0,0 +1,133 @@
+"""Pure planning of the next commit to a partition."""
+
+from __future__ import annotations
+
+from collections import ChainMap
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from gypsumsail.once.const import (
+    ENTRIES_PER_SEGMENT,
+    RETENTION_SECONDS,
+    SEAL_AGE_SECONDS,
+    SEGMENTS_PER_PARTITION,
+)
+from gypsumsail.once.ledger import (
+    Ledger,
+    Verdict,
+    VerdictKind,
+    apply_entry,
+    decide,
+    is_known,
+)
+from gypsumsail.once.records import Head, LedgerEntry, Reserved, SealedSegment
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CommitPlan:
+    """What one commit writes, and the decision on each submitted entry.
+
+    Attributes
+    ----------
+    seal
+        Whether the entries of the present head become a segment first.
+    entries
+        Entries that the commit adds; without any, nothing needs to be written.
+    expired
+        Head versions of the segments that the commit drops.
+    """
+
+    head: Head
+    seal: bool
+    entries: tuple[LedgerEntry, ...]
+    verdicts: tuple[Verdict, ...]
+    expired: tuple[int, ...]
+
+
+def plan_commit(
+    ledger: Ledger, submitted: Sequence[LedgerEntry], *, elapsed: float
+) -> CommitPlan:
+    """Plan the next commit to a partition.
+
+    Parameters
+    ----------
+    elapsed
+        Seconds of the writer's monotonic clock since it learnt that the head
+        has ``ledger.version``. They lie between this version and the next one,
+        so that ledger time never runs ahead of real time.
+    """
+    ledger_time = ledger.head.ledger_time + elapsed
+    expired, kept = _split_expired(ledger.head.sealed, ledger_time)
+    seal = _needs_seal(ledger.head, ledger_time)
+    if seal:
+        kept = (
+            *kept,
+            SealedSegment(head_version=ledger.version, sealed_at=ledger_time),
+        )
+    full = len(kept) >= SEGMENTS_PER_PARTITION
+    added, verdicts = _decide_all(ledger, submitted, full=full)
+    entries = added if seal else (*ledger.head.entries, *added)
+    fresh = seal or not ledger.head.entries
+    return CommitPlan(
+        head=Head(
+            ledger_time=ledger_time,
+            opened_at=ledger_time if fresh else ledger.head.opened_at,
+            sealed=kept,
+            entries=entries,
+        ),
+        seal=seal,
+        entries=added,
+        verdicts=verdicts,
+        expired=tuple(segment.head_version for segment in expired),
+    )
+
+
+def _split_expired(
+    sealed: tuple[SealedSegment, ...], ledger_time: float
+) -> tuple[tuple[SealedSegment, ...], tuple[SealedSegment, ...]]:
+    """Split off the oldest segments; the rest keeps its order."""
+    count = 0
+    for segment in sealed:
+        if ledger_time - segment.sealed_at < RETENTION_SECONDS:
+            break
+        count += 1
+    return sealed[:count], sealed[count:]
+
+
+def _needs_seal(head: Head, ledger_time: float) -> bool:
+    if not head.entries:
+        return False
+    if len(head.entries) >= ENTRIES_PER_SEGMENT:
+        return True
+    return ledger_time - head.opened_at >= SEAL_AGE_SECONDS
+
+
+def _decide_all(
+    ledger: Ledger, submitted: Sequence[LedgerEntry], *, full: bool
+) -> tuple[tuple[LedgerEntry, ...], tuple[Verdict, ...]]:
+    overlay = Ledger(
+        keys=ChainMap({}, ledger.keys),
+        given_up=set(),
+    )
+    added: list[LedgerEntry] = []
+    verdicts: list[Verdict] = []
+    for entry in submitted:
+        given_up = entry.attempt in ledger.given_up or entry.attempt in overlay.given_up
+        verdict = decide(overlay.keys.get(entry.key), entry, given_up=given_up)
+        known = given_up or is_known(overlay, entry)
+        if full and not known and isinstance(entry, Reserved):
+            verdict = Verdict(kind=VerdictKind.FULL)
+        verdicts.append(verdict)
+        if known or verdict.kind not in (VerdictKind.GRANTED, VerdictKind.RECORDED):
+            continue
+        apply_entry(overlay.keys, overlay.given_up, entry)
+        added.append(entry)
+    return tuple(added), tuple(verdicts)
+
+
+def advance(ledger: Ledger, plan: CommitPlan, version: int) -> None:
+    """Take over a confirmed commit."""
+    for entry in plan.entries:
+        apply_entry(ledger.keys, ledger.given_up, entry)
+    ledger.head = plan.head
+    ledger.version = version
--- /dev/null
+++ b/src/gypsumsail/once/refusals.py
@@ -0,0 +1,47 @@
+"""Answers to requests that are not granted."""
+
+from __future__ import annotations
+
+import random
+
+from gypsumsail.core.errors import (
+    DuplicateRequestError,
+    RequestError,
+    ReservationUnavailableError,
+    RunState,
+)
+from gypsumsail.once.const import (
+    RETRY_AFTER_JITTER_SECONDS,
+    RETRY_AFTER_SECONDS,
+    RUNNING_RETRY_AFTER_SECONDS,
+)
+from gypsumsail.once.errors import KeyReusedError
+from gypsumsail.once.ledger import Verdict, VerdictKind
+
+
+def refusal(verdict: Verdict, rng: random.Random) -> RequestError:
+    """Return the error for a reservation that the ledger refused."""
+    match verdict.kind:
+        case VerdictKind.RUNNING:
+            return DuplicateRequestError(
+                "a request with this key was sent and its end isn't known",
+                run_state=RunState.MAY_HAVE_RUN,
+                retry_after=RUNNING_RETRY_AFTER_SECONDS,
+            )
+        case VerdictKind.FINISHED:
+            return DuplicateRequestError(
+                f"the first request with this key ended with status {verdict.status}",
+                run_state=verdict.run_state,
+            )
+        case VerdictKind.OTHER_BODY:
+            return KeyReusedError("this key was used with another body")
+        case _:
+            return unavailable(f"the ledger refused: {verdict.kind}", rng)
+
+
+def unavailable(message: str, rng: random.Random) -> ReservationUnavailableError:
+    """Return the error for a reservation that could not be confirmed."""
+    jitter = rng.random() * RETRY_AFTER_JITTER_SECONDS
+    return ReservationUnavailableError(
+        message, retry_after=RETRY_AFTER_SECONDS + jitter
+    )
--- a/src/gypsumsail/once/store.py
+++ b/src/gypsumsail/once/store.py
@@ -15,15 +15,8 @@
     LedgerCorruptError,
     LedgerUnavailableError,
 )
-from gypsumsail.once.ledger import (
-    CommitPlan,
-    Ledger,
-    Verdict,
-    VerdictKind,
-    advance,
-    apply_entry,
-    plan_commit,
-)
+from gypsumsail.once.ledger import Ledger, Verdict, VerdictKind, apply_entry
+from gypsumsail.once.planning import CommitPlan, advance, plan_commit
 from gypsumsail.once.records import (
     EMPTY_HEAD,
     LedgerEntry,
--- a/tests/once/test_coordinator.py
+++ b/tests/once/test_coordinator.py
@@ -14,6 +14,7 @@
 )
 from gypsumsail.once.const import PLATFORM_PAUSE_SECONDS, SEND_WINDOW_SECONDS
 from gypsumsail.once.coordinator import OnceCoordinator
+from gypsumsail.once.diagnostics import diagnostics
 from gypsumsail.once.errors import KeyReusedError, ReservationStateError
 from gypsumsail.once.keys import key_digest, owner_of, partition_of
 from gypsumsail.once.models import Outcome, may_send
@@ -232,7 +233,8 @@
     await deployment.api.called.wait()
     call.cancel()
     await asyncio.gather(call, return_exceptions=True)
-    assert len(owner.outcomes) == 1
+    report = diagnostics(owner, deployment.now + 3.0)
+    assert (report.outcomes_waiting, report.oldest_outcome_seconds) == (1, 3.0)
 
 
 async def test_unload_records_the_outcomes_that_wait(deployment: Deployment) -> None:
--- a/tests/orders/test_coordinator.py
+++ b/tests/orders/test_coordinator.py
@@ -7,6 +7,7 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.orders.const import LEASE_SECONDS, TURNS_KEY
 from gypsumsail.orders.coordinator import OrdersCoordinator
+from gypsumsail.orders.diagnostics import diagnostics
 from gypsumsail.platform.port import ConflictError
 
 from .common import ZONES, Deployment, document, loaded, serving
@@ -85,8 +86,10 @@
     await paused.async_step()
     assert deployment.out() == 0
     assert paused.keeper.held is None
+    assert not diagnostics(paused, deployment.clock.now).is_issuer
     await successor.async_step()
     assert deployment.out() == 1
+    assert diagnostics(successor, deployment.clock.now).is_issuer
 
 
 async def test_lease_that_ends_between_look_and_order_sends_nothing() -> None:
