--- a/src/gypsumsail/relay/models.py
+++ b/src/gypsumsail/relay/models.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import TypeAlias
 
-from gypsumsail.context.chain import Chain
+from gypsumsail.context.prompt import PromptBlocks
 from gypsumsail.core.errors import GypsumsailError, RequestError, RunState
 from gypsumsail.platform.port import VmRecord
 from gypsumsail.routing.models import Expectation
@@ -60,7 +60,7 @@
         Prompt tokens that were believed to be computed before.
     """
 
-    chain: Chain
+    blocks: PromptBlocks
     kept: KeptBlocks | None
     expected: Expectation
     tokens_ahead: float
