Start the entry with a policy that exists

Cause: the first run of an entry ended with KeyError 'default': the setting's default named no policy. An unknown policy is a finding now. Seen to fail first: the settings test with the old default; the apply test with the floor taken as 0.

--- a/src/gypsumsail/cli/document_show.py
+++ b/src/gypsumsail/cli/document_show.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from hashlib import sha256
 
 import click
 
@@ -15,7 +16,6 @@
     decode_stored,
     document_key,
 )
-from gypsumsail.documents.readback import text_digest
 from gypsumsail.platform.port import PlatformObject
 
 
@@ -69,7 +69,7 @@
     return ShownDocument(
         service=service,
         version=stored.base + found.version,
-        digest=text_digest(stored.text),
+        digest=sha256(stored.text.encode()).hexdigest(),
         text=stored.text,
     )
 
--- a/src/gypsumsail/cli/entry.py
+++ b/src/gypsumsail/cli/entry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from importlib import import_module
 import os
 from typing import TYPE_CHECKING, Any, Final
 
@@ -57,9 +56,9 @@
 def _run(settings: EntrySettings) -> int:
     import asyncio
 
-    app = import_module("gypsumsail.entry.app")
-    status: int = asyncio.run(app.async_run_entry(settings))
-    return status
+    from gypsumsail.entry.app import async_run_entry
+
+    return asyncio.run(async_run_entry(settings))
 
 
 def _collect(
--- a/src/gypsumsail/entry/operator_models.py
+++ b/src/gypsumsail/entry/operator_models.py
@@ -23,7 +23,7 @@
     version
         Version in force; 0 when only a faulty document is known.
     digest
-        BLAKE2b digest, in hexadecimal, of the text in force.
+        SHA-256 digest, in hexadecimal, of the text in force.
     lag_versions, lag_seconds
         How far the entry knows itself to be behind, and since when.
     findings
--- a/src/gypsumsail/entry/settings.py
+++ b/src/gypsumsail/entry/settings.py
@@ -23,6 +23,8 @@
     ListenAddress,
     PeerUrl,
 )
+from gypsumsail.routing.const import DEFAULT_POLICY
+from gypsumsail.routing.policies import POLICIES
 from gypsumsail.timeline.const import ARCHIVE_RETENTION_DAYS
 
 MIN_SECRET_LENGTH: Final = 16
@@ -61,7 +63,15 @@
     return value
 
 
+def _check_policy(value: str) -> str:
+    if value not in POLICIES:
+        msg = f"must be one of {', '.join(sorted(POLICIES))}"
+        raise ValueError(msg)
+    return value
+
+
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+PolicyName = Annotated[str, AfterValidator(_check_policy)]
 Secret = Annotated[SecretStr, AfterValidator(_check_secret)]
 
 
@@ -105,7 +115,7 @@
     log_level: LogLevel = LogLevel.INFO
     drain_seconds: float = Field(default=30.0, ge=0, le=86_400, allow_inf_nan=False)
     body_limit: int = Field(default=8 * 1024 * 1024, ge=1024, le=MAX_BODY_LIMIT_BYTES)
-    routing_policy: Name = "default"
+    routing_policy: PolicyName = DEFAULT_POLICY
     timeline_retention_days: int = Field(
         default=ARCHIVE_RETENTION_DAYS, ge=1, le=MAX_RETENTION_DAYS
     )
--- a/tests/cli/test_document_apply.py
+++ b/tests/cli/test_document_apply.py
@@ -9,6 +9,7 @@
 
 from bench.processes import Launcher, RunningProcess
 from gypsumsail.cli.const import ExitCode
+from gypsumsail.documents.const import CREATION_GAP
 from tests.cli.common import invoke, invoke_json, serve
 from tests.document.common import FAULTY_TEXT, MODEL_TEXT
 from tests.entry.common import FakeStatusSource, document_status
@@ -82,10 +83,11 @@
     with serve(source) as url:
         flags = ["--entry", url, "--expected-version", "9"]
         code, result = await to_thread(invoke_json, *arguments, *flags)
-        assert (code, result["outcome"]["version"]) == (ExitCode.OK, 10)
+        version = 9 + CREATION_GAP + 1
+        assert (code, result["outcome"]["version"]) == (ExitCode.OK, version)
 
         edit(file, MODEL_TEXT + "default_priority: 4\n")
-        flags = ["--entry", url, "--expected-version", "10", "--wait", "0.1"]
+        flags = ["--entry", url, "--expected-version", str(version), "--wait", "0.1"]
         late = await to_thread(invoke, *arguments, *flags)
         assert late.exit_code == ExitCode.FINDINGS
         assert "NOT IN FORCE EVERYWHERE" in late.stdout
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gypsumsail.entry.settings import SettingsInvalidError, load_settings
+from gypsumsail.routing.policies import POLICIES
 
 
 def settings_values(**changes: Any) -> dict[str, Any]:
@@ -31,6 +32,7 @@
 
     assert (settings.listen.host, settings.listen.port) == ("127.0.0.1", 80)
     assert settings.drain_seconds == 2.5
+    assert settings.routing_policy in POLICIES
     assert settings.operator_key.get_secret_value() == "another-operator-key"
     assert "another" not in repr(settings)
 
@@ -45,6 +47,7 @@
         operator_key_file="/missing",
         drain_seconds="nan",
         log_level="loud",
+        routing_policy="default",
     )
     del values["zone"], values["operator_key"]
     places = {name: f"--{name}" for name in (*values, "zone")}
@@ -60,6 +63,7 @@
         "--peer_listen",
         "--peer_secret",
         "--platform_url",
+        "--routing_policy",
         "--seed_peers",
         "--zone",
     ]
