Test kept context against engines and a store in their own processes

Cause: fakes show the decisions, not that names, hashes and orders fit the systems around. Seen to fail with the guard removed: names without the first block; not publishing what is stored. Conclusion: an export from one engine is imported whole by another; a dead store and a full one cost only computing.

--- a/tests/tiers/common.py
+++ b/tests/tiers/common.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any, Final, cast
 
@@ -14,7 +14,7 @@
 from gypsumsail.context.prompt import PromptBlocks
 from gypsumsail.context.store_view import StoredExport
 from gypsumsail.core.errors import TransportError
-from gypsumsail.document.models import TierWeights
+from gypsumsail.document.models import ServiceDocument, TierWeights
 from gypsumsail.limits.coordinator import LimitCoordinator
 from gypsumsail.peers.port import EntryId
 from gypsumsail.stores.port import (
@@ -240,3 +240,14 @@
         return await self.tiers.async_hold(
             make_blocks(), kept, cached_blocks=0, deadline=10.0
         )
+
+
+class BigBudget:
+    """Source of a document whose link budget is no limit in tests."""
+
+    def document(self, service: str) -> ServiceDocument | None:
+        document = OneDocument().document(service)
+        if document is None:
+            return None
+        tiers = replace(document.tiers, link_bytes_per_second=1e9)
+        return replace(document, tiers=tiers)
--- /dev/null
+++ b/tests/tiers/test_processes.py
@@ -0,0 +1,199 @@
+"""Tests of kept context against engines and a store in processes of their own."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+from random import Random
+
+import httpx
+import pytest
+
+from bench.processes import Launcher, RunningProcess
+from gypsumsail.context.coordinator import ContextCoordinator
+from gypsumsail.context.port import EngineLink, StoreLink
+from gypsumsail.context.prompt import PromptBlocks, make_prompt_blocks
+from gypsumsail.core.clock import SystemClock
+from gypsumsail.limits.coordinator import LimitCoordinator
+from gypsumsail.peers.port import EntryId
+from gypsumsail.stores.http import HttpStore
+from gypsumsail.targets.http import HttpEngine
+from gypsumsail.targets.port import AnswerEnd, EngineRequest, KeptBlocks
+from gypsumsail.tiers.coordinator import AnsweredPrompt, TierCoordinator
+from tests.common import EventLog
+from tests.context.common import FakeNetwork
+from tests.peers.common import async_until
+from tests.stand_ins.common import ENGINE_ARGUMENTS, set_fault
+
+from .common import SERVICE, BigBudget
+
+PROMPT = "".join(f"vol AF {number:06d}; " for number in range(3000))
+
+
+@dataclass
+class Site:
+    """An entry's parts in this process; two engines and a store in their own."""
+
+    tiers: TierCoordinator
+    context: ContextCoordinator
+    engines: dict[str, HttpEngine]
+    store: RunningProcess
+    store_adapter: HttpStore
+
+    def link(self, target: str) -> EngineLink:
+        return EngineLink(
+            target=target, service=SERVICE, zone="a", engine=self.engines[target]
+        )
+
+    async def async_ask(self, target: str, attempt: str) -> AnswerEnd:
+        """Ask as an entry does: look up, hold, send, and tell of the answer."""
+        blocks = blocks_of(PROMPT)
+        kept = await self.tiers.async_lookup(blocks)
+        cached = self.context.cached_blocks(target, blocks.hashes, kept)
+        told: KeptBlocks | None = None
+        for prefix in self.tiers.prefixes(blocks, kept):
+            told = KeptBlocks(store_url=prefix.store_url, names=prefix.names)
+        held = await self.tiers.async_hold(
+            blocks, told, cached_blocks=cached, deadline=20.0
+        )
+        request = EngineRequest(
+            attempt_id=attempt,
+            model="claims",
+            adapter="",
+            weight_version="v1",
+            prompt=PROMPT,
+            max_tokens=5,
+            cache_salt=blocks.salt,
+            priority=5,
+            deadline=20.0,
+            kept=held,
+        )
+        batches = [batch async for batch in self.engines[target].stream(request)]
+        end = batches[-1][-1]
+        assert isinstance(end, AnswerEnd)
+        self.tiers.on_answer_ended(
+            AnsweredPrompt(
+                request_id=attempt,
+                blocks=blocks,
+                target=target,
+                kept=held,
+                end=end,
+                prefill_tokens_per_second=5000.0,
+            )
+        )
+        return end
+
+    def stored(self) -> bool:
+        records = self.context.directory.records.values()
+        return any(record.stored for record in records)
+
+
+@dataclass
+class SiteSource:
+    """Source of the site's targets."""
+
+    found_engines: list[EngineLink]
+    found_stores: list[StoreLink]
+
+    def engines(self) -> Sequence[EngineLink]:
+        return self.found_engines
+
+    def stores(self) -> Sequence[StoreLink]:
+        return self.found_stores
+
+
+def blocks_of(prompt: str) -> PromptBlocks:
+    return make_prompt_blocks(
+        prompt,
+        service=SERVICE,
+        customer="ares",
+        model="claims",
+        adapter="",
+        weight_version="v1",
+    )
+
+
+@pytest.fixture
+async def site(launcher: Launcher) -> AsyncIterator[Site]:
+    engines = {
+        name: HttpEngine(
+            (
+                await launcher.start_module(name, "stand_ins.engine", ENGINE_ARGUMENTS)
+            ).url
+        )
+        for name in ("e", "f")
+    }
+    store = await launcher.start_module("s", "stand_ins.store", ())
+    adapter = HttpStore(store.url)
+    link = StoreLink(store_url=store.url, service=SERVICE, zone="a", store=adapter)
+    source = SiteSource([], [link])
+    me = EntryId(name="a1", incarnation="1", zone="a")
+    network, clock, documents = FakeNetwork(me, {}), SystemClock(), BigBudget()
+    context = ContextCoordinator(me, network, source, clock)
+    limits = LimitCoordinator(me, network, documents, clock, Random(1))
+    tiers = TierCoordinator(
+        me,
+        network,
+        context,
+        limits,
+        source,
+        documents,
+        EventLog(),
+        clock,
+        Random(1),
+    )
+    made = Site(tiers, context, engines, store, adapter)
+    source.found_engines = [made.link(name) for name in engines]
+    await context.async_setup()
+    await tiers.async_setup()
+    now = clock.monotonic()
+    await async_until(lambda: bool(tiers.board.tiers(store.url, now=now)))
+    await async_until(lambda: all(view.synced for view in context.watch.views.values()))
+    yield made
+    await tiers.async_unload()
+    await context.async_unload()
+    await adapter.async_close()
+    for engine in engines.values():
+        await engine.async_close()
+
+
+async def test_context_moves_from_one_engine_to_the_other(site: Site) -> None:
+    first = await site.async_ask("e", "1")
+    assert (first.cached_tokens, first.imported_tokens) == (0, 0)
+    await async_until(site.stored)
+    blocks = blocks_of(PROMPT)
+    second = await site.async_ask("f", "2")
+    assert second.cached_tokens == 0
+    assert second.imported_tokens == len(blocks.hashes) * 256
+    view = site.context.watch.views["f"]
+    await async_until(lambda: view.cached_blocks(blocks.hashes) == len(blocks.hashes))
+    third = await site.async_ask("f", "3")
+    assert third.cached_tokens == len(blocks.hashes) * 256
+
+
+async def test_a_dead_store_costs_only_computing(site: Site) -> None:
+    await site.async_ask("e", "1")
+    await async_until(site.stored)
+    await site.store.kill()
+    answer = await site.async_ask("f", "2")
+    assert (answer.cached_tokens, answer.imported_tokens) == (0, 0)
+    assert answer.answer_tokens > 0
+
+
+async def test_a_full_store_takes_no_export(
+    site: Site, client: httpx.AsyncClient
+) -> None:
+    await set_fault(client, site.store, "full", on=True)
+    url, board, clock = site.store.url, site.tiers.board, site.tiers.clock
+
+    def is_full() -> bool:
+        tiers = board.tiers(url, now=clock.monotonic())
+        return bool(tiers) and all(tier.used == tier.limit for tier in tiers)
+
+    await async_until(is_full)
+    await site.async_ask("e", "1")
+    assert not site.tiers.exporter.queue.jobs
+    await set_fault(client, site.store, "full", on=False)
+    await async_until(lambda: not is_full())
+    await site.async_ask("e", "2")
+    await async_until(site.stored)
