--- a/tests/packaging/test_program.py
+++ b/tests/packaging/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import os
 from pathlib import Path
 import subprocess
@@ -12,8 +13,9 @@
 from bench.processes import ROOT
 from gypsumsail import VERSION
 from gypsumsail.cli.const import ExitCode
+from tests.cli.common import closed_url
 from tests.document.common import FAULTY_TEXT, MODEL_TEXT
-from tests.packaging.common import Run, run_watched
+from tests.packaging.common import Run, children_of, run_watched
 
 IMPORT_EVERYTHING = """
 import importlib, pkgutil
@@ -42,14 +44,20 @@
             stdout=subprocess.DEVNULL,
         )
 
-    def run(self, *arguments: str, **variables: str) -> Run:
-        environment = {
+    def environment(self, variables: Mapping[str, str]) -> dict[str, str]:
+        return {
             "PATH": os.environ["PATH"],
             "SHIV_ROOT": str(self.directory / "unpacked"),
             **variables,
         }
-        command = [*INTERPRETER, str(self.file), *arguments]
-        return run_watched(command, environment, self.directory)
+
+    def command(self, *arguments: str) -> list[str]:
+        return [*INTERPRETER, str(self.file), *arguments]
+
+    def run(self, *arguments: str, **variables: str) -> Run:
+        return run_watched(
+            self.command(*arguments), self.environment(variables), self.directory
+        )
 
 
 @pytest.fixture(scope="module")
@@ -100,3 +108,28 @@
 
     assert run.exit_code == ExitCode.USAGE
     assert "--listen: listen: must have the form IP:PORT" in run.stderr
+
+
+def test_an_entry_is_one_process_from_start_to_end(program: Program) -> None:
+    variables = {
+        "GYPSUMSAIL_OPERATOR_KEY": "operator-key-of-the-test",
+        "GYPSUMSAIL_PEER_SECRET": "peer-secret-of-the-test",
+        "GYPSUMSAIL_PLATFORM_URL": closed_url(),
+        "GYPSUMSAIL_DRAIN_SECONDS": "0",
+    }
+    entry = subprocess.Popen(
+        program.command("entry", "--name", "entry-1", "--zone", "brest-hall"),
+        env=program.environment(variables),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
+    with entry:
+        assert entry.stdout is not None
+        line = entry.stdout.readline().split()
+        children = children_of(entry.pid)
+        entry.terminate()
+
+    assert (line[0], line[2]) == ("listening", "peers")
+    assert not children
+    assert entry.returncode == 0
