Show the same digest in status and document show

Cause: two digests of one text differed between commands. Ruled out: BLAKE2b in both, as operators compare with sha256sum.

--- a/src/gypsumsail/entry/status.py
+++ b/src/gypsumsail/entry/status.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from hashlib import sha256
 
 from gypsumsail import VERSION
 from gypsumsail.document.models import DocumentInForce
 from gypsumsail.documents.models import DocumentLag
-from gypsumsail.documents.readback import text_digest
 from gypsumsail.entry.caller_api import CallerApi
 from gypsumsail.entry.operator_models import (
     DocumentStatus,
@@ -140,7 +140,7 @@
     return DocumentStatus(
         service=document.document.service,
         version=document.version,
-        digest=text_digest(document.text),
+        digest=sha256(document.text.encode()).hexdigest(),
         owner=document.document.owner,
         lag_versions=max(behind, 0),
         lag_seconds=lag.behind_seconds if lag is not None else 0.0,
