Run an entry on uvloop

Cause: the forwarding path costs a third of a core at the target. Ruled out: staying on the plain loop.

--- a/src/gypsumsail/cli/entry.py
+++ b/src/gypsumsail/cli/entry.py
@@ -54,11 +54,11 @@
 
 
 def _run(settings: EntrySettings) -> int:
-    import asyncio
+    import uvloop
 
     from gypsumsail.entry.app import async_run_entry
 
-    return asyncio.run(async_run_entry(settings))
+    return uvloop.run(async_run_entry(settings))
 
 
 def _collect(
