Make an engine's load only when there is none

Ruled out: a defaultdict, which would keep looks at unknown targets. Before and after: not measured apart.

--- a/src/gypsumsail/routing/loads.py
+++ b/src/gypsumsail/routing/loads.py
@@ -211,7 +211,10 @@
         )
 
     def _load(self, target: str) -> EngineLoad:
-        return self.engines.setdefault(target, EngineLoad())
+        load = self.engines.get(target)
+        if load is None:
+            load = self.engines[target] = EngineLoad()
+        return load
 
     @staticmethod
     def _wait(load: EngineLoad, now: float) -> float:
