Test a graceful shutdown and letters that run once on real processes

Cause: both promises need the real program under kills and lost answers. Seen to fail first: with SIGKILL in place of SIGTERM 8 answers broke; with a key for each copy letters ran 3 times.

--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the whole path through separate processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/processes/common.py
@@ -0,0 +1,70 @@
+"""Small deployment and traffic for the tests of the whole path."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Final
+
+from bench.callers import Outcome
+from bench.deployment import Deployment, Vm
+from bench.layouts import KERLANN
+from bench.processes import RunningProcess
+from bench.traffic import Call, CallClass
+
+ZONES: Final = ("brest-hall", "rennes-hall", "lorient-hall")
+SMALL: Final = replace(
+    KERLANN,
+    entry_zones=ZONES,
+    long_service=replace(KERLANN.long_service, engine_zones=ZONES[:2]),
+    short_service=replace(KERLANN.short_service, engine_zones=ZONES[:1]),
+)
+
+
+def model_calls(count: int, *, seconds: float) -> list[Call]:
+    """Return calls with long answers, spread over a time and all entries."""
+    return [
+        Call(
+            at=seconds * number / count,
+            call_class=CallClass.LONG,
+            customer=number % len(SMALL.customers),
+            entry=number % len(ZONES),
+            prompt=f"dossier {number}: " + "a delayed leg " * 200,
+            max_tokens=64,
+            key="",
+        )
+        for number in range(count)
+    ]
+
+
+def letter_calls(count: int, *, sent: int, seconds: float) -> list[Call]:
+    """Return calls that may not be repeated, each sent some times at once."""
+    return [
+        Call(
+            at=seconds * number / count,
+            call_class=CallClass.PLAIN,
+            customer=number % len(SMALL.customers),
+            entry=(number + copy) % len(ZONES),
+            prompt=f"letter {number}",
+            max_tokens=0,
+            key=f"letter-{number}",
+        )
+        for number in range(count)
+        for copy in range(sent)
+    ]
+
+
+def process_of(vm: Vm) -> RunningProcess:
+    """Return the process of a VM."""
+    assert vm.process is not None
+    return vm.process
+
+
+def broken(outcomes: list[Outcome]) -> list[str]:
+    """Return what is not a whole and right answer."""
+    return [o.wrong or o.refusal for o in outcomes if o.wrong or not o.whole]
+
+
+async def running_requests(deployment: Deployment, vm: Vm) -> int:
+    """Return the number of requests in an engine."""
+    counters = await deployment.async_counters(process_of(vm))
+    return len(counters["running"])
--- /dev/null
+++ b/tests/processes/test_whole_path.py
@@ -0,0 +1,56 @@
+"""Tests of promises on the real processes, under kills and lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from bench.callers import Callers
+from bench.deployment import Deployment
+from tests.processes.common import (
+    SMALL,
+    broken,
+    letter_calls,
+    model_calls,
+    process_of,
+    running_requests,
+)
+from tests.stand_ins.common import wait_until
+
+
+async def test_graceful_shutdown_cuts_no_answer(
+    deployment: Deployment, callers: Callers
+) -> None:
+    entry = deployment.of_role("entry")[0]
+    engines = deployment.of_role("engine", SMALL.long_service.service)
+    calls = [call for call in model_calls(24, seconds=0.0) if call.entry == 0]
+    running = asyncio.create_task(callers.async_run(calls))
+
+    async def have_work() -> bool:
+        counts = [await running_requests(deployment, engine) for engine in engines]
+        return sum(counts) == len(calls)
+
+    await wait_until(have_work)
+    process_of(entry).send(signal.SIGTERM)
+    assert broken(await running) == []
+    async with asyncio.timeout(60):
+        assert await process_of(entry).process.wait() == 0
+
+
+async def test_letters_run_at_most_once_whatever_callers_and_platform_do(
+    deployment: Deployment, callers: Callers
+) -> None:
+    plain = process_of(deployment.of_role("plain")[0])
+    before = (await deployment.async_counters(plain))["runs_by_body"]
+    await deployment.async_fault(deployment.platform, "lose_answers", share=0.3, seed=1)
+    letters = letter_calls(20, sent=3, seconds=2.0)
+    calls = asyncio.create_task(callers.async_run(letters))
+    await asyncio.sleep(1.0)
+    await process_of(deployment.of_role("entry")[0]).kill()
+    outcomes = await calls
+    counted = (await deployment.async_counters(plain))["runs_by_body"]
+    runs = {body: count for body, count in counted.items() if body not in before}
+    assert runs
+    assert set(runs.values()) == {1}
+    answered = [outcome.call.key for outcome in outcomes if outcome.whole]
+    assert len(set(answered)) <= len(runs)
