--- a/bench/demo.py
+++ b/bench/demo.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import tempfile
+from typing import Final
 
 import click
 import httpx
@@ -18,6 +19,8 @@
 from bench.run import RunPlan, RunResult, async_measure
 from gypsumsail.routing.const import DEFAULT_POLICY
 
+TERMINATED_EXIT_CODE: Final = 128 + signal.SIGTERM
+
 
 async def async_demo(plan: RunPlan) -> RunResult:
     """Start the layout, apply its documents, send traffic, show what happened."""
@@ -65,7 +68,10 @@
         seed=1,
         seconds=seconds,
     )
-    result = asyncio.run(async_demo(plan))
+    try:
+        result = asyncio.run(async_demo(plan))
+    except asyncio.CancelledError:
+        sys.exit(TERMINATED_EXIT_CODE)
     classes = result.measures.classes.values()
     unanswered = [row for row in classes if row.calls and not row.whole]
     sys.exit(bool(result.faults_found or unanswered))
