--- a/src/gypsumsail/once/store.py
+++ b/src/gypsumsail/once/store.py
@@ -15,15 +15,8 @@
     LedgerCorruptError,
     LedgerUnavailableError,
 )
-from gypsumsail.once.ledger import (
-    CommitPlan,
-    Ledger,
-    Verdict,
-    VerdictKind,
-    advance,
-    apply_entry,
-    plan_commit,
-)
+from gypsumsail.once.ledger import Ledger, Verdict, VerdictKind, apply_entry
+from gypsumsail.once.planning import CommitPlan, advance, plan_commit
 from gypsumsail.once.records import (
     EMPTY_HEAD,
     LedgerEntry,
@@ -98,7 +91,7 @@
             plan = plan_commit(
                 ledger, entries, elapsed=self.clock.monotonic() - self.known_at
             )
-            if not fresh and _may_be_outdated(plan):
+            if entries and not fresh and _may_be_outdated(plan):
                 self.ledger = None
                 continue
             if not plan.entries and not always:
