Refuse too large messages before they close a link

Cause: a message above the frame limit made the receiver close the link with all that waited on it; copies were sized in characters. Ruled out: splitting. Conclusion: such a message is refused with sent false.

--- a/bench/control.py
+++ b/bench/control.py
@@ -100,9 +100,9 @@
     before = resident_bytes()
     fleet = ControlFleet(platform_url=platform_url)
     await fleet.async_start(count, zones)
+    click.echo(f"{LISTENING}{fleet.nodes[0].network.peer_url}")
     for index in range(MODELS):
         await async_change(fleet, f"service-{index}", 0)
-    click.echo(f"{LISTENING}{fleet.nodes[0].network.peer_url}")
     await asyncio.sleep(SETTLE_SECONDS)
     start, start_cpu = time.monotonic(), time.process_time()
     start_bytes, start_calls = bytes_of(fleet.nodes), await fleet.async_counters()
@@ -210,7 +210,7 @@
     costs = []
     for size in sizes:
         costs.append(await async_run_size(size, zones=zones, seconds=seconds))
-        click.echo(f"{size} entries done", err=True)
+        click.echo(json.dumps(asdict(costs[-1])), err=True)
     return costs
 
 
--- a/src/gypsumsail/documents/sync.py
+++ b/src/gypsumsail/documents/sync.py
@@ -154,7 +154,7 @@
             known = self.gate.in_force.get(service)
             if known is None:
                 continue
-            size += len(known.text)
+            size += len(known.text.encode())
             if copies and size > COPIES_BYTES:
                 break
             copies.append(
--- a/src/gypsumsail/peers/link.py
+++ b/src/gypsumsail/peers/link.py
@@ -17,6 +17,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.peers.const import (
+    MAX_BODY_BYTES,
     MAX_RUNNING_HANDLERS,
     SEND_QUEUE_BYTES,
     SEND_QUEUE_FRAMES,
@@ -157,6 +158,8 @@
         if self.closed:
             raise TransportError("link is closed", sent=False)
         body = encode_frame(frame)
+        if len(body) > MAX_BODY_BYTES:
+            raise TransportError("message is too large", sent=False)
         full = len(self.queue) >= SEND_QUEUE_FRAMES
         if full or self.queued_bytes + len(body) > SEND_QUEUE_BYTES:
             self.counters.dropped += 1
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -46,6 +46,11 @@
     assert back == Words(text="b said x")
     large = Words(text="x", parts=(bytes(MAX_FRAME_BYTES // 2),))
     await first.async_request(second.entry, large, timeout=10)
+    too_large = Words(text="x", parts=(bytes(MAX_FRAME_BYTES),))
+    with pytest.raises(TransportError) as refused:
+        await first.async_request(second.entry, too_large, timeout=10)
+    assert not refused.value.sent
+    assert first.counters.links_opened == 1
     assert first.counters.links_opened == second.counters.links_opened == 1
 
 
