--- a/src/gypsumsail/membership/coordinator.py
+++ b/src/gypsumsail/membership/coordinator.py
@@ -11,7 +11,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.membership.const import (
-    LIST_INTERVAL_SECONDS,
+    LIST_CHECK_SECONDS,
     LIST_TIMEOUT_SECONDS,
     PROBE_INTERVAL_SECONDS,
     REJOIN_ALONE_SECONDS,
@@ -21,7 +21,12 @@
     SYNC_INTERVAL_SECONDS,
     SYNC_LOST_SECONDS,
 )
-from gypsumsail.membership.duties import Duties, assign_duties, sync_partners
+from gypsumsail.membership.duties import (
+    Duties,
+    assign_duties,
+    reads_list,
+    sync_partners,
+)
 from gypsumsail.membership.events import event_of
 from gypsumsail.membership.models import (
     EntryJoined,
@@ -93,7 +98,7 @@
             for step, interval in (
                 (self._async_sweep, lambda: SWEEP_INTERVAL_SECONDS),
                 (self._async_rejoin, self._rejoin_interval),
-                (self._async_read_list, lambda: LIST_INTERVAL_SECONDS),
+                (self._async_read_list, lambda: LIST_CHECK_SECONDS),
                 (self._async_sync, lambda: SYNC_INTERVAL_SECONDS),
                 (self.prober.async_probe_next, lambda: PROBE_INTERVAL_SECONDS),
             )
@@ -234,12 +239,21 @@
 
     async def _async_read_list(self) -> None:
         asked_at = self.clock.monotonic()
-        if not self.is_relay(asked_at):
+        if not self._reads_list(asked_at):
             return
         async with asyncio.timeout(LIST_TIMEOUT_SECONDS):
             records = await self.vm_list.async_vms()
         now = self.clock.monotonic()
         self.publish(self.vms.take(records, read_at=asked_at, now=now))
+        await self.synchronizer.async_tell_fresh(self.duties().own_relays)
+
+    def _reads_list(self, now: float) -> bool:
+        age = self.vms.age(now)
+        if age is None or now - self.synced_at > SYNC_LOST_SECONDS:
+            return self.is_relay(now)
+        duties = self.duties()
+        me = self.table.me.entry
+        return reads_list(me, (me, *duties.neighbours), turn=self.vms.turn, age=age)
 
     async def _async_sync(self) -> None:
         self.round_number += 1
--- a/src/gypsumsail/membership/duties.py
+++ b/src/gypsumsail/membership/duties.py
@@ -15,6 +15,9 @@
 from gypsumsail.core.rendezvous import rank
 from gypsumsail.membership.const import (
     ENTRIES_PER_RELAY,
+    LIST_INTERVAL_SECONDS,
+    LIST_READERS,
+    LIST_READERS_CHANGE_SECONDS,
     PROBE_PARTNERS,
     RELAYS_PER_ZONE,
     SYNC_TRIES,
@@ -37,6 +40,21 @@
     return tuple(following[:PROBE_PARTNERS])
 
 
+def reads_list(
+    me: EntryId, zone_entries: Iterable[EntryId], *, turn: int, age: float
+) -> bool:
+    """Return whether this entry reads the VM list now.
+
+    The entries of a zone take turns, since each reading is as large as the fleet.
+    The older the last reading gets, the more of them try, and other ones in the end.
+    """
+    waited = int(age / LIST_INTERVAL_SECONDS)
+    order = _ranked(f"{me.zone} {turn}", zone_entries)
+    readers = min(waited, LIST_READERS, len(order))
+    start = int(age / LIST_READERS_CHANGE_SECONDS) * LIST_READERS
+    return any(order[(start + place) % len(order)] == me for place in range(readers))
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Duties:
     """What follows from the members for one entry.
--- a/src/gypsumsail/membership/messages.py
+++ b/src/gypsumsail/membership/messages.py
@@ -78,6 +78,7 @@
     vms: bytes
     vms_age: float | None
     leaving: tuple[Life, ...] = ()
+    vms_turn: int = 0
 
 
 @message("membership.fetch")
@@ -98,3 +99,12 @@
     members: tuple[Member, ...]
     vms: tuple[VmRecord, ...]
     vms_age: float | None
+    vms_turn: int = 0
+
+
+@message("membership.fresh")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fresh(Message):
+    """Tell that the sender has just read the VM list; the receiver may compare."""
+
+    turn: int
--- a/src/gypsumsail/membership/sync.py
+++ b/src/gypsumsail/membership/sync.py
@@ -7,7 +7,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.membership.const import SYNC_TIMEOUT_SECONDS, SYNC_TRIES
-from gypsumsail.membership.messages import Compare, Compared, Fetch, Fetched
+from gypsumsail.membership.messages import Compare, Compared, Fetch, Fetched, Fresh
 from gypsumsail.membership.models import MembershipChange
 from gypsumsail.membership.port import MembershipNetwork
 from gypsumsail.membership.table import MembershipTable
@@ -39,6 +39,7 @@
         return [
             self.network.subscribe(Compare, self._async_compare),
             self.network.subscribe(Fetch, self._async_fetch),
+            self.network.subscribe(Fresh, self._async_fresh),
         ]
 
     async def async_sync(self, partners: tuple[EntryId, ...]) -> bool:
@@ -51,6 +52,14 @@
             return True
         return False
 
+    async def async_tell_fresh(self, relays: tuple[EntryId, ...]) -> None:
+        """Tell relays that this entry has just read the VM list."""
+        for relay in relays:
+            try:
+                await self.network.async_send(relay, Fresh(turn=self.vms.turn))
+            except TransportError:
+                continue
+
     async def _async_sync_with(self, partner: EntryId) -> None:
         now = self.clock.monotonic()
         compare = Compare(
@@ -96,7 +105,7 @@
 
     def _differing_vms(self, answer: Compared, read_at: float) -> tuple[int, ...]:
         if not answer.vms:
-            self.vms.read_at = read_at
+            self.vms.confirm(read_at=read_at, turn=answer.vms_turn)
             return ()
         return self.vms.digest().differing(answer.vms)
 
@@ -108,6 +117,7 @@
                 fetch.vm_buckets,
                 fetched.vms,
                 read_at=asked_at - fetched.vms_age,
+                turn=fetched.vms_turn,
                 now=now,
             )
             self.publish(changes)
@@ -126,8 +136,13 @@
             vms=b"" if vms.root == request.vms else vms.buckets,
             vms_age=self.vms.age(now),
             leaving=self.vms.shared_marks(now),
+            vms_turn=self.vms.turn,
         )
 
+    async def _async_fresh(self, peer: EntryId, news: Fresh) -> None:
+        if news.turn > self.vms.turn:
+            await self.async_sync((peer,))
+
     async def _async_fetch(self, peer: EntryId, request: Fetch) -> Fetched:
         now = self.clock.monotonic()
         self.publish(self.table.merge_all(request.members, now=now))
@@ -135,4 +150,5 @@
             members=self.table.in_buckets(request.member_buckets),
             vms=self.vms.in_buckets(request.vm_buckets),
             vms_age=self.vms.age(now),
+            vms_turn=self.vms.turn,
         )
--- a/src/gypsumsail/membership/vms.py
+++ b/src/gypsumsail/membership/vms.py
@@ -39,12 +39,15 @@
     read_at
         Monotonic seconds at which the reading was asked for; ``None`` before the
         first one.
+    turn
+        Counts the readings; it tells whose turn the next one is.
     leaving
         Lives that get no new work, with the time at which that was last seen.
     """
 
     def __init__(self) -> None:
         self.read_at: float | None = None
+        self.turn = 0
         self.records: dict[str, VmRecord] = {}
         self.leaving: dict[Life, float] = {}
         self.marked: dict[Life, float] = {}
@@ -59,13 +62,18 @@
         """Return whether a reading is newer than the one in use."""
         return self.read_at is None or read_at > self.read_at
 
+    def confirm(self, *, read_at: float, turn: int) -> None:
+        """Take that a newer reading shows the same records."""
+        self.read_at = read_at
+        self.turn = max(self.turn, turn)
+
     def take(
         self, records: Iterable[VmRecord], *, read_at: float, now: float
     ) -> Changes:
-        """Use a whole reading when it is newer."""
+        """Use a whole reading of this entry when it is newer."""
         if not self.newer(read_at):
             return ()
-        self.read_at = read_at
+        self.confirm(read_at=read_at, turn=self.turn + 1)
         return self._replace({record.vm_id: record for record in records}, now)
 
     def take_buckets(
@@ -74,12 +82,13 @@
         records: Iterable[VmRecord],
         *,
         read_at: float,
+        turn: int,
         now: float,
     ) -> Changes:
         """Use the differing buckets of a peer's reading when it is newer."""
         if not self.newer(read_at):
             return ()
-        self.read_at = read_at
+        self.confirm(read_at=read_at, turn=turn)
         changed = set(buckets)
         kept = {
             vm_id: record
--- a/tests/membership/test_coordinator.py
+++ b/tests/membership/test_coordinator.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Iterable
 
 from gypsumsail.membership.duties import probe_partners
-from gypsumsail.platform.port import VmState
+from gypsumsail.platform.port import VmList, VmRecord, VmState
 from gypsumsail.timeline.models import EventKind
-from tests.membership.common import ZONES, Fleet, Node, async_fleet, listed_entry, vm
+from tests.membership.common import (
+    ZONES,
+    FakeVmList,
+    Fleet,
+    Node,
+    async_fleet,
+    listed_entry,
+    vm,
+)
 from tests.peers.virtual import run_virtual
 
 SETTLE_SECONDS = 30.0
@@ -138,12 +147,46 @@
     run_virtual(async_main())
 
 
-def test_only_relays_read_the_list() -> None:
+def test_entries_of_a_zone_take_turns_in_reading_the_list() -> None:
     async def async_main() -> None:
         fleet = await _async_settled(30)
-        before = fleet.vm_list.reads
-        await asyncio.sleep(60.0)
-        per_second = (fleet.vm_list.reads - before) / 60.0
-        assert per_second < 7.0
+        readers: Counter[str] = Counter()
+        for name, node in fleet.nodes.items():
+            node.membership.vm_list = _Counting(fleet.vm_list, name, readers)
+        await asyncio.sleep(120.0)
+        assert readers.total() / 120.0 < 7.0
+        assert readers.keys() == fleet.names()
+        assert max(readers.values()) < readers.total() / 6
+        now = fleet.nodes["e0"].membership.clock.monotonic()
+        ages = [node.membership.vms.age(now) or 0.0 for node in fleet.nodes.values()]
+        assert max(ages) < 5.0
+
+    run_virtual(async_main())
+
+
+class _Counting:
+    def __init__(self, inner: VmList, name: str, readers: Counter[str]) -> None:
+        self.inner = inner
+        self.name = name
+        self.readers = readers
+
+    async def async_vms(self) -> tuple[VmRecord, ...]:
+        self.readers[self.name] += 1
+        return await self.inner.async_vms()
+
+
+def test_list_is_read_by_others_when_those_in_turn_can_not() -> None:
+    async def async_main() -> None:
+        fleet = await _async_settled(9)
+        for name in ("e0", "e1", "e2", "e3", "e4"):
+            fleet.nodes[name].membership.vm_list = FakeVmList(down=True)
+        fleet.vm_list.records = (vm("t1"),)
+        await asyncio.sleep(SETTLE_SECONDS)
+        for _ in range(3):
+            await asyncio.sleep(SETTLE_SECONDS)
+            now = fleet.nodes["e0"].membership.clock.monotonic()
+            for node in fleet.nodes.values():
+                assert len(node.membership.targets("claims")) == 1
+                assert (node.membership.vms.age(now) or 0.0) < 5.0
 
     run_virtual(async_main())
--- a/tests/membership/test_vms.py
+++ b/tests/membership/test_vms.py
@@ -49,5 +49,6 @@
     two.take((*records[1:], vm("new")), read_at=2.0, now=2.0)
     buckets = one.digest().differing(two.digest().buckets)
     assert 0 < len(buckets) <= 2
-    one.take_buckets(buckets, two.in_buckets(buckets), read_at=2.0, now=2.0)
+    one.take_buckets(buckets, two.in_buckets(buckets), read_at=2.0, turn=4, now=2.0)
     assert one.records == two.records
+    assert one.turn == 4
