Count ledger time on ticks again; follow the gap of documents made anew

A tick has no entries, was taken for outdated and read the ledger again, which set the start of the counted time anew: ledger time stood still and nothing was ever dropped. The command line now leaves a gap above what is in force, which the specification did not know.

Ruled out: easing the retention's test. Reading a version again no longer moves the time since when it is known: those seconds still lie between it and the next.

--- a/src/gypsumsail/once/store.py
+++ b/src/gypsumsail/once/store.py
@@ -42,8 +42,8 @@
     ----------
     ledger
         Last known contents; ``None`` when they have to be read first.
-    known_at
-        Monotonic time at which ``ledger`` was known to be current or older.
+    known_version, known_at
+        Version of the head last known, and the monotonic time at which it first was.
     orphans
         Segments that no head refers to and none will.
     """
@@ -53,6 +53,7 @@
         self.clock = clock
         self.partition = partition
         self.ledger: Ledger | None = None
+        self.known_version: int | None = None
         self.known_at = 0.0
         self.least_version = 0
         self.orphans: tuple[int, ...] = ()
@@ -91,7 +92,7 @@
             plan = plan_commit(
                 ledger, entries, elapsed=self.clock.monotonic() - self.known_at
             )
-            if not fresh and _may_be_outdated(plan):
+            if not always and not fresh and _may_be_outdated(plan):
                 self.ledger = None
                 continue
             if not plan.entries and not always:
@@ -145,7 +146,7 @@
             encode_head(plan.head),
             if_version=ledger.version,
         )
-        self.known_at = self.clock.monotonic()
+        self._know(version, self.clock.monotonic())
         advance(ledger, plan, version)
         self.least_version = version
         if plan.expired:
@@ -173,9 +174,15 @@
         if ledger.version < self.least_version:
             return
         self.ledger = ledger
-        self.known_at = known_at
+        self._know(ledger.version, known_at)
         self.least_version = ledger.version
 
+    def _know(self, version: int, now: float) -> None:
+        """Note when a version was first known; reading it again changes nothing."""
+        if version != self.known_version:
+            self.known_version = version
+            self.known_at = now
+
 
 def build_ledger(partition: int, listing: Listing) -> tuple[Ledger, tuple[int, ...]]:
     """Build the contents of a partition and find its orphaned segments.
--- a/tests/specs/documents_spec.py
+++ b/tests/specs/documents_spec.py
@@ -10,11 +10,14 @@
 
 from typing import Final, NamedTuple
 
+from gypsumsail.documents.const import CREATION_GAP
+
 from .common import Specification, Step
 
 ENTRIES: Final = (0, 1)
 NOTHING: Final = -1
 LAST_WRITE: Final = 4
+GAP: Final = CREATION_GAP
 
 
 class Stored(NamedTuple):
@@ -28,10 +31,11 @@
     """All that was ever written, by its order, and what is in force.
 
     ``in_force`` holds places in ``written``, which holds the versions that order
-    documents.
+    documents. ``life`` is the first version of the last object.
     """
 
     stored: Stored = Stored()
+    life: int = 0
     written: tuple[int, ...] = ()
     in_force: tuple[int, ...] = (NOTHING,) * len(ENTRIES)
     reverted: bool = False
@@ -42,13 +46,14 @@
     """What keeps documents from reverting; each can be taken away.
 
     The command line takes the base of a new object from what is in force on the
-    entries. ``floor_is_newest`` says that this is the newest write: it is when the
-    object is made again only after its last version came into force somewhere.
+    entries it asks, and leaves a gap above it. ``floor_is_seen`` says that some
+    version of the object that was deleted had come into force on one of them.
     """
 
     gate: bool = True
     base_goes_on: bool = True
-    floor_is_newest: bool = True
+    gap: bool = True
+    floor_is_seen: bool = True
 
 
 ALL_GUARDS: Final = Guards()
@@ -79,12 +84,8 @@
     return 0 if place == NOTHING else state.written[place]
 
 
-def floor(state: State, guards: Guards) -> int:
-    """Return the base of an object that is made anew."""
-    if not guards.base_goes_on:
-        return 0
-    if guards.floor_is_newest:
-        return max(state.written, default=0)
+def floor(state: State) -> int:
+    """Return the highest version in force on the entries that were asked."""
     return max(version_in_force(state, entry) for entry in ENTRIES)
 
 
@@ -104,16 +105,25 @@
     if len(state.written) < LAST_WRITE:
         stored = state.stored
         if stored.version == 0:
-            stored = Stored(base=floor(state, guards))
+            lowest = floor(state)
+            if state.written and lowest < state.life and guards.floor_is_seen:
+                return steps
+            stored = Stored(base=_base(lowest, guards))
         stored = stored._replace(version=stored.version + 1)
         written = (*state.written, stored.base + stored.version)
-        following = state._replace(stored=stored, written=written)
+        following = state._replace(stored=stored, written=written, life=stored.base + 1)
         steps.append(("an operator applies", following))
     if state.stored.version > 0:
         steps.append(("the object is deleted", state._replace(stored=Stored())))
     return steps
 
 
+def _base(lowest: int, guards: Guards) -> int:
+    if lowest == 0 or not guards.base_goes_on:
+        return 0
+    return lowest + GAP if guards.gap else lowest
+
+
 def _receive(state: State, entry: int, place: int, guards: Guards) -> State:
     version = state.written[place]
     before = state.in_force[entry]
--- a/tests/specs/test_documents_spec.py
+++ b/tests/specs/test_documents_spec.py
@@ -31,7 +31,8 @@
         ("gate", "never_reverts"),
         ("base_goes_on", "newest_is_taken"),
         ("base_goes_on", "never_reverts"),
-        ("floor_is_newest", "newest_is_taken"),
+        ("gap", "newest_is_taken"),
+        ("floor_is_seen", "newest_is_taken"),
     ],
 )
 def test_fault_shows_without_its_guard(guard: str, invariant: str) -> None:
@@ -63,10 +64,11 @@
     for move in documents_spec.specification().moves():
         if move.label != "an operator applies":
             continue
-        stored, written = move.state.stored, move.state.written
-        floor = max(written, default=0)
+        stored = move.state.stored
+        floor = documents_spec.floor(move.state)
+        expected = stored.base + stored.version if stored.version else floor
         plan = plan_write(
-            stored_object(stored), "text", expected_version=floor, floor=floor
+            stored_object(stored), "text", expected_version=expected, floor=floor
         )
         assert isinstance(plan, PlannedWrite)
         assert plan.version == move.following.written[-1]
