--- a/tests/once/test_ledger.py
+++ b/tests/once/test_ledger.py
@@ -182,6 +182,19 @@
     assert list(api.objects) == [head_key(PARTITION)]
 
 
+async def test_duplicates_between_ticks_do_not_hold_the_time_up() -> None:
+    api, clock = FakeObjectApi(), ManualClock()
+    store = LedgerStore(api, clock, PARTITION)
+    await async_verdict(store, reserved(1, 1))
+    clock.now += SEAL_AGE_SECONDS
+    await store.async_tick()
+    for attempt in range(2, 26):
+        clock.now += RETENTION_SECONDS / 24
+        assert await async_verdict(store, reserved(1, attempt)) is VerdictKind.RUNNING
+    await store.async_tick()
+    assert await async_verdict(store, reserved(1, 99)) is VerdictKind.GRANTED
+
+
 async def test_ledger_time_never_runs_ahead_with_two_writers() -> None:
     api, clock = FakeObjectApi(), ManualClock()
     writers = [LedgerStore(api, clock, PARTITION) for _ in range(2)]
