Control what is admitted by the backlog, not by what ends

Seen to fail: without the proportional part, without the faster rise. Conclusion: trials of the control in a loop; goodput on processes isn't measured.

--- a/src/gypsumsail/limits/capacity.py
+++ b/src/gypsumsail/limits/capacity.py
@@ -5,40 +5,56 @@
 from dataclasses import dataclass
 
 from gypsumsail.limits.const import (
+    BACKLOG_GAIN,
     BAD_BACKLOG_SECONDS,
-    CAPACITY_HEADROOM,
-    CAPACITY_STEP,
+    FALL_GAIN,
     GOOD_BACKLOG_SECONDS,
+    LEAST_CORRECTION,
+    MOST_CORRECTION,
+    REPORT_INTERVAL_SECONDS,
+    RISE_GAIN,
+    WANTED_BACKLOG_SECONDS,
 )
 
 
 @dataclass(slots=True)
 class Capacity:
-    """Tokens a second that a service can serve, found by its backlog.
+    """Tokens a second to admit, so that the backlog stays short but not empty.
+
+    A proportional and integral control by the backlog. What is served isn't
+    followed: answers end long after they were admitted, and admitting less
+    because less ends would go on to nothing. The estimate rises faster than it
+    falls, since idle engines cost more than a backlog that is bounded elsewhere.
 
     Attributes
     ----------
+    estimate
+        What the service is taken to serve; meaningful while ``overloaded``.
     tokens
-        Estimate; meaningful while ``overloaded``.
+        What is admitted now: more or less than the estimate by the backlog.
     overloaded
-        Whether the customers' shares are in force. It ends when the estimate has
-        grown well past what is wanted.
+        Whether the customers' shares are in force: from a long backlog on, until
+        it is short and all that is wanted fits.
     """
 
+    estimate: float = 0.0
     tokens: float = 0.0
     overloaded: bool = False
 
     def update(self, *, served: float, wanted: float, backlog: float) -> None:
-        """Take one round of reports.
-
-        A long backlog lowers the estimate to what was served, less a step; a
-        short one raises it by a step.
-        """
-        if backlog > BAD_BACKLOG_SECONDS:
-            known = min(self.tokens, served) if self.overloaded else served
-            self.tokens = max(known, served / CAPACITY_HEADROOM) * (1 - CAPACITY_STEP)
+        """Take one round of reports."""
+        if not self.overloaded:
+            if backlog <= BAD_BACKLOG_SECONDS:
+                return
             self.overloaded = True
-        elif self.overloaded and backlog < GOOD_BACKLOG_SECONDS:
-            self.tokens = max(self.tokens, served) * (1 + CAPACITY_STEP)
-        if self.overloaded and self.tokens > CAPACITY_HEADROOM * wanted:
+            self.estimate = max(served, wanted / 2)
+        error = WANTED_BACKLOG_SECONDS - backlog
+        if error < 0 or wanted > self.tokens:
+            gain = RISE_GAIN if error > 0 else FALL_GAIN
+            self.estimate *= 1 + gain * error * REPORT_INTERVAL_SECONDS
+        correction = min(
+            max(1 + BACKLOG_GAIN * error, LEAST_CORRECTION), MOST_CORRECTION
+        )
+        self.tokens = self.estimate * correction
+        if backlog < GOOD_BACKLOG_SECONDS and wanted < self.tokens:
             self.overloaded = False
--- a/src/gypsumsail/limits/share_table.py
+++ b/src/gypsumsail/limits/share_table.py
@@ -88,7 +88,7 @@
             expires_at=now + ZONE_LIFETIME_SECONDS,
         )
         if self.capacity.overloaded and demand.capacity > 0:
-            self.capacity.tokens = (self.capacity.tokens + demand.capacity) / 2
+            self.capacity.estimate = (self.capacity.estimate + demand.capacity) / 2
 
     def update(self, terms: TermsByCustomer, *, now: float) -> None:
         """Drop what is old, follow the capacity, set the rates of the round."""
@@ -121,7 +121,7 @@
             entries=len(own),
             served=sum(source.served for source in own),
             backlog=max((source.backlog for source in own), default=0.0),
-            capacity=self.capacity.tokens if self.capacity.overloaded else 0.0,
+            capacity=self.capacity.estimate if self.capacity.overloaded else 0.0,
         )
 
     def grant(self, entry: str, terms: TermsByCustomer) -> ShareGrant:
