--- a/src/gypsumsail/cli/entry.py
+++ b/src/gypsumsail/cli/entry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from importlib import import_module
 import os
 from typing import TYPE_CHECKING, Any, Final
 
@@ -34,6 +33,7 @@
 @setting("--drain-seconds", help="Longest wait of a graceful shutdown.")
 @setting("--body-limit", help="Bytes of the largest request body.")
 @setting("--routing-policy", help="Policy that chooses targets.")
+@setting("--timeline-retention-days", help="Days that the time line is kept.")
 @click.pass_context
 def entry(context: click.Context, /, **values: Any) -> None:
     """Run an entry until it is told to stop.
@@ -56,9 +56,9 @@
 def _run(settings: EntrySettings) -> int:
     import asyncio
 
-    app = import_module("gypsumsail.entry.app")
-    status: int = asyncio.run(app.async_run_entry(settings))
-    return status
+    from gypsumsail.entry.app import async_run_entry
+
+    return asyncio.run(async_run_entry(settings))
 
 
 def _collect(
--- a/src/gypsumsail/membership/drain.py
+++ b/src/gypsumsail/membership/drain.py
@@ -134,7 +134,7 @@
             reason = StopReason.LIMIT if running else StopReason.IDLE
             return self._stop(reason, now, running)
         in_grace = now - self.started_at < self.settings.grace
-        if running or in_grace or now - self.busy_at < self.settings.idle:
+        if in_grace or now - self.busy_at < self.settings.idle:
             return ()
         return self._stop(StopReason.IDLE, now, running)
 
--- a/src/gypsumsail/once/store.py
+++ b/src/gypsumsail/once/store.py
@@ -15,15 +15,8 @@
     LedgerCorruptError,
     LedgerUnavailableError,
 )
-from gypsumsail.once.ledger import (
-    CommitPlan,
-    Ledger,
-    Verdict,
-    VerdictKind,
-    advance,
-    apply_entry,
-    plan_commit,
-)
+from gypsumsail.once.ledger import Ledger, Verdict, VerdictKind, apply_entry
+from gypsumsail.once.planning import CommitPlan, advance, plan_commit
 from gypsumsail.once.records import (
     EMPTY_HEAD,
     LedgerEntry,
@@ -85,6 +78,7 @@
         """
         fresh = False
         contended = False
+        unconfirmed: CommitPlan | None = None
         for _ in range(COMMIT_ATTEMPTS):
             if self.ledger is None:
                 await self._async_load()
@@ -92,10 +86,12 @@
             ledger = self.ledger
             if ledger is None:
                 continue
+            if unconfirmed is not None and ledger.head == unconfirmed.head:
+                return unconfirmed.verdicts
             plan = plan_commit(
                 ledger, entries, elapsed=self.clock.monotonic() - self.known_at
             )
-            if not fresh and _may_be_outdated(plan):
+            if entries and not fresh and _may_be_outdated(plan):
                 self.ledger = None
                 continue
             if not plan.entries and not always:
@@ -109,6 +105,7 @@
             except TransportError as err:
                 LOGGER.debug("Ledger %s: write not confirmed: %s", self.partition, err)
                 self.ledger = None
+                unconfirmed = plan
                 contended = False
             else:
                 return plan.verdicts
@@ -210,8 +207,14 @@
 
 
 def _may_be_outdated(plan: CommitPlan) -> bool:
-    """Return whether another entry's later commit could change a refusal."""
+    """Return whether another entry's later commit could change a decision.
+
+    What is written is conditional on what it was decided on; a refusal, and a
+    plan that finds everything known already, are not.
+    """
+    if not plan.entries:
+        return True
     return any(
-        verdict.kind in (VerdictKind.RUNNING, VerdictKind.OTHER_BODY)
+        verdict.kind not in (VerdictKind.GRANTED, VerdictKind.RECORDED)
         for verdict in plan.verdicts
     )
