--- a/src/gypsumsail/limits/share_table.py
+++ b/src/gypsumsail/limits/share_table.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from math import inf, isfinite
+from math import inf, isfinite, sqrt
 
 from gypsumsail.limits.capacity import Capacity
 from gypsumsail.limits.const import LINK, REPORT_LIFETIME_SECONDS, ZONE_LIFETIME_SECONDS
@@ -176,8 +176,10 @@
     def _part(self, name: str, customer: str, rate: float) -> float:
         """Return one entry's part of a customer's rate.
 
-        What nobody asked for is split by the number of entries, so that demand
-        can grow before the next round.
+        Of what nobody asked for, each gets a part that falls with the square root
+        of their number: requests come unevenly, and an even part would refuse some
+        of a customer that is below its limit. Together the entries may then spend
+        more than the rate until the next round.
         """
         claims = [
             Claim(name=source, weight=held.entries, wanted=held.wanted[customer])
@@ -187,7 +189,7 @@
         shares = max_min_shares(rate, claims)
         unused = max(rate - sum(shares.values()), 0.0)
         weight = sum(claim.weight for claim in claims)
-        return shares[name] + unused / weight
+        return shares[name] + unused / sqrt(weight)
 
 
 def _wanted(rows: Iterable[DemandRow]) -> dict[str, float]:
--- a/tests/limits/test_limits.py
+++ b/tests/limits/test_limits.py
@@ -87,12 +87,17 @@
         self.table.update(self.terms, now=now)
 
     def run(
-        self, offered: dict[str, float], *, seconds: int, spread: bool = True
+        self,
+        offered: dict[str, float],
+        *,
+        seconds: int,
+        spread: bool = True,
+        start: float = 0.0,
     ) -> None:
         """Offer tokens a second, to all entries or to the first one alone."""
         owed = dict.fromkeys(offered, 0.0)
         for step in range(int(seconds / STEP_SECONDS)):
-            now = step * STEP_SECONDS
+            now = start + step * STEP_SECONDS
             backlog = self.serve(now)
             for customer, rate in offered.items():
                 owed[customer] += rate * STEP_SECONDS
@@ -111,6 +116,20 @@
     assert 0.85 * 60_000 < entries.admitted["ares"] < 1.05 * 60_000 + 2000
 
 
+def test_a_customer_below_its_limit_is_seldom_refused() -> None:
+    entries = Entries({"ares": Terms(share=1.0, limit=200.0)})
+    entries.run({"ares": 160.0}, seconds=120)
+    assert entries.admitted["ares"] > 0.9 * 160 * 120
+
+
+def test_a_sudden_rise_is_held_to_the_limit_within_a_round() -> None:
+    entries = Entries({"ares": Terms(share=1.0, limit=1000.0)})
+    entries.run({"ares": 100.0}, seconds=30)
+    before = entries.admitted["ares"]
+    entries.run({"ares": 10_000.0}, seconds=30, start=30.0)
+    assert entries.admitted["ares"] - before < (30 + 6) * 1000
+
+
 @pytest.mark.parametrize("spread", [False, True])
 def test_large_customers_do_not_starve_small_ones(spread: bool) -> None:
     names = ["large", *[f"small{index}" for index in range(4)]]
