Show at most once on the whole program, with real processes

Cause: at most once was proved by parts; no test sent one key through several real entries under lost answers, outage, kills, resets and crossed answers. The small layout (3 entries, 4 engines, 2 stores, 1 plain service) is shared by the module; the plain service's counters are compared with every answer.

Ruled out as one: 409 "may have run" with Retry-After while nothing ran, after a lost answer of the platform; the reservation is abandoned within seconds and the same key then runs.

--- /dev/null
+++ b/tests/process/common.py
@@ -0,0 +1,212 @@
+"""Builders and readers for the tests of the whole program."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+import hashlib
+from pathlib import Path
+from typing import Any, Final
+
+import httpx
+
+from bench.callers import Callers, Outcome
+from bench.deployment import OPERATOR_KEY, Deployment, Vm, async_bring_up
+from bench.layouts import (
+    CustomerLayout,
+    Layout,
+    ModelServiceLayout,
+    PlainServiceLayout,
+)
+from bench.processes import Launcher, RunningProcess
+from bench.traffic import Call, CallClass
+from gypsumsail.routing.const import DEFAULT_POLICY
+
+ZONES: Final = ("brest-hall", "rennes-hall", "lorient-hall")
+WAIT_SECONDS: Final = 45.0
+POLL_SECONDS: Final = 0.02
+CALLER_TIMEOUT_SECONDS: Final = 40.0
+BLOCK: Final = 1024
+
+SMALL: Final = Layout(
+    name="small",
+    region="bzh-west",
+    entry_zones=ZONES,
+    long_service=ModelServiceLayout(
+        service="claims",
+        model="claims",
+        engine_zones=ZONES,
+        store_zone="rennes-hall",
+        cache_tokens=6_000,
+        link_bytes_per_second=60e6,
+        step_seconds=0.01,
+    ),
+    short_service=ModelServiceLayout(
+        service="portal",
+        model="portal",
+        engine_zones=("brest-hall",),
+        store_zone="brest-hall",
+        cache_tokens=6_000,
+        link_bytes_per_second=30e6,
+        step_seconds=0.01,
+    ),
+    plain_service=PlainServiceLayout(
+        service="letters", path="/letters", zone="lorient-hall"
+    ),
+    customers=(
+        CustomerLayout(name="armor-vols", share=2),
+        CustomerLayout(name="iroise", share=1),
+    ),
+    weights=(0.45, 0.4, 0.15),
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """Answer to a call of the plain service.
+
+    Attributes
+    ----------
+    status
+        HTTP status; 0 when the connection broke.
+    code, run
+        Code of an error, and what the answer says of the run.
+    retry_after
+        Header of that name; empty when there is none.
+    """
+
+    status: int
+    code: str = ""
+    run: str = ""
+    retry_after: str = ""
+
+
+@asynccontextmanager
+async def small_deployment(directory: Path) -> AsyncIterator[Deployment]:
+    """Bring the small layout up; its processes end with the context."""
+    async with (
+        Launcher() as launcher,
+        httpx.AsyncClient(trust_env=False, timeout=CALLER_TIMEOUT_SECONDS) as client,
+    ):
+        yield await async_bring_up(
+            SMALL, launcher, client, policy=DEFAULT_POLICY, directory=directory
+        )
+
+
+async def wait_until(condition: Callable[[], Awaitable[bool]]) -> None:
+    """Wait for a condition, within a generous limit."""
+    for _ in range(int(WAIT_SECONDS / POLL_SECONDS)):
+        if await condition():
+            return
+        await asyncio.sleep(POLL_SECONDS)
+    raise AssertionError("the condition was not met in time")
+
+
+def process_of(vm: Vm) -> RunningProcess:
+    """Return the process of a VM that was started."""
+    assert vm.process is not None
+    return vm.process
+
+
+def entry_of(deployment: Deployment, number: int) -> Vm:
+    """Return a numbered entry, counted from 0."""
+    return deployment.of_role("entry")[number]
+
+
+def plain_of(deployment: Deployment) -> RunningProcess:
+    """Return the process of the plain service."""
+    return process_of(deployment.of_role("plain")[0])
+
+
+async def async_restart(deployment: Deployment, *vms: Vm) -> None:
+    """Start VMs under new incarnations and list them."""
+    await asyncio.gather(*(deployment.async_start(vm) for vm in vms))
+    await deployment.async_list_vms()
+
+
+def authorization(customer: int = 0) -> dict[str, str]:
+    """Return the header with the key of a customer."""
+    return {"Authorization": f"Bearer {SMALL.customers[customer].api_key}"}
+
+
+async def async_send_letter(
+    deployment: Deployment, entry: Vm, body: str, key: str = ""
+) -> Answer:
+    """Send a call that may not be repeated and read what its answer says."""
+    headers = authorization()
+    if key:
+        headers["Idempotency-Key"] = key
+    url = entry.url + SMALL.plain_service.path
+    try:
+        response = await deployment.client.post(url, content=body, headers=headers)
+    except httpx.TransportError:
+        return Answer(status=0)
+    return read_answer(response)
+
+
+def read_answer(response: httpx.Response) -> Answer:
+    """Return what an answer says."""
+    error: dict[str, Any] = response.json().get("error", {})
+    return Answer(
+        status=response.status_code,
+        code=error.get("code", ""),
+        run=response.headers.get("x-run-state", ""),
+        retry_after=response.headers.get("retry-after", ""),
+    )
+
+
+async def async_runs(deployment: Deployment, body: str) -> int:
+    """Return how often the plain service ran a body."""
+    counters = await deployment.async_counters(plain_of(deployment))
+    digest = hashlib.sha256(body.encode()).hexdigest()
+    found: int = counters["runs_by_body"].get(digest, 0)
+    return found
+
+
+async def async_events(deployment: Deployment, entry: Vm, kind: str) -> list[Any]:
+    """Return the events of a kind in the time line of an entry."""
+    response = await deployment.client.get(
+        f"{entry.url}/operator/timeline",
+        headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+    )
+    rows = response.raise_for_status().json()["events"]
+    return [row for row in rows if row["kind"] == kind]
+
+
+def make_call(
+    prompt: str, *, entry: int = 0, customer: int = 0, max_tokens: int = 24
+) -> Call:
+    """Return a call to the service with long prompts."""
+    return Call(
+        at=0.0,
+        call_class=CallClass.LONG,
+        customer=customer,
+        entry=entry,
+        prompt=prompt,
+        max_tokens=max_tokens,
+        key="",
+    )
+
+
+def long_prompt(name: str, blocks: int) -> str:
+    """Return a prompt of some full blocks and a question."""
+    line = f"{name} line of the dossier; "
+    text = line * (blocks * BLOCK // len(line) + 1)
+    return text[: blocks * BLOCK] + " eligible?"
+
+
+async def async_complete(deployment: Deployment, *calls: Call) -> list[Outcome]:
+    """Send completions together; each answer is checked against the right one."""
+    callers = Callers(SMALL, deployment)
+    try:
+        return await callers.async_run(calls)
+    finally:
+        await callers.async_close()
+
+
+def assert_right(outcomes: list[Outcome]) -> None:
+    """Check that all answers are whole and the right ones."""
+    found = [(o.whole, o.wrong, o.refusal) for o in outcomes]
+    assert found == [(True, "", "")] * len(outcomes)
