--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of fleet."""
+
+from __future__ import annotations
