--- a/src/gypsumsail/limits/share_table.py
+++ b/src/gypsumsail/limits/share_table.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from math import inf, isfinite
+from math import inf, isfinite, sqrt
 
 from gypsumsail.limits.capacity import Capacity
 from gypsumsail.limits.const import LINK, REPORT_LIFETIME_SECONDS, ZONE_LIFETIME_SECONDS
@@ -88,7 +88,7 @@
             expires_at=now + ZONE_LIFETIME_SECONDS,
         )
         if self.capacity.overloaded and demand.capacity > 0:
-            self.capacity.tokens = (self.capacity.tokens + demand.capacity) / 2
+            self.capacity.estimate = (self.capacity.estimate + demand.capacity) / 2
 
     def update(self, terms: TermsByCustomer, *, now: float) -> None:
         """Drop what is old, follow the capacity, set the rates of the round."""
@@ -121,7 +121,7 @@
             entries=len(own),
             served=sum(source.served for source in own),
             backlog=max((source.backlog for source in own), default=0.0),
-            capacity=self.capacity.tokens if self.capacity.overloaded else 0.0,
+            capacity=self.capacity.estimate if self.capacity.overloaded else 0.0,
         )
 
     def grant(self, entry: str, terms: TermsByCustomer) -> ShareGrant:
@@ -176,8 +176,10 @@
     def _part(self, name: str, customer: str, rate: float) -> float:
         """Return one entry's part of a customer's rate.
 
-        What nobody asked for is split by the number of entries, so that demand
-        can grow before the next round.
+        Of what nobody asked for, each gets a part that falls with the square root
+        of their number: requests come unevenly, and an even part would refuse some
+        of a customer that is below its limit. Together the entries may then spend
+        more than the rate until the next round.
         """
         claims = [
             Claim(name=source, weight=held.entries, wanted=held.wanted[customer])
@@ -187,7 +189,7 @@
         shares = max_min_shares(rate, claims)
         unused = max(rate - sum(shares.values()), 0.0)
         weight = sum(claim.weight for claim in claims)
-        return shares[name] + unused / weight
+        return shares[name] + unused / sqrt(weight)
 
 
 def _wanted(rows: Iterable[DemandRow]) -> dict[str, float]:
