Name an adapter to engines by its version

Cause: the salt of the block hashes held an adapter's name only, so that context of an old adapter version could be used under a new one (read-through of the promises). Ruled out: a field of its own for the version, which the engines' protocol doesn't have. Before: two versions gave one salt; after: the identity is name@version in requests, orders and salt, one test more.

--- a/src/gypsumsail/document/models.py
+++ b/src/gypsumsail/document/models.py
@@ -20,6 +20,15 @@
     name: str
     version: str
 
+    @property
+    def identity(self) -> str:
+        """Return the name by which engines know this version of the adapter.
+
+        It is part of what salts the block hashes, so that two versions of an
+        adapter share no context.
+        """
+        return f"{self.name}@{self.version}"
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Model:
--- a/src/gypsumsail/entry/acceptance.py
+++ b/src/gypsumsail/entry/acceptance.py
@@ -113,6 +113,7 @@
             ),
             body_digest=digest,
             model=found.model,
+            adapter=found.adapter,
             body=parsed,
         )
 
--- a/src/gypsumsail/entry/context_view.py
+++ b/src/gypsumsail/entry/context_view.py
@@ -52,6 +52,6 @@
         service=job.placement.service,
         customer=job.placement.customer.name,
         model=job.body.model,
-        adapter=job.body.adapter,
+        adapter=job.adapter,
         weight_version=weight_version,
     )
--- a/src/gypsumsail/entry/engine_selector.py
+++ b/src/gypsumsail/entry/engine_selector.py
@@ -74,7 +74,7 @@
             self.targets(job.placement.service),
             self.sightings,
             model=job.body.model,
-            adapter=job.body.adapter,
+            adapter=job.adapter,
         )
         allowed = allowed_servers(found, constraints, job.model.weight_version)
         self.sequence += 1
--- a/src/gypsumsail/entry/models.py
+++ b/src/gypsumsail/entry/models.py
@@ -87,9 +87,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ModelJob(Job):
-    """A job for a model engine."""
+    """A job for a model engine.
+
+    Attributes
+    ----------
+    adapter
+        Identity of the adapter version in force; empty for none.
+    """
 
     model: Model
+    adapter: str
     body: CompletionBody
 
 
--- a/src/gypsumsail/entry/resolve.py
+++ b/src/gypsumsail/entry/resolve.py
@@ -87,6 +87,7 @@
 
     placement: Placement
     model: Model
+    adapter: str
 
 
 def model_placement(
@@ -101,9 +102,10 @@
     """
     for placement in placements:
         for model in placement.document.document.models:
-            if model.name != model_name:
+            identities = {known.name: known.identity for known in model.adapters}
+            if model.name != model_name or (adapter and adapter not in identities):
                 continue
-            if adapter and adapter not in {known.name for known in model.adapters}:
-                continue
-            return ModelPlacement(placement=placement, model=model)
+            return ModelPlacement(
+                placement=placement, model=model, adapter=identities.get(adapter, "")
+            )
     raise UnknownServiceError("no service of this customer has the model and adapter")
--- a/src/gypsumsail/orders/wanted.py
+++ b/src/gypsumsail/orders/wanted.py
@@ -2,26 +2,17 @@
 
 from __future__ import annotations
 
-from gypsumsail.document.models import Adapter, ServiceDocument
+from gypsumsail.document.models import ServiceDocument
 from gypsumsail.targets.port import EngineRole, EngineState, LoadedModel
 
 
-def adapter_id(adapter: Adapter) -> str:
-    """Return how orders name an adapter: as requests to engines name it.
-
-    Engines know adapters by one name only, so that a document that changes just
-    the version of an adapter has to give the adapter a new name.
-    """
-    return adapter.name
-
-
 def wanted_models(document: ServiceDocument) -> tuple[LoadedModel, ...]:
     """Return the models that each engine of the service is to have loaded."""
     return tuple(
         LoadedModel(
             model=model.name,
             weight_version=model.weight_version,
-            adapters=tuple(map(adapter_id, model.adapters)),
+            adapters=tuple(adapter.identity for adapter in model.adapters),
         )
         for model in document.models
     )
--- a/src/gypsumsail/relay/model_work.py
+++ b/src/gypsumsail/relay/model_work.py
@@ -123,7 +123,7 @@
         return EngineRequest(
             attempt_id=attempt_id,
             model=body.model,
-            adapter=body.adapter,
+            adapter=self.job.adapter,
             weight_version=selection.blocks.weight_version,
             prompt=body.prompt,
             max_tokens=body.max_tokens,
--- a/tests/entry/test_acceptance.py
+++ b/tests/entry/test_acceptance.py
@@ -75,6 +75,13 @@
     assert job.deadline_at == 105.0
 
 
+def test_an_adapter_is_known_to_engines_by_its_version_in_force() -> None:
+    body = json.dumps({**COMPLETION, "adapter": "letters"}).encode()
+    job = accept(make_scope(), body)
+    assert isinstance(job, ModelJob)
+    assert job.adapter == "letters@a1"
+
+
 def test_a_customer_cannot_raise_its_priority_above_the_document() -> None:
     assert accept_completion(make_scope(x_priority="0")).priority == 3
 
--- a/tests/relay/common.py
+++ b/tests/relay/common.py
@@ -69,6 +69,7 @@
         fingerprint="fingerprint",
         body_digest=b"digest",
         model=document.document.models[0],
+        adapter="",
         body=CompletionBody(model="dossier", prompt="Vol AF 1234", stream=True),
     )
 
