Measure the relay apart from changes of documents

Cause: the relay's window overlapped the first documents, so its bytes and processor time at 30 and 50 entries were those of spreading them. Ruled out: a longer wait.

--- a/bench/control.py
+++ b/bench/control.py
@@ -94,15 +94,15 @@
 
 
 async def async_measure(
-    count: int, *, zones: int, seconds: float, platform_url: str
+    count: int, *, zones: int, engines: int, seconds: float, platform_url: str
 ) -> dict[str, float]:
     """Run a fleet without its lone relay and measure it."""
     before = resident_bytes()
-    fleet = ControlFleet(platform_url=platform_url)
+    fleet = ControlFleet(platform_url=platform_url, engines=engines)
     await fleet.async_start(count, zones)
+    services = [f"service-{index}" for index in range(MODELS)]
+    await asyncio.gather(*(async_change(fleet, one, 0) for one in services))
     click.echo(f"{LISTENING}{fleet.nodes[0].network.peer_url}")
-    for index in range(MODELS):
-        await async_change(fleet, f"service-{index}", 0)
     await asyncio.sleep(SETTLE_SECONDS)
     start, start_cpu = time.monotonic(), time.process_time()
     start_bytes, start_calls = bytes_of(fleet.nodes), await fleet.async_counters()
@@ -180,12 +180,15 @@
     return time.monotonic() - sent_at
 
 
-async def async_run_size(size: int, *, zones: int, seconds: float) -> ControlCost:
+async def async_run_size(
+    size: int, *, zones: int, engines: int, seconds: float
+) -> ControlCost:
     """Measure one fleet; the last of its entries is the lone relay."""
     async with Launcher() as launcher:
         platform = await launcher.start_module("platform", "stand_ins.platform")
         common = ["--platform-url", platform.url, "--seconds", str(seconds)]
         common += ["--zones", str(zones), "--single", str(size - 1)]
+        common += ["--engines", str(engines)]
         fleet = await launcher.start_module("fleet", "bench.control", common)
         common += ["--seed-peer", fleet.ready_line]
         relay = await launcher.run_module("relay", "bench.control", common)
@@ -204,12 +207,13 @@
 
 
 async def async_run_sizes(
-    sizes: list[int], *, zones: int, seconds: float
+    sizes: list[int], *, zones: int, engines: int, seconds: float
 ) -> list[ControlCost]:
     """Measure one fleet after the other."""
     costs = []
     for size in sizes:
-        costs.append(await async_run_size(size, zones=zones, seconds=seconds))
+        cost = await async_run_size(size, zones=zones, engines=engines, seconds=seconds)
+        costs.append(cost)
         click.echo(json.dumps(asdict(costs[-1])), err=True)
     return costs
 
@@ -237,6 +241,7 @@
 @click.command()
 @click.option("--entries", default="3,7,15,30,50", help="Sizes, joined by commas.")
 @click.option("--zones", default=5, help="Availability zones.")
+@click.option("--engines", default=0, help="Engines listed; 0: in proportion.")
 @click.option("--seconds", default=20.0, help="Length of the steady measurement.")
 @click.option("--fit-from", default=15, help="Smallest size that the lines go by.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON, not a table.")
@@ -246,6 +251,7 @@
 def main(
     entries: str,
     zones: int,
+    engines: int,
     seconds: float,
     fit_from: int,
     as_json: bool,
@@ -258,6 +264,7 @@
         part = async_measure_part(
             single,
             zones=zones,
+            engines=engines,
             seconds=seconds,
             seed_peer=seed_peer,
             platform_url=platform_url,
@@ -265,7 +272,8 @@
         click.echo(RESULT + json.dumps(asyncio.run(part)))
         return
     sizes = [int(part) for part in entries.split(",")]
-    costs = asyncio.run(async_run_sizes(sizes, zones=zones, seconds=seconds))
+    runs = async_run_sizes(sizes, zones=zones, engines=engines, seconds=seconds)
+    costs = asyncio.run(runs)
     if as_json:
         click.echo(json.dumps([asdict(cost) for cost in costs], indent=2))
     else:
@@ -273,12 +281,22 @@
 
 
 async def async_measure_part(
-    single: int, *, zones: int, seconds: float, seed_peer: str | None, platform_url: str
+    single: int,
+    *,
+    zones: int,
+    engines: int,
+    seconds: float,
+    seed_peer: str | None,
+    platform_url: str,
 ) -> dict[str, float]:
     """Measure what this process runs: the fleet, or its lone relay."""
     if seed_peer is None:
         return await async_measure(
-            single, zones=zones, seconds=seconds, platform_url=platform_url
+            single,
+            zones=zones,
+            engines=engines,
+            seconds=seconds,
+            platform_url=platform_url,
         )
     return await async_measure_relay(
         relay_name(single, zones),
--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -69,6 +69,7 @@
     platform_url: str
     nodes: list[ControlNode] = field(default_factory=list)
     seeds: tuple[str, ...] = ()
+    engines: int = 0
 
     async def async_start(self, count: int, zones: int) -> None:
         """Start the entries and list them at the platform."""
@@ -84,7 +85,7 @@
 
     def settled(self) -> bool:
         """Return whether every entry knows all entries and targets."""
-        targets = len(engine_records(len(self.nodes)))
+        targets = len(self.engine_records())
         return all(
             len(node.membership.entries()) == len(self.nodes)
             and len(node.membership.targets("service-0")) == targets
@@ -94,11 +95,16 @@
     async def async_list_vms(self) -> None:
         """Tell the platform's stand-in which VMs there are."""
         entries = [entry_record(node.network) for node in self.nodes]
-        vms = entries + engine_records(len(self.nodes))
+        vms = entries + self.engine_records()
         async with httpx.AsyncClient(trust_env=False) as client:
             url = f"{self.platform_url}/control/vms"
             (await client.put(url, json={"vms": vms})).raise_for_status()
 
+    def engine_records(self) -> list[dict[str, str]]:
+        """Return the engines that the platform lists."""
+        proportion = round(len(self.nodes) * ENGINES_PER_ENTRY)
+        return engine_records(self.engines or proportion)
+
     async def async_counters(self) -> dict[str, int]:
         """Return the counters of the platform's stand-in."""
         async with httpx.AsyncClient(trust_env=False) as client:
@@ -209,8 +215,8 @@
     }
 
 
-def engine_records(entries: int) -> list[dict[str, str]]:
-    """Return as many engines as the target has for so many entries."""
+def engine_records(count: int) -> list[dict[str, str]]:
+    """Return engines as the platform lists them."""
     return [
         {
             "vm_id": f"engine-{index}",
@@ -222,7 +228,7 @@
             "url": f"http://127.0.0.1:{index + 1}",
             "peer_url": "",
         }
-        for index in range(round(entries * ENGINES_PER_ENTRY))
+        for index in range(count)
     ]
 
 
