Drop the second admission and target source

Cause: the frame brought its own LimitAdmission and KnownTargets while these were written; the logic stood twice. Ruled out: keeping both. Before and after: the tests of the dropped admission now hold the frame's to the same: a true not run, refusal by backlog, what was not run is given back. Conclusion: one of each.

--- a/src/gypsumsail/limits/admission.py
+++ b/src/gypsumsail/limits/admission.py
@@ -16,7 +16,6 @@
     MOST_URGENT_BACKLOG_SECONDS,
     PRIORITIES,
     RETRY_JITTER_SHARE,
-    STARTING_SHARE,
     UNDER_SHARE_FACTOR,
 )
 from gypsumsail.limits.demand import Meter
@@ -93,20 +92,18 @@
         return terms.limit if terms is not None else float("inf")
 
     def starting_rate(self, customer: str) -> float:
-        """Return the rate of a limited customer that was not reported yet."""
-        return STARTING_SHARE * self.limit(customer) / self.live_entries
+        """Return the rate of a limited customer that has no grant: an even part."""
+        return self.limit(customer) / self.live_entries
 
     def refresh(self, customer: str, *, now: float) -> CustomerState:
         """Return a customer's state with a bucket if it has a limit."""
         state = self.customer(customer)
         limit = self.limit(customer)
         stale = now - self.granted_at > GRANT_LIFETIME_SECONDS
-        if stale and isfinite(limit):
-            _set_rate(state, limit / self.live_entries, now=now)
+        if isfinite(limit) and (stale or state.bucket is None):
+            _set_rate(state, self.starting_rate(customer), now=now)
         elif stale:
             state.bucket = None
-        elif state.bucket is None and isfinite(limit):
-            _set_rate(state, self.starting_rate(customer), now=now)
         return state
 
 
--- a/tests/limits/test_entry_admission.py
+++ b/tests/limits/test_entry_admission.py
@@ -1,4 +1,4 @@
-"""Tests of the admission of an entry's jobs."""
+"""Tests of the limits behind an entry's admission of jobs."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 
 from gypsumsail.core.errors import OverloadedError, RunState
 from gypsumsail.document.models import ServiceDocument
+from gypsumsail.entry.admission import LimitAdmission
 from gypsumsail.entry.models import ModelJob
 from gypsumsail.limits.coordinator import LimitCoordinator
-from gypsumsail.limits.entry_admission import LimitAdmission
 from gypsumsail.peers.port import EntryId
 from gypsumsail.relay.models import Constraints, Progress, Selection
 from tests.common import ManualClock
@@ -36,6 +36,19 @@
         raise NotImplementedError
 
 
+@dataclass
+class FixedWorkload:
+    """Workload with a backlog; answers take all they may."""
+
+    seconds: float
+
+    def expected_answer(self, job: ModelJob) -> int:
+        return job.body.max_tokens
+
+    def backlog(self, service: str) -> float:
+        return self.seconds
+
+
 class JobDocument:
     """Source of the document of the job's service, with a limit."""
 
@@ -51,7 +64,7 @@
     limits = LimitCoordinator(
         me, FakeNetwork(me, {}), JobDocument(), ManualClock(), Random(1)
     )
-    return LimitAdmission(limits, backlog=lambda _: backlog)
+    return LimitAdmission(limits, FixedWorkload(backlog))
 
 
 def admitted(admission: LimitAdmission) -> int:
@@ -78,19 +91,17 @@
 
 
 @pytest.mark.parametrize(
-    ("state", "tokens_out", "room"),
+    ("state", "room"),
     [
-        (RunState.NOT_RUN, 0, True),
-        (RunState.RAN, 0, True),
-        (RunState.RAN, 10**6, False),
+        (RunState.NOT_RUN, True),
+        (RunState.MAY_HAVE_RUN, False),
+        (RunState.RAN, False),
     ],
 )
-def test_what_was_not_used_is_given_back(
-    state: RunState, tokens_out: int, room: bool
-) -> None:
+def test_what_was_not_run_is_given_back(state: RunState, room: bool) -> None:
     admission = make_admission(0.0)
     admitted(admission)
-    work = DoneWork(Progress(run_state=state, tokens_out=tokens_out))
+    work = DoneWork(Progress(run_state=state))
     admission.finished(make_job(), work, 1000.0)
     assert (admitted(admission) > 0) == room
     served = admission.limits.states["claims"].served.amount
