Count the bytes of the messages of one request

Cause: docs/CAPACITY.md needs the bytes on the link of the messages that no other bench counts. Ruled out: a capture, which counts TCP too and needs a quiet fleet. Conclusion: kept as python -m bench.messages.

--- /dev/null
+++ b/bench/messages.py
@@ -0,0 +1,86 @@
+"""Bytes on the link of what entries tell each other for requests and engines.
+
+Each row is one message as it is sent, with its timestamp, seal and frame head.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import click
+
+from gypsumsail.core.ids import new_id
+from gypsumsail.fleet.models import EngineSighting, EngineSightings, ServedModel
+from gypsumsail.peers.codec import dump, pack_message
+from gypsumsail.peers.const import SEAL_BYTES
+from gypsumsail.peers.port import Message
+from gypsumsail.peers.stamps import put_stamp
+from gypsumsail.suspects.models import (
+    BeginAttempt,
+    EndAttempt,
+    PlaceAttempt,
+    VerdictAnswer,
+    VerdictKind,
+)
+from gypsumsail.timeline.hlc import Timestamp
+
+FRAME_HEAD_BYTES: Final = 8
+KIND_BYTES: Final = 6
+WALL_MS: Final = 1_800_000_000_000
+
+
+def bytes_on_link(message: Message) -> int:
+    """Return the bytes of one message."""
+    body = put_stamp(Timestamp(WALL_MS, 1), dump(pack_message(message)))
+    return len(body) + KIND_BYTES + SEAL_BYTES + FRAME_HEAD_BYTES
+
+
+def sightings(count: int) -> EngineSightings:
+    """Return the reports on some engines that serve one model each."""
+    served = ServedModel(model="claims-large", weight_version="2026-11-30.1")
+    return EngineSightings(
+        sightings=tuple(
+            EngineSighting(
+                target=f"engine-{number:04}",
+                incarnation=new_id(),
+                running=24,
+                waiting=8,
+                queued_prompt_tokens=48_000,
+                age=0.125,
+                serving=True,
+                models=(served,),
+            )
+            for number in range(count)
+        )
+    )
+
+
+def samples() -> dict[str, Message]:
+    """Return the messages of one request, and reports on engines."""
+    fingerprint, attempt = new_id(), new_id()
+    return {
+        "suspects.begin": BeginAttempt(fingerprint=fingerprint, attempt_id=attempt),
+        "suspects.verdict": VerdictAnswer(kind=VerdictKind.CLEAR),
+        "suspects.place": PlaceAttempt(
+            fingerprint=fingerprint,
+            attempt_id=attempt,
+            target="engine-0001",
+            incarnation=new_id(),
+        ),
+        "suspects.end": EndAttempt(
+            fingerprint=fingerprint, attempt_id=attempt, whole=True
+        ),
+        "fleet.sightings of 1": sightings(1),
+        "fleet.sightings of 4": sightings(4),
+    }
+
+
+@click.command()
+def main() -> None:
+    """Print the bytes of each message."""
+    for name, message in samples().items():
+        click.echo(f"{name:22} {bytes_on_link(message):5}")
+
+
+if __name__ == "__main__":
+    main()
