Carry neighbours of a crash through, and leave dead engines out

Cause, each found by the process tests that follow: - a suspect was refused (no_target / overloaded, "may have run") when every target's place was taken: neighbours of one crashed batch outnumber targets. It now waits and asks for a new verdict until its deadline. - a copy of a crashing request whose own connection to the dead engine failed first ignored the verdict to run there and took a third engine (3 exits instead of 2 in one of the runs). It now waits for the other copy's report. - retries after a crash used up the retry budget, so that innocent requests got target_lost. The work is gone with the target; they no longer count. - an engine that refuses connections stayed a candidate while the platform lists it; each try cost a retry, then "no_target: not run" beside a live engine. It is now kept for last until an entry reads it again. - a job could lose all its attempts to one engine that resets each answer; a target that lost two is now asked again only for want of another. - an attempt cancelled before it was sent stayed at the owner of its fingerprint for an hour; it is now taken back.

Ruled out: excluding a target after two losses (the test of wrong resumption failed: no other target, so no third try).

--- a/src/gypsumsail/entry/engine_selector.py
+++ b/src/gypsumsail/entry/engine_selector.py
@@ -37,6 +37,12 @@
     ----------
     targets
         Returns the targets of a service that may get new work.
+
+    Attributes
+    ----------
+    lost
+        Engines that took no work since an entry last read them; they get some
+        only when no other may have it.
     """
 
     def __init__(
@@ -59,11 +65,13 @@
         self.rng = rng
         self.lengths = AnswerLengths()
         self.sightings: dict[str, EngineSighting] = {}
+        self.lost: set[str] = set()
         self.sequence = 0
 
     def on_sighting(self, sighting: EngineSighting, now: float) -> None:
         """Take what was read of an engine."""
         self.sightings[sighting.target] = sighting
+        self.lost.discard(sighting.target)
         self.loads.on_report(sighting.target, load_of(sighting), now=now)
 
     async def async_select(
@@ -76,7 +84,11 @@
             model=job.body.model,
             adapter=job.body.adapter,
         )
-        allowed = allowed_servers(found, constraints, job.model.weight_version)
+        wanted = job.model.weight_version
+        reachable = [server for server in found if server.vm.vm_id not in self.lost]
+        allowed = allowed_servers(reachable, constraints, wanted)
+        if not allowed:
+            allowed = allowed_servers(found, constraints, wanted)
         self.sequence += 1
         options = [
             await self._async_option(job, version, group, constraints)
@@ -136,6 +148,13 @@
         )
         self.context.on_ended(job, selection, end)
 
+    def unreachable(self, selection: EngineSelection) -> None:
+        """Keep jobs off an engine that took none until an entry reads it again.
+
+        The platform's list shows a dead engine for a while.
+        """
+        self.lost.add(selection.vm.vm_id)
+
     async def _async_option(
         self,
         job: ModelJob,
--- a/src/gypsumsail/relay/attempts.py
+++ b/src/gypsumsail/relay/attempts.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 import logging
 from typing import Generic, TypeVar
 
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import (
     CrashSuspectError,
+    NoTargetError,
     OverloadedError,
     RequestError,
     ReservationUnavailableError,
@@ -20,6 +21,7 @@
 from gypsumsail.relay.const import (
     GIVE_UP_RETRY_SECONDS,
     SLOT_TRIES,
+    SLOT_WAIT_SECONDS,
     UNPLACED_WAIT_SECONDS,
     UNPLACED_WAITS,
 )
@@ -40,7 +42,6 @@
     Isolate,
     RunOn,
     TargetLife,
-    Unplaced,
     Verdict,
 )
 from gypsumsail.timeline.models import Event, EventKind
@@ -108,19 +109,23 @@
     async def _async_try(self) -> bool:
         """Make one attempt; return whether its answer was whole."""
         attempt_id = new_id()
-        verdict = await self._async_permission(attempt_id)
-        isolated = isinstance(verdict, Isolate)
         try:
+            verdict = await self._async_permission(attempt_id)
             selection = await self._async_select(verdict, attempt_id)
-        except RequestError:
+        except BaseException:
             await self._async_end(attempt_id, whole=False)
             raise
+        if selection is None:
+            await self._async_end(attempt_id, whole=False)
+            await self._async_wait_for_slot()
+            return False
+        isolated = isinstance(verdict, Isolate)
         try:
             await self._async_attempt(selection, attempt_id)
         except AttemptFailedError as failure:
             await self._async_failed(selection, attempt_id, failure, isolated)
             return False
-        except RequestError:
+        except BaseException:
             await self._async_end(attempt_id, whole=False)
             raise
         finally:
@@ -134,25 +139,40 @@
 
     async def _async_permission(self, attempt_id: str) -> Verdict:
         """Return a verdict under which an attempt may be made."""
-        for _ in range(UNPLACED_WAITS):
-            verdict = await self.ports.suspects.async_begin(
-                self.job.fingerprint, attempt_id
-            )
+        for left in reversed(range(UNPLACED_WAITS)):
+            verdict = await self._async_begin(attempt_id)
             match verdict:
+                case RunOn(target=target) if left and target in self.progress.excluded:
+                    # The target failed here; whether it has crashed under the
+                    # same request, its other attempt will tell.
+                    await self._async_end(attempt_id, whole=False)
                 case Clear() | RunOn() | Isolate():
                     return verdict
-                case Convicted(seconds_left=seconds):
-                    raise CrashSuspectError(
-                        "the request crashed the targets that ran it",
-                        retry_after=seconds,
-                    )
-                case Busy(retry_after=seconds):
-                    raise self._overloaded("the same request is being tried", seconds)
-                case Unplaced():
-                    await asyncio.sleep(UNPLACED_WAIT_SECONDS)
+                case _:
+                    pass
+            await asyncio.sleep(UNPLACED_WAIT_SECONDS)
         raise self._overloaded("the same request is being placed", 1.0)
 
-    async def _async_select(self, verdict: Verdict, attempt_id: str) -> _SelectionT:
+    async def _async_begin(self, attempt_id: str) -> Verdict:
+        """Return the present verdict, unless it is final for this call."""
+        verdict = await self.ports.suspects.async_begin(
+            self.job.fingerprint, attempt_id
+        )
+        match verdict:
+            case Convicted(seconds_left=seconds):
+                raise CrashSuspectError(
+                    "the request crashed the targets that ran it",
+                    retry_after=seconds,
+                )
+            case Busy(retry_after=seconds):
+                raise self._overloaded("the same request is being tried", seconds)
+            case _:
+                return verdict
+
+    async def _async_select(
+        self, verdict: Verdict, attempt_id: str
+    ) -> _SelectionT | None:
+        """Return a target, or ``None`` when none has a place for a suspect."""
         constraints = Constraints(
             excluded=self.progress.excluded,
             weight_version=self.progress.weight_version,
@@ -166,23 +186,52 @@
                 return await self._async_select_isolated(attempt_id)
             case _:
                 pass
+        return await self._async_select_elsewhere(constraints)
+
+    async def _async_select_elsewhere(self, constraints: Constraints) -> _SelectionT:
+        """Return a target, one that lost several attempts only for want of others."""
+        avoided = self.progress.avoided - {constraints.only}
+        if avoided:
+            narrowed = replace(constraints, excluded=constraints.excluded | avoided)
+            try:
+                return await self.work.async_select(narrowed)
+            except NoTargetError:
+                _LOGGER.debug("No target but those that lost attempts before")
         return await self.work.async_select(constraints)
 
-    async def _async_select_isolated(self, attempt_id: str) -> _SelectionT:
-        excluded = self.progress.excluded
+    async def _async_select_isolated(self, attempt_id: str) -> _SelectionT | None:
+        taken: frozenset[str] = frozenset()
         for _ in range(SLOT_TRIES):
-            selection = await self.work.async_select(
-                Constraints(
-                    excluded=excluded,
-                    weight_version=self.progress.weight_version,
-                    isolated=True,
+            try:
+                selection = await self.work.async_select(
+                    Constraints(
+                        excluded=self.progress.excluded | taken,
+                        weight_version=self.progress.weight_version,
+                        isolated=True,
+                    )
                 )
-            )
+            except NoTargetError:
+                if not taken:
+                    raise
+                return None
             target = selection.vm.vm_id
             if await self.ports.suspects.async_take_slot(target, attempt_id):
                 return selection
-            excluded |= {target}
-        raise self._overloaded("no target is free for a suspect", GIVE_UP_RETRY_SECONDS)
+            taken |= {target}
+        return None
+
+    async def _async_wait_for_slot(self) -> None:
+        """Wait before a suspect asks again, for a place or for a new verdict.
+
+        All neighbours of a batch that crashed are suspects at once, more than
+        there are targets; the verdict on the guilty one clears the others.
+        """
+        left = self.job.deadline_at - self.ports.clock.monotonic()
+        if left <= SLOT_WAIT_SECONDS:
+            raise self._overloaded(
+                "no target is free for a suspect", GIVE_UP_RETRY_SECONDS
+            )
+        await asyncio.sleep(SLOT_WAIT_SECONDS)
 
     async def _async_attempt(self, selection: _SelectionT, attempt_id: str) -> None:
         await self.ports.suspects.async_place(
@@ -202,7 +251,6 @@
         except asyncio.CancelledError:
             self.progress.run_state = RunState.MAY_HAVE_RUN
             self.work.abandon(selection, attempt_id)
-            await self._async_end(attempt_id, whole=False)
             self._record(EventKind.REQUEST_CANCELLED, selection, "")
             raise
 
@@ -253,7 +301,7 @@
             kind,
             target,
             repeatable=self.reservation is None,
-            budget_allows=self.ports.budgets.take(self.job.placement.service, now),
+            budget_allows=self._budget_allows(kind, now),
             seconds_left=self.job.deadline_at - now,
         )
         match step:
@@ -261,6 +309,18 @@
                 raise error
             case TryAgain(excluded=excluded):
                 self.progress.excluded = excluded
+        if kind is FailureKind.LOST:
+            self.progress.note_loss(target)
+
+    def _budget_allows(self, kind: FailureKind, now: float) -> bool:
+        """Return whether a retry fits the budget.
+
+        The work of a crashed target is gone with it, so that doing it elsewhere
+        adds no load; the attempts of each job are bounded in any case.
+        """
+        if kind is FailureKind.CRASHED:
+            return True
+        return self.ports.budgets.take(self.job.placement.service, now)
 
     async def _async_end(self, attempt_id: str, *, whole: bool) -> None:
         await self.ports.suspects.async_end(
--- a/src/gypsumsail/relay/model_work.py
+++ b/src/gypsumsail/relay/model_work.py
@@ -48,6 +48,9 @@
     ) -> None:
         """Note the end of an attempt; ``end`` is ``None`` when it failed."""
 
+    def unreachable(self, selection: EngineSelection) -> None:
+        """Note that the engine could not be reached, or took no work."""
+
 
 class ModelWork:
     """One model job and what is out of its answer."""
@@ -81,7 +84,10 @@
         try:
             end = await self._async_forward(selection, attempt_id)
         except TransportError as error:
-            raise AttemptFailedError(str(error), kind=_kind_of(error)) from error
+            kind = _kind_of(error)
+            if kind is FailureKind.NOT_SENT:
+                self.selector.unreachable(selection)
+            raise AttemptFailedError(str(error), kind=kind) from error
         finally:
             self.selector.ended(self.job, selection, attempt_id, end)
         await self.sink.async_end(end)
--- a/src/gypsumsail/relay/models.py
+++ b/src/gypsumsail/relay/models.py
@@ -97,6 +97,11 @@
         Answer tokens that the caller was sent.
     weight_version
         Version that computed them; empty while there are none.
+    excluded
+        Targets that the job may not go to again.
+    lost_on, avoided
+        Targets that lost an attempt, and those that lost several: the job goes
+        to these only when there is no other.
     """
 
     attempts: int = 0
@@ -105,6 +110,14 @@
     weight_version: str = ""
     run_state: RunState = RunState.NOT_RUN
     excluded: frozenset[str] = frozenset()
+    lost_on: frozenset[str] = frozenset()
+    avoided: frozenset[str] = frozenset()
+
+    def note_loss(self, target: str) -> None:
+        """Count an attempt that a target lost."""
+        if target in self.lost_on:
+            self.avoided |= {target}
+        self.lost_on |= {target}
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/relay/common.py
+++ b/tests/relay/common.py
@@ -149,6 +149,9 @@
     def __init__(self, engines: dict[str, ScriptedEngine]) -> None:
         self.engines = engines
         self.asked: list[Constraints] = []
+        self.not_reached: list[str] = []
+        self.reached = asyncio.Event()
+        self.refused = asyncio.Event()
 
     async def async_select(
         self, job: ModelJob, constraints: Constraints
@@ -158,6 +161,7 @@
         for name in self.engines:
             if name not in constraints.excluded:
                 return make_selection(name)
+        self.refused.set()
         raise NoTargetError("none left")
 
     def sent(self, job: ModelJob, selection: EngineSelection, attempt_id: str) -> None:
@@ -166,6 +170,11 @@
     def first_token(self, selection: EngineSelection, attempt_id: str) -> None:
         """Do nothing."""
 
+    def unreachable(self, selection: EngineSelection) -> None:
+        """Keep the engine."""
+        self.not_reached.append(selection.vm.vm_id)
+        self.reached.set()
+
     def ended(
         self,
         job: ModelJob,
--- a/tests/relay/test_attempts.py
+++ b/tests/relay/test_attempts.py
@@ -13,6 +13,7 @@
     TargetLostError,
 )
 from gypsumsail.relay.attempts import AttemptLoop
+from gypsumsail.suspects.models import TargetLife
 from tests.relay.common import (
     ANSWER,
     Bench,
@@ -75,6 +76,7 @@
     await async_run(bench, repeatable=False)
     assert bench.sink.parts == list(ANSWER)
     assert bench.once.calls == ["sent", "ended: ran"]
+    assert bench.selector.not_reached == ["first"]
 
 
 async def test_a_frozen_entry_that_thaws_does_not_send() -> None:
@@ -108,6 +110,45 @@
     assert again.value.retry_after is not None
 
 
+async def test_a_target_that_loses_each_attempt_gives_way_to_another() -> None:
+    engines = {"first": ScriptedEngine(fail_after=1), "second": ScriptedEngine()}
+    bench = Bench(engines)
+    await async_run(bench)
+    assert bench.sink.parts == list(ANSWER)
+    assert [len(engine.requests) for engine in engines.values()] == [2, 1]
+
+
+async def test_a_copy_waits_for_the_verdict_on_the_target_that_both_lost() -> None:
+    engines = {
+        "first": ScriptedEngine(fail_after=0, sent=False),
+        "second": ScriptedEngine(),
+    }
+    bench = Bench(engines)
+    table, fingerprint = bench.suspects.table, make_job().fingerprint
+    life = TargetLife(target="first", incarnation="1")
+    table.begin(fingerprint, "other", "entry/2", bench.clock.now)
+    table.place(fingerprint, "other", life)
+    run = asyncio.create_task(async_run(bench))
+    await bench.selector.reached.wait()
+    assert engines["second"].requests == []
+    table.crash(fingerprint, "other", life, isolated=False, now=bench.clock.now)
+    await run
+    assert [found.isolated for found in bench.selector.asked] == [False, True]
+
+
+async def test_a_suspect_waits_for_a_place() -> None:
+    bench = Bench({"first": ScriptedEngine()})
+    table, fingerprint = bench.suspects.table, make_job().fingerprint
+    life = TargetLife(target="lost", incarnation="1")
+    table.crash(fingerprint, "before", life, isolated=False, now=bench.clock.now)
+    bench.suspects.slots.take("first", "other", bench.clock.now)
+    run = asyncio.create_task(async_run(bench))
+    await bench.selector.refused.wait()
+    bench.suspects.slots.free("first", "other")
+    await run
+    assert bench.sink.parts == list(ANSWER)
+
+
 async def test_the_engine_is_told_when_the_caller_goes_away() -> None:
     sink = BlockedSink()
     bench = Bench({"first": ScriptedEngine()}, sink=sink)
