--- /dev/null
+++ b/tests/process/test_crashing_request.py
@@ -0,0 +1,103 @@
+"""Tests of a request that crashes each target that runs it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from bench.callers import Outcome
+from bench.deployment import Deployment, Vm
+from tests.process.common import (
+    assert_right,
+    async_complete,
+    async_restart,
+    make_call,
+    process_of,
+    wait_until,
+)
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+MARKER = "CRASHES-THE-TARGET"
+CONVICTED = "crashes_targets: may have run"
+TARGETS_LOST_AT_MOST = 2
+NEIGHBOURS = 9
+NEIGHBOUR_TOKENS = 120
+
+
+def engines_of(deployment: Deployment) -> list[Vm]:
+    return deployment.of_role("engine", "claims")
+
+
+def exited(deployment: Deployment) -> list[Vm]:
+    return [vm for vm in engines_of(deployment) if not process_of(vm).is_running]
+
+
+async def are_busy(deployment: Deployment) -> bool:
+    """Return whether each engine that lives runs a request."""
+    counters = [
+        await deployment.async_counters(process_of(vm))
+        for vm in engines_of(deployment)
+        if process_of(vm).is_running
+    ]
+    return all(found.get("running") for found in counters)
+
+
+async def switch_marker(deployment: Deployment, *vms: Vm) -> None:
+    for vm in vms:
+        await deployment.async_fault(process_of(vm), "crash_on", marker=MARKER)
+
+
+async def send_crashing(deployment: Deployment, name: str) -> list[Outcome]:
+    """Send the request through all entries at once, twice through each."""
+    calls = [make_call(f"{MARKER} {name}", entry=number % 3) for number in range(6)]
+    return await async_complete(deployment, *calls)
+
+
+async def test_takes_two_engines_at_most_and_no_neighbour(shared: Deployment) -> None:
+    await switch_marker(shared, *engines_of(shared))
+    neighbours = asyncio.create_task(
+        async_complete(
+            shared,
+            *(
+                make_call(
+                    f"neighbour {number}",
+                    entry=number % 3,
+                    customer=number % 2,
+                    max_tokens=NEIGHBOUR_TOKENS,
+                )
+                for number in range(NEIGHBOURS)
+            ),
+        )
+    )
+    await wait_until(lambda: are_busy(shared))
+
+    outcomes: list[Outcome] = []
+
+    async def is_convicted() -> bool:
+        found = await send_crashing(shared, "alone")
+        outcomes.extend(found)
+        return {outcome.refusal.partition(":")[0] for outcome in found} == {
+            "crashes_targets"
+        }
+
+    await wait_until(is_convicted)
+
+    assert not [outcome for outcome in outcomes if outcome.whole or outcome.wrong]
+    assert len(exited(shared)) == TARGETS_LOST_AT_MOST
+    assert_right(await neighbours)
+
+    lost = exited(shared)
+    await async_restart(shared, *lost)
+    await switch_marker(shared, *lost)
+    again = await send_crashing(shared, "alone")
+    served = await async_complete(
+        shared, *(make_call(f"after {number}", entry=number % 3) for number in range(9))
+    )
+
+    assert {outcome.refusal.partition(":")[0] for outcome in again} == {
+        "crashes_targets"
+    }
+    assert not exited(shared)
+    assert_right(served)
