Poll engines and stores on connections of our own

Ruled out: fewer polls, which are the fleet's matter; leaving httpx for writes, the platform and plain services, which are rare. Conclusion: streams and polls share transport/pool.py; BrokenStreamError moved to transport/errors.py.

--- a/src/gypsumsail/stores/http.py
+++ b/src/gypsumsail/stores/http.py
@@ -20,6 +20,7 @@
     raise_for_status,
 )
 from gypsumsail.transport.const import CALL_TIMEOUT_SECONDS
+from gypsumsail.transport.polling import PollingClient
 
 
 class HttpStore:
@@ -27,10 +28,12 @@
 
     def __init__(self, base_url: str, *, timeout: float = CALL_TIMEOUT_SECONDS):
         self.client = HttpClient(base_url)
+        self.polls = PollingClient(base_url)
         self.timeout = timeout
 
     async def async_close(self) -> None:
         """Close all connections."""
+        await self.polls.async_close()
         await self.client.async_close()
 
     async def async_load(self) -> StoreLoad:
@@ -81,9 +84,7 @@
     async def _async_get(
         self, path: str, query: dict[str, str] | None = None
     ) -> HttpAnswer:
-        answer = await self.client.async_call(
-            "GET", path, query=query, timeout=self.timeout
-        )
+        answer = await self.polls.async_get(path, query=query, timeout=self.timeout)
         raise_for_status(answer, path)
         return answer
 
--- a/src/gypsumsail/targets/errors.py
+++ b/src/gypsumsail/targets/errors.py
@@ -47,15 +47,6 @@
         self.reason = reason
 
 
-class BrokenStreamError(TransportError):
-    """An answer ended early, or an event in it is malformed or not its own."""
-
-    code: ClassVar[str] = "broken_stream"
-
-    def __init__(self, message: str) -> None:
-        super().__init__(message, sent=True)
-
-
 class OldFenceError(TransportError):
     """The target has seen a higher fencing number than the order's.
 
--- a/src/gypsumsail/targets/events.py
+++ b/src/gypsumsail/targets/events.py
@@ -5,9 +5,10 @@
 import json
 from typing import Any, Final, Never
 
-from gypsumsail.targets.errors import BrokenStreamError, EngineGaveUpError
+from gypsumsail.targets.errors import EngineGaveUpError
 from gypsumsail.targets.port import AnswerEnd, AnswerToken, FinishReason
 from gypsumsail.transport.const import EVENT_LIMIT_BYTES
+from gypsumsail.transport.errors import BrokenStreamError
 
 _DATA: Final = "data: "
 _DONE: Final = "data: [DONE]"
--- a/src/gypsumsail/targets/http.py
+++ b/src/gypsumsail/targets/http.py
@@ -42,6 +42,7 @@
     EVENT_POLL_MARGIN_SECONDS,
     EXPORT_TIMEOUT_SECONDS,
 )
+from gypsumsail.transport.polling import PollingClient
 
 
 class HttpEngine:
@@ -49,12 +50,14 @@
 
     def __init__(self, base_url: str, *, timeout: float = CALL_TIMEOUT_SECONDS):
         self.client = HttpClient(base_url)
+        self.polls = PollingClient(base_url)
         self.streams = EngineStreams(base_url)
         self.timeout = timeout
 
     async def async_close(self) -> None:
         """Close the connections that are idle."""
         await self.streams.async_close()
+        await self.polls.async_close()
         await self.client.async_close()
 
     def stream(
@@ -148,8 +151,8 @@
         *,
         timeout: float | None = None,
     ) -> HttpAnswer:
-        answer = await self.client.async_call(
-            "GET", path, query=query, timeout=timeout or self.timeout
+        answer = await self.polls.async_get(
+            path, query=query, timeout=timeout or self.timeout
         )
         raise_for_status(answer, path)
         return answer
--- a/src/gypsumsail/targets/stream.py
+++ b/src/gypsumsail/targets/stream.py
@@ -3,60 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 import json
 from typing import Final
-from urllib.parse import urlsplit
 
 from gypsumsail.core.errors import TransportError, UnavailableError
-from gypsumsail.targets.connection import StreamConnection
-from gypsumsail.targets.errors import (
-    BrokenStreamError,
-    EngineRefusedError,
-    RefusalReason,
-)
+from gypsumsail.targets.errors import EngineRefusedError, RefusalReason
 from gypsumsail.targets.events import EventParser
 from gypsumsail.targets.port import AnswerEnd, AnswerToken, EngineRequest
-from gypsumsail.transport.const import (
-    CONNECT_TIMEOUT_SECONDS,
-    ERROR_BODY_LIMIT_BYTES,
-    EVENT_STREAM,
-    IDLE_CONNECTION_SECONDS,
-    IDLE_CONNECTIONS_PER_CLIENT,
-)
+from gypsumsail.transport.connection import StreamConnection
+from gypsumsail.transport.const import ERROR_BODY_LIMIT_BYTES, EVENT_STREAM
+from gypsumsail.transport.errors import BrokenStreamError
+from gypsumsail.transport.pool import ConnectionPool
 
 _OK: Final = 200
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class IdleConnection:
-    """A connection that waits for its next request."""
-
-    connection: StreamConnection
-    idle_since: float
-
-
 class EngineStreams:
     """Opens answer streams to one engine.
 
-    A connection carries one answer at a time. It is used again only after a
-    whole answer; after a cancelled or broken one it is closed.
+    A connection carries one answer at a time.
     """
 
     def __init__(self, base_url: str) -> None:
-        parts = urlsplit(base_url)
-        if parts.scheme != "http" or parts.hostname is None:
-            raise ValueError("the URL of an engine must be http://HOST:PORT")
-        self.host = parts.hostname
-        self.port = parts.port or 80
-        self.idle: deque[IdleConnection] = deque()
+        self.pool = ConnectionPool(base_url)
 
     async def async_close(self) -> None:
         """Close the idle connections; running answers go on."""
-        while self.idle:
-            self.idle.pop().connection.abort()
+        self.pool.close()
 
     async def stream(
         self, request: EngineRequest
@@ -75,7 +49,7 @@
         TransportError
             The engine could not be reached, or the answer broke off.
         """
-        connection = await self._async_acquire()
+        connection = await self.pool.async_acquire()
         deadline = asyncio.get_running_loop().call_later(
             max(0.0, request.deadline), connection.fail, "the deadline passed"
         )
@@ -94,39 +68,13 @@
             yield (answer_end,)
         finally:
             deadline.cancel()
-            self._release(connection, is_whole=is_whole)
-
-    async def _async_acquire(self) -> StreamConnection:
-        loop = asyncio.get_running_loop()
-        oldest = loop.time() - IDLE_CONNECTION_SECONDS
-        while self.idle:
-            found = self.idle.pop()
-            if found.idle_since >= oldest and found.connection.is_reusable:
-                return found.connection
-            found.connection.abort()
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, connection = await loop.create_connection(
-                    StreamConnection, self.host, self.port
-                )
-        except (OSError, TimeoutError) as err:
-            message = f"connect: {type(err).__name__}"
-            raise TransportError(message, sent=False) from err
-        return connection
-
-    def _release(self, connection: StreamConnection, *, is_whole: bool) -> None:
-        has_room = len(self.idle) < IDLE_CONNECTIONS_PER_CLIENT
-        if not (is_whole and has_room and connection.is_reusable):
-            connection.abort()
-            return
-        now = asyncio.get_running_loop().time()
-        self.idle.append(IdleConnection(connection=connection, idle_since=now))
+            self.pool.release(connection, is_whole=is_whole)
 
     def _encode(self, request: EngineRequest) -> bytes:
         body = encode_request(request)
         head = (
             "POST /v1/completions HTTP/1.1\r\n"
-            f"host: {self.host}:{self.port}\r\n"
+            f"host: {self.pool.host}:{self.pool.port}\r\n"
             "content-type: application/json\r\n"
             f"content-length: {len(body)}\r\n\r\n"
         )
--- a/src/gypsumsail/targets/connection.py
+++ b/src/gypsumsail/transport/connection.py
@@ -1,4 +1,4 @@
-"""One HTTP connection to an engine, for one answer stream at a time."""
+"""One HTTP connection, for one answer at a time."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 import httptools
 
 from gypsumsail.core.callback import callback
-from gypsumsail.targets.errors import BrokenStreamError
 from gypsumsail.transport.const import HEADER_LIMIT_BYTES, UNREAD_LIMIT_BYTES
+from gypsumsail.transport.errors import BrokenStreamError
 
 
 class StreamConnection(asyncio.Protocol):
--- /dev/null
+++ b/src/gypsumsail/transport/pool.py
@@ -0,0 +1,82 @@
+"""Connections to one other process that take one request at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.errors import TransportError
+from gypsumsail.transport.connection import StreamConnection
+from gypsumsail.transport.const import (
+    CONNECT_TIMEOUT_SECONDS,
+    IDLE_CONNECTION_SECONDS,
+    IDLE_CONNECTIONS_PER_CLIENT,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class IdleConnection:
+    """A connection that waits for its next request."""
+
+    connection: StreamConnection
+    idle_since: float
+
+
+class ConnectionPool:
+    """Connections to one address.
+
+    A connection is used again only after a whole answer; after a cancelled or
+    broken one it is closed.
+    """
+
+    def __init__(self, base_url: str) -> None:
+        parts = urlsplit(base_url)
+        if parts.scheme != "http" or parts.hostname is None:
+            raise ValueError("the URL must be http://HOST:PORT")
+        self.host = parts.hostname
+        self.port = parts.port or 80
+        self.idle: deque[IdleConnection] = deque()
+
+    @callback
+    def close(self) -> None:
+        """Close the idle connections; running answers go on."""
+        while self.idle:
+            self.idle.pop().connection.abort()
+
+    async def async_acquire(self) -> StreamConnection:
+        """Return a connection that is free.
+
+        Raises
+        ------
+        TransportError
+            The other process can't be reached; nothing was sent.
+        """
+        loop = asyncio.get_running_loop()
+        oldest = loop.time() - IDLE_CONNECTION_SECONDS
+        while self.idle:
+            found = self.idle.pop()
+            if found.idle_since >= oldest and found.connection.is_reusable:
+                return found.connection
+            found.connection.abort()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                _, connection = await loop.create_connection(
+                    StreamConnection, self.host, self.port
+                )
+        except (OSError, TimeoutError) as err:
+            message = f"connect: {type(err).__name__}"
+            raise TransportError(message, sent=False) from err
+        return connection
+
+    @callback
+    def release(self, connection: StreamConnection, *, is_whole: bool) -> None:
+        """Take a connection back; close it unless its answer came whole."""
+        has_room = len(self.idle) < IDLE_CONNECTIONS_PER_CLIENT
+        if not (is_whole and has_room and connection.is_reusable):
+            connection.abort()
+            return
+        now = asyncio.get_running_loop().time()
+        self.idle.append(IdleConnection(connection=connection, idle_since=now))
--- a/tests/targets/test_events.py
+++ b/tests/targets/test_events.py
@@ -9,10 +9,11 @@
 import pytest
 
 from gypsumsail.core.errors import TransportError
-from gypsumsail.targets.errors import BrokenStreamError, EngineGaveUpError
+from gypsumsail.targets.errors import EngineGaveUpError
 from gypsumsail.targets.events import EventParser
 from gypsumsail.targets.port import AnswerToken
 from gypsumsail.transport.const import EVENT_LIMIT_BYTES
+from gypsumsail.transport.errors import BrokenStreamError
 from tests.targets.common import (
     ATTEMPT,
     DONE,
--- a/tests/targets/test_http.py
+++ b/tests/targets/test_http.py
@@ -7,7 +7,7 @@
 
 from bench.processes import Launcher
 from gypsumsail.core.errors import TransportError
-from gypsumsail.targets.errors import BrokenStreamError, OldFenceError
+from gypsumsail.targets.errors import OldFenceError
 from gypsumsail.targets.http import HttpEngine
 from gypsumsail.targets.plain import HttpPlainService
 from gypsumsail.targets.port import (
@@ -20,6 +20,7 @@
     PlainRequest,
     SetState,
 )
+from gypsumsail.transport.errors import BrokenStreamError
 from stand_ins.expected import expected_answer
 from tests.stand_ins.common import (
     ENGINE_ARGUMENTS,
--- a/tests/targets/test_stream.py
+++ b/tests/targets/test_stream.py
@@ -75,7 +75,7 @@
         with pytest.raises(TransportError) as caught:
             await read(streams)
         assert caught.value.sent
-        assert not streams.idle
+        assert not streams.pool.idle
         await streams.async_close()
     assert server.requests == 1
 
