Leave VM records with malformed addresses out

Cause: an engine's or a store's adapter is made from the record's URL; a malformed one raised ValueError there. Seen to fail first: the test's own good record had the URL u and passed. Conclusion: engines and stores must be plain HTTP with a port.

--- a/src/gypsumsail/platform/wire.py
+++ b/src/gypsumsail/platform/wire.py
@@ -3,9 +3,17 @@
 from __future__ import annotations
 
 import base64
-from typing import Annotated, Any
-
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+from typing import Annotated, Any, Self
+from urllib.parse import urlsplit
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    model_validator,
+)
 
 from gypsumsail.platform.port import VmRole, VmState
 
@@ -16,7 +24,24 @@
     return base64.b64decode(value, validate=True)
 
 
+def _check_url(value: str, schemes: tuple[str, ...]) -> str:
+    parts = urlsplit(value)
+    if parts.scheme not in schemes or not parts.hostname or parts.port is None:
+        raise ValueError(f"is not {schemes[0]}://HOST:PORT")
+    return value
+
+
+def _check_http_url(value: str) -> str:
+    return _check_url(value, ("http", "https"))
+
+
+def _check_peer_url(value: str) -> str:
+    return _check_url(value, ("ws", "wss")) if value else value
+
+
 Count = Annotated[int, Field(ge=0)]
+HttpUrl = Annotated[str, AfterValidator(_check_http_url)]
+PeerUrl = Annotated[str, AfterValidator(_check_peer_url)]
 Base64Value = Annotated[bytes, BeforeValidator(_decode_base64)]
 
 
@@ -62,8 +87,15 @@
     role: VmRole
     service: str
     state: VmState
-    url: str
-    peer_url: str = ""
+    url: HttpUrl
+    peer_url: PeerUrl = ""
+
+    @model_validator(mode="after")
+    def check_plain_http(self) -> Self:
+        """Engines and stores are reached over plain HTTP."""
+        if self.role in (VmRole.ENGINE, VmRole.STORE):
+            _check_url(self.url, ("http",))
+        return self
 
 
 class VmListBody(WireModel):
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -71,8 +71,12 @@
 ) -> None:
     process = await launcher.start_module("p", "stand_ins.platform")
     good = {"vm_id": "e1", "incarnation": "i", "zone": "z", "role": "entry"}
-    good |= {"service": "", "state": "leaving", "url": "u", "peer_url": "ws://p"}
-    vms = [good, good | {"role": "balancer"}, 7]
+    good |= {"service": "", "state": "leaving", "url": "http://127.0.0.1:1"}
+    good["peer_url"] = "ws://127.0.0.1:2"
+    changes = [{"role": "balancer"}, {"url": "u"}, {"url": "http://h:x"}]
+    changes += [{"peer_url": "http://127.0.0.1:2"}]
+    changes += [{"role": "engine", "url": "https://127.0.0.1:1"}]
+    vms = [good, *(good | change for change in changes), 7]
     await client.put(f"{process.url}/control/vms", json={"vms": vms})
     platform = HttpPlatform(process.url)
     (record,) = await platform.async_vms()
