--- a/bench/faults.py
+++ b/bench/faults.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from bench.deployment import Deployment, Vm
+from bench.deployment import Deployment
 from bench.processes import RunningProcess
+from bench.vms import Vm
 
 SLOW_LINK_FACTOR: Final = 0.1
 LOST_SHARE: Final = 0.3
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -24,16 +24,14 @@
 from stand_ins.content import (
     BLOCK_TOKENS,
     block_hashes,
-    block_value,
-    final_value,
     natural_length,
-    root_value,
     split,
     token_count,
 )
-from stand_ins.faults import Faults, die
+from stand_ins.faults import Faults
 from stand_ins.prefix_cache import PrefixCache
 from stand_ins.serving import serve
+from stand_ins.stepper import Stepper
 from stand_ins.transfers import BLOCK_LINK_BYTES, Transfers
 from stand_ins.weights import LoadedModel, OldFenceError, Weights
 
@@ -94,33 +92,20 @@
             costs=settings.costs,
         )
         self.arrivals = itertools.count()
-        self.wake = asyncio.Event()
+        self.stepper = Stepper(self.batch, self.cache, self.faults)
         self.tasks: set[asyncio.Task[None]] = set()
         self.reported_load: dict[str, Any] = {}
         self.reported_at = 0.0
-        self.runs_by_id: dict[str, int] = {}
-        self.counts = dict.fromkeys(
-            (
-                "finished",
-                "cancelled",
-                "steps",
-                "prompt_tokens",
-                "cached_tokens",
-                "imported_tokens",
-                "computed_tokens",
-                "answer_tokens",
-                "exported_bytes",
-            ),
-            0,
-        )
+        self.counts = {"cancelled": 0, "exported_bytes": 0}
 
     def counters(self) -> dict[str, Any]:
         """Return the counters of the control port."""
         return {
             **self.counts,
+            **self.stepper.counts,
             "orders": self.weights.orders,
             "running": sorted(self.batch.runs),
-            "runs_by_id": self.runs_by_id,
+            "runs_by_id": self.stepper.runs_by_id,
         }
 
     def app(self) -> App:
@@ -143,7 +128,7 @@
     async def start(self) -> None:
         """Start the step loop and the load reports."""
         self.read_load()
-        for coroutine in (self.step_loop(), self.report_loop()):
+        for coroutine in (self.stepper.step_loop(), self.report_loop()):
             self.tasks.add(asyncio.create_task(coroutine))
 
     async def stop(self) -> None:
@@ -232,92 +217,7 @@
             self.cache.store(imported, values, self.now())
         run.count_left()
         run.ready = True
-        self.wake.set()
-
-    async def step_loop(self) -> None:
-        """Run steps while there is work."""
-        while True:
-            self.expire()
-            self.batch.admit()
-            if not self.batch.admitted:
-                self.wake.clear()
-                await self.wait_for_work()
-                continue
-            plan = self.batch.plan_prefill()
-            self.start_runs(plan)
-            decoding = [run for run in self.batch.admitted if run.final]
-            prefilled = sum(tokens for _, tokens in plan)
-            await asyncio.sleep(self.settings.costs.seconds(prefilled))
-            self.counts["steps"] += 1
-            self.finish_step(plan, decoding)
-
-    async def wait_for_work(self) -> None:
-        """Wait until a run is ready; looks at the deadlines now and then."""
-        try:
-            async with asyncio.timeout(1.0):
-                await self.wake.wait()
-        except TimeoutError:
-            return
-
-    def expire(self) -> None:
-        """Give up the requests whose deadline passed."""
-        now = self.now()
-        for run in list(self.batch.runs.values()):
-            if run.expires_at <= now:
-                run.emit_error("deadline")
-                self.batch.remove(run)
-
-    def start_runs(self, plan: list[tuple[Run, int]]) -> None:
-        """Mark the runs that a step works on; some prompts crash the engine."""
-        marker = self.faults.value("crash_on", "marker", None)
-        for run, _ in plan:
-            if run.started:
-                continue
-            run.started = True
-            self.runs_by_id[run.request_id] = self.runs_by_id.get(run.request_id, 0) + 1
-            if marker is not None and marker.encode() in run.prompt:
-                die()
-
-    def finish_step(self, plan: list[tuple[Run, int]], decoding: list[Run]) -> None:
-        """Apply what a step has computed."""
-        for run, tokens in plan:
-            run.left_tokens -= tokens
-            if not run.left_tokens:
-                self.finish_prefill(run)
-        for run in decoding:
-            self.decode(run)
-
-    def finish_prefill(self, run: Run) -> None:
-        """Compute the values of the blocks that were missing."""
-        known = len(run.values)
-        previous = run.values[-1] if run.values else None
-        if previous is None:
-            previous = root_value(run.cache_salt, run.weight_version)
-        for block in run.blocks[known:]:
-            previous = block_value(previous, run.weight_version, block)
-            run.values.append(previous)
-        run.final = final_value(
-            previous, run.rest, run.model, run.adapter, run.weight_version
-        )
-        self.cache.store(run.hashes[known:], run.values[known:], self.now())
-        self.counts["prompt_tokens"] += run.prompt_tokens
-        self.counts["cached_tokens"] += run.cached_tokens
-        self.counts["imported_tokens"] += run.imported_tokens
-        computed = run.prompt_tokens - run.cached_tokens - run.imported_tokens
-        self.counts["computed_tokens"] += computed
-        self.decode(run)
-
-    def decode(self, run: Run) -> None:
-        """Send the next token of a run, and its end after the last."""
-        if run.request_id not in self.batch.runs:
-            return
-        if run.next_index < run.length:
-            run.emit_token()
-            self.counts["answer_tokens"] += 1
-        if run.next_index >= run.length:
-            run.emit_end()
-            self.counts["finished"] += 1
-            self.batch.remove(run)
+        self.stepper.wake.set()
 
     async def stream(self, run: Run) -> AsyncIterator[bytes]:
         """Yield the events of a run, all that wait as one chunk."""
--- /dev/null
+++ b/stand_ins/stepper.py
@@ -0,0 +1,130 @@
+"""Step loop of an engine."""
+
+from __future__ import annotations
+
+import asyncio
+
+from stand_ins.batch import Batch, Run
+from stand_ins.content import block_value, final_value, root_value
+from stand_ins.faults import Faults, die
+from stand_ins.prefix_cache import PrefixCache
+
+
+class Stepper:
+    """Runs the steps of an engine's batch.
+
+    Attributes
+    ----------
+    wake
+        Set when a request has become ready.
+    runs_by_id
+        Number of times that each request id was started.
+    """
+
+    def __init__(self, batch: Batch, cache: PrefixCache, faults: Faults) -> None:
+        self.batch = batch
+        self.cache = cache
+        self.faults = faults
+        self.wake = asyncio.Event()
+        self.runs_by_id: dict[str, int] = {}
+        self.counts = dict.fromkeys(
+            (
+                "finished",
+                "steps",
+                "prompt_tokens",
+                "cached_tokens",
+                "imported_tokens",
+                "computed_tokens",
+                "answer_tokens",
+            ),
+            0,
+        )
+
+    def now(self) -> float:
+        """Return the time of the loop."""
+        return asyncio.get_running_loop().time()
+
+    async def step_loop(self) -> None:
+        """Run steps while there is work."""
+        while True:
+            self.expire()
+            self.batch.admit()
+            if not self.batch.admitted:
+                self.wake.clear()
+                await self.wait_for_work()
+                continue
+            plan = self.batch.plan_prefill()
+            self.start_runs(plan)
+            decoding = [run for run in self.batch.admitted if run.final]
+            prefilled = sum(tokens for _, tokens in plan)
+            await asyncio.sleep(self.batch.costs.seconds(prefilled))
+            self.counts["steps"] += 1
+            self.finish_step(plan, decoding)
+
+    async def wait_for_work(self) -> None:
+        """Wait until a run is ready; looks at the deadlines now and then."""
+        try:
+            async with asyncio.timeout(1.0):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+
+    def expire(self) -> None:
+        """Give up the requests whose deadline passed."""
+        now = self.now()
+        for run in list(self.batch.runs.values()):
+            if run.expires_at <= now:
+                run.emit_error("deadline")
+                self.batch.remove(run)
+
+    def start_runs(self, plan: list[tuple[Run, int]]) -> None:
+        """Mark the runs that a step works on; some prompts crash the engine."""
+        marker = self.faults.value("crash_on", "marker", None)
+        for run, _ in plan:
+            if run.started:
+                continue
+            run.started = True
+            self.runs_by_id[run.request_id] = self.runs_by_id.get(run.request_id, 0) + 1
+            if marker is not None and marker.encode() in run.prompt:
+                die()
+
+    def finish_step(self, plan: list[tuple[Run, int]], decoding: list[Run]) -> None:
+        """Apply what a step has computed."""
+        for run, tokens in plan:
+            run.left_tokens -= tokens
+            if not run.left_tokens:
+                self.finish_prefill(run)
+        for run in decoding:
+            self.decode(run)
+
+    def finish_prefill(self, run: Run) -> None:
+        """Compute the values of the blocks that were missing."""
+        known = len(run.values)
+        previous = run.values[-1] if run.values else None
+        if previous is None:
+            previous = root_value(run.cache_salt, run.weight_version)
+        for block in run.blocks[known:]:
+            previous = block_value(previous, run.weight_version, block)
+            run.values.append(previous)
+        run.final = final_value(
+            previous, run.rest, run.model, run.adapter, run.weight_version
+        )
+        self.cache.store(run.hashes[known:], run.values[known:], self.now())
+        self.counts["prompt_tokens"] += run.prompt_tokens
+        self.counts["cached_tokens"] += run.cached_tokens
+        self.counts["imported_tokens"] += run.imported_tokens
+        computed = run.prompt_tokens - run.cached_tokens - run.imported_tokens
+        self.counts["computed_tokens"] += computed
+        self.decode(run)
+
+    def decode(self, run: Run) -> None:
+        """Send the next token of a run, and its end after the last."""
+        if run.request_id not in self.batch.runs:
+            return
+        if run.next_index < run.length:
+            run.emit_token()
+            self.counts["answer_tokens"] += 1
+        if run.next_index >= run.length:
+            run.emit_end()
+            self.counts["finished"] += 1
+            self.batch.remove(run)
--- a/tests/processes/common.py
+++ b/tests/processes/common.py
@@ -6,10 +6,11 @@
 from typing import Final
 
 from bench.callers import Outcome
-from bench.deployment import Deployment, Vm
+from bench.deployment import Deployment
 from bench.layouts import KERLANN
 from bench.processes import RunningProcess
 from bench.traffic import Call, CallClass
+from bench.vms import Vm
 
 ZONES: Final = ("brest-hall", "rennes-hall", "lorient-hall")
 SMALL: Final = replace(
