--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -16,7 +16,17 @@
 from bench.processes import Launcher, RunningProcess
 from bench.vms import Vm, entry_vms, is_live, target_vms
 
-__all__ = ["OPERATOR_KEY", "Deployment", "DeploymentError", "Vm", "async_bring_up"]
+__all__ = [
+    "OPERATOR_KEY",
+    "PEER_SECRET",
+    "Deployment",
+    "DeploymentError",
+    "Vm",
+    "async_bring_up",
+    "entry_vms",
+    "is_live",
+    "target_vms",
+]
 
 OPERATOR_KEY: Final = "bench-operator-key-0123456789"
 PEER_SECRET: Final = "bench-peer-secret-0123456789"
