Learn engines' speeds together, and offer a hint at the first token

Cause: an entry sees few outcomes of each engine, so the assumed 20,000 tokens/s held for long, computing looked cheap and queues looked short. Seen to fail: without the threshold, without the common speed. Two routing tests named 20,000 tokens/s; they now name the constant. Conclusion: common speed as prior. on_first_token of TierContextView is there to be called by the selector; without it, as now, nothing changes.

--- a/src/gypsumsail/context/coordinator.py
+++ b/src/gypsumsail/context/coordinator.py
@@ -118,7 +118,7 @@
         return max(view.cached_blocks(hashes), hinted)
 
     @callback
-    def on_answer_ended(self, hashes: tuple[str, ...], target: str) -> None:
+    def on_computed(self, hashes: tuple[str, ...], target: str) -> None:
         """Publish that an engine has just computed a prompt."""
         if hashes:
             hint = EngineHint(target=target, depth=len(hashes), age=0.0)
--- a/src/gypsumsail/routing/loads.py
+++ b/src/gypsumsail/routing/loads.py
@@ -9,6 +9,7 @@
 from gypsumsail.routing.const import (
     DEFAULT_DECODE_STEP_SECONDS,
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
+    LEAST_LEARNT_TOKENS,
     MAX_UNTOLD,
     PEER_WORK_SECONDS,
     PRIORITIES,
@@ -106,6 +107,8 @@
         Load by target.
     urgency
         Prompt tokens sent by priority, by which a reported queue is split.
+    common
+        Speed of all engines together, assumed of one with few outcomes.
     untold
         Work sent by this entry that the other entries weren't told of yet.
     """
@@ -113,6 +116,7 @@
     def __init__(self) -> None:
         self.engines: dict[str, EngineLoad] = {}
         self.urgency = [1.0] * PRIORITIES
+        self.common = RateEstimate(prior=DEFAULT_PREFILL_TOKENS_PER_SECOND)
         self.untold: deque[TargetWork] = deque(maxlen=MAX_UNTOLD)
 
     def on_report(self, target: str, report: LoadReport, *, now: float) -> None:
@@ -146,15 +150,19 @@
         load.peer_work.append(work)
 
     def on_first_token(self, target: str, attempt_id: str, *, now: float) -> None:
-        """Learn the speed of the prompt computation."""
+        """Learn the speed of the prompt computation.
+
+        Of short prompts most of the time is not spent on tokens: they teach nothing.
+        """
         load = self._load(target)
         work = load.sent.get(attempt_id)
         if work is None or work.first_token_at is not None:
             return
         work.first_token_at = now
-        if not work.imported:
-            done = work.tokens + work.tokens_ahead
+        done = work.tokens + work.tokens_ahead
+        if not work.imported and done >= LEAST_LEARNT_TOKENS:
             load.prefill.observe(done, now - work.sent_at, now=now)
+            self.common.observe(done, now - work.sent_at, now=now)
 
     def on_ended(
         self, target: str, attempt_id: str, *, answer_tokens: int, now: float
@@ -168,7 +176,7 @@
 
     def prefill_rate(self, target: str, *, now: float) -> float:
         """Return the prompt tokens a second that an engine computes."""
-        return self._load(target).prefill.rate(now=now)
+        return self._rate(self._load(target), now)
 
     def backlog_seconds(self, targets: Iterable[str], *, now: float) -> float:
         """Return the wait for the least loaded of some engines; 0 without any."""
@@ -193,7 +201,7 @@
         staleness = UNREPORTED_STALENESS_SECONDS
         if load.report is not None:
             staleness = max(now - load.taken_at, 0.0)
-        rate = load.prefill.rate(now=now)
+        rate = self._rate(load, now)
         share = sum(self.urgency[: priority + 1]) / sum(self.urgency)
         return Candidate(
             target=target,
@@ -213,9 +221,11 @@
     def _load(self, target: str) -> EngineLoad:
         return self.engines.setdefault(target, EngineLoad())
 
-    @staticmethod
-    def _wait(load: EngineLoad, now: float) -> float:
-        rate = load.prefill.rate(now=now)
+    def _rate(self, load: EngineLoad, now: float) -> float:
+        return load.prefill.rate(now=now, prior=self.common.rate(now=now))
+
+    def _wait(self, load: EngineLoad, now: float) -> float:
+        rate = self._rate(load, now)
         least_urgent = PRIORITIES - 1
         ahead = load.tokens_ahead(least_urgent, urgent_share=1.0, rate=rate, now=now)
         return ahead / rate
--- a/src/gypsumsail/routing/rates.py
+++ b/src/gypsumsail/routing/rates.py
@@ -34,10 +34,11 @@
         self.seconds = self.seconds * fading + seconds
         self.updated = max(now, self.updated)
 
-    def rate(self, *, now: float) -> float:
-        """Return the amount per second."""
+    def rate(self, *, now: float, prior: float | None = None) -> float:
+        """Return the amount per second; ``prior`` stands in for the own one."""
         fading = self._fading(now)
-        amount = self.amount * fading + self.prior * RATE_PRIOR_SECONDS
+        assumed = self.prior if prior is None else prior
+        amount = self.amount * fading + assumed * RATE_PRIOR_SECONDS
         return amount / (self.seconds * fading + RATE_PRIOR_SECONDS)
 
     def _fading(self, now: float) -> float:
--- a/src/gypsumsail/tiers/coordinator.py
+++ b/src/gypsumsail/tiers/coordinator.py
@@ -216,7 +216,7 @@
             return
         kept = self.lookups.pop(blocks.hashes[-1], NOTHING_KEPT)
         self._returns(blocks.service).observe(blocks.customer, kept.seen_age)
-        self.context.on_answer_ended(blocks.hashes, answer.target)
+        self.context.on_computed(blocks.hashes, answer.target)
         self._check_import(answer)
         self._plan_export(answer, kept)
 
--- a/src/gypsumsail/tiers/entry_view.py
+++ b/src/gypsumsail/tiers/entry_view.py
@@ -69,6 +69,15 @@
         left = len(held.names) - cached if held is not None else 0
         return replace(selection, kept=held, expected=_with_imported(expected, left))
 
+    def on_first_token(self, selection: EngineSelection) -> None:
+        """Note that an engine has computed the prompt and now answers it.
+
+        Callers who return while the first answer still runs are so sent to the
+        engine that has the prompt.
+        """
+        if selection.blocks.hashes:
+            self.context.on_computed(selection.blocks.hashes, selection.vm.vm_id)
+
     def on_ended(
         self, job: ModelJob, selection: EngineSelection, end: AnswerEnd
     ) -> None:
--- a/tests/context/test_coordinator.py
+++ b/tests/context/test_coordinator.py
@@ -100,7 +100,7 @@
 
 async def test_records_move_to_the_new_owner(entries: Entries) -> None:
     owner = entries.owner("a")
-    entries.other("a").on_answer_ended(DOSSIER, "engine")
+    entries.other("a").on_computed(DOSSIER, "engine")
     await async_until(lambda: entries.knows(owner))
     newcomer = next(
         entry
--- a/tests/routing/test_choice_gossip.py
+++ b/tests/routing/test_choice_gossip.py
@@ -4,6 +4,7 @@
 
 from gypsumsail.peers.port import EntryId
 from gypsumsail.routing.choice_gossip import ChoiceGossip
+from gypsumsail.routing.const import DEFAULT_PREFILL_TOKENS_PER_SECOND as RATE
 from gypsumsail.routing.loads import EngineLoads, SentWork
 from tests.common import ManualClock
 from tests.context.common import FakeNetwork
@@ -30,9 +31,9 @@
     first.loads.on_sent("e", "1", work)
     await first.async_tell()
     await first.async_tell()
-    assert second.loads.backlog_seconds(["e"], now=100.0) * 20_000 == 500
+    assert second.loads.backlog_seconds(["e"], now=100.0) * RATE == 500
     second.loads.on_report("e", make_report(age=0.3), now=100.0)
-    assert second.loads.backlog_seconds(["e"], now=100.0) * 20_000 == 500
+    assert second.loads.backlog_seconds(["e"], now=100.0) * RATE == 500
     second.loads.on_report("e", make_report(age=0.1), now=100.0)
     assert second.loads.backlog_seconds(["e"], now=100.0) == 0
     for gossip in gossips:
--- a/tests/routing/test_loads.py
+++ b/tests/routing/test_loads.py
@@ -4,11 +4,14 @@
 
 import pytest
 
+from gypsumsail.routing.const import DEFAULT_PREFILL_TOKENS_PER_SECOND
 from gypsumsail.routing.loads import EngineLoads, SentWork
 from gypsumsail.routing.models import Candidate
 
 from .common import make_report
 
+RATE = int(DEFAULT_PREFILL_TOKENS_PER_SECOND)
+
 
 def make_work(sent_at: float, **changes: int) -> SentWork:
     tokens = changes.get("tokens", 1000)
@@ -80,8 +83,20 @@
 
 def test_the_backlog_is_that_of_the_least_loaded_engine() -> None:
     loads = EngineLoads()
-    loads.on_report("e", make_report(queued_prompt_tokens=40_000), now=10.0)
+    loads.on_report("e", make_report(queued_prompt_tokens=2 * RATE), now=10.0)
     assert loads.backlog_seconds(["e"], now=10.0) == pytest.approx(2.0)
-    loads.on_sent("f", "1", make_work(9.5, tokens=20_000, priority=9))
+    loads.on_sent("f", "1", make_work(9.5, tokens=RATE, priority=9))
     assert loads.backlog_seconds(["e", "f"], now=10.0) == pytest.approx(1.0)
     assert loads.backlog_seconds([], now=10.0) == 0.0
+
+
+def test_an_engine_without_outcomes_is_taken_to_be_like_the_others() -> None:
+    loads = EngineLoads()
+    for index in range(20):
+        now = float(index)
+        loads.on_sent("e", str(index), make_work(now, tokens=1000))
+        loads.on_first_token("e", str(index), now=now + 0.5)
+        loads.on_sent("f", str(index), make_work(now, tokens=50))
+        loads.on_first_token("f", str(index), now=now + 0.1)
+    assert loads.prefill_rate("new", now=20.0) == pytest.approx(2000, rel=0.2)
+    assert loads.prefill_rate("f", now=20.0) == pytest.approx(2000, rel=0.2)
