Test the hint at the first token

Cause: on_first_token had no test. Ruled out: calling it from the selector here; that file is the frame's. Seen to fail with the note removed.

--- a/tests/tiers/test_entry_view.py
+++ b/tests/tiers/test_entry_view.py
@@ -77,3 +77,12 @@
     assert held.expected.computed_tokens == 36 * 256
     assert (held.expected.imported_tokens, held.expected.link_bytes) == (0, 0)
     assert await view.async_hold(make_selection("e"), 9.0) == make_selection("e")
+
+
+async def test_the_engine_is_known_while_it_still_answers(
+    view: TierContextView,
+) -> None:
+    assert (await view.async_lookup(make_blocks())).cached_blocks == {"e": 0}
+    view.on_first_token(replace(make_selection("e"), blocks=make_blocks()))
+    assert (await view.async_lookup(make_blocks())).cached_blocks == {"e": 40}
+    view.on_first_token(make_selection("e"))
