Count tokens, tell of the first token, and record the end of late calls

Cause: read-through; the metrics of tokens were not fed, callers who return while the first answer streams were not sent to the engine that has the prompt, and a call that ended by its deadline left no end in the time line. Ruled out: counting in the selector, which knows no customer.

--- a/src/gypsumsail/entry/caller_api.py
+++ b/src/gypsumsail/entry/caller_api.py
@@ -110,10 +110,14 @@
             gone.cancel()
         if run.done():
             return
-        if job.placement.route.repeatable or not call.work.progress.attempts:
-            run.cancel()
-            await asyncio.wait({run})
-        await call.async_fail(_late(call))
+        if not job.placement.route.repeatable and call.work.progress.attempts:
+            await call.async_fail(_late(call))
+            return
+        run.cancel()
+        await asyncio.wait({run})
+        late = _late(call)
+        self._ended(job, late)
+        await call.async_fail(late)
 
     async def _async_run(self, job: Job, call: Call) -> None:
         """Run a job to its end; a job that is not repeatable outlives its call."""
@@ -160,6 +164,8 @@
             service, job.placement.customer.name, now - job.accepted_at
         )
         progress = call.work.progress
+        if progress.end is not None:
+            metrics.count_tokens(service, progress.end)
         if progress.first_token_at is None:
             return
         waited = progress.first_token_at - job.accepted_at
--- a/src/gypsumsail/entry/context_view.py
+++ b/src/gypsumsail/entry/context_view.py
@@ -39,6 +39,9 @@
     ) -> EngineSelection:
         """Hold what the selection imports; return it with what is really held."""
 
+    def on_first_token(self, selection: EngineSelection) -> None:
+        """Note that an engine has computed a prompt."""
+
     def on_ended(
         self, job: ModelJob, selection: EngineSelection, end: AnswerEnd
     ) -> None:
--- a/src/gypsumsail/entry/engine_selector.py
+++ b/src/gypsumsail/entry/engine_selector.py
@@ -123,6 +123,7 @@
         """Learn from the time of the first token."""
         now = self.clock.monotonic()
         self.loads.on_first_token(selection.vm.vm_id, attempt_id, now=now)
+        self.context.on_first_token(selection)
 
     def ended(
         self,
--- a/src/gypsumsail/relay/model_work.py
+++ b/src/gypsumsail/relay/model_work.py
@@ -90,6 +90,7 @@
             raise AttemptFailedError(str(error), kind=kind) from error
         finally:
             self.selector.ended(self.job, selection, attempt_id, end)
+        self.progress.end = end
         await self.sink.async_end(end)
 
     def abandon(self, selection: EngineSelection, attempt_id: str) -> None:
--- a/src/gypsumsail/relay/models.py
+++ b/src/gypsumsail/relay/models.py
@@ -10,7 +10,7 @@
 from gypsumsail.core.errors import GypsumsailError, RequestError, RunState
 from gypsumsail.platform.port import VmRecord
 from gypsumsail.routing.models import Expectation
-from gypsumsail.targets.port import KeptBlocks
+from gypsumsail.targets.port import AnswerEnd, KeptBlocks
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,6 +91,8 @@
 
     Attributes
     ----------
+    end
+        End of the whole answer of a model job.
     first_token_at
         Monotonic time at which the first token was sent to the caller.
     tokens_out
@@ -105,6 +107,7 @@
     """
 
     attempts: int = 0
+    end: AnswerEnd | None = None
     first_token_at: float | None = None
     tokens_out: int = 0
     weight_version: str = ""
