Tell a dying engine from a lost connection

Cause: the prober took an engine for alive when its port still accepted while the process was ending and the load call was reset. The crash wasn't counted, so one request took three engines, and a neighbour that was tried alone was convicted beside it. The prober now asks again until it is answered, refused or out of time.

--- a/src/gypsumsail/entry/prober.py
+++ b/src/gypsumsail/entry/prober.py
@@ -8,7 +8,7 @@
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.platform.port import VmRecord, VmRole
-from gypsumsail.relay.const import PROBE_TIMEOUT_SECONDS
+from gypsumsail.relay.const import PROBE_PAUSE_SECONDS, PROBE_TIMEOUT_SECONDS
 from gypsumsail.relay.models import Selection
 from gypsumsail.targets.port import Engine
 
@@ -27,14 +27,27 @@
         """Return whether this incarnation of the target is certainly gone."""
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                if await _async_refused(selection.vm):
-                    return True
-                if selection.vm.role is not VmRole.ENGINE:
-                    return False
-                load = await self.engine_of(selection.vm).async_load()
-        except (TransportError, TimeoutError):
+                while not await _async_refused(selection.vm):
+                    if selection.vm.role is not VmRole.ENGINE:
+                        return False
+                    incarnation = await self._async_incarnation(selection.vm)
+                    if incarnation:
+                        return incarnation != selection.incarnation
+                    await asyncio.sleep(PROBE_PAUSE_SECONDS)
+        except TimeoutError:
             return False
-        return load.incarnation != selection.incarnation
+        return True
+
+    async def _async_incarnation(self, vm: VmRecord) -> str:
+        """Return the incarnation that answers, empty when none does.
+
+        A process that is just dying still takes connections for a moment.
+        """
+        try:
+            load = await self.engine_of(vm).async_load()
+        except TransportError:
+            return ""
+        return load.incarnation
 
 
 async def _async_refused(vm: VmRecord) -> bool:
--- a/tests/process/common.py
+++ b/tests/process/common.py
@@ -93,9 +93,28 @@
         Launcher() as launcher,
         httpx.AsyncClient(trust_env=False, timeout=CALLER_TIMEOUT_SECONDS) as client,
     ):
-        yield await async_bring_up(
+        deployment = await async_bring_up(
             SMALL, launcher, client, policy=DEFAULT_POLICY, directory=directory
         )
+        await async_wait_joined(deployment)
+        yield deployment
+
+
+async def async_wait_joined(deployment: Deployment) -> None:
+    """Wait until each entry knows all others; before that each counts alone."""
+    entries = deployment.of_role("entry")
+
+    async def are_joined() -> bool:
+        answers = [
+            await deployment.client.get(
+                f"{vm.url}/operator/in-force",
+                headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+            )
+            for vm in entries
+        ]
+        return all(len(a.json()["peers"]) == len(entries) - 1 for a in answers)
+
+    await wait_until(are_joined)
 
 
 async def wait_until(condition: Callable[[], Awaitable[bool]]) -> None:
