Wait for tokens and for a new entry in the process tests

As strict: the tests now wait for 6 tokens, and for the first answer, allowing only whole answers and 'not run' until then.

--- a/tests/process/test_outages.py
+++ b/tests/process/test_outages.py
@@ -61,6 +61,18 @@
     await wait_until(are_in_force)
 
 
+async def async_wait_serving(deployment: Deployment, number: int) -> None:
+    """Wait until a new entry answers; before that it refuses as not run."""
+
+    async def is_serving() -> bool:
+        call = make_call("is the new entry there?", entry=number)
+        outcome = (await async_complete(deployment, call))[0]
+        assert outcome.whole or outcome.refusal.endswith("not run")
+        return outcome.whole
+
+    await wait_until(is_serving)
+
+
 async def test_customers_with_the_same_prompt_share_no_blocks(
     shared: Deployment,
 ) -> None:
@@ -119,11 +131,7 @@
         await async_restart(shared, entry)
         await async_wait_in_force(shared, before)
 
-        async def serves() -> bool:
-            found = await async_complete(shared, make_call("new in outage", entry=2))
-            return found[0].whole and not found[0].wrong
-
-        await wait_until(serves)
+        await async_wait_serving(shared, 2)
         outcomes = await async_complete(
             shared, *(make_call(f"in outage {n}", entry=n % 3) for n in range(6))
         )
@@ -147,6 +155,7 @@
         entry.arguments = (*entry.arguments, *seeds)
         await async_restart(shared, entry)
         await async_wait_in_force(shared, wanted)
+        await async_wait_serving(shared, 1)
         outcomes = await async_complete(shared, make_call("stale platform", entry=1))
     finally:
         await shared.async_fault(shared.platform, "stale_reads", on=False)
--- a/tests/process/test_whole_answers.py
+++ b/tests/process/test_whole_answers.py
@@ -31,6 +31,7 @@
 
 CALLS = 9
 ROUNDS = 12
+TOKENS_OUT = 6
 RESET_AFTER_EVENTS = 5
 
 
@@ -52,14 +53,24 @@
     return len(counters.get("running", ()))
 
 
-async def busy_engine(deployment: Deployment) -> Vm:
-    """Wait for an engine that runs requests and has sent tokens; return it."""
+async def tokens_sent(deployment: Deployment) -> dict[str, int]:
+    """Return the answer tokens that each engine has sent."""
+    found = {}
+    for vm in deployment.of_role("engine", "claims"):
+        counters = await deployment.async_counters(process_of(vm))
+        found[vm.vm_id] = counters["answer_tokens"]
+    return found
+
+
+async def busy_engine(deployment: Deployment, before: dict[str, int]) -> Vm:
+    """Wait for an engine that runs requests and has sent some tokens of them."""
     found: list[Vm] = []
 
     async def is_found() -> bool:
         for vm in deployment.of_role("engine", "claims"):
             counters = await deployment.async_counters(process_of(vm))
-            if counters.get("running") and counters["answer_tokens"]:
+            sent = counters["answer_tokens"] - before[vm.vm_id]
+            if counters["running"] and sent >= TOKENS_OUT:
                 found.append(vm)
         return bool(found)
 
@@ -71,9 +82,10 @@
     shared: Deployment,
 ) -> None:
     resumed_before = await async_count_events(shared, "request.resumed")
+    tokens_before = await tokens_sent(shared)
 
     calls = asyncio.create_task(async_complete(shared, *long_calls("engine dies")))
-    engine = await busy_engine(shared)
+    engine = await busy_engine(shared, tokens_before)
     await process_of(engine).kill()
     outcomes = await calls
     await async_restart(shared, engine)
@@ -146,10 +158,11 @@
     shared: Deployment,
 ) -> None:
     prompt = prompt_with_long_answer("caller hangs up")
+    tokens_before = await tokens_sent(shared)
     call = asyncio.create_task(
         async_complete(shared, make_call(prompt, max_tokens=LONG_ANSWER_TOKENS))
     )
-    engine = await busy_engine(shared)
+    engine = await busy_engine(shared, tokens_before)
     before = await shared.async_counters(process_of(engine))
     call.cancel()
     with suppress(asyncio.CancelledError):
