--- a/src/gypsumsail/orders/coordinator.py
+++ b/src/gypsumsail/orders/coordinator.py
@@ -20,7 +20,7 @@
 from gypsumsail.orders.models import ObservedEngine
 from gypsumsail.orders.planner import PlannedOrder, plan_orders
 from gypsumsail.orders.port import DocumentSource, EngineFactory, MembershipSource
-from gypsumsail.orders.wanted import is_loading, is_wanted
+from gypsumsail.orders.wanted import is_loading, is_wanted, wanted_models
 from gypsumsail.peers.port import EntryId
 from gypsumsail.platform.port import ObjectApi, VmRecord, VmRole
 from gypsumsail.targets.port import EngineState, SetState
@@ -83,7 +83,7 @@
         if self.keeper.held is None and not self._is_candidate():
             return
         await self._async_keep_lease()
-        if not self._may_order():
+        if not self.may_order(self.clock.monotonic()):
             return
         engines = await self._async_observe()
         if not any(engine.zone == self.entry.zone for engine in engines):
@@ -92,7 +92,7 @@
         plan = plan_orders(
             self.documents.all_in_force(), engines, stored.book, self.entry.zone
         )
-        if not self._may_order():
+        if not self.may_order(self.clock.monotonic()):
             return
         if plan.orders or plan.book != stored.book:
             await async_write_book(self.api, stored, plan.book)
@@ -111,8 +111,9 @@
                 LOGGER.exception("Step of orders failed")
             await asyncio.sleep(STEP_INTERVAL_SECONDS)
 
-    def _may_order(self) -> bool:
-        return may_order(self.keeper.held, self.clock.monotonic())
+    def may_order(self, now: float) -> bool:
+        """Return whether this entry may give orders now."""
+        return may_order(self.keeper.held, now)
 
     def _is_candidate(self) -> bool:
         """Return whether this entry ranks among those that watch the lease."""
@@ -133,10 +134,45 @@
                 self._record(EventKind.LEASE_LOST, "", f"fence {before.fence}")
 
     async def _async_observe(self) -> list[ObservedEngine]:
-        """Read the state of all engines; they are not ordered here."""
-        vms = self._engines_listed()
+        """Read the states of the zone's engines, and those they depend on.
+
+        Engines of other zones are read only for services of which an engine here
+        differs from what is wanted: the others have no turn to be given.
+        """
+        listed = self._engines_listed()
+        own = await self._async_read_states(
+            [vm for vm in listed if vm.zone == self.entry.zone]
+        )
+        differing = self._differing_services(own)
+        others = await self._async_read_states(
+            [
+                vm
+                for vm in listed
+                if vm.zone != self.entry.zone and vm.service in differing
+            ]
+        )
+        self.highest_fence = max(
+            (engine.state.highest_fence for engine in own if engine.state is not None),
+            default=0,
+        )
+        return [*own, *others]
+
+    def _differing_services(self, engines: list[ObservedEngine]) -> set[str]:
+        """Return the services of which an engine isn't as it is wanted."""
+        wanted = {
+            document.document.service: wanted_models(document.document)
+            for document in self.documents.all_in_force()
+        }
+        return {
+            engine.service
+            for engine in engines
+            if engine.state is None
+            or not is_wanted(engine.state, wanted[engine.service])
+        }
+
+    async def _async_read_states(self, vms: list[VmRecord]) -> list[ObservedEngine]:
         states = await asyncio.gather(*map(self._async_state, vms))
-        observed = [
+        return [
             ObservedEngine(
                 target=vm.vm_id,
                 service=vm.service,
@@ -145,15 +181,6 @@
             )
             for vm, state in zip(vms, states, strict=True)
         ]
-        self.highest_fence = max(
-            (
-                engine.state.highest_fence
-                for engine in observed
-                if engine.state is not None and engine.zone == self.entry.zone
-            ),
-            default=0,
-        )
-        return observed
 
     def _engines_listed(self) -> list[VmRecord]:
         services = [
@@ -182,7 +209,7 @@
             return
         state = await self._async_state(vm)
         held = self.keeper.held
-        if state is None or held is None or not self._may_order():
+        if state is None or held is None or not self.may_order(self.clock.monotonic()):
             return
         if is_wanted(state, order.models) or is_loading(state, order.models):
             return
--- a/src/gypsumsail/relay/models.py
+++ b/src/gypsumsail/relay/models.py
@@ -91,17 +91,33 @@
 
     Attributes
     ----------
+    first_token_at
+        Monotonic time at which the first token was sent to the caller.
     tokens_out
         Answer tokens that the caller was sent.
     weight_version
         Version that computed them; empty while there are none.
+    excluded
+        Targets that the job may not go to again.
+    lost_on, avoided
+        Targets that lost an attempt, and those that lost several: the job goes
+        to these only when there is no other.
     """
 
     attempts: int = 0
+    first_token_at: float | None = None
     tokens_out: int = 0
     weight_version: str = ""
     run_state: RunState = RunState.NOT_RUN
     excluded: frozenset[str] = frozenset()
+    lost_on: frozenset[str] = frozenset()
+    avoided: frozenset[str] = frozenset()
+
+    def note_loss(self, target: str) -> None:
+        """Count an attempt that a target lost."""
+        if target in self.lost_on:
+            self.avoided |= {target}
+        self.lost_on |= {target}
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/once/test_ledger.py
+++ b/tests/once/test_ledger.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+
+import cbor2
 from hypothesis import given, settings
 from hypothesis import strategies as st
 import pytest
@@ -31,6 +34,8 @@
 from .common import FakeObjectApi
 
 PARTITION = 3
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.binary()
+HOSTILE = st.recursive(SCALARS, st.lists, max_leaves=20)
 
 
 def reserved(key: int, attempt: int, body: int = 0) -> Reserved:
@@ -177,6 +182,19 @@
     assert list(api.objects) == [head_key(PARTITION)]
 
 
+async def test_duplicates_between_ticks_do_not_hold_the_time_up() -> None:
+    api, clock = FakeObjectApi(), ManualClock()
+    store = LedgerStore(api, clock, PARTITION)
+    await async_verdict(store, reserved(1, 1))
+    clock.now += SEAL_AGE_SECONDS
+    await store.async_tick()
+    for attempt in range(2, 26):
+        clock.now += RETENTION_SECONDS / 24
+        assert await async_verdict(store, reserved(1, attempt)) is VerdictKind.RUNNING
+    await store.async_tick()
+    assert await async_verdict(store, reserved(1, 99)) is VerdictKind.GRANTED
+
+
 async def test_ledger_time_never_runs_ahead_with_two_writers() -> None:
     api, clock = FakeObjectApi(), ManualClock()
     writers = [LedgerStore(api, clock, PARTITION) for _ in range(2)]
@@ -213,13 +231,28 @@
         await async_verdict(store, reserved(1, 2))
 
 
-@given(st.binary(max_size=200))
-@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=200) | HOSTILE.map(cbor2.dumps))
+@settings(derandomize=True, deadline=None, max_examples=500)
 def test_hostile_values_are_refused(value: bytes) -> None:
     with pytest.raises(LedgerCorruptError):
         decode_head(value)
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        [1, math.inf, 0, [], []],
+        [1, 0, 0, [[math.inf, 0]], []],
+        [1, 0, 0, [], [[1, b"k", b"a", -1, 200]]],
+        [1, 0, 0, [], [[0, "k", b"a", b"b"]]],
+        [2, 0, 0, [], []],
+    ],
+)
+def test_head_that_is_nearly_right_is_refused(value: list[object]) -> None:
+    with pytest.raises(LedgerCorruptError):
+        decode_head(cbor2.dumps(value))
+
+
 def test_head_survives_its_encoding() -> None:
     head = Head(
         ledger_time=12.5,
--- a/tests/orders/test_coordinator.py
+++ b/tests/orders/test_coordinator.py
@@ -7,6 +7,7 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.orders.const import LEASE_SECONDS, TURNS_KEY
 from gypsumsail.orders.coordinator import OrdersCoordinator
+from gypsumsail.orders.diagnostics import diagnostics
 from gypsumsail.platform.port import ConflictError
 
 from .common import ZONES, Deployment, document, loaded, serving
@@ -85,8 +86,10 @@
     await paused.async_step()
     assert deployment.out() == 0
     assert paused.keeper.held is None
+    assert not diagnostics(paused, deployment.clock.now).is_issuer
     await successor.async_step()
     assert deployment.out() == 1
+    assert diagnostics(successor, deployment.clock.now).is_issuer
 
 
 async def test_lease_that_ends_between_look_and_order_sends_nothing() -> None:
@@ -104,6 +107,18 @@
     assert engine.orders == []
 
 
+async def test_other_zones_are_read_only_when_an_engine_here_differs() -> None:
+    deployment = Deployment(3)
+    issuer = deployment.issuer("entry-1")
+    await issuer.async_step()
+    looks = [engine.looks for engine in deployment.engines.values()]
+    assert looks == [1, 0, 0]
+    deployment.documents = (document(2, "v2"),)
+    await issuer.async_step()
+    looks = [engine.looks for engine in deployment.engines.values()]
+    assert looks == [3, 1, 1]
+
+
 async def test_stale_book_sends_no_order() -> None:
     deployment = Deployment(3)
     deployment.documents = (document(2, "v2"),)
--- a/tests/relay/common.py
+++ b/tests/relay/common.py
@@ -69,6 +69,7 @@
         fingerprint="fingerprint",
         body_digest=b"digest",
         model=document.document.models[0],
+        adapter="",
         body=CompletionBody(model="dossier", prompt="Vol AF 1234", stream=True),
     )
 
@@ -149,6 +150,9 @@
     def __init__(self, engines: dict[str, ScriptedEngine]) -> None:
         self.engines = engines
         self.asked: list[Constraints] = []
+        self.not_reached: list[str] = []
+        self.reached = asyncio.Event()
+        self.refused = asyncio.Event()
 
     async def async_select(
         self, job: ModelJob, constraints: Constraints
@@ -158,6 +162,7 @@
         for name in self.engines:
             if name not in constraints.excluded:
                 return make_selection(name)
+        self.refused.set()
         raise NoTargetError("none left")
 
     def sent(self, job: ModelJob, selection: EngineSelection, attempt_id: str) -> None:
@@ -166,6 +171,11 @@
     def first_token(self, selection: EngineSelection, attempt_id: str) -> None:
         """Do nothing."""
 
+    def unreachable(self, selection: EngineSelection) -> None:
+        """Keep the engine."""
+        self.not_reached.append(selection.vm.vm_id)
+        self.reached.set()
+
     def ended(
         self,
         job: ModelJob,
@@ -272,16 +282,13 @@
         self.calls.append("abandoned")
 
 
-class OpenBudget:
-    """A retry budget without a bound."""
+class OpenBudgets:
+    """Retry budgets without a bound."""
 
-    def take(self, now: float) -> bool:
+    def take(self, service: str, now: float) -> bool:
         """Allow every retry."""
         return True
 
-    def succeeded(self, now: float) -> None:
-        """Do nothing."""
-
 
 class ScriptedProber:
     """Says which engines crashed."""
@@ -315,7 +322,7 @@
         return RelayPorts(
             suspects=self.suspects,
             once=self.once,
-            budget=OpenBudget(),
+            budgets=OpenBudgets(),
             prober=ScriptedProber(self.engines),
             recorder=self.log,
             clock=self.clock,
