Test a rollout on real entries and engines with the issuer killed

Cause: orders had only been run on fakes.

Ruled out: killing after the operator's command ends; the zone's engines may be done by then, so the test now kills while the zone's first of two engines loads.

--- /dev/null
+++ b/tests/orders/test_processes.py
@@ -0,0 +1,123 @@
+"""A rollout by real entries over engines in processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, replace
+import json
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from bench.deployment import Deployment, Vm, entry_vms, target_vms
+from bench.layouts import KERLANN, documents
+from bench.processes import Launcher, RunningProcess
+
+ZONES = KERLANN.entry_zones[:3]
+SERVICE = replace(KERLANN.short_service, engine_zones=(*ZONES, ZONES[0]))
+LAYOUT = replace(KERLANN, entry_zones=ZONES, short_service=SERVICE)
+ALLOWED_OUT = 1
+POLL_SECONDS = 0.05
+POLLS = 1_600
+WEIGHT_BYTES_PER_SECOND = 1e8
+
+
+@dataclass(slots=True, kw_only=True)
+class Watch:
+    """What the engines showed during a rollout."""
+
+    most_loading: int = 0
+    states: tuple[dict[str, Any], ...] = ()
+
+    def all_serve(self, version: str) -> bool:
+        return all(
+            not state["loading"] and state["models"][0]["weight_version"] == version
+            for state in self.states
+        )
+
+
+def process_of(vm: Vm) -> RunningProcess:
+    assert vm.process is not None
+    return vm.process
+
+
+async def async_look(deployment: Deployment, watch: Watch) -> None:
+    engines = deployment.of_role("engine")
+    answers = await asyncio.gather(
+        *(deployment.client.get(f"{vm.url}/state") for vm in engines)
+    )
+    watch.states = tuple(answer.json() for answer in answers)
+    loading = sum(bool(state["loading"]) for state in watch.states)
+    watch.most_loading = max(watch.most_loading, loading)
+
+
+def write_document(file: Path, version: str) -> None:
+    document = json.loads(documents(LAYOUT)[SERVICE.service])
+    document["models"][0]["weight_version"] = version
+    file.write_text(json.dumps(document), encoding="utf-8")
+
+
+async def async_apply(
+    deployment: Deployment, file: Path, version: str, *options: str
+) -> None:
+    write_document(file, version)
+    done = await deployment.async_operate("document", "apply", str(file), *options)
+    assert done.process.returncode == 0, list(done.output)
+
+
+async def async_until_loading(deployment: Deployment, watch: Watch, zone: str) -> None:
+    """Wait until the zone's first engine loads; its second one then waits."""
+    zones = [vm.zone for vm in deployment.of_role("engine")]
+    for _ in range(POLLS):
+        await async_look(deployment, watch)
+        shown = zip(zones, watch.states, strict=True)
+        if any(state["loading"] for found, state in shown if found == zone):
+            return
+        await asyncio.sleep(POLL_SECONDS)
+    raise AssertionError("no engine of the zone began to load")
+
+
+async def async_until_all_serve(
+    deployment: Deployment, watch: Watch, version: str
+) -> None:
+    for _ in range(POLLS):
+        await async_look(deployment, watch)
+        if watch.all_serve(version):
+            return
+        await asyncio.sleep(POLL_SECONDS)
+    raise AssertionError(f"not all engines serve {version}: {watch.states}")
+
+
+async def test_rollout_outlives_its_issuer_and_takes_one_engine_at_a_time(
+    launcher: Launcher, client: httpx.AsyncClient, tmp_path: Path
+) -> None:
+    slow = f"--weight-bytes-per-second={WEIGHT_BYTES_PER_SECOND}"
+    platform = await launcher.start_module("platform", "stand_ins.platform", (slow,))
+    deployment = Deployment(
+        layout=LAYOUT, launcher=launcher, client=client, policy="", platform=platform
+    )
+    engines = [
+        vm
+        for vm in target_vms(LAYOUT, platform.url)
+        if vm.role == "engine" and vm.service == SERVICE.service
+    ]
+    entries = [
+        replace(vm, arguments=tuple(a for a in vm.arguments if "policy" not in a))
+        for vm in entry_vms(LAYOUT, "")
+    ]
+    await deployment.async_start_all([*engines, *entries])
+    await deployment.async_list_vms()
+    file, watch = tmp_path / "portal.yaml", Watch()
+    await async_apply(deployment, file, "v1")
+    await async_until_all_serve(deployment, watch, "v1")
+    applying = asyncio.create_task(
+        async_apply(deployment, file, "v2", "--expected-version", "1")
+    )
+    await async_until_loading(deployment, watch, entries[0].zone)
+    await process_of(entries[0]).kill()
+    await applying
+    await deployment.async_start(entries[0])
+    await deployment.async_list_vms()
+    await async_until_all_serve(deployment, watch, "v2")
+    assert watch.most_loading == ALLOWED_OUT
