--- a/bench/faults.py
+++ b/bench/faults.py
@@ -9,7 +9,7 @@
 
 from bench.deployment import Deployment
 from bench.processes import RunningProcess
-from bench.vms import Vm
+from bench.vms import Vm, is_live
 
 SLOW_LINK_FACTOR: Final = 0.1
 LOST_SHARE: Final = 0.3
@@ -59,7 +59,7 @@
 
 def _on_stores(fault: str, **values: float) -> Fault:
     async def switch(deployment: Deployment, on: bool) -> None:
-        for vm in deployment.of_role("store"):
+        for vm in filter(is_live, deployment.of_role("store")):
             await deployment.async_fault(_process(vm), fault, on=on, **values)
 
     async def start(deployment: Deployment) -> None:
