Keep jobs off engines that break answers, and spend no retry budget on what never left

Cause: 'no_target: not run' beside a living engine. Under load the retry budget of an entry was used up by tries at a dead engine that the platform still listed, and a resetting engine got each job twice. Found by tests/process/test_whole_answers.py run four at a time, and by the stand-ins developer's test of a killed engine. Ruled out: a larger budget, which only moves the point. An engine that refuses is told apart from one that can't be reached; only the former costs budget.

--- a/src/gypsumsail/entry/engine_selector.py
+++ b/src/gypsumsail/entry/engine_selector.py
@@ -10,6 +10,7 @@
 from gypsumsail.core.errors import NoTargetError, OverloadedError
 from gypsumsail.entry.const import RETRY_AFTER_SECONDS
 from gypsumsail.entry.context_view import ContextView, KeptView, blocks_of
+from gypsumsail.entry.engine_health import EngineHealth
 from gypsumsail.entry.models import ModelJob
 from gypsumsail.entry.versions import Server, allowed_servers, servers
 from gypsumsail.fleet.models import EngineSighting, load_of
@@ -37,12 +38,6 @@
     ----------
     targets
         Returns the targets of a service that may get new work.
-
-    Attributes
-    ----------
-    lost
-        Engines that took no work since an entry last read them; they get some
-        only when no other may have it.
     """
 
     def __init__(
@@ -65,13 +60,13 @@
         self.rng = rng
         self.lengths = AnswerLengths()
         self.sightings: dict[str, EngineSighting] = {}
-        self.lost: set[str] = set()
+        self.health = EngineHealth()
         self.sequence = 0
 
     def on_sighting(self, sighting: EngineSighting, now: float) -> None:
         """Take what was read of an engine."""
         self.sightings[sighting.target] = sighting
-        self.lost.discard(sighting.target)
+        self.health.on_read(sighting.target)
         self.loads.on_report(sighting.target, load_of(sighting), now=now)
 
     async def async_select(
@@ -85,8 +80,9 @@
             adapter=job.adapter,
         )
         wanted = job.model.weight_version
-        reachable = [server for server in found if server.vm.vm_id not in self.lost]
-        allowed = allowed_servers(reachable, constraints, wanted)
+        now = self.clock.monotonic()
+        good = [server for server in found if self.health.is_good(server.vm.vm_id, now)]
+        allowed = allowed_servers(good, constraints, wanted)
         if not allowed:
             allowed = allowed_servers(found, constraints, wanted)
         self.sequence += 1
@@ -154,7 +150,11 @@
 
         The platform's list shows a dead engine for a while.
         """
-        self.lost.add(selection.vm.vm_id)
+        self.health.on_not_taken(selection.vm.vm_id)
+
+    def broke_off(self, selection: EngineSelection) -> None:
+        """Keep jobs off an engine for a while whose answers break off."""
+        self.health.on_lost(selection.vm.vm_id, self.clock.monotonic())
 
     async def _async_option(
         self,
--- a/src/gypsumsail/relay/attempts.py
+++ b/src/gypsumsail/relay/attempts.py
@@ -315,10 +315,11 @@
     def _budget_allows(self, kind: FailureKind, now: float) -> bool:
         """Return whether a retry fits the budget.
 
-        The work of a crashed target is gone with it, so that doing it elsewhere
-        adds no load; the attempts of each job are bounded in any case.
+        What never reached a target, and the work of a crashed one, which is gone
+        with it, add no load when done elsewhere; the attempts of each job are
+        bounded in any case.
         """
-        if kind is FailureKind.CRASHED:
+        if kind in (FailureKind.NOT_SENT, FailureKind.CRASHED):
             return True
         return self.ports.budgets.take(self.job.placement.service, now)
 
--- a/src/gypsumsail/relay/model_work.py
+++ b/src/gypsumsail/relay/model_work.py
@@ -17,6 +17,7 @@
     FailureKind,
     Progress,
 )
+from gypsumsail.targets.errors import EngineRefusedError
 from gypsumsail.targets.port import (
     AnswerEnd,
     AnswerToken,
@@ -51,6 +52,9 @@
     def unreachable(self, selection: EngineSelection) -> None:
         """Note that the engine could not be reached, or took no work."""
 
+    def broke_off(self, selection: EngineSelection) -> None:
+        """Note that the engine's answer broke off."""
+
 
 class ModelWork:
     """One model job and what is out of its answer."""
@@ -85,8 +89,11 @@
             end = await self._async_forward(selection, attempt_id)
         except TransportError as error:
             kind = _kind_of(error)
-            if kind is FailureKind.NOT_SENT:
-                self.selector.unreachable(selection)
+            match kind:
+                case FailureKind.NOT_SENT | FailureKind.REFUSED:
+                    self.selector.unreachable(selection)
+                case FailureKind.LOST | FailureKind.CRASHED:
+                    self.selector.broke_off(selection)
             raise AttemptFailedError(str(error), kind=kind) from error
         finally:
             self.selector.ended(self.job, selection, attempt_id, end)
@@ -155,4 +162,6 @@
 
 
 def _kind_of(error: TransportError) -> FailureKind:
+    if isinstance(error, EngineRefusedError):
+        return FailureKind.REFUSED
     return FailureKind.LOST if error.sent else FailureKind.NOT_SENT
--- a/tests/process/common.py
+++ b/tests/process/common.py
@@ -249,4 +249,4 @@
         for o in outcomes
         if o.wrong or not o.whole
     ]
-    assert failed == []
+    assert failed == [], failed
--- /dev/null
+++ b/tests/processes/test_engine_loss.py
@@ -0,0 +1,30 @@
+"""Tests of answers whose engine dies."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bench.callers import Callers
+from bench.deployment import Deployment
+from tests.processes.common import (
+    SMALL,
+    broken,
+    model_calls,
+    process_of,
+    running_requests,
+)
+from tests.stand_ins.common import wait_until
+
+
+async def test_answers_stay_whole_and_right_when_an_engine_dies(
+    deployment: Deployment, callers: Callers
+) -> None:
+    engine = deployment.of_role("engine", SMALL.long_service.service)[0]
+    calls = asyncio.create_task(callers.async_run(model_calls(24, seconds=2.0)))
+
+    async def has_work() -> bool:
+        return await running_requests(deployment, engine) >= 2
+
+    await wait_until(has_work)
+    await process_of(engine).kill()
+    assert broken(await calls) == []
--- a/tests/relay/common.py
+++ b/tests/relay/common.py
@@ -151,6 +151,7 @@
         self.engines = engines
         self.asked: list[Constraints] = []
         self.not_reached: list[str] = []
+        self.broken: list[str] = []
         self.reached = asyncio.Event()
         self.refused = asyncio.Event()
 
@@ -176,6 +177,10 @@
         self.not_reached.append(selection.vm.vm_id)
         self.reached.set()
 
+    def broke_off(self, selection: EngineSelection) -> None:
+        """Keep the engine."""
+        self.broken.append(selection.vm.vm_id)
+
     def ended(
         self,
         job: ModelJob,
