--- a/tests/processes/conftest.py
+++ b/tests/deployment/conftest.py
@@ -12,7 +12,7 @@
 from bench.deployment import Deployment, async_bring_up
 from bench.processes import Launcher
 from gypsumsail.routing.const import DEFAULT_POLICY
-from tests.processes.common import SMALL
+from tests.deployment.common import SMALL
 
 
 @pytest.fixture
--- a/tests/processes/test_engine_loss.py
+++ b/tests/deployment/test_engine_loss.py
@@ -6,7 +6,7 @@
 
 from bench.callers import Callers
 from bench.deployment import Deployment
-from tests.processes.common import (
+from tests.deployment.common import (
     SMALL,
     broken,
     model_calls,
--- a/tests/processes/test_whole_path.py
+++ b/tests/deployment/test_whole_path.py
@@ -7,7 +7,7 @@
 
 from bench.callers import Callers
 from bench.deployment import Deployment
-from tests.processes.common import (
+from tests.deployment.common import (
     SMALL,
     broken,
     letter_calls,
