Turn ready when the engines were read

Cause: an entry that had just started said it was ready and refused calls for want of engine reports, found by two developers.

--- a/src/gypsumsail/entry/app.py
+++ b/src/gypsumsail/entry/app.py
@@ -39,7 +39,9 @@
     await runtime.async_setup()
     peer_port = urlsplit(runtime.shared.network.peer_url).port
     click.echo(f"listening {runtime.server.port} peers {peer_port}")
+    warm_up = asyncio.create_task(runtime.async_turn_ready())
     await stops.async_first()
+    warm_up.cancel()
     stop = await _async_drain(runtime, stops)
     _report_stop(runtime, stop)
     await runtime.async_unload()
--- a/src/gypsumsail/entry/runtime.py
+++ b/src/gypsumsail/entry/runtime.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
-from typing import Protocol
+from typing import Final, Protocol
 
 from gypsumsail.core.clock import Clock
 from gypsumsail.entry.acceptance import Acceptance
@@ -19,6 +20,7 @@
 from gypsumsail.entry.settings import EntrySettings
 from gypsumsail.entry.shared import SharedParts
 from gypsumsail.entry.status import EntryStatusSource
+from gypsumsail.entry.warm_up import may_turn_ready
 from gypsumsail.entry.web import make_web_app
 from gypsumsail.fleet.coordinator import FleetCoordinator
 from gypsumsail.membership.drain import RunningRequest
@@ -32,6 +34,8 @@
 from gypsumsail.tiers.entry_view import TierContextView
 from gypsumsail.timeline.models import Event, EventKind
 
+WARM_UP_TICK_SECONDS: Final = 0.05
+
 
 class Part(Protocol):
     """A part that is set up before and unloaded after those that follow it."""
@@ -178,11 +182,28 @@
             await part.async_setup()
         await self.shared.orders.async_setup()
         self.orders_running = True
-        self.status.state = EntryState.READY
         self.shared.recorder.record(
             Event(kind=EventKind.ENTRY_STARTED, detail=self.shared.me.zone)
         )
 
+    async def async_turn_ready(self) -> None:
+        """Turn ready when the engines were read, or after a while."""
+        started_at = self.clock.monotonic()
+        while True:
+            await asyncio.sleep(WARM_UP_TICK_SECONDS)
+            if self._is_warm(self.clock.monotonic() - started_at):
+                break
+        self.status.state = EntryState.READY
+
+    def _is_warm(self, waited: float) -> bool:
+        shared = self.shared
+        return may_turn_ready(
+            documents=len(shared.documents.all_in_force()),
+            engines={vm.vm_id for vm in shared.targets.vms()},
+            seen=self.selector.sightings.keys(),
+            waited=waited,
+        )
+
     async def async_hand_over(self) -> None:
         """Give up the lease for orders, so that another entry takes it at once."""
         if self.orders_running:
