Show alarms of documents in the status

Cause: the alarms by size of lag and by its not shrinking were worked out and shown nowhere. Ruled out: log lines only, which nobody reads across entries.

--- a/src/gypsumsail/cli/status.py
+++ b/src/gypsumsail/cli/status.py
@@ -81,4 +81,8 @@
         for item in result.entries
         for target in item.targets
     ]
-    return [*table(rows), *targets, *unreachable_lines(result.unreachable)]
+    alarms = [
+        f"ALARM {item.entry}: {text}" for item in result.entries for text in item.alarms
+    ]
+    unreachable = unreachable_lines(result.unreachable)
+    return [*table(rows), *targets, *alarms, *unreachable]
--- a/src/gypsumsail/entry/operator_models.py
+++ b/src/gypsumsail/entry/operator_models.py
@@ -81,6 +81,8 @@
         Seconds since the platform last answered; ``None`` when it never did.
     duties
         What the entry does for others, such as an order lease of its zone.
+    alarms
+        What needs an operator's attention, see docs/operations/documents.md.
     """
 
     entry: str
@@ -94,6 +96,7 @@
     peers: tuple[str, ...] = ()
     targets: tuple[TargetStatus, ...] = ()
     duties: tuple[str, ...] = ()
+    alarms: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gypsumsail/entry/status.py
+++ b/src/gypsumsail/entry/status.py
@@ -7,7 +7,7 @@
 
 from gypsumsail import VERSION
 from gypsumsail.document.models import DocumentInForce
-from gypsumsail.documents.models import DocumentLag
+from gypsumsail.documents.models import DocumentLag, LagAlarm
 from gypsumsail.entry.caller_api import CallerApi
 from gypsumsail.entry.operator_models import (
     DocumentStatus,
@@ -81,6 +81,9 @@
                 for vm in self.shared.membership.targets(document.document.service)
             ),
             duties=self._duties(now),
+            alarms=tuple(
+                _alarm_text(alarm) for alarm in self.shared.documents.alarms(now)
+            ),
         )
 
     def timeline(self, after: int) -> Page:
@@ -133,6 +136,11 @@
         )
 
 
+def _alarm_text(alarm: LagAlarm) -> str:
+    subject = alarm.service or "all documents"
+    return f"{subject}: lag {alarm.kind.value}, {alarm.seconds:.1f} s"
+
+
 def _document_status(
     document: DocumentInForce, lag: DocumentLag | None, findings: tuple[str, ...]
 ) -> DocumentStatus:
