--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -20,7 +20,7 @@
 from gypsumsail.membership.models import MembershipSettings
 from gypsumsail.peers.network import WebsocketPeerNetwork
 from gypsumsail.peers.port import EntryId
-from gypsumsail.platform.http import HttpPlatform
+from gypsumsail.object_api.http import HttpPlatform
 from gypsumsail.timeline.models import Event
 
 SECRET: Final = b"secret of the control bench"
--- a/src/gypsumsail/cli/connection.py
+++ b/src/gypsumsail/cli/connection.py
@@ -17,8 +17,8 @@
 from gypsumsail.cli.const import ExitCode
 from gypsumsail.cli.entries import Directory, async_find_entries
 from gypsumsail.cli.options import setting, variable_of
-from gypsumsail.platform.http import HttpPlatform
-from gypsumsail.platform.port import ObjectApi, VmList
+from gypsumsail.object_api.http import HttpPlatform
+from gypsumsail.object_api.port import ObjectApi, VmList
 
 _ResultT = TypeVar("_ResultT")
 
--- a/src/gypsumsail/cli/document_apply.py
+++ b/src/gypsumsail/cli/document_apply.py
@@ -39,7 +39,7 @@
 )
 from gypsumsail.documents.codec import StoredValueError, decode_stored
 from gypsumsail.documents.const import DOCUMENT_PREFIX
-from gypsumsail.platform.port import PlatformObject
+from gypsumsail.object_api.port import PlatformObject
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gypsumsail/cli/document_show.py
+++ b/src/gypsumsail/cli/document_show.py
@@ -16,7 +16,7 @@
     decode_stored,
     document_key,
 )
-from gypsumsail.platform.port import PlatformObject
+from gypsumsail.object_api.port import PlatformObject
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gypsumsail/cli/entries.py
+++ b/src/gypsumsail/cli/entries.py
@@ -11,7 +11,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from gypsumsail.core.errors import GypsumsailError
-from gypsumsail.platform.port import VmList, VmRecord, VmRole
+from gypsumsail.object_api.port import VmList, VmRecord, VmRole
 
 ANSWER_TIMEOUT_SECONDS: Final = 5.0
 MAX_CALLS_AT_ONCE: Final = 32
--- a/src/gypsumsail/documents/apply.py
+++ b/src/gypsumsail/documents/apply.py
@@ -20,7 +20,7 @@
     CREATION_GAP,
 )
 from gypsumsail.documents.models import StoredDocument
-from gypsumsail.platform.port import (
+from gypsumsail.object_api.port import (
     MUST_NOT_EXIST,
     ConflictError,
     ObjectApi,
--- a/src/gypsumsail/documents/coordinator.py
+++ b/src/gypsumsail/documents/coordinator.py
@@ -37,7 +37,7 @@
 from gypsumsail.documents.watching import PlatformWatcher
 from gypsumsail.membership.coordinator import MembershipCoordinator
 from gypsumsail.peers.port import EntryId, PeerNetwork
-from gypsumsail.platform.port import ObjectApi, PlatformObject
+from gypsumsail.object_api.port import ObjectApi, PlatformObject
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.port import Recorder
 
--- a/src/gypsumsail/documents/watching.py
+++ b/src/gypsumsail/documents/watching.py
@@ -21,7 +21,7 @@
     WATCH_WAIT_SECONDS,
 )
 from gypsumsail.documents.models import Source
-from gypsumsail.platform.port import (
+from gypsumsail.object_api.port import (
     Listing,
     ObjectApi,
     PlatformObject,
--- a/src/gypsumsail/entry/adapters.py
+++ b/src/gypsumsail/entry/adapters.py
@@ -9,7 +9,7 @@
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.errors import TransportError
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.targets.http import HttpEngine
 
 _LOGGER = logging.getLogger(__name__)
--- a/src/gypsumsail/entry/call.py
+++ b/src/gypsumsail/entry/call.py
@@ -16,7 +16,7 @@
 )
 from gypsumsail.entry.head import Send
 from gypsumsail.entry.models import Job, ModelJob, PlainJob
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.relay.model_work import EngineSelector, ModelWork
 from gypsumsail.relay.plain_work import PlainSelector, PlainWork
 from gypsumsail.relay.port import Work
--- a/src/gypsumsail/entry/engine_selector.py
+++ b/src/gypsumsail/entry/engine_selector.py
@@ -14,7 +14,7 @@
 from gypsumsail.entry.models import ModelJob
 from gypsumsail.entry.versions import Server, allowed_servers, servers
 from gypsumsail.fleet.models import EngineSighting, load_of
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.relay.models import Constraints, EngineSelection
 from gypsumsail.routing.answer_length import AnswerLengths
 from gypsumsail.routing.choose import choose
--- a/src/gypsumsail/entry/plain_selector.py
+++ b/src/gypsumsail/entry/plain_selector.py
@@ -9,7 +9,7 @@
 from gypsumsail.core.errors import NoTargetError
 from gypsumsail.entry.const import RETRY_AFTER_SECONDS
 from gypsumsail.entry.models import PlainJob
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.relay.models import Constraints, Selection
 
 
--- a/src/gypsumsail/entry/prober.py
+++ b/src/gypsumsail/entry/prober.py
@@ -7,7 +7,7 @@
 from urllib.parse import urlsplit
 
 from gypsumsail.core.errors import TransportError
-from gypsumsail.platform.port import VmRecord, VmRole
+from gypsumsail.object_api.port import VmRecord, VmRole
 from gypsumsail.relay.const import PROBE_PAUSE_SECONDS, PROBE_TIMEOUT_SECONDS
 from gypsumsail.relay.models import Selection
 from gypsumsail.targets.port import Engine
--- a/src/gypsumsail/entry/shared.py
+++ b/src/gypsumsail/entry/shared.py
@@ -19,7 +19,7 @@
 from gypsumsail.orders.coordinator import OrdersCoordinator
 from gypsumsail.peers.network import WebsocketPeerNetwork
 from gypsumsail.peers.port import EntryId
-from gypsumsail.platform.http import HttpPlatform
+from gypsumsail.object_api.http import HttpPlatform
 from gypsumsail.stores.http import HttpStore
 from gypsumsail.suspects.coordinator import SuspectsCoordinator
 from gypsumsail.targets.http import HttpEngine
--- a/src/gypsumsail/entry/sources.py
+++ b/src/gypsumsail/entry/sources.py
@@ -10,7 +10,7 @@
 from gypsumsail.documents.coordinator import DocumentsCoordinator
 from gypsumsail.entry.adapters import AdapterPool
 from gypsumsail.membership.coordinator import MembershipCoordinator
-from gypsumsail.platform.port import VmRecord, VmRole
+from gypsumsail.object_api.port import VmRecord, VmRole
 from gypsumsail.stores.http import HttpStore
 from gypsumsail.targets.http import HttpEngine
 
--- a/src/gypsumsail/entry/status.py
+++ b/src/gypsumsail/entry/status.py
@@ -20,7 +20,7 @@
 from gypsumsail.entry.shared import SharedParts
 from gypsumsail.metrics.entry import EntryMetrics
 from gypsumsail.metrics.process import read_process_use
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.routing.loads import EngineLoads
 from gypsumsail.timeline.records import Page
 
--- a/src/gypsumsail/entry/versions.py
+++ b/src/gypsumsail/entry/versions.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from gypsumsail.fleet.models import EngineSighting
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.relay.models import Constraints
 
 WANTED_VERSION_MAJORITY: Final = 0.5
--- a/src/gypsumsail/fleet/coordinator.py
+++ b/src/gypsumsail/fleet/coordinator.py
@@ -23,7 +23,7 @@
     watcher,
 )
 from gypsumsail.peers.port import EntryId, PeerNetwork
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.targets.port import Engine, EngineState
 
 _LOGGER = logging.getLogger(__name__)
--- a/src/gypsumsail/fleet/watch_plan.py
+++ b/src/gypsumsail/fleet/watch_plan.py
@@ -12,7 +12,7 @@
     SHORTEST_ROUND_SECONDS,
 )
 from gypsumsail.peers.port import EntryId
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 
 
 def near_round_seconds(engines: int) -> float:
--- a/src/gypsumsail/membership/coordinator.py
+++ b/src/gypsumsail/membership/coordinator.py
@@ -42,7 +42,7 @@
 from gypsumsail.membership.vms import Life, VmView
 from gypsumsail.peers.handshake import Identity
 from gypsumsail.peers.port import EntryId
-from gypsumsail.platform.port import VmList, VmRecord
+from gypsumsail.object_api.port import VmList, VmRecord
 from gypsumsail.timeline.port import Recorder
 
 _LOGGER = logging.getLogger(__name__)
--- a/src/gypsumsail/membership/messages.py
+++ b/src/gypsumsail/membership/messages.py
@@ -8,7 +8,7 @@
 from gypsumsail.membership.vms import Life
 from gypsumsail.peers.codec import message
 from gypsumsail.peers.port import EntryId, Message
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 
 
 @message("membership.probe")
--- a/src/gypsumsail/membership/vms.py
+++ b/src/gypsumsail/membership/vms.py
@@ -13,7 +13,7 @@
 )
 from gypsumsail.membership.digest import BucketDigest, bucket_of, digest_table
 from gypsumsail.membership.models import TargetLeaving, VmsChanged
-from gypsumsail.platform.port import VmRecord, VmRole, VmState
+from gypsumsail.object_api.port import VmRecord, VmRole, VmState
 
 TARGET_ROLES = frozenset({VmRole.ENGINE, VmRole.PLAIN})
 
--- a/src/gypsumsail/platform/http.py
+++ b/src/gypsumsail/object_api/http.py
@@ -9,14 +9,14 @@
 from pydantic import ValidationError
 
 from gypsumsail.core.errors import TransportError
-from gypsumsail.platform.port import (
+from gypsumsail.object_api.port import (
     ConflictError,
     Listing,
     PlatformObject,
     VmRecord,
     WatchExpiredError,
 )
-from gypsumsail.platform.wire import (
+from gypsumsail.object_api.wire import (
     ConflictBody,
     ListingBody,
     VmBody,
--- a/src/gypsumsail/platform/wire.py
+++ b/src/gypsumsail/object_api/wire.py
@@ -15,7 +15,7 @@
     model_validator,
 )
 
-from gypsumsail.platform.port import VmRole, VmState
+from gypsumsail.object_api.port import VmRole, VmState
 
 
 def _decode_base64(value: object) -> bytes:
--- a/src/gypsumsail/once/committer.py
+++ b/src/gypsumsail/once/committer.py
@@ -25,7 +25,7 @@
 from gypsumsail.once.pause import PlatformPause
 from gypsumsail.once.records import LedgerEntry
 from gypsumsail.once.store import LedgerStore
-from gypsumsail.platform.port import ObjectApi
+from gypsumsail.object_api.port import ObjectApi
 
 LOGGER = logging.getLogger(__name__)
 
--- a/src/gypsumsail/once/coordinator.py
+++ b/src/gypsumsail/once/coordinator.py
@@ -34,7 +34,7 @@
 from gypsumsail.once.records import Abandoned, Ended, Reserved
 from gypsumsail.once.refusals import refusal, unavailable
 from gypsumsail.peers.port import EntryId, PeerNetwork
-from gypsumsail.platform.port import ObjectApi
+from gypsumsail.object_api.port import ObjectApi
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.port import Recorder
 
--- a/src/gypsumsail/once/ledgers.py
+++ b/src/gypsumsail/once/ledgers.py
@@ -29,7 +29,7 @@
     encode_entries,
 )
 from gypsumsail.peers.port import EntryId, Message, PeerNetwork
-from gypsumsail.platform.port import ObjectApi
+from gypsumsail.object_api.port import ObjectApi
 
 LOGGER = logging.getLogger(__name__)
 
--- a/src/gypsumsail/once/store.py
+++ b/src/gypsumsail/once/store.py
@@ -28,7 +28,7 @@
     partition_prefix,
     segment_key,
 )
-from gypsumsail.platform.port import MUST_NOT_EXIST, ConflictError, Listing, ObjectApi
+from gypsumsail.object_api.port import MUST_NOT_EXIST, ConflictError, Listing, ObjectApi
 
 LOGGER = logging.getLogger(__name__)
 
--- a/src/gypsumsail/orders/coordinator.py
+++ b/src/gypsumsail/orders/coordinator.py
@@ -22,7 +22,7 @@
 from gypsumsail.orders.port import DocumentSource, EngineFactory, MembershipSource
 from gypsumsail.orders.wanted import is_loading, is_wanted, wanted_models
 from gypsumsail.peers.port import EntryId
-from gypsumsail.platform.port import ObjectApi, VmRecord, VmRole
+from gypsumsail.object_api.port import ObjectApi, VmRecord, VmRole
 from gypsumsail.targets.port import EngineState, SetState
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.port import Recorder
--- a/src/gypsumsail/orders/keeper.py
+++ b/src/gypsumsail/orders/keeper.py
@@ -18,7 +18,7 @@
     step_without_lease,
 )
 from gypsumsail.orders.models import LeaseRecord
-from gypsumsail.platform.port import ConflictError, ObjectApi
+from gypsumsail.object_api.port import ConflictError, ObjectApi
 
 LOGGER = logging.getLogger(__name__)
 
--- a/src/gypsumsail/orders/port.py
+++ b/src/gypsumsail/orders/port.py
@@ -7,7 +7,7 @@
 
 from gypsumsail.document.models import DocumentInForce
 from gypsumsail.peers.port import EntryId
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.targets.port import Engine
 
 
--- a/src/gypsumsail/relay/model_work.py
+++ b/src/gypsumsail/relay/model_work.py
@@ -9,7 +9,7 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.entry.answers import AnswerSink
 from gypsumsail.entry.models import ModelJob
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.relay.models import (
     AttemptFailedError,
     Constraints,
--- a/src/gypsumsail/relay/models.py
+++ b/src/gypsumsail/relay/models.py
@@ -8,7 +8,7 @@
 
 from gypsumsail.context.prompt import PromptBlocks
 from gypsumsail.core.errors import GypsumsailError, RequestError, RunState
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.routing.models import Expectation
 from gypsumsail.targets.port import AnswerEnd, KeptBlocks
 
--- a/src/gypsumsail/relay/plain_work.py
+++ b/src/gypsumsail/relay/plain_work.py
@@ -8,7 +8,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.entry.models import PlainJob
-from gypsumsail.platform.port import VmRecord
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.relay.models import (
     AttemptFailedError,
     Constraints,
--- a/src/gypsumsail/timeline/archive.py
+++ b/src/gypsumsail/timeline/archive.py
@@ -11,7 +11,7 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.rendezvous import rank
 from gypsumsail.peers.port import EntryId, Message, PeerNetwork
-from gypsumsail.platform.port import ObjectApi
+from gypsumsail.object_api.port import ObjectApi
 from gypsumsail.timeline.archive_queue import ArchiveQueue
 from gypsumsail.timeline.collector import PageCollector
 from gypsumsail.timeline.const import (
--- a/src/gypsumsail/timeline/archive_reader.py
+++ b/src/gypsumsail/timeline/archive_reader.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from gypsumsail.peers.errors import MessageInvalidError
-from gypsumsail.platform.port import ObjectApi, PlatformObject
+from gypsumsail.object_api.port import ObjectApi, PlatformObject
 from gypsumsail.timeline.records import Page
 from gypsumsail.timeline.segments import (
     bucket_of,
--- a/src/gypsumsail/timeline/collector.py
+++ b/src/gypsumsail/timeline/collector.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from gypsumsail.core.errors import TransportError
-from gypsumsail.platform.port import ConflictError, ObjectApi
+from gypsumsail.object_api.port import ConflictError, ObjectApi
 from gypsumsail.timeline.const import MAX_PENDING_BYTES, MAX_SEGMENT_BYTES
 from gypsumsail.timeline.records import ProcessId
 from gypsumsail.timeline.segments import bucket_of, bucket_prefix, encode_segments
--- a/src/gypsumsail/timeline/retention.py
+++ b/src/gypsumsail/timeline/retention.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from gypsumsail.platform.port import ConflictError, ObjectApi
+from gypsumsail.object_api.port import ConflictError, ObjectApi
 from gypsumsail.timeline.const import (
     ARCHIVE_BUCKET_SECONDS,
     ARCHIVE_SWEEP_BUCKETS,
--- a/tests/documents/common.py
+++ b/tests/documents/common.py
@@ -19,7 +19,7 @@
 from gypsumsail.documents.codec import document_key, encode_stored
 from gypsumsail.documents.coordinator import DocumentsCoordinator
 from gypsumsail.documents.models import StoredDocument
-from gypsumsail.platform.port import (
+from gypsumsail.object_api.port import (
     ConflictError,
     Listing,
     PlatformObject,
--- a/tests/documents/test_specification.py
+++ b/tests/documents/test_specification.py
@@ -11,7 +11,7 @@
 from gypsumsail.documents.codec import decode_stored, document_key
 from gypsumsail.documents.gate import DocumentGate
 from gypsumsail.documents.models import Candidate, Source
-from gypsumsail.platform.port import PlatformObject
+from gypsumsail.object_api.port import PlatformObject
 from tests.documents.common import SERVICE, parse, text
 from tests.documents.specification import Guards, State, floor_of, protocol, steps
 
--- a/tests/membership/common.py
+++ b/tests/membership/common.py
@@ -10,7 +10,7 @@
 from gypsumsail.membership.models import Member, MembershipSettings, MemberStatus
 from gypsumsail.peers.handshake import Identity
 from gypsumsail.peers.port import EntryId
-from gypsumsail.platform.port import VmRecord, VmRole, VmState
+from gypsumsail.object_api.port import VmRecord, VmRole, VmState
 from gypsumsail.timeline.models import Event
 from tests.peers.virtual import Hub, HubNetwork, LoopClock
 
--- a/tests/membership/test_coordinator.py
+++ b/tests/membership/test_coordinator.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 from gypsumsail.membership.duties import probe_partners
-from gypsumsail.platform.port import VmList, VmRecord, VmState
+from gypsumsail.object_api.port import VmList, VmRecord, VmState
 from gypsumsail.timeline.models import EventKind
 from tests.membership.common import (
     ZONES,
--- a/tests/membership/test_differential.py
+++ b/tests/membership/test_differential.py
@@ -8,7 +8,7 @@
 from gypsumsail.membership.models import MemberStatus
 from gypsumsail.membership.table import MembershipTable
 from gypsumsail.membership.vms import VmView
-from gypsumsail.platform.port import VmRecord, VmState
+from gypsumsail.object_api.port import VmRecord, VmState
 from tests.membership.common import identity, member, vm
 
 RANK = {MemberStatus.ALIVE: 0, MemberStatus.SUSPECT: 1, MemberStatus.DEAD: 1}
--- a/tests/membership/test_vms.py
+++ b/tests/membership/test_vms.py
@@ -4,7 +4,7 @@
 
 from gypsumsail.membership.models import TargetLeaving, VmsChanged
 from gypsumsail.membership.vms import Life, VmView
-from gypsumsail.platform.port import VmRole, VmState
+from gypsumsail.object_api.port import VmRole, VmState
 from tests.membership.common import vm
 
 
--- a/tests/platform/test_http.py
+++ b/tests/object_api/test_http.py
@@ -7,8 +7,8 @@
 
 from bench.processes import Launcher
 from gypsumsail.core.errors import TransportError, UnavailableError
-from gypsumsail.platform.http import HttpPlatform
-from gypsumsail.platform.port import ConflictError, VmState, WatchExpiredError
+from gypsumsail.object_api.http import HttpPlatform
+from gypsumsail.object_api.port import ConflictError, VmState, WatchExpiredError
 from tests.raw_server import raw_server
 from tests.stand_ins.common import set_fault
 
--- a/tests/once/common.py
+++ b/tests/once/common.py
@@ -14,7 +14,7 @@
 from gypsumsail.once.models import OnceRequest
 from gypsumsail.peers.codec import pack_message, unpack_message
 from gypsumsail.peers.port import EntryId, Handler, Message
-from gypsumsail.platform.port import ConflictError, Listing, ObjectApi, PlatformObject
+from gypsumsail.object_api.port import ConflictError, Listing, ObjectApi, PlatformObject
 from tests.common import EventLog
 
 _MessageT = TypeVar("_MessageT", bound=Message)
--- a/tests/once/test_platform.py
+++ b/tests/once/test_platform.py
@@ -17,7 +17,7 @@
 )
 from gypsumsail.once.coordinator import OnceCoordinator
 from gypsumsail.once.models import may_send
-from gypsumsail.platform.http import HttpPlatform
+from gypsumsail.object_api.http import HttpPlatform
 from tests.stand_ins.common import set_fault
 
 from .common import FakeFleet, coordinator, once_request
--- a/tests/orders/common.py
+++ b/tests/orders/common.py
@@ -19,7 +19,7 @@
 from gypsumsail.orders.coordinator import OrdersCoordinator
 from gypsumsail.orders.models import ObservedEngine
 from gypsumsail.peers.port import EntryId
-from gypsumsail.platform.port import VmRecord, VmRole, VmState
+from gypsumsail.object_api.port import VmRecord, VmRole, VmState
 from gypsumsail.targets.port import (
     AnswerEnd,
     AnswerToken,
--- a/tests/orders/test_coordinator.py
+++ b/tests/orders/test_coordinator.py
@@ -8,7 +8,7 @@
 from gypsumsail.orders.const import LEASE_SECONDS, TURNS_KEY
 from gypsumsail.orders.coordinator import OrdersCoordinator
 from gypsumsail.orders.diagnostics import diagnostics
-from gypsumsail.platform.port import ConflictError
+from gypsumsail.object_api.port import ConflictError
 
 from .common import ZONES, Deployment, document, loaded, serving
 
--- a/tests/specs/test_documents_spec.py
+++ b/tests/specs/test_documents_spec.py
@@ -10,7 +10,7 @@
 from gypsumsail.documents.codec import encode_stored
 from gypsumsail.documents.gate import Accepted, DocumentGate
 from gypsumsail.documents.models import Candidate, Source, StoredDocument
-from gypsumsail.platform.port import PlatformObject
+from gypsumsail.object_api.port import PlatformObject
 from tests.common import make_document
 
 from . import documents_spec
--- a/tests/timeline/common.py
+++ b/tests/timeline/common.py
@@ -7,7 +7,7 @@
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.peers.port import EntryId, Message
-from gypsumsail.platform.port import ConflictError, Listing, PlatformObject
+from gypsumsail.object_api.port import ConflictError, Listing, PlatformObject
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.records import ProcessId
 
