--- /dev/null
+++ b/src/gypsumsail/catalog/__init__.py
@@ -0,0 +1,3 @@
+"""What the platform's store says of documents, targets and weights, on this VM."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/gypsumsail/catalog/const.py
@@ -0,0 +1,20 @@
+"""Times of the catalog."""
+
+from __future__ import annotations
+
+from typing import Final
+
+WATCH_SECONDS: Final = 2.5
+"""Longest wait of one watch; a silent connection is found out after it."""
+LATE_WATCH_SECONDS: Final = 0.3
+"""Time beyond a watch's own wait from which its answer shows an outage."""
+RETRY_SECONDS: Final = 0.25
+"""Pause after a call to the store that failed."""
+LONGEST_RETRY_SECONDS: Final = 1.0
+"""Longest pause after calls to the store that failed in a row."""
+RETURN_SECONDS: Final = 2.3
+"""Time after the store's return in which targets that it lost may be listed again."""
+AWAY_SECONDS: Final = 1.0
+"""Time without an answer of the store after which peers' copies are taken."""
+TROUBLE_MEMORY_SECONDS: Final = 6.0
+"""Time after an outage in which a removal may still come from it."""
--- /dev/null
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -0,0 +1,87 @@
+"""Keeps the copy of one kind up to date."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from gypsumsail.catalog.const import (
+    LATE_WATCH_SECONDS,
+    LONGEST_RETRY_SECONDS,
+    RETRY_SECONDS,
+    WATCH_SECONDS,
+)
+from gypsumsail.catalog.kind_state import Changes, KindState
+from gypsumsail.catalog.store_link import StoreLink
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.object_api.port import ObjectApi, WatchExpiredError
+
+
+class KindWatch:
+    """Lists a kind once and then watches it, for as long as it runs.
+
+    Attributes
+    ----------
+    must_list
+        Whether the next call lists anew instead of watching.
+    on_changes
+        Called with what changed.
+    on_link
+        Called when the store is lost or back; with the reason of a loss.
+    """
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        kind: str,
+        link: StoreLink,
+        clock: Clock,
+        on_changes: Callable[[str, Changes], None],
+        on_link: Callable[[bool, str], None],
+    ) -> None:
+        self.api = api
+        self.kind = kind
+        self.link = link
+        self.clock = clock
+        self.state = KindState()
+        self.must_list = True
+        self.on_changes = on_changes
+        self.on_link = on_link
+
+    async def async_run(self) -> None:
+        """Follow the kind until cancelled."""
+        pause = RETRY_SECONDS
+        while True:
+            try:
+                changes = await self._async_step()
+            except WatchExpiredError:
+                self.must_list = True
+                continue
+            except TransportError as err:
+                # What changed meanwhile may be forgotten; the next watch tells.
+                if self.link.failed(self.clock.monotonic()):
+                    self.on_link(False, str(err))
+                await asyncio.sleep(pause)
+                pause = min(pause * 2, LONGEST_RETRY_SECONDS)
+                continue
+            pause = RETRY_SECONDS
+            if self.link.answered(self.clock.monotonic()):
+                self.on_link(True, "")
+            if changes.written or changes.removed:
+                self.on_changes(self.kind, changes)
+
+    async def _async_step(self) -> Changes:
+        if self.must_list:
+            listing = await self.api.async_list(self.kind)
+            self.must_list = False
+            return self.state.replace(listing)
+        begun_at = self.clock.monotonic()
+        listing = await self.api.async_watch(
+            self.kind, after_revision=self.state.revision, wait=WATCH_SECONDS
+        )
+        now = self.clock.monotonic()
+        if now - begun_at > WATCH_SECONDS + LATE_WATCH_SECONDS:
+            # The store was silent for a while: removals may be lapses.
+            self.link.failed(now)
+        return self.state.apply(listing)
--- /dev/null
+++ b/src/gypsumsail/catalog/store_link.py
@@ -0,0 +1,65 @@
+"""Whether the platform's store answers this VM, and since when."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumsail.catalog.const import (
+    AWAY_SECONDS,
+    RETURN_SECONDS,
+    TROUBLE_MEMORY_SECONDS,
+)
+
+
+@dataclass(slots=True)
+class StoreLink:
+    """The store as this VM has met it.
+
+    Attributes
+    ----------
+    answered_at
+        Time of its last answer.
+    failed_at
+        Time of the last call that failed; ``None`` when none did.
+    back_at
+        Time of the first answer after failures.
+    """
+
+    answered_at: float
+    failed_at: float | None = None
+    back_at: float | None = None
+
+    def answered(self, now: float) -> bool:
+        """Note an answer; return whether the store is back after failures."""
+        is_back = self.failed_at is not None and self.failed_at >= self.answered_at
+        self.answered_at = now
+        if is_back:
+            self.back_at = now
+        return is_back
+
+    def failed(self, now: float) -> bool:
+        """Note a failed call; return whether it is the first since an answer."""
+        is_first = self.failed_at is None or self.failed_at < self.answered_at
+        self.failed_at = now
+        return is_first
+
+    def is_away(self, now: float) -> bool:
+        """Return whether the store has not answered for a while."""
+        failing = self.failed_at is not None and self.failed_at >= self.answered_at
+        return failing and now - self.answered_at > AWAY_SECONDS
+
+    def is_failing(self) -> bool:
+        """Return whether the last call failed."""
+        return self.failed_at is not None and self.failed_at >= self.answered_at
+
+    def had_trouble(self, now: float) -> bool:
+        """Return whether removals may come from an outage rather than a leaving."""
+        if self.is_failing():
+            return True
+        return self.back_at is not None and now - self.back_at < TROUBLE_MEMORY_SECONDS
+
+    def returned_for(self, now: float) -> bool:
+        """Return whether the store has been back long enough to be believed."""
+        if self.is_failing():
+            return False
+        return self.back_at is None or now - self.back_at >= RETURN_SECONDS
--- a/src/gypsumsail/cli/main.py
+++ b/src/gypsumsail/cli/main.py
@@ -23,6 +23,7 @@
         "status": "gypsumsail.cli.status:status",
         "timeline": "gypsumsail.cli.timeline:timeline",
         "version": "gypsumsail.cli.version:version",
+        "vm": "gypsumsail.cli.vm:vm",
     },
 )
 def main() -> None:
--- a/src/gypsumsail/core/findings.py
+++ b/src/gypsumsail/core/findings.py
@@ -55,3 +55,9 @@
     def __init__(self, findings: Sequence[Finding]) -> None:
         super().__init__("\n".join(str(finding) for finding in findings))
         self.findings = tuple(findings)
+
+
+class SettingsInvalidError(FindingsError):
+    """The settings have faults; nothing may start on them."""
+
+    code: ClassVar[str] = "settings_invalid"
--- a/src/gypsumsail/documents/coordinator.py
+++ b/src/gypsumsail/documents/coordinator.py
@@ -36,8 +36,8 @@
 from gypsumsail.documents.sync import DocumentExchange
 from gypsumsail.documents.watching import PlatformWatcher
 from gypsumsail.membership.coordinator import MembershipCoordinator
-from gypsumsail.peers.port import EntryId, PeerNetwork
 from gypsumsail.object_api.port import ObjectApi, PlatformObject
+from gypsumsail.peers.port import EntryId, PeerNetwork
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.port import Recorder
 
--- a/src/gypsumsail/entry/settings.py
+++ b/src/gypsumsail/entry/settings.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from enum import StrEnum
 from pathlib import Path
-from typing import Annotated, Any, ClassVar, Final
+from typing import Annotated, Any, Final
 
 from pydantic import (
     AfterValidator,
@@ -16,7 +16,7 @@
     ValidationError,
 )
 
-from gypsumsail.core.findings import Finding, FindingsError
+from gypsumsail.core.findings import Finding, SettingsInvalidError
 from gypsumsail.entry.addresses import (
     Address,
     HttpUrl,
@@ -34,12 +34,6 @@
 NAME_PATTERN: Final = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
 
 
-class SettingsInvalidError(FindingsError):
-    """The settings have faults; nothing may start on them."""
-
-    code: ClassVar[str] = "settings_invalid"
-
-
 class LogFormat(StrEnum):
     """How log lines are written."""
 
--- a/src/gypsumsail/entry/shared.py
+++ b/src/gypsumsail/entry/shared.py
@@ -15,11 +15,11 @@
 from gypsumsail.limits.coordinator import LimitCoordinator
 from gypsumsail.membership.coordinator import MembershipCoordinator
 from gypsumsail.membership.models import MembershipSettings
+from gypsumsail.object_api.http import HttpPlatform
 from gypsumsail.once.coordinator import OnceCoordinator
 from gypsumsail.orders.coordinator import OrdersCoordinator
 from gypsumsail.peers.network import WebsocketPeerNetwork
 from gypsumsail.peers.port import EntryId
-from gypsumsail.object_api.http import HttpPlatform
 from gypsumsail.stores.http import HttpStore
 from gypsumsail.suspects.coordinator import SuspectsCoordinator
 from gypsumsail.targets.http import HttpEngine
--- a/src/gypsumsail/fleet/coordinator.py
+++ b/src/gypsumsail/fleet/coordinator.py
@@ -22,8 +22,8 @@
     near_round_seconds,
     watcher,
 )
-from gypsumsail.peers.port import EntryId, PeerNetwork
 from gypsumsail.object_api.port import VmRecord
+from gypsumsail.peers.port import EntryId, PeerNetwork
 from gypsumsail.targets.port import Engine, EngineState
 
 _LOGGER = logging.getLogger(__name__)
--- a/src/gypsumsail/fleet/watch_plan.py
+++ b/src/gypsumsail/fleet/watch_plan.py
@@ -11,8 +11,8 @@
     NEAR_REPORTS_PER_SECOND,
     SHORTEST_ROUND_SECONDS,
 )
-from gypsumsail.peers.port import EntryId
 from gypsumsail.object_api.port import VmRecord
+from gypsumsail.peers.port import EntryId
 
 
 def near_round_seconds(engines: int) -> float:
--- /dev/null
+++ b/src/gypsumsail/gateway/const.py
@@ -0,0 +1,80 @@
+"""Limits, weights and times of the gateway."""
+
+from __future__ import annotations
+
+from typing import Final
+
+INITIAL_READ_TOKENS_PER_SECOND: Final = 20_000.0
+"""Speed of reading prompts that is assumed until answers have shown one."""
+READ_RATE_WEIGHT: Final = 0.05
+"""Weight of one observation of the reading speed in its moving average."""
+LEAST_READ_TOKENS: Final = 1_000
+"""Prompt tokens below which an observation says little of the reading speed."""
+MEMORY_SHARE: Final = 0.92
+"""Share of an engine's memory that runs may take; the rest absorbs late reports."""
+READ_AHEAD_SECONDS: Final = 0.30
+"""Unread prompt work of an engine, in seconds, above which calls wait here."""
+SLOT_SHARE: Final = 1.5
+"""Calls at a plain target, per slot, above which calls wait here."""
+STEP_SECONDS_PER_RUN: Final = 0.002
+"""Delay that each running generation is taken to add to a start."""
+LOCAL_ZONE_SECONDS: Final = 0.003
+"""Delay added for a target in another availability zone."""
+
+CONNECT_SECONDS: Final = 0.35
+"""Time for a connection to a target; two tries of the opening packet in a zone."""
+FIRST_BLOCK_SECONDS: Final = 0.5
+"""Time for which a target that can't be connected gets no call."""
+LONGEST_BLOCK_SECONDS: Final = 4.0
+"""Longest time for which a target that can't be connected gets no call."""
+FAILURE_DECAY_SECONDS: Final = 6.0
+"""Time in which the weight of an earlier result of a target falls to 1/e."""
+FAILURE_COST_SECONDS: Final = 1.0
+"""Delay that a target that fails each call is taken to add."""
+STALL_SECONDS: Final = 1.0
+"""Silence of a target with calls, beyond what is expected, that marks it stalled."""
+STALL_COST_SECONDS: Final = 3.0
+"""Delay that a stalled target is taken to add."""
+USUAL_PLAIN_SECONDS: Final = 0.1
+"""Duration of a plain call that is assumed until answers have shown one."""
+DURATION_WEIGHT: Final = 0.1
+"""Weight of one answer in the moving average of durations."""
+
+PEER_LOAD_SECONDS: Final = 1.5
+"""Age above which a peer's account of its calls is not believed."""
+REPORTED_LOAD_SECONDS: Final = 0.5
+"""Age above which a target's own account of its load is not believed."""
+
+TIMEOUT_MARGIN_SECONDS: Final = 0.08
+"""Time after a call's end in which the target's own last word may still come."""
+LEAST_SERVICE_SECONDS: Final = 0.05
+"""Time left below which a call can't be served any more."""
+LINE_INTERVAL_SECONDS: Final = 0.02
+"""Pause between two looks at the waiting calls."""
+LONGEST_LINE: Final = 2_000
+"""Calls that may wait on this VM for one service."""
+BROKEN_RETRY_SECONDS: Final = 0.15
+"""Least time left, beside the usual duration, for another target to be tried."""
+
+RETRY_WINDOW_SHARE: Final = 0.6
+"""Share of the allowed retries that is spent; the rest absorbs what peers can't see."""
+LEAST_RETRY_AFTER_SECONDS: Final = 0.1
+"""Shortest time after which a refused caller is asked to come back."""
+LONGEST_RETRY_AFTER_SECONDS: Final = 3.0
+"""Longest time after which a refused caller is asked to come back."""
+RETRY_AFTER_JITTER: Final = 0.5
+"""Part of the time to come back that is drawn at random."""
+
+OLD_WEIGHTS_SECONDS: Final = 1.0
+"""Age of a named version from which engines with an older one are avoided."""
+OLD_WEIGHTS_COST_SECONDS: Final = 0.4
+"""Delay that an engine with older weights is taken to add."""
+OLD_WEIGHTS_REFUSED_SHARE: Final = 0.9
+"""Share of the time for a rollout after which older weights take no call."""
+LOADING_SECONDS: Final = 4.0
+"""Longest time for which an engine is taken to load after an order was sent."""
+
+SMALLEST_CACHED_PART: Final = 16
+"""Tokens of the smallest part that an engine caches: one block."""
+MOST_ANSWER_BYTES: Final = 16 * 1024 * 1024
+"""Largest answer of a plain target."""
--- /dev/null
+++ b/src/gypsumsail/gateway/line.py
@@ -0,0 +1,101 @@
+"""Decides in which order waiting calls are placed and which are turned away.
+
+Answers the load in which more arrives than the targets can begin in time. A call
+that can still be on time goes before all that can't, so that an overload makes
+some calls late instead of each a little; among those the more urgent go first, then
+the earliest aim. A call whose turn is not expected before its end is turned away.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from gypsumsail.gateway.const import LEAST_SERVICE_SECONDS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Waiting:
+    """A call that waits for a target.
+
+    Attributes
+    ----------
+    aim_at
+        Time until which its first token, or a plain call's answer, is on time.
+    ends_at
+        Time at which it gets its final answer whatever it is.
+    work_seconds
+        Time that one target is expected to spend before its first token, or on a
+        plain call as a whole.
+    """
+
+    number: int
+    urgency: int
+    arrived_at: float
+    aim_at: float
+    ends_at: float
+    work_seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Capacity:
+    """What works on the calls of a line.
+
+    Attributes
+    ----------
+    workers
+        Calls or prompts that are worked on at once, of all targets.
+    backlog_seconds
+        Time until the next of them is expected to be free.
+    shared_by
+        VMs that place calls on the same targets.
+    """
+
+    workers: float
+    backlog_seconds: float
+    shared_by: int
+
+
+def is_late(call: Waiting, now: float) -> bool:
+    """Return whether a call can't be on time even if it is placed now."""
+    return now + call.work_seconds > call.aim_at
+
+
+def order_key(call: Waiting, now: float) -> tuple[bool, int, float, int]:
+    """Return the place of a call in the line; the smallest goes first."""
+    return (is_late(call, now), call.urgency, call.aim_at, call.number)
+
+
+def in_order(calls: Iterable[Waiting], now: float) -> list[Waiting]:
+    """Return the calls in the order in which they are placed."""
+    return sorted(calls, key=lambda call: order_key(call, now))
+
+
+def expected_starts(
+    ordered: Sequence[Waiting], capacity: Capacity, now: float
+) -> list[float]:
+    """Return when each call of an ordered line is expected to be placed.
+
+    The other VMs are taken to have lines of the same length.
+    """
+    starts = []
+    at = now + capacity.backlog_seconds
+    share = max(capacity.workers, 1.0) / max(capacity.shared_by, 1)
+    for call in ordered:
+        starts.append(at)
+        at += call.work_seconds / share
+    return starts
+
+
+def hopeless(
+    ordered: Sequence[Waiting], capacity: Capacity, now: float
+) -> list[Waiting]:
+    """Return the calls that are turned away, as their turn comes too late."""
+    if not capacity.workers:
+        return list(ordered)
+    starts = expected_starts(ordered, capacity, now)
+    return [
+        call
+        for call, start in zip(ordered, starts, strict=True)
+        if start + call.work_seconds + LEAST_SERVICE_SECONDS > call.ends_at
+    ]
--- /dev/null
+++ b/src/gypsumsail/gateway/placer.py
@@ -0,0 +1,174 @@
+"""Places the jobs of one service by what is believed of its targets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from gypsumsail.gateway.const import READ_AHEAD_SECONDS, STALL_SECONDS
+from gypsumsail.gateway.job import Job, Place
+from gypsumsail.gateway.line import Capacity
+from gypsumsail.gateway.models import Service
+from gypsumsail.gateway.placement import Candidate, Demand, Placed, Wait, place
+from gypsumsail.gateway.targets import Flight, TargetState, TargetTable
+from gypsumsail.gateway.weights import WantedWeights, WeightFit, cache_scope, fit
+
+
+@dataclass(slots=True, kw_only=True)
+class FleetView:
+    """What all lines of this VM share.
+
+    Attributes
+    ----------
+    zone
+        Availability zone of this VM.
+    wanted
+        Versions that the operator named, by model.
+    rollout_seconds
+        Time after which no call may begin on older weights.
+    vms
+        Number of VMs that place calls on the same targets.
+    """
+
+    zone: str
+    targets: TargetTable
+    wanted: dict[str, WantedWeights]
+    rollout_seconds: float
+    vms: Callable[[], int]
+
+
+class JobPlacer:
+    """Turns beliefs into candidates and counts placed jobs at their targets."""
+
+    def __init__(self, view: FleetView, service: Service, jobs: Mapping[int, Job]):
+        self.view = view
+        self.service = service
+        self.jobs = jobs
+
+    def work_seconds(self, job: Job) -> float:
+        """Return how long one target is expected to work before the first token."""
+        prompt = job.call.prompt
+        if prompt is None or self.service.engine is None:
+            usual = [state.usual_seconds for state in self._states()]
+            return sum(usual) / len(usual) if usual else 0.0
+        states = self._states()
+        least = min(
+            (self._unread(job, state) for state in states), default=prompt.input_tokens
+        )
+        return least / self._rate()
+
+    def place(self, number: int, now: float) -> Placed | Wait:
+        """Choose a target; the job counts as being there at once."""
+        job = self.jobs[number]
+        usable = {state.entry.name: state for state in self._usable(job, now)}
+        candidates = [self._candidate(job, state, now) for state in usable.values()]
+        prompt = job.call.prompt
+        demand = Demand(
+            tokens=prompt.tokens if prompt is not None else 0,
+            read_tokens_per_second=self._rate(),
+        )
+        placed = place(candidates, demand)
+        if isinstance(placed, Placed):
+            state = usable[placed.name]
+            job.place = self._begin(job, state, placed.start_delay, now)
+        return placed
+
+    def capacity(self, now: float) -> Capacity:
+        """Return what works on the service's calls."""
+        states = [state for state in self._states() if not state.is_leaving]
+        if self.service.engine is None:
+            slots = sum(state.entry.slots for state in states)
+            calls = sum(state.calls(now) for state in states)
+            usual = min((state.usual_seconds for state in states), default=0.0)
+            backlog = usual * calls / slots if slots else 0.0
+            return Capacity(
+                workers=slots, backlog_seconds=backlog, shared_by=self.view.vms()
+            )
+        backlog = min((state.unread(now) for state in states), default=0)
+        seconds = max(backlog / self._rate() - READ_AHEAD_SECONDS, 0.0)
+        return Capacity(
+            workers=len(states), backlog_seconds=seconds, shared_by=self.view.vms()
+        )
+
+    def _states(self) -> list[TargetState]:
+        return self.view.targets.of_service(self.service.name)
+
+    def _rate(self) -> float:
+        return self.view.targets.rate(self.service.name).tokens_per_second
+
+    def _usable(self, job: Job, now: float) -> list[TargetState]:
+        return [
+            state
+            for state in self._states()
+            if not state.is_leaving
+            and state.blocked_until <= now
+            and state.loading_until <= now
+            and (state.entry.name, state.entry.life) not in job.tried
+            and self._weight_fit(job, state, now) is not WeightFit.REFUSED
+        ]
+
+    def _version(self, job: Job, state: TargetState) -> int:
+        prompt = job.call.prompt
+        return state.weight_versions.get(prompt.model, 0) if prompt is not None else 0
+
+    def _weight_fit(self, job: Job, state: TargetState, now: float) -> WeightFit:
+        prompt = job.call.prompt
+        if prompt is None:
+            return WeightFit.CURRENT
+        version = self._version(job, state)
+        if job.weight_version is not None and version != job.weight_version:
+            return WeightFit.REFUSED
+        wanted = self.view.wanted.get(prompt.model)
+        return fit(wanted, version, self.view.rollout_seconds, now)
+
+    def _scope(self, job: Job, state: TargetState) -> str:
+        isolated = job.customer.name if job.customer.is_isolated else ""
+        return cache_scope(isolated, self._version(job, state))
+
+    def _unread(self, job: Job, state: TargetState) -> int:
+        prompt = job.call.prompt
+        if prompt is None:
+            return 0
+        cached = state.cache.cached_tokens(self._scope(job, state), prompt.parts)
+        return max(prompt.input_tokens - cached, 0)
+
+    def _candidate(self, job: Job, state: TargetState, now: float) -> Candidate:
+        engine = self.service.engine
+        if engine is not None:
+            state.cache.capacity_tokens = engine.memory_tokens
+        return Candidate(
+            name=state.entry.name,
+            is_local=state.entry.zone == self.view.zone,
+            slots=state.entry.slots,
+            calls=state.calls(now),
+            tokens=state.tokens(now),
+            unread=state.unread(now),
+            memory_tokens=engine.memory_tokens if engine is not None else 0,
+            own_unread=self._unread(job, state),
+            usual_seconds=state.usual_seconds,
+            failure_share=state.failure_share(now),
+            is_stalled=state.is_stalled(now),
+            has_old_weights=self._weight_fit(job, state, now) is WeightFit.OLD,
+        )
+
+    def _begin(
+        self, job: Job, state: TargetState, start_delay: float, now: float
+    ) -> Place:
+        prompt = job.call.prompt
+        unread = self._unread(job, state)
+        flight = Flight(
+            tokens=prompt.tokens if prompt is not None else 0,
+            unread=unread,
+            ahead=state.unread(now),
+            began_at=now,
+            progress_at=now,
+            expected_at=now + start_delay * 2 + STALL_SECONDS / 2,
+        )
+        version = self._version(job, state)
+        return Place(
+            state=state,
+            flight=state.begin(flight),
+            start_delay=start_delay,
+            cache_scope=self._scope(job, state) if version else job.call.request_id,
+            weight_version=version or None,
+        )
--- /dev/null
+++ b/src/gypsumsail/gateway/repeat_budget.py
@@ -0,0 +1,59 @@
+"""Budget of repeated sends that all VMs share without asking each other.
+
+Answers the load in which targets fail much of what they get: each VM spends its
+part of what is allowed, counted from its own calls, so that the sum over all VMs
+keeps the limit whatever the others do.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from gypsumsail.gateway.const import RETRY_WINDOW_SHARE
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RepeatLimit:
+    """What the operator allows.
+
+    Attributes
+    ----------
+    ratio
+        Repeated sends for each call, in any window.
+    window
+        Length of a window in seconds.
+    slack
+        Repeated sends that are allowed beside, of all VMs together.
+    """
+
+    ratio: float
+    window: float
+    slack: float
+
+
+@dataclass(slots=True)
+class RepeatBudget:
+    """Calls and repeated sends of one service on this VM, in the last window."""
+
+    calls: deque[float] = field(default_factory=deque)
+    repeats: deque[float] = field(default_factory=deque)
+
+    def count_call(self, limit: RepeatLimit, now: float) -> None:
+        """Count a caller's request."""
+        self.calls.append(now)
+        self._trim(limit, now)
+
+    def take(self, limit: RepeatLimit, vms: int, now: float) -> bool:
+        """Return whether a repeated send is allowed, and count it."""
+        self._trim(limit, now)
+        allowed = limit.ratio * len(self.calls) + limit.slack / max(vms, 1)
+        if len(self.repeats) + 1 > allowed * RETRY_WINDOW_SHARE:
+            return False
+        self.repeats.append(now)
+        return True
+
+    def _trim(self, limit: RepeatLimit, now: float) -> None:
+        for times in (self.calls, self.repeats):
+            while times and times[0] <= now - limit.window:
+                times.popleft()
--- /dev/null
+++ b/src/gypsumsail/gateway/runner.py
@@ -0,0 +1,211 @@
+"""Serves one job: sends it to targets until it has its final answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.gateway.const import (
+    MOST_ANSWER_BYTES,
+    STALL_SECONDS,
+    TIMEOUT_MARGIN_SECONDS,
+)
+from gypsumsail.gateway.events import EventSplitter
+from gypsumsail.gateway.job import Job, Place
+from gypsumsail.gateway.models import CallKind
+from gypsumsail.gateway.outcomes import (
+    Broken,
+    CallFacts,
+    Delivered,
+    NotSent,
+    NotTaken,
+    SendOutcome,
+    TargetError,
+    TimedOut,
+)
+from gypsumsail.gateway.port import AnswerHead, CallerReply, Exchange, SendTerms
+
+if TYPE_CHECKING:
+    from gypsumsail.gateway.coordinator import Gateway
+
+FIRST_ERROR_STATUS = 500
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class JobSend:
+    """One send of a job to the target where it is placed."""
+
+    def __init__(
+        self, gateway: Gateway, job: Job, place: Place, reply: CallerReply
+    ) -> None:
+        self.gateway = gateway
+        self.clock = gateway.clock
+        self.job = job
+        self.place = place
+        self.state = place.state
+        self.reply = reply
+        self.sent_at = self.clock.monotonic()
+        self.had_run = job.has_run
+        self.is_left_running = False
+
+    async def async_run(self) -> SendOutcome:
+        """Send the job and pass its answer on."""
+        self.job.tried.add((self.state.entry.name, self.state.entry.life))
+        left = self.job.ends_at - self.clock.monotonic() + TIMEOUT_MARGIN_SECONDS
+        try:
+            async with asyncio.timeout(max(left, 0.0)):
+                return await self._async_exchange()
+        except TimeoutError:
+            if not self.job.has_run:
+                return NotSent(reason="no time was left to connect")
+            return TimedOut()
+
+    async def _async_exchange(self) -> SendOutcome:
+        now = self.clock.monotonic()
+        terms = self._terms(now)
+        try:
+            exchange = await self.gateway.calls.async_send(
+                self.state.entry, self.job.call, terms, now
+            )
+        except TransportError as err:
+            self.state.unreachable(self.clock.monotonic())
+            return NotSent(reason=str(err))
+        self.job.has_run = True
+        self.job.targets_used += 1
+        try:
+            return await self._async_answer(exchange)
+        except TransportError as err:
+            self.state.failed(self.clock.monotonic())
+            self.gateway.note_broken(self.job, self.state)
+            return Broken(reason=str(err))
+        except asyncio.CancelledError:
+            if self.job.route.kind is CallKind.ONCE:
+                self.is_left_running = True
+                self.gateway.finish_alone(exchange, self.job)
+            raise
+        finally:
+            if not self.is_left_running:
+                exchange.finish()
+
+    def _terms(self, now: float) -> SendTerms:
+        return SendTerms(
+            time_left=self.job.ends_at - now,
+            customer=self.job.customer.name,
+            urgency=self.job.urgency,
+            cache_scope=self.place.cache_scope,
+            weight_version=self.place.weight_version,
+            resume_after=self.job.resume_after,
+            move=self.gateway.plan_move(self.job, self.place, now),
+        )
+
+    async def _async_answer(self, exchange: Exchange) -> SendOutcome:
+        head = await self._async_head(exchange)
+        if head is None:
+            exchange.abort()
+            self.state.failed(self.clock.monotonic())
+            return Broken(reason="the target was silent for too long")
+        self.state.reported = head.load or self.state.reported
+        prompt = self.job.call.prompt
+        if prompt is not None and head.weight_version is not None:
+            now = self.clock.monotonic()
+            self.state.learn_version(prompt.model, head.weight_version, now)
+        if head.says_not_run or head.is_wrong_target:
+            return await self._async_not_taken(exchange, head)
+        if head.status in NOT_RUN_STATUSES:
+            # Without the target's own word the status would promise too much.
+            return Broken(reason=f"status {head.status} without its promise")
+        if head.status < 300 and not head.is_signed:
+            return Broken(reason="an answer without a signature")
+        is_stream = self.job.route.kind is CallKind.STREAM and head.status < 300
+        if is_stream:
+            return await self._async_stream(exchange, head)
+        return await self._async_plain(exchange, head)
+
+    async def _async_head(self, exchange: Exchange) -> AnswerHead | None:
+        """Return the head; ``None`` when another target should be tried instead."""
+        patience = self._patience()
+        if patience is None:
+            return await exchange.async_head()
+        try:
+            async with asyncio.timeout(patience):
+                return await exchange.async_head()
+        except TimeoutError:
+            return None
+
+    def _patience(self) -> float | None:
+        """Return how long a silent target is waited for, ``None`` to the end."""
+        job = self.job
+        if not job.route.may_repeat or job.targets_used >= job.route.max_targets:
+            return None
+        usual = self.place.start_delay * 3 + STALL_SECONDS / 2
+        left = job.ends_at - self.clock.monotonic()
+        return usual if usual < left / 2 else None
+
+    async def _async_not_taken(
+        self, exchange: Exchange, head: AnswerHead
+    ) -> SendOutcome:
+        await exchange.async_read_all(MOST_ANSWER_BYTES)
+        named = self.state.entry.name
+        is_wrong = head.is_wrong_target and head.target_name not in ("", named)
+        self.job.has_run = self.had_run
+        if is_wrong:
+            self.job.targets_used -= 1
+            self.gateway.target_replaced(self.state)
+        elif head.is_wrong_target:
+            self.gateway.weights_differ(self.job, self.state)
+        else:
+            self.state.failed(self.clock.monotonic())
+        return NotTaken(status=head.status, is_wrong_target=is_wrong)
+
+    async def _async_plain(self, exchange: Exchange, head: AnswerHead) -> SendOutcome:
+        body = await exchange.async_read_all(MOST_ANSWER_BYTES)
+        now = self.clock.monotonic()
+        if head.status >= FIRST_ERROR_STATUS:
+            self.state.failed(now)
+            return TargetError(status=head.status, headers=head.headers, body=body)
+        self.state.succeeded(now, now - self.sent_at)
+        self.job.first_at = now
+        self.reply.send(head.status, head.headers, body)
+        return Delivered(status=head.status)
+
+    async def _async_stream(self, exchange: Exchange, head: AnswerHead) -> SendOutcome:
+        splitter = EventSplitter()
+        while data := await exchange.async_read():
+            events = splitter.feed(data)
+            if not events:
+                continue
+            self._progressed(head)
+            if not self.reply.has_begun:
+                self.reply.begin(head.status, head.headers)
+            self.reply.write(events)
+            if splitter.last_id:
+                self.job.resume_after = splitter.last_id
+            await self.reply.async_drain()
+        if splitter.has_partial or not self.reply.has_begun:
+            return Broken(reason="the stream ended inside an event")
+        self.state.succeeded(self.clock.monotonic(), None)
+        self.reply.end()
+        return Delivered(status=head.status)
+
+    def _progressed(self, head: AnswerHead) -> None:
+        now = self.clock.monotonic()
+        if not self.job.first_at:
+            self.job.first_at = now
+        flight = self.state.flights.get(self.place.flight)
+        if flight is not None and not flight.has_begun:
+            self.gateway.first_token(self.job, self.place, flight, now)
+            self.job.weight_version = head.weight_version
+        self.state.progressed(self.place.flight, now, STALL_SECONDS)
+
+
+def facts_of(job: Job, reply: CallerReply, now: float, usual: float) -> CallFacts:
+    """Return what the next step of a job depends on."""
+    return CallFacts(
+        may_repeat=job.route.may_repeat,
+        targets_used=job.targets_used,
+        max_targets=job.route.max_targets,
+        has_reply_begun=reply.has_begun,
+        time_left=job.ends_at - now,
+        usual_seconds=usual,
+    )
--- /dev/null
+++ b/src/gypsumsail/gateway/targets.py
@@ -0,0 +1,248 @@
+"""What this VM believes of each target, and the calls that it has there."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import exp
+
+from gypsumsail.gateway.const import (
+    DURATION_WEIGHT,
+    FAILURE_DECAY_SECONDS,
+    FIRST_BLOCK_SECONDS,
+    INITIAL_READ_TOKENS_PER_SECOND,
+    LEAST_READ_TOKENS,
+    LOADING_SECONDS,
+    LONGEST_BLOCK_SECONDS,
+    PEER_LOAD_SECONDS,
+    READ_RATE_WEIGHT,
+    REPORTED_LOAD_SECONDS,
+    STALL_SECONDS,
+    USUAL_PLAIN_SECONDS,
+)
+from gypsumsail.gateway.models import TargetEntry
+from gypsumsail.gateway.part_cache import PartCache
+
+
+@dataclass(slots=True, kw_only=True)
+class Flight:
+    """One call of this VM at a target.
+
+    Attributes
+    ----------
+    tokens
+        Memory that the run takes at its end.
+    unread
+        Prompt tokens that the target has to read before the first token.
+    ahead
+        Prompt tokens of other calls that it was to read before.
+    expected_at
+        Time at which the next sign of progress is due.
+    """
+
+    tokens: int
+    unread: int
+    ahead: int
+    began_at: float
+    progress_at: float
+    expected_at: float
+    has_begun: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerLoad:
+    """What another VM has at a target."""
+
+    calls: int
+    tokens: int
+    unread: int
+    at: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportedLoad:
+    """What a target said of its load in an answer."""
+
+    running: int
+    waiting: int
+    at: float
+
+
+@dataclass(slots=True, kw_only=True)
+class ReadRate:
+    """Speed at which the engines of a service read prompts, in tokens a second."""
+
+    tokens_per_second: float = INITIAL_READ_TOKENS_PER_SECOND
+
+    def observe(self, tokens: int, seconds: float) -> None:
+        """Take the time in which an engine read known work."""
+        if tokens < LEAST_READ_TOKENS or seconds <= 0:
+            return
+        seen = tokens / seconds
+        self.tokens_per_second += READ_RATE_WEIGHT * (seen - self.tokens_per_second)
+
+
+@dataclass(slots=True)
+class TargetState:
+    """Beliefs on one life of a target.
+
+    Attributes
+    ----------
+    blocked_until
+        Time before which it gets no call, as it could not be connected.
+    loading_until
+        Time until which it is taken to load other weights.
+    """
+
+    entry: TargetEntry
+    cache: PartCache
+    is_leaving: bool = False
+    flights: dict[int, Flight] = field(default_factory=dict)
+    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    reported: ReportedLoad | None = None
+    weight_versions: dict[str, int] = field(default_factory=dict)
+    blocked_until: float = 0.0
+    block_seconds: float = 0.0
+    loading_until: float = 0.0
+    failures: float = 0.0
+    results: float = 0.0
+    result_at: float = 0.0
+    usual_seconds: float = USUAL_PLAIN_SECONDS
+    progress_at: float = 0.0
+    next_flight: int = 0
+
+    def begin(self, flight: Flight) -> int:
+        """Add a call and return its number."""
+        self.next_flight += 1
+        self.flights[self.next_flight] = flight
+        return self.next_flight
+
+    def progressed(self, number: int, now: float, expected_within: float) -> None:
+        """Note that a call made progress."""
+        self.progress_at = now
+        flight = self.flights.get(number)
+        if flight is None:
+            return
+        flight.has_begun = True
+        flight.unread = 0
+        flight.progress_at = now
+        flight.expected_at = now + expected_within
+
+    def end(self, number: int) -> None:
+        """Remove a call."""
+        self.flights.pop(number, None)
+
+    def peer_loads(self, now: float) -> Iterable[PeerLoad]:
+        """Return what is believed of the other VMs' calls."""
+        return (
+            load for load in self.peers.values() if now - load.at < PEER_LOAD_SECONDS
+        )
+
+    def calls(self, now: float) -> int:
+        """Return how many calls are believed to be there, of all VMs."""
+        known = len(self.flights) + sum(load.calls for load in self.peer_loads(now))
+        reported = self.reported
+        if reported is None or now - reported.at >= REPORTED_LOAD_SECONDS:
+            return known
+        return max(known, reported.running + reported.waiting)
+
+    def tokens(self, now: float) -> int:
+        """Return the memory of the calls that are believed to be there."""
+        own = sum(flight.tokens for flight in self.flights.values())
+        return own + sum(load.tokens for load in self.peer_loads(now))
+
+    def unread(self, now: float) -> int:
+        """Return the prompt tokens that are believed to wait for being read."""
+        own = sum(flight.unread for flight in self.flights.values())
+        return own + sum(load.unread for load in self.peer_loads(now))
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether a call there is overdue and no other has moved since."""
+        return any(
+            now > flight.expected_at + STALL_SECONDS
+            and self.progress_at < flight.expected_at
+            for flight in self.flights.values()
+        )
+
+    def failure_share(self, now: float) -> float:
+        """Return the recent share of calls that failed, drawn to zero by time."""
+        if not self.results:
+            return 0.0
+        faded = exp(-(now - self.result_at) / FAILURE_DECAY_SECONDS)
+        return self.failures * faded / (self.results * faded + 1.0)
+
+    def succeeded(self, now: float, seconds: float | None) -> None:
+        """Note a whole answer, and its duration for a plain call."""
+        self._add_result(now, 0.0)
+        self.block_seconds = 0.0
+        self.progress_at = now
+        if seconds is not None:
+            self.usual_seconds += DURATION_WEIGHT * (seconds - self.usual_seconds)
+
+    def failed(self, now: float) -> None:
+        """Note a call that the target broke off or failed."""
+        self._add_result(now, 1.0)
+
+    def unreachable(self, now: float) -> None:
+        """Note that it could not be connected."""
+        self.failed(now)
+        doubled = max(self.block_seconds * 2, FIRST_BLOCK_SECONDS)
+        self.block_seconds = min(doubled, LONGEST_BLOCK_SECONDS)
+        self.blocked_until = now + self.block_seconds
+
+    def expect_load(self, now: float) -> None:
+        """Note that an order to load other weights is on its way."""
+        self.loading_until = now + LOADING_SECONDS
+
+    def learn_version(self, model: str, version: int, now: float) -> None:
+        """Take the version of the weights that the target named itself."""
+        if version > self.weight_versions.get(model, 0):
+            self.weight_versions[model] = version
+            self.loading_until = min(self.loading_until, now)
+            self.cache.clear()
+
+    def _add_result(self, now: float, failure: float) -> None:
+        faded = exp(-max(now - self.result_at, 0.0) / FAILURE_DECAY_SECONDS)
+        self.failures = self.failures * faded + failure
+        self.results = self.results * faded + 1.0
+        self.result_at = now
+
+
+class TargetTable:
+    """All targets that are believed to live, by name."""
+
+    def __init__(self) -> None:
+        self.states: dict[str, TargetState] = {}
+        self.rates: dict[str, ReadRate] = {}
+
+    def of_service(self, service: str) -> list[TargetState]:
+        """Return the targets of a service."""
+        return [
+            state for state in self.states.values() if state.entry.service == service
+        ]
+
+    def rate(self, service: str) -> ReadRate:
+        """Return the reading speed of a service's engines."""
+        return self.rates.setdefault(service, ReadRate())
+
+    def update(self, entry: TargetEntry, now: float) -> bool:
+        """Take an entry of the platform's list; return whether beliefs changed."""
+        state = self.states.get(entry.name)
+        if state is None or _is_other_life(state.entry, entry):
+            state = TargetState(entry=entry, cache=PartCache(0), progress_at=now)
+            state.weight_versions.update(entry.weight_versions)
+            self.states[entry.name] = state
+            return True
+        before = (state.entry.phase, dict(state.weight_versions))
+        state.entry = entry
+        for model, version in entry.weight_versions.items():
+            state.learn_version(model, version, now)
+        return before != (entry.phase, state.weight_versions)
+
+    def remove(self, name: str) -> None:
+        """Forget a target."""
+        self.states.pop(name, None)
+
+
+def _is_other_life(before: TargetEntry, after: TargetEntry) -> bool:
+    return (before.life, before.address) != (after.life, after.address)
--- /dev/null
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -0,0 +1,221 @@
+"""Log lines, counters and histograms of the gateway."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import Any
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.errors import RequestError
+from gypsumsail.gateway.job import Job, Place
+from gypsumsail.gateway.models import Call, RoutingDocument, TargetEntry
+from gypsumsail.gateway.outcomes import (
+    Delivered,
+    Fail,
+    FinalAnswer,
+    PassOn,
+    SendOutcome,
+    TargetError,
+)
+from gypsumsail.gateway.targets import TargetState
+from gypsumsail.logs.decisions import DecisionLog
+from gypsumsail.metrics.registry import MetricsRegistry
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
+class GatewayTelemetry:
+    """What can be known afterwards of each call and each belief.
+
+    Attributes
+    ----------
+    document
+        The document in force, named on the lines of calls.
+    """
+
+    def __init__(self, log: DecisionLog, registry: MetricsRegistry) -> None:
+        self.log = log
+        self.registry = registry
+        self.document: RoutingDocument | None = None
+        self.calls = registry.counter(
+            "gypsumsail_gateway_calls_total",
+            "Calls by route and by how they ended.",
+            ("route", "end"),
+        )
+        self.sends = registry.counter(
+            "gypsumsail_gateway_sends_total",
+            "Sends to targets by service and by how they ended.",
+            ("service", "end"),
+        )
+        self.waits = registry.histogram(
+            "gypsumsail_gateway_wait_seconds",
+            "Time from a call's arrival to its first placement.",
+            ("service",),
+        )
+        self.firsts = registry.histogram(
+            "gypsumsail_gateway_first_token_seconds",
+            "Time from a call's arrival to its first event or whole plain answer.",
+            ("service",),
+        )
+
+    @callback
+    def placed(self, job: Job, place: Place, start_delay: float, now: float) -> None:
+        """Log where a call was placed and what decided it."""
+        state = place.state
+        self.waits.labels(job.service).observe(now - job.call.received_at)
+        self.log.write(
+            "placed",
+            request=job.call.request_id,
+            route=job.route.name,
+            customer=job.customer.name,
+            target=state.entry.name,
+            life=state.entry.life,
+            waited_ms=_milliseconds(now - job.call.received_at),
+            expected_ms=_milliseconds(start_delay),
+            calls=state.calls(now),
+            tokens=state.tokens(now),
+            weights=place.weight_version,
+            document=self._document_version(),
+            left_ms=_milliseconds(job.ends_at - now),
+        )
+
+    @callback
+    def send_ended(
+        self, job: Job, place: Place, outcome: SendOutcome, now: float
+    ) -> None:
+        """Count the end of a send, and log it where it was no success."""
+        name = type(outcome).__name__
+        self.sends.labels(job.service, name).increment()
+        if isinstance(outcome, Delivered):
+            return
+        self.log.write(
+            "send failed",
+            request=job.call.request_id,
+            target=place.state.entry.name,
+            life=place.state.entry.life,
+            after_ms=_milliseconds(now - job.call.received_at),
+            targets_used=job.targets_used,
+            **_outcome_fields(outcome),
+        )
+
+    @callback
+    def finished(
+        self, job: Job, answer: FinalAnswer, outcome: SendOutcome, now: float
+    ) -> None:
+        """Log the end of a call that was sent at least once."""
+        end = type(answer).__name__
+        self.calls.labels(job.route.name, end).increment()
+        first = job.first_at or now
+        self.firsts.labels(job.service).observe(first - job.call.received_at)
+        status: int | None = None
+        match answer:
+            case Fail(status=status):
+                pass
+            case PassOn(error=error):
+                status = error.status
+            case _:
+                if isinstance(outcome, Delivered):
+                    status = outcome.status
+        self.log.write(
+            "answered",
+            request=job.call.request_id,
+            end=end,
+            outcome=type(outcome).__name__,
+            status=status,
+            first_ms=_milliseconds(first - job.call.received_at),
+            total_ms=_milliseconds(now - job.call.received_at),
+            late=first > job.aim_at,
+            targets_used=job.targets_used,
+        )
+
+    @callback
+    def refused(
+        self, call: Call, job: Job | None, err: RequestError, status: int, now: float
+    ) -> None:
+        """Log a call that was not run."""
+        route = job.route.name if job is not None else ""
+        self.calls.labels(route, err.code).increment()
+        self.log.write(
+            "refused",
+            request=call.request_id,
+            route=route,
+            host=call.host,
+            path=call.path[:128],
+            status=status,
+            code=err.code,
+            reason=str(err),
+            free_in_ms=_milliseconds(err.retry_after or 0.0),
+            after_ms=_milliseconds(now - call.received_at),
+            document=self._document_version(),
+        )
+
+    @callback
+    def caller_left(self, job: Job, now: float) -> None:
+        """Log a caller that closed its connection."""
+        self.calls.labels(job.route.name, "caller_left").increment()
+        self.log.write(
+            "caller left",
+            request=job.call.request_id,
+            target=job.place.state.entry.name if job.place is not None else None,
+            after_ms=_milliseconds(now - job.call.received_at),
+        )
+
+    @callback
+    def ended_alone(self, job: Job, outcome: SendOutcome, now: float) -> None:
+        """Log the end of a call whose caller has left."""
+        self.log.write(
+            "ended without its caller",
+            request=job.call.request_id,
+            after_ms=_milliseconds(now - job.call.received_at),
+            **_outcome_fields(outcome),
+        )
+
+    @callback
+    def document_in_force(self, document: RoutingDocument, source: str) -> None:
+        """Log a new document."""
+        self.document = document
+        self.log.write(
+            "document in force",
+            version=document.version,
+            revision=document.revision,
+            source=source,
+            routes=len(document.routes),
+        )
+
+    @callback
+    def target_listed(self, entry: TargetEntry) -> None:
+        """Log what the platform's list says of a target."""
+        self.log.write(
+            "target listed",
+            target=entry.name,
+            life=entry.life,
+            service=entry.service,
+            zone=entry.zone,
+            phase=entry.phase.value,
+            weights=dict(entry.weight_versions),
+        )
+
+    @callback
+    def target_gone(self, state: TargetState, reason: str) -> None:
+        """Log that a target gets no more calls."""
+        self.log.write(
+            "target gone",
+            target=state.entry.name,
+            life=state.entry.life,
+            service=state.entry.service,
+            reason=reason,
+        )
+
+    def _document_version(self) -> int | None:
+        return self.document.version if self.document is not None else None
+
+
+def _outcome_fields(outcome: SendOutcome) -> dict[str, Any]:
+    fields: dict[str, Any] = {"outcome": type(outcome).__name__}
+    if isinstance(outcome, TargetError):
+        fields["status"] = outcome.status
+        return fields
+    fields.update(asdict(outcome))
+    return fields
--- a/src/gypsumsail/membership/coordinator.py
+++ b/src/gypsumsail/membership/coordinator.py
@@ -40,9 +40,9 @@
 from gypsumsail.membership.sync import Synchronizer
 from gypsumsail.membership.table import MembershipTable
 from gypsumsail.membership.vms import Life, VmView
+from gypsumsail.object_api.port import VmList, VmRecord
 from gypsumsail.peers.handshake import Identity
 from gypsumsail.peers.port import EntryId
-from gypsumsail.object_api.port import VmList, VmRecord
 from gypsumsail.timeline.port import Recorder
 
 _LOGGER = logging.getLogger(__name__)
--- a/src/gypsumsail/membership/messages.py
+++ b/src/gypsumsail/membership/messages.py
@@ -6,9 +6,9 @@
 
 from gypsumsail.membership.models import Member
 from gypsumsail.membership.vms import Life
+from gypsumsail.object_api.port import VmRecord
 from gypsumsail.peers.codec import message
 from gypsumsail.peers.port import EntryId, Message
-from gypsumsail.object_api.port import VmRecord
 
 
 @message("membership.probe")
--- a/src/gypsumsail/once/committer.py
+++ b/src/gypsumsail/once/committer.py
@@ -10,6 +10,7 @@
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
+from gypsumsail.object_api.port import ObjectApi
 from gypsumsail.once.const import (
     COMMIT_INTERVAL_SECONDS,
     COMMIT_TIMEOUT_SECONDS,
@@ -25,7 +26,6 @@
 from gypsumsail.once.pause import PlatformPause
 from gypsumsail.once.records import LedgerEntry
 from gypsumsail.once.store import LedgerStore
-from gypsumsail.object_api.port import ObjectApi
 
 LOGGER = logging.getLogger(__name__)
 
--- a/src/gypsumsail/once/coordinator.py
+++ b/src/gypsumsail/once/coordinator.py
@@ -13,6 +13,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import RunState
 from gypsumsail.core.ids import new_id
+from gypsumsail.object_api.port import ObjectApi
 from gypsumsail.once.const import (
     CLEANUP_INTERVAL_SECONDS,
     OUTCOME_INTERVAL_SECONDS,
@@ -34,7 +35,6 @@
 from gypsumsail.once.records import Abandoned, Ended, Reserved
 from gypsumsail.once.refusals import refusal, unavailable
 from gypsumsail.peers.port import EntryId, PeerNetwork
-from gypsumsail.object_api.port import ObjectApi
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.port import Recorder
 
--- a/src/gypsumsail/once/ledgers.py
+++ b/src/gypsumsail/once/ledgers.py
@@ -9,6 +9,7 @@
 
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
+from gypsumsail.object_api.port import ObjectApi
 from gypsumsail.once.committer import CommitCounters, GroupCommitter
 from gypsumsail.once.const import OWNER_TIMEOUT_SECONDS, PARTITIONS
 from gypsumsail.once.errors import LedgerUnavailableError, PlatformPausedError
@@ -29,7 +30,6 @@
     encode_entries,
 )
 from gypsumsail.peers.port import EntryId, Message, PeerNetwork
-from gypsumsail.object_api.port import ObjectApi
 
 LOGGER = logging.getLogger(__name__)
 
--- a/src/gypsumsail/once/store.py
+++ b/src/gypsumsail/once/store.py
@@ -9,6 +9,7 @@
 
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
+from gypsumsail.object_api.port import MUST_NOT_EXIST, ConflictError, Listing, ObjectApi
 from gypsumsail.once.const import COMMIT_ATTEMPTS
 from gypsumsail.once.errors import (
     LedgerContendedError,
@@ -28,7 +29,6 @@
     partition_prefix,
     segment_key,
 )
-from gypsumsail.object_api.port import MUST_NOT_EXIST, ConflictError, Listing, ObjectApi
 
 LOGGER = logging.getLogger(__name__)
 
--- a/src/gypsumsail/orders/book.py
+++ b/src/gypsumsail/orders/book.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
+from gypsumsail.object_api.port import MUST_NOT_EXIST, ObjectApi
 from gypsumsail.orders.codec import decode_book, encode_book
 from gypsumsail.orders.const import TURNS_KEY
 from gypsumsail.orders.models import EMPTY_BOOK, TurnBook
-from gypsumsail.object_api.port import MUST_NOT_EXIST, ObjectApi
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gypsumsail/orders/coordinator.py
+++ b/src/gypsumsail/orders/coordinator.py
@@ -9,6 +9,7 @@
 from gypsumsail.core import rendezvous
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import GypsumsailError
+from gypsumsail.object_api.port import ObjectApi, VmRecord, VmRole
 from gypsumsail.orders.book import async_read_book, async_write_book
 from gypsumsail.orders.const import (
     CALL_TIMEOUT_SECONDS,
@@ -22,7 +23,6 @@
 from gypsumsail.orders.port import DocumentSource, EngineFactory, MembershipSource
 from gypsumsail.orders.wanted import is_loading, is_wanted, wanted_models
 from gypsumsail.peers.port import EntryId
-from gypsumsail.object_api.port import ObjectApi, VmRecord, VmRole
 from gypsumsail.targets.port import EngineState, SetState
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.port import Recorder
--- a/src/gypsumsail/orders/keeper.py
+++ b/src/gypsumsail/orders/keeper.py
@@ -6,10 +6,13 @@
 
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
+from gypsumsail.object_api.port import ConflictError, ObjectApi
 from gypsumsail.orders.codec import decode_lease, encode_lease
 from gypsumsail.orders.const import LEASE_PREFIX
 from gypsumsail.orders.lease import (
+    DEFAULT_TERMS,
     HeldLease,
+    LeaseTerms,
     LeaseView,
     WriteLease,
     confirmed,
@@ -18,7 +21,6 @@
     step_without_lease,
 )
 from gypsumsail.orders.models import LeaseRecord
-from gypsumsail.object_api.port import ConflictError, ObjectApi
 
 LOGGER = logging.getLogger(__name__)
 
@@ -35,8 +37,16 @@
         The lease as last read while it is not held.
     """
 
-    def __init__(self, api: ObjectApi, clock: Clock, zone: str, holder: str) -> None:
+    def __init__(
+        self,
+        api: ObjectApi,
+        clock: Clock,
+        zone: str,
+        holder: str,
+        terms: LeaseTerms = DEFAULT_TERMS,
+    ) -> None:
         self.api = api
+        self.terms = terms
         self.clock = clock
         self.holder = holder
         self.key = f"{LEASE_PREFIX}{zone}"
@@ -56,7 +66,7 @@
             return
         view = await self._async_look()
         step = step_without_lease(
-            view, self.holder, highest_fence, self.clock.monotonic()
+            view, self.holder, highest_fence, self.clock.monotonic(), self.terms
         )
         if isinstance(step, WriteLease):
             await self._async_write(step)
@@ -75,7 +85,9 @@
             LOGGER.info("Lease %s not given back: %s", self.key, err)
 
     async def _async_renew(self, held: HeldLease, highest_fence: int) -> None:
-        step = step_with_lease(held, self.holder, highest_fence, self.clock.monotonic())
+        step = step_with_lease(
+            held, self.holder, highest_fence, self.clock.monotonic(), self.terms
+        )
         if not isinstance(step, WriteLease):
             return
         await self._async_write(step)
@@ -91,7 +103,7 @@
             LOGGER.info("Lease %s has moved on: %s", self.key, err)
             self.held = None
             return
-        self.held = confirmed(step, version, sent_at)
+        self.held = confirmed(step, version, sent_at, self.terms)
         self.view = None
 
     async def _async_look(self) -> LeaseView:
--- a/src/gypsumsail/orders/lease.py
+++ b/src/gypsumsail/orders/lease.py
@@ -12,6 +12,28 @@
 from gypsumsail.orders.models import LeaseRecord
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseTerms:
+    """Times of a lease, in seconds.
+
+    Attributes
+    ----------
+    seconds
+        Time that others wait without seeing a change before they take over.
+    margin
+        Time before that at which the holder stops to act.
+    renew
+        Time after which the holder renews it.
+    """
+
+    seconds: float = LEASE_SECONDS
+    margin: float = LEASE_MARGIN_SECONDS
+    renew: float = LEASE_RENEW_SECONDS
+
+
+DEFAULT_TERMS = LeaseTerms()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseView:
     """The lease as one entry last saw it.
@@ -72,7 +94,11 @@
 
 
 def step_without_lease(
-    view: LeaseView, holder: str, highest_fence: int, now: float
+    view: LeaseView,
+    holder: str,
+    highest_fence: int,
+    now: float,
+    terms: LeaseTerms = DEFAULT_TERMS,
 ) -> LeaseStep:
     """Decide whether an entry that does not hold the lease takes it.
 
@@ -87,37 +113,47 @@
     """
     last = view.record
     if last is not None and last.holder == holder and last.fence >= highest_fence:
-        return _write(view.version, holder, last.fence)
+        return _write(view.version, holder, last.fence, terms)
     if last is None:
-        return _write(view.version, holder, highest_fence + 1)
+        return _write(view.version, holder, highest_fence + 1, terms)
     if last.holder and now - view.since < last.seconds:
         return WaitForLease()
-    return _write(view.version, holder, max(highest_fence, last.fence) + 1)
+    fence = max(highest_fence, last.fence) + 1
+    return _write(view.version, holder, fence, terms)
 
 
-def _write(if_version: int, holder: str, fence: int) -> WriteLease:
-    record = LeaseRecord(holder=holder, fence=fence, seconds=LEASE_SECONDS)
+def _write(if_version: int, holder: str, fence: int, terms: LeaseTerms) -> WriteLease:
+    record = LeaseRecord(holder=holder, fence=fence, seconds=terms.seconds)
     return WriteLease(if_version=if_version, record=record)
 
 
 def step_with_lease(
-    held: HeldLease, holder: str, highest_fence: int, now: float
+    held: HeldLease,
+    holder: str,
+    highest_fence: int,
+    now: float,
+    terms: LeaseTerms = DEFAULT_TERMS,
 ) -> LeaseStep:
     """Decide whether a holder renews its lease."""
     outdated = highest_fence > held.fence
-    if not outdated and now - held.renewed_at < LEASE_RENEW_SECONDS:
+    if not outdated and now - held.renewed_at < terms.renew:
         return WaitForLease()
     fence = highest_fence + 1 if outdated else held.fence
-    return _write(held.version, holder, fence)
+    return _write(held.version, holder, fence, terms)
 
 
-def confirmed(step: WriteLease, version: int, sent_at: float) -> HeldLease:
+def confirmed(
+    step: WriteLease,
+    version: int,
+    sent_at: float,
+    terms: LeaseTerms = DEFAULT_TERMS,
+) -> HeldLease:
     """Return the lease after a write was confirmed that was sent at ``sent_at``."""
     return HeldLease(
         version=version,
         fence=step.record.fence,
         renewed_at=sent_at,
-        good_until=sent_at + step.record.seconds - LEASE_MARGIN_SECONDS,
+        good_until=sent_at + step.record.seconds - terms.margin,
     )
 
 
--- a/src/gypsumsail/orders/port.py
+++ b/src/gypsumsail/orders/port.py
@@ -6,8 +6,8 @@
 from typing import Protocol
 
 from gypsumsail.document.models import DocumentInForce
-from gypsumsail.peers.port import EntryId
 from gypsumsail.object_api.port import VmRecord
+from gypsumsail.peers.port import EntryId
 from gypsumsail.targets.port import Engine
 
 
--- /dev/null
+++ b/src/gypsumsail/platform/app.py
@@ -0,0 +1,85 @@
+"""Joins the adapters of Kerlann's platform with a VM of the gateway."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from gypsumsail.catalog.coordinator import Kinds
+from gypsumsail.core.clock import SystemClock
+from gypsumsail.gateway.models import RoutingDocument, TargetEntry
+from gypsumsail.logs.decisions import setup_decision_log
+from gypsumsail.platform import documents, names
+from gypsumsail.platform.calls import PlatformReply, PlatformTargetCalls, read_call
+from gypsumsail.platform.client import JsonClient
+from gypsumsail.platform.engines import PlatformEngines
+from gypsumsail.platform.objects import PlatformObjects
+from gypsumsail.platform.settings import load_settings
+from gypsumsail.vm.const import CALL_TIMEOUT_SECONDS
+from gypsumsail.vm.ports import VmPorts
+from gypsumsail.vm.runtime import VmRuntime
+from gypsumsail.vm.settings import VmSettings
+
+STANDARD_OUTPUT = 1
+
+
+class PlatformDecoder:
+    """Decodes the platform's objects."""
+
+    def document(self, value: bytes, revision: int) -> RoutingDocument:
+        """Decode a routing document."""
+        return documents.decode_document(value, revision)
+
+    def target(self, name: str, value: bytes) -> TargetEntry:
+        """Decode a target's entry."""
+        return documents.decode_target(name, value)
+
+    def weights(self, value: bytes) -> tuple[str, int]:
+        """Decode a named version of weights."""
+        return documents.decode_weights(value)
+
+
+def settings_path() -> Path | None:
+    """Return where the platform says that the settings are."""
+    path = os.environ.get(names.SETTINGS_VARIABLE)
+    return Path(path) if path else None
+
+
+def make_ports(settings: VmSettings, path: Path, clock: SystemClock) -> VmPorts:
+    """Return the adapters of a process."""
+    api = PlatformObjects(JsonClient(settings.object_store), CALL_TIMEOUT_SECONDS)
+    calls = PlatformTargetCalls(clock)
+    engines = PlatformEngines()
+
+    def forget(target: TargetEntry) -> None:
+        calls.forget(target)
+        engines.forget(target)
+
+    return VmPorts(
+        api=api,
+        kinds=Kinds(
+            documents=names.DOCUMENT_KIND,
+            document_key=names.DOCUMENT_KEY,
+            targets=names.TARGET_KIND,
+            weights=names.WEIGHTS_KIND,
+        ),
+        decoder=PlatformDecoder(),
+        calls=calls,
+        orders=engines,
+        vms_kind=names.VM_KIND,
+        list_vms=lambda: api.async_list(names.VM_KIND, may_be_stale=True),
+        ready_path=names.READY_PATH,
+        read_call=read_call,
+        reply=PlatformReply,
+        forget=forget,
+        load_settings=lambda: load_settings(path),
+    )
+
+
+async def async_run_vm(path: Path, metrics_port: int | None) -> None:
+    """Run the process of one VM until it is told to stop."""
+    settings = load_settings(path)
+    writer = setup_decision_log(settings.vm, STANDARD_OUTPUT)
+    clock = SystemClock()
+    ports = make_ports(settings, path, clock)
+    await VmRuntime(settings, ports, clock, writer, metrics_port).async_run()
--- /dev/null
+++ b/src/gypsumsail/platform/documents.py
@@ -0,0 +1,263 @@
+"""Decodes what the platform's store holds into the product's types."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from gypsumsail.core.errors import GypsumsailError
+from gypsumsail.gateway.models import (
+    CallerLimits,
+    CallKind,
+    ContextStore,
+    Customer,
+    EngineSize,
+    Route,
+    RoutingDocument,
+    Service,
+    TargetEntry,
+    TargetPhase,
+    WeightedService,
+)
+from gypsumsail.platform.settings import parse_address
+
+BITS_PER_BYTE = 8
+MILLISECONDS = 1000.0
+DEFAULT_TIMEOUT_MS = 60_000.0
+KINDS = {
+    "safe": CallKind.REPEATABLE,
+    "unsafe": CallKind.ONCE,
+    "streaming": CallKind.STREAM,
+}
+
+
+class EntryInvalidError(GypsumsailError):
+    """A value in the platform's store is not what its kind says."""
+
+    code = "entry_invalid"
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    goal_ms: float = 1000.0
+    priority: int = 5
+    service: str = ""
+    split: list[_Split] = []
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int = 1
+    kv_tokens: int = 0
+    kv_token_bytes: int = 0
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct, frozen=True):
+    """A group of targets, or a store of kept context where it has an address."""
+
+    name: str
+    health_path: str = ""
+    max_conns: int = 100
+    engine: _Engine | None = None
+    kv_store_addr: str = ""
+    zone: str = ""
+    kv_tokens: int = 0
+    link_mbps: float = 0.0
+    first_ms: float = 0.0
+    max_inflight: int = 1
+    managed: bool = False
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Customer(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    dedicated: bool = False
+
+
+class _Document(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+    tenants: list[_Customer] | None = None
+
+
+class _LoadedModel(msgspec.Struct, frozen=True):
+    name: str
+    version: int = 0
+
+
+class _Target(msgspec.Struct, frozen=True):
+    """An entry of a target; ``born`` is the Unix millisecond of its start."""
+
+    service: str
+    addr: str
+    state: str
+    born: int = 0
+    zone: str = ""
+    slots: int = 1
+    cold_left_ms: float = 0.0
+    models: list[_LoadedModel] = []
+    call_seq: int = 0
+
+
+class _Weights(msgspec.Struct, frozen=True):
+    model: str
+    version: int
+
+
+def decode_document(value: bytes, revision: int) -> RoutingDocument:
+    """Decode a routing document; raise ``EntryInvalidError``."""
+    document = _decode(value, _Document)
+    stores, services = [], {}
+    for item in document.services:
+        if item.kv_store_addr:
+            stores.append(_store(item))
+        else:
+            services[item.name] = _service(item)
+    keys: dict[str, Customer] | None = None
+    if document.tenants is not None:
+        keys = {
+            key: Customer(
+                name=item.name, urgency=item.priority, is_isolated=item.dedicated
+            )
+            for item in document.tenants
+            for key in item.api_keys
+        }
+    limits = document.limits
+    return RoutingDocument(
+        revision=revision,
+        version=document.version,
+        routes=tuple(_route(item) for item in document.routes),
+        services=services,
+        stores=tuple(store for store in stores if store is not None),
+        limits=CallerLimits(
+            head_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            head_seconds=limits.header_timeout_ms / MILLISECONDS,
+            idle_seconds=limits.idle_timeout_ms / MILLISECONDS,
+        ),
+        customers_by_key=keys,
+    )
+
+
+def decode_target(name: str, value: bytes) -> TargetEntry:
+    """Decode a target's entry; raise ``EntryInvalidError``."""
+    entry = _decode(value, _Target)
+    address = parse_address(entry.addr)
+    if address is None or entry.state not in ("ready", "draining"):
+        raise EntryInvalidError(f"entry {name} names no address or no known state")
+    leaving = entry.state == "draining"
+    return TargetEntry(
+        name=name,
+        life=entry.born,
+        service=entry.service,
+        address=address,
+        zone=entry.zone,
+        slots=max(entry.slots, 1),
+        phase=TargetPhase.LEAVING if leaving else TargetPhase.READY,
+        cold_seconds=entry.cold_left_ms / MILLISECONDS,
+        weight_versions={model.name: model.version for model in entry.models},
+        orders_taken=entry.call_seq,
+    )
+
+
+def decode_weights(value: bytes) -> tuple[str, int]:
+    """Decode a named version of weights: the model and its version."""
+    weights = _decode(value, _Weights)
+    return weights.model, weights.version
+
+
+def _decode(value: bytes, kind: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+        raise EntryInvalidError(f"value can't be decoded: {err}") from err
+
+
+def _route(item: _Route) -> Route:
+    split = item.split or [_Split(service=item.service)]
+    kind = KINDS.get(item.kind)
+    if kind is None:
+        raise EntryInvalidError(f"route {item.name} has an unknown kind")
+    return Route(
+        name=item.name,
+        host=item.host.lower(),
+        path_prefix=item.path_prefix,
+        kind=kind,
+        timeout=item.timeout_ms / MILLISECONDS,
+        aim=item.goal_ms / MILLISECONDS,
+        urgency=item.priority,
+        services=tuple(
+            WeightedService(service=part.service, weight=part.weight) for part in split
+        ),
+        max_targets=max(item.attempts, 1),
+        is_public=item.public,
+        is_resumable=item.resumable,
+    )
+
+
+def _service(item: _Service) -> Service:
+    engine = None
+    if item.engine is not None:
+        engine = EngineSize(
+            slots=item.engine.slots,
+            memory_tokens=item.engine.kv_tokens,
+            token_bytes=item.engine.kv_token_bytes,
+            models=tuple(model.name for model in item.engine.models),
+        )
+    return Service(
+        name=item.name,
+        health_path=item.health_path,
+        max_connections=item.max_conns,
+        engine=engine,
+    )
+
+
+def _store(item: _Service) -> ContextStore | None:
+    address = parse_address(item.kv_store_addr)
+    if address is None:
+        return None
+    return ContextStore(
+        name=item.name,
+        address=address,
+        zone=item.zone,
+        capacity_tokens=item.kv_tokens,
+        bytes_per_second=item.link_mbps * 1_000_000 / BITS_PER_BYTE,
+        first_byte_delay=item.first_ms / MILLISECONDS,
+        max_waiting_reads=item.max_inflight,
+        is_managed=item.managed,
+    )
+
+
+def decode_json(value: bytes) -> Mapping[str, Any]:
+    """Decode a JSON object; raise ``EntryInvalidError``."""
+    found = _decode(value, dict)
+    assert isinstance(found, dict)
+    return found
--- /dev/null
+++ b/src/gypsumsail/platform/engines.py
@@ -0,0 +1,96 @@
+"""Orders to engines and their reports."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.gateway.models import TargetEntry
+from gypsumsail.platform import names
+from gypsumsail.platform.client import JsonClient
+from gypsumsail.rollout.const import ORDER_TIMEOUT_SECONDS, REPORT_TIMEOUT_SECONDS
+from gypsumsail.rollout.port import EngineReport, LoadWeights, OrderAnswer
+
+ANSWERS = {
+    200: OrderAnswer.ALREADY_SO,
+    202: OrderAnswer.TAKEN,
+    409: OrderAnswer.BUSY,
+    421: OrderAnswer.WRONG_LIFE,
+}
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+    version: int = 0
+
+
+class _Report(msgspec.Struct, frozen=True):
+    busy: bool = False
+    call_seq: int = 0
+    born: int = 0
+    models: list[_Model] = []
+
+
+class PlatformEngines:
+    """Orders and reports; connections are kept as long as engines keep them."""
+
+    def __init__(self) -> None:
+        self.clients: dict[tuple[str, int], JsonClient] = {}
+
+    async def async_order(self, target: TargetEntry, order: LoadWeights) -> OrderAnswer:
+        """Send an order; runs that the engine has begun finish first."""
+        answer = await self._client(target).async_call(
+            "POST",
+            names.ORDER_PATH,
+            timeout=ORDER_TIMEOUT_SECONDS,
+            body={
+                "op": "version",
+                "model": order.model,
+                "version": order.version,
+                "mode": "wait",
+                "holder": order.holder,
+                "fence": order.fence,
+                "expect": order.orders_taken,
+            },
+            headers={"Gypsumsail-Target-Instance": target.name},
+        )
+        return ANSWERS.get(answer.status, OrderAnswer.REFUSED)
+
+    async def async_report(self, target: TargetEntry) -> EngineReport:
+        """Ask for a report."""
+        answer = await self._client(target).async_call(
+            "GET",
+            names.REPORT_PATH,
+            timeout=REPORT_TIMEOUT_SECONDS,
+            headers={"Gypsumsail-Target-Instance": target.name},
+        )
+        if answer.status != 200:
+            raise TransportError(f"report: status {answer.status}", sent=True)
+        return _report(answer.body)
+
+    def forget(self, target: TargetEntry) -> None:
+        """Close idle connections to an engine that is gone."""
+        client = self.clients.pop((target.name, target.life), None)
+        if client is not None:
+            client.close()
+
+    def _client(self, target: TargetEntry) -> JsonClient:
+        key = (target.name, target.life)
+        if key not in self.clients:
+            self.clients[key] = JsonClient(target.address)
+        return self.clients[key]
+
+
+def _report(body: Any) -> EngineReport:
+    try:
+        report = msgspec.convert(body, _Report)
+    except msgspec.ValidationError as err:
+        raise TransportError(f"report can't be read: {err}", sent=True) from err
+    return EngineReport(
+        life=report.born,
+        is_busy=report.busy,
+        orders_taken=report.call_seq,
+        weight_versions={model.name: model.version for model in report.models},
+    )
--- /dev/null
+++ b/src/gypsumsail/platform/names.py
@@ -0,0 +1,79 @@
+"""Names of headers, paths and kinds on the platform's wire."""
+
+from __future__ import annotations
+
+from typing import Final
+
+REQUEST_ID: Final = b"gypsumsail-request-id"
+DEADLINE: Final = b"gypsumsail-deadline-ms"
+MODEL: Final = b"gypsumsail-model"
+TOKEN_COUNT: Final = b"gypsumsail-token-count"
+PROMPT_PARTS: Final = b"gypsumsail-prompt-prefix"
+TARGET_NAME: Final = b"gypsumsail-target-instance"
+CUSTOMER: Final = b"gypsumsail-tenant"
+URGENCY: Final = b"gypsumsail-request-priority"
+CACHE_SCOPE: Final = b"gypsumsail-cache-salt"
+EXPECTED_WEIGHTS: Final = b"gypsumsail-expect-version"
+FETCH_FROM: Final = b"gypsumsail-kv-fetch"
+SAVE_TO: Final = b"gypsumsail-kv-save"
+FETCH_UNTIL: Final = b"gypsumsail-kv-until"
+LAST_EVENT: Final = b"last-event-id"
+SIGNATURE: Final = b"gypsumsail-server-stamp"
+NOT_RUN: Final = b"gypsumsail-not-run"
+ANSWERED_BY: Final = b"gypsumsail-instance-id"
+LOAD: Final = b"gypsumsail-server-load"
+WEIGHTS: Final = b"gypsumsail-weight-versions"
+
+CONNECTION_HEADERS: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+"""Headers that concern one connection only, in both directions."""
+
+SET_BY_GATEWAY: Final = frozenset(
+    {
+        DEADLINE,
+        TARGET_NAME,
+        CUSTOMER,
+        URGENCY,
+        CACHE_SCOPE,
+        EXPECTED_WEIGHTS,
+        FETCH_FROM,
+        SAVE_TO,
+        FETCH_UNTIL,
+        LAST_EVENT,
+        b"authorization",
+        b"gypsumsail-pin-ms",
+        b"gypsumsail-hold",
+        b"gypsumsail-kv-backup",
+        b"kv-from",
+    }
+)
+"""Headers of a caller that never reach a target as the caller sent them."""
+
+READY_PATH: Final = b"/v1/readyz"
+OBJECTS_PATH: Final = "/v1/objects"
+REPORT_PATH: Final = "/v1/report"
+ORDER_PATH: Final = "/v1/order"
+CACHE_EVENTS_PATH: Final = "/v1/kv-events"
+CACHE_LIST_PATH: Final = "/v1/kv-list"
+FREE_PATH: Final = "/v1/kv-free"
+
+DOCUMENT_KIND: Final = "config"
+DOCUMENT_KEY: Final = "config/main"
+TARGET_KIND: Final = "servers"
+WEIGHTS_KIND: Final = "versions"
+VM_KIND: Final = "gypsumsail-vms"
+"""The system's own kind: one object for each VM."""
+SETTINGS_VARIABLE: Final = "GYPSUMSAIL_CONFIG"
--- /dev/null
+++ b/src/gypsumsail/platform/objects.py
@@ -0,0 +1,211 @@
+"""The platform's store of objects as the product's object API."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import binascii
+from collections.abc import Mapping
+from typing import Any, Final
+from urllib.parse import quote
+
+import msgspec
+
+from gypsumsail.core.errors import TransportError, UnavailableError
+from gypsumsail.object_api.port import (
+    MUST_NOT_EXIST,
+    ConflictError,
+    Listing,
+    PlatformObject,
+    WatchExpiredError,
+)
+from gypsumsail.platform.client import JsonAnswer, JsonClient
+from gypsumsail.platform.names import OBJECTS_PATH
+
+WATCH_MARGIN_SECONDS: Final = 0.7
+"""Time beyond a watch's own wait after which its connection is taken for dead."""
+PAGE_LIMIT: Final = 100
+"""Most pages of one listing."""
+OPAQUE_FIELD: Final = "base64"
+"""Field of a spec under which the system keeps bytes of its own."""
+
+
+class PlatformObjects:
+    """Objects by key, ``kind/name``; each call is made once.
+
+    Implements the port ``ObjectApi``. Values that the system writes are bytes, those
+    of the platform's own kinds are the JSON of their ``spec``.
+    """
+
+    def __init__(self, client: JsonClient, timeout: float) -> None:
+        self.client = client
+        self.timeout = timeout
+
+    async def async_get(self, key: str) -> PlatformObject | None:
+        """Return the object, or ``None`` when it does not exist."""
+        answer = await self._async_call("GET", _path(key))
+        if answer.status == 404:
+            return None
+        _raise_for_status(answer, "get")
+        return _object(_kind(key), answer.body)
+
+    async def async_list(self, prefix: str, *, may_be_stale: bool = False) -> Listing:
+        """Return all objects of a kind.
+
+        Parameters
+        ----------
+        may_be_stale
+            Whether an answer that is seconds old will do; it costs a tenth.
+        """
+        kind = prefix.rstrip("/")
+        found: list[PlatformObject] = []
+        query = {"stale_ok": "1"} if may_be_stale else {}
+        revision = 0
+        for _ in range(PAGE_LIMIT):
+            answer = await self._async_call("GET", _path(kind), query=query)
+            _raise_for_status(answer, "list")
+            body = _mapping(answer.body)
+            items = body.get("items")
+            if not isinstance(items, list):
+                raise TransportError("list: no items in the answer", sent=True)
+            found += [item for raw in items if (item := _object(kind, raw)) is not None]
+            revision = revision or _revision(body)
+            if not body.get("has_more") or not items:
+                break
+            query = {**query, "after": _name_of(items[-1])}
+        return Listing(objects=tuple(found), revision=revision)
+
+    async def async_put(self, key: str, value: bytes, *, if_version: int) -> int:
+        """Write when the object has ``if_version``; return the new version."""
+        name = _name(key)
+        spec = {OPAQUE_FIELD: base64.b64encode(value).decode()}
+        body: dict[str, Any] = {"metadata": {"name": name}, "spec": spec}
+        if if_version == MUST_NOT_EXIST:
+            answer = await self._async_call("POST", _path(_kind(key)), body=body)
+        else:
+            body["metadata"]["rev"] = if_version
+            answer = await self._async_call("PUT", _path(key), body=body)
+        if answer.status == 404:
+            raise ConflictError(f"{key} does not exist", current=0)
+        if answer.status == 409:
+            current = _object(_kind(key), answer.body)
+            version = current.version if current is not None else 0
+            raise ConflictError(f"{key} has version {version}", current=version)
+        _raise_for_status(answer, "put")
+        written = _object(_kind(key), answer.body)
+        if written is None:
+            raise TransportError("put: no object in the answer", sent=True)
+        return written.version
+
+    async def async_delete(self, key: str, *, if_version: int) -> None:
+        """Delete when the object has ``if_version``."""
+        query = {"rev": str(if_version)}
+        answer = await self._async_call("DELETE", _path(key), query=query)
+        if answer.status in (404, 409):
+            raise ConflictError(f"{key} has another version", current=0)
+        _raise_for_status(answer, "delete")
+
+    async def async_watch(
+        self, prefix: str, *, after_revision: int, wait: float
+    ) -> Listing:
+        """Wait up to ``wait`` seconds for changes of a kind."""
+        kind = prefix.rstrip("/")
+        query = {"watch": str(after_revision), "wait_ms": str(int(wait * 1000))}
+        answer = await self.client.async_call(
+            "GET", _path(kind), query=query, timeout=wait + WATCH_MARGIN_SECONDS
+        )
+        if answer.status == 410:
+            raise WatchExpiredError(f"revision {after_revision} is forgotten")
+        _raise_for_status(answer, "watch")
+        body = _mapping(answer.body)
+        events = body.get("events")
+        if not isinstance(events, list):
+            raise TransportError("watch: no events in the answer", sent=True)
+        changes = [change for raw in events if (change := _change(kind, raw))]
+        return Listing(objects=tuple(changes), revision=_revision(body))
+
+    async def _async_call(
+        self,
+        method: str,
+        path: str,
+        *,
+        query: dict[str, str] | None = None,
+        body: Any = None,
+    ) -> JsonAnswer:
+        try:
+            async with asyncio.timeout(self.timeout):
+                return await self.client.async_call(
+                    method, path, timeout=self.timeout, query=query, body=body
+                )
+        except TimeoutError as err:
+            raise TransportError(f"{method} {path}: no answer", sent=True) from err
+
+
+def _kind(key: str) -> str:
+    return key.partition("/")[0]
+
+
+def _name(key: str) -> str:
+    return key.partition("/")[2].replace("/", ".")
+
+
+def _path(key: str) -> str:
+    kind, name = _kind(key), _name(key)
+    path = f"{OBJECTS_PATH}/{quote(kind, safe='')}"
+    return f"{path}/{quote(name, safe='')}" if name else path
+
+
+def _raise_for_status(answer: JsonAnswer, what: str) -> None:
+    if answer.status in (429, 503):
+        raise UnavailableError(f"{what}: status {answer.status}", sent=False)
+    if answer.status not in (200, 201):
+        raise TransportError(f"{what}: status {answer.status}", sent=True)
+
+
+def _mapping(value: Any) -> Mapping[str, Any]:
+    if not isinstance(value, dict):
+        raise TransportError("the answer is no object", sent=True)
+    return value
+
+
+def _revision(body: Mapping[str, Any]) -> int:
+    revision = body.get("store_revision")
+    if not isinstance(revision, int):
+        raise TransportError("the answer has no revision", sent=True)
+    return revision
+
+
+def _name_of(raw: Any) -> str:
+    metadata = raw.get("metadata") if isinstance(raw, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    return name if isinstance(name, str) else ""
+
+
+def _change(kind: str, raw: Any) -> PlatformObject | None:
+    if not isinstance(raw, dict):
+        return None
+    found = _object(kind, raw.get("object"))
+    if found is None or not raw.get("deleted"):
+        return found
+    return PlatformObject(key=found.key, version=found.version, value=None)
+
+
+def _object(kind: str, raw: Any) -> PlatformObject | None:
+    """Return an object, ``None`` when it has no name or revision."""
+    if not isinstance(raw, dict) or not (name := _name_of(raw)):
+        return None
+    revision = raw["metadata"].get("rev")
+    if not isinstance(revision, int):
+        return None
+    return PlatformObject(
+        key=f"{kind}/{name}", version=revision, value=_value(raw.get("spec"))
+    )
+
+
+def _value(spec: Any) -> bytes:
+    if isinstance(spec, dict) and set(spec) == {OPAQUE_FIELD}:
+        try:
+            return base64.b64decode(spec[OPAQUE_FIELD], validate=True)
+        except (binascii.Error, TypeError, ValueError):
+            return b""
+    return msgspec.json.encode(spec)
--- /dev/null
+++ b/src/gypsumsail/platform/settings.py
@@ -0,0 +1,148 @@
+"""Reads the settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import tomllib
+from typing import Any
+
+import msgspec
+
+from gypsumsail.core.findings import Finding, SettingsInvalidError
+from gypsumsail.gateway.models import Address
+from gypsumsail.gateway.repeat_budget import RepeatLimit
+from gypsumsail.vm.settings import VmSettings
+
+MILLISECONDS: float = 1000.0
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    front: str
+    ready: str
+    control: str = ""
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    ram_mb: float = 0.0
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    """Bounds of the rules; those that are left out take the usual figures."""
+
+    grace_s: float = 8.0
+    drain_ms: float = 2000.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 54.0
+    lease_ms: float = 3000.0
+    version_ms: float = 12000.0
+
+
+class _Store(msgspec.Struct, frozen=True):
+    """The platform's metadata store, which the file calls infrastructure."""
+
+    addr: str
+    value_bytes: int = 1048576
+
+
+class _File(msgspec.Struct, frozen=True):
+    node: str
+    ip: str
+    zone: str
+    port_range: tuple[int, int]
+    listen: _Listen
+    infra: _Store
+    seeds: list[str] = []
+    first_start: bool = False
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+
+
+def load_settings(path: Path) -> VmSettings:
+    """Read and check the settings of this process; unknown fields are left out.
+
+    Raises
+    ------
+    SettingsInvalidError
+        With all findings, each with its field.
+    """
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as err:
+        finding = Finding(place=str(path), message=f"can't be read: {err}")
+        raise SettingsInvalidError([finding]) from err
+    findings: list[Finding] = []
+    file = _convert(raw, str(path), findings)
+    if file is None:
+        raise SettingsInvalidError(findings)
+    addresses = {
+        "listen.front": file.listen.front,
+        "listen.ready": file.listen.ready,
+        "infra.addr": file.infra.addr,
+    }
+    if file.listen.control:
+        addresses["listen.control"] = file.listen.control
+    parsed: dict[str, Address] = {}
+    for field, text in addresses.items():
+        address = parse_address(text)
+        if address is None:
+            findings.append(_finding(path, field, "must be IP:PORT"))
+        else:
+            parsed[field] = address
+    if findings:
+        raise SettingsInvalidError(findings)
+    return _settings(file, parsed)
+
+
+def parse_address(text: object) -> Address | None:
+    """Return an address of the form IP:PORT, ``None`` when it is none."""
+    if not isinstance(text, str):
+        return None
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        return None
+    return Address(host=host, port=int(port))
+
+
+def _finding(path: Path | str, field: str, message: str) -> Finding:
+    return Finding(place=str(path), path=field, message=message)
+
+
+def _convert(raw: dict[str, Any], place: str, findings: list[Finding]) -> _File | None:
+    """Convert field by field, so that all findings are reported together."""
+    for field in msgspec.structs.fields(_File):
+        if field.name not in raw:
+            if field.required:
+                findings.append(_finding(place, field.name, "is missing"))
+            continue
+        try:
+            msgspec.convert(raw[field.name], field.type, strict=False)
+        except msgspec.ValidationError as err:
+            findings.append(_finding(place, field.name, str(err)))
+    return None if findings else msgspec.convert(raw, _File, strict=False)
+
+
+def _settings(file: _File, addresses: dict[str, Address]) -> VmSettings:
+    bounds = file.bounds
+    seeds = tuple(
+        address for text in file.seeds if (address := parse_address(text)) is not None
+    )
+    return VmSettings(
+        vm=file.node,
+        host=file.ip,
+        zone=file.zone,
+        callers=addresses["listen.front"],
+        readiness=addresses["listen.ready"],
+        control=addresses.get("listen.control"),
+        gossip_port=file.port_range[0],
+        seed_hosts=tuple(seed.host for seed in seeds),
+        object_store=addresses["infra.addr"],
+        grace_seconds=bounds.grace_s,
+        repeat_limit=RepeatLimit(
+            ratio=bounds.retry_ratio,
+            window=bounds.retry_window_s,
+            slack=bounds.retry_slack,
+        ),
+        lease_seconds=bounds.lease_ms / MILLISECONDS,
+        rollout_seconds=bounds.version_ms / MILLISECONDS,
+    )
--- /dev/null
+++ b/src/gypsumsail/rollout/__init__.py
@@ -0,0 +1,3 @@
+"""Brings the engines to the weights that the operator named."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/gypsumsail/rollout/port.py
@@ -0,0 +1,64 @@
+"""What a rollout asks of engines."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Protocol
+
+from gypsumsail.gateway.models import TargetEntry
+
+
+class OrderAnswer(Enum):
+    """What an engine said to an order."""
+
+    TAKEN = auto()
+    ALREADY_SO = auto()
+    BUSY = auto()
+    WRONG_LIFE = auto()
+    REFUSED = auto()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadWeights:
+    """An order to load a version of a model's weights.
+
+    Attributes
+    ----------
+    orders_taken
+        Number of orders that the engine must have accepted before; an order that
+        arrives late finds another number and has no effect.
+    """
+
+    model: str
+    version: int
+    holder: str
+    fence: int
+    orders_taken: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineReport:
+    """What an engine says of itself.
+
+    Attributes
+    ----------
+    life
+        Start of the engine in Unix milliseconds; 0 when it does not say.
+    """
+
+    life: int
+    is_busy: bool
+    orders_taken: int
+    weight_versions: Mapping[str, int]
+
+
+class EngineOrders(Protocol):
+    """Orders to engines and their reports; both raise ``TransportError``."""
+
+    async def async_order(self, target: TargetEntry, order: LoadWeights) -> OrderAnswer:
+        """Send an order."""
+
+    async def async_report(self, target: TargetEntry) -> EngineReport:
+        """Ask for a report."""
--- a/src/gypsumsail/timeline/archive.py
+++ b/src/gypsumsail/timeline/archive.py
@@ -10,8 +10,8 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.rendezvous import rank
-from gypsumsail.peers.port import EntryId, Message, PeerNetwork
 from gypsumsail.object_api.port import ObjectApi
+from gypsumsail.peers.port import EntryId, Message, PeerNetwork
 from gypsumsail.timeline.archive_queue import ArchiveQueue
 from gypsumsail.timeline.collector import PageCollector
 from gypsumsail.timeline.const import (
--- a/src/gypsumsail/timeline/archive_reader.py
+++ b/src/gypsumsail/timeline/archive_reader.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from gypsumsail.peers.errors import MessageInvalidError
 from gypsumsail.object_api.port import ObjectApi, PlatformObject
+from gypsumsail.peers.errors import MessageInvalidError
 from gypsumsail.timeline.records import Page
 from gypsumsail.timeline.segments import (
     bucket_of,
--- /dev/null
+++ b/src/gypsumsail/transport/bytes_client.py
@@ -0,0 +1,84 @@
+"""Short calls to one address, each made once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+from urllib.parse import urlencode
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.transport.exchange import ExchangePool
+
+CONNECT_SECONDS: Final = 0.5
+LONGEST_ANSWER_BYTES: Final = 32 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BytesAnswer:
+    """Status and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class BytesClient:
+    """Calls to one address over connections that are kept."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.authority = f"{host}:{port}"
+        self.pool = ExchangePool(host, port, CONNECT_SECONDS)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self.pool.close()
+
+    async def async_call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout: float,
+        query: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> BytesAnswer:
+        """Make one call.
+
+        Raises
+        ------
+        TransportError
+            No whole answer came; ``sent`` tells whether the call may have acted.
+        """
+        request = self._encode(method, path, query, body, headers or {})
+        is_sent = False
+        try:
+            async with asyncio.timeout(timeout):
+                connection = await self.pool.async_acquire()
+                try:
+                    connection.send(request)
+                    is_sent = True
+                    await connection.async_head()
+                    data = await connection.async_read_all(LONGEST_ANSWER_BYTES)
+                finally:
+                    self.pool.release(connection)
+        except TimeoutError as err:
+            message = f"{method} {path}: no answer in {timeout:g} s"
+            raise TransportError(message, sent=is_sent) from err
+        return BytesAnswer(status=connection.status, body=data)
+
+    def _encode(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, str] | None,
+        body: bytes | None,
+        headers: Mapping[str, str],
+    ) -> bytes:
+        target = f"{path}?{urlencode(query)}" if query else path
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self.authority}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if body is not None or method in ("POST", "PUT"):
+            lines.append(f"Content-Length: {len(body or b'')}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
--- /dev/null
+++ b/src/gypsumsail/transport/exchange.py
@@ -0,0 +1,300 @@
+"""Client side of HTTP/1.1: one exchange at a time on one connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Final, cast
+
+import httptools
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.errors import TransportError
+from gypsumsail.transport.const import HEADER_LIMIT_BYTES, UNREAD_LIMIT_BYTES
+from gypsumsail.transport.errors import BrokenStreamError
+
+KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
+IDLE_LIMIT_SECONDS: Final = 30.0
+"""Most that an idle connection is kept where its server states no time."""
+FIRST_ERROR_STATUS: Final = 400
+FRAMING: Final = frozenset({b"content-length", b"transfer-encoding"})
+
+Identity = tuple[bytes, bytes]
+
+
+class ExchangeConnection(asyncio.Protocol):
+    """A connection that sends one request and reads its answer, then the next.
+
+    Attributes
+    ----------
+    status
+        Status of the answer; 0 until its head came.
+    headers
+        Names in lower case, and values, of the answer.
+    is_complete
+        Whether the whole answer came.
+    idle_until
+        Loop time after which an idle connection is not used again.
+    """
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self.error: TransportError | None = None
+        self.is_closed = False
+        self.is_in_use = False
+        self.waiter: asyncio.Future[None] | None = None
+        self.idle_until = 0.0
+        self.exchanges = 0
+        self._reset()
+
+    def _reset(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.chunks: list[bytes] = []
+        self.unread_bytes = 0
+        self.head_bytes = 0
+        self.has_head = False
+        self.has_framing = False
+        self.is_complete = False
+        self.is_paused = False
+        self.is_foreign = False
+        self.identity: Identity | None = None
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether the connection may take another request."""
+        return (
+            self.is_complete
+            and not self.is_closed
+            and self.error is None
+            and self.transport is not None
+            and not self.transport.is_closing()
+            and self.transport.get_write_buffer_size() == 0
+        )
+
+    @callback
+    def send(self, request: bytes, identity: Identity | None = None) -> None:
+        """Send a request; raise where the connection is already closed.
+
+        Parameters
+        ----------
+        identity
+            Header that names the request in its answer. Answers that name another
+            one are passed over, and a success must name this one.
+        """
+        if self.transport is None or self.is_closed or self.transport.is_closing():
+            raise TransportError("the connection is closed", sent=False)
+        self._reset()
+        self.identity = identity
+        self.is_in_use = True
+        self.exchanges += 1
+        self.transport.write(request)
+
+    @callback
+    def abort(self) -> None:
+        """Close at once."""
+        self.is_in_use = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def async_head(self) -> None:
+        """Wait for the head of the answer."""
+        while not self.has_head:
+            await self._async_wait()
+
+    async def async_read(self) -> bytes:
+        """Return the body bytes that came; empty at the end of the answer."""
+        while not self.chunks:
+            if self.is_complete:
+                return b""
+            await self._async_wait()
+        data = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
+        self.chunks = []
+        self.unread_bytes = 0
+        if self.is_paused and self.transport is not None:
+            self.is_paused = False
+            self.transport.resume_reading()
+        return data
+
+    async def async_read_all(self, limit: int) -> bytes:
+        """Return the whole body; raise where it is over the limit."""
+        parts = []
+        size = 0
+        while data := await self.async_read():
+            size += len(data)
+            if size > limit:
+                raise BrokenStreamError(f"the answer is over {limit} bytes")
+            parts.append(data)
+        return b"".join(parts)
+
+    async def _async_wait(self) -> None:
+        if self.error is not None:
+            raise self.error
+        self.waiter = self.loop.create_future()
+        try:
+            await self.waiter
+        finally:
+            self.waiter = None
+
+    def _wake(self) -> None:
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def _fail(self, reason: str) -> None:
+        if self.error is None and not self.is_complete:
+            self.error = BrokenStreamError(reason)
+        self._wake()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = cast("asyncio.Transport", transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End an answer; one without a length is whole at a clean end."""
+        self.is_closed = True
+        if self.is_complete or not self.is_in_use:
+            return
+        if exc is None and self.has_head and not self.has_framing:
+            self.is_complete = True
+            self._wake()
+            return
+        self._fail("the connection was lost")
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        if not self.is_in_use or self.is_complete:
+            self._fail("bytes that belong to no request")
+            return
+        if not self.has_head:
+            self.head_bytes += len(data)
+            if self.head_bytes > HEADER_LIMIT_BYTES + UNREAD_LIMIT_BYTES:
+                self._fail("the head of the answer is too large")
+                return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail("malformed HTTP")
+            return
+        self._wake()
+
+    def on_message_begin(self) -> None:
+        """Refuse a second answer to one request."""
+        if self.is_complete:
+            raise BrokenStreamError("a second answer")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Take the status; an interim answer is passed over."""
+        status = self.parser.get_status_code()
+        if status // 100 == 1:
+            self.headers.clear()
+            return
+        self.is_foreign = not self._is_own(status)
+        if self.is_foreign:
+            return
+        self.status = status
+        self.has_framing = status in (204, 304) or any(
+            name in (b"content-length", b"transfer-encoding")
+            for name, _ in self.headers
+        )
+        self.has_head = True
+
+    def _is_own(self, status: int) -> bool:
+        if self.identity is None:
+            return True
+        name, expected = self.identity
+        found = [value for key, value in self.headers if key == name]
+        return found == [expected] or (not found and status >= FIRST_ERROR_STATUS)
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body; stop reading when too much waits."""
+        if self.is_foreign:
+            return
+        self.chunks.append(body)
+        self.unread_bytes += len(body)
+        too_much = self.unread_bytes > UNREAD_LIMIT_BYTES
+        if too_much and not self.is_paused and self.transport is not None:
+            self.is_paused = True
+            self.transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Mark the answer as whole and note how long the connection is kept."""
+        if self.is_foreign:
+            self.is_foreign = False
+            self.headers.clear()
+            return
+        if not self.has_head or not self.has_framing:
+            return
+        self.is_complete = True
+        self.idle_until = self.loop.time() + self._kept_seconds()
+        if not self.parser.should_keep_alive() and self.transport is not None:
+            self.transport.close()
+
+    def _kept_seconds(self) -> float:
+        for name, value in self.headers:
+            if name != b"keep-alive":
+                continue
+            for item in value.split(b","):
+                key, _, text = item.strip().partition(b"=")
+                if key.lower() == b"timeout" and text.isdigit():
+                    return max(int(text) - KEEP_ALIVE_MARGIN_SECONDS, 0.0)
+        return IDLE_LIMIT_SECONDS
+
+
+class ExchangePool:
+    """Idle connections to one address."""
+
+    def __init__(self, host: str, port: int, connect_seconds: float) -> None:
+        self.host = host
+        self.port = port
+        self.connect_seconds = connect_seconds
+        self.idle: deque[ExchangeConnection] = deque()
+
+    @callback
+    def close(self) -> None:
+        """Close the idle connections; exchanges under way go on."""
+        while self.idle:
+            self.idle.pop().abort()
+
+    @callback
+    def take_idle(self) -> ExchangeConnection | None:
+        """Return an idle connection, the one used last, or ``None``."""
+        while self.idle:
+            found = self.idle.pop()
+            if found.is_reusable and found.loop.time() < found.idle_until:
+                return found
+            found.abort()
+        return None
+
+    async def async_connect(self) -> ExchangeConnection:
+        """Open a connection; raise ``TransportError`` with nothing sent."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self.connect_seconds):
+                _, connection = await loop.create_connection(
+                    ExchangeConnection, self.host, self.port
+                )
+        except (OSError, TimeoutError) as err:
+            message = f"connect: {type(err).__name__}"
+            raise TransportError(message, sent=False) from err
+        return connection
+
+    async def async_acquire(self) -> ExchangeConnection:
+        """Return an idle connection or a new one."""
+        return self.take_idle() or await self.async_connect()
+
+    @callback
+    def release(self, connection: ExchangeConnection) -> None:
+        """Take back a connection; close it unless its answer came whole."""
+        if connection.is_reusable and not connection.chunks:
+            connection.is_in_use = False
+            self.idle.append(connection)
+        else:
+            connection.abort()
--- /dev/null
+++ b/src/gypsumsail/transport/http_server.py
@@ -0,0 +1,496 @@
+"""Server side of HTTP/1.1: one caller's connection, requests in order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+import logging
+from typing import Final, cast
+
+import httptools
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+
+MOST_PIPELINED_REQUESTS: Final = 16
+HIGH_WATER_BYTES: Final = 256 * 1024
+LINGER_SECONDS: Final = 1.0
+
+REASONS: Final = {
+    100: "Continue",
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+_LOGGER = logging.getLogger(__name__)
+
+HeaderPairs = list[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLimits:
+    """What a caller may send and how long it may take.
+
+    Attributes
+    ----------
+    head_seconds
+        Time from the first byte of a request to its last, while it still sends.
+    idle_seconds
+        Time that a connection may stay open without a request.
+    """
+
+    head_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    head_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """One whole request as it was read.
+
+    Attributes
+    ----------
+    target
+        Request target exactly as it was sent.
+    headers
+        Names as sent, values without surrounding space, in order.
+    read_at
+        Time of the server's clock at which it was read whole.
+    """
+
+    method: bytes
+    target: bytes
+    headers: HeaderPairs
+    body: bytes
+    keep_alive: bool
+    read_at: float
+
+
+class ReplyPhase(Enum):
+    """How far the reply to a request is."""
+
+    NOTHING = auto()
+    HEAD = auto()
+    WHOLE = auto()
+    BROKEN = auto()
+
+
+@dataclass(slots=True)
+class _Partial:
+    """A request that is being read."""
+
+    read_at: float
+    target: bytes = b""
+    headers: HeaderPairs = field(default_factory=list)
+    body: list[bytes] = field(default_factory=list)
+    body_bytes: int = 0
+
+
+Handler = Callable[["HttpRequest", "Reply"], Awaitable[None]]
+
+
+class Reply:
+    """The reply to one request.
+
+    Attributes
+    ----------
+    phase
+        How far it is; a reply that is not whole closes the connection.
+    is_closing
+        Whether the connection ends after this reply.
+    """
+
+    def __init__(self, connection: CallerConnection, request: HttpRequest) -> None:
+        self.connection = connection
+        self.request = request
+        self.phase = ReplyPhase.NOTHING
+        self.is_chunked = False
+        self.is_closing = not request.keep_alive
+
+    @property
+    def is_caller_gone(self) -> bool:
+        """Return whether the caller's connection is closed."""
+        return self.connection.is_closed
+
+    @callback
+    def send(self, status: int, headers: HeaderPairs, body: bytes) -> None:
+        """Send a whole reply with its length."""
+        head = self._head(status, headers)
+        if not 100 <= status < 200 and status not in (204, 304):
+            head += b"content-length: %d\r\n" % len(body)
+        has_body = self.request.method != b"HEAD"
+        self.phase = ReplyPhase.WHOLE
+        self.connection.write(head + b"\r\n" + (body if has_body else b""))
+
+    @callback
+    def begin(self, status: int, headers: HeaderPairs) -> None:
+        """Send the head of a reply whose length is not known."""
+        self.is_chunked = True
+        self.phase = ReplyPhase.HEAD
+        head = self._head(status, headers)
+        self.connection.write(head + b"transfer-encoding: chunked\r\n\r\n")
+
+    @callback
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if data:
+            self.connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    @callback
+    def end(self) -> None:
+        """Mark the body as whole."""
+        self.phase = ReplyPhase.WHOLE
+        self.connection.write(b"0\r\n\r\n")
+
+    @callback
+    def abort(self) -> None:
+        """End the connection so that the reply can't look whole."""
+        self.phase = ReplyPhase.BROKEN
+        self.connection.abort()
+
+    async def async_drain(self) -> None:
+        """Wait while the caller reads more slowly than the answer comes."""
+        await self.connection.async_drain()
+
+    def _head(self, status: int, headers: HeaderPairs) -> bytes:
+        if self.connection.is_draining:
+            self.is_closing = True
+        reason = REASONS.get(status, "Status").encode()
+        lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
+        lines += [b"%b: %b\r\n" % pair for pair in headers]
+        if self.is_closing:
+            lines.append(b"connection: close\r\n")
+        return b"".join(lines)
+
+
+class CallerConnection(asyncio.Protocol):
+    """Reads requests from one caller and answers them in order."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self.server = server
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.partial: _Partial | None = None
+        self.waiting: deque[HttpRequest] = deque()
+        self.worker: asyncio.Task[None] | None = None
+        self.is_closed = False
+        self.is_refusing = False
+        self.head_bytes = 0
+        self.active_since = self.loop.time()
+        self.drained: asyncio.Future[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the server takes no further requests."""
+        return self.server.is_draining
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read or answered."""
+        return self.partial is None and self.worker is None and not self.waiting
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to watch the time that the caller takes."""
+        self.transport = cast("asyncio.Transport", transport)
+        self.transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+        self.server.connections.add(self)
+        self._watch_time()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what runs for the caller."""
+        self.is_closed = True
+        self.server.connections.discard(self)
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.drained is not None and not self.drained.done():
+            self.drained.set_result(None)
+        self.waiting.clear()
+        if self.worker is not None:
+            self.worker.cancel()
+
+    def eof_received(self) -> bool:
+        """Close: a caller that stops sending doesn't wait for its answer."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Let writers wait."""
+        self.drained = self.loop.create_future()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        if self.drained is not None and not self.drained.done():
+            self.drained.set_result(None)
+        self.drained = None
+
+    async def async_drain(self) -> None:
+        """Wait until the caller has read enough."""
+        if self.drained is not None:
+            await asyncio.shield(self.drained)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        if self.is_refusing:
+            return
+        self.active_since = self.loop.time()
+        self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as err:
+            cause = err.__context__
+            if isinstance(cause, _RefusedError):
+                self._refuse(cause.status)
+                return
+            _LOGGER.error("Request callback failed", exc_info=err)
+            self._refuse(400)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._refuse(400)
+        else:
+            too_long = self.head_bytes > self.server.limits.head_bytes
+            if too_long and (self.partial is None or not self.partial.target):
+                self._refuse(431)
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        if len(self.waiting) >= MOST_PIPELINED_REQUESTS:
+            raise _RefusedError(400)
+        self.partial = _Partial(read_at=self.loop.time())
+        self.head_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Add to the request target."""
+        assert self.partial is not None
+        self.partial.target += url
+        self._check_head_size(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header."""
+        assert self.partial is not None
+        self.partial.headers.append((name, value))
+        self._check_head_size(len(name) + len(value) + 4)
+
+    def _check_head_size(self, added: int) -> None:
+        assert self.partial is not None
+        self.partial.body_bytes += added
+        if self.partial.body_bytes > self.server.limits.head_bytes:
+            raise _RefusedError(431)
+
+    def on_headers_complete(self) -> None:
+        """Check the framing before any byte of the body is taken."""
+        assert self.partial is not None
+        self.partial.body_bytes = 0
+        length = check_framing(self.partial.headers)
+        if length > self.server.limits.body_bytes:
+            raise _RefusedError(413)
+        expects = any(
+            name.lower() == b"expect" and value.lower() == b"100-continue"
+            for name, value in self.partial.headers
+        )
+        if expects and self.worker is None:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body."""
+        assert self.partial is not None
+        self.partial.body.append(body)
+        self.partial.body_bytes += len(body)
+        if self.partial.body_bytes > self.server.limits.body_bytes:
+            raise _RefusedError(413)
+
+    def on_message_complete(self) -> None:
+        """Queue a whole request."""
+        assert self.partial is not None
+        partial, self.partial = self.partial, None
+        self.head_bytes = 0
+        self.waiting.append(
+            HttpRequest(
+                method=self.parser.get_method(),
+                target=partial.target,
+                headers=partial.headers,
+                body=b"".join(partial.body),
+                keep_alive=self.parser.should_keep_alive(),
+                read_at=self.server.clock.monotonic(),
+            )
+        )
+        if self.worker is None:
+            self.worker = self.loop.create_task(self._async_work())
+
+    async def _async_work(self) -> None:
+        try:
+            while self.waiting and not self.is_closed:
+                request = self.waiting.popleft()
+                reply = Reply(self, request)
+                await self._async_answer(request, reply)
+                if reply.phase is not ReplyPhase.WHOLE or reply.is_closing:
+                    self._finish(reply)
+                    return
+        finally:
+            self.worker = None
+            self.active_since = self.loop.time()
+
+    async def _async_answer(self, request: HttpRequest, reply: Reply) -> None:
+        try:
+            await self.server.handler(request, reply)
+        except Exception:
+            _LOGGER.exception("Request failed unexpectedly")
+        if reply.phase is ReplyPhase.NOTHING and not self.is_closed:
+            reply.send(500, [], b"")
+
+    def _finish(self, reply: Reply) -> None:
+        if reply.phase is ReplyPhase.WHOLE:
+            self._close_gently()
+        else:
+            self.abort()
+
+    def _close_gently(self) -> None:
+        """Close after what was written; unread bytes would reset the connection."""
+        self.is_refusing = True
+        if self.transport is None or self.is_closed:
+            return
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.loop.call_later(LINGER_SECONDS, self._close)
+
+    def _close(self) -> None:
+        if self.transport is not None and not self.is_closed:
+            self.transport.close()
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that can't be read, and read no more."""
+        self.is_refusing = True
+        if self.worker is not None or self.waiting:
+            self.waiting.clear()
+            self._close()
+            return
+        reason = REASONS[status].encode()
+        self.write(
+            b"HTTP/1.1 %d %b\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+            % (status, reason)
+        )
+        self.server.on_refused(status)
+        self._close_gently()
+
+    @callback
+    def write(self, data: bytes) -> None:
+        """Write to the caller."""
+        if self.transport is not None and not self.is_closed:
+            self.transport.write(data)
+
+    @callback
+    def abort(self) -> None:
+        """Reset the connection."""
+        if self.transport is not None and not self.is_closed:
+            self.transport.abort()
+
+    def _watch_time(self) -> None:
+        """Close idle connections and those that send a request too slowly."""
+        limits = self.server.limits
+        now = self.loop.time()
+        if self.partial is not None and self.worker is None:
+            if now - self.partial.read_at >= limits.head_seconds:
+                self._refuse(408)
+                return
+        elif self.is_idle and now - self.active_since >= limits.idle_seconds:
+            self._close()
+            return
+        delay = min(limits.head_seconds, limits.idle_seconds) / 4
+        self.timer = self.loop.call_later(delay, self._watch_time)
+
+
+class _RefusedError(Exception):
+    """A request breaks a limit while it is read."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+def check_framing(headers: HeaderPairs) -> int:
+    """Return the announced length, 0 for none; refuse framing that is ambiguous."""
+    lengths = [value for name, value in headers if name.lower() == b"content-length"]
+    codings = [value for name, value in headers if name.lower() == b"transfer-encoding"]
+    hosts = [value for name, value in headers if name.lower() == b"host"]
+    if len(hosts) != 1 or len(lengths) > 1 or len(codings) > 1:
+        raise _RefusedError(400)
+    if codings and (lengths or codings[0].strip().lower() != b"chunked"):
+        raise _RefusedError(400)
+    if not lengths:
+        return 0
+    if not lengths[0].isdigit():
+        raise _RefusedError(400)
+    return int(lengths[0])
+
+
+class HttpServer:
+    """Listens on one address and hands whole requests to a handler.
+
+    Attributes
+    ----------
+    limits
+        Limits of callers; may be replaced while it runs.
+    on_refused
+        Called with the status of a request that could not be read.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        clock: Clock,
+        on_refused: Callable[[int], None] = lambda status: None,
+    ) -> None:
+        self.handler = handler
+        self.clock = clock
+        self.limits = limits
+        self.on_refused = on_refused
+        self.connections: set[CallerConnection] = set()
+        self.is_draining = False
+        self.server: asyncio.Server | None = None
+
+    async def async_start(self, host: str, port: int) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: CallerConnection(self), host, port, backlog=1024
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        assert self.server is not None
+        port = self.server.sockets[0].getsockname()[1]
+        assert isinstance(port, int)
+        return port
+
+    @property
+    def busy_connections(self) -> int:
+        """Return how many connections have a request that is not answered."""
+        return sum(not connection.is_idle for connection in self.connections)
+
+    @callback
+    def drain(self) -> None:
+        """Announce the end of each connection with its next reply."""
+        self.is_draining = True
+
+    async def async_stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.connections):
+            connection.abort()
--- /dev/null
+++ b/src/gypsumsail/vm/const.py
@@ -0,0 +1,30 @@
+"""Times of a VM of the gateway."""
+
+from __future__ import annotations
+
+from typing import Final
+
+TICK_SECONDS: Final = 0.05
+"""Pause between two looks at what is due."""
+RESTART_SECONDS: Final = 0.5
+"""Pause before a background task that failed unexpectedly runs again."""
+CALL_TIMEOUT_SECONDS: Final = 1.5
+"""Time after which a call to the platform's store is taken as lost."""
+PEER_TIMEOUT_SECONDS: Final = 1.0
+"""Time after which a call to another VM is taken as lost."""
+PEER_LIST_SECONDS: Final = 5.0
+"""Pause between two looks at the platform's list of VMs."""
+PEER_RETRY_SECONDS: Final = 0.5
+"""Pause between two calls to the same peer for its copies."""
+SETTINGS_SECONDS: Final = 1.0
+"""Pause between two looks at the settings file."""
+NOTICE_SECONDS: Final = 3.2
+"""Time after a stop signal in which the balancer may still send connections."""
+LAST_SECONDS: Final = 0.4
+"""Time before the end of the grace in which the process ends by itself."""
+STARTUP_PATIENCE_SECONDS: Final = 1.0
+"""Time after the start in which a VM waits for the list before it says ready."""
+LEASE_RENEW_SHARE: Final = 0.3
+"""Share of the lease's time after which its holder renews it."""
+LEASE_NAME: Final = "weights"
+"""Name of the one lease for orders to engines."""
--- /dev/null
+++ b/src/gypsumsail/vm/metrics.py
@@ -0,0 +1,66 @@
+"""Metrics of a VM of the gateway, beside those of its calls."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gypsumsail.core.callback import callback
+from gypsumsail.metrics.process import read_process_use
+from gypsumsail.metrics.registry import MetricsRegistry
+
+if TYPE_CHECKING:
+    from gypsumsail.vm.runtime import VmRuntime
+
+
+class VmMetrics:
+    """Gauges that are read when the metrics are asked for."""
+
+    def __init__(self, registry: MetricsRegistry) -> None:
+        self.unread = registry.counter(
+            "gypsumsail_unread_requests_total",
+            "Requests that were refused while they were read, by status.",
+            ("status",),
+        )
+        self.waiting = registry.gauge(
+            "gypsumsail_waiting_calls", "Calls that wait for a target.", ("service",)
+        )
+        self.in_flight = registry.gauge(
+            "gypsumsail_calls_at_target",
+            "Calls of this VM at each target.",
+            ("service", "target"),
+        )
+        self.peers = registry.gauge("gypsumsail_vms", "VMs that are believed alive.")
+        self.document = registry.gauge(
+            "gypsumsail_routing_document", "Version of the routing document in force."
+        )
+        self.dropped = registry.counter(
+            "gypsumsail_log_lines_dropped_total", "Log lines that were dropped."
+        )
+        self.cpu = registry.counter(
+            "process_cpu_seconds_total", "Processor time of this process."
+        )
+        self.memory = registry.gauge(
+            "process_resident_memory_bytes", "Memory of this process."
+        )
+
+    @callback
+    def refused(self, status: int) -> None:
+        """Count a request that could not be read."""
+        self.unread.labels(str(status)).increment()
+
+    @callback
+    def update(self, vm: VmRuntime) -> None:
+        """Take over what is known elsewhere."""
+        now = vm.clock.monotonic()
+        for service, line in vm.gateway.lines.items():
+            self.waiting.labels(service).set(len(line.places))
+        for state in vm.targets.states.values():
+            labels = (state.entry.service, state.entry.name)
+            self.in_flight.labels(*labels).set(len(state.flights))
+        self.peers.labels().set(vm.peers.count(now))
+        if vm.gateway.document is not None:
+            self.document.labels().set(vm.gateway.document.version)
+        self.dropped.labels().advance(vm.writer.dropped + vm.log.dropped_in_all)
+        use = read_process_use()
+        self.cpu.labels().advance(use.cpu_seconds)
+        self.memory.labels().set(use.resident_bytes)
--- /dev/null
+++ b/src/gypsumsail/vm/runtime.py
@@ -0,0 +1,344 @@
+"""Runs one VM of the gateway from its start to its stop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+import logging
+import signal
+from typing import Any
+
+from gypsumsail.catalog.coordinator import CatalogCoordinator
+from gypsumsail.catalog.copies import COPY_PATH, encode_copy
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import (
+    InvalidRequestError,
+)
+from gypsumsail.core.findings import SettingsInvalidError
+from gypsumsail.gateway.coordinator import Gateway, GatewaySettings
+from gypsumsail.gateway.models import RoutingDocument, TargetEntry
+from gypsumsail.gateway.placer import FleetView
+from gypsumsail.gateway.targets import TargetTable
+from gypsumsail.gateway.telemetry import GatewayTelemetry
+from gypsumsail.gateway.weights import WantedWeights
+from gypsumsail.gossip.coordinator import GossipCoordinator
+from gypsumsail.gossip.peers import PeerTable
+from gypsumsail.logs.decisions import DecisionLog
+from gypsumsail.logs.line_writer import LineWriter
+from gypsumsail.metrics.registry import MetricsRegistry
+from gypsumsail.orders.keeper import LeaseKeeper
+from gypsumsail.orders.lease import LeaseTerms
+from gypsumsail.rollout.coordinator import RolloutCoordinator
+from gypsumsail.transport.http_server import (
+    HttpRequest,
+    HttpServer,
+    Reply,
+    ServerLimits,
+)
+from gypsumsail.vm.catch_up import CatchUp
+from gypsumsail.vm.const import (
+    LEASE_NAME,
+    LEASE_RENEW_SHARE,
+    RESTART_SECONDS,
+    SETTINGS_SECONDS,
+    TICK_SECONDS,
+)
+from gypsumsail.vm.metrics import VmMetrics
+from gypsumsail.vm.ports import VmPorts
+from gypsumsail.vm.readiness import Readiness
+from gypsumsail.vm.settings import VmSettings
+from gypsumsail.vm.stopping import may_end
+from gypsumsail.vm.vm_list import VmList
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class VmRuntime:
+    """All parts of one VM, joined.
+
+    Attributes
+    ----------
+    signalled_at
+        Time of the stop signal; ``None`` until it came.
+    """
+
+    def __init__(
+        self,
+        settings: VmSettings,
+        ports: VmPorts,
+        clock: Clock,
+        writer: LineWriter,
+        metrics_port: int | None,
+    ) -> None:
+        self.settings = settings
+        self.ports = ports
+        self.clock = clock
+        self.writer = writer
+        self.metrics_port = metrics_port
+        self.signalled_at: float | None = None
+        self.log = DecisionLog(clock)
+        self.registry = MetricsRegistry()
+        self.telemetry = GatewayTelemetry(self.log, self.registry)
+        self.targets = TargetTable()
+        self.wanted: dict[str, WantedWeights] = {}
+        self.peers = PeerTable(settings.host)
+        self.gateway = self._make_gateway()
+        self.catalog = self._make_catalog()
+        self.gossip = self._make_gossip()
+        self.rollout = self._make_rollout()
+        self.catch_up = CatchUp(
+            settings, self.catalog, self.gossip, self.peers, clock, self.log
+        )
+        self.vm_list = VmList(settings, ports, self.peers, clock, self.log)
+        self.metrics = VmMetrics(self.registry)
+        limits = ServerLimits()
+        self.callers = HttpServer(
+            self._async_caller, limits, clock, self.metrics.refused
+        )
+        self.control = HttpServer(self._async_control, limits, clock)
+        self.servers = [self.callers, self.control]
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def _make_gateway(self) -> Gateway:
+        view = FleetView(
+            zone=self.settings.zone,
+            targets=self.targets,
+            wanted=self.wanted,
+            rollout_seconds=self.settings.rollout_seconds,
+            vms=lambda: self.peers.count(self.clock.monotonic()),
+        )
+        return Gateway(
+            view,
+            self.ports.calls,
+            self.clock,
+            GatewaySettings(repeat_limit=self.settings.repeat_limit),
+            self.telemetry,
+        )
+
+    def _make_catalog(self) -> CatalogCoordinator:
+        return CatalogCoordinator(
+            self.ports.api,
+            self.ports.kinds,
+            self.ports.decoder,
+            self.targets,
+            self.wanted,
+            self.clock,
+            self.telemetry,
+            self._on_document,
+            self._on_target_gone,
+        )
+
+    def _make_gossip(self) -> GossipCoordinator:
+        gossip = GossipCoordinator(
+            self.settings.vm,
+            self.settings.host,
+            self.settings.gossip_port,
+            self.peers,
+            self.targets,
+            self.gateway.strikes,
+            self.clock,
+            self.catalog.changed_at,
+        )
+        self.gateway.on_first_token = gossip.first_token
+        return gossip
+
+    def _make_rollout(self) -> RolloutCoordinator:
+        lease = self.settings.lease_seconds
+        terms = LeaseTerms(
+            seconds=2 * lease + 0.5, margin=lease + 0.5, renew=lease * LEASE_RENEW_SHARE
+        )
+        holder = f"{self.settings.vm}@{self.settings.host}"
+        keeper = LeaseKeeper(self.ports.api, self.clock, LEASE_NAME, holder, terms)
+        rollout = RolloutCoordinator(
+            self.settings.vm,
+            keeper,
+            self.ports.orders,
+            self.targets,
+            self.wanted,
+            self.clock,
+            self.log,
+            self._vm_names,
+            self._models_of,
+        )
+        rollout.on_loading = self.gossip.loading
+        rollout.on_weights = self.gossip.weights
+        return rollout
+
+    def _vm_names(self) -> list[str]:
+        alive = self.peers.alive(self.clock.monotonic())
+        return [self.settings.vm, *(peer.vm for peer in alive)]
+
+    def _models_of(self, service: str) -> tuple[str, ...]:
+        document = self.catalog.document
+        found = document.services.get(service) if document is not None else None
+        if found is None or found.engine is None:
+            return ()
+        return found.engine.models
+
+    async def async_run(self) -> None:
+        """Start, serve and stop."""
+        self.log.write(
+            "start", zone=self.settings.zone, host=self.settings.host, settings="read"
+        )
+        await self._async_start()
+        try:
+            await self._async_until_end()
+        finally:
+            await self._async_stop()
+
+    async def _async_start(self) -> None:
+        now = self.clock.monotonic()
+        for host in self.settings.seed_hosts:
+            self.peers.add(host, now)
+        self._take_signals()
+        await self.gossip.async_start()
+        settings = self.settings
+        await self.callers.async_start(settings.callers.host, settings.callers.port)
+        listening = {str(settings.callers)}
+        for address in (settings.readiness, settings.control):
+            if address is None or str(address) in listening:
+                continue
+            listening.add(str(address))
+            server = self.control
+            if server.server is not None:
+                server = HttpServer(self._async_control, server.limits, self.clock)
+                self.servers.append(server)
+            await server.async_start(address.host, address.port)
+        if self.metrics_port is not None:
+            server = HttpServer(self._async_control, ServerLimits(), self.clock)
+            self.servers.append(server)
+            await server.async_start(settings.host, self.metrics_port)
+        work: list[Callable[[], Coroutine[Any, Any, None]]] = [
+            *self.catalog.tasks(),
+            self.rollout.async_run,
+            self.catch_up.async_run,
+            self.vm_list.async_run,
+            self._async_watch_settings,
+        ]
+        self.tasks = [
+            asyncio.create_task(self._async_supervise(item), name=item.__qualname__)
+            for item in work
+        ]
+
+    def _take_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
+        loop.add_signal_handler(signal.SIGINT, self.stop)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+
+    async def _async_supervise(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Run a background task again when it fails unexpectedly."""
+        while True:
+            try:
+                await work()
+            except Exception:
+                _LOGGER.exception("Background task failed; it runs again")
+            await asyncio.sleep(RESTART_SECONDS)
+
+    async def _async_until_end(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = self.clock.monotonic()
+            self.catalog.tick(now)
+            self.gossip.tick(now)
+            self.writer.flush()
+            if self.signalled_at is not None and may_end(
+                self.signalled_at,
+                self.callers.busy_connections,
+                self.settings.grace_seconds,
+                now,
+            ):
+                return
+
+    async def _async_stop(self) -> None:
+        self.log.write("stop", busy_connections=self.callers.busy_connections)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for server in self.servers:
+            await server.async_stop()
+        self.gossip.stop()
+        self.writer.flush()
+
+    @callback
+    def stop(self) -> None:
+        """Take no new connections and end when all is answered."""
+        if self.signalled_at is not None:
+            return
+        self.signalled_at = self.clock.monotonic()
+        self.log.write("stop signal", busy_connections=self.callers.busy_connections)
+        self.callers.drain()
+
+    @callback
+    def reload(self) -> None:
+        """Read the settings anew; settings with faults change nothing."""
+        try:
+            settings = self.ports.load_settings()
+        except SettingsInvalidError as err:
+            self.log.write("reload failed", reason=str(err))
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self.gateway.settings = GatewaySettings(repeat_limit=settings.repeat_limit)
+        self.gateway.view.rollout_seconds = settings.rollout_seconds
+        now = self.clock.monotonic()
+        for host in settings.seed_hosts:
+            self.peers.add(host, now)
+        self.log.write("reload", seeds=len(settings.seed_hosts))
+
+    async def _async_watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_SECONDS)
+            self.reload()
+
+    @callback
+    def _on_document(self, document: RoutingDocument) -> None:
+        self.gateway.set_document(document)
+        limits = document.limits
+        self.callers.limits = ServerLimits(
+            head_bytes=limits.head_bytes,
+            body_bytes=limits.body_bytes,
+            head_seconds=limits.head_seconds,
+            idle_seconds=limits.idle_seconds,
+        )
+        self.gateway.pump()
+
+    @callback
+    def _on_target_gone(self, entry: TargetEntry) -> None:
+        self.ports.forget(entry)
+
+    def readiness(self) -> Readiness:
+        """Return what readiness depends on."""
+        return Readiness(
+            has_document=self.gateway.document is not None,
+            knows_targets=self.catalog.knows_targets,
+            is_stopping=self.signalled_at is not None,
+        )
+
+    async def _async_caller(self, request: HttpRequest, reply: Reply) -> None:
+        try:
+            call = self.ports.read_call(request)
+        except InvalidRequestError as err:
+            self.log.write("malformed request", reason=str(err), status=err.status)
+            reply.send(err.status, [], b"")
+            return
+        await self.gateway.async_handle(call, self.ports.reply(reply, call.request_id))
+
+    async def _async_control(self, request: HttpRequest, reply: Reply) -> None:
+        path = request.target.partition(b"?")[0]
+        if path == self.ports.ready_path:
+            reply.send(200 if self.readiness().is_ready else 503, [], b"")
+        elif path.startswith(COPY_PATH.encode()):
+            kind = path.removeprefix(COPY_PATH.encode()).decode("latin-1")
+            listing = self.catalog.copy_of(kind)
+            if listing is None:
+                reply.send(404, [], b"")
+            else:
+                reply.send(200, [], encode_copy(listing))
+        elif path == b"/metrics":
+            self.metrics.update(self)
+            reply.send(200, [], self.registry.exposition().encode())
+        else:
+            reply.send(404, [], b"")
--- /dev/null
+++ b/src/gypsumsail/vm/stopping.py
@@ -0,0 +1,19 @@
+"""Decides when a VM that was told to stop may end."""
+
+from __future__ import annotations
+
+from gypsumsail.vm.const import LAST_SECONDS, NOTICE_SECONDS
+
+
+def may_end(
+    signalled_at: float, busy_connections: int, grace_seconds: float, now: float
+) -> bool:
+    """Return whether the process ends now.
+
+    It waits for what it has read, and until the balancer has noticed that it is not
+    ready any more; it ends before the platform would kill it.
+    """
+    waited = now - signalled_at
+    if waited >= grace_seconds - LAST_SECONDS:
+        return True
+    return waited >= NOTICE_SECONDS and not busy_connections
--- /dev/null
+++ b/src/gypsumsail/vm/vm_list.py
@@ -0,0 +1,85 @@
+"""Lists this VM in the platform's store, and learns of the others there."""
+
+from __future__ import annotations
+
+import asyncio
+
+import cbor2
+
+from gypsumsail.core import cbor
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import TransportError
+from gypsumsail.gossip.peers import PeerTable
+from gypsumsail.logs.decisions import DecisionLog
+from gypsumsail.object_api.port import MUST_NOT_EXIST, ConflictError, PlatformObject
+from gypsumsail.vm.const import PEER_LIST_SECONDS
+from gypsumsail.vm.ports import VmPorts
+from gypsumsail.vm.settings import VmSettings
+
+
+class VmList:
+    """The VMs of the gateway as they list themselves; nothing there expires."""
+
+    def __init__(
+        self,
+        settings: VmSettings,
+        ports: VmPorts,
+        peers: PeerTable,
+        clock: Clock,
+        log: DecisionLog,
+    ) -> None:
+        self.settings = settings
+        self.ports = ports
+        self.peers = peers
+        self.clock = clock
+        self.log = log
+        self.is_listed = False
+
+    async def async_run(self) -> None:
+        """List this VM once, and look at the list from time to time."""
+        while True:
+            try:
+                if not self.is_listed:
+                    await self._async_add()
+                await self._async_look()
+            except TransportError as err:
+                self.log.write("list of VMs not read", reason=str(err))
+            await asyncio.sleep(PEER_LIST_SECONDS)
+
+    async def _async_add(self) -> None:
+        key = f"{self.ports.vms_kind}/{self.settings.vm}"
+        value = cbor2.dumps([self.settings.host])
+        try:
+            await self.ports.api.async_put(key, value, if_version=MUST_NOT_EXIST)
+        except ConflictError as err:
+            await self._async_replace(key, value, err.current)
+        self.is_listed = True
+
+    async def _async_replace(self, key: str, value: bytes, version: int) -> None:
+        """Write over the entry of an earlier VM of the same name."""
+        found = await self.ports.api.async_get(key)
+        if found is not None and found.value == value:
+            return
+        try:
+            await self.ports.api.async_put(key, value, if_version=version)
+        except ConflictError as err:
+            self.log.write("entry of this VM was written by another", reason=str(err))
+
+    async def _async_look(self) -> None:
+        listing = await self.ports.list_vms()
+        now = self.clock.monotonic()
+        for found in listing.objects:
+            host = _host(found)
+            if host is not None:
+                self.peers.add(host, now)
+        self.peers.forget_silent(now)
+
+
+def _host(found: PlatformObject) -> str | None:
+    if found.value is None:
+        return None
+    try:
+        (host,) = cbor.read_list(cbor.load(found.value), 1)
+        return cbor.read_text(host)
+    except cbor.ValueInvalidError:
+        return None
