--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -16,6 +16,10 @@
 """Unread prompt work of an engine, in seconds, above which calls wait here."""
 SLOT_SHARE: Final = 1.5
 """Calls at a plain target, per slot, above which calls wait here."""
+MOVED_TOKENS_PER_SECOND: Final = 400_000.0
+"""Speed at which kept context is taken to come to an engine."""
+MOVE_COST_SECONDS_PER_TOKEN: Final = 4e-6
+"""Delay that the use of links is taken to cost, for each token moved."""
 STEP_SECONDS_PER_RUN: Final = 0.002
 """Delay that each running generation is taken to add to a start."""
 LOCAL_ZONE_SECONDS: Final = 0.003
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -117,7 +117,7 @@
 
     @callback
     def set_document(self, document: RoutingDocument) -> None:
-        """Put a document in force; lines of services that are gone end by themselves."""
+        """Put a document in force; lines of services that are gone stay."""
         self.document = document
         for name, service in document.services.items():
             line = self.lines.get(name)
@@ -197,7 +197,7 @@
         assert isinstance(line.placer, JobPlacer)
         outcome: SendOutcome | None = None
         while True:
-            usual = line.placer.work_seconds(job)
+            usual = line.placer.work_seconds(job, self.clock.monotonic())
             try:
                 placed = await line.async_place(job.waiting(usual))
             except NoTargetError:
--- a/src/gypsumsail/gateway/part_cache.py
+++ b/src/gypsumsail/gateway/part_cache.py
@@ -40,14 +40,16 @@
             _, tokens = self.parts.popitem(last=False)
             self.tokens -= tokens
 
-    def cached_tokens(self, scope: str, parts: Sequence[PromptPart]) -> int:
-        """Return the tokens of the leading parts that need not be read again."""
-        total = 0
-        for part in parts:
-            if (scope, part.name) not in self.parts:
-                break
-            total += part.tokens
-        return total
+    def has(self, scope: str, part: PromptPart) -> bool:
+        """Return whether a part is believed to be cached."""
+        return (scope, part.name) in self.parts
+
+    def leading_parts(self, scope: str, parts: Sequence[PromptPart]) -> int:
+        """Return how many leading parts need not be read again."""
+        for number, part in enumerate(parts):
+            if not self.has(scope, part):
+                return number
+        return len(parts)
 
     def clear(self) -> None:
         """Forget all parts."""
--- a/src/gypsumsail/gateway/placement.py
+++ b/src/gypsumsail/gateway/placement.py
@@ -14,6 +14,8 @@
     FAILURE_COST_SECONDS,
     LOCAL_ZONE_SECONDS,
     MEMORY_SHARE,
+    MOVE_COST_SECONDS_PER_TOKEN,
+    MOVED_TOKENS_PER_SECOND,
     OLD_WEIGHTS_COST_SECONDS,
     READ_AHEAD_SECONDS,
     SLOT_SHARE,
@@ -37,6 +39,8 @@
         0 for a plain target.
     own_unread
         Prompt tokens of the call itself that it would have to read.
+    moved
+        Prompt tokens of the call that it would fetch from elsewhere.
     usual_seconds
         Duration of a plain call there.
     """
@@ -49,6 +53,7 @@
     unread: int
     memory_tokens: int
     own_unread: int
+    moved: int
     usual_seconds: float
     failure_share: float
     is_stalled: bool
@@ -92,6 +97,7 @@
     """Return the seconds until the call's first token, or a plain call's end."""
     if candidate.memory_tokens:
         work = (candidate.unread + candidate.own_unread) / demand.read_tokens_per_second
+        work += candidate.moved / MOVED_TOKENS_PER_SECOND
         return work + candidate.calls * STEP_SECONDS_PER_RUN
     rounds = candidate.calls // max(candidate.slots, 1)
     crowding = candidate.calls / max(candidate.slots, 1)
@@ -101,6 +107,7 @@
 def cost(candidate: Candidate, demand: Demand) -> float:
     """Return what placing the call there is taken to cost, in seconds."""
     total = start_delay(candidate, demand)
+    total += candidate.moved * MOVE_COST_SECONDS_PER_TOKEN
     total += candidate.failure_share * FAILURE_COST_SECONDS
     if not candidate.is_local:
         total += LOCAL_ZONE_SECONDS
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from gypsumsail.gateway.const import READ_AHEAD_SECONDS, STALL_SECONDS
 from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.line import Capacity
-from gypsumsail.gateway.models import Service
+from gypsumsail.gateway.models import PromptPart, Service
 from gypsumsail.gateway.placement import Candidate, Demand, Placed, Wait, place
 from gypsumsail.gateway.targets import Flight, TargetState, TargetTable
 from gypsumsail.gateway.weights import WantedWeights, WeightFit, cache_scope, fit
 
+MovableParts = Callable[[str, Sequence[PromptPart], TargetState, float], int]
+
 
 @dataclass(slots=True, kw_only=True)
 class FleetView:
@@ -22,6 +24,8 @@
     ----------
     zone
         Availability zone of this VM.
+    movable
+        Says how many leading parts of a prompt an engine has or could fetch.
     wanted
         Versions that the operator named, by model.
     rollout_seconds
@@ -31,6 +35,7 @@
     """
 
     zone: str
+    movable: MovableParts
     targets: TargetTable
     wanted: dict[str, WantedWeights]
     rollout_seconds: float
@@ -45,7 +50,7 @@
         self.service = service
         self.jobs = jobs
 
-    def work_seconds(self, job: Job) -> float:
+    def work_seconds(self, job: Job, now: float) -> float:
         """Return how long one target is expected to work before the first token."""
         prompt = job.call.prompt
         if prompt is None or self.service.engine is None:
@@ -53,7 +58,8 @@
             return sum(usual) / len(usual) if usual else 0.0
         states = self._states()
         least = min(
-            (self._unread(job, state) for state in states), default=prompt.input_tokens
+            (self._unread(job, state, now)[0] for state in states),
+            default=prompt.input_tokens,
         )
         return least / self._rate()
 
@@ -125,17 +131,23 @@
         isolated = job.customer.name if job.customer.is_isolated else ""
         return cache_scope(isolated, self._version(job, state))
 
-    def _unread(self, job: Job, state: TargetState) -> int:
+    def _unread(self, job: Job, state: TargetState, now: float) -> tuple[int, int]:
+        """Return the prompt tokens to be read there, and those to be fetched."""
         prompt = job.call.prompt
         if prompt is None:
-            return 0
-        cached = state.cache.cached_tokens(self._scope(job, state), prompt.parts)
-        return max(prompt.input_tokens - cached, 0)
+            return 0, 0
+        scope = self._scope(job, state)
+        cached = state.cache.leading_parts(scope, prompt.parts)
+        movable = max(self.view.movable(scope, prompt.parts, state, now), cached)
+        known = sum(part.tokens for part in prompt.parts[:movable])
+        moved = sum(part.tokens for part in prompt.parts[cached:movable])
+        return max(prompt.input_tokens - known, 0), moved
 
     def _candidate(self, job: Job, state: TargetState, now: float) -> Candidate:
         engine = self.service.engine
         if engine is not None:
             state.cache.capacity_tokens = engine.memory_tokens
+        unread, moved = self._unread(job, state, now)
         return Candidate(
             name=state.entry.name,
             is_local=state.entry.zone == self.view.zone,
@@ -144,7 +156,8 @@
             tokens=state.tokens(now),
             unread=state.unread(now),
             memory_tokens=engine.memory_tokens if engine is not None else 0,
-            own_unread=self._unread(job, state),
+            own_unread=unread,
+            moved=moved,
             usual_seconds=state.usual_seconds,
             failure_share=state.failure_share(now),
             is_stalled=state.is_stalled(now),
@@ -155,7 +168,7 @@
         self, job: Job, state: TargetState, start_delay: float, now: float
     ) -> Place:
         prompt = job.call.prompt
-        unread = self._unread(job, state)
+        unread, _ = self._unread(job, state, now)
         flight = Flight(
             tokens=prompt.tokens if prompt is not None else 0,
             unread=unread,
--- /dev/null
+++ b/src/gypsumsail/keeping/__init__.py
@@ -0,0 +1,3 @@
+"""Keeps parts of prompts in stores, and brings them back to engines."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/gypsumsail/keeping/const.py
@@ -0,0 +1,28 @@
+"""Times and sizes of kept context."""
+
+from __future__ import annotations
+
+from typing import Final
+
+POLL_SECONDS: Final = 1.0
+"""Longest wait of one question for a store's changes."""
+POLL_MARGIN_SECONDS: Final = 0.6
+"""Time beyond that wait after which a store is taken as lost."""
+RETRY_SECONDS: Final = 0.3
+"""Pause after a question that a store did not answer."""
+FRESH_SECONDS: Final = 1.5
+"""Age of a store's last answer above which nothing is fetched from it."""
+POLLING_SHARE: Final = 0.7
+"""Share of the questions that a store takes at once which the VMs use."""
+SMALLEST_KEPT_PART: Final = 64
+"""Tokens of the smallest part that is worth a transfer."""
+SAVE_SECONDS: Final = 4.0
+"""Time after which a save that was not reported is taken as broken off."""
+FETCH_SECONDS: Final = 1.5
+"""Time after which a fetch that has not ended is thrown away."""
+FREE_AFTER_SECONDS: Final = 4.0
+"""Time after the last use of a scope may have begun until its parts are freed."""
+FULL_SHARE: Final = 0.97
+"""Share of a store's room above which no more is sent to it."""
+MOVED_TOKENS_PER_SECOND: Final = 400_000.0
+"""Speed at which a fetch is taken to bring tokens to an engine."""
--- /dev/null
+++ b/src/gypsumsail/keeping/port.py
@@ -0,0 +1,29 @@
+"""What keeping context asks of stores."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from gypsumsail.gateway.models import ContextStore
+from gypsumsail.keeping.store_view import PartKey, StoreAnswer
+
+
+class ContextStores(Protocol):
+    """Questions and orders to stores; all raise ``TransportError``."""
+
+    async def async_contents(self, store: ContextStore) -> StoreAnswer:
+        """Ask for all that a store holds whole."""
+
+    async def async_changes(
+        self, store: ContextStore, since: int, wait: float
+    ) -> StoreAnswer:
+        """Wait up to ``wait`` seconds for changes."""
+
+    async def async_free(
+        self, store: ContextStore, parts: Sequence[PartKey], life: int, until_ms: int
+    ) -> bool:
+        """Free parts; return false when the store did not."""
+
+    def forget(self, store: ContextStore) -> None:
+        """Close the connections to a store."""
--- /dev/null
+++ b/src/gypsumsail/keeping/store_view.py
@@ -0,0 +1,132 @@
+"""What a store is known to hold whole."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from gypsumsail.gateway.models import ContextStore, PromptPart
+from gypsumsail.keeping.const import FRESH_SECONDS, FULL_SHARE, SAVE_SECONDS
+
+PartKey = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreChange:
+    """A part that became whole in a store, or left it.
+
+    Attributes
+    ----------
+    tokens
+        Tokens that the store holds of it now; 0 when it left.
+    """
+
+    scope: str
+    part: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreAnswer:
+    """What a store answered to the question for its changes.
+
+    Attributes
+    ----------
+    life
+        Changes when the store restarts, and with it all that it holds.
+    next_number
+        Where the next question goes on.
+    has_gap
+        Whether changes in between are lost.
+    clock_ms
+        Time on the clock of the engines; ``None`` when the store does not say.
+    """
+
+    life: int
+    next_number: int
+    has_gap: bool
+    changes: tuple[StoreChange, ...]
+    clock_ms: int | None
+
+
+@dataclass(slots=True)
+class StoreView:
+    """One store as this VM knows it.
+
+    Attributes
+    ----------
+    parts
+        Tokens of each part that is whole there.
+    saving
+        Parts on their way to it, with the time at which they were sent.
+    life
+        ``None`` while it is not known what the store holds.
+    """
+
+    store: ContextStore
+    parts: dict[PartKey, int] = field(default_factory=dict)
+    saving: dict[PartKey, tuple[int, float]] = field(default_factory=dict)
+    life: int | None = None
+    next_number: int = 0
+    answered_at: float = 0.0
+    clock_offset_ms: float | None = None
+
+    def is_fresh(self, now: float) -> bool:
+        """Return whether what it holds is known well enough to fetch from it."""
+        return self.life is not None and now - self.answered_at < FRESH_SECONDS
+
+    def lost(self) -> None:
+        """Forget all, as the store may have restarted."""
+        self.parts.clear()
+        self.saving.clear()
+        self.life = None
+        self.next_number = 0
+
+    def begin(self, answer: StoreAnswer, now: float) -> None:
+        """Take all that the store holds."""
+        self.lost()
+        self.life = answer.life
+        self._take(answer, now)
+
+    def take(self, answer: StoreAnswer, now: float) -> bool:
+        """Take changes; return false when all has to be asked for again."""
+        if answer.life != self.life or answer.has_gap:
+            self.lost()
+            return False
+        self._take(answer, now)
+        return True
+
+    def _take(self, answer: StoreAnswer, now: float) -> None:
+        for change in answer.changes:
+            key = (change.scope, change.part)
+            if change.tokens:
+                self.parts[key] = change.tokens
+            else:
+                self.parts.pop(key, None)
+            self.saving.pop(key, None)
+        self.next_number = answer.next_number
+        self.answered_at = now
+        if answer.clock_ms is not None:
+            self.clock_offset_ms = answer.clock_ms - now * 1000
+
+    def holds(self, scope: str, part: PromptPart) -> bool:
+        """Return whether a part is whole there."""
+        return self.parts.get((scope, part.name), 0) >= part.tokens
+
+    def expects(self, scope: str, part: PromptPart, now: float) -> bool:
+        """Return whether a part is there or on its way."""
+        if (scope, part.name) in self.parts:
+            return True
+        sent = self.saving.get((scope, part.name))
+        return sent is not None and now - sent[1] < SAVE_SECONDS
+
+    def expect(self, scope: str, parts: Iterable[PromptPart], now: float) -> None:
+        """Note that parts are on their way."""
+        for part in parts:
+            self.saving[(scope, part.name)] = (part.tokens, now)
+
+    def free_tokens(self) -> int:
+        """Return the room that is left, with what is on its way counted."""
+        used = sum(self.parts.values())
+        used += sum(tokens for tokens, _ in self.saving.values())
+        return int(self.store.capacity_tokens * FULL_SHARE) - used
--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -15,6 +15,7 @@
 from gypsumsail.platform.engines import PlatformEngines
 from gypsumsail.platform.objects import PlatformObjects
 from gypsumsail.platform.settings import load_settings
+from gypsumsail.platform.stores import PlatformStores
 from gypsumsail.vm.const import CALL_TIMEOUT_SECONDS
 from gypsumsail.vm.ports import VmPorts
 from gypsumsail.vm.runtime import VmRuntime
@@ -66,6 +67,7 @@
         decoder=PlatformDecoder(),
         calls=calls,
         orders=engines,
+        stores=PlatformStores(),
         vms_kind=names.VM_KIND,
         list_vms=lambda: api.async_list(names.VM_KIND, may_be_stale=True),
         ready_path=names.READY_PATH,
--- a/src/gypsumsail/platform/objects.py
+++ b/src/gypsumsail/platform/objects.py
@@ -6,6 +6,7 @@
 import base64
 import binascii
 from collections.abc import Mapping
+import secrets
 from typing import Any, Final
 from urllib.parse import quote
 
@@ -28,6 +29,8 @@
 """Most pages of one listing."""
 OPAQUE_FIELD: Final = "base64"
 """Field of a spec under which the system keeps bytes of its own."""
+WRITE_FIELD: Final = "write"
+"""Field that tells one write of the same bytes from another."""
 
 
 class PlatformObjects:
@@ -40,6 +43,8 @@
     def __init__(self, client: JsonClient, timeout: float) -> None:
         self.client = client
         self.timeout = timeout
+        self.writer = secrets.token_hex(4)
+        self.writes = 0
 
     async def async_get(self, key: str) -> PlatformObject | None:
         """Return the object, or ``None`` when it does not exist."""
@@ -78,7 +83,12 @@
     async def async_put(self, key: str, value: bytes, *, if_version: int) -> int:
         """Write when the object has ``if_version``; return the new version."""
         name = _name(key)
-        spec = {OPAQUE_FIELD: base64.b64encode(value).decode()}
+        # A write that changes nothing would not count as one.
+        self.writes += 1
+        spec = {
+            OPAQUE_FIELD: base64.b64encode(value).decode(),
+            WRITE_FIELD: f"{self.writer}.{self.writes}",
+        }
         body: dict[str, Any] = {"metadata": {"name": name}, "spec": spec}
         if if_version == MUST_NOT_EXIST:
             answer = await self._async_call("POST", _path(_kind(key)), body=body)
@@ -203,7 +213,7 @@
 
 
 def _value(spec: Any) -> bytes:
-    if isinstance(spec, dict) and set(spec) == {OPAQUE_FIELD}:
+    if isinstance(spec, dict) and set(spec) == {OPAQUE_FIELD, WRITE_FIELD}:
         try:
             return base64.b64decode(spec[OPAQUE_FIELD], validate=True)
         except (binascii.Error, TypeError, ValueError):
--- /dev/null
+++ b/src/gypsumsail/platform/stores.py
@@ -0,0 +1,137 @@
+"""Questions and orders to the platform's stores of kept context."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any, Final
+
+import msgspec
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.gateway.models import ContextStore
+from gypsumsail.keeping.const import POLL_MARGIN_SECONDS
+from gypsumsail.keeping.store_view import PartKey, StoreAnswer, StoreChange
+from gypsumsail.platform import names
+from gypsumsail.platform.client import JsonClient
+
+CALL_SECONDS: Final = 1.0
+
+
+class _Events(msgspec.Struct, frozen=True):
+    """Each event: number, + or -, scope, part, tokens now, model."""
+
+    epoch: int
+    next: int
+    lost: bool = False
+    events: list[tuple[int, str, str, str, int, str]] = []
+    clock_ms: float | None = None
+
+
+class _Contents(msgspec.Struct, frozen=True):
+    """Each entry: scope, part, tokens, model."""
+
+    epoch: int
+    next: int
+    held: list[tuple[str, str, int, str]] = []
+    clock_ms: float | None = None
+
+
+class PlatformStores:
+    """Calls to stores, over connections that are kept."""
+
+    def __init__(self) -> None:
+        self.clients: dict[str, JsonClient] = {}
+
+    async def async_contents(self, store: ContextStore) -> StoreAnswer:
+        """Ask for all that a store holds whole."""
+        body = await self._async_get(store, names.CACHE_LIST_PATH, {}, {}, CALL_SECONDS)
+        found = _convert(body, _Contents)
+        return StoreAnswer(
+            life=found.epoch,
+            next_number=found.next,
+            has_gap=False,
+            changes=tuple(
+                StoreChange(scope=scope, part=part, tokens=tokens)
+                for scope, part, tokens, _ in found.held
+            ),
+            clock_ms=_whole(found.clock_ms),
+        )
+
+    async def async_changes(
+        self, store: ContextStore, since: int, wait: float
+    ) -> StoreAnswer:
+        """Wait up to ``wait`` seconds for changes."""
+        body = await self._async_get(
+            store,
+            names.CACHE_EVENTS_PATH,
+            {"since": str(since)},
+            {"Wait-Ms": str(int(wait * 1000))},
+            wait + POLL_MARGIN_SECONDS,
+        )
+        found = _convert(body, _Events)
+        return StoreAnswer(
+            life=found.epoch,
+            next_number=found.next,
+            has_gap=found.lost,
+            changes=tuple(
+                StoreChange(scope=scope, part=part, tokens=tokens if sign == "+" else 0)
+                for _, sign, scope, part, tokens, _ in found.events
+            ),
+            clock_ms=_whole(found.clock_ms),
+        )
+
+    async def async_free(
+        self, store: ContextStore, parts: Sequence[PartKey], life: int, until_ms: int
+    ) -> bool:
+        """Free parts; return false when the store did not."""
+        answer = await self._client(store).async_call(
+            "POST",
+            names.FREE_PATH,
+            timeout=CALL_SECONDS,
+            body={
+                "parts": [list(key) for key in parts],
+                "epoch": life,
+                "until_ms": until_ms,
+            },
+        )
+        return answer.status == 200
+
+    def forget(self, store: ContextStore) -> None:
+        """Close the connections to a store."""
+        client = self.clients.pop(str(store.address), None)
+        if client is not None:
+            client.close()
+
+    async def _async_get(
+        self,
+        store: ContextStore,
+        path: str,
+        query: dict[str, str],
+        headers: dict[str, str],
+        timeout: float,
+    ) -> Any:
+        answer = await self._client(store).async_call(
+            "GET", path, timeout=timeout, query=query, headers=headers
+        )
+        if answer.status != 200:
+            raise TransportError(f"{path}: status {answer.status}", sent=True)
+        return answer.body
+
+    def _client(self, store: ContextStore) -> JsonClient:
+        key = str(store.address)
+        if key not in self.clients:
+            self.clients[key] = JsonClient(store.address)
+        return self.clients[key]
+
+
+def _convert(body: Any, kind: type[Any]) -> Any:
+    try:
+        return msgspec.convert(body, kind)
+    except msgspec.ValidationError as err:
+        raise TransportError(
+            f"a store's answer can't be read: {err}", sent=True
+        ) from err
+
+
+def _whole(value: float | None) -> int | None:
+    return None if value is None else int(value)
--- a/src/gypsumsail/rollout/const.py
+++ b/src/gypsumsail/rollout/const.py
@@ -8,7 +8,7 @@
 """Pause between two looks at a rollout that is under way."""
 IDLE_STEP_SECONDS: Final = 0.25
 """Pause between two looks when nothing is to be done."""
-LOADING_SHARE: Final = 0.34
+LOADING_SHARE: Final = 0.4
 """Share of a service's engines that load at once; the rest serve meanwhile."""
 ANNOUNCE_SECONDS: Final = 0.2
 """Time between the word to the other VMs and the order, in which they stop sending."""
@@ -24,7 +24,9 @@
 """Time after which an engine that is not done gets another turn."""
 UNREACHABLE_SECONDS: Final = 1.5
 """Time for which an engine that can't be reached gets no order."""
-CANDIDATE_SECONDS: Final = 2.0
+CANDIDATE_SECONDS: Final = 0.7
 """Time that each further VM waits for the one before it to do the rollout."""
-CANDIDATES: Final = 4
+CANDIDATES: Final = 3
 """VMs that may do the rollout, by their rank."""
+LOOK_SECONDS: Final = 0.8
+"""Pause between two looks of a VM that waits for the lease of another."""
--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -20,6 +20,7 @@
     FIRST_REPORT_SECONDS,
     IDLE_STEP_SECONDS,
     LONGEST_LOAD_SECONDS,
+    LOOK_SECONDS,
     REPORT_SECONDS,
     STEP_SECONDS,
     UNREACHABLE_SECONDS,
@@ -79,6 +80,7 @@
         self.behind_since: float | None = None
         self.behind_count = 0
         self.was_holder = False
+        self.looked_at = 0.0
         self.on_loading: Callable[[TargetState], None] = lambda state: None
         self.on_weights: Callable[[TargetState, str, int], None] = (
             lambda state, model, version: None
@@ -106,8 +108,8 @@
         self._end_turns(now)
         if not behind or self.behind_since is None:
             return False
-        if not self._may_try(now):
-            return False
+        if not self._may_try(now) or not self._may_look(now):
+            return True
         await self.keeper.async_step(0)
         self._note_holder()
         if not may_order(self.keeper.held, self.clock.monotonic()):
@@ -144,6 +146,15 @@
         assert self.behind_since is not None
         return may_try(place, now - self.behind_since)
 
+    def _may_look(self, now: float) -> bool:
+        """Return whether the lease is asked for now; its holder always does."""
+        if self.keeper.held is not None:
+            return True
+        if now - self.looked_at < LOOK_SECONDS:
+            return False
+        self.looked_at = now
+        return True
+
     def _note_holder(self) -> None:
         is_holder = self.keeper.held is not None
         if is_holder != self.was_holder:
--- a/src/gypsumsail/vm/const.py
+++ b/src/gypsumsail/vm/const.py
@@ -24,7 +24,11 @@
 """Time before the end of the grace in which the process ends by itself."""
 STARTUP_PATIENCE_SECONDS: Final = 1.0
 """Time after the start in which a VM waits for the list before it says ready."""
-LEASE_RENEW_SHARE: Final = 0.3
-"""Share of the lease's time after which its holder renews it."""
+LEASE_HELD_SECONDS: Final = 1.3
+"""Time for which a confirmed renewal lets its holder give orders."""
+LEASE_MARGIN_SECONDS: Final = 0.3
+"""Time added to the least time between two holders, for clocks and late orders."""
+LEASE_RENEW_SECONDS: Final = 0.4
+"""Time after which the holder renews its lease."""
 LEASE_NAME: Final = "weights"
 """Name of the one lease for orders to engines."""
--- a/src/gypsumsail/vm/ports.py
+++ b/src/gypsumsail/vm/ports.py
@@ -8,6 +8,7 @@
 from gypsumsail.catalog.coordinator import Decoder, Kinds
 from gypsumsail.gateway.models import Call, TargetEntry
 from gypsumsail.gateway.port import CallerReply, TargetCalls
+from gypsumsail.keeping.port import ContextStores
 from gypsumsail.object_api.port import Listing, ObjectApi
 from gypsumsail.rollout.port import EngineOrders
 from gypsumsail.transport.http_server import HttpRequest, Reply
@@ -43,6 +44,7 @@
     decoder: Decoder
     calls: TargetCalls
     orders: EngineOrders
+    stores: ContextStores
     vms_kind: str
     list_vms: Callable[[], Awaitable[Listing]]
     ready_path: bytes
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -24,6 +24,7 @@
 from gypsumsail.gateway.weights import WantedWeights
 from gypsumsail.gossip.coordinator import GossipCoordinator
 from gypsumsail.gossip.peers import PeerTable
+from gypsumsail.keeping.coordinator import KeepingCoordinator
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.logs.line_writer import LineWriter
 from gypsumsail.metrics.registry import MetricsRegistry
@@ -38,8 +39,10 @@
 )
 from gypsumsail.vm.catch_up import CatchUp
 from gypsumsail.vm.const import (
+    LEASE_HELD_SECONDS,
+    LEASE_MARGIN_SECONDS,
     LEASE_NAME,
-    LEASE_RENEW_SHARE,
+    LEASE_RENEW_SECONDS,
     RESTART_SECONDS,
     SETTINGS_SECONDS,
     TICK_SECONDS,
@@ -83,6 +86,14 @@
         self.targets = TargetTable()
         self.wanted: dict[str, WantedWeights] = {}
         self.peers = PeerTable(settings.host)
+        self.keeping = KeepingCoordinator(
+            settings.vm,
+            ports.stores,
+            self.targets,
+            clock,
+            self.log,
+            self._vm_names,
+        )
         self.gateway = self._make_gateway()
         self.catalog = self._make_catalog()
         self.gossip = self._make_gossip()
@@ -103,18 +114,21 @@
     def _make_gateway(self) -> Gateway:
         view = FleetView(
             zone=self.settings.zone,
+            movable=self.keeping.movable_parts,
             targets=self.targets,
             wanted=self.wanted,
             rollout_seconds=self.settings.rollout_seconds,
             vms=lambda: self.peers.count(self.clock.monotonic()),
         )
-        return Gateway(
+        gateway = Gateway(
             view,
             self.ports.calls,
             self.clock,
             GatewaySettings(repeat_limit=self.settings.repeat_limit),
             self.telemetry,
         )
+        gateway.plan_context = self.keeping.plan
+        return gateway
 
     def _make_catalog(self) -> CatalogCoordinator:
         return CatalogCoordinator(
@@ -146,7 +160,9 @@
     def _make_rollout(self) -> RolloutCoordinator:
         lease = self.settings.lease_seconds
         terms = LeaseTerms(
-            seconds=2 * lease + 0.5, margin=lease + 0.5, renew=lease * LEASE_RENEW_SHARE
+            seconds=lease + LEASE_HELD_SECONDS + LEASE_MARGIN_SECONDS,
+            margin=lease + LEASE_MARGIN_SECONDS,
+            renew=LEASE_RENEW_SECONDS,
         )
         holder = f"{self.settings.vm}@{self.settings.host}"
         keeper = LeaseKeeper(self.ports.api, self.clock, LEASE_NAME, holder, terms)
@@ -258,6 +274,7 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for server in self.servers:
             await server.async_stop()
+        self.keeping.stop()
         self.gossip.stop()
         self.writer.flush()
 
@@ -296,6 +313,7 @@
     @callback
     def _on_document(self, document: RoutingDocument) -> None:
         self.gateway.set_document(document)
+        self.keeping.set_document(document)
         limits = document.limits
         self.callers.limits = ServerLimits(
             head_bytes=limits.head_bytes,
