Let a few VMs of each zone watch and follow for the others

Ruled out: longer watches (a silent one would miss the time for documents); a full-rate mesh of all VMs (30,000 datagrams a second).

--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -8,6 +8,10 @@
 """Longest wait of one watch; a silent connection is found out after it."""
 LATE_WATCH_SECONDS: Final = 0.3
 """Time beyond a watch's own wait from which its answer shows an outage."""
+WATCHERS_IN_A_ZONE: Final = 3
+"""VMs of each zone that watch a kind for the others."""
+DUTY_SECONDS: Final = 0.2
+"""Pause between two looks of a VM at whether it has to watch."""
 RETRY_SECONDS: Final = 0.25
 """Pause after a call to the store that failed."""
 LONGEST_RETRY_SECONDS: Final = 1.0
--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from gypsumsail.catalog.const import WATCH_SECONDS
+from gypsumsail.catalog.copies import Copy
 from gypsumsail.catalog.kind_state import Changes
 from gypsumsail.catalog.kind_watch import KindWatch
 from gypsumsail.catalog.store_link import StoreLink
@@ -18,7 +19,7 @@
 from gypsumsail.gateway.targets import TargetTable
 from gypsumsail.gateway.telemetry import GatewayTelemetry
 from gypsumsail.gateway.weights import WantedWeights
-from gypsumsail.object_api.port import Listing, ObjectApi, PlatformObject
+from gypsumsail.object_api.port import ObjectApi, PlatformObject
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,6 +77,7 @@
         telemetry: GatewayTelemetry,
         on_document: Callable[[RoutingDocument], None],
         on_target_gone: Callable[[TargetEntry], None],
+        has_duty: Callable[[str], bool],
     ) -> None:
         self.kinds = kinds
         self.decoder = decoder
@@ -96,6 +98,7 @@
                 clock,
                 self._on_changes,
                 self._on_link,
+                has_duty,
             )
             for kind in kinds.all()
         }
@@ -110,29 +113,40 @@
         """Return the revision of the newest change that is known, by kind."""
         return {kind: watch.state.changed_at for kind, watch in self.watches.items()}
 
-    def is_away(self, kind: str, now: float) -> bool:
-        """Return whether the store does not answer for a kind."""
-        return self.links[kind].is_away(now) or not self.watches[kind].state.revision
+    def is_watching(self, kind: str) -> bool:
+        """Return whether this VM watches a kind at the store itself."""
+        return self.watches[kind].is_watching
 
-    def copy_of(self, kind: str) -> Listing | None:
-        """Return the copy of a kind for a peer; ``None`` when there is none."""
+    def revision(self, kind: str) -> int:
+        """Return the revision as of which the copy of a kind holds."""
+        return self.watches[kind].state.revision
+
+    def copy_since(self, kind: str, revision: int, now: float) -> Copy | None:
+        """Return what a peer lacks of a kind; ``None`` when there is no copy."""
         watch = self.watches.get(kind)
         if watch is None or not watch.state.revision:
             return None
-        return watch.state.listing()
+        return Copy(
+            update=watch.state.update_since(revision),
+            trouble=self.links[kind].trouble(now),
+        )
 
     @callback
-    def take_copy(self, kind: str, listing: Listing, peer: str) -> None:
-        """Take a peer's copy where it is newer."""
+    def take_copy(self, kind: str, copy: Copy, peer: str) -> None:
+        """Take what a peer knows beyond this VM."""
         watch = self.watches.get(kind)
+        listing = copy.update.listing
         if watch is None or listing.revision <= watch.state.revision:
             return
+        if not watch.is_watching:
+            self.links[kind].heard_of(copy.trouble, self.clock.monotonic())
+        state = watch.state
+        take = state.replace if copy.update.is_complete else state.apply
         self.source = peer
         try:
-            self._on_changes(kind, watch.state.replace(listing))
+            self._on_changes(kind, take(listing))
         finally:
             self.source = "store"
-        watch.must_list = True
 
     def tasks(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Return what has to run, one for each kind."""
--- a/src/gypsumsail/catalog/kind_state.py
+++ b/src/gypsumsail/catalog/kind_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -16,6 +17,18 @@
     removed: tuple[str, ...] = ()
 
 
+MOST_REMOVALS = 2_000
+"""Removals that are remembered for peers whose copy is older."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Update:
+    """What a copy has beyond a revision; all of it when the revision is too old."""
+
+    listing: Listing
+    is_complete: bool
+
+
 @dataclass(slots=True)
 class KindState:
     """Objects by key; an older source never replaces a newer one.
@@ -26,11 +39,17 @@
         Revision of the store as of which the copy is complete; 0 at the start.
     changed_at
         Revision of the last change that the copy holds; peers compare it.
+    removals
+        Keys that were removed, each with the revision as of which it was.
+    removals_since
+        Revision after which the removals are complete; 0 at the start.
     """
 
     revision: int = 0
     changed_at: int = 0
     objects: dict[str, PlatformObject] = field(default_factory=dict)
+    removals: deque[tuple[int, str]] = field(default_factory=deque)
+    removals_since: int = 0
 
     def replace(self, listing: Listing) -> Changes:
         """Take a complete listing unless the copy is newer."""
@@ -40,15 +59,15 @@
         removed = tuple(key for key in self.objects if key not in names)
         written = tuple(self._newer(listing.objects))
         for key in removed:
-            del self.objects[key]
-        if removed:
-            self.changed_at = max(self.changed_at, listing.revision)
+            self._remove(key, listing.revision)
+        self.removals_since = self.removals_since or listing.revision
         self.revision = listing.revision
         return Changes(written=written, removed=removed)
 
     def apply(self, listing: Listing) -> Changes:
         """Take the changes of a watch."""
-        written, removed = [], []
+        written: list[PlatformObject] = []
+        removed: list[str] = []
         for found in listing.objects:
             if found.value is not None:
                 written += self._newer((found,))
@@ -56,17 +75,32 @@
             known = self.objects.get(found.key)
             if known is None or known.version > max(found.version, listing.revision):
                 continue
-            del self.objects[found.key]
+            self._remove(found.key, listing.revision)
             removed.append(found.key)
-            self.changed_at = max(self.changed_at, found.version)
-        if removed:
-            self.changed_at = max(self.changed_at, listing.revision)
         self.revision = max(self.revision, listing.revision)
         return Changes(written=tuple(written), removed=tuple(removed))
 
-    def listing(self) -> Listing:
-        """Return the copy for a peer."""
-        return Listing(objects=tuple(self.objects.values()), revision=self.revision)
+    def update_since(self, revision: int) -> Update:
+        """Return what a peer with a copy as of a revision lacks."""
+        if not self.removals_since or revision < self.removals_since:
+            whole = tuple(self.objects.values())
+            listing = Listing(objects=whole, revision=self.revision)
+            return Update(listing=listing, is_complete=True)
+        newer = [item for item in self.objects.values() if item.version > revision]
+        removed = [
+            PlatformObject(key=key, version=at, value=None)
+            for at, key in self.removals
+            if at > revision and key not in self.objects
+        ]
+        listing = Listing(objects=(*newer, *removed), revision=self.revision)
+        return Update(listing=listing, is_complete=False)
+
+    def _remove(self, key: str, revision: int) -> None:
+        del self.objects[key]
+        self.changed_at = max(self.changed_at, revision)
+        self.removals.append((revision, key))
+        while len(self.removals) > MOST_REMOVALS:
+            self.removals_since = self.removals.popleft()[0]
 
     def _newer(self, found: Iterable[PlatformObject]) -> Iterable[PlatformObject]:
         for item in found:
--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from gypsumsail.catalog.const import (
+    DUTY_SECONDS,
     LATE_WATCH_SECONDS,
     LONGEST_RETRY_SECONDS,
     RETRY_SECONDS,
@@ -27,6 +28,8 @@
         Whether the next call lists anew instead of watching.
     on_changes
         Called with what changed.
+    has_duty
+        Says whether this VM is one of those that watch a kind.
     on_link
         Called when the store is lost or back; with the reason of a loss.
     """
@@ -39,6 +42,7 @@
         clock: Clock,
         on_changes: Callable[[str, Changes], None],
         on_link: Callable[[bool, str], None],
+        has_duty: Callable[[str], bool],
     ) -> None:
         self.api = api
         self.kind = kind
@@ -48,11 +52,20 @@
         self.must_list = True
         self.on_changes = on_changes
         self.on_link = on_link
+        self.has_duty = has_duty
+
+    @property
+    def is_watching(self) -> bool:
+        """Return whether this VM asks the store itself, and not its peers."""
+        return not self.state.revision or self.has_duty(self.kind)
 
     async def async_run(self) -> None:
         """Follow the kind until cancelled."""
         pause = RETRY_SECONDS
         while True:
+            if not self.is_watching:
+                await asyncio.sleep(DUTY_SECONDS)
+                continue
             try:
                 changes = await self._async_step()
             except WatchExpiredError:
--- a/src/gypsumsail/catalog/store_link.py
+++ b/src/gypsumsail/catalog/store_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import IntEnum
 
 from gypsumsail.catalog.const import (
     AWAY_SECONDS,
@@ -11,6 +12,14 @@
 )
 
 
+class StoreTrouble(IntEnum):
+    """How the store has been for a VM."""
+
+    NONE = 0
+    LATELY = 1
+    NOW = 2
+
+
 @dataclass(slots=True)
 class StoreLink:
     """The store as this VM has met it.
@@ -43,6 +52,23 @@
         self.failed_at = now
         return is_first
 
+    def heard_of(self, trouble: StoreTrouble, now: float) -> None:
+        """Take how a peer has met the store that it copies from."""
+        match trouble:
+            case StoreTrouble.NOW:
+                self.failed(now)
+            case StoreTrouble.LATELY if not self.had_trouble(now):
+                self.failed(now)
+                self.answered(now)
+            case _:
+                self.answered(now)
+
+    def trouble(self, now: float) -> StoreTrouble:
+        """Return how the store has been for this VM."""
+        if self.is_failing():
+            return StoreTrouble.NOW
+        return StoreTrouble.LATELY if self.had_trouble(now) else StoreTrouble.NONE
+
     def is_away(self, now: float) -> bool:
         """Return whether the store has not answered for a while."""
         failing = self.failed_at is not None and self.failed_at >= self.answered_at
--- a/src/gypsumsail/cli/entry.py
+++ b/src/gypsumsail/cli/entry.py
@@ -41,7 +41,8 @@
     The secrets may also stand in the variables GYPSUMSAIL_PEER_SECRET and
     GYPSUMSAIL_OPERATOR_KEY. Exit codes: 0 stopped, 2 bad settings.
     """
-    from gypsumsail.entry.settings import SettingsInvalidError, load_settings
+    from gypsumsail.core.findings import SettingsInvalidError
+    from gypsumsail.entry.settings import load_settings
 
     given, places = _collect(context, values)
     try:
--- a/src/gypsumsail/gateway/service_line.py
+++ b/src/gypsumsail/gateway/service_line.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -77,11 +76,7 @@
         left = [call for call in ordered if not self._try_place(call, now)]
         capacity = self.placer.capacity(now)
         for call in hopeless(left, capacity, now):
-            error = NoTargetError(
-                "its turn would come after its end",
-                retry_after=capacity.backlog_seconds,
-            )
-            self._settle(call.number, lambda future, err=error: _fail(future, err))
+            self._turn_away(call.number, capacity.backlog_seconds)
         if left and self.timer is None:
             loop = asyncio.get_running_loop()
             self.timer = loop.call_later(LINE_INTERVAL_SECONDS, self._on_timer)
@@ -94,19 +89,15 @@
         placed = self.placer.place(call.number, now)
         if isinstance(placed, Wait):
             return False
-        self._settle(call.number, lambda future: future.set_result(placed))
+        place = self.places.pop(call.number)
+        place.future.set_result(placed)
         return True
 
-    def _settle(
-        self, number: int, settle: Callable[[asyncio.Future[Placed]], None]
-    ) -> None:
-        place = self.places.pop(number, None)
-        if place is not None and not place.future.done():
-            settle(place.future)
+    def _turn_away(self, number: int, free_in: float) -> None:
+        place = self.places.pop(number)
+        place.future.set_exception(
+            NoTargetError("its turn would come after its end", retry_after=free_in)
+        )
 
     def _free_in(self, now: float) -> float:
         return self.placer.capacity(now).backlog_seconds
-
-
-def _fail(future: asyncio.Future[Placed], error: NoTargetError) -> None:
-    future.set_exception(error)
--- a/src/gypsumsail/gossip/const.py
+++ b/src/gypsumsail/gossip/const.py
@@ -7,9 +7,13 @@
 FORMAT: Final = 1
 """Number of the message format; messages of another one are left out."""
 INTERVAL_SECONDS: Final = 0.1
-"""Pause between messages in a small fleet; loads are as old at their targets."""
+"""Pause between messages; placements of other VMs are known that much later."""
 VMS_AT_FULL_RATE: Final = 12
-"""VMs up to which the pause stays the same; beyond, it grows with their number."""
+"""VMs up to which all hear each other at the full rate."""
+FAR_INTERVAL_SECONDS: Final = 0.8
+"""Pause between messages to VMs of other zones in a larger fleet."""
+UNCHANGED_INTERVAL_SECONDS: Final = 0.6
+"""Pause between messages that say nothing new."""
 QUIET_INTERVAL_SECONDS: Final = 1.0
 """Pause between messages to a VM that has not been heard."""
 HEARD_SECONDS: Final = 3.0
@@ -23,4 +27,6 @@
 HOSTS_IN_A_MESSAGE: Final = 6
 """Hosts of other VMs that one message names."""
 CATCH_UP_SECONDS: Final = 0.3
-"""Time for which a peer knows more before its copy is asked for."""
+"""Time for which a peer knows more before a VM that watches asks for its copy."""
+STORE_CHANGES_IN_A_MESSAGE: Final = 24
+"""Most changes of stores in one message."""
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 import random
 from typing import TypeVar
 
@@ -12,13 +13,20 @@
 from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.strikes import StrikeBook
 from gypsumsail.gateway.targets import PeerLoad, TargetState, TargetTable
-from gypsumsail.gossip.const import CATCH_UP_SECONDS, NEWS_IN_A_MESSAGE
+from gypsumsail.gossip.const import (
+    CATCH_UP_SECONDS,
+    FAR_INTERVAL_SECONDS,
+    NEWS_IN_A_MESSAGE,
+    STORE_CHANGES_IN_A_MESSAGE,
+    UNCHANGED_INTERVAL_SECONDS,
+)
 from gypsumsail.gossip.endpoint import GossipEndpoint
 from gypsumsail.gossip.messages import (
     CachedPrompt,
     GossipMessage,
     LoadingTarget,
     SeenWeights,
+    StoreNews,
     Strike,
     TargetLoad,
 )
@@ -33,44 +41,53 @@
 class GossipCoordinator:
     """The gossip of one VM.
 
+    In a fleet of more than a few VMs those of one zone tell each other all, and
+    those of other zones hear of loads at a lower rate.
+
     Attributes
     ----------
     changed_at
         Revision of the newest change that this VM knows, by kind.
+    is_watching
+        Whether this VM watches a kind at the platform's store itself.
+    on_store_news
+        Called with what another VM has learned of a store of kept context.
     """
 
     def __init__(
         self,
-        vm: str,
-        host: str,
         port: int,
         peers: PeerTable,
         targets: TargetTable,
         strikes: StrikeBook,
         clock: Clock,
         changed_at: Callable[[], Mapping[str, int]],
+        is_watching: Callable[[str], bool],
+        on_store_news: Callable[[Peer, StoreNews], None],
     ) -> None:
-        self.vm = vm
-        self.host = host
         self.port = port
         self.peers = peers
         self.targets = targets
         self.strikes = strikes
         self.clock = clock
         self.changed_at = changed_at
+        self.is_watching = is_watching
+        self.on_store_news = on_store_news
         self.endpoint = GossipEndpoint(self.take)
         self.started_at = int(clock.wall() * 1000)
         self.number = 0
-        self.sent_at = 0.0
+        self.last_said: GossipMessage | None = None
+        self.last_changed_at: Mapping[str, int] = {}
         self.random = random.Random()
         self.cached: deque[CachedPrompt] = deque(maxlen=256)
+        self.store_news: deque[StoreNews] = deque(maxlen=512)
         self.strike_news: list[tuple[Strike, int]] = []
         self.loading_news: list[tuple[LoadingTarget, int]] = []
         self.weight_news: list[tuple[SeenWeights, int]] = []
 
     async def async_start(self) -> None:
         """Listen for messages."""
-        await self.endpoint.async_start(self.host, self.port)
+        await self.endpoint.async_start(self.peers.host, self.port)
 
     @callback
     def stop(self) -> None:
@@ -81,7 +98,7 @@
     def first_token(self, job: Job, place: Place, now: float) -> None:
         """Tell that an engine has read a prompt."""
         prompt = job.call.prompt
-        if prompt is None or not prompt.parts:
+        if prompt is None or len(prompt.parts) < 2:
             return
         entry = place.state.entry
         self.cached.append(
@@ -99,7 +116,7 @@
         entry = state.entry
         news = LoadingTarget(target=entry.name, life=entry.life)
         self.loading_news.append((news, REPEATED_SENDS))
-        self.send(self.clock.monotonic())
+        self.send_to_all(self.clock.monotonic())
 
     @callback
     def weights(self, state: TargetState, model: str, version: int) -> None:
@@ -109,51 +126,86 @@
             target=entry.name, life=entry.life, model=model, version=version
         )
         self.weight_news.append((news, REPEATED_SENDS))
-        self.send(self.clock.monotonic())
+        self.send_to_all(self.clock.monotonic())
 
     @callback
-    def tick(self, now: float) -> None:
-        """Send when a message is due."""
-        if now - self.sent_at >= self.peers.interval(now):
-            self.send(now)
+    def tell_store_news(self, news: StoreNews) -> None:
+        """Tell the near VMs what a store of kept context holds."""
+        self.store_news.append(news)
 
     @callback
-    def send(self, now: float) -> None:
-        """Send one message to all VMs that are due."""
-        self.sent_at = now
-        due = self.peers.due(now)
-        if not due:
+    def tick(self, now: float) -> None:
+        """Send what is due."""
+        changed_at = self.changed_at()
+        if changed_at != self.last_changed_at:
+            self.last_changed_at = dict(changed_at)
+            self.send_to_all(now)
             return
-        self.number += 1
-        for peer in due:
+        near, far = self.peers.split(now)
+        due_near = self.peers.due(near, self.peers.near_interval(now), now)
+        due_far = self.peers.due(far, FAR_INTERVAL_SECONDS, now)
+        if due_near or due_far:
+            self._send(due_near, due_far, now, must_say=False)
+
+    @callback
+    def send_to_all(self, now: float) -> None:
+        """Send to all VMs at once."""
+        near, far = self.peers.split(now)
+        self._send(near, far, now, must_say=True)
+
+    def _send(
+        self, near: list[Peer], far: list[Peer], now: float, *, must_say: bool
+    ) -> None:
+        message = self._message(now, tells_all=bool(near))
+        said = replace(message, number=0, hosts=())
+        if not must_say and said == self.last_said:
+            limit = now - UNCHANGED_INTERVAL_SECONDS
+            near = [peer for peer in near if (peer.sent_at or 0.0) <= limit]
+            far = [peer for peer in far if (peer.sent_at or 0.0) <= limit]
+        self.last_said = said
+        for peer in (*near, *far):
             peer.sent_at = now
-        message = self._message(now)
-        self.endpoint.send(message, [(peer.host, self.port) for peer in due])
+        self.endpoint.send(message, [(peer.host, self.port) for peer in near])
+        if far:
+            less = replace(message, cached=(), stores=())
+            self.endpoint.send(less, [(peer.host, self.port) for peer in far])
 
-    def _message(self, now: float) -> GossipMessage:
+    def _message(self, now: float, *, tells_all: bool) -> GossipMessage:
         for fingerprint, target, life in self.strikes.take_news(NEWS_IN_A_MESSAGE):
             strike = Strike(fingerprint=fingerprint, target=target, life=life)
             self.strike_news.append((strike, REPEATED_SENDS))
-        cached = [
-            self.cached.popleft()
-            for _ in range(min(len(self.cached), NEWS_IN_A_MESSAGE))
-        ]
+        self.number += 1
         return GossipMessage(
-            vm=self.vm,
-            host=self.host,
+            vm=self.peers.vm,
+            host=self.peers.host,
+            zone=self.peers.zone,
             started_at=self.started_at,
             number=self.number,
             changed_at=tuple(self.changed_at().items()),
             loads=tuple(
                 _load(state) for state in self.targets.states.values() if state.flights
             ),
-            cached=tuple(cached),
+            cached=self._cached() if tells_all else (),
             strikes=_take(self.strike_news),
             loading=_take(self.loading_news),
             weights=_take(self.weight_news),
             hosts=self.peers.some_hosts(self.random, now),
+            stores=self._stores() if tells_all else (),
         )
 
+    def _cached(self) -> tuple[CachedPrompt, ...]:
+        count = min(len(self.cached), NEWS_IN_A_MESSAGE)
+        return tuple(self.cached.popleft() for _ in range(count))
+
+    def _stores(self) -> tuple[StoreNews, ...]:
+        taken: list[StoreNews] = []
+        room = STORE_CHANGES_IN_A_MESSAGE
+        while self.store_news and room > 0:
+            news = self.store_news.popleft()
+            room -= len(news.changes) + 1
+            taken.append(news)
+        return tuple(taken)
+
     @callback
     def take(self, message: GossipMessage) -> None:
         """Take a message of another VM."""
@@ -176,6 +228,8 @@
             state = self._state(seen.target, seen.life)
             if state is not None:
                 state.learn_version(seen.model, seen.version, now)
+        for news in message.stores:
+            self.on_store_news(peer, news)
         self._compare(peer, message, now)
 
     def _take_loads(self, message: GossipMessage, now: float) -> None:
@@ -190,24 +244,31 @@
             )
 
     def _compare(self, peer: Peer, message: GossipMessage, now: float) -> None:
-        known = self.changed_at()
-        is_ahead = any(
-            revision > known.get(kind, 0) for kind, revision in message.changed_at
-        )
-        if not is_ahead:
+        if not self._behind(message.changed_at):
             peer.ahead_since = None
         elif peer.ahead_since is None:
             peer.ahead_since = now
 
+    def _behind(self, changed_at: tuple[tuple[str, int], ...]) -> bool:
+        known = self.changed_at()
+        return any(revision > known.get(kind, 0) for kind, revision in changed_at)
+
     def peer_to_ask(self, now: float) -> Peer | None:
-        """Return a VM that has known more than this one for a while."""
+        """Return a VM that knows more than this one, of this zone if there is one.
+
+        A VM that watches the store itself gives it some time to tell.
+        """
+        patience = CATCH_UP_SECONDS if self._watches_all() else 0.0
         ahead = [
             peer
             for peer in self.peers.alive(now)
-            if peer.ahead_since is not None
-            and now - peer.ahead_since >= CATCH_UP_SECONDS
+            if peer.ahead_since is not None and now - peer.ahead_since >= patience
         ]
-        return self.random.choice(ahead) if ahead else None
+        near = [peer for peer in ahead if peer.zone == self.peers.zone]
+        return self.random.choice(near or ahead) if ahead else None
+
+    def _watches_all(self) -> bool:
+        return all(self.is_watching(kind) for kind in self.changed_at())
 
     def _state(self, target: str, life: int) -> TargetState | None:
         state = self.targets.states.get(target)
--- a/src/gypsumsail/gossip/messages.py
+++ b/src/gypsumsail/gossip/messages.py
@@ -10,7 +10,7 @@
 from gypsumsail.gateway.models import PromptPart
 from gypsumsail.gossip.const import FORMAT
 
-MESSAGE_FIELDS = 12
+MESSAGE_FIELDS = 14
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,6 +61,29 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreNews:
+    """What a VM that follows a store of kept context has learned there.
+
+    Attributes
+    ----------
+    number
+        Grows by one with each piece of news on the store from the same VM.
+    life
+        Life of the store; 0 when it is not known what it holds.
+    clock_ms
+        Time on the clock of the engines; 0 when it is not known.
+    changes
+        Scope, part and tokens; no tokens for a part that left.
+    """
+
+    store: str
+    number: int
+    life: int
+    clock_ms: int
+    changes: tuple[tuple[str, str, int], ...] = ()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GossipMessage:
     """What one VM knows that the others should.
@@ -81,6 +104,7 @@
 
     vm: str
     host: str
+    zone: str
     started_at: int
     number: int
     changed_at: tuple[tuple[str, int], ...] = ()
@@ -90,6 +114,7 @@
     loading: tuple[LoadingTarget, ...] = ()
     weights: tuple[SeenWeights, ...] = ()
     hosts: tuple[str, ...] = ()
+    stores: tuple[StoreNews, ...] = ()
 
 
 def encode(message: GossipMessage) -> bytes:
@@ -99,6 +124,7 @@
             FORMAT,
             message.vm,
             message.host,
+            message.zone,
             message.started_at,
             message.number,
             [list(item) for item in message.changed_at],
@@ -123,6 +149,16 @@
                 for item in message.weights
             ],
             list(message.hosts),
+            [
+                [
+                    news.store,
+                    news.number,
+                    news.life,
+                    news.clock_ms,
+                    [list(change) for change in news.changes],
+                ]
+                for news in message.stores
+            ],
         ]
     )
 
@@ -135,15 +171,17 @@
     return GossipMessage(
         vm=cbor.read_text(fields[1]),
         host=cbor.read_text(fields[2]),
-        started_at=cbor.read_count(fields[3]),
-        number=cbor.read_count(fields[4]),
-        changed_at=tuple(map(_changed_at, cbor.read_list(fields[5]))),
-        loads=tuple(map(_load, cbor.read_list(fields[6]))),
-        cached=tuple(map(_cached, cbor.read_list(fields[7]))),
-        strikes=tuple(map(_strike, cbor.read_list(fields[8]))),
-        loading=tuple(map(_loading, cbor.read_list(fields[9]))),
-        weights=tuple(map(_weights, cbor.read_list(fields[10]))),
-        hosts=tuple(map(cbor.read_text, cbor.read_list(fields[11]))),
+        zone=cbor.read_text(fields[3]),
+        started_at=cbor.read_count(fields[4]),
+        number=cbor.read_count(fields[5]),
+        changed_at=tuple(map(_changed_at, cbor.read_list(fields[6]))),
+        loads=tuple(map(_load, cbor.read_list(fields[7]))),
+        cached=tuple(map(_cached, cbor.read_list(fields[8]))),
+        strikes=tuple(map(_strike, cbor.read_list(fields[9]))),
+        loading=tuple(map(_loading, cbor.read_list(fields[10]))),
+        weights=tuple(map(_weights, cbor.read_list(fields[11]))),
+        hosts=tuple(map(cbor.read_text, cbor.read_list(fields[12]))),
+        stores=tuple(map(_store_news, cbor.read_list(fields[13]))),
     )
 
 
@@ -200,3 +238,19 @@
         model=cbor.read_text(model),
         version=cbor.read_count(version),
     )
+
+
+def _store_news(value: object) -> StoreNews:
+    store, number, life, clock_ms, changes = cbor.read_list(value, 5)
+    return StoreNews(
+        store=cbor.read_text(store),
+        number=cbor.read_count(number),
+        life=cbor.read_count(life),
+        clock_ms=cbor.read_count(clock_ms),
+        changes=tuple(map(_store_change, cbor.read_list(changes))),
+    )
+
+
+def _store_change(value: object) -> tuple[str, str, int]:
+    scope, part, tokens = cbor.read_list(value, 3)
+    return cbor.read_text(scope), cbor.read_text(part), cbor.read_count(tokens)
--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
 
+from gypsumsail.core.rendezvous import rank
 from gypsumsail.gossip.const import (
     FORGOTTEN_SECONDS,
     HEARD_SECONDS,
@@ -31,6 +33,7 @@
     host: str
     known_since: float
     vm: str = ""
+    zone: str = ""
     started_at: int = 0
     number: int = 0
     heard_at: float | None = None
@@ -48,11 +51,13 @@
 
     Attributes
     ----------
-    host
-        This VM's own host, which is never a peer.
+    vm, host, zone
+        This VM itself, which is never a peer.
     """
 
+    vm: str
     host: str
+    zone: str
     peers: dict[str, Peer] = field(default_factory=dict)
 
     def add(self, host: str, now: float) -> None:
@@ -70,6 +75,7 @@
         if peer.heard_at is not None and order <= (peer.started_at, peer.number):
             return None
         peer.vm = message.vm
+        peer.zone = message.zone
         peer.started_at, peer.number = order
         peer.heard_at = now
         for host in message.hosts:
@@ -84,19 +90,46 @@
         """Return the number of VMs that are believed alive, this one included."""
         return len(self.alive(now)) + 1
 
-    def interval(self, now: float) -> float:
-        """Return the pause between messages; their sum stays bounded in a fleet."""
-        growth = max(self.count(now) / VMS_AT_FULL_RATE, 1.0)
-        return INTERVAL_SECONDS * growth
-
-    def due(self, now: float) -> list[Peer]:
-        """Return the VMs that get a message now."""
+    def names(self, now: float) -> list[str]:
+        """Return the names of the VMs that are believed alive."""
+        return [self.vm, *(peer.vm for peer in self.alive(now))]
+
+    def names_in_zone(self, now: float) -> list[str]:
+        """Return the names of those in this VM's zone."""
+        near = (peer.vm for peer in self.alive(now) if peer.zone == self.zone)
+        return [self.vm, *near]
+
+    def has_duty(self, duty: str, holders: int, now: float) -> bool:
+        """Return whether this VM is one of the holders of a duty in its zone."""
+        names = self.names_in_zone(now)
+        return len(names) <= holders or self.vm in list(rank(duty, names))[:holders]
+
+    def is_large(self, now: float) -> bool:
+        """Return whether not all VMs hear each other at the full rate."""
+        return self.count(now) > VMS_AT_FULL_RATE
+
+    def split(self, now: float) -> tuple[list[Peer], list[Peer]]:
+        """Return the VMs that share all news with this one, and the others."""
+        if not self.is_large(now):
+            return list(self.peers.values()), []
+        near = [peer for peer in self.peers.values() if peer.zone == self.zone]
+        far = [peer for peer in self.peers.values() if peer.zone != self.zone]
+        return near, far
+
+    def near_interval(self, now: float) -> float:
+        """Return the pause between messages to the near VMs."""
+        near = sum(peer.is_heard(now) for peer in self.split(now)[0]) + 1
+        return INTERVAL_SECONDS * max(near / VMS_AT_FULL_RATE, 1.0)
+
+    @staticmethod
+    def due(peers: Iterable[Peer], interval: float, now: float) -> list[Peer]:
+        """Return those of the VMs that get a message now."""
         return [
             peer
-            for peer in self.peers.values()
-            if peer.is_heard(now)
-            or peer.sent_at is None
-            or now - peer.sent_at >= QUIET_INTERVAL_SECONDS
+            for peer in peers
+            if peer.sent_at is None
+            or now - peer.sent_at
+            >= (interval if peer.is_heard(now) else QUIET_INTERVAL_SECONDS)
         ]
 
     def some_hosts(self, random: Random, now: float) -> tuple[str, ...]:
--- a/src/gypsumsail/keeping/const.py
+++ b/src/gypsumsail/keeping/const.py
@@ -14,6 +14,12 @@
 """Age of a store's last answer above which nothing is fetched from it."""
 POLLING_SHARE: Final = 0.7
 """Share of the questions that a store takes at once which the VMs use."""
+FOLLOWERS_IN_A_ZONE: Final = 2
+"""VMs of each zone that follow a store for the others, in a larger fleet."""
+CHANGES_IN_A_NEWS: Final = 20
+"""Most changes of a store in one piece of news."""
+VIEW_TIMEOUT_SECONDS: Final = 1.0
+"""Time after which a question for another VM's view is taken as lost."""
 SMALLEST_KEPT_PART: Final = 64
 """Tokens of the smallest part that is worth a transfer."""
 SAVE_SECONDS: Final = 4.0
--- a/src/gypsumsail/keeping/coordinator.py
+++ b/src/gypsumsail/keeping/coordinator.py
@@ -6,18 +6,22 @@
 from collections.abc import Callable, Iterable
 
 from gypsumsail.core.callback import callback
+from gypsumsail.core.cbor import ValueInvalidError
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
-from gypsumsail.core.rendezvous import rank
 from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.models import Address, ContextStore, PromptPart, RoutingDocument
 from gypsumsail.gateway.port import NO_MOVE, ContextMove
 from gypsumsail.gateway.targets import TargetState, TargetTable
+from gypsumsail.gossip.messages import StoreNews
+from gypsumsail.gossip.peers import Peer, PeerTable
 from gypsumsail.keeping.const import (
     FETCH_SECONDS,
+    FOLLOWERS_IN_A_ZONE,
     POLL_SECONDS,
     POLLING_SHARE,
     RETRY_SECONDS,
+    VIEW_TIMEOUT_SECONDS,
 )
 from gypsumsail.keeping.planner import (
     PartFacts,
@@ -26,7 +30,14 @@
     plan_fetch,
     plan_save,
 )
-from gypsumsail.keeping.port import ContextStores
+from gypsumsail.keeping.port import ContextStores, PeerViews
+from gypsumsail.keeping.relay import (
+    VIEW_PATH,
+    StoreTeller,
+    decode_view,
+    encode_view,
+    relayed,
+)
 from gypsumsail.keeping.store_view import StoreView
 from gypsumsail.logs.decisions import DecisionLog
 
@@ -37,27 +48,33 @@
 class KeepingCoordinator:
     """Views of all stores of the document in force.
 
+    In a larger fleet a few VMs of each zone follow a store and tell the others.
+
     Attributes
     ----------
-    vms
-        Names of the VMs that are believed alive, this one included.
+    on_news
+        Called with what this VM tells the others of a store.
     """
 
     def __init__(
         self,
-        vm: str,
         stores: ContextStores,
         targets: TargetTable,
+        peers: PeerTable,
+        clients: PeerViews,
         clock: Clock,
         log: DecisionLog,
-        vms: Callable[[], list[str]],
     ) -> None:
-        self.vm = vm
         self.stores = stores
+        self.peers = peers
+        self.clients = clients
         self.targets = targets
         self.clock = clock
         self.log = log
-        self.vms = vms
+        self.on_news: Callable[[StoreNews], None] = lambda news: None
+        self.tellers: dict[Address, StoreTeller] = {}
+        self.asked: set[Address] = set()
+        self.asking: set[asyncio.Task[None]] = set()
         self.views: dict[Address, StoreView] = {}
         self.tasks: dict[Address, asyncio.Task[None]] = {}
 
@@ -88,11 +105,10 @@
         self.stores.forget(view.store)
 
     async def _async_follow(self, view: StoreView) -> None:
-        """Ask a store for its changes until cancelled."""
+        """Keep a view up to date until cancelled."""
         while True:
             if not self._is_follower(view.store):
-                view.lost()
-                await asyncio.sleep(POLL_SECONDS)
+                await asyncio.sleep(RETRY_SECONDS)
                 continue
             try:
                 await self._async_ask(view)
@@ -105,15 +121,18 @@
                 await asyncio.sleep(RETRY_SECONDS)
 
     def _is_follower(self, store: ContextStore) -> bool:
-        """Return whether this VM is one of those that the store's limit allows."""
+        """Return whether this VM asks the store itself."""
+        now = self.clock.monotonic()
         most = max(int(store.max_waiting_reads * POLLING_SHARE), 1)
-        vms = self.vms()
-        return len(vms) <= most or self.vm in list(rank(store.name, vms))[:most]
+        if self.peers.count(now) <= most:
+            return True
+        return self.peers.has_duty(store.name, FOLLOWERS_IN_A_ZONE, now)
 
     async def _async_ask(self, view: StoreView) -> None:
-        if view.life is None:
+        if view.life is None or view.teller:
             answer = await self.stores.async_contents(view.store)
-            view.begin(answer, self.clock.monotonic())
+            now = self.clock.monotonic()
+            view.begin(answer, now)
             self.log.write(
                 "store of context followed",
                 store=view.store.name,
@@ -124,8 +143,64 @@
         answer = await self.stores.async_changes(
             view.store, view.next_number, POLL_SECONDS
         )
-        if not view.take(answer, self.clock.monotonic()):
+        now = self.clock.monotonic()
+        if not view.take(answer, now):
             self.log.write("store of context restarted", store=view.store.name)
+            return
+        if self.peers.is_large(now):
+            teller = self.tellers.setdefault(view.store.address, StoreTeller())
+            for news in teller.news(view, answer.changes, now):
+                self.on_news(news)
+
+    @callback
+    def take_news(self, peer: Peer, news: StoreNews) -> None:
+        """Take what another VM tells of a store that this one doesn't follow."""
+        now = self.clock.monotonic()
+        view = next(
+            (
+                found
+                for address, found in self.views.items()
+                if str(address) == news.store
+            ),
+            None,
+        )
+        if view is None or self._is_follower(view.store):
+            return
+        if view.take_relay(relayed(peer.vm, news), now):
+            return
+        if view.store.address in self.asked:
+            return
+        self.asked.add(view.store.address)
+        task = asyncio.get_running_loop().create_task(self._async_take_view(peer, view))
+        self.asking.add(task)
+        task.add_done_callback(self.asking.discard)
+
+    async def _async_take_view(self, peer: Peer, view: StoreView) -> None:
+        """Ask a VM that follows a store for all that the store holds."""
+        try:
+            body = await self.clients.async_get(
+                peer.host,
+                f"{VIEW_PATH}{view.store.address}",
+                {},
+                VIEW_TIMEOUT_SECONDS,
+            )
+            if body is not None:
+                view.begin(decode_view(body), self.clock.monotonic(), peer.vm)
+        except (TransportError, ValueInvalidError) as err:
+            self.log.write("view not taken", peer=peer.vm, reason=str(err))
+        finally:
+            self.asked.discard(view.store.address)
+
+    def encoded_view(self, address: str) -> bytes | None:
+        """Return the view of a store that this VM follows, for another VM."""
+        now = self.clock.monotonic()
+        for view in self.views.values():
+            if str(view.store.address) == address and not view.teller:
+                if not view.is_fresh(now):
+                    return None
+                teller = self.tellers.setdefault(view.store.address, StoreTeller())
+                return encode_view(view, teller.number, now)
+        return None
 
     @callback
     def plan(self, job: Job, place: Place, now: float) -> ContextMove:
@@ -153,8 +228,9 @@
 
     def _until_ms(self, now: float) -> int | None:
         for view in self.views.values():
-            if view.clock_offset_ms is not None:
-                return int((now + FETCH_SECONDS) * 1000 + view.clock_offset_ms)
+            clock_ms = view.clock_ms(now + FETCH_SECONDS)
+            if clock_ms is not None:
+                return clock_ms
         return None
 
     def _facts(
--- a/src/gypsumsail/keeping/port.py
+++ b/src/gypsumsail/keeping/port.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from gypsumsail.gateway.models import ContextStore
@@ -27,3 +27,12 @@
 
     def forget(self, store: ContextStore) -> None:
         """Close the connections to a store."""
+
+
+class PeerViews(Protocol):
+    """Calls to other VMs; raise ``TransportError``."""
+
+    async def async_get(
+        self, host: str, path: str, query: Mapping[str, str], timeout: float
+    ) -> bytes | None:
+        """Return the body of an answer; ``None`` where the VM has none."""
--- a/src/gypsumsail/keeping/store_view.py
+++ b/src/gypsumsail/keeping/store_view.py
@@ -49,6 +49,23 @@
     clock_ms: int | None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayedChanges:
+    """Changes of a store that another VM has told.
+
+    Attributes
+    ----------
+    number
+        Grows by one with each telling of the same VM on the same store.
+    """
+
+    teller: str
+    number: int
+    life: int
+    clock_ms: int | None
+    changes: tuple[StoreChange, ...]
+
+
 @dataclass(slots=True)
 class StoreView:
     """One store as this VM knows it.
@@ -61,6 +78,8 @@
         Parts on their way to it, with the time at which they were sent.
     life
         ``None`` while it is not known what the store holds.
+    teller
+        VM from which the view is told; empty when this VM asks the store.
     """
 
     store: ContextStore
@@ -70,6 +89,7 @@
     next_number: int = 0
     answered_at: float = 0.0
     clock_offset_ms: float | None = None
+    teller: str = ""
 
     def is_fresh(self, now: float) -> bool:
         """Return whether what it holds is known well enough to fetch from it."""
@@ -82,9 +102,12 @@
         self.life = None
         self.next_number = 0
 
-    def begin(self, answer: StoreAnswer, now: float) -> None:
+    def begin(self, answer: StoreAnswer, now: float, teller: str = "") -> None:
         """Take all that the store holds."""
+        saving = dict(self.saving)
         self.lost()
+        self.saving = saving
+        self.teller = teller
         self.life = answer.life
         self._take(answer, now)
 
@@ -96,6 +119,31 @@
         self._take(answer, now)
         return True
 
+    def take_relay(self, relayed: RelayedChanges, now: float) -> bool:
+        """Take what another VM told; return false when all has to be asked for."""
+        if relayed.teller != self.teller:
+            return self.is_fresh(now)
+        if relayed.number < self.next_number:
+            return True
+        if relayed.number > self.next_number or relayed.life != self.life:
+            self.lost()
+            return False
+        answer = StoreAnswer(
+            life=relayed.life,
+            next_number=relayed.number + 1,
+            has_gap=False,
+            changes=relayed.changes,
+            clock_ms=relayed.clock_ms,
+        )
+        self._take(answer, now)
+        return True
+
+    def clock_ms(self, now: float) -> int | None:
+        """Return the time on the clock of the engines."""
+        if self.clock_offset_ms is None:
+            return None
+        return int(now * 1000 + self.clock_offset_ms)
+
     def _take(self, answer: StoreAnswer, now: float) -> None:
         for change in answer.changes:
             key = (change.scope, change.part)
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -7,7 +7,9 @@
 import logging
 import signal
 from typing import Any
+from urllib.parse import parse_qs
 
+from gypsumsail.catalog.const import WATCHERS_IN_A_ZONE
 from gypsumsail.catalog.coordinator import CatalogCoordinator
 from gypsumsail.catalog.copies import COPY_PATH, encode_copy
 from gypsumsail.core.callback import callback
@@ -25,6 +27,7 @@
 from gypsumsail.gossip.coordinator import GossipCoordinator
 from gypsumsail.gossip.peers import PeerTable
 from gypsumsail.keeping.coordinator import KeepingCoordinator
+from gypsumsail.keeping.relay import VIEW_PATH
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.logs.line_writer import LineWriter
 from gypsumsail.metrics.registry import MetricsRegistry
@@ -48,6 +51,7 @@
     TICK_SECONDS,
 )
 from gypsumsail.vm.metrics import VmMetrics
+from gypsumsail.vm.peer_clients import PeerClients
 from gypsumsail.vm.ports import VmPorts
 from gypsumsail.vm.readiness import Readiness
 from gypsumsail.vm.settings import VmSettings
@@ -85,21 +89,18 @@
         self.telemetry = GatewayTelemetry(self.log, self.registry)
         self.targets = TargetTable()
         self.wanted: dict[str, WantedWeights] = {}
-        self.peers = PeerTable(settings.host)
+        self.peers = PeerTable(settings.vm, settings.host, settings.zone)
+        control = settings.control
+        self.clients = PeerClients(control.port if control is not None else None)
         self.keeping = KeepingCoordinator(
-            settings.vm,
-            ports.stores,
-            self.targets,
-            clock,
-            self.log,
-            self._vm_names,
+            ports.stores, self.targets, self.peers, self.clients, clock, self.log
         )
         self.gateway = self._make_gateway()
         self.catalog = self._make_catalog()
         self.gossip = self._make_gossip()
         self.rollout = self._make_rollout()
         self.catch_up = CatchUp(
-            settings, self.catalog, self.gossip, self.peers, clock, self.log
+            self.clients, self.catalog, self.gossip, clock, self.log
         )
         self.vm_list = VmList(settings, ports, self.peers, clock, self.log)
         self.metrics = VmMetrics(self.registry)
@@ -141,20 +142,22 @@
             self.telemetry,
             self._on_document,
             self._on_target_gone,
+            self._has_watch_duty,
         )
 
     def _make_gossip(self) -> GossipCoordinator:
         gossip = GossipCoordinator(
-            self.settings.vm,
-            self.settings.host,
             self.settings.gossip_port,
             self.peers,
             self.targets,
             self.gateway.strikes,
             self.clock,
             self.catalog.changed_at,
+            self.catalog.is_watching,
+            self.keeping.take_news,
         )
         self.gateway.on_first_token = gossip.first_token
+        self.keeping.on_news = gossip.tell_store_news
         return gossip
 
     def _make_rollout(self) -> RolloutCoordinator:
@@ -174,16 +177,16 @@
             self.wanted,
             self.clock,
             self.log,
-            self._vm_names,
+            lambda: self.peers.names(self.clock.monotonic()),
             self._models_of,
         )
         rollout.on_loading = self.gossip.loading
         rollout.on_weights = self.gossip.weights
         return rollout
 
-    def _vm_names(self) -> list[str]:
-        alive = self.peers.alive(self.clock.monotonic())
-        return [self.settings.vm, *(peer.vm for peer in alive)]
+    def _has_watch_duty(self, kind: str) -> bool:
+        now = self.clock.monotonic()
+        return self.peers.has_duty(kind, WATCHERS_IN_A_ZONE, now)
 
     def _models_of(self, service: str) -> tuple[str, ...]:
         document = self.catalog.document
@@ -275,6 +278,7 @@
         for server in self.servers:
             await server.async_stop()
         self.keeping.stop()
+        self.clients.close()
         self.gossip.stop()
         self.writer.flush()
 
@@ -344,17 +348,27 @@
             return
         await self.gateway.async_handle(call, self.ports.reply(reply, call.request_id))
 
+    def _peer_answer(self, path: str, target: bytes) -> bytes | None:
+        """Return what another VM asks for; ``None`` when this VM doesn't have it."""
+        if path.startswith(VIEW_PATH):
+            return self.keeping.encoded_view(path.removeprefix(VIEW_PATH))
+        if not path.startswith(COPY_PATH):
+            return None
+        query = parse_qs(target.partition(b"?")[2].decode("latin-1"))
+        since = query.get("since", ["0"])[0]
+        if not since.isdigit():
+            return None
+        kind = path.removeprefix(COPY_PATH)
+        copy = self.catalog.copy_since(kind, int(since), self.clock.monotonic())
+        return encode_copy(copy) if copy is not None else None
+
     async def _async_control(self, request: HttpRequest, reply: Reply) -> None:
         path = request.target.partition(b"?")[0]
         if path == self.ports.ready_path:
             reply.send(200 if self.readiness().is_ready else 503, [], b"")
-        elif path.startswith(COPY_PATH.encode()):
-            kind = path.removeprefix(COPY_PATH.encode()).decode("latin-1")
-            listing = self.catalog.copy_of(kind)
-            if listing is None:
-                reply.send(404, [], b"")
-            else:
-                reply.send(200, [], encode_copy(listing))
+        elif path.startswith(b"/peer/"):
+            body = self._peer_answer(path.decode("latin-1"), request.target)
+            reply.send(404 if body is None else 200, [], body or b"")
         elif path == b"/metrics":
             self.metrics.update(self)
             reply.send(200, [], self.registry.exposition().encode())
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from gypsumsail.entry.settings import SettingsInvalidError, load_settings
+from gypsumsail.core.findings import SettingsInvalidError
+from gypsumsail.entry.settings import load_settings
 from gypsumsail.routing.policies import POLICIES
 
 
