Give an engine that rejects a call no other for a while

Ruled out: sending a rejected call to more engines than its route allows. Conclusion: beliefs follow what the engine itself says.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -77,6 +77,8 @@
 """Share of the time for a rollout after which older weights take no call."""
 LOADING_SECONDS: Final = 4.0
 """Longest time for which an engine is taken to load after an order was sent."""
+REJECTING_SECONDS: Final = 0.5
+"""Time for which a target that rejected a call gets no other."""
 
 SMALLEST_CACHED_PART: Final = 16
 """Tokens of the smallest part that an engine caches: one block."""
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -306,14 +306,15 @@
             self.telemetry.target_gone(state, "another target has its address")
 
     @callback
-    def weights_differ(self, job: Job, state: TargetState) -> None:
+    def weights_differ(self, job: Job, state: TargetState, shown: int | None) -> None:
         """Learn that an engine has not the version that was expected."""
         prompt = job.call.prompt
-        wanted = self.view.wanted.get(prompt.model) if prompt is not None else None
-        if prompt is None or wanted is None:
+        if prompt is None:
             return
-        if state.weight_versions.get(prompt.model, 0) < wanted.version:
-            state.learn_version(prompt.model, wanted.version, self.clock.monotonic())
+        wanted = self.view.wanted.get(prompt.model)
+        version = wanted.version if wanted is not None else None
+        now = self.clock.monotonic()
+        state.has_other_version(prompt.model, shown, version, now)
 
     @callback
     def finish_alone(self, exchange: Exchange, job: Job) -> None:
--- a/src/gypsumsail/gateway/runner.py
+++ b/src/gypsumsail/gateway/runner.py
@@ -106,12 +106,12 @@
             self.state.failed(self.clock.monotonic())
             return Broken(reason="the target was silent for too long")
         self.state.reported = head.load or self.state.reported
+        if head.says_not_run or head.is_wrong_target:
+            return await self._async_not_taken(exchange, head)
         prompt = self.job.call.prompt
         if prompt is not None and head.weight_version is not None:
             now = self.clock.monotonic()
             self.state.learn_version(prompt.model, head.weight_version, now)
-        if head.says_not_run or head.is_wrong_target:
-            return await self._async_not_taken(exchange, head)
         if head.status in NOT_RUN_STATUSES:
             # Without the target's own word the status would promise too much.
             return Broken(reason=f"status {head.status} without its promise")
@@ -153,9 +153,9 @@
             self.job.targets_used -= 1
             self.gateway.target_replaced(self.state)
         elif head.is_wrong_target:
-            self.gateway.weights_differ(self.job, self.state)
+            self.gateway.weights_differ(self.job, self.state, head.weight_version)
         else:
-            self.state.failed(self.clock.monotonic())
+            self.state.rejected(self.clock.monotonic())
         return NotTaken(status=head.status, is_wrong_target=is_wrong)
 
     async def _async_plain(self, exchange: Exchange, head: AnswerHead) -> SendOutcome:
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -16,6 +16,7 @@
     LONGEST_BLOCK_SECONDS,
     PEER_LOAD_SECONDS,
     READ_RATE_WEIGHT,
+    REJECTING_SECONDS,
     REPORTED_LOAD_SECONDS,
     STALL_SECONDS,
     USUAL_PLAIN_SECONDS,
@@ -194,6 +195,32 @@
         """Note that an order to load other weights is on its way."""
         self.loading_until = now + LOADING_SECONDS
 
+    def rejected(self, now: float) -> None:
+        """Note that it rejected a call: it is full, or loads other weights."""
+        self.loading_until = max(self.loading_until, now + REJECTING_SECONDS)
+
+    def has_other_version(
+        self, model: str, shown: int | None, wanted: int | None, now: float
+    ) -> None:
+        """Note that its weights are not those that were expected.
+
+        Parameters
+        ----------
+        shown
+            Version that it named itself; ``None`` when it named none.
+        wanted
+            Version that the operator named; ``None`` when none is known.
+        """
+        believed = self.weight_versions.get(model, 0)
+        if shown is not None and shown != believed:
+            self.weight_versions[model] = shown
+            self.cache.clear()
+        elif shown is None and wanted is not None and believed < wanted:
+            self.weight_versions[model] = wanted
+            self.cache.clear()
+        else:
+            self.rejected(now)
+
     def learn_version(self, model: str, version: int, now: float) -> None:
         """Take the version of the weights that the target named itself."""
         if version > self.weight_versions.get(model, 0):
