--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -18,9 +18,9 @@
 from gypsumsail.membership.coordinator import MembershipCoordinator
 from gypsumsail.membership.duties import zone_relays
 from gypsumsail.membership.models import MembershipSettings
+from gypsumsail.object_api.http import HttpPlatform
 from gypsumsail.peers.network import WebsocketPeerNetwork
 from gypsumsail.peers.port import EntryId
-from gypsumsail.object_api.http import HttpPlatform
 from gypsumsail.timeline.models import Event
 
 SECRET: Final = b"secret of the control bench"
--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -73,7 +73,7 @@
                 continue
             except TransportError as err:
                 # What changed meanwhile may be forgotten; the next watch tells.
-                if self.link.failed(self.clock.monotonic()):
+                if self.link.failed():
                     self.on_link(False, str(err))
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, LONGEST_RETRY_SECONDS)
@@ -96,5 +96,5 @@
         now = self.clock.monotonic()
         if now - begun_at > WATCH_SECONDS + LATE_WATCH_SECONDS:
             # The store was silent for a while: removals may be lapses.
-            self.link.failed(now)
+            self.link.failed()
         return self.state.apply(listing)
--- a/src/gypsumsail/catalog/store_link.py
+++ b/src/gypsumsail/catalog/store_link.py
@@ -28,64 +28,60 @@
     ----------
     answered_at
         Time of its last answer.
-    failed_at
-        Time of the last call that failed; ``None`` when none did.
+    is_failing
+        Whether the last call failed.
     back_at
-        Time of the first answer after failures.
+        Time of the first answer after failures; ``None`` when none failed.
     """
 
     answered_at: float
-    failed_at: float | None = None
+    is_failing: bool = False
     back_at: float | None = None
 
     def answered(self, now: float) -> bool:
         """Note an answer; return whether the store is back after failures."""
-        is_back = self.failed_at is not None and self.failed_at >= self.answered_at
+        is_back = self.is_failing
+        self.is_failing = False
         self.answered_at = now
         if is_back:
             self.back_at = now
         return is_back
 
-    def failed(self, now: float) -> bool:
+    def failed(self) -> bool:
         """Note a failed call; return whether it is the first since an answer."""
-        is_first = self.failed_at is None or self.failed_at < self.answered_at
-        self.failed_at = now
+        is_first = not self.is_failing
+        self.is_failing = True
         return is_first
 
     def heard_of(self, trouble: StoreTrouble, now: float) -> None:
         """Take how a peer has met the store that it copies from."""
         match trouble:
             case StoreTrouble.NOW:
-                self.failed(now)
+                self.failed()
             case StoreTrouble.LATELY if not self.had_trouble(now):
-                self.failed(now)
+                self.failed()
                 self.answered(now)
             case _:
                 self.answered(now)
 
     def trouble(self, now: float) -> StoreTrouble:
         """Return how the store has been for this VM."""
-        if self.is_failing():
+        if self.is_failing:
             return StoreTrouble.NOW
         return StoreTrouble.LATELY if self.had_trouble(now) else StoreTrouble.NONE
 
     def is_away(self, now: float) -> bool:
         """Return whether the store has not answered for a while."""
-        failing = self.failed_at is not None and self.failed_at >= self.answered_at
-        return failing and now - self.answered_at > AWAY_SECONDS
-
-    def is_failing(self) -> bool:
-        """Return whether the last call failed."""
-        return self.failed_at is not None and self.failed_at >= self.answered_at
+        return self.is_failing and now - self.answered_at > AWAY_SECONDS
 
     def had_trouble(self, now: float) -> bool:
         """Return whether removals may come from an outage rather than a leaving."""
-        if self.is_failing():
+        if self.is_failing:
             return True
         return self.back_at is not None and now - self.back_at < TROUBLE_MEMORY_SECONDS
 
     def returned_for(self, now: float) -> bool:
         """Return whether the store has been back long enough to be believed."""
-        if self.is_failing():
+        if self.is_failing:
             return False
         return self.back_at is None or now - self.back_at >= RETURN_SECONDS
--- a/src/gypsumsail/gateway/placement.py
+++ b/src/gypsumsail/gateway/placement.py
@@ -93,6 +93,14 @@
     """No target has room now."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Unplaceable:
+    """No target is left that could ever take the call."""
+
+
+Placement = Placed | Wait | Unplaceable
+
+
 def start_delay(candidate: Candidate, demand: Demand) -> float:
     """Return the seconds until the call's first token, or a plain call's end."""
     if candidate.memory_tokens:
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -9,7 +9,14 @@
 from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.line import Capacity
 from gypsumsail.gateway.models import PromptPart, Service
-from gypsumsail.gateway.placement import Candidate, Demand, Placed, Wait, place
+from gypsumsail.gateway.placement import (
+    Candidate,
+    Demand,
+    Placed,
+    Placement,
+    Unplaceable,
+    place,
+)
 from gypsumsail.gateway.targets import Flight, TargetState, TargetTable
 from gypsumsail.gateway.weights import WantedWeights, WeightFit, cache_scope, fit
 
@@ -63,10 +70,17 @@
         )
         return least / self._rate()
 
-    def place(self, number: int, now: float) -> Placed | Wait:
+    def place(self, number: int, now: float) -> Placement:
         """Choose a target; the job counts as being there at once."""
         job = self.jobs[number]
-        usable = {state.entry.name: state for state in self._usable(job, now)}
+        fitting = self._fitting(job, now)
+        if not fitting:
+            return Unplaceable()
+        usable = {
+            state.entry.name: state
+            for state in fitting
+            if state.blocked_until <= now and state.loading_until <= now
+        }
         candidates = [self._candidate(job, state, now) for state in usable.values()]
         prompt = job.call.prompt
         demand = Demand(
@@ -102,13 +116,12 @@
     def _rate(self) -> float:
         return self.view.targets.rate(self.service.name).tokens_per_second
 
-    def _usable(self, job: Job, now: float) -> list[TargetState]:
+    def _fitting(self, job: Job, now: float) -> list[TargetState]:
+        """Return the targets that may take the job, now or when they are free."""
         return [
             state
             for state in self._states()
             if not state.is_leaving
-            and state.blocked_until <= now
-            and state.loading_until <= now
             and (state.entry.name, state.entry.life) not in job.tried
             and self._weight_fit(job, state, now) is not WeightFit.REFUSED
         ]
--- a/src/gypsumsail/gateway/service_line.py
+++ b/src/gypsumsail/gateway/service_line.py
@@ -11,13 +11,13 @@
 from gypsumsail.core.errors import NoTargetError
 from gypsumsail.gateway.const import LINE_INTERVAL_SECONDS, LONGEST_LINE
 from gypsumsail.gateway.line import Capacity, Waiting, hopeless, in_order
-from gypsumsail.gateway.placement import Placed, Wait
+from gypsumsail.gateway.placement import Placed, Placement, Unplaceable
 
 
 class Placer(Protocol):
     """Finds a target for a waiting call."""
 
-    def place(self, number: int, now: float) -> Placed | Wait:
+    def place(self, number: int, now: float) -> Placement:
         """Choose a target; the call counts as being there at once."""
 
     def capacity(self, now: float) -> Capacity:
@@ -52,6 +52,8 @@
             placed = self.placer.place(waiting.number, now)
             if isinstance(placed, Placed):
                 return placed
+            if isinstance(placed, Unplaceable):
+                raise NoTargetError("no target is left", retry_after=self._free_in(now))
         if len(self.places) >= LONGEST_LINE:
             raise NoTargetError("too many calls wait", retry_after=self._free_in(now))
         loop = asyncio.get_running_loop()
@@ -87,11 +89,15 @@
 
     def _try_place(self, call: Waiting, now: float) -> bool:
         placed = self.placer.place(call.number, now)
-        if isinstance(placed, Wait):
-            return False
-        place = self.places.pop(call.number)
-        place.future.set_result(placed)
-        return True
+        match placed:
+            case Placed():
+                self.places.pop(call.number).future.set_result(placed)
+                return True
+            case Unplaceable():
+                self._turn_away(call.number, self._free_in(now))
+                return True
+            case _:
+                return False
 
     def _turn_away(self, number: int, free_in: float) -> None:
         place = self.places.pop(number)
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -171,8 +171,8 @@
     """Decode a target's entry; raise ``EntryInvalidError``."""
     entry = _decode(value, _Target)
     address = parse_address(entry.addr)
-    if address is None or entry.state not in ("ready", "draining"):
-        raise EntryInvalidError(f"entry {name} names no address or no known state")
+    if address is None or entry.state not in ("ready", "draining") or entry.born < 0:
+        raise EntryInvalidError(f"entry {name} has no address, state or start")
     leaving = entry.state == "draining"
     return TargetEntry(
         name=name,
--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -365,9 +365,11 @@
             return
         if self.transport.can_write_eof():
             self.transport.write_eof()
-        self.loop.call_later(LINGER_SECONDS, self._close)
+        self.loop.call_later(LINGER_SECONDS, self.close)
 
-    def _close(self) -> None:
+    @callback
+    def close(self) -> None:
+        """Close the connection after what was written."""
         if self.transport is not None and not self.is_closed:
             self.transport.close()
 
@@ -376,7 +378,7 @@
         self.is_refusing = True
         if self.worker is not None or self.waiting:
             self.waiting.clear()
-            self._close()
+            self.close()
             return
         reason = REASONS[status].encode()
         self.write(
@@ -407,7 +409,7 @@
                 self._refuse(408)
                 return
         elif self.is_idle and now - self.active_since >= limits.idle_seconds:
-            self._close()
+            self.close()
             return
         delay = min(limits.head_seconds, limits.idle_seconds) / 4
         self.timer = self.loop.call_later(delay, self._watch_time)
@@ -488,6 +490,15 @@
         """Announce the end of each connection with its next reply."""
         self.is_draining = True
 
+    @callback
+    def take_no_more(self) -> None:
+        """Stop listening, and close the connections that wait for a request."""
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
+
     async def async_stop(self) -> None:
         """Stop listening and close all connections."""
         if self.server is not None:
--- a/src/gypsumsail/vm/const.py
+++ b/src/gypsumsail/vm/const.py
@@ -18,8 +18,10 @@
 """Pause between two calls to the same peer for its copies."""
 SETTINGS_SECONDS: Final = 1.0
 """Pause between two looks at the settings file."""
-NOTICE_SECONDS: Final = 3.2
+NOTICE_SECONDS: Final = 2.6
 """Time after a stop signal in which the balancer may still send connections."""
+COME_BACK_SECONDS: Final = 0.1
+"""Time after which a caller may come back that met a VM which is about to end."""
 LAST_SECONDS: Final = 0.4
 """Time before the end of the grace in which the process ends by itself."""
 STARTUP_PATIENCE_SECONDS: Final = 1.0
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -42,6 +42,7 @@
 )
 from gypsumsail.vm.catch_up import CatchUp
 from gypsumsail.vm.const import (
+    COME_BACK_SECONDS,
     LEASE_HELD_SECONDS,
     LEASE_MARGIN_SECONDS,
     LEASE_NAME,
@@ -55,7 +56,7 @@
 from gypsumsail.vm.ports import VmPorts
 from gypsumsail.vm.readiness import Readiness
 from gypsumsail.vm.settings import VmSettings
-from gypsumsail.vm.stopping import may_end
+from gypsumsail.vm.stopping import may_end, takes_requests
 from gypsumsail.vm.vm_list import VmList
 
 _LOGGER = logging.getLogger(__name__)
@@ -262,6 +263,8 @@
             self.catalog.tick(now)
             self.gossip.tick(now)
             self.writer.flush()
+            if not takes_requests(self.signalled_at, now):
+                self.callers.take_no_more()
             if self.signalled_at is not None and may_end(
                 self.signalled_at,
                 self.callers.busy_connections,
@@ -340,6 +343,10 @@
         )
 
     async def _async_caller(self, request: HttpRequest, reply: Reply) -> None:
+        if not takes_requests(self.signalled_at, self.clock.monotonic()):
+            self.log.write("refused while stopping")
+            reply.send(503, [(b"retry-after", b"%.1f" % COME_BACK_SECONDS)], b"")
+            return
         try:
             call = self.ports.read_call(request)
         except InvalidRequestError as err:
--- a/src/gypsumsail/vm/stopping.py
+++ b/src/gypsumsail/vm/stopping.py
@@ -5,6 +5,15 @@
 from gypsumsail.vm.const import LAST_SECONDS, NOTICE_SECONDS
 
 
+def takes_requests(signalled_at: float | None, now: float) -> bool:
+    """Return whether a request that is read now is served.
+
+    Once the balancer has noticed the stop, a new request might not be answered
+    before the process ends; another VM serves it at once.
+    """
+    return signalled_at is None or now - signalled_at < NOTICE_SECONDS
+
+
 def may_end(
     signalled_at: float, busy_connections: int, grace_seconds: float, now: float
 ) -> bool:
--- /dev/null
+++ b/tests/catalog/common.py
@@ -0,0 +1,161 @@
+"""Builders of objects, and a store of objects that tests drive."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import json
+from typing import Any
+
+from gypsumsail.catalog.coordinator import CatalogCoordinator, Kinds
+from gypsumsail.core.errors import TransportError
+from gypsumsail.gateway.models import RoutingDocument, TargetEntry
+from gypsumsail.gateway.targets import TargetTable
+from gypsumsail.gateway.telemetry import GatewayTelemetry
+from gypsumsail.gateway.weights import WantedWeights
+from gypsumsail.metrics.registry import MetricsRegistry
+from gypsumsail.object_api.port import Listing, PlatformObject
+from gypsumsail.platform.app import PlatformDecoder
+from tests.common import ManualClock
+from tests.gateway.common import decision_log
+
+KINDS = Kinds(
+    documents="config",
+    document_key="config/main",
+    targets="servers",
+    weights="versions",
+)
+
+
+def stored(key: str, version: int, spec: Any = None) -> PlatformObject:
+    """Return an object; ``None`` as spec is that of a removed one."""
+    value = None if spec is None else json.dumps(spec).encode()
+    return PlatformObject(key=key, version=version, value=value)
+
+
+def listing(revision: int, *objects: PlatformObject) -> Listing:
+    """Return a listing."""
+    return Listing(objects=objects, revision=revision)
+
+
+def target_spec(**changes: Any) -> dict[str, Any]:
+    """Return what an engine writes of itself."""
+    spec: dict[str, Any] = {
+        "service": "engines",
+        "addr": "10.0.0.1:80",
+        "zone": "z1",
+        "slots": 64,
+        "state": "ready",
+        "born": 1,
+        "call_seq": 0,
+        "models": [{"name": "m0", "version": 1}],
+    }
+    return spec | changes
+
+
+def document_spec(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a routing document as the operator writes it."""
+    route = {
+        "name": "r",
+        "host": "h.example",
+        "path_prefix": "/a/",
+        "kind": "safe",
+        "timeout_ms": 2000,
+        "goal_ms": 400,
+        "priority": 2,
+        "service": "portal",
+        "attempts": 2,
+        "public": False,
+    }
+    spec: dict[str, Any] = {
+        "version": version,
+        "routes": [route],
+        "services": [{"name": "portal", "health_path": "/healthz", "max_conns": 100}],
+        "limits": {},
+        "tenants": [{"name": "a", "api_keys": ["k"], "priority": 1}],
+    }
+    return spec | changes
+
+
+class DrivenApi:
+    """An object API whose next answers tests give.
+
+    Attributes
+    ----------
+    answers
+        Listings or errors, in turn; without any the call waits for ever.
+    """
+
+    def __init__(self, *answers: Listing | Exception) -> None:
+        self.answers = list(answers)
+        self.calls: list[str] = []
+        self.is_used_up = asyncio.Event()
+
+    async def _next(self, name: str) -> Listing:
+        self.calls.append(name)
+        if not self.answers:
+            self.is_used_up.set()
+            await asyncio.Event().wait()
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def async_get(self, key: str) -> PlatformObject | None:
+        """Not used."""
+        raise NotImplementedError
+
+    async def async_list(self, prefix: str) -> Listing:
+        """Return the next answer."""
+        return await self._next("list")
+
+    async def async_put(self, key: str, value: bytes, *, if_version: int) -> int:
+        """Not used."""
+        raise NotImplementedError
+
+    async def async_delete(self, key: str, *, if_version: int) -> None:
+        """Not used."""
+        raise NotImplementedError
+
+    async def async_watch(
+        self, prefix: str, *, after_revision: int, wait: float
+    ) -> Listing:
+        """Return the next answer."""
+        return await self._next(f"watch {after_revision}")
+
+
+LOST = TransportError("no answer", sent=True)
+
+
+class Catalog:
+    """A catalog with what it called."""
+
+    def __init__(self, has_duty: Callable[[str], bool] = lambda kind: True) -> None:
+        self.clock = ManualClock()
+        self.targets = TargetTable()
+        self.wanted: dict[str, WantedWeights] = {}
+        self.documents: list[RoutingDocument] = []
+        self.gone: list[TargetEntry] = []
+        telemetry = GatewayTelemetry(decision_log(self.clock), MetricsRegistry())
+        self.coordinator = CatalogCoordinator(
+            DrivenApi(),
+            KINDS,
+            PlatformDecoder(),
+            self.targets,
+            self.wanted,
+            self.clock,
+            telemetry,
+            self.documents.append,
+            self.gone.append,
+            has_duty,
+        )
+
+    def replace(self, kind: str, found: Listing) -> None:
+        """Take a listing of the store."""
+        watch = self.coordinator.watches[kind]
+        watch.on_changes(kind, watch.state.replace(found))
+
+    def apply(self, kind: str, found: Listing) -> None:
+        """Take changes of the store."""
+        watch = self.coordinator.watches[kind]
+        watch.on_changes(kind, watch.state.apply(found))
--- /dev/null
+++ b/tests/gateway/test_decisions.py
@@ -0,0 +1,176 @@
+"""Tests of the gateway's small decisions."""
+
+from __future__ import annotations
+
+import pytest
+
+from gypsumsail.core.errors import RunState, TransportError
+from gypsumsail.gateway.comeback import retry_after
+from gypsumsail.gateway.events import LONGEST_EVENT_BYTES, EventSplitter
+from gypsumsail.gateway.models import PromptPart
+from gypsumsail.gateway.outcomes import (
+    BreakOff,
+    Broken,
+    CallFacts,
+    Delivered,
+    Fail,
+    Finished,
+    NotSent,
+    NotTaken,
+    PassOn,
+    Refuse,
+    TargetError,
+    TimedOut,
+    final_answer,
+    wants_another_target,
+)
+from gypsumsail.gateway.part_cache import PartCache
+from gypsumsail.gateway.repeat_budget import RepeatBudget, RepeatLimit
+from gypsumsail.gateway.strikes import StrikeBook
+from gypsumsail.gateway.weights import WantedWeights, WeightFit, cache_scope, fit
+
+ERROR = TargetError(status=500, headers=(), body=b"")
+
+
+def facts(**changes: object) -> CallFacts:
+    values: dict[str, object] = {
+        "may_repeat": True,
+        "targets_used": 1,
+        "max_targets": 2,
+        "has_reply_begun": False,
+        "time_left": 3.0,
+        "usual_seconds": 0.1,
+    }
+    return CallFacts(**(values | changes))  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "changes", "expected"),
+    [
+        (NotSent(reason=""), {"may_repeat": False, "targets_used": 1}, True),
+        (NotTaken(status=421, is_wrong_target=True), {"max_targets": 1}, True),
+        (NotTaken(status=503, is_wrong_target=False), {"max_targets": 1}, False),
+        (NotTaken(status=503, is_wrong_target=False), {"may_repeat": False}, True),
+        (Broken(reason=""), {}, True),
+        (Broken(reason=""), {"may_repeat": False}, False),
+        (Broken(reason=""), {"targets_used": 2}, False),
+        (Broken(reason=""), {"time_left": 0.2}, False),
+        (ERROR, {}, True),
+        (ERROR, {"may_repeat": False}, False),
+        (TimedOut(), {}, False),
+        (Delivered(status=200), {}, False),
+    ],
+)
+def test_when_another_target_is_tried(
+    outcome: object, changes: dict[str, object], expected: bool
+) -> None:
+    assert wants_another_target(outcome, facts(**changes)) is expected  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "has_run", "expected"),
+    [
+        (Delivered(status=200), True, Finished()),
+        (NotSent(reason=""), False, Refuse()),
+        (NotSent(reason=""), True, Fail(status=502, run_state=RunState.MAY_HAVE_RUN)),
+        (NotTaken(status=503, is_wrong_target=False), False, Refuse()),
+        (ERROR, True, PassOn(error=ERROR)),
+        (Broken(reason=""), True, Fail(status=502, run_state=RunState.MAY_HAVE_RUN)),
+        (TimedOut(), True, Fail(status=504, run_state=RunState.MAY_HAVE_RUN)),
+    ],
+)
+def test_the_final_answer_promises_only_what_is_true(
+    outcome: object, has_run: bool, expected: object
+) -> None:
+    found = final_answer(outcome, has_run=has_run, has_reply_begun=False)  # type: ignore[arg-type]
+    assert found == expected
+
+
+def test_a_reply_that_has_begun_is_broken_off() -> None:
+    found = final_answer(ERROR, has_run=True, has_reply_begun=True)
+    assert found == BreakOff()
+
+
+def test_times_to_come_back_are_spread_and_leave_time_to_serve() -> None:
+    times = [retry_after(0.8, 4.0, draw / 10) for draw in range(11)]
+    assert max(times) <= 4.0 / 3
+    assert max(times) - min(times) > 0.3
+    assert retry_after(0.0, None, 0.0) > 0
+    assert retry_after(100.0, None, 1.0) <= 3.0
+
+
+def test_the_budget_of_all_vms_keeps_the_limit() -> None:
+    limit = RepeatLimit(ratio=0.2, window=10.0, slack=54.0)
+    vms = 7
+    sent = 0
+    for _ in range(vms):
+        budget = RepeatBudget()
+        for _ in range(20):
+            budget.count_call(limit, 5.0)
+        while budget.take(limit, vms, 5.0):
+            sent += 1
+    assert 0 < sent <= 0.2 * 20 * vms + 54
+
+
+def test_the_budget_returns_with_time() -> None:
+    limit = RepeatLimit(ratio=0.2, window=10.0, slack=5.0)
+    budget = RepeatBudget()
+    while budget.take(limit, 1, 0.0):
+        pass
+    assert not budget.take(limit, 1, 9.0)
+    assert budget.take(limit, 1, 10.5)
+
+
+def test_events_are_cut_at_their_ends() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\nda") == b""
+    assert splitter.last_id == ""
+    assert splitter.feed(b"ta: x\n\nid: 2\n") == b"id: 1\ndata: x\n\n"
+    assert splitter.last_id == "1"
+    assert splitter.has_partial
+    assert splitter.feed(b"\n") == b"id: 2\n\n"
+    assert not splitter.has_partial
+
+
+def test_an_event_without_end_is_given_up() -> None:
+    splitter = EventSplitter()
+    splitter.feed(b"x" * LONGEST_EVENT_BYTES)
+    with pytest.raises(TransportError):
+        splitter.feed(b"x")
+
+
+def test_the_least_recently_used_parts_are_taken_to_yield() -> None:
+    cache = PartCache(100)
+    parts = [PromptPart(name=name, tokens=40) for name in "abc"]
+    cache.add("1", parts[:2], in_use=0)
+    cache.add("1", parts[2:], in_use=0)
+    assert cache.leading_parts("1", parts) == 0
+    assert cache.has("1", parts[1])
+    assert not cache.has("2", parts[1])
+    cache.add("1", (), in_use=100)
+    assert not cache.has("1", parts[1])
+
+
+def test_scopes_part_versions_and_isolated_customers() -> None:
+    scopes = {cache_scope("", 1), cache_scope("", 2), cache_scope("a", 1)}
+    assert len(scopes) == 3
+
+
+def test_old_weights_are_avoided_and_then_refused() -> None:
+    wanted = WantedWeights(model="m", version=2, named_at=100.0)
+    assert fit(wanted, 2, 12.0, 200.0) is WeightFit.CURRENT
+    assert fit(wanted, 1, 12.0, 100.5) is WeightFit.CURRENT
+    assert fit(wanted, 1, 12.0, 103.0) is WeightFit.OLD
+    assert fit(wanted, 1, 12.0, 111.5) is WeightFit.REFUSED
+    assert fit(None, 1, 12.0, 111.5) is WeightFit.CURRENT
+
+
+def test_only_a_request_that_breaks_several_lives_is_convicted() -> None:
+    book = StrikeBook()
+    for _ in range(3):
+        book.add("f", "t1", 1)
+    assert not book.is_convicted("f")
+    book.learn("f", "t1", 2)
+    book.learn("f", "t2", 1)
+    assert book.is_convicted("f")
+    assert book.take_news(8) == [("f", "t1", 1)]
--- /dev/null
+++ b/tests/gossip/common.py
@@ -0,0 +1,83 @@
+"""Builders of gossip among VMs in one process."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from gypsumsail.gateway.strikes import StrikeBook
+from gypsumsail.gateway.targets import TargetTable
+from gypsumsail.gossip.coordinator import GossipCoordinator
+from gypsumsail.gossip.endpoint import GossipEndpoint
+from gypsumsail.gossip.messages import GossipMessage, StoreNews, decode, encode
+from gypsumsail.gossip.peers import Peer, PeerTable
+from tests.common import ManualClock
+
+
+def message(vm: str = "v2", number: int = 1, **changes: object) -> GossipMessage:
+    """Return a message of another VM."""
+    values: dict[str, object] = {
+        "vm": vm,
+        "host": f"10.0.0.{vm[1:]}",
+        "zone": "z1",
+        "started_at": 1,
+        "number": number,
+    }
+    return GossipMessage(**(values | changes))  # type: ignore[arg-type]
+
+
+class Net:
+    """Delivers datagrams among gossips."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.members: dict[str, Member] = {}
+        self.sent = 0
+
+    def tick(self, seconds: float) -> None:
+        """Let all members send what is due for a while."""
+        for _ in range(round(seconds / 0.05)):
+            self.clock.now += 0.05
+            for member in self.members.values():
+                member.gossip.tick(self.clock.now)
+
+
+class _NetEndpoint(GossipEndpoint):
+    def __init__(self, net: Net) -> None:
+        super().__init__(lambda message: None)
+        self.net = net
+
+    def send(self, message: GossipMessage, addresses: list[tuple[str, int]]) -> None:
+        for host, _ in addresses:
+            self.net.sent += 1
+            if host in self.net.members:
+                self.net.members[host].gossip.take(decode(encode(message)))
+
+
+class Member:
+    """One VM on the net."""
+
+    def __init__(self, net: Net, vm: str, zone: str = "z1") -> None:
+        self.revisions: dict[str, int] = {"config": 1}
+        self.targets = TargetTable()
+        self.strikes = StrikeBook()
+        self.news: list[tuple[Peer, StoreNews]] = []
+        self.is_watching = True
+        host = f"10.0.0.{vm[1:]}"
+        self.peers = PeerTable(vm, host, zone)
+        for other in net.members:
+            self.peers.add(other, net.clock.now)
+        self.gossip = GossipCoordinator(
+            7580,
+            self.peers,
+            self.targets,
+            self.strikes,
+            net.clock,
+            self._changed_at,
+            lambda kind: self.is_watching,
+            lambda peer, news: self.news.append((peer, news)),
+        )
+        self.gossip.endpoint = _NetEndpoint(net)
+        net.members[host] = self
+
+    def _changed_at(self) -> Mapping[str, int]:
+        return dict(self.revisions)
--- /dev/null
+++ b/tests/gossip/test_gossip.py
@@ -0,0 +1,203 @@
+"""Tests of what VMs learn of each other."""
+
+from __future__ import annotations
+
+import contextlib
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from gypsumsail.core.cbor import ValueInvalidError
+from gypsumsail.gateway.models import PromptPart
+from gypsumsail.gateway.targets import Flight
+from gypsumsail.gossip.messages import (
+    CachedPrompt,
+    GossipMessage,
+    LoadingTarget,
+    SeenWeights,
+    StoreNews,
+    Strike,
+    TargetLoad,
+    decode,
+    encode,
+)
+from gypsumsail.gossip.peers import PeerTable
+from tests.common import ManualClock
+from tests.gateway.common import MODEL, engine
+from tests.gossip.common import Member, Net, message
+
+FULL = message(
+    changed_at=(("config", 7),),
+    loads=(TargetLoad(target="e1", life=1, calls=2, tokens=900, unread=100),),
+    cached=(
+        CachedPrompt(
+            target="e1", life=1, scope="2", parts=(PromptPart(name="p", tokens=64),)
+        ),
+    ),
+    strikes=(Strike(fingerprint="f", target="e1", life=1),),
+    loading=(LoadingTarget(target="e1", life=1),),
+    weights=(SeenWeights(target="e1", life=1, model=MODEL, version=2),),
+    hosts=("10.0.0.9",),
+    stores=(
+        StoreNews(
+            store="10.9.9.9:1", number=3, life=8, clock_ms=5, changes=(("2", "p", 64),)
+        ),
+    ),
+)
+
+
+def flight(tokens: int = 9_000) -> Flight:
+    return Flight(
+        tokens=tokens,
+        unread=100,
+        ahead=0,
+        began_at=0.0,
+        progress_at=0.0,
+        expected_at=9e9,
+    )
+
+
+def two() -> tuple[Net, Member, Member]:
+    net = Net(ManualClock())
+    one, other = Member(net, "v1"), Member(net, "v2")
+    for member in (one, other):
+        member.targets.update(engine("e1"), net.clock.now)
+        member.targets.states["e1"].cache.capacity_tokens = 10_000
+    net.tick(1.0)
+    return net, one, other
+
+
+def test_messages_survive_their_encoding() -> None:
+    assert decode(encode(FULL)) == FULL
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_are_a_message_or_refused(data: bytes) -> None:
+    with contextlib.suppress(ValueInvalidError):
+        assert isinstance(decode(data), GossipMessage)
+
+
+@pytest.mark.parametrize("place", range(14))
+def test_a_message_with_one_bad_field_is_refused(place: int) -> None:
+    fields = cbor2.loads(encode(FULL))
+    fields[place] = {"not": "it"}
+    with pytest.raises(ValueInvalidError):
+        decode(cbor2.dumps(fields))
+
+
+def test_vms_find_each_other_through_one_seed() -> None:
+    net = Net(ManualClock())
+    members = [Member(net, f"v{number}") for number in range(1, 4)]
+    net.tick(3.0)
+    assert all(len(member.peers.alive(net.clock.now)) == 2 for member in members)
+
+
+def test_loads_of_others_count_and_end() -> None:
+    net, one, other = two()
+    number = one.targets.states["e1"].begin(flight())
+    net.tick(0.3)
+    state = other.targets.states["e1"]
+    assert state.calls(net.clock.now) == 1
+    assert state.tokens(net.clock.now) == 9_000
+    one.targets.states["e1"].end(number)
+    net.tick(0.3)
+    assert state.calls(net.clock.now) == 0
+
+
+def test_a_vm_that_falls_silent_is_not_counted() -> None:
+    net, one, other = two()
+    one.targets.states["e1"].begin(flight())
+    net.tick(0.3)
+    del net.members["10.0.0.1"]
+    net.tick(4.0)
+    assert other.targets.states["e1"].calls(net.clock.now) == 0
+    assert other.peers.count(net.clock.now) == 1
+
+
+def test_an_older_message_changes_nothing() -> None:
+    table = PeerTable("v1", "10.0.0.1", "z1")
+    assert table.heard(message(number=5), 0.0) is not None
+    assert table.heard(message(number=4), 0.0) is None
+    assert table.heard(message(number=1, started_at=2), 0.0) is not None
+
+
+def test_news_of_engines_reach_the_others_at_once() -> None:
+    net, one, other = two()
+    one.gossip.loading(one.targets.states["e1"])
+    assert other.targets.states["e1"].loading_until > net.clock.now
+    one.gossip.weights(one.targets.states["e1"], MODEL, 2)
+    assert other.targets.states["e1"].weight_versions == {MODEL: 2}
+    assert other.targets.states["e1"].loading_until <= net.clock.now
+
+
+def test_news_of_another_life_is_left_out() -> None:
+    net, one, other = two()
+    other.targets.update(engine("e1", life=2), net.clock.now)
+    one.gossip.weights(one.targets.states["e1"], MODEL, 9)
+    assert other.targets.states["e1"].weight_versions == {MODEL: 1}
+
+
+def test_strikes_are_shared() -> None:
+    net, one, other = two()
+    for life in range(3):
+        one.strikes.add("f", "e1", life)
+    net.tick(0.5)
+    assert other.strikes.is_convicted("f")
+
+
+def test_a_change_is_told_at_once_and_asked_for() -> None:
+    net, one, other = two()
+    other.is_watching = False
+    one.revisions["config"] = 9
+    net.tick(0.05)
+    peer = other.gossip.peer_to_ask(net.clock.now)
+    assert peer is not None
+    assert peer.vm == "v1"
+    assert one.gossip.peer_to_ask(net.clock.now) is None
+
+
+def test_a_vm_that_watches_waits_for_the_store_first() -> None:
+    net, one, other = two()
+    one.revisions["config"] = 9
+    net.tick(0.05)
+    assert other.gossip.peer_to_ask(net.clock.now) is None
+    net.tick(0.4)
+    assert other.gossip.peer_to_ask(net.clock.now) is not None
+
+
+def test_a_large_fleet_tells_its_zone_more_than_others() -> None:
+    net = Net(ManualClock())
+    members = [Member(net, f"v{number}", f"z{number % 3}") for number in range(1, 31)]
+    net.tick(4.0)
+    one = members[0]
+    assert one.peers.is_large(net.clock.now)
+    for member in members:
+        member.news.clear()
+    one.gossip.tell_store_news(FULL.stores[0])
+    net.tick(2.0)
+    told = {member.peers.zone for member in members if member.news}
+    assert told == {one.peers.zone}
+
+
+def test_a_quiet_fleet_sends_little() -> None:
+    net = Net(ManualClock())
+    for number in range(1, 8):
+        Member(net, f"v{number}")
+    net.tick(3.0)
+    net.sent = 0
+    net.tick(3.0)
+    assert net.sent <= 7 * 6 * 3.0 / 0.5
+
+
+def test_duties_are_held_by_a_few_of_a_zone() -> None:
+    tables = []
+    for number in range(1, 11):
+        table = PeerTable(f"v{number}", f"10.0.0.{number}", "z1")
+        for other in range(1, 11):
+            table.heard(message(f"v{other}"), 0.0)
+        tables.append(table)
+    assert sum(table.has_duty("config", 3, 0.0) for table in tables) == 3
+    alone = PeerTable("v1", "10.0.0.1", "z1")
+    assert alone.has_duty("config", 3, 0.0)
--- /dev/null
+++ b/tests/keeping/common.py
@@ -0,0 +1,146 @@
+"""Builders of stores of context and their views."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping, Sequence
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.gateway.job import Job, Place
+from gypsumsail.gateway.models import Address, ContextStore, Customer, PromptPart
+from gypsumsail.gateway.targets import Flight, TargetTable
+from gypsumsail.gossip.peers import PeerTable
+from gypsumsail.keeping.coordinator import KeepingCoordinator
+from gypsumsail.keeping.store_view import (
+    PartKey,
+    StoreAnswer,
+    StoreChange,
+    StoreView,
+)
+from tests.common import ManualClock
+from tests.gateway.common import call, decision_log, engine, prompt, stream_route
+
+NEAR = Address(host="10.9.0.1", port=1)
+FAR = Address(host="10.9.0.2", port=1)
+PART = PromptPart(name="own", tokens=5_000)
+
+
+def context_store(address: Address = NEAR, zone: str = "z1") -> ContextStore:
+    """Return a store with room for ten documents."""
+    return ContextStore(
+        name=str(address),
+        address=address,
+        zone=zone,
+        capacity_tokens=50_000,
+        bytes_per_second=1e9,
+        first_byte_delay=0.001,
+        max_waiting_reads=12,
+        is_managed=True,
+    )
+
+
+def change(part: str = "own", tokens: int = 5_000, scope: str = "1") -> StoreChange:
+    """Return a change."""
+    return StoreChange(scope=scope, part=part, tokens=tokens)
+
+
+def answer(
+    *changes: StoreChange, life: int = 7, next_number: int = 1, has_gap: bool = False
+) -> StoreAnswer:
+    """Return an answer of a store."""
+    return StoreAnswer(
+        life=life,
+        next_number=next_number,
+        has_gap=has_gap,
+        changes=changes,
+        clock_ms=50_000,
+    )
+
+
+def view(*changes: StoreChange, now: float = 1_000.0) -> StoreView:
+    """Return a view that knows what the store holds."""
+    found = StoreView(context_store())
+    found.begin(answer(*changes), now)
+    return found
+
+
+class DrivenStores:
+    """Stores that answer with what tests give."""
+
+    def __init__(self) -> None:
+        self.contents = answer()
+        self.changes: list[StoreAnswer | TransportError] = []
+        self.asked = 0
+
+    async def async_contents(self, store: ContextStore) -> StoreAnswer:
+        """Return the contents."""
+        self.asked += 1
+        return self.contents
+
+    async def async_changes(
+        self, store: ContextStore, since: int, wait: float
+    ) -> StoreAnswer:
+        """Return the next changes."""
+        if not self.changes:
+            await asyncio.Event().wait()
+        found = self.changes.pop(0)
+        if isinstance(found, TransportError):
+            raise found
+        return found
+
+    async def async_free(
+        self, store: ContextStore, parts: Sequence[PartKey], life: int, until_ms: int
+    ) -> bool:
+        """Do nothing."""
+        return True
+
+    def forget(self, store: ContextStore) -> None:
+        """Do nothing."""
+
+
+class NoPeers:
+    """Peers that have nothing."""
+
+    async def async_get(
+        self, host: str, path: str, query: Mapping[str, str], timeout: float
+    ) -> bytes | None:
+        """Return nothing."""
+        return None
+
+
+def coordinator(
+    targets: TargetTable, clock: ManualClock, stores: DrivenStores | None = None
+) -> KeepingCoordinator:
+    """Return a coordinator that follows no store yet."""
+    return KeepingCoordinator(
+        stores or DrivenStores(),
+        targets,
+        PeerTable("v1", "10.0.0.1", "z1"),
+        NoPeers(),
+        clock,
+        decision_log(clock),
+    )
+
+
+def job_at(targets: TargetTable, name: str, clock: ManualClock) -> tuple[Job, Place]:
+    """Return a job with a long prompt that is placed at an engine."""
+    if name not in targets.states:
+        targets.update(engine(name), clock.now)
+    flight = Flight(
+        tokens=1, unread=1, ahead=0, began_at=0, progress_at=0, expected_at=9e9
+    )
+    state = targets.states[name]
+    place = Place(state, state.begin(flight), 0.1, "1", 1)
+    job = Job(
+        number=1,
+        call=call("/s/x", prompt=prompt()),
+        route=stream_route(),
+        customer=Customer(name="a"),
+        service="engines",
+        urgency=1,
+        aim_at=clock.now + 1,
+        ends_at=clock.now + 5,
+        fingerprint="f",
+        place=place,
+    )
+    return job, place
--- a/tests/membership/common.py
+++ b/tests/membership/common.py
@@ -8,9 +8,9 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.membership.coordinator import MembershipCoordinator
 from gypsumsail.membership.models import Member, MembershipSettings, MemberStatus
+from gypsumsail.object_api.port import VmRecord, VmRole, VmState
 from gypsumsail.peers.handshake import Identity
 from gypsumsail.peers.port import EntryId
-from gypsumsail.object_api.port import VmRecord, VmRole, VmState
 from gypsumsail.timeline.models import Event
 from tests.peers.virtual import Hub, HubNetwork, LoopClock
 
--- a/tests/once/common.py
+++ b/tests/once/common.py
@@ -10,11 +10,11 @@
 
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError, UnavailableError
+from gypsumsail.object_api.port import ConflictError, Listing, ObjectApi, PlatformObject
 from gypsumsail.once.coordinator import OnceCoordinator
 from gypsumsail.once.models import OnceRequest
 from gypsumsail.peers.codec import pack_message, unpack_message
 from gypsumsail.peers.port import EntryId, Handler, Message
-from gypsumsail.object_api.port import ConflictError, Listing, ObjectApi, PlatformObject
 from tests.common import EventLog
 
 _MessageT = TypeVar("_MessageT", bound=Message)
--- a/tests/once/test_platform.py
+++ b/tests/once/test_platform.py
@@ -15,9 +15,9 @@
     ReservationUnavailableError,
     RunState,
 )
+from gypsumsail.object_api.http import HttpPlatform
 from gypsumsail.once.coordinator import OnceCoordinator
 from gypsumsail.once.models import may_send
-from gypsumsail.object_api.http import HttpPlatform
 from tests.stand_ins.common import set_fault
 
 from .common import FakeFleet, coordinator, once_request
--- a/tests/orders/common.py
+++ b/tests/orders/common.py
@@ -16,10 +16,10 @@
     TierPolicy,
     TierWeights,
 )
+from gypsumsail.object_api.port import VmRecord, VmRole, VmState
 from gypsumsail.orders.coordinator import OrdersCoordinator
 from gypsumsail.orders.models import ObservedEngine
 from gypsumsail.peers.port import EntryId
-from gypsumsail.object_api.port import VmRecord, VmRole, VmState
 from gypsumsail.targets.port import (
     AnswerEnd,
     AnswerToken,
--- a/tests/orders/test_coordinator.py
+++ b/tests/orders/test_coordinator.py
@@ -5,10 +5,10 @@
 import pytest
 
 from gypsumsail.core.errors import TransportError
+from gypsumsail.object_api.port import ConflictError
 from gypsumsail.orders.const import LEASE_SECONDS, TURNS_KEY
 from gypsumsail.orders.coordinator import OrdersCoordinator
 from gypsumsail.orders.diagnostics import diagnostics
-from gypsumsail.object_api.port import ConflictError
 
 from .common import ZONES, Deployment, document, loaded, serving
 
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,198 @@
+"""Tests of requests and answers in the platform's words."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gypsumsail.core.errors import InvalidRequestError
+from gypsumsail.gateway.models import Address
+from gypsumsail.gateway.port import AnswerHead, ContextMove, SendTerms
+from gypsumsail.platform.calls import encode_request, read_answer, read_call
+from gypsumsail.transport.exchange import ExchangeConnection
+from gypsumsail.transport.http_server import HttpRequest
+from tests.gateway.common import engine
+
+HEADERS = [
+    (b"Host", b"NYLO40.example:80"),
+    (b"Gypsumsail-Request-Id", b"9c41"),
+    (b"Last-Event-Id", b"12"),
+    (b"Gypsumsail-Model", b"m0"),
+    (b"Gypsumsail-Token-Count", b"1460,80"),
+    (b"Gypsumsail-Prompt-Prefix", b"5c1e:800,91bd:410,e440:250"),
+    (b"Gypsumsail-Deadline-Ms", b"5000"),
+    (b"Authorization", b"Bearer key-1"),
+    (b"X-Other", b"kept"),
+    (b"X-Hop", b"dropped"),
+    (b"Connection", b"keep-alive, X-Hop"),
+]
+
+
+def request(
+    headers: list[tuple[bytes, bytes]] = HEADERS, target: bytes = b"/a/b?c=d"
+) -> HttpRequest:
+    return HttpRequest(
+        method=b"POST",
+        target=target,
+        headers=headers,
+        body=b"body",
+        keep_alive=True,
+        read_at=100.0,
+    )
+
+
+def test_a_request_becomes_a_call() -> None:
+    found = read_call(request())
+    assert (found.host, found.path) == ("nylo40.example", "/a/b")
+    assert found.deadline == 105.0
+    assert found.api_key == "key-1"
+    assert found.resume_after == "12"
+    assert found.prompt is not None
+    assert found.prompt.tokens == 1_540
+    assert [part.tokens for part in found.prompt.parts] == [800, 410, 250]
+
+
+def test_what_the_gateway_sets_never_comes_from_a_caller() -> None:
+    forged = [
+        (b"Gypsumsail-Tenant", b"other"),
+        (b"Gypsumsail-Cache-Salt", b"other"),
+        (b"Gypsumsail-Target-Instance", b"other"),
+        (b"Gypsumsail-Request-Priority", b"0"),
+        (b"Gypsumsail-Kv-Fetch", b"10.0.0.1:1"),
+        (b"Gypsumsail-Kv-Save", b"10.0.0.1:1"),
+        (b"Gypsumsail-Kv-Until", b"1"),
+        (b"Gypsumsail-Expect-Version", b"9"),
+        (b"Gypsumsail-Pin-Ms", b"9"),
+        (b"Gypsumsail-Hold", b"9"),
+        (b"Gypsumsail-Kv-Backup", b"10.0.0.1:1"),
+        (b"Kv-From", b"10.0.0.1:1/x"),
+    ]
+    found = read_call(request([*HEADERS, *forged]))
+    names = {name.lower() for name, _ in found.headers}
+    assert not names & {name.lower() for name, _ in forged}
+    sent = encode_request(
+        found, engine(), SendTerms(time_left=1, customer="a", urgency=1)
+    )
+    assert b"other" not in sent
+
+
+def test_the_key_and_hop_headers_stay_here() -> None:
+    found = read_call(request())
+    names = [name for name, _ in found.headers]
+    assert b"X-Other" in names
+    assert b"X-Hop" not in names
+    assert b"Authorization" not in names
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"Gypsumsail-Request-Id", b"again"),
+        (b"Gypsumsail-Deadline-Ms", b"5000"),
+        (b"Authorization", b"Bearer other"),
+    ],
+)
+def test_a_deciding_header_that_stands_twice_is_refused(
+    name: bytes, value: bytes
+) -> None:
+    with pytest.raises(InvalidRequestError):
+        read_call(request([*HEADERS, (name, value)]))
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"Gypsumsail-Deadline-Ms", b"soon"),
+        (b"Gypsumsail-Deadline-Ms", b"-5"),
+        (b"Gypsumsail-Token-Count", b"x,1"),
+        (b"Gypsumsail-Prompt-Prefix", b"a:b"),
+    ],
+)
+def test_a_deciding_header_that_is_malformed_is_refused(
+    name: bytes, value: bytes
+) -> None:
+    headers = [(key, value if key == name else text) for key, text in HEADERS]
+    with pytest.raises(InvalidRequestError):
+        read_call(request(headers))
+
+
+def test_an_absolute_target_is_taken_apart() -> None:
+    found = read_call(request(target=b"http://other.example/x/y?z=1"))
+    assert (found.host, found.target) == ("other.example", b"/x/y?z=1")
+
+
+def test_a_target_that_is_no_path_is_refused() -> None:
+    with pytest.raises(InvalidRequestError):
+        read_call(request(target=b"*"))
+
+
+def test_a_call_goes_on_with_its_own_bytes() -> None:
+    terms = SendTerms(
+        time_left=1.2345,
+        customer="a",
+        urgency=12,
+        cache_scope="2",
+        weight_version=2,
+        resume_after="7",
+        move=ContextMove(
+            fetch=(Address(host="10.0.0.9", port=1), None, None),
+            save=(None, Address(host="10.0.0.8", port=2), None),
+            fetch_until_ms=99,
+        ),
+    )
+    sent = encode_request(read_call(request()), engine("e1"), terms)
+    head, _, body = sent.partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert body == b"body"
+    assert lines[0] == b"POST /a/b?c=d HTTP/1.1"
+    for line in (
+        b"Host: NYLO40.example:80",
+        b"Gypsumsail-Request-Id: 9c41",
+        b"Gypsumsail-Prompt-Prefix: 5c1e:800,91bd:410,e440:250",
+        b"Gypsumsail-Deadline-Ms: 1234",
+        b"Gypsumsail-Target-Instance: e1",
+        b"Gypsumsail-Tenant: a",
+        b"Gypsumsail-Request-Priority: 9",
+        b"Gypsumsail-Cache-Salt: 2",
+        b"Gypsumsail-Expect-Version: 2",
+        b"Last-Event-Id: 7",
+        b"Gypsumsail-Kv-Fetch: 10.0.0.9:1,-,-",
+        b"Gypsumsail-Kv-Until: 99",
+        b"Gypsumsail-Kv-Save: -,10.0.0.8:2,-",
+        b"Content-Length: 4",
+    ):
+        assert lines.count(line) == 1, line
+
+
+def test_an_answer_is_read_once() -> None:
+    async def read() -> AnswerHead:
+        connection = ExchangeConnection()
+        connection.status = 503
+        connection.headers = [
+            (b"gypsumsail-not-run", b"1"),
+            (b"gypsumsail-server-load", b"3, 1, 8"),
+            (b"gypsumsail-weight-versions", b"4"),
+            (b"gypsumsail-server-stamp", b"s"),
+            (b"transfer-encoding", b"chunked"),
+        ]
+        return read_answer(connection, 5.0)
+
+    head = asyncio.run(read())
+    assert head.says_not_run
+    assert head.is_signed
+    assert head.weight_version == 4
+    assert head.load is not None
+    assert head.load.running == 3
+    assert (b"transfer-encoding", b"chunked") not in head.headers
+
+
+@pytest.mark.parametrize("load", [b"", b"x", b"1", b"1,-2", b"a,b,c"])
+def test_a_load_that_is_none_is_left_out(load: bytes) -> None:
+    async def read() -> AnswerHead:
+        connection = ExchangeConnection()
+        connection.status = 200
+        connection.headers = [(b"gypsumsail-server-load", load)]
+        return read_answer(connection, 5.0)
+
+    assert asyncio.run(read()).load is None
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,84 @@
+"""Tests of the settings file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from gypsumsail.core.findings import SettingsInvalidError
+from gypsumsail.platform.settings import load_settings, parse_address
+
+GOOD = """
+node = "front-1"
+role = "entry"
+ip = "10.1.0.19"
+zone = "z1"
+port_range = [7580, 7595]
+seeds = ["10.1.0.19:8745", "nonsense", "10.2.0.13:8745"]
+first_start = true
+a_new_field = "ignored"
+[listen]
+front = "10.1.0.19:8749"
+ready = "10.1.0.19:8741"
+control = "10.1.0.19:8745"
+[bounds]
+grace_s = 9
+retry_slack = 7
+[infra]
+addr = "10.200.1.7:8744"
+form = "objects"
+"""
+
+
+def load(tmp_path: Path, text: str) -> object:
+    path = tmp_path / "boot.toml"
+    path.write_text(text, encoding="utf-8")
+    return load_settings(path)
+
+
+def test_settings_are_read_and_unknown_fields_left_out(tmp_path: Path) -> None:
+    path = tmp_path / "boot.toml"
+    path.write_text(GOOD, encoding="utf-8")
+    settings = load_settings(path)
+    assert settings.vm == "front-1"
+    assert str(settings.object_store) == "10.200.1.7:8744"
+    assert settings.seed_hosts == ("10.1.0.19", "10.2.0.13")
+    assert settings.gossip_port == 7580
+    assert settings.grace_seconds == 9
+    assert settings.repeat_limit.slack == 7
+    assert settings.repeat_limit.ratio == 0.2
+
+
+def test_all_findings_are_reported_together(tmp_path: Path) -> None:
+    bad = GOOD.replace('node = "front-1"', "node = 7").replace('zone = "z1"\n', "")
+    bad = bad.replace("grace_s = 9", 'grace_s = "long"')
+    with pytest.raises(SettingsInvalidError) as caught:
+        load(tmp_path, bad)
+    assert {finding.path for finding in caught.value.findings} == {
+        "node",
+        "zone",
+        "bounds",
+    }
+
+
+def test_addresses_are_checked(tmp_path: Path) -> None:
+    with pytest.raises(SettingsInvalidError) as caught:
+        load(tmp_path, GOOD.replace("10.200.1.7:8744", "10.200.1.7"))
+    assert [finding.path for finding in caught.value.findings] == ["infra.addr"]
+
+
+@pytest.mark.parametrize("text", ["", "= =", "node = "])
+def test_a_file_that_is_none_is_refused(tmp_path: Path, text: str) -> None:
+    with pytest.raises(SettingsInvalidError):
+        load(tmp_path, text)
+
+
+def test_a_missing_file_is_refused(tmp_path: Path) -> None:
+    with pytest.raises(SettingsInvalidError):
+        load_settings(tmp_path / "none.toml")
+
+
+@pytest.mark.parametrize("text", ["", "a", "a:", ":1", "a:x", "a:0", "a:70000", None])
+def test_what_is_no_address(text: object) -> None:
+    assert parse_address(text) is None
--- a/tests/relay/common.py
+++ b/tests/relay/common.py
@@ -11,8 +11,8 @@
 from gypsumsail.core.errors import NoTargetError, TransportError
 from gypsumsail.document.models import Route
 from gypsumsail.entry.models import CallHead, CompletionBody, ModelJob, Placement
-from gypsumsail.once.models import OnceRequest, Outcome, Reservation
 from gypsumsail.object_api.port import VmRecord, VmRole, VmState
+from gypsumsail.once.models import OnceRequest, Outcome, Reservation
 from gypsumsail.relay.attempts import RelayPorts
 from gypsumsail.relay.model_work import ModelWork
 from gypsumsail.relay.models import Constraints, EngineSelection, Selection
--- a/tests/timeline/common.py
+++ b/tests/timeline/common.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from gypsumsail.core.errors import TransportError
-from gypsumsail.peers.port import EntryId, Message
 from gypsumsail.object_api.port import ConflictError, Listing, PlatformObject
+from gypsumsail.peers.port import EntryId, Message
 from gypsumsail.timeline.models import Event, EventKind
 from gypsumsail.timeline.records import ProcessId
 
--- a/tests/timeline/test_archive_links.py
+++ b/tests/timeline/test_archive_links.py
@@ -6,8 +6,8 @@
 
 from bench.processes import Launcher
 from gypsumsail.core.clock import SystemClock
-from gypsumsail.peers.network import WebsocketPeerNetwork
 from gypsumsail.object_api.http import HttpPlatform
+from gypsumsail.peers.network import WebsocketPeerNetwork
 from gypsumsail.timeline.archive import TimelineArchive
 from gypsumsail.timeline.archive_reader import async_read_archive
 from gypsumsail.timeline.const import ARCHIVE_BUCKET_SECONDS
--- /dev/null
+++ b/tests/transport/test_exchange.py
@@ -0,0 +1,123 @@
+"""Tests of the client side of HTTP, with answers as faulty targets give them."""
+
+from __future__ import annotations
+
+import asyncio
+from urllib.parse import urlsplit
+
+import pytest
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.transport.exchange import ExchangeConnection, ExchangePool
+from tests.raw_server import CLOSE, RESET, RawServer, raw_server
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+IDENTITY = (b"x-id", b"mine")
+
+
+def answer(body: bytes, name: str = "mine", *lines: str, status: int = 200) -> bytes:
+    """Return an answer with a length that names a request."""
+    head = [f"HTTP/1.1 {status} S", f"X-Id: {name}", *lines]
+    head.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+
+
+def pool_of(server: RawServer) -> ExchangePool:
+    """Return a pool for a server."""
+    parts = urlsplit(server.url)
+    assert parts.hostname is not None
+    assert parts.port is not None
+    return ExchangePool(parts.hostname, parts.port, 0.5)
+
+
+async def ask(pool: ExchangePool) -> tuple[ExchangeConnection, bytes]:
+    """Make one exchange, and give the connection back."""
+    connection = await pool.async_acquire()
+    try:
+        async with asyncio.timeout(2.0):
+            connection.send(REQUEST, IDENTITY)
+            await connection.async_head()
+            return connection, await connection.async_read_all(1_000)
+    finally:
+        pool.release(connection)
+
+
+async def test_a_connection_is_used_again() -> None:
+    async with raw_server([answer(b"one"), answer(b"two")]) as server:
+        pool = pool_of(server)
+        assert (await ask(pool))[1] == b"one"
+        assert (await ask(pool))[1] == b"two"
+        assert server.connections == 1
+        pool.close()
+
+
+async def test_another_requests_answer_is_passed_over() -> None:
+    late = answer(b"theirs", "other") + answer(b"own")
+    async with raw_server([late]) as server:
+        assert (await ask(pool_of(server)))[1] == b"own"
+
+
+async def test_a_success_without_a_name_is_not_taken() -> None:
+    nameless = b"HTTP/1.1 200 S\r\nContent-Length: 2\r\n\r\nno"
+    async with raw_server([nameless + CLOSE]) as server:
+        with pytest.raises(TransportError):
+            await ask(pool_of(server))
+
+
+async def test_bytes_after_an_answer_belong_to_no_request() -> None:
+    double = answer(b"own") + answer(b"again")
+    async with raw_server([double, answer(b"next")]) as server:
+        pool = pool_of(server)
+        assert (await ask(pool))[1] == b"own"
+        assert (await ask(pool))[1] == b"next"
+        assert server.connections == 2
+
+
+async def test_an_answer_without_length_ends_with_its_connection() -> None:
+    unframed = b"HTTP/1.1 200 S\r\nX-Id: mine\r\n\r\nwhole"
+    async with raw_server([unframed + CLOSE]) as server:
+        connection, body = await ask(pool_of(server))
+    assert body == b"whole"
+    assert not connection.is_reusable
+
+
+async def test_an_answer_that_is_too_short_is_no_answer() -> None:
+    short = answer(b"whole")[:-2]
+    async with raw_server([short + CLOSE]) as server:
+        with pytest.raises(TransportError) as caught:
+            await ask(pool_of(server))
+    assert caught.value.sent
+
+
+@pytest.mark.parametrize("bad", [None, RESET, b"nonsense\r\n\r\n"])
+async def test_no_answer_may_have_run(bad: bytes | None) -> None:
+    async with raw_server([bad]) as server:
+        with pytest.raises(TransportError) as caught:
+            await ask(pool_of(server))
+    assert caught.value.sent
+
+
+async def test_a_refused_connection_has_sent_nothing() -> None:
+    async with raw_server([None]) as server:
+        pool = pool_of(server)
+    with pytest.raises(TransportError) as caught:
+        await pool.async_acquire()
+    assert not caught.value.sent
+
+
+async def test_a_connection_is_dropped_before_its_server_closes_it() -> None:
+    short = answer(b"one", "mine", "Keep-Alive: timeout=1")
+    async with raw_server([short, answer(b"two")]) as server:
+        pool = pool_of(server)
+        await ask(pool)
+        await ask(pool)
+        assert server.connections == 2
+
+
+async def test_a_cancelled_exchange_gives_no_connection_back() -> None:
+    async with raw_server([answer(b"x" * 500)[:-100]]) as server:
+        pool = pool_of(server)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await ask(pool)
+        assert not pool.idle
--- /dev/null
+++ b/tests/transport/test_http_server.py
@@ -0,0 +1,258 @@
+"""Tests of the border to callers, with requests as hostile ones send them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+from contextlib import asynccontextmanager
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+import pytest
+
+from gypsumsail.core.clock import SystemClock
+from gypsumsail.transport.http_server import (
+    HttpRequest,
+    HttpServer,
+    Reply,
+    ServerLimits,
+)
+
+LIMITS = ServerLimits(
+    head_bytes=1_024, body_bytes=2_048, head_seconds=0.4, idle_seconds=0.8
+)
+
+
+class Seen:
+    """A handler that keeps requests and echoes their bodies."""
+
+    def __init__(self) -> None:
+        self.requests: list[HttpRequest] = []
+        self.refused: list[int] = []
+        self.cancelled = 0
+        self.delay = 0.0
+
+    async def handle(self, request: HttpRequest, reply: Reply) -> None:
+        """Echo a body."""
+        self.requests.append(request)
+        try:
+            await asyncio.sleep(self.delay)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        reply.send(200, [], request.body)
+
+
+@asynccontextmanager
+async def serving(seen: Seen) -> AsyncIterator[HttpServer]:
+    """Serve on a free port."""
+    server = HttpServer(seen.handle, LIMITS, SystemClock(), seen.refused.append)
+    await server.async_start("127.0.0.1", 0)
+    try:
+        yield server
+    finally:
+        await server.async_stop()
+
+
+async def exchange(server: HttpServer, data: bytes, wait: float = 1.5) -> bytes:
+    """Send bytes and return all that comes until the end or for a while."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(data)
+    found = b""
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(wait):
+            while piece := await reader.read(65_536):
+                found += piece
+                if found.endswith(b"last"):
+                    break
+    writer.close()
+    return found
+
+
+def request(body: bytes = b"", *lines: str, method: str = "POST") -> bytes:
+    """Return a well-formed request with further header lines."""
+    head = [f"{method} /a HTTP/1.1", "Host: h", *lines]
+    if not any(line.lower().startswith("transfer") for line in lines):
+        head.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+
+
+async def test_requests_of_one_connection_are_answered_in_order() -> None:
+    seen = Seen()
+    async with serving(seen) as server:
+        data = request(b"one") + request(b"two") + request(b"last")
+        found = await exchange(server, data)
+    assert [item.body for item in seen.requests] == [b"one", b"two", b"last"]
+    assert found.index(b"one") < found.index(b"two") < found.index(b"last")
+
+
+async def test_a_body_in_chunks_is_read_whole() -> None:
+    seen = Seen()
+    async with serving(seen) as server:
+        chunks = b"3\r\nabc\r\n4\r\nlast\r\n0\r\n\r\n"
+        await exchange(server, request(chunks, "Transfer-Encoding: chunked"))
+    assert seen.requests[0].body == b"abclast"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        request(b"abc", "Transfer-Encoding: chunked", "Content-Length: 3"),
+        request(b"abc", "Content-Length: 3"),
+        request(b"", "Transfer-Encoding: gzip, chunked"),
+        request(b"abc", "Content-Length: +3").replace(b"Content-Length: 3\r\n", b""),
+        b"POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: a\r\nHost: b\r\nContent-Length: 0\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nHost: h\r\nBad Header: x\r\n\r\n",
+    ],
+)
+async def test_ambiguous_requests_reach_no_handler(data: bytes) -> None:
+    seen = Seen()
+    async with serving(seen) as server:
+        found = await exchange(server, data)
+    assert not seen.requests
+    assert found.startswith(b"HTTP/1.1 400")
+
+
+async def test_a_request_inside_a_body_is_no_request() -> None:
+    seen = Seen()
+    inner = request(b"", method="GET") + b"last"
+    async with serving(seen) as server:
+        await exchange(server, request(inner))
+    assert [item.body for item in seen.requests] == [inner]
+
+
+async def test_a_head_over_the_limit_is_refused() -> None:
+    seen = Seen()
+    async with serving(seen) as server:
+        found = await exchange(server, request(b"", "X: " + "x" * 2_000))
+    assert found.startswith(b"HTTP/1.1 431")
+    assert not seen.requests
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        request(b"x" * 4_096),
+        request(b"fff\r\n" + b"x" * 4_095, "Transfer-Encoding: chunked"),
+    ],
+)
+async def test_a_body_over_the_limit_is_refused(data: bytes) -> None:
+    seen = Seen()
+    async with serving(seen) as server:
+        found = await exchange(server, data)
+    assert found.startswith(b"HTTP/1.1 413")
+    assert not seen.requests
+
+
+async def test_a_request_that_comes_too_slowly_is_refused() -> None:
+    seen = Seen()
+    async with serving(seen) as server:
+        found = await exchange(server, request(b"abc")[:-1], wait=2.0)
+    assert found.startswith(b"HTTP/1.1 408")
+    assert seen.refused == [408]
+
+
+async def test_an_idle_connection_is_closed() -> None:
+    seen = Seen()
+    async with serving(seen) as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        async with asyncio.timeout(3.0):
+            assert await reader.read() == b""
+        writer.close()
+
+
+async def test_a_caller_that_leaves_cancels_its_request() -> None:
+    seen = Seen()
+    seen.delay = 5.0
+    async with serving(seen) as server:
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(request(b"abc"))
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.05)
+    assert seen.cancelled == 1
+
+
+async def test_a_draining_server_ends_connections_with_their_reply() -> None:
+    seen = Seen()
+    async with serving(seen) as server:
+        server.drain()
+        found = await exchange(server, request(b"last"))
+    assert b"connection: close" in found
+
+
+async def test_a_broken_reply_never_looks_whole() -> None:
+    async def broken(request: HttpRequest, reply: Reply) -> None:
+        reply.begin(200, [])
+        reply.write(b"part")
+        reply.abort()
+
+    server = HttpServer(broken, LIMITS, SystemClock())
+    await server.async_start("127.0.0.1", 0)
+    found = await exchange(server, request(b""))
+    await server.async_stop()
+    assert b"0\r\n\r\n" not in found
+
+
+async def test_a_handler_that_fails_gives_an_error() -> None:
+    async def failing(request: HttpRequest, reply: Reply) -> None:
+        raise ValueError("unforeseen")
+
+    server = HttpServer(failing, LIMITS, SystemClock())
+    await server.async_start("127.0.0.1", 0)
+    found = await exchange(server, request(b""), wait=0.3)
+    await server.async_stop()
+    assert found.startswith(b"HTTP/1.1 500")
+
+
+@settings(max_examples=60, deadline=None, suppress_health_check=list(HealthCheck))
+@given(
+    st.lists(
+        st.sampled_from(
+            [
+                b"GET /a HTTP/1.1\r\n",
+                b"Host: h\r\n",
+                b"\r\n",
+                b"Content-Length: 5\r\n",
+                b"Transfer-Encoding: chunked\r\n",
+                b"5\r\nabcde\r\n",
+                b"0\r\n\r\n",
+                b"abcde",
+                b"\x00\xff",
+            ]
+        ),
+        max_size=10,
+    )
+)
+def test_any_bytes_leave_the_server_serving(pieces: list[bytes]) -> None:
+    async def run() -> None:
+        seen = Seen()
+        async with serving(seen) as server:
+            await exchange(server, b"".join(pieces), wait=0.05)
+            found = await exchange(server, request(b"last"))
+            assert found.startswith(b"HTTP/1.1 200")
+            for item in seen.requests:
+                assert item.body in (b"", b"abcde", b"last") or (
+                    set(item.body) <= set(b"abcde")
+                )
+
+    asyncio.run(run())
+
+
+async def test_a_server_that_takes_no_more_ends_idle_connections_only() -> None:
+    seen = Seen()
+    seen.delay = 0.3
+    async with serving(seen) as server:
+        idle_reader, idle_writer = await asyncio.open_connection(
+            "127.0.0.1", server.port
+        )
+        busy = asyncio.create_task(exchange(server, request(b"last")))
+        await asyncio.sleep(0.1)
+        server.take_no_more()
+        async with asyncio.timeout(0.5):
+            assert await idle_reader.read() == b""
+        assert b"last" in await busy
+        idle_writer.close()
