--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -147,7 +147,7 @@
     )
 
 
-def call(path: str = "/a/x", now: float = 1_000.0, **changes: Any) -> Call:
+def call(path: str = "/a/x", *, now: float = 1_000.0, **changes: Any) -> Call:
     """Return a call that a customer sends."""
     plain = Call(
         request_id="id-1",
--- /dev/null
+++ b/tests/gateway/load_model.py
@@ -0,0 +1,299 @@
+"""Replays a load on engines that read prompts one after the other.
+
+Several VMs place calls on the same engines and hear of each other's calls late. An
+engine reads prompts in the order in which they came, as far as its memory goes, and
+holds a call's memory until its answer is whole.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+import heapq
+from itertools import count
+import random
+
+from gypsumsail.gateway.job import Job
+from gypsumsail.gateway.line import Waiting, hopeless, in_order
+from gypsumsail.gateway.models import Customer, Prompt, PromptPart
+from gypsumsail.gateway.placement import Placed
+from gypsumsail.gateway.placer import FleetView, JobPlacer
+from gypsumsail.gateway.targets import PeerLoad, TargetState, TargetTable
+from tests.gateway.common import (
+    ENGINES,
+    MODEL,
+    call,
+    document,
+    engine,
+    fleet_view,
+    stream_route,
+)
+
+READ_TOKENS_PER_SECOND = 36_100.0
+MEMORY_TOKENS = 41_600
+HEARD_AFTER_SECONDS = 0.1
+LINE_SECONDS = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What arrives.
+
+    Attributes
+    ----------
+    rate
+        Long prompts a second, over all VMs.
+    burst
+        Factor of the rate between ``burst_from`` and ``burst_to``.
+    lost_engines
+        Engines that are lost at the start of the burst.
+    """
+
+    rate: float
+    seconds: float = 20.0
+    burst: float = 1.0
+    burst_from: float = 5.0
+    burst_to: float = 8.0
+    engines: int = 5
+    lost_engines: int = 0
+    vms: int = 7
+    documents: int = 40
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What came of the load."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused_after: list[float] = field(default_factory=list)
+
+    @property
+    def share_in_time(self) -> float:
+        """Return the share of calls whose first token came in time."""
+        return self.in_time / self.asked
+
+
+@dataclass(slots=True)
+class _Run:
+    job: Job
+    unread: int
+    tokens: int
+
+
+class _Engine:
+    """An engine that reads one prompt at a time."""
+
+    def __init__(self) -> None:
+        self.queue: list[_Run] = []
+        self.used = 0
+        self.is_reading = False
+        self.cached: list[str] = []
+
+    def reads(self, prompt: Prompt) -> int:
+        """Return the tokens that have to be read, and cache the document."""
+        own = prompt.parts[0]
+        if own.name in self.cached:
+            self.cached.remove(own.name)
+            self.cached.append(own.name)
+            return prompt.input_tokens - own.tokens
+        self.cached.append(own.name)
+        if len(self.cached) > 3:
+            self.cached.pop(0)
+        return prompt.input_tokens
+
+
+Choose = Callable[[Sequence[TargetState], Job, float], TargetState | None]
+
+
+class LoadModel:
+    """One replay.
+
+    Attributes
+    ----------
+    choose
+        Another policy in place of the product's; it never lets a call wait.
+    """
+
+    def __init__(self, load: Load, seed: int, choose: Choose | None = None) -> None:
+        self.load = load
+        self.choose = choose
+        self.random = random.Random(seed)
+        self.outcome = Outcome()
+        self.events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.order = count()
+        self.engines = {f"e{number}": _Engine() for number in range(load.engines)}
+        self.views = [self._view() for _ in range(load.vms)]
+        service = document(stream_route()).services[ENGINES]
+        self.jobs: list[dict[int, Job]] = [{} for _ in self.views]
+        self.placers = [
+            JobPlacer(view, service, jobs)
+            for view, jobs in zip(self.views, self.jobs, strict=True)
+        ]
+        self.lines: list[dict[int, Waiting]] = [{} for _ in self.views]
+
+    def _view(self) -> FleetView:
+        targets = TargetTable()
+        for name in self.engines:
+            targets.update(engine(name), 0.0)
+        return fleet_view(targets, lambda: self.load.vms)
+
+    def run(self) -> Outcome:
+        """Replay the load to its end."""
+        self._arrivals()
+        self._at(HEARD_AFTER_SECONDS, self._hear)
+        self._at(LINE_SECONDS, self._pump_all)
+        if self.load.lost_engines:
+            self._at(self.load.burst_from, self._lose)
+        end = self.load.seconds + 6.0
+        while self.events and self.events[0][0] < end:
+            now, _, step = heapq.heappop(self.events)
+            step(now)
+        return self.outcome
+
+    def _at(self, time: float, step: Callable[[float], None]) -> None:
+        heapq.heappush(self.events, (time, next(self.order), step))
+
+    def _arrivals(self) -> None:
+        now = 0.0
+        while now < self.load.seconds:
+            is_burst = self.load.burst_from <= now < self.load.burst_to
+            rate = self.load.rate * (self.load.burst if is_burst else 1.0)
+            now += self.random.expovariate(rate)
+            self._at(now, self._arrive)
+
+    def _arrive(self, now: float) -> None:
+        self.outcome.asked += 1
+        vm = self.random.randrange(self.load.vms)
+        number = next(self.order)
+        name = f"d{self.random.randrange(self.load.documents)}"
+        own = PromptPart(name=name, tokens=7_500)
+        rest = PromptPart(name=f"q{number}", tokens=1_700)
+        prompt = Prompt(
+            model=MODEL, input_tokens=9_200, output_tokens=10, parts=(own, rest)
+        )
+        job = Job(
+            number=number,
+            call=call("/s/x", now=now, prompt=prompt),
+            route=stream_route(),
+            customer=Customer(name="a"),
+            service=ENGINES,
+            urgency=1,
+            aim_at=now + 0.8,
+            ends_at=now + 5.0,
+            fingerprint=str(number),
+        )
+        self.jobs[vm][number] = job
+        if self.choose is not None:
+            self._place_by_choice(vm, job, now)
+            return
+        work = self.placers[vm].work_seconds(job, now)
+        self.lines[vm][number] = job.waiting(work)
+        self._pump(vm, now)
+
+    def _place_by_choice(self, vm: int, job: Job, now: float) -> None:
+        assert self.choose is not None
+        states = [
+            state
+            for state in self.views[vm].targets.of_service(ENGINES)
+            if not state.is_leaving
+        ]
+        state = self.choose(states, job, now)
+        assert state is not None
+        for other in states:
+            other.blocked_until = now + 1 if other is not state else 0.0
+        placed = self.placers[vm].place(job.number, now)
+        for other in states:
+            other.blocked_until = 0.0
+        if not isinstance(placed, Placed):
+            flight = self.placers[vm]._begin(job, state, 0.0, now)
+            job.place = flight
+        self._start(vm, job, now)
+
+    def _pump_all(self, now: float) -> None:
+        for vm in range(self.load.vms):
+            self._pump(vm, now)
+        self._at(now + LINE_SECONDS, self._pump_all)
+
+    def _pump(self, vm: int, now: float) -> None:
+        line = self.lines[vm]
+        left = []
+        for waiting in in_order(line.values(), now):
+            placed = self.placers[vm].place(waiting.number, now)
+            if isinstance(placed, Placed):
+                del line[waiting.number]
+                self._start(vm, self.jobs[vm][waiting.number], now)
+            else:
+                left.append(waiting)
+        for waiting in hopeless(left, self.placers[vm].capacity(now), now):
+            del line[waiting.number]
+            self.outcome.refused_after.append(now - waiting.arrived_at)
+
+    def _start(self, vm: int, job: Job, now: float) -> None:
+        assert job.place is not None
+        assert job.call.prompt is not None
+        found = self.engines[job.place.state.entry.name]
+        unread = found.reads(job.call.prompt)
+        found.queue.append(_Run(job, unread, job.call.prompt.tokens))
+        self._read_next(found, vm, now)
+
+    def _read_next(self, found: _Engine, vm: int, now: float) -> None:
+        if found.is_reading or not found.queue:
+            return
+        run = found.queue[0]
+        if found.used + run.tokens > MEMORY_TOKENS:
+            return
+        found.queue.pop(0)
+        found.used += run.tokens
+        found.is_reading = True
+        seconds = run.unread / READ_TOKENS_PER_SECOND + 0.02
+        self._at(now + seconds, lambda at: self._first_token(found, vm, run, at))
+
+    def _first_token(self, found: _Engine, vm: int, run: _Run, now: float) -> None:
+        found.is_reading = False
+        job = run.job
+        place = job.place
+        assert place is not None
+        assert job.call.prompt is not None
+        if now <= job.aim_at:
+            self.outcome.in_time += 1
+        else:
+            self.outcome.late += 1
+        flight = place.state.flights.get(place.flight)
+        if flight is not None:
+            rate = self.views[vm].targets.rate(ENGINES)
+            rate.observe(flight.ahead + flight.unread, now - flight.began_at)
+        place.state.progressed(place.flight, now, 1.0)
+        for view in self.views:
+            state = view.targets.states[place.state.entry.name]
+            state.cache.add(place.cache_scope, job.call.prompt.parts[:1], 0)
+        lasts = self.random.uniform(0.1, 0.6)
+        self._at(now + lasts, lambda at: self._end(found, vm, run, at))
+        self._read_next(found, vm, now)
+
+    def _end(self, found: _Engine, vm: int, run: _Run, now: float) -> None:
+        found.used -= run.tokens
+        run.job.leave_place()
+        self._read_next(found, vm, now)
+
+    def _hear(self, now: float) -> None:
+        """Let each VM hear what the others have at each engine."""
+        for mine, view in enumerate(self.views):
+            for other, theirs in enumerate(self.views):
+                if other == mine:
+                    continue
+                for name, state in view.targets.states.items():
+                    flights = theirs.targets.states[name].flights.values()
+                    state.peers[str(other)] = PeerLoad(
+                        calls=len(flights),
+                        tokens=sum(flight.tokens for flight in flights),
+                        unread=sum(flight.unread for flight in flights),
+                        at=now,
+                    )
+        self._at(now + HEARD_AFTER_SECONDS, self._hear)
+
+    def _lose(self, now: float) -> None:
+        for name in list(self.engines)[: self.load.lost_engines]:
+            for view in self.views:
+                view.targets.states[name].is_leaving = True
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -63,7 +64,7 @@
     ],
 )
 async def test_what_is_not_allowed_reaches_no_target(
-    changes: dict[str, str], status: int
+    changes: dict[str, Any], status: int
 ) -> None:
     calls = ScriptedTargets()
     reply = KeptReply()
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -161,7 +161,7 @@
         targets,
         wanted,
         clock,
-        decision_log(clock),  # type: ignore[arg-type]
+        decision_log(clock),
         names,
         lambda service: (MODEL,),
     )
