Place a call where it begins in time, and late calls only where nothing waits

Cause: engines ran dry while calls waited for 0.3 s of read-ahead, late calls took the room of those in time, and calls were held up to 4.66 s before they were refused.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -12,10 +12,16 @@
 """Prompt tokens below which an observation says little of the reading speed."""
 MEMORY_SHARE: Final = 0.92
 """Share of an engine's memory that runs may take; the rest absorbs late reports."""
-READ_AHEAD_SECONDS: Final = 0.30
-"""Unread prompt work of an engine, in seconds, above which calls wait here."""
+READ_AHEAD_SHARE: Final = 0.5
+"""Unread prompt work of an engine, as a part of a call's aim, above which it waits."""
 SLOT_SHARE: Final = 1.5
 """Calls at a plain target, per slot, above which calls wait here."""
+LATE_SLOT_SHARE: Final = 1.0
+"""The same for calls that are late already."""
+LATE_PATIENCE_SHARE: Final = 0.25
+"""Part of the time between its aim and its end for which a late call may wait."""
+COMEBACK_SHARE: Final = 0.25
+"""Part of a call's time that is left to it when it is turned away."""
 MOVED_TOKENS_PER_SECOND: Final = 400_000.0
 """Speed at which kept context is taken to come to an engine."""
 MOVE_COST_SECONDS_PER_TOKEN: Final = 4e-6
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -34,6 +34,8 @@
         How many of them took it, or may have.
     has_run
         Whether any send may have been run.
+    work_seconds
+        Time that one target is expected to spend before its first token.
     weight_version
         Version that an earlier part of the answer was made on.
     """
@@ -55,9 +57,11 @@
     resume_after: str = ""
     placed_at: float = 0.0
     first_at: float = 0.0
+    work_seconds: float = 0.0
 
     def waiting(self, work_seconds: float) -> Waiting:
         """Return the job as the waiting line sees it."""
+        self.work_seconds = work_seconds
         return Waiting(
             number=self.number,
             urgency=self.urgency,
--- a/src/gypsumsail/gateway/line.py
+++ b/src/gypsumsail/gateway/line.py
@@ -3,7 +3,8 @@
 Answers the load in which more arrives than the targets can begin in time. A call
 that can still be on time goes before all that can't, so that an overload makes
 some calls late instead of each a little; among those the more urgent go first, then
-the earliest aim. A call whose turn is not expected before its end is turned away.
+the earliest aim. A call whose turn is not expected in time, or that has been late for
+long, is turned away while it still has time to come back.
 """
 
 from __future__ import annotations
@@ -11,7 +12,11 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from gypsumsail.gateway.const import LEAST_SERVICE_SECONDS
+from gypsumsail.gateway.const import (
+    COMEBACK_SHARE,
+    LATE_PATIENCE_SHARE,
+    LEAST_SERVICE_SECONDS,
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -97,5 +102,17 @@
     return [
         call
         for call, start in zip(ordered, starts, strict=True)
-        if start + call.work_seconds + LEAST_SERVICE_SECONDS > call.ends_at
+        if now >= late_until(call) or start + call.work_seconds > begins_by(call)
     ]
+
+
+def late_until(call: Waiting) -> float:
+    """Return the time until which a call waits though it is late."""
+    patience = (call.ends_at - call.aim_at) * LATE_PATIENCE_SHARE
+    return max(call.aim_at, call.arrived_at) + max(patience, 0.0)
+
+
+def begins_by(call: Waiting) -> float:
+    """Return the time by which a call has to begin, or is turned away before."""
+    span = call.ends_at - call.arrived_at
+    return call.ends_at - span * COMEBACK_SHARE - LEAST_SERVICE_SECONDS
--- a/src/gypsumsail/gateway/placement.py
+++ b/src/gypsumsail/gateway/placement.py
@@ -12,12 +12,13 @@
 
 from gypsumsail.gateway.const import (
     FAILURE_COST_SECONDS,
+    LATE_SLOT_SHARE,
     LOCAL_ZONE_SECONDS,
     MEMORY_SHARE,
     MOVE_COST_SECONDS_PER_TOKEN,
     MOVED_TOKENS_PER_SECOND,
     OLD_WEIGHTS_COST_SECONDS,
-    READ_AHEAD_SECONDS,
+    READ_AHEAD_SHARE,
     SLOT_SHARE,
     STALL_COST_SECONDS,
     STEP_SECONDS_PER_RUN,
@@ -68,10 +69,16 @@
     ----------
     tokens
         Memory of a generation; 0 for a plain call.
+    aim_seconds
+        Time from the call's arrival in which its first token is in time.
+    is_late
+        Whether the call can't be in time any more; it gets only what others leave.
     """
 
     tokens: int
     read_tokens_per_second: float
+    aim_seconds: float
+    is_late: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -129,11 +136,13 @@
 def has_room(candidate: Candidate, demand: Demand) -> bool:
     """Return whether a call may be sent there without piling up."""
     if not candidate.memory_tokens:
-        return candidate.calls < candidate.slots * SLOT_SHARE
+        share = LATE_SLOT_SHARE if demand.is_late else SLOT_SHARE
+        return candidate.calls < candidate.slots * share
     if not candidate.calls:
         return True
     full = candidate.tokens + demand.tokens > candidate.memory_tokens * MEMORY_SHARE
-    behind = candidate.unread > READ_AHEAD_SECONDS * demand.read_tokens_per_second
+    ahead = 0.0 if demand.is_late else demand.aim_seconds * READ_AHEAD_SHARE
+    behind = candidate.unread > ahead * demand.read_tokens_per_second
     return not full and not behind and candidate.calls < candidate.slots
 
 
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
-from gypsumsail.gateway.const import READ_AHEAD_SECONDS, STALL_SECONDS
+from gypsumsail.gateway.const import STALL_SECONDS
 from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.line import Capacity
 from gypsumsail.gateway.models import PromptPart, Service
@@ -86,6 +86,8 @@
         demand = Demand(
             tokens=prompt.tokens if prompt is not None else 0,
             read_tokens_per_second=self._rate(),
+            aim_seconds=job.aim_at - job.call.received_at,
+            is_late=now + job.work_seconds > job.aim_at,
         )
         placed = place(candidates, demand)
         if isinstance(placed, Placed):
@@ -105,7 +107,7 @@
                 workers=slots, backlog_seconds=backlog, shared_by=self.view.vms()
             )
         backlog = min((state.unread(now) for state in states), default=0)
-        seconds = max(backlog / self._rate() - READ_AHEAD_SECONDS, 0.0)
+        seconds = backlog / self._rate()
         return Capacity(
             workers=len(states), backlog_seconds=seconds, shared_by=self.view.vms()
         )
