--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -41,8 +41,10 @@
 """Time in which the weight of an earlier result of a target falls to 1/e."""
 FAILURE_COST_SECONDS: Final = 1.0
 """Delay that a target that fails each call is taken to add."""
-STALL_SECONDS: Final = 1.0
+STALL_SECONDS: Final = 0.7
 """Silence of a target with calls, beyond what is expected, that marks it stalled."""
+STALL_WITNESSES: Final = 2
+"""Other VMs whose word alone marks a target stalled; one VM may be cut off itself."""
 STALL_COST_SECONDS: Final = 3.0
 """Delay that a stalled target is taken to add."""
 USUAL_PLAIN_SECONDS: Final = 0.1
--- a/src/gypsumsail/gateway/line.py
+++ b/src/gypsumsail/gateway/line.py
@@ -52,13 +52,13 @@
         Calls or prompts that are worked on at once, of all targets.
     backlog_seconds
         Time until the next of them is expected to be free.
-    shared_by
-        VMs that place calls on the same targets.
+    elsewhere_seconds
+        Work that waits on other VMs for the same targets.
     """
 
     workers: float
     backlog_seconds: float
-    shared_by: int
+    elsewhere_seconds: float
 
 
 def is_late(call: Waiting, now: float) -> bool:
@@ -81,14 +81,16 @@
 ) -> list[float]:
     """Return when each call of an ordered line is expected to be placed.
 
-    The other VMs are taken to have lines of the same length.
+    Calls of other VMs are taken to be placed evenly between those of this one.
     """
+    workers = max(capacity.workers, 1.0)
+    own = sum(call.work_seconds for call in ordered)
+    slowdown = (own + capacity.elsewhere_seconds) / own if own else 1.0
     starts = []
     at = now + capacity.backlog_seconds
-    share = max(capacity.workers, 1.0) / max(capacity.shared_by, 1)
     for call in ordered:
         starts.append(at)
-        at += call.work_seconds / share
+        at += call.work_seconds * slowdown / workers
     return starts
 
 
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -39,6 +39,8 @@
         Time after which no call may begin on older weights.
     vms
         Number of VMs that place calls on the same targets.
+    elsewhere
+        Says how many seconds of work wait on other VMs for a service.
     """
 
     zone: str
@@ -47,6 +49,7 @@
     wanted: dict[str, WantedWeights]
     rollout_seconds: float
     vms: Callable[[], int]
+    elsewhere: Callable[[str, float], float] = lambda service, now: 0.0
 
 
 class JobPlacer:
@@ -98,18 +101,19 @@
     def capacity(self, now: float) -> Capacity:
         """Return what works on the service's calls."""
         states = [state for state in self._states() if not state.is_leaving]
+        elsewhere = self.view.elsewhere(self.service.name, now)
         if self.service.engine is None:
             slots = sum(state.entry.slots for state in states)
             calls = sum(state.calls(now) for state in states)
             usual = min((state.usual_seconds for state in states), default=0.0)
             backlog = usual * calls / slots if slots else 0.0
             return Capacity(
-                workers=slots, backlog_seconds=backlog, shared_by=self.view.vms()
+                workers=slots, backlog_seconds=backlog, elsewhere_seconds=elsewhere
             )
         backlog = min((state.unread(now) for state in states), default=0)
         seconds = backlog / self._rate()
         return Capacity(
-            workers=len(states), backlog_seconds=seconds, shared_by=self.view.vms()
+            workers=len(states), backlog_seconds=seconds, elsewhere_seconds=elsewhere
         )
 
     def _states(self) -> list[TargetState]:
--- a/src/gypsumsail/gateway/service_line.py
+++ b/src/gypsumsail/gateway/service_line.py
@@ -105,5 +105,9 @@
             NoTargetError("its turn would come after its end", retry_after=free_in)
         )
 
+    def work_seconds(self) -> float:
+        """Return the work that waits here."""
+        return sum(place.waiting.work_seconds for place in self.places.values())
+
     def _free_in(self, now: float) -> float:
         return self.placer.capacity(now).backlog_seconds
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -19,6 +19,7 @@
     REJECTING_SECONDS,
     REPORTED_LOAD_SECONDS,
     STALL_SECONDS,
+    STALL_WITNESSES,
     USUAL_PLAIN_SECONDS,
 )
 from gypsumsail.gateway.models import TargetEntry
@@ -58,6 +59,7 @@
     tokens: int
     unread: int
     at: float
+    is_stalled: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -158,6 +160,15 @@
         return own + sum(load.unread for load in self.peer_loads(now))
 
     def is_stalled(self, now: float) -> bool:
+        """Return whether the target is believed to be silent."""
+        if self.is_seen_stalled(now):
+            return True
+        witnesses = [load for load in self.peer_loads(now) if load.is_stalled]
+        if len(witnesses) < STALL_WITNESSES:
+            return False
+        return self.progress_at < now - STALL_SECONDS
+
+    def is_seen_stalled(self, now: float) -> bool:
         """Return whether a call there is overdue and no other has moved since."""
         return any(
             now > flight.expected_at + STALL_SECONDS
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -10,6 +10,7 @@
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
+from gypsumsail.gateway.const import PEER_LOAD_SECONDS
 from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.strikes import StrikeBook
 from gypsumsail.gateway.targets import PeerLoad, TargetState, TargetTable
@@ -29,11 +30,13 @@
     StoreNews,
     Strike,
     TargetLoad,
+    WaitingWork,
 )
 from gypsumsail.gossip.peers import Peer, PeerTable
 
 _NewsT = TypeVar("_NewsT")
 
+MILLISECONDS = 1000.0
 REPEATED_SENDS = 3
 """Messages in which each piece of news stands, as datagrams may be lost."""
 
@@ -48,6 +51,8 @@
     ----------
     changed_at
         Revision of the newest change that this VM knows, by kind.
+    own_waiting
+        Says which work waits on this VM.
     is_watching
         Whether this VM watches a kind at the platform's store itself.
     on_store_news
@@ -79,6 +84,8 @@
         self.last_said: GossipMessage | None = None
         self.last_changed_at: Mapping[str, int] = {}
         self.random = random.Random()
+        self.own_waiting: Callable[[], tuple[WaitingWork, ...]] = tuple
+        self.waiting: dict[str, tuple[float, tuple[WaitingWork, ...]]] = {}
         self.cached: deque[CachedPrompt] = deque(maxlen=256)
         self.store_news: deque[StoreNews] = deque(maxlen=512)
         self.strike_news: list[tuple[Strike, int]] = []
@@ -183,7 +190,9 @@
             number=self.number,
             changed_at=tuple(self.changed_at().items()),
             loads=tuple(
-                _load(state) for state in self.targets.states.values() if state.flights
+                _load(state, now)
+                for state in self.targets.states.values()
+                if state.flights
             ),
             cached=self._cached() if tells_all else (),
             strikes=_take(self.strike_news),
@@ -191,6 +200,17 @@
             weights=_take(self.weight_news),
             hosts=self.peers.some_hosts(self.random, now),
             stores=self._stores() if tells_all else (),
+            waiting=self.own_waiting(),
+        )
+
+    def waiting_elsewhere(self, service: str, now: float) -> float:
+        """Return the seconds of work that wait on other VMs for a service."""
+        return sum(
+            item.work_ms / MILLISECONDS
+            for at, items in self.waiting.values()
+            if now - at < PEER_LOAD_SECONDS
+            for item in items
+            if item.service == service
         )
 
     def _cached(self) -> tuple[CachedPrompt, ...]:
@@ -214,6 +234,7 @@
         if peer is None:
             return
         self._take_loads(message, now)
+        self.waiting[message.vm] = (now, message.waiting)
         for item in message.cached:
             state = self._state(item.target, item.life)
             if state is not None:
@@ -240,7 +261,11 @@
                 state.peers.pop(message.vm, None)
                 continue
             state.peers[message.vm] = PeerLoad(
-                calls=load.calls, tokens=load.tokens, unread=load.unread, at=now
+                calls=load.calls,
+                tokens=load.tokens,
+                unread=load.unread,
+                at=now,
+                is_stalled=load.is_stalled,
             )
 
     def _compare(self, peer: Peer, message: GossipMessage, now: float) -> None:
@@ -275,7 +300,7 @@
         return state if state is not None and state.entry.life == life else None
 
 
-def _load(state: TargetState) -> TargetLoad:
+def _load(state: TargetState, now: float) -> TargetLoad:
     flights = state.flights.values()
     return TargetLoad(
         target=state.entry.name,
@@ -283,6 +308,7 @@
         calls=len(flights),
         tokens=sum(flight.tokens for flight in flights),
         unread=sum(flight.unread for flight in flights),
+        is_stalled=state.is_seen_stalled(now),
     )
 
 
--- a/src/gypsumsail/gossip/messages.py
+++ b/src/gypsumsail/gossip/messages.py
@@ -10,7 +10,7 @@
 from gypsumsail.gateway.models import PromptPart
 from gypsumsail.gossip.const import FORMAT
 
-MESSAGE_FIELDS = 14
+MESSAGE_FIELDS = 15
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -22,6 +22,16 @@
     calls: int
     tokens: int
     unread: int
+    is_stalled: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitingWork:
+    """Calls that wait on the sender for a service, and their work in milliseconds."""
+
+    service: str
+    calls: int
+    work_ms: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -115,6 +125,7 @@
     weights: tuple[SeenWeights, ...] = ()
     hosts: tuple[str, ...] = ()
     stores: tuple[StoreNews, ...] = ()
+    waiting: tuple[WaitingWork, ...] = ()
 
 
 def encode(message: GossipMessage) -> bytes:
@@ -129,7 +140,14 @@
             message.number,
             [list(item) for item in message.changed_at],
             [
-                [load.target, load.life, load.calls, load.tokens, load.unread]
+                [
+                    load.target,
+                    load.life,
+                    load.calls,
+                    load.tokens,
+                    load.unread,
+                    load.is_stalled,
+                ]
                 for load in message.loads
             ],
             [
@@ -159,6 +177,7 @@
                 ]
                 for news in message.stores
             ],
+            [[item.service, item.calls, item.work_ms] for item in message.waiting],
         ]
     )
 
@@ -182,6 +201,7 @@
         weights=tuple(map(_weights, cbor.read_list(fields[11]))),
         hosts=tuple(map(cbor.read_text, cbor.read_list(fields[12]))),
         stores=tuple(map(_store_news, cbor.read_list(fields[13]))),
+        waiting=tuple(map(_waiting, cbor.read_list(fields[14]))),
     )
 
 
@@ -191,13 +211,25 @@
 
 
 def _load(value: object) -> TargetLoad:
-    target, life, calls, tokens, unread = cbor.read_list(value, 5)
+    target, life, calls, tokens, unread, is_stalled = cbor.read_list(value, 6)
+    if not isinstance(is_stalled, bool):
+        raise cbor.ValueInvalidError("not a truth value")
     return TargetLoad(
         target=cbor.read_text(target),
         life=cbor.read_count(life),
         calls=cbor.read_count(calls),
         tokens=cbor.read_count(tokens),
         unread=cbor.read_count(unread),
+        is_stalled=is_stalled,
+    )
+
+
+def _waiting(value: object) -> WaitingWork:
+    service, calls, work_ms = cbor.read_list(value, 3)
+    return WaitingWork(
+        service=cbor.read_text(service),
+        calls=cbor.read_count(calls),
+        work_ms=cbor.read_count(work_ms),
     )
 
 
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -24,7 +24,8 @@
 from gypsumsail.gateway.targets import TargetTable
 from gypsumsail.gateway.telemetry import GatewayTelemetry
 from gypsumsail.gateway.weights import WantedWeights
-from gypsumsail.gossip.coordinator import GossipCoordinator
+from gypsumsail.gossip.coordinator import MILLISECONDS, GossipCoordinator
+from gypsumsail.gossip.messages import WaitingWork
 from gypsumsail.gossip.peers import PeerTable
 from gypsumsail.keeping.coordinator import KeepingCoordinator
 from gypsumsail.keeping.relay import VIEW_PATH
@@ -159,6 +160,8 @@
         )
         self.gateway.on_first_token = gossip.first_token
         self.keeping.on_news = gossip.tell_store_news
+        self.gateway.view.elsewhere = gossip.waiting_elsewhere
+        gossip.own_waiting = self._own_waiting
         return gossip
 
     def _make_rollout(self) -> RolloutCoordinator:
@@ -185,6 +188,17 @@
         rollout.on_weights = self.gossip.weights
         return rollout
 
+    def _own_waiting(self) -> tuple[WaitingWork, ...]:
+        return tuple(
+            WaitingWork(
+                service=service,
+                calls=len(line.places),
+                work_ms=round(line.work_seconds() * MILLISECONDS),
+            )
+            for service, line in self.gateway.lines.items()
+            if line.places
+        )
+
     def _has_watch_duty(self, kind: str) -> bool:
         now = self.clock.monotonic()
         return self.peers.has_duty(kind, WATCHERS_IN_A_ZONE, now)
--- a/tests/gateway/load_model.py
+++ b/tests/gateway/load_model.py
@@ -137,7 +137,17 @@
         targets = TargetTable()
         for name in self.engines:
             targets.update(engine(name), 0.0)
-        return fleet_view(targets, lambda: self.load.vms)
+        view = fleet_view(targets, lambda: self.load.vms)
+        view.elsewhere = lambda service, now: self._elsewhere(view)
+        return view
+
+    def _elsewhere(self, mine: FleetView) -> float:
+        return sum(
+            waiting.work_seconds
+            for view, line in zip(self.views, self.lines, strict=True)
+            if view is not mine
+            for waiting in line.values()
+        )
 
     def run(self) -> Outcome:
         """Replay the load to its end."""
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -20,6 +20,7 @@
     StoreNews,
     Strike,
     TargetLoad,
+    WaitingWork,
     decode,
     encode,
 )
@@ -40,6 +41,7 @@
     loading=(LoadingTarget(target="e1", life=1),),
     weights=(SeenWeights(target="e1", life=1, model=MODEL, version=2),),
     hosts=("10.0.0.9",),
+    waiting=(WaitingWork(service="engines", calls=2, work_ms=300),),
     stores=(
         StoreNews(
             store="10.9.9.9:1", number=3, life=8, clock_ms=5, changes=(("2", "p", 64),)
@@ -79,7 +81,7 @@
         assert isinstance(decode(data), GossipMessage)
 
 
-@pytest.mark.parametrize("place", range(14))
+@pytest.mark.parametrize("place", range(15))
 def test_a_message_with_one_bad_field_is_refused(place: int) -> None:
     fields = cbor2.loads(encode(FULL))
     fields[place] = {"not": "it"}
@@ -201,3 +203,33 @@
     assert sum(table.has_duty("config", 3, 0.0) for table in tables) == 3
     alone = PeerTable("v1", "10.0.0.1", "z1")
     assert alone.has_duty("config", 3, 0.0)
+
+
+def test_work_that_waits_elsewhere_is_known() -> None:
+    net, one, other = two()
+    one.gossip.own_waiting = lambda: (
+        WaitingWork(service="engines", calls=2, work_ms=300),
+    )
+    net.tick(0.3)
+    assert other.gossip.waiting_elsewhere("engines", net.clock.now) == 0.3
+    assert other.gossip.waiting_elsewhere("portal", net.clock.now) == 0.0
+    assert other.gossip.waiting_elsewhere("engines", net.clock.now + 5) == 0.0
+
+
+def test_two_vms_that_meet_silence_warn_the_others() -> None:
+    net = Net(ManualClock())
+    members = [Member(net, f"v{number}") for number in range(1, 5)]
+    for member in members:
+        member.targets.update(engine("e1"), net.clock.now)
+    net.tick(2.0)
+    for number, member in enumerate(members[:2], start=1):
+        silent = flight()
+        silent.expected_at = net.clock.now - 5.0
+        member.targets.states["e1"].begin(silent)
+        member.targets.states["e1"].progress_at = net.clock.now - 9.0
+        net.tick(0.3)
+        states = [other.targets.states["e1"] for other in members[2:]]
+        stalled = [state.is_stalled(net.clock.now) for state in states]
+        assert stalled == [number == 2] * 2
+    states[0].progress_at = net.clock.now
+    assert not states[0].is_stalled(net.clock.now)
