Judge removals by who saw them, leave only silent targets, pass over slow stores

Removals are judged by the trouble of the VM that saw them; a failing store is asked for short answers; a target is left only when it serves nobody and the budget has a send; a fetch is thrown away after 0.6 s and its store passed over for 2 s.

--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -6,6 +6,8 @@
 
 WATCH_SECONDS: Final = 2.5
 """Longest wait of one watch; a silent connection is found out after it."""
+PROBE_SECONDS: Final = 0.2
+"""Wait of a watch while it is not known whether the store is back."""
 LATE_WATCH_SECONDS: Final = 0.3
 """Time beyond a watch's own wait from which its answer shows an outage."""
 WATCHERS_IN_A_ZONE: Final = 3
--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -10,7 +10,7 @@
 from gypsumsail.catalog.copies import Copy
 from gypsumsail.catalog.kind_state import Changes
 from gypsumsail.catalog.kind_watch import KindWatch
-from gypsumsail.catalog.store_link import StoreLink
+from gypsumsail.catalog.store_link import StoreLink, StoreTrouble
 from gypsumsail.catalog.target_list import TargetList
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
@@ -60,6 +60,10 @@
 
     Attributes
     ----------
+    source
+        Where the changes that are being taken come from: the store or a peer.
+    removal_trouble, back_at
+        How the store has been for who saw them there, and when it returned.
     on_document
         Called with each new routing document.
     on_target_gone
@@ -103,6 +107,8 @@
             for kind in kinds.all()
         }
         self.source = "store"
+        self.removal_trouble = StoreTrouble.NONE
+        self.back_at = clock.monotonic()
 
     @property
     def knows_targets(self) -> bool:
@@ -138,13 +144,14 @@
         listing = copy.update.listing
         if watch is None or listing.revision <= watch.state.revision:
             return
+        now = self.clock.monotonic()
         if not watch.is_watching:
-            self.links[kind].heard_of(copy.trouble, self.clock.monotonic())
+            self.links[kind].heard_of(copy.trouble, now)
         state = watch.state
         take = state.replace if copy.update.is_complete else state.apply
-        self.source = peer
+        self.source, self.removal_trouble, self.back_at = peer, copy.trouble, now
         try:
-            self._on_changes(kind, take(listing))
+            self._changed(kind, take(listing))
         finally:
             self.source = "store"
 
@@ -160,6 +167,14 @@
             self._target_gone(name, "not listed again after the store's return")
 
     def _on_changes(self, kind: str, changes: Changes) -> None:
+        """Take changes that this VM saw at the store."""
+        now = self.clock.monotonic()
+        link = self.links[kind]
+        self.removal_trouble = link.trouble(now)
+        self.back_at = link.back_at if link.back_at is not None else now
+        self._changed(kind, changes)
+
+    def _changed(self, kind: str, changes: Changes) -> None:
         if kind == self.kinds.documents:
             self._documents_changed(changes)
         elif kind == self.kinds.targets:
@@ -213,7 +228,7 @@
         after.is_leaving = entry.phase is TargetPhase.LEAVING
 
     def _removed(self, name: str, now: float) -> None:
-        if self.list.removed(name, self.links[self.kinds.targets], now):
+        if self.list.removed(name, self.removal_trouble, self.back_at, now):
             self._target_gone(name, "removed from the list")
 
     def _target_gone(self, name: str, reason: str) -> None:
--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -9,6 +9,7 @@
     DUTY_SECONDS,
     LATE_WATCH_SECONDS,
     LONGEST_RETRY_SECONDS,
+    PROBE_SECONDS,
     RETRY_SECONDS,
     WATCH_SECONDS,
 )
@@ -90,11 +91,13 @@
             self.must_list = False
             return self.state.replace(listing)
         begun_at = self.clock.monotonic()
+        # A store that may still be away is asked for a short answer.
+        wait = PROBE_SECONDS if self.link.is_failing else WATCH_SECONDS
         listing = await self.api.async_watch(
-            self.kind, after_revision=self.state.revision, wait=WATCH_SECONDS
+            self.kind, after_revision=self.state.revision, wait=wait
         )
         now = self.clock.monotonic()
-        if now - begun_at > WATCH_SECONDS + LATE_WATCH_SECONDS:
+        if now - begun_at > wait + LATE_WATCH_SECONDS:
             # The store was silent for a while: removals may be lapses.
             self.link.failed()
         return self.state.apply(listing)
--- a/src/gypsumsail/catalog/store_link.py
+++ b/src/gypsumsail/catalog/store_link.py
@@ -7,7 +7,6 @@
 
 from gypsumsail.catalog.const import (
     AWAY_SECONDS,
-    RETURN_SECONDS,
     TROUBLE_MEMORY_SECONDS,
 )
 
@@ -79,9 +78,3 @@
         if self.is_failing:
             return True
         return self.back_at is not None and now - self.back_at < TROUBLE_MEMORY_SECONDS
-
-    def returned_for(self, now: float) -> bool:
-        """Return whether the store has been back long enough to be believed."""
-        if self.is_failing:
-            return False
-        return self.back_at is None or now - self.back_at >= RETURN_SECONDS
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -226,6 +226,13 @@
         budget = self.budgets[job.service]
         return budget.take(self.settings.repeat_limit, self.view.vms(), now)
 
+    @callback
+    def may_repeat_send(self, job: Job) -> bool:
+        """Return whether the budget allows to send a job once more."""
+        now = self.clock.monotonic()
+        limit = self.settings.repeat_limit
+        return self.budgets[job.service].allows(limit, self.view.vms(), now)
+
     def _finish(self, job: Job, outcome: SendOutcome, reply: CallerReply) -> None:
         answer = final_answer(
             outcome, has_run=job.has_run, has_reply_begun=reply.has_begun
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -5,19 +5,26 @@
 from dataclasses import dataclass, field
 
 from gypsumsail.gateway.line import Waiting
-from gypsumsail.gateway.models import Call, Customer, Route
+from gypsumsail.gateway.models import Address, Call, Customer, Route
 from gypsumsail.gateway.targets import TargetState
 
 
 @dataclass(slots=True)
 class Place:
-    """Where a job is placed, and its number among the target's calls."""
+    """Where a job is placed, and its number among the target's calls.
+
+    Attributes
+    ----------
+    fetched_from
+        Engines and stores from which parts of its prompt are fetched.
+    """
 
     state: TargetState
     flight: int
     start_delay: float
     cache_scope: str = ""
     weight_version: int | None = None
+    fetched_from: frozenset[Address] = frozenset()
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/gypsumsail/gateway/repeat_budget.py
+++ b/src/gypsumsail/gateway/repeat_budget.py
@@ -44,11 +44,15 @@
         self.calls.append(now)
         self._trim(limit, now)
 
-    def take(self, limit: RepeatLimit, vms: int, now: float) -> bool:
-        """Return whether a repeated send is allowed, and count it."""
+    def allows(self, limit: RepeatLimit, vms: int, now: float) -> bool:
+        """Return whether a repeated send is allowed."""
         self._trim(limit, now)
         allowed = limit.ratio * len(self.calls) + limit.slack / max(vms, 1)
-        if len(self.repeats) + 1 > allowed * RETRY_WINDOW_SHARE:
+        return len(self.repeats) + 1 <= allowed * RETRY_WINDOW_SHARE
+
+    def take(self, limit: RepeatLimit, vms: int, now: float) -> bool:
+        """Return whether a repeated send is allowed, and count it."""
+        if not self.allows(limit, vms, now):
             return False
         self.repeats.append(now)
         return True
--- a/src/gypsumsail/gateway/runner.py
+++ b/src/gypsumsail/gateway/runner.py
@@ -124,14 +124,25 @@
 
     async def _async_head(self, exchange: Exchange) -> AnswerHead | None:
         """Return the head; ``None`` when another target should be tried instead."""
-        patience = self._patience()
-        if patience is None:
-            return await exchange.async_head()
-        try:
-            async with asyncio.timeout(patience):
+        while True:
+            patience = self._patience()
+            if patience is None:
                 return await exchange.async_head()
-        except TimeoutError:
-            return None
+            try:
+                async with asyncio.timeout(patience):
+                    return await exchange.async_head()
+            except TimeoutError:
+                if self._may_leave():
+                    return None
+
+    def _may_leave(self) -> bool:
+        """Return whether a silent target is left for another one.
+
+        A target that serves other calls is busy, and would begin the call in vain.
+        """
+        now = self.clock.monotonic()
+        is_silent = self.state.progress_at < max(self.sent_at, now - STALL_SECONDS)
+        return is_silent and self.gateway.may_repeat_send(self.job)
 
     def _patience(self) -> float | None:
         """Return how long a silent target is waited for, ``None`` to the end."""
--- a/src/gypsumsail/keeping/const.py
+++ b/src/gypsumsail/keeping/const.py
@@ -24,8 +24,12 @@
 """Tokens of the smallest part that is worth a transfer."""
 SAVE_SECONDS: Final = 4.0
 """Time after which a save that was not reported is taken as broken off."""
-FETCH_SECONDS: Final = 1.5
+FETCH_SECONDS: Final = 0.6
 """Time after which a fetch that has not ended is thrown away."""
+LATE_FETCH_SECONDS: Final = 0.35
+"""Delay of a first token, beyond twice what is expected, that a slow fetch explains."""
+SLOW_SECONDS: Final = 2.0
+"""Time for which nothing is fetched from a store whose fetches came late."""
 FREE_AFTER_SECONDS: Final = 4.0
 """Time after the last use of a scope may have begun until its parts are freed."""
 FULL_SHARE: Final = 0.97
--- a/src/gypsumsail/keeping/coordinator.py
+++ b/src/gypsumsail/keeping/coordinator.py
@@ -18,9 +18,11 @@
 from gypsumsail.keeping.const import (
     FETCH_SECONDS,
     FOLLOWERS_IN_A_ZONE,
+    LATE_FETCH_SECONDS,
     POLL_SECONDS,
     POLLING_SHARE,
     RETRY_SECONDS,
+    SLOW_SECONDS,
     VIEW_TIMEOUT_SECONDS,
 )
 from gypsumsail.keeping.planner import (
@@ -220,12 +222,30 @@
             if address is not None:
                 self.views[address].expect(scope, (part,), now)
         until = self._until_ms(now)
+        fetch = plan_fetch(facts)
+        place.fetched_from = frozenset(address for address in fetch if address)
         return ContextMove(
-            fetch=plan_fetch(facts),
+            fetch=fetch,
             save=save,
             fetch_until_ms=until if until is not None else 0,
         )
 
+    @callback
+    def first_token(self, place: Place, waited: float, now: float) -> None:
+        """Learn from the time to a first token how fast the sources are."""
+        if waited < 2 * place.start_delay + LATE_FETCH_SECONDS:
+            return
+        for address in place.fetched_from:
+            view = self.views.get(address)
+            if view is not None and now >= view.slow_until:
+                view.slow_until = now + SLOW_SECONDS
+                self.log.write(
+                    "store of context slow",
+                    store=view.store.name,
+                    waited_ms=round(waited * 1000),
+                    expected_ms=round(place.start_delay * 1000),
+                )
+
     def _until_ms(self, now: float) -> int | None:
         for view in self.views.values():
             clock_ms = view.clock_ms(now + FETCH_SECONDS)
@@ -277,7 +297,7 @@
                     bytes_per_second=ENGINE_LINK_BYTES_PER_SECOND,
                 )
         for view in self.views.values():
-            if view.is_fresh(now) and view.holds(scope, part):
+            if view.is_source(now) and view.holds(scope, part):
                 yield Source(
                     address=view.store.address,
                     is_near=view.store.zone == zone,
--- a/src/gypsumsail/keeping/store_view.py
+++ b/src/gypsumsail/keeping/store_view.py
@@ -78,6 +78,8 @@
         Parts on their way to it, with the time at which they were sent.
     life
         ``None`` while it is not known what the store holds.
+    slow_until
+        Time until which nothing is fetched from it, as fetches came late.
     teller
         VM from which the view is told; empty when this VM asks the store.
     """
@@ -90,11 +92,16 @@
     answered_at: float = 0.0
     clock_offset_ms: float | None = None
     teller: str = ""
+    slow_until: float = 0.0
 
     def is_fresh(self, now: float) -> bool:
         """Return whether what it holds is known well enough to fetch from it."""
         return self.life is not None and now - self.answered_at < FRESH_SECONDS
 
+    def is_source(self, now: float) -> bool:
+        """Return whether parts are fetched from it."""
+        return self.is_fresh(now) and now >= self.slow_until
+
     def lost(self) -> None:
         """Forget all, as the store may have restarted."""
         self.parts.clear()
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -19,6 +19,7 @@
 )
 from gypsumsail.core.findings import SettingsInvalidError
 from gypsumsail.gateway.coordinator import Gateway, GatewaySettings
+from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.models import RoutingDocument, TargetEntry
 from gypsumsail.gateway.placer import FleetView
 from gypsumsail.gateway.targets import TargetTable
@@ -158,7 +159,7 @@
             self.catalog.is_watching,
             self.keeping.take_news,
         )
-        self.gateway.on_first_token = gossip.first_token
+        self.gateway.on_first_token = self._on_first_token
         self.keeping.on_news = gossip.tell_store_news
         self.gateway.view.elsewhere = gossip.waiting_elsewhere
         gossip.own_waiting = self._own_waiting
@@ -188,6 +189,10 @@
         rollout.on_weights = self.gossip.weights
         return rollout
 
+    def _on_first_token(self, job: Job, place: Place, now: float) -> None:
+        self.gossip.first_token(job, place, now)
+        self.keeping.first_token(place, now - job.placed_at, now)
+
     def _own_waiting(self) -> tuple[WaitingWork, ...]:
         return tuple(
             WaitingWork(
--- a/tests/catalog/test_coordinator.py
+++ b/tests/catalog/test_coordinator.py
@@ -168,3 +168,36 @@
 def test_without_a_copy_there_is_nothing_to_give() -> None:
     assert Catalog().coordinator.copy_since("config", 0, 0.0) is None
     assert Catalog().coordinator.copy_since("other", 0, 0.0) is None
+
+
+def test_a_removal_that_a_calm_peer_saw_counts_at_once() -> None:
+    """A VM that the store refused kept a target for 2.1 s after it had left."""
+    teller, learner = Catalog(), Catalog()
+    first = listing(3, stored("servers/a", 3, target_spec()))
+    for catalog in (teller, learner):
+        catalog.replace("servers", first)
+    learner.coordinator.links["servers"].failed()
+    teller.apply("servers", listing(8, stored("servers/a", 3)))
+    copy = teller.coordinator.copy_since("servers", 3, 1_000.0)
+    assert copy is not None
+    learner.coordinator.take_copy("servers", copy, "peer")
+    assert not learner.targets.states
+
+
+def test_a_lapse_that_a_peer_saw_in_the_outage_waits_for_the_return() -> None:
+    teller, learner = Catalog(), Catalog()
+    first = listing(3, stored("servers/a", 3, target_spec()))
+    for catalog in (teller, learner):
+        catalog.replace("servers", first)
+        catalog.coordinator.links["servers"].failed()
+    teller.apply("servers", listing(8, stored("servers/a", 3)))
+    copy = teller.coordinator.copy_since("servers", 3, 1_000.0)
+    assert copy is not None
+    learner.coordinator.take_copy("servers", copy, "peer")
+    learner.coordinator.tick(1_020.0)
+    assert "a" in learner.targets.states
+    learner.coordinator.links["servers"].answered(1_021.0)
+    learner.coordinator.tick(1_021.1)
+    assert "a" in learner.targets.states
+    learner.coordinator.tick(1_023.5)
+    assert not learner.targets.states
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -173,6 +173,8 @@
     ----------
     body
         Pieces of the body; an exception in their place is raised.
+    delay
+        Seconds until the head comes, from when it is first waited for.
     hangs
         Whether the head never comes.
     """
@@ -185,12 +187,17 @@
     target_name: str = ""
     weight_version: int | None = None
     hangs: bool = False
+    delay: float = 0.0
+    head_at: float = 0.0
     head_error: TransportError | None = None
     is_aborted: bool = False
     is_finished: bool = False
 
     async def async_head(self) -> AnswerHead:
         """Return the head."""
+        now = time.monotonic()
+        self.head_at = self.head_at or now + self.delay
+        await asyncio.sleep(max(self.head_at - now, 0.0))
         if self.hangs:
             await asyncio.Event().wait()
         if self.head_error is not None:
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -9,7 +9,9 @@
 import pytest
 
 from gypsumsail.core.errors import TransportError
+from gypsumsail.gateway.coordinator import GatewaySettings
 from gypsumsail.gateway.models import CallKind
+from gypsumsail.gateway.repeat_budget import RepeatLimit
 from tests.gateway.common import (
     ENGINES,
     MODEL,
@@ -341,3 +343,34 @@
 async def test_lines_know_both_services() -> None:
     made = gateway(ScriptedTargets())
     assert set(made.lines) == {PORTAL, ENGINES}
+
+
+async def test_a_target_that_serves_others_is_busy_and_not_left() -> None:
+    """Calls that only waited at a busy engine were given up there, and failed."""
+    slow = ScriptedExchange()
+    slow.delay = 1.0
+    calls = ScriptedTargets(slow, ScriptedExchange())
+    reply = KeptReply()
+    made = gateway(calls, target("t1"), target("t2"))
+    task = asyncio.create_task(made.async_handle(call(), reply))
+    for _ in range(20):
+        await asyncio.sleep(0.05)
+        for state in made.view.targets.states.values():
+            state.progress_at = made.clock.monotonic()
+    await task
+    assert reply.status == 200
+    assert len(calls.sent) == 1
+
+
+async def test_without_budget_a_silent_target_is_waited_for() -> None:
+    slow = ScriptedExchange()
+    slow.delay = 1.3
+    calls = ScriptedTargets(slow, ScriptedExchange())
+    made = gateway(calls, target("t1"), target("t2"))
+    made.settings = GatewaySettings(
+        repeat_limit=RepeatLimit(ratio=0.0, window=10.0, slack=0.0)
+    )
+    reply = KeptReply()
+    await made.async_handle(call(), reply)
+    assert reply.status == 200
+    assert len(calls.sent) == 1
