--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,35 @@
+"""Command of the soak."""
+
+from __future__ import annotations
+
+import asyncio
+
+import click
+
+from soak.run import Soak
+
+
+@click.command()
+@click.option("--first", default=1, help="First seed.")
+@click.option("--seeds", default=3, help="Number of seeds, one after the other.")
+@click.option("--vms", default=4, help="VMs, each a process.")
+@click.option("--seconds", default=12.0, help="Seconds with faults, for each seed.")
+def main(first: int, seeds: int, vms: int, seconds: float) -> None:
+    """Run seeds; exit code 1 when any found something."""
+    failed = False
+    for seed in range(first, first + seeds):
+        report = asyncio.run(Soak(seed, vms, seconds).async_run())
+        click.echo(
+            f"seed {seed}: {report.served} of {report.calls} calls served, "
+            f"{len(report.faults)} faults, {len(report.findings)} findings"
+        )
+        for finding in report.findings[:10]:
+            click.echo(f"  {finding}")
+        if report.findings:
+            failed = True
+            click.echo(f"  faults: {' '.join(report.faults)}")
+            click.echo(f"  logs: {' '.join(report.logs)}")
+    raise SystemExit(1 if failed else 0)
+
+
+main()
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,116 @@
+"""Callers that check each answer against what was promised."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+import random
+
+from stand_ins.kerlann import SECRET, Ledger, content
+
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+KINDS = {"safe": "/safe/", "once": "/once/", "stream": "/stream/"}
+
+
+@dataclass(slots=True)
+class Result:
+    """What one caller saw.
+
+    Attributes
+    ----------
+    status
+        0 where the connection ended without a whole answer.
+    """
+
+    request_id: str
+    kind: str
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+async def call(
+    host: str, port: int, kind: str, number: int, key: str, deadline: float = 3.0
+) -> Result:
+    """Make one call; a connection that breaks gives status 0."""
+    request_id = f"{number:016x}"
+    body = b"" if kind == "safe" else f"body of {number}".encode()
+    lines = [
+        f"{'GET' if kind == 'safe' else 'POST'} {KINDS[kind]}x HTTP/1.1",
+        "Host: soak.example",
+        f"Gypsumsail-Request-Id: {request_id}",
+        f"Gypsumsail-Deadline-Ms: {int(deadline * 1000)}",
+        f"Authorization: Bearer {key}",
+        f"Content-Length: {len(body)}",
+    ]
+    if kind == "stream":
+        lines += [
+            "Gypsumsail-Model: m0",
+            "Gypsumsail-Token-Count: 300,8",
+            f"Gypsumsail-Prompt-Prefix: aa:100,b{number % 5}:100,{request_id}:100",
+        ]
+    result = Result(request_id, kind, 0)
+    try:
+        async with asyncio.timeout(deadline + 1.0):
+            reader, writer = await asyncio.open_connection(host, port)
+            try:
+                writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+                await _read(reader, result)
+            finally:
+                writer.close()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        result.status = 0
+    return result
+
+
+async def _read(reader: asyncio.StreamReader, result: Result) -> None:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.strip().split("\r\n")
+    status = int(first.split(" ")[1])
+    for line in lines:
+        name, _, value = line.partition(":")
+        result.headers[name.lower()] = value.strip()
+    if "content-length" in result.headers:
+        length = int(result.headers["content-length"])
+        result.body = await reader.readexactly(length)
+    else:
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            result.body += (await reader.readexactly(size + 2))[:-2]
+    result.status = status
+
+
+def findings(result: Result, ledger: Ledger) -> list[str]:
+    """Return what an answer breaks of what was promised."""
+    found = []
+    runs = ledger.runs.get(result.request_id, [])
+    number = int(result.request_id, 16)
+    if result.status == 200:
+        if result.headers.get("gypsumsail-server-stamp") != SECRET:
+            found.append("a success without the target's signature")
+        if result.body != expected_body(result.kind, result.request_id, number):
+            found.append("a success that is not the whole own answer")
+        if not runs:
+            found.append("a success that no target ran")
+    if result.status in PROMISES_NOT_RUN and result.kind != "safe" and runs:
+        found.append(f"status {result.status}, and it has run")
+    if result.kind == "once" and len(runs) > 1:
+        found.append(f"ran {len(runs)} times")
+    if any(run.tenant != "a" for run in runs):
+        found.append("ran for another customer")
+    return [f"{result.kind} {result.request_id}: {item}" for item in found]
+
+
+def expected_body(kind: str, request_id: str, number: int) -> bytes:
+    """Return the whole answer of a request."""
+    if kind == "stream":
+        return "".join(
+            f"id: {event}\ndata: {content(request_id, event)}\n\n"
+            for event in range(1, 9)
+        ).encode()
+    body = b"" if kind == "safe" else f"body of {number}".encode()
+    return content(request_id, 0).encode() + body
+
+
+def pick_kind(draw: random.Random) -> str:
+    """Return the kind of the next call."""
+    return draw.choices(["safe", "once", "stream"], [3, 3, 4])[0]
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,369 @@
+"""Runs one seed: starts all, injects faults in series and overlapping, checks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+import contextlib
+from dataclasses import dataclass, field
+import random
+import signal
+import socket
+from typing import Any
+
+from soak.callers import Result, call, findings, pick_kind
+from soak.proxy import Cut, Proxy
+from soak.vms import Vm
+from stand_ins.kerlann import Ledger, ObjectStore, Target
+
+CALLS_PER_SECOND = 25.0
+CALM_SECONDS = 3.0
+MOST_QUESTIONS = 1_000
+LAST_CALLS = 30
+KEY = "key-of-a"
+OTHER_KEY = "key-taken-away"
+
+
+@dataclass(slots=True)
+class Report:
+    """What a seed showed."""
+
+    seed: int
+    calls: int = 0
+    served: int = 0
+    faults: list[str] = field(default_factory=list)
+    findings: list[str] = field(default_factory=list)
+    logs: list[str] = field(default_factory=list)
+
+
+def document(version: int, keys: list[str]) -> dict[str, object]:
+    """Return the routing document."""
+
+    def route(name: str, kind: str, service: str, attempts: int) -> dict[str, object]:
+        return {
+            "name": name,
+            "host": "soak.example",
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 3000,
+            "goal_ms": 800,
+            "priority": 1,
+            "service": service,
+            "attempts": attempts,
+            "public": False,
+            "resumable": name == "stream",
+        }
+
+    engine = {"slots": 16, "kv_tokens": 40_000, "models": [{"name": "m0"}]}
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "safe", "plain", 2),
+            route("once", "unsafe", "plain", 1),
+            route("stream", "streaming", "llm", 2),
+        ],
+        "services": [
+            {"name": "plain", "health_path": "/healthz", "max_conns": 100},
+            {
+                "name": "llm",
+                "health_path": "/healthz",
+                "max_conns": 100,
+                "engine": engine,
+            },
+        ],
+        "limits": {},
+        "tenants": [{"name": "a", "api_keys": keys}],
+    }
+
+
+class Soak:
+    """One seed."""
+
+    def __init__(self, seed: int, vms: int, seconds: float) -> None:
+        self.random = random.Random(seed)
+        self.seconds = seconds
+        self.report = Report(seed)
+        self.ledger = Ledger()
+        self.store = ObjectStore()
+        self.targets = [
+            *(Target(f"p{n}", self.store, self.ledger, "plain") for n in range(3)),
+            *(Target(f"e{n}", self.store, self.ledger, "llm") for n in range(4)),
+        ]
+        port = free_ports()
+        self.vms = [
+            Vm(f"v{number}", f"127.0.0.{10 + number}", f"z{number % 2}", port)
+            for number in range(vms)
+        ]
+        self.proxies: dict[str, Proxy] = {}
+        self.version = 1
+        self.weights = 1
+        self.number = seed * 1_000_000
+        self.results: list[Result] = []
+        self.calls: set[asyncio.Task[None]] = set()
+
+    async def async_run(self) -> Report:
+        """Run the seed to its end."""
+        try:
+            await self._start()
+            faults = asyncio.create_task(self._inject())
+            await self._load(self.seconds)
+            await faults
+            await self._heal()
+            await self._check_service()
+        finally:
+            await self._stop()
+        self.report.calls = len(self.results)
+        self.report.served = sum(result.status == 200 for result in self.results)
+        for result in self.results:
+            self.report.findings += findings(result, self.ledger)
+        self.report.logs = [str(vm.log) for vm in self.vms]
+        return self.report
+
+    async def _start(self) -> None:
+        store_port = await self.store.server.async_start("127.0.0.1")
+        for target in self.targets:
+            await target.async_start("127.0.0.1")
+            proxy = Proxy("127.0.0.1", target.port)
+            self.proxies[target.name] = proxy
+            proxy_port = await proxy.async_start("127.0.0.1")
+            target.announced = f"127.0.0.1:{proxy_port}"
+            await target.announce(target.announced)
+        await self._put_document([KEY, OTHER_KEY])
+        await self.store.put("versions", "m0", {"model": "m0", "version": 1})
+        seeds = [vm.host for vm in self.vms[:3]]
+        for vm in self.vms:
+            proxy = Proxy("127.0.0.1", store_port)
+            self.proxies[vm.name] = proxy
+            port = await proxy.async_start("127.0.0.1")
+            vm.write_settings(f"127.0.0.1:{port}", seeds)
+            await vm.async_start()
+        await asyncio.gather(*(self._until_ready(vm) for vm in self.vms))
+
+    async def _put_document(self, keys: list[str]) -> None:
+        await self.store.put("config", "main", document(self.version, keys))
+
+    async def _until_ready(self, vm: Vm) -> None:
+        async with asyncio.timeout(20):
+            for _ in range(MOST_QUESTIONS):
+                if await self._is_ready(vm):
+                    return
+                await asyncio.sleep(0.1)
+
+    @staticmethod
+    async def _is_ready(vm: Vm) -> bool:
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(vm.host, vm.front + 1)
+                writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                return b" 200 " in line
+        except (OSError, TimeoutError):
+            return False
+
+    async def _load(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            self._call(KEY)
+            await asyncio.sleep(self.random.expovariate(CALLS_PER_SECOND))
+        await asyncio.gather(*self.calls)
+
+    def _call(self, key: str) -> None:
+        self.number += 1
+        vm = self.random.choice(self.vms)
+        task = asyncio.create_task(self._one(vm, self.number, key))
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
+
+    async def _one(self, vm: Vm, number: int, key: str) -> None:
+        kind = pick_kind(self.random)
+        self.results.append(await call(vm.host, vm.front, kind, number, key))
+
+    async def _inject(self) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.seconds - 1.0
+        running: set[asyncio.Task[None]] = set()
+        while loop.time() < end:
+            await asyncio.sleep(self.random.uniform(0.2, 1.2))
+            fault = self.random.choice(FAULTS)
+            self.report.faults.append(fault.__name__.removeprefix("_"))
+            running.add(asyncio.create_task(fault(self)))
+        await asyncio.gather(*running)
+
+    async def _heal(self) -> None:
+        """End all faults, start what is down, and wait as long as it may take."""
+        self.store.fault = ""
+        for proxy in self.proxies.values():
+            proxy.cut = Cut.NONE
+        for target in self.targets:
+            target.fault = ""
+            target.server.live()
+            await target.announce(target.announced)
+        for vm in self.vms:
+            vm.send(signal.SIGCONT)
+            if vm.process is None or vm.process.returncode is not None:
+                await vm.async_start()
+        await asyncio.gather(*(self._until_ready(vm) for vm in self.vms))
+        await asyncio.sleep(CALM_SECONDS + 4.0)
+
+    async def _check_service(self) -> None:
+        """Expect that all is served again, on each VM, with the newest document."""
+        before = len(self.results)
+        for _ in range(LAST_CALLS):
+            self._call(KEY)
+            await asyncio.sleep(0.03)
+        await asyncio.gather(*self.calls)
+        served = sum(result.status == 200 for result in self.results[before:])
+        if served < LAST_CALLS:
+            self.report.findings.append(
+                f"after the faults {served} of {LAST_CALLS} calls were served"
+            )
+        if self.version > 1:
+            await self._check_taken_away()
+
+    async def _check_taken_away(self) -> None:
+        for vm in self.vms:
+            self.number += 1
+            result = await call(vm.host, vm.front, "safe", self.number, OTHER_KEY)
+            if result.status != 401:
+                self.report.findings.append(
+                    f"{vm.name} answers {result.status} to a key that was taken away"
+                )
+
+    async def _stop(self) -> None:
+        for vm in self.vms:
+            await vm.async_kill()
+        for proxy in self.proxies.values():
+            proxy.stop()
+        for target in self.targets:
+            await target.server.async_stop()
+        await self.store.server.async_stop()
+
+    def pick_vm(self) -> Vm:
+        """Return a VM."""
+        return self.random.choice(self.vms)
+
+    def pick_target(self) -> Target:
+        """Return a target."""
+        return self.random.choice(self.targets)
+
+
+async def _kill(soak: Soak) -> None:
+    vm = soak.pick_vm()
+    await vm.async_kill()
+    await asyncio.sleep(soak.random.uniform(0.1, 1.0))
+    if vm.process is None or vm.process.returncode is not None:
+        await vm.async_start()
+
+
+async def _terminate(soak: Soak) -> None:
+    vm = soak.pick_vm()
+    vm.send(signal.SIGCONT)
+    vm.send(signal.SIGTERM)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(6.0):
+            if await vm.async_wait() not in (0, -signal.SIGKILL):
+                soak.report.findings.append(f"{vm.name} ended with an error")
+    if vm.process is None or vm.process.returncode is not None:
+        await vm.async_start()
+    else:
+        soak.report.findings.append(f"{vm.name} lives past its grace")
+
+
+async def _freeze(soak: Soak) -> None:
+    vm = soak.pick_vm()
+    vm.send(signal.SIGSTOP)
+    await asyncio.sleep(soak.random.uniform(0.5, 2.0))
+    vm.send(signal.SIGCONT)
+
+
+async def _hang_up(soak: Soak) -> None:
+    soak.pick_vm().send(signal.SIGHUP)
+
+
+async def _cut(soak: Soak) -> None:
+    proxy = soak.proxies[soak.random.choice(sorted(soak.proxies))]
+    proxy.cut = soak.random.choice(list(Cut))
+    await asyncio.sleep(soak.random.uniform(0.3, 2.5))
+    proxy.cut = Cut.NONE
+
+
+async def _reset(soak: Soak) -> None:
+    soak.proxies[soak.random.choice(sorted(soak.proxies))].reset_all()
+
+
+async def _store(soak: Soak) -> None:
+    soak.store.fault = soak.random.choice(["busy", "reset", "silent", "lost"])
+    await asyncio.sleep(soak.random.uniform(0.5, 2.5))
+    soak.store.fault = ""
+
+
+async def _forget(soak: Soak) -> None:
+    soak.store.forget()
+
+
+async def _target(soak: Soak) -> None:
+    target = soak.pick_target()
+    target.fault = soak.random.choice(["mute", "reset", "cut", "busy", "double"])
+    await asyncio.sleep(soak.random.uniform(0.3, 2.0))
+    target.fault = ""
+
+
+async def _restart(soak: Soak) -> None:
+    target = soak.pick_target()
+    target.restart()
+    await target.announce(target.announced)
+
+
+async def _leave(soak: Soak) -> None:
+    target = soak.pick_target()
+    await target.announce(target.announced, "draining")
+    await asyncio.sleep(2.0)
+    await target.announce(target.announced)
+
+
+async def _foreign(soak: Soak) -> None:
+    await soak.store.put("servers", "foreign", {"service": 7, "addr": None})
+
+
+async def _document(soak: Soak) -> None:
+    soak.version += 1
+    await soak._put_document([KEY])
+
+
+async def _weights(soak: Soak) -> None:
+    soak.weights += 1
+    spec = {"model": "m0", "version": soak.weights}
+    await soak.store.put("versions", "m0", spec)
+
+
+FAULTS: list[Callable[[Soak], Coroutine[Any, Any, None]]] = [
+    _kill,
+    _terminate,
+    _freeze,
+    _hang_up,
+    _cut,
+    _reset,
+    _store,
+    _forget,
+    _target,
+    _restart,
+    _leave,
+    _foreign,
+    _document,
+    _weights,
+]
+
+
+def free_ports() -> int:
+    """Return a port with three free ones after it, outside of the usual range."""
+    while True:
+        base = random.randrange(20_000, 30_000, 4)
+        try:
+            for offset in range(4):
+                with socket.socket() as found:
+                    found.bind(("127.0.0.10", base + offset))
+        except OSError:
+            continue
+        return base
--- /dev/null
+++ b/soak/vms.py
@@ -0,0 +1,100 @@
+"""The real program as separate processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from pathlib import Path
+import signal
+import sys
+import tempfile
+
+ROOT = Path(__file__).resolve().parent.parent
+SETTINGS = """
+node = "{name}"
+ip = "{host}"
+zone = "{zone}"
+port_range = [{gossip}, {gossip}]
+seeds = [{seeds}]
+[listen]
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+control = "{host}:{control}"
+[bounds]
+grace_s = 4
+version_ms = 12000
+[infra]
+addr = "{store}"
+"""
+
+
+class Vm:
+    """One VM: its settings, and its process while one runs.
+
+    Attributes
+    ----------
+    frozen
+        Whether the process is stopped by a signal.
+    """
+
+    def __init__(self, name: str, host: str, zone: str, base_port: int) -> None:
+        self.name = name
+        self.host = host
+        self.zone = zone
+        self.front = base_port
+        self.base_port = base_port
+        self.process: asyncio.subprocess.Process | None = None
+        self.frozen = False
+        self.directory = Path(tempfile.mkdtemp(prefix="gypsumsail-soak-"))
+        self.log = self.directory / f"{name}.log"
+
+    def write_settings(self, store: str, seeds: list[str]) -> None:
+        """Write the settings file."""
+        text = SETTINGS.format(
+            name=self.name,
+            host=self.host,
+            zone=self.zone,
+            gossip=self.base_port + 3,
+            front=self.base_port,
+            ready=self.base_port + 1,
+            control=self.base_port + 2,
+            store=store,
+            seeds=", ".join(f'"{host}:{self.base_port + 2}"' for host in seeds),
+        )
+        (self.directory / "boot.toml").write_text(text, encoding="utf-8")
+
+    async def async_start(self) -> None:
+        """Start the process."""
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "deploy" / "launch.py"),
+                "vm",
+                "run",
+                cwd=ROOT,
+                env={
+                    **os.environ,
+                    "GYPSUMSAIL_CONFIG": str(self.directory / "boot.toml"),
+                },
+                stdout=log,
+                stderr=log,
+            )
+        self.frozen = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process that this soak started."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+            self.frozen = number == signal.SIGSTOP
+
+    async def async_wait(self) -> int:
+        """Wait for the end of the process."""
+        assert self.process is not None
+        return await self.process.wait()
+
+    async def async_kill(self) -> None:
+        """Kill the process."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
--- /dev/null
+++ b/stand_ins/kerlann.py
@@ -0,0 +1,317 @@
+"""Stand-ins of Kerlann's platform: its store of objects, engines, plain targets."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+import hashlib
+import json
+import random
+import time
+from typing import Any
+from urllib.parse import unquote
+
+from stand_ins.raw_http import RawRequest, RawServer, answer, reset
+
+SECRET = "stand-in"
+
+
+def content(request_id: str, event: int) -> str:
+    """Return what an event of a request's stream holds."""
+    return hashlib.blake2b(f"{request_id}/{event}".encode(), digest_size=8).hexdigest()
+
+
+class ObjectStore:
+    """Objects by kind and name, with watches.
+
+    Attributes
+    ----------
+    fault
+        Empty, ``busy``, ``reset``, ``silent`` or ``lost``: the write is done and its
+        answer is not sent.
+    """
+
+    def __init__(self) -> None:
+        self.server = RawServer(self.handle)
+        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.forgotten = 0
+        self.revision = 10
+        self.changed = asyncio.Condition()
+        self.fault = ""
+
+    async def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        """Write an object as an operator or target does."""
+        found = self.objects.setdefault(kind, {}).get(name)
+        if found is not None and found["spec"] == spec:
+            return found
+        self.revision += 1
+        made = {"metadata": {"name": name, "rev": self.revision}, "spec": spec}
+        self.objects[kind][name] = made
+        await self._note(kind, made, deleted=False)
+        return made
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        found = self.objects.get(kind, {}).pop(name, None)
+        if found is not None:
+            self.revision += 1
+            await self._note(kind, found, deleted=True)
+
+    def forget(self) -> None:
+        """Forget the history, so that watches have to list anew."""
+        self.history.clear()
+        self.forgotten = self.revision
+
+    async def _note(self, kind: str, found: dict[str, Any], *, deleted: bool) -> None:
+        self.history.append((self.revision, kind, found, deleted))
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        """Answer one call."""
+        match self.fault:
+            case "busy":
+                writer.write(answer(503))
+                return True
+            case "reset":
+                reset(writer)
+                return False
+            case "silent":
+                await asyncio.sleep(30)
+                return False
+        kind, _, name = unquote(request.path.removeprefix("/v1/objects/")).partition(
+            "/"
+        )
+        if request.method == "GET":
+            status, body = await self._read(kind, name, request.query)
+        else:
+            status, body = await self._write(kind, name, request)
+            if self.fault == "lost":
+                reset(writer)
+                return False
+        writer.write(answer(status, json.dumps(body).encode()))
+        return True
+
+    async def _read(
+        self, kind: str, name: str, query: dict[str, str]
+    ) -> tuple[int, Any]:
+        found = self.objects.get(kind, {})
+        if name:
+            return (200, found[name]) if name in found else (404, {})
+        if "watch" in query:
+            return await self._watch(
+                kind, int(query["watch"]), int(query["wait_ms"]) / 1000
+            )
+        items = [item for key, item in sorted(found.items())]
+        return 200, {
+            "items": items,
+            "has_more": False,
+            "store_revision": self.revision,
+        }
+
+    async def _watch(self, kind: str, since: int, wait: float) -> tuple[int, Any]:
+        if since < self.forgotten:
+            return 410, {}
+        end = time.monotonic() + wait
+        while True:
+            events = [
+                {"object": found, "deleted": deleted}
+                for revision, of, found, deleted in self.history
+                if of == kind and revision > since
+            ]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "store_revision": self.revision}
+            try:
+                async with asyncio.timeout(left), self.changed:
+                    await self.changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _write(
+        self, kind: str, name: str, request: RawRequest
+    ) -> tuple[int, Any]:
+        body = json.loads(request.body or b"{}")
+        metadata = body.get("metadata", {})
+        name = name or metadata.get("name", "")
+        found = self.objects.get(kind, {}).get(name)
+        if request.method == "POST" and found is not None:
+            return 409, found
+        if request.method == "PUT":
+            if found is None:
+                return 404, {}
+            if (
+                metadata.get("rev", found["metadata"]["rev"])
+                != found["metadata"]["rev"]
+            ):
+                return 409, found
+        return 200, await self.put(kind, name, body.get("spec"))
+
+
+@dataclass(slots=True)
+class Run:
+    """A request that a target began to run."""
+
+    target: str
+    tenant: str
+    is_whole: bool = False
+
+
+@dataclass(slots=True)
+class Ledger:
+    """All runs of all targets, by request id."""
+
+    runs: dict[str, list[Run]] = field(default_factory=dict)
+
+    def begin(self, request_id: str, target: str, tenant: str) -> Run:
+        """Note that a run begins."""
+        run = Run(target, tenant)
+        self.runs.setdefault(request_id, []).append(run)
+        return run
+
+
+class Target:
+    """An engine or a plain target.
+
+    Attributes
+    ----------
+    fault
+        Empty, ``mute``, ``reset``, ``cut`` (in the middle), ``busy`` or ``double``.
+    """
+
+    def __init__(
+        self, name: str, store: ObjectStore, ledger: Ledger, service: str
+    ) -> None:
+        self.name = name
+        self.store = store
+        self.ledger = ledger
+        self.service = service
+        self.server = RawServer(self.handle)
+        self.random = random.Random(name)
+        self.fault = ""
+        self.born = int(time.time() * 1000)
+        self.version = 1
+        self.orders = 0
+        self.host = ""
+        self.announced = ""
+        self.port = 0
+
+    @property
+    def is_engine(self) -> bool:
+        """Return whether it answers with streams."""
+        return self.service == "llm"
+
+    async def async_start(self, host: str) -> None:
+        """Listen."""
+        self.host = host
+        self.port = await self.server.async_start(host)
+
+    async def announce(self, address: str = "", state: str = "ready") -> None:
+        """Write the entry of the target."""
+        spec: dict[str, Any] = {
+            "service": self.service,
+            "addr": address or f"{self.host}:{self.port}",
+            "zone": "z1",
+            "slots": 16,
+            "state": state,
+            "born": self.born,
+            "call_seq": self.orders,
+        }
+        if self.is_engine:
+            spec["models"] = [{"name": "m0", "version": self.version}]
+        await self.store.put("servers", self.name, spec)
+
+    def restart(self) -> None:
+        """Begin another life under the same name."""
+        self.server.die()
+        self.born = max(int(time.time() * 1000), self.born + 1)
+        self.orders = 0
+        self.server.live()
+
+    async def handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        """Answer one request."""
+        if request.path == "/v1/report":
+            writer.write(answer(200, json.dumps(self._report()).encode()))
+            return True
+        if request.path == "/v1/order":
+            return await self._order(request, writer)
+        return await self._run(request, writer)
+
+    def _report(self) -> dict[str, Any]:
+        models = [{"name": "m0", "version": self.version}]
+        return {
+            "busy": False,
+            "call_seq": self.orders,
+            "born": self.born,
+            "models": models,
+        }
+
+    async def _order(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        order = json.loads(request.body)
+        if order.get("expect", self.orders) != self.orders:
+            writer.write(answer(409))
+            return True
+        self.orders += 1
+        await asyncio.sleep(0.2)
+        self.version = order["version"]
+        writer.write(answer(202))
+        return True
+
+    async def _run(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        request_id = request.headers.get("gypsumsail-request-id", "")
+        own = {"Gypsumsail-Request-Id": request_id, "Gypsumsail-Instance-Id": self.name}
+        if request.headers.get("gypsumsail-target-instance", self.name) != self.name:
+            writer.write(answer(421, b"", own))
+            return True
+        expected = request.headers.get("gypsumsail-expect-version")
+        if self.is_engine and expected not in (None, str(self.version)):
+            shown = {**own, "Gypsumsail-Weight-Versions": str(self.version)}
+            writer.write(answer(421, b"", shown))
+            return True
+        if self.fault == "busy":
+            writer.write(answer(503, b"", {**own, "Gypsumsail-Not-Run": "1"}))
+            return True
+        run = self.ledger.begin(
+            request_id, self.name, request.headers.get("gypsumsail-tenant", "")
+        )
+        await asyncio.sleep(self.random.uniform(0.01, 0.06))
+        if self.fault == "mute":
+            await asyncio.sleep(20)
+            return False
+        if self.fault == "reset":
+            reset(writer)
+            return False
+        own["Gypsumsail-Server-Stamp"] = SECRET
+        if self.is_engine:
+            await self._stream(request, request_id, own, writer)
+        else:
+            body = content(request_id, 0).encode() + request.body
+            writer.write(answer(200, body, own))
+            if self.fault == "double":
+                writer.write(answer(200, b"another answer", {**own}))
+        run.is_whole = True
+        return self.fault != "double"
+
+    async def _stream(
+        self,
+        request: RawRequest,
+        request_id: str,
+        own: dict[str, str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        own["Gypsumsail-Weight-Versions"] = str(self.version)
+        lines = [f"{name}: {value}" for name, value in own.items()]
+        head = ["HTTP/1.1 200 S", "Transfer-Encoding: chunked", *lines]
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for event in range(first, 9):
+            text = f"id: {event}\ndata: {content(request_id, event)}\n\n".encode()
+            if self.fault == "cut" and event == 5:
+                writer.write(b"%x\r\n%b" % (len(text), text[:7]))
+                reset(writer)
+                raise ConnectionError
+            writer.write(b"%x\r\n%b\r\n" % (len(text), text))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        writer.write(b"0\r\n\r\n")
--- /dev/null
+++ b/stand_ins/raw_http.py
@@ -0,0 +1,126 @@
+"""Plain HTTP over asyncio streams, for stand-ins that break it on purpose."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import contextlib
+from dataclasses import dataclass
+import socket
+import struct
+
+
+@dataclass(slots=True)
+class RawRequest:
+    """One request; names of headers are in lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+Handler = Callable[[RawRequest, asyncio.StreamWriter], Awaitable[bool]]
+"""Answers a request; returns whether the connection goes on."""
+
+
+async def read_request(reader: asyncio.StreamReader) -> RawRequest:
+    """Read one request with a counted body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.strip().split("\r\n")
+    method, target, _ = first.split(" ")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    path, _, text = target.partition("?")
+    query = dict(item.split("=", 1) for item in text.split("&") if "=" in item)
+    return RawRequest(method, path, query, headers, body)
+
+
+def answer(
+    status: int, body: bytes = b"", headers: dict[str, str] | None = None
+) -> bytes:
+    """Return an answer with its length."""
+    lines = [f"HTTP/1.1 {status} S", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    found = writer.get_extra_info("socket")
+    if found is not None:
+        linger = struct.pack("ii", 1, 0)
+        with contextlib.suppress(OSError):
+            found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+class RawServer:
+    """Serves one address.
+
+    Attributes
+    ----------
+    is_dead
+        Whether connections are reset instead of served.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.is_dead = False
+        self.is_stopped = False
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def async_start(self, host: str, port: int = 0) -> int:
+        """Listen and return the port."""
+        self.server = await asyncio.start_server(self._accept, host, port)
+        found = self.server.sockets[0].getsockname()[1]
+        assert isinstance(found, int)
+        return found
+
+    def die(self) -> None:
+        """Reset all connections, and those that come until it lives again."""
+        self.is_dead = True
+        for writer in list(self.writers):
+            reset(writer)
+
+    def live(self) -> None:
+        """Serve again."""
+        self.is_dead = False
+
+    async def async_stop(self) -> None:
+        """End all connections."""
+        self.is_stopped = True
+        if self.server is not None:
+            self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.is_dead:
+            reset(writer)
+            return
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        self.writers.add(writer)
+        try:
+            while await self.handler(await read_request(reader), writer):
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            pass
+        except asyncio.CancelledError:
+            if not self.is_stopped:
+                raise
+        finally:
+            self.writers.discard(writer)
+            self.tasks.discard(task)
+            writer.close()
