--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -20,7 +20,5 @@
 """Longest pause after calls to the store that failed in a row."""
 RETURN_SECONDS: Final = 2.3
 """Time after the store's return in which targets that it lost may be listed again."""
-AWAY_SECONDS: Final = 1.0
-"""Time without an answer of the store after which peers' copies are taken."""
 TROUBLE_MEMORY_SECONDS: Final = 6.0
 """Time after an outage in which a removal may still come from it."""
--- a/src/gypsumsail/catalog/store_link.py
+++ b/src/gypsumsail/catalog/store_link.py
@@ -5,10 +5,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from gypsumsail.catalog.const import (
-    AWAY_SECONDS,
-    TROUBLE_MEMORY_SECONDS,
-)
+from gypsumsail.catalog.const import TROUBLE_MEMORY_SECONDS
 
 
 class StoreTrouble(IntEnum):
@@ -69,10 +66,6 @@
             return StoreTrouble.NOW
         return StoreTrouble.LATELY if self.had_trouble(now) else StoreTrouble.NONE
 
-    def is_away(self, now: float) -> bool:
-        """Return whether the store has not answered for a while."""
-        return self.is_failing and now - self.answered_at > AWAY_SECONDS
-
     def had_trouble(self, now: float) -> bool:
         """Return whether removals may come from an outage rather than a leaving."""
         if self.is_failing:
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 import random
-from typing import Any, Final
+from typing import Final
 
 import xxhash
 
@@ -346,12 +346,6 @@
             exchange.finish()
         self.telemetry.ended_alone(job, outcome, self.clock.monotonic())
 
-    def summary(self, now: float) -> dict[str, Any]:
-        """Return counts for the metrics."""
-        return {
-            name: len(line.places) for name, line in self.lines.items() if line.places
-        }
-
 
 def _fingerprint(call: Call, customer: Customer) -> str:
     digest = xxhash.xxh3_64()
--- a/src/gypsumsail/keeping/const.py
+++ b/src/gypsumsail/keeping/const.py
@@ -28,8 +28,6 @@
 """Time after which a fetch that has not ended is thrown away."""
 SLOW_SECONDS: Final = 1.0
 """Time for which nothing is fetched from a store whose fetches came late."""
-FREE_AFTER_SECONDS: Final = 4.0
-"""Time after the last use of a scope may have begun until its parts are freed."""
 FULL_SHARE: Final = 0.97
 """Share of a store's room above which no more is sent to it."""
 MOVED_TOKENS_PER_SECOND: Final = 400_000.0
--- a/src/gypsumsail/keeping/port.py
+++ b/src/gypsumsail/keeping/port.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Protocol
 
 from gypsumsail.gateway.models import ContextStore
-from gypsumsail.keeping.store_view import PartKey, StoreAnswer
+from gypsumsail.keeping.store_view import StoreAnswer
 
 
 class ContextStores(Protocol):
-    """Questions and orders to stores; all raise ``TransportError``."""
+    """Questions to stores; all raise ``TransportError``."""
 
     async def async_contents(self, store: ContextStore) -> StoreAnswer:
         """Ask for all that a store holds whole."""
@@ -20,11 +20,6 @@
     ) -> StoreAnswer:
         """Wait up to ``wait`` seconds for changes."""
 
-    async def async_free(
-        self, store: ContextStore, parts: Sequence[PartKey], life: int, until_ms: int
-    ) -> bool:
-        """Free parts; return false when the store did not."""
-
     def forget(self, store: ContextStore) -> None:
         """Close the connections to a store."""
 
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -21,7 +21,8 @@
 from gypsumsail.gateway.targets import ReportedLoad
 from gypsumsail.platform import names
 from gypsumsail.transport.exchange import ExchangeConnection, ExchangePool
-from gypsumsail.transport.http_server import HttpRequest, Reply, ReplyPhase
+from gypsumsail.transport.http_reply import Reply, ReplyPhase
+from gypsumsail.transport.http_request import HttpRequest
 
 MILLISECONDS: Final = 1000.0
 HIGHEST_URGENCY: Final = 9
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -254,10 +253,3 @@
         max_waiting_reads=item.max_inflight,
         is_managed=item.managed,
     )
-
-
-def decode_json(value: bytes) -> Mapping[str, Any]:
-    """Decode a JSON object; raise ``EntryInvalidError``."""
-    found = _decode(value, dict)
-    assert isinstance(found, dict)
-    return found
--- a/src/gypsumsail/platform/stores.py
+++ b/src/gypsumsail/platform/stores.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from typing import Any, Final
 
 import msgspec
@@ -10,7 +9,7 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import ContextStore
 from gypsumsail.keeping.const import POLL_MARGIN_SECONDS
-from gypsumsail.keeping.store_view import PartKey, StoreAnswer, StoreChange
+from gypsumsail.keeping.store_view import StoreAnswer, StoreChange
 from gypsumsail.platform import names
 from gypsumsail.platform.client import JsonClient
 
@@ -80,22 +79,6 @@
             clock_ms=_whole(found.clock_ms),
         )
 
-    async def async_free(
-        self, store: ContextStore, parts: Sequence[PartKey], life: int, until_ms: int
-    ) -> bool:
-        """Free parts; return false when the store did not."""
-        answer = await self._client(store).async_call(
-            "POST",
-            names.FREE_PATH,
-            timeout=CALL_SECONDS,
-            body={
-                "parts": [list(key) for key in parts],
-                "epoch": life,
-                "until_ms": until_ms,
-            },
-        )
-        return answer.status == 200
-
     def forget(self, store: ContextStore) -> None:
         """Close the connections to a store."""
         client = self.clients.pop(str(store.address), None)
--- /dev/null
+++ b/src/gypsumsail/transport/http_reply.py
@@ -0,0 +1,107 @@
+"""The reply to one request of a caller."""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+from typing import TYPE_CHECKING, Final
+
+from gypsumsail.core.callback import callback
+from gypsumsail.transport.http_request import HeaderPairs, HttpRequest
+
+if TYPE_CHECKING:
+    from gypsumsail.transport.http_server import CallerConnection
+
+REASONS: Final = {
+    100: "Continue",
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class ReplyPhase(Enum):
+    """How far the reply to a request is."""
+
+    NOTHING = auto()
+    HEAD = auto()
+    WHOLE = auto()
+    BROKEN = auto()
+
+
+class Reply:
+    """The reply to one request.
+
+    Attributes
+    ----------
+    phase
+        How far it is; a reply that is not whole closes the connection.
+    is_closing
+        Whether the connection ends after this reply.
+    """
+
+    def __init__(self, connection: CallerConnection, request: HttpRequest) -> None:
+        self.connection = connection
+        self.request = request
+        self.phase = ReplyPhase.NOTHING
+        self.is_chunked = False
+        self.is_closing = not request.keep_alive
+
+    @callback
+    def send(self, status: int, headers: HeaderPairs, body: bytes) -> None:
+        """Send a whole reply with its length."""
+        head = self._head(status, headers)
+        if not 100 <= status < 200 and status not in (204, 304):
+            head += b"content-length: %d\r\n" % len(body)
+        has_body = self.request.method != b"HEAD"
+        self.phase = ReplyPhase.WHOLE
+        self.connection.write(head + b"\r\n" + (body if has_body else b""))
+
+    @callback
+    def begin(self, status: int, headers: HeaderPairs) -> None:
+        """Send the head of a reply whose length is not known."""
+        self.is_chunked = True
+        self.phase = ReplyPhase.HEAD
+        head = self._head(status, headers)
+        self.connection.write(head + b"transfer-encoding: chunked\r\n\r\n")
+
+    @callback
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if data:
+            self.connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    @callback
+    def end(self) -> None:
+        """Mark the body as whole."""
+        self.phase = ReplyPhase.WHOLE
+        self.connection.write(b"0\r\n\r\n")
+
+    @callback
+    def abort(self) -> None:
+        """End the connection so that the reply can't look whole."""
+        self.phase = ReplyPhase.BROKEN
+        self.connection.abort()
+
+    async def async_drain(self) -> None:
+        """Wait while the caller reads more slowly than the answer comes."""
+        await self.connection.async_drain()
+
+    def _head(self, status: int, headers: HeaderPairs) -> bytes:
+        if self.connection.is_draining:
+            self.is_closing = True
+        reason = REASONS.get(status, "Status").encode()
+        lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
+        lines += [b"%b: %b\r\n" % pair for pair in headers]
+        if self.is_closing:
+            lines.append(b"connection: close\r\n")
+        return b"".join(lines)
--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -6,7 +6,6 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from enum import Enum, auto
 import logging
 from typing import Final, cast
 
@@ -14,81 +13,21 @@
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
+from gypsumsail.transport.http_reply import REASONS, Reply, ReplyPhase
+from gypsumsail.transport.http_request import (
+    HeaderPairs,
+    HttpRequest,
+    RefusedError,
+    ServerLimits,
+    check_framing,
+)
 
 MOST_PIPELINED_REQUESTS: Final = 16
 HIGH_WATER_BYTES: Final = 256 * 1024
 LINGER_SECONDS: Final = 1.0
 
-REASONS: Final = {
-    100: "Continue",
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    408: "Request Timeout",
-    413: "Content Too Large",
-    421: "Misdirected Request",
-    429: "Too Many Requests",
-    431: "Request Header Fields Too Large",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
 _LOGGER = logging.getLogger(__name__)
 
-HeaderPairs = list[tuple[bytes, bytes]]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ServerLimits:
-    """What a caller may send and how long it may take.
-
-    Attributes
-    ----------
-    head_seconds
-        Time from the first byte of a request to its last, while it still sends.
-    idle_seconds
-        Time that a connection may stay open without a request.
-    """
-
-    head_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    head_seconds: float = 3.0
-    idle_seconds: float = 15.0
-
-
-@dataclass(slots=True)
-class HttpRequest:
-    """One whole request as it was read.
-
-    Attributes
-    ----------
-    target
-        Request target exactly as it was sent.
-    headers
-        Names as sent, values without surrounding space, in order.
-    read_at
-        Time of the server's clock at which it was read whole.
-    """
-
-    method: bytes
-    target: bytes
-    headers: HeaderPairs
-    body: bytes
-    keep_alive: bool
-    read_at: float
-
-
-class ReplyPhase(Enum):
-    """How far the reply to a request is."""
-
-    NOTHING = auto()
-    HEAD = auto()
-    WHOLE = auto()
-    BROKEN = auto()
-
 
 @dataclass(slots=True)
 class _Partial:
@@ -104,80 +43,6 @@
 Handler = Callable[["HttpRequest", "Reply"], Awaitable[None]]
 
 
-class Reply:
-    """The reply to one request.
-
-    Attributes
-    ----------
-    phase
-        How far it is; a reply that is not whole closes the connection.
-    is_closing
-        Whether the connection ends after this reply.
-    """
-
-    def __init__(self, connection: CallerConnection, request: HttpRequest) -> None:
-        self.connection = connection
-        self.request = request
-        self.phase = ReplyPhase.NOTHING
-        self.is_chunked = False
-        self.is_closing = not request.keep_alive
-
-    @property
-    def is_caller_gone(self) -> bool:
-        """Return whether the caller's connection is closed."""
-        return self.connection.is_closed
-
-    @callback
-    def send(self, status: int, headers: HeaderPairs, body: bytes) -> None:
-        """Send a whole reply with its length."""
-        head = self._head(status, headers)
-        if not 100 <= status < 200 and status not in (204, 304):
-            head += b"content-length: %d\r\n" % len(body)
-        has_body = self.request.method != b"HEAD"
-        self.phase = ReplyPhase.WHOLE
-        self.connection.write(head + b"\r\n" + (body if has_body else b""))
-
-    @callback
-    def begin(self, status: int, headers: HeaderPairs) -> None:
-        """Send the head of a reply whose length is not known."""
-        self.is_chunked = True
-        self.phase = ReplyPhase.HEAD
-        head = self._head(status, headers)
-        self.connection.write(head + b"transfer-encoding: chunked\r\n\r\n")
-
-    @callback
-    def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-        if data:
-            self.connection.write(b"%x\r\n%b\r\n" % (len(data), data))
-
-    @callback
-    def end(self) -> None:
-        """Mark the body as whole."""
-        self.phase = ReplyPhase.WHOLE
-        self.connection.write(b"0\r\n\r\n")
-
-    @callback
-    def abort(self) -> None:
-        """End the connection so that the reply can't look whole."""
-        self.phase = ReplyPhase.BROKEN
-        self.connection.abort()
-
-    async def async_drain(self) -> None:
-        """Wait while the caller reads more slowly than the answer comes."""
-        await self.connection.async_drain()
-
-    def _head(self, status: int, headers: HeaderPairs) -> bytes:
-        if self.connection.is_draining:
-            self.is_closing = True
-        reason = REASONS.get(status, "Status").encode()
-        lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
-        lines += [b"%b: %b\r\n" % pair for pair in headers]
-        if self.is_closing:
-            lines.append(b"connection: close\r\n")
-        return b"".join(lines)
-
-
 class CallerConnection(asyncio.Protocol):
     """Reads requests from one caller and answers them in order."""
 
@@ -254,7 +119,7 @@
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError as err:
             cause = err.__context__
-            if isinstance(cause, _RefusedError):
+            if isinstance(cause, RefusedError):
                 self._refuse(cause.status)
                 return
             _LOGGER.error("Request callback failed", exc_info=err)
@@ -269,7 +134,7 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         if len(self.waiting) >= MOST_PIPELINED_REQUESTS:
-            raise _RefusedError(400)
+            raise RefusedError(400)
         self.partial = _Partial(read_at=self.loop.time())
         self.head_bytes = 0
 
@@ -289,7 +154,7 @@
         assert self.partial is not None
         self.partial.body_bytes += added
         if self.partial.body_bytes > self.server.limits.head_bytes:
-            raise _RefusedError(431)
+            raise RefusedError(431)
 
     def on_headers_complete(self) -> None:
         """Check the framing before any byte of the body is taken."""
@@ -297,7 +162,7 @@
         self.partial.body_bytes = 0
         length = check_framing(self.partial.headers)
         if length > self.server.limits.body_bytes:
-            raise _RefusedError(413)
+            raise RefusedError(413)
         expects = any(
             name.lower() == b"expect" and value.lower() == b"100-continue"
             for name, value in self.partial.headers
@@ -311,7 +176,7 @@
         self.partial.body.append(body)
         self.partial.body_bytes += len(body)
         if self.partial.body_bytes > self.server.limits.body_bytes:
-            raise _RefusedError(413)
+            raise RefusedError(413)
 
     def on_message_complete(self) -> None:
         """Queue a whole request."""
@@ -415,30 +280,6 @@
         self.timer = self.loop.call_later(delay, self._watch_time)
 
 
-class _RefusedError(Exception):
-    """A request breaks a limit while it is read."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
-def check_framing(headers: HeaderPairs) -> int:
-    """Return the announced length, 0 for none; refuse framing that is ambiguous."""
-    lengths = [value for name, value in headers if name.lower() == b"content-length"]
-    codings = [value for name, value in headers if name.lower() == b"transfer-encoding"]
-    hosts = [value for name, value in headers if name.lower() == b"host"]
-    if len(hosts) != 1 or len(lengths) > 1 or len(codings) > 1:
-        raise _RefusedError(400)
-    if codings and (lengths or codings[0].strip().lower() != b"chunked"):
-        raise _RefusedError(400)
-    if not lengths:
-        return 0
-    if not lengths[0].isdigit():
-        raise _RefusedError(400)
-    return int(lengths[0])
-
-
 class HttpServer:
     """Listens on one address and hands whole requests to a handler.
 
--- a/src/gypsumsail/vm/const.py
+++ b/src/gypsumsail/vm/const.py
@@ -24,8 +24,6 @@
 """Time after which a caller may come back that met a VM which is about to end."""
 LAST_SECONDS: Final = 0.4
 """Time before the end of the grace in which the process ends by itself."""
-STARTUP_PATIENCE_SECONDS: Final = 1.0
-"""Time after the start in which a VM waits for the list before it says ready."""
 LEASE_HELD_SECONDS: Final = 1.3
 """Time for which a confirmed renewal lets its holder give orders."""
 LEASE_MARGIN_SECONDS: Final = 0.3
--- /dev/null
+++ b/src/gypsumsail/vm/control.py
@@ -0,0 +1,53 @@
+"""Answers the balancer, the other VMs and who reads the metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+from urllib.parse import parse_qs
+
+from gypsumsail.catalog.copies import COPY_PATH, encode_copy
+from gypsumsail.keeping.relay import VIEW_PATH
+from gypsumsail.transport.http_reply import Reply
+from gypsumsail.transport.http_request import HttpRequest
+
+if TYPE_CHECKING:
+    from gypsumsail.vm.runtime import VmRuntime
+
+METRICS_PATH: Final = b"/metrics"
+PEER_PATH: Final = b"/peer/"
+
+
+class ControlApi:
+    """Requests that are not callers'."""
+
+    def __init__(self, vm: VmRuntime) -> None:
+        self.vm = vm
+
+    async def async_handle(self, request: HttpRequest, reply: Reply) -> None:
+        """Answer one request."""
+        path = request.target.partition(b"?")[0]
+        if path == self.vm.ports.ready_path:
+            reply.send(200 if self.vm.readiness().is_ready else 503, [], b"")
+        elif path.startswith(PEER_PATH):
+            body = self._peer_answer(path.decode("latin-1"), request.target)
+            reply.send(404 if body is None else 200, [], body or b"")
+        elif path == METRICS_PATH:
+            self.vm.metrics.update(self.vm)
+            reply.send(200, [], self.vm.registry.exposition().encode())
+        else:
+            reply.send(404, [], b"")
+
+    def _peer_answer(self, path: str, target: bytes) -> bytes | None:
+        """Return what another VM asks for; ``None`` when this VM doesn't have it."""
+        if path.startswith(VIEW_PATH):
+            return self.vm.keeping.encoded_view(path.removeprefix(VIEW_PATH))
+        if not path.startswith(COPY_PATH):
+            return None
+        query = parse_qs(target.partition(b"?")[2].decode("latin-1"))
+        since = query.get("since", ["0"])[0]
+        if not since.isdigit():
+            return None
+        now = self.vm.clock.monotonic()
+        kind = path.removeprefix(COPY_PATH)
+        copy = self.vm.catalog.copy_since(kind, int(since), now)
+        return encode_copy(copy) if copy is not None else None
--- a/src/gypsumsail/vm/ports.py
+++ b/src/gypsumsail/vm/ports.py
@@ -11,7 +11,8 @@
 from gypsumsail.keeping.port import ContextStores
 from gypsumsail.object_api.port import Listing, ObjectApi
 from gypsumsail.rollout.port import EngineOrders
-from gypsumsail.transport.http_server import HttpRequest, Reply
+from gypsumsail.transport.http_reply import Reply
+from gypsumsail.transport.http_request import HttpRequest
 from gypsumsail.vm.settings import VmSettings
 
 
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -7,11 +7,9 @@
 import logging
 import signal
 from typing import Any
-from urllib.parse import parse_qs
 
 from gypsumsail.catalog.const import WATCHERS_IN_A_ZONE
 from gypsumsail.catalog.coordinator import CatalogCoordinator
-from gypsumsail.catalog.copies import COPY_PATH, encode_copy
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import (
@@ -20,7 +18,7 @@
 from gypsumsail.core.findings import SettingsInvalidError
 from gypsumsail.gateway.coordinator import Gateway, GatewaySettings
 from gypsumsail.gateway.job import Job, Place
-from gypsumsail.gateway.models import RoutingDocument, TargetEntry
+from gypsumsail.gateway.models import Address, RoutingDocument, TargetEntry
 from gypsumsail.gateway.placer import FleetView
 from gypsumsail.gateway.targets import TargetTable
 from gypsumsail.gateway.telemetry import GatewayTelemetry
@@ -29,19 +27,15 @@
 from gypsumsail.gossip.messages import WaitingWork
 from gypsumsail.gossip.peers import PeerTable
 from gypsumsail.keeping.coordinator import KeepingCoordinator
-from gypsumsail.keeping.relay import VIEW_PATH
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.logs.line_writer import LineWriter
 from gypsumsail.metrics.registry import MetricsRegistry
 from gypsumsail.orders.keeper import LeaseKeeper
 from gypsumsail.orders.lease import LeaseTerms
 from gypsumsail.rollout.coordinator import RolloutCoordinator
-from gypsumsail.transport.http_server import (
-    HttpRequest,
-    HttpServer,
-    Reply,
-    ServerLimits,
-)
+from gypsumsail.transport.http_reply import Reply
+from gypsumsail.transport.http_request import HttpRequest, ServerLimits
+from gypsumsail.transport.http_server import HttpServer
 from gypsumsail.vm.catch_up import CatchUp
 from gypsumsail.vm.const import (
     COME_BACK_SECONDS,
@@ -53,6 +47,7 @@
     SETTINGS_SECONDS,
     TICK_SECONDS,
 )
+from gypsumsail.vm.control import ControlApi
 from gypsumsail.vm.metrics import VmMetrics
 from gypsumsail.vm.peer_clients import PeerClients
 from gypsumsail.vm.ports import VmPorts
@@ -107,12 +102,11 @@
         )
         self.vm_list = VmList(settings, ports, self.peers, clock, self.log)
         self.metrics = VmMetrics(self.registry)
-        limits = ServerLimits()
+        self.control_api = ControlApi(self)
         self.callers = HttpServer(
-            self._async_caller, limits, clock, self.metrics.refused
+            self._async_caller, ServerLimits(), clock, self.metrics.refused
         )
-        self.control = HttpServer(self._async_control, limits, clock)
-        self.servers = [self.callers, self.control]
+        self.servers = [self.callers]
         self.tasks: list[asyncio.Task[None]] = []
 
     def _make_gateway(self) -> Gateway:
@@ -234,20 +228,7 @@
         await self.gossip.async_start()
         settings = self.settings
         await self.callers.async_start(settings.callers.host, settings.callers.port)
-        listening = {str(settings.callers)}
-        for address in (settings.readiness, settings.control):
-            if address is None or str(address) in listening:
-                continue
-            listening.add(str(address))
-            server = self.control
-            if server.server is not None:
-                server = HttpServer(self._async_control, server.limits, self.clock)
-                self.servers.append(server)
-            await server.async_start(address.host, address.port)
-        if self.metrics_port is not None:
-            server = HttpServer(self._async_control, ServerLimits(), self.clock)
-            self.servers.append(server)
-            await server.async_start(settings.host, self.metrics_port)
+        await self._async_listen_for_control()
         work: list[Callable[[], Coroutine[Any, Any, None]]] = [
             *self.catalog.tasks(),
             self.rollout.async_run,
@@ -260,6 +241,23 @@
             for item in work
         ]
 
+    async def _async_listen_for_control(self) -> None:
+        """Listen on each address that is not the callers'."""
+        settings = self.settings
+        listening = {settings.callers}
+        addresses = [settings.readiness, settings.control]
+        if self.metrics_port is not None:
+            addresses.append(Address(host=settings.host, port=self.metrics_port))
+        for address in addresses:
+            if address is None or address in listening:
+                continue
+            listening.add(address)
+            server = HttpServer(
+                self.control_api.async_handle, ServerLimits(), self.clock
+            )
+            self.servers.append(server)
+            await server.async_start(address.host, address.port)
+
     def _take_signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop)
@@ -373,30 +371,3 @@
             reply.send(err.status, [], b"")
             return
         await self.gateway.async_handle(call, self.ports.reply(reply, call.request_id))
-
-    def _peer_answer(self, path: str, target: bytes) -> bytes | None:
-        """Return what another VM asks for; ``None`` when this VM doesn't have it."""
-        if path.startswith(VIEW_PATH):
-            return self.keeping.encoded_view(path.removeprefix(VIEW_PATH))
-        if not path.startswith(COPY_PATH):
-            return None
-        query = parse_qs(target.partition(b"?")[2].decode("latin-1"))
-        since = query.get("since", ["0"])[0]
-        if not since.isdigit():
-            return None
-        kind = path.removeprefix(COPY_PATH)
-        copy = self.catalog.copy_since(kind, int(since), self.clock.monotonic())
-        return encode_copy(copy) if copy is not None else None
-
-    async def _async_control(self, request: HttpRequest, reply: Reply) -> None:
-        path = request.target.partition(b"?")[0]
-        if path == self.ports.ready_path:
-            reply.send(200 if self.readiness().is_ready else 503, [], b"")
-        elif path.startswith(b"/peer/"):
-            body = self._peer_answer(path.decode("latin-1"), request.target)
-            reply.send(404 if body is None else 200, [], body or b"")
-        elif path == b"/metrics":
-            self.metrics.update(self)
-            reply.send(200, [], self.registry.exposition().encode())
-        else:
-            reply.send(404, [], b"")
--- a/tests/catalog/test_kind_watch.py
+++ b/tests/catalog/test_kind_watch.py
@@ -74,7 +74,6 @@
     assert link.failed()
     assert not link.failed()
     assert link.trouble(101.0) is StoreTrouble.NOW
-    assert link.is_away(102.0)
     assert link.answered(103.0)
     assert link.trouble(104.0) is StoreTrouble.LATELY
     assert link.trouble(110.0) is StoreTrouble.NONE
--- a/tests/keeping/common.py
+++ b/tests/keeping/common.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.job import Job, Place
@@ -12,7 +12,6 @@
 from gypsumsail.gossip.peers import PeerTable
 from gypsumsail.keeping.coordinator import KeepingCoordinator
 from gypsumsail.keeping.store_view import (
-    PartKey,
     StoreAnswer,
     StoreChange,
     StoreView,
@@ -88,12 +87,6 @@
             raise found
         return found
 
-    async def async_free(
-        self, store: ContextStore, parts: Sequence[PartKey], life: int, until_ms: int
-    ) -> bool:
-        """Do nothing."""
-        return True
-
     def forget(self, store: ContextStore) -> None:
         """Do nothing."""
 
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -11,7 +11,7 @@
 from gypsumsail.gateway.port import AnswerHead, ContextMove, SendTerms
 from gypsumsail.platform.calls import encode_request, read_answer, read_call
 from gypsumsail.transport.exchange import ExchangeConnection
-from gypsumsail.transport.http_server import HttpRequest
+from gypsumsail.transport.http_request import HttpRequest
 from tests.gateway.common import engine
 
 HEADERS = [
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -12,12 +12,9 @@
 import pytest
 
 from gypsumsail.core.clock import SystemClock
-from gypsumsail.transport.http_server import (
-    HttpRequest,
-    HttpServer,
-    Reply,
-    ServerLimits,
-)
+from gypsumsail.transport.http_reply import Reply
+from gypsumsail.transport.http_request import HttpRequest, ServerLimits
+from gypsumsail.transport.http_server import HttpServer
 
 LIMITS = ServerLimits(
     head_bytes=1_024, body_bytes=2_048, head_seconds=0.4, idle_seconds=0.8
