Let each flag of the VM's commands be a variable too

Found by test_every_flag_is_a_variable_and_every_command_has_help; the check and run commands now have tests of their own.

--- a/src/gypsumsail/cli/vm.py
+++ b/src/gypsumsail/cli/vm.py
@@ -7,6 +7,7 @@
 import click
 
 from gypsumsail.cli.const import ExitCode
+from gypsumsail.cli.options import setting
 
 
 @click.group()
@@ -27,10 +28,8 @@
 
 
 @vm.command()
-@click.option("--settings", help="Settings file; otherwise the platform's variable.")
-@click.option(
-    "--metrics-port", type=click.IntRange(1, 65_535), help="Port that shows metrics."
-)
+@setting("--settings", help="Settings file; otherwise the platform's variable.")
+@setting("--metrics-port", type=click.IntRange(1, 65_535), help="Port for metrics.")
 def run(settings: str | None, metrics_port: int | None) -> None:
     """Serve until told to stop.
 
@@ -50,7 +49,7 @@
 
 
 @vm.command()
-@click.option("--settings", help="Settings file; otherwise the platform's variable.")
+@setting("--settings", help="Settings file; otherwise the platform's variable.")
 def check(settings: str | None) -> None:
     """Check a settings file and print all findings.
 
--- /dev/null
+++ b/tests/cli/test_vm.py
@@ -0,0 +1,51 @@
+"""Tests of the commands of a VM."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from click.testing import CliRunner
+import pytest
+
+from gypsumsail.cli.const import ExitCode
+from gypsumsail.cli.main import main
+from tests.platform.test_settings import GOOD
+
+
+def check(path: Path) -> tuple[int, str]:
+    """Run the check of a settings file."""
+    result = CliRunner().invoke(main, ["vm", "check", "--settings", str(path)])
+    return result.exit_code, result.output
+
+
+def test_good_settings_have_no_findings(tmp_path: Path) -> None:
+    path = tmp_path / "boot.toml"
+    path.write_text(GOOD, encoding="utf-8")
+    assert check(path) == (ExitCode.OK, "no findings\n")
+
+
+def test_each_finding_is_shown_with_its_field(tmp_path: Path) -> None:
+    path = tmp_path / "boot.toml"
+    path.write_text('ip = 7\nport_range = "x"\n', encoding="utf-8")
+    code, output = check(path)
+    assert code == ExitCode.FINDINGS
+    for field in ("ip", "port_range", "node", "zone", "listen", "infra"):
+        assert f": {field}: " in output
+
+
+@pytest.mark.parametrize("command", ["run", "check"])
+def test_without_a_file_the_usage_is_wrong(
+    command: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.delenv("GYPSUMSAIL_CONFIG", raising=False)
+    result = CliRunner().invoke(main, ["vm", command])
+    assert result.exit_code == ExitCode.USAGE
+    assert "settings file" in result.output
+
+
+def test_bad_settings_start_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "boot.toml"
+    path.write_text("", encoding="utf-8")
+    result = CliRunner().invoke(main, ["vm", "run", "--settings", str(path)])
+    assert result.exit_code == ExitCode.USAGE
+    assert "node" in result.output
