Name a route's prefix in the product's own word

Found by reading the change as a newcomer: path_prefix is the platform's word and stood in gateway/models.py. The test that keeps the wire's names in their folder now looks for it too. No behaviour changed.

--- a/src/gypsumsail/gateway/models.py
+++ b/src/gypsumsail/gateway/models.py
@@ -58,7 +58,7 @@
 
     name: str
     host: str
-    path_prefix: str
+    prefix: str
     kind: CallKind
     timeout: float
     aim: float
@@ -190,9 +190,7 @@
         for route in self.routes:
             found.setdefault(route.host, []).append(route)
         return {
-            host: tuple(
-                sorted(routes, key=lambda item: len(item.path_prefix), reverse=True)
-            )
+            host: tuple(sorted(routes, key=lambda item: len(item.prefix), reverse=True))
             for host, routes in found.items()
         }
 
--- a/src/gypsumsail/gateway/routes.py
+++ b/src/gypsumsail/gateway/routes.py
@@ -17,7 +17,7 @@
         No route of the host matches.
     """
     for route in document.routes_by_host.get(host, ()):
-        if path.startswith(route.path_prefix):
+        if path.startswith(route.prefix):
             return route
     raise UnknownServiceError("no route matches the host and path")
 
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -208,7 +208,7 @@
     return Route(
         name=item.name,
         host=item.host.lower(),
-        path_prefix=item.path_prefix,
+        prefix=item.path_prefix,
         kind=kind,
         timeout=item.timeout_ms / MILLISECONDS,
         aim=item.goal_ms / MILLISECONDS,
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -64,7 +64,7 @@
     plain = Route(
         name=name,
         host="h.example",
-        path_prefix="/a/",
+        prefix="/a/",
         kind=CallKind.REPEATABLE,
         timeout=5.0,
         aim=0.4,
@@ -82,7 +82,7 @@
     services = (WeightedService(service=ENGINES, weight=1),)
     defaults: dict[str, Any] = {
         "kind": CallKind.STREAM,
-        "path_prefix": "/s/",
+        "prefix": "/s/",
         "services": services,
         "urgency": 1,
     }
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -16,7 +16,7 @@
 
 
 def test_the_longest_prefix_wins() -> None:
-    found = document(route("short"), route("long", path_prefix="/a/b/"))
+    found = document(route("short"), route("long", prefix="/a/b/"))
     assert find_route(found, "h.example", "/a/b/c").name == "long"
     assert find_route(found, "h.example", "/a/bc").name == "short"
 
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -8,7 +8,7 @@
 SOURCE = Path(__file__).resolve().parent.parent.parent / "src" / "gypsumsail"
 WIRE = re.compile(
     r"Gypsumsail-|GYPSUMSAIL_CONFIG|/v1/(objects|kv-|order|report|hold|readyz)"
-    r"|kv_store_addr|cold_left_ms|api_keys|path_prefix\"|gap_aim_ms|goal_ms"
+    r"|kv_store_addr|cold_left_ms|api_keys|path_prefix|gap_aim_ms|goal_ms"
 )
 
 
