Turn calls away at once in a lasting overload, and name a true time to come back

Cause: calls that could only be late waited out their patience (1.9 s of 5 s, 4.7 s of 15 s) and were then refused, as the estimate of their turn left out that calls which arrive meanwhile go first, and took an engine whose memory is full as free. The time to come back was the unread work of the least busy engine, which is 0 when memory binds.

Now the line knows the work that arrives on all VMs (gossip, format 2), how long runs of a route hold an engine's memory, and tells who is refused when its turn would have come.

Ruled out: an estimate from this VM's own calls alone; with 74 VMs it sees 2 to 3 a second.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -20,6 +20,10 @@
 """The same for calls that are late already."""
 LATE_PATIENCE_SHARE: Final = 0.25
 """Part of the time between its aim and its end for which a late call may wait."""
+LEAST_ROOM_SHARE: Final = 0.3
+"""Least part of the targets that late calls are taken to get beside new ones."""
+ARRIVAL_SECONDS: Final = 4.0
+"""Time in which the weight of an arrival in the rate of arrivals falls to 1/e."""
 COMEBACK_SHARE: Final = 0.25
 """Part of a call's time that is left to it when it is turned away."""
 MOVED_TOKENS_PER_SECOND: Final = 400_000.0
@@ -61,6 +65,10 @@
 """Time after a call's end in which the target's own last word may still come."""
 LEAST_SERVICE_SECONDS: Final = 0.05
 """Time left below which a call can't be served any more."""
+NO_TARGET_SECONDS: Final = 1.0
+"""Time after which another target may be listed where there is none; a few beats."""
+INITIAL_RUN_SECONDS: Final = 0.5
+"""Time that a generation is taken to hold an engine until answers have shown one."""
 LINE_INTERVAL_SECONDS: Final = 0.02
 """Pause between two looks at the waiting calls."""
 LONGEST_LINE: Final = 2_000
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -199,7 +199,10 @@
         while True:
             usual = line.placer.work_seconds(job, self.clock.monotonic())
             try:
-                placed = await line.async_place(job.waiting(usual))
+                occupied = line.placer.occupied_seconds(job)
+                waiting = job.waiting(usual, occupied)
+                line.placer.arrived(job, self.clock.monotonic())
+                placed = await line.async_place(waiting)
             except NoTargetError:
                 if outcome is None:
                     raise
@@ -257,8 +260,7 @@
                 reply.abort()
 
     def _free_in(self, job: Job, now: float) -> float:
-        line = self.lines[job.service]
-        return line.placer.capacity(now).backlog_seconds
+        return self.lines[job.service].free_in(now)
 
     def _refuse_call(
         self, call: Call, job: Job | None, reply: CallerReply, err: RequestError
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -66,7 +66,7 @@
     first_at: float = 0.0
     work_seconds: float = 0.0
 
-    def waiting(self, work_seconds: float) -> Waiting:
+    def waiting(self, work_seconds: float, occupied_seconds: float = 0.0) -> Waiting:
         """Return the job as the waiting line sees it."""
         self.work_seconds = work_seconds
         return Waiting(
@@ -76,6 +76,7 @@
             aim_at=self.aim_at,
             ends_at=self.ends_at,
             work_seconds=work_seconds,
+            occupied_seconds=occupied_seconds,
         )
 
     def leave_place(self) -> None:
--- a/src/gypsumsail/gateway/line.py
+++ b/src/gypsumsail/gateway/line.py
@@ -4,7 +4,8 @@
 that can still be on time goes before all that can't, so that an overload makes
 some calls late instead of each a little; among those the more urgent go first, then
 the earliest aim. A call whose turn is not expected in time, or that has been late for
-long, is turned away while it still has time to come back.
+long, is turned away while it still has time to come back. What arrives meanwhile goes
+before late calls, so that in a lasting overload they are turned away at once.
 """
 
 from __future__ import annotations
@@ -15,7 +16,9 @@
 from gypsumsail.gateway.const import (
     COMEBACK_SHARE,
     LATE_PATIENCE_SHARE,
+    LEAST_ROOM_SHARE,
     LEAST_SERVICE_SECONDS,
+    NO_TARGET_SECONDS,
 )
 
 
@@ -32,6 +35,9 @@
     work_seconds
         Time that one target is expected to spend before its first token, or on a
         plain call as a whole.
+    occupied_seconds
+        Time for which it takes all that one target has, as its reading or its
+        memory, whichever is more.
     """
 
     number: int
@@ -40,6 +46,21 @@
     aim_at: float
     ends_at: float
     work_seconds: float
+    occupied_seconds: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TurnedAway:
+    """A waiting call that is not served.
+
+    Attributes
+    ----------
+    free_in
+        Seconds after which it is expected to be served, if it comes back then.
+    """
+
+    call: Waiting
+    free_in: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,11 +75,14 @@
         Time until the next of them is expected to be free.
     elsewhere_seconds
         Work that waits on other VMs for the same targets.
+    arriving
+        Workers that the calls which arrive now would keep busy, of all VMs.
     """
 
     workers: float
     backlog_seconds: float
     elsewhere_seconds: float
+    arriving: float = 0.0
 
 
 def is_late(call: Waiting, now: float) -> bool:
@@ -81,28 +105,44 @@
 ) -> list[float]:
     """Return when each call of an ordered line is expected to be placed.
 
-    Calls of other VMs are taken to be placed evenly between those of this one.
+    Calls of other VMs are taken to be placed evenly between those of this one. A call
+    that will be late waits for those that arrive meanwhile as well.
     """
     workers = max(capacity.workers, 1.0)
-    own = sum(call.work_seconds for call in ordered)
+    room = max(1.0 - capacity.arriving / workers, LEAST_ROOM_SHARE)
+    own = sum(occupied(call) for call in ordered)
     slowdown = (own + capacity.elsewhere_seconds) / own if own else 1.0
     starts = []
     at = now + capacity.backlog_seconds
     for call in ordered:
-        starts.append(at)
-        at += call.work_seconds * slowdown / workers
+        will_be_late = at + call.work_seconds > call.aim_at
+        starts.append(now + (at - now) / room if will_be_late else at)
+        at += occupied(call) * slowdown / workers
     return starts
 
 
+def occupied(call: Waiting) -> float:
+    """Return the time for which a call takes all that one target has."""
+    return max(call.occupied_seconds, call.work_seconds)
+
+
+def free_in(ordered: Sequence[Waiting], capacity: Capacity) -> float:
+    """Return the seconds until all that waits now is expected to be placed."""
+    if not capacity.workers:
+        return NO_TARGET_SECONDS
+    waiting = sum(occupied(call) for call in ordered) + capacity.elsewhere_seconds
+    return capacity.backlog_seconds + waiting / max(capacity.workers, 1.0)
+
+
 def hopeless(
     ordered: Sequence[Waiting], capacity: Capacity, now: float
-) -> list[Waiting]:
+) -> list[TurnedAway]:
     """Return the calls that are turned away, as their turn comes too late."""
     if not capacity.workers:
-        return list(ordered)
+        return [TurnedAway(call=call, free_in=NO_TARGET_SECONDS) for call in ordered]
     starts = expected_starts(ordered, capacity, now)
     return [
-        call
+        TurnedAway(call=call, free_in=start - now)
         for call, start in zip(ordered, starts, strict=True)
         if now >= late_until(call) or start + call.work_seconds > begins_by(call)
     ]
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
-from gypsumsail.gateway.const import STALL_SECONDS
+from gypsumsail.gateway.arrivals import ArrivalRate, WorkElsewhere
+from gypsumsail.gateway.const import MEMORY_SHARE, STALL_SECONDS
 from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.line import Capacity
 from gypsumsail.gateway.models import PromptPart, Service
@@ -20,7 +21,7 @@
 from gypsumsail.gateway.targets import Flight, TargetState, TargetTable
 from gypsumsail.gateway.weights import WantedWeights, WeightFit, cache_scope, fit
 
-MovableParts = Callable[[str, Sequence[PromptPart], TargetState, float], int]
+MovableParts = Callable[[str, str, Sequence[PromptPart], float], int]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -32,7 +33,8 @@
     zone
         Availability zone of this VM.
     movable
-        Says how many leading parts of a prompt an engine has or could fetch.
+        Says how many leading parts of a prompt an engine of a service has or could
+        fetch under a cache scope.
     wanted
         Versions that the operator named, by model.
     rollout_seconds
@@ -40,7 +42,7 @@
     vms
         Number of VMs that place calls on the same targets.
     elsewhere
-        Says how many seconds of work wait on other VMs for a service.
+        Says what other VMs have for the targets of a service.
     """
 
     zone: str
@@ -49,7 +51,22 @@
     wanted: dict[str, WantedWeights]
     rollout_seconds: float
     vms: Callable[[], int]
-    elsewhere: Callable[[str, float], float] = lambda service, now: 0.0
+    elsewhere: Callable[[str, float], WorkElsewhere] = lambda service, now: (
+        WorkElsewhere()
+    )
+
+
+class _MovableByScope(dict[str, int]):
+    """Leading parts of one prompt that can be fetched, by cache scope."""
+
+    def __init__(self, ask: Callable[[str], int]) -> None:
+        super().__init__()
+        self.ask = ask
+
+    def __missing__(self, scope: str) -> int:
+        """Ask for a scope that no engine before had."""
+        self[scope] = self.ask(scope)
+        return self[scope]
 
 
 class JobPlacer:
@@ -59,6 +76,7 @@
         self.view = view
         self.service = service
         self.jobs = jobs
+        self.arrivals = ArrivalRate()
 
     def work_seconds(self, job: Job, now: float) -> float:
         """Return how long one target is expected to work before the first token."""
@@ -66,9 +84,9 @@
         if prompt is None or self.service.engine is None:
             usual = [state.usual_seconds for state in self._states()]
             return sum(usual) / len(usual) if usual else 0.0
-        states = self._states()
+        movable = self._movable(job, now)
         least = min(
-            (self._unread(job, state, now)[0] for state in states),
+            (self._unread(job, state, movable)[0] for state in self._states()),
             default=prompt.input_tokens,
         )
         return least / self._rate()
@@ -84,7 +102,10 @@
             for state in fitting
             if state.blocked_until <= now and state.loading_until <= now
         }
-        candidates = [self._candidate(job, state, now) for state in usable.values()]
+        movable = self._movable(job, now)
+        candidates = [
+            self._candidate(job, state, movable, now) for state in usable.values()
+        ]
         prompt = job.call.prompt
         demand = Demand(
             tokens=prompt.tokens if prompt is not None else 0,
@@ -95,9 +116,26 @@
         placed = place(candidates, demand)
         if isinstance(placed, Placed):
             state = usable[placed.name]
-            job.place = self._begin(job, state, placed.start_delay, now)
+            job.place = self.begin(job, state, placed.start_delay, now)
         return placed
 
+    def arrived(self, job: Job, now: float) -> None:
+        """Count the work of a job that is to be placed."""
+        work = max(job.work_seconds, self.occupied_seconds(job))
+        self.arrivals.add(work, now)
+
+    def arriving(self, now: float) -> float:
+        """Return the workers that the calls which arrive here would keep busy."""
+        return self.arrivals.at_time(now)
+
+    def occupied_seconds(self, job: Job) -> float:
+        """Return how long the job takes the memory of a whole engine."""
+        engine, prompt = self.service.engine, job.call.prompt
+        if engine is None or prompt is None or not engine.memory_tokens:
+            return 0.0
+        share = prompt.tokens / (engine.memory_tokens * MEMORY_SHARE)
+        return share * self.view.targets.run_time(job.route.name).seconds
+
     def capacity(self, now: float) -> Capacity:
         """Return what works on the service's calls."""
         states = [state for state in self._states() if not state.is_leaving]
@@ -107,15 +145,31 @@
             calls = sum(state.calls(now) for state in states)
             usual = min((state.usual_seconds for state in states), default=0.0)
             backlog = usual * calls / slots if slots else 0.0
-            return Capacity(
-                workers=slots, backlog_seconds=backlog, elsewhere_seconds=elsewhere
-            )
-        backlog = min((state.unread(now) for state in states), default=0)
-        seconds = backlog / self._rate()
+            workers = slots
+        else:
+            free_in = (self._engine_free_in(state, now) for state in states)
+            backlog = min(free_in, default=0.0)
+            workers = len(states)
         return Capacity(
-            workers=len(states), backlog_seconds=seconds, elsewhere_seconds=elsewhere
+            workers=workers,
+            backlog_seconds=backlog,
+            elsewhere_seconds=elsewhere.waiting_seconds,
+            arriving=self.arriving(now) + elsewhere.arriving,
         )
 
+    def _engine_free_in(self, state: TargetState, now: float) -> float:
+        """Return when an engine is expected to have room for one more call."""
+        assert self.service.engine is not None
+        free_at = max(state.blocked_until, state.loading_until, now)
+        seconds = free_at - now + state.unread(now) / self._rate()
+        calls, tokens = state.calls(now), state.tokens(now)
+        if not calls:
+            return seconds
+        room = self.service.engine.memory_tokens * MEMORY_SHARE
+        if calls >= state.entry.slots or tokens * (calls + 1) > room * calls:
+            seconds += state.usual_seconds / calls
+        return seconds
+
     def _states(self) -> list[TargetState]:
         return self.view.targets.of_service(self.service.name)
 
@@ -150,23 +204,36 @@
         isolated = job.customer.name if job.customer.is_isolated else ""
         return cache_scope(isolated, self._version(job, state))
 
-    def _unread(self, job: Job, state: TargetState, now: float) -> tuple[int, int]:
+    def _movable(self, job: Job, now: float) -> _MovableByScope:
+        """Return how many leading parts can be fetched, asked once for each scope."""
+        prompt = job.call.prompt
+        parts = prompt.parts if prompt is not None else ()
+        service = self.service.name
+        return _MovableByScope(
+            lambda scope: self.view.movable(service, scope, parts, now)
+        )
+
+    def _unread(
+        self, job: Job, state: TargetState, movable_in: _MovableByScope
+    ) -> tuple[int, int]:
         """Return the prompt tokens to be read there, and those to be fetched."""
         prompt = job.call.prompt
         if prompt is None:
             return 0, 0
         scope = self._scope(job, state)
         cached = state.cache.leading_parts(scope, prompt.parts)
-        movable = max(self.view.movable(scope, prompt.parts, state, now), cached)
+        movable = max(movable_in[scope], cached)
         known = sum(part.tokens for part in prompt.parts[:movable])
         moved = sum(part.tokens for part in prompt.parts[cached:movable])
         return max(prompt.input_tokens - known, 0), moved
 
-    def _candidate(self, job: Job, state: TargetState, now: float) -> Candidate:
+    def _candidate(
+        self, job: Job, state: TargetState, movable: _MovableByScope, now: float
+    ) -> Candidate:
         engine = self.service.engine
         if engine is not None:
             state.cache.capacity_tokens = engine.memory_tokens
-        unread, moved = self._unread(job, state, now)
+        unread, moved = self._unread(job, state, movable)
         return Candidate(
             name=state.entry.name,
             is_local=state.entry.zone == self.view.zone,
@@ -183,11 +250,12 @@
             has_old_weights=self._weight_fit(job, state, now) is WeightFit.OLD,
         )
 
-    def _begin(
+    def begin(
         self, job: Job, state: TargetState, start_delay: float, now: float
     ) -> Place:
+        """Count a job at a target from now on."""
         prompt = job.call.prompt
-        unread, _ = self._unread(job, state, now)
+        unread, _ = self._unread(job, state, self._movable(job, now))
         flight = Flight(
             tokens=prompt.tokens if prompt is not None else 0,
             unread=unread,
--- a/src/gypsumsail/gateway/runner.py
+++ b/src/gypsumsail/gateway/runner.py
@@ -195,7 +195,10 @@
             await self.reply.async_drain()
         if splitter.has_partial or not self.reply.has_begun:
             return Broken(reason="the stream ended inside an event")
-        self.state.succeeded(self.clock.monotonic(), None)
+        now = self.clock.monotonic()
+        self.state.succeeded(now, now - self.sent_at)
+        run_time = self.gateway.view.targets.run_time(self.job.route.name)
+        run_time.observe(now - self.sent_at)
         self.reply.end()
         return Delivered(status=head.status)
 
--- a/src/gypsumsail/gateway/service_line.py
+++ b/src/gypsumsail/gateway/service_line.py
@@ -10,7 +10,14 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import NoTargetError
 from gypsumsail.gateway.const import LINE_INTERVAL_SECONDS, LONGEST_LINE
-from gypsumsail.gateway.line import Capacity, Waiting, hopeless, in_order
+from gypsumsail.gateway.line import (
+    Capacity,
+    Waiting,
+    free_in,
+    hopeless,
+    in_order,
+    occupied,
+)
 from gypsumsail.gateway.placement import Placed, Placement, Unplaceable
 
 
@@ -23,6 +30,9 @@
     def capacity(self, now: float) -> Capacity:
         """Return what works on the calls of the line."""
 
+    def arriving(self, now: float) -> float:
+        """Return the workers that the calls which arrive here would keep busy."""
+
 
 @dataclass(slots=True)
 class _Place:
@@ -53,9 +63,9 @@
             if isinstance(placed, Placed):
                 return placed
             if isinstance(placed, Unplaceable):
-                raise NoTargetError("no target is left", retry_after=self._free_in(now))
+                raise NoTargetError("no target is left", retry_after=self.free_in(now))
         if len(self.places) >= LONGEST_LINE:
-            raise NoTargetError("too many calls wait", retry_after=self._free_in(now))
+            raise NoTargetError("too many calls wait", retry_after=self.free_in(now))
         loop = asyncio.get_running_loop()
         place = _Place(waiting, loop.create_future())
         self.places[waiting.number] = place
@@ -77,8 +87,8 @@
         ordered = in_order(waiting, now)
         left = [call for call in ordered if not self._try_place(call, now)]
         capacity = self.placer.capacity(now)
-        for call in hopeless(left, capacity, now):
-            self._turn_away(call.number, capacity.backlog_seconds)
+        for away in hopeless(left, capacity, now):
+            self._turn_away(away.call.number, away.free_in)
         if left and self.timer is None:
             loop = asyncio.get_running_loop()
             self.timer = loop.call_later(LINE_INTERVAL_SECONDS, self._on_timer)
@@ -94,7 +104,7 @@
                 self.places.pop(call.number).future.set_result(placed)
                 return True
             case Unplaceable():
-                self._turn_away(call.number, self._free_in(now))
+                self._turn_away(call.number, self.free_in(now))
                 return True
             case _:
                 return False
@@ -107,7 +117,13 @@
 
     def work_seconds(self) -> float:
         """Return the work that waits here."""
-        return sum(place.waiting.work_seconds for place in self.places.values())
+        return sum(occupied(place.waiting) for place in self.places.values())
+
+    def arriving(self, now: float) -> float:
+        """Return the workers that the calls which arrive here would keep busy."""
+        return self.placer.arriving(now)
 
-    def _free_in(self, now: float) -> float:
-        return self.placer.capacity(now).backlog_seconds
+    def free_in(self, now: float) -> float:
+        """Return the seconds until all that waits is expected to be placed."""
+        waiting = [place.waiting for place in self.places.values()]
+        return free_in(waiting, self.placer.capacity(now))
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -11,6 +11,7 @@
     FAILURE_DECAY_SECONDS,
     FIRST_BLOCK_SECONDS,
     INITIAL_READ_TOKENS_PER_SECOND,
+    INITIAL_RUN_SECONDS,
     LEAST_READ_TOKENS,
     LOADING_SECONDS,
     LONGEST_BLOCK_SECONDS,
@@ -85,6 +86,17 @@
         self.tokens_per_second += READ_RATE_WEIGHT * (seen - self.tokens_per_second)
 
 
+@dataclass(slots=True, kw_only=True)
+class RunTime:
+    """Time for which the generations of a route hold an engine."""
+
+    seconds: float = INITIAL_RUN_SECONDS
+
+    def observe(self, seconds: float) -> None:
+        """Take the time from a send to the end of its stream."""
+        self.seconds += DURATION_WEIGHT * (seconds - self.seconds)
+
+
 @dataclass(slots=True)
 class TargetState:
     """Beliefs on one life of a target.
@@ -95,6 +107,8 @@
         Time before which it gets no call, as it could not be connected.
     loading_until
         Time until which it is taken to load other weights.
+    usual_seconds
+        Duration of a call there, with the time in the target's own queue.
     """
 
     entry: TargetEntry
@@ -183,13 +197,12 @@
         faded = exp(-(now - self.result_at) / FAILURE_DECAY_SECONDS)
         return self.failures * faded / (self.results * faded + 1.0)
 
-    def succeeded(self, now: float, seconds: float | None) -> None:
-        """Note a whole answer, and its duration for a plain call."""
+    def succeeded(self, now: float, seconds: float) -> None:
+        """Note a whole answer and its duration."""
         self._add_result(now, 0.0)
         self.block_seconds = 0.0
         self.progress_at = now
-        if seconds is not None:
-            self.usual_seconds += DURATION_WEIGHT * (seconds - self.usual_seconds)
+        self.usual_seconds += DURATION_WEIGHT * (seconds - self.usual_seconds)
 
     def failed(self, now: float) -> None:
         """Note a call that the target broke off or failed."""
@@ -252,6 +265,7 @@
     def __init__(self) -> None:
         self.states: dict[str, TargetState] = {}
         self.rates: dict[str, ReadRate] = {}
+        self.run_times: dict[str, RunTime] = {}
 
     def of_service(self, service: str) -> list[TargetState]:
         """Return the targets of a service."""
@@ -263,6 +277,10 @@
         """Return the reading speed of a service's engines."""
         return self.rates.setdefault(service, ReadRate())
 
+    def run_time(self, route: str) -> RunTime:
+        """Return how long the generations of a route hold an engine."""
+        return self.run_times.setdefault(route, RunTime())
+
     def update(self, entry: TargetEntry, now: float) -> bool:
         """Take an entry of the platform's list; return whether beliefs changed."""
         state = self.states.get(entry.name)
--- a/src/gypsumsail/gossip/const.py
+++ b/src/gypsumsail/gossip/const.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-FORMAT: Final = 1
+FORMAT: Final = 2
 """Number of the message format; messages of another one are left out."""
 INTERVAL_SECONDS: Final = 0.1
 """Pause between messages; placements of other VMs are known that much later."""
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -10,6 +10,7 @@
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
+from gypsumsail.gateway.arrivals import WorkElsewhere
 from gypsumsail.gateway.const import PEER_LOAD_SECONDS
 from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.strikes import StrikeBook
@@ -203,14 +204,18 @@
             waiting=self.own_waiting(),
         )
 
-    def waiting_elsewhere(self, service: str, now: float) -> float:
-        """Return the seconds of work that wait on other VMs for a service."""
-        return sum(
-            item.work_ms / MILLISECONDS
+    def work_elsewhere(self, service: str, now: float) -> WorkElsewhere:
+        """Return what other VMs have for the targets of a service."""
+        found = [
+            item
             for at, items in self.waiting.values()
             if now - at < PEER_LOAD_SECONDS
             for item in items
             if item.service == service
+        ]
+        return WorkElsewhere(
+            waiting_seconds=sum(item.work_ms for item in found) / MILLISECONDS,
+            arriving=sum(item.arriving_ms for item in found) / MILLISECONDS,
         )
 
     def _cached(self) -> tuple[CachedPrompt, ...]:
--- a/src/gypsumsail/gossip/messages.py
+++ b/src/gypsumsail/gossip/messages.py
@@ -27,11 +27,20 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WaitingWork:
-    """Calls that wait on the sender for a service, and their work in milliseconds."""
+    """What the sender has for the targets of a service.
+
+    Attributes
+    ----------
+    calls, work_ms
+        Calls that wait, and their work in milliseconds.
+    arriving_ms
+        Work that arrives, in milliseconds a second.
+    """
 
     service: str
     calls: int
     work_ms: int
+    arriving_ms: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -177,7 +186,10 @@
                 ]
                 for news in message.stores
             ],
-            [[item.service, item.calls, item.work_ms] for item in message.waiting],
+            [
+                [item.service, item.calls, item.work_ms, item.arriving_ms]
+                for item in message.waiting
+            ],
         ]
     )
 
@@ -225,11 +237,12 @@
 
 
 def _waiting(value: object) -> WaitingWork:
-    service, calls, work_ms = cbor.read_list(value, 3)
+    service, calls, work_ms, arriving_ms = cbor.read_list(value, 4)
     return WaitingWork(
         service=cbor.read_text(service),
         calls=cbor.read_count(calls),
         work_ms=cbor.read_count(work_ms),
+        arriving_ms=cbor.read_count(arriving_ms),
     )
 
 
--- a/src/gypsumsail/keeping/coordinator.py
+++ b/src/gypsumsail/keeping/coordinator.py
@@ -284,34 +284,48 @@
         self, scope: str, part: PromptPart, engine: TargetState, now: float
     ) -> Iterable[Source]:
         zone = engine.entry.zone
-        for state in self.targets.of_service(engine.entry.service):
-            if (
-                state is not engine
-                and state.cache.has(scope, part)
-                and state.blocked_until <= now
-                and not state.is_stalled(now)
-            ):
+        for state in self._engines_with(engine.entry.service, scope, part, now):
+            if state is not engine:
                 yield Source(
                     address=state.entry.address,
                     is_near=state.entry.zone == zone,
                     bytes_per_second=ENGINE_LINK_BYTES_PER_SECOND,
                 )
-        for view in self.views.values():
-            if view.is_source(now) and view.holds(scope, part):
-                yield Source(
-                    address=view.store.address,
-                    is_near=view.store.zone == zone,
-                    bytes_per_second=view.store.bytes_per_second,
-                )
+        for view in self._views_with(scope, part, now):
+            yield Source(
+                address=view.store.address,
+                is_near=view.store.zone == zone,
+                bytes_per_second=view.store.bytes_per_second,
+            )
+
+    def _engines_with(
+        self, service: str, scope: str, part: PromptPart, now: float
+    ) -> Iterable[TargetState]:
+        return (
+            state
+            for state in self.targets.of_service(service)
+            if state.cache.has(scope, part)
+            and state.blocked_until <= now
+            and not state.is_stalled(now)
+        )
+
+    def _views_with(
+        self, scope: str, part: PromptPart, now: float
+    ) -> Iterable[StoreView]:
+        return (
+            view
+            for view in self.views.values()
+            if view.is_source(now) and view.holds(scope, part)
+        )
 
     def movable_parts(
-        self, scope: str, parts: Iterable[PromptPart], engine: TargetState, now: float
+        self, service: str, scope: str, parts: Iterable[PromptPart], now: float
     ) -> int:
-        """Return how many leading parts could be fetched instead of read."""
+        """Return how many leading parts an engine could have without reading them."""
         count = 0
         for part in parts:
-            if not any(self._sources(scope, part, engine, now)) and not (
-                engine.cache.has(scope, part)
+            if not any(self._views_with(scope, part, now)) and not any(
+                self._engines_with(service, scope, part, now)
             ):
                 break
             count += 1
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -155,7 +155,7 @@
         )
         self.gateway.on_first_token = self._on_first_token
         self.keeping.on_news = gossip.tell_store_news
-        self.gateway.view.elsewhere = gossip.waiting_elsewhere
+        self.gateway.view.elsewhere = gossip.work_elsewhere
         gossip.own_waiting = self._own_waiting
         return gossip
 
@@ -188,15 +188,17 @@
         self.keeping.first_token(place, now - job.placed_at, now)
 
     def _own_waiting(self) -> tuple[WaitingWork, ...]:
-        return tuple(
+        now = self.clock.monotonic()
+        found = (
             WaitingWork(
                 service=service,
                 calls=len(line.places),
                 work_ms=round(line.work_seconds() * MILLISECONDS),
+                arriving_ms=round(line.arriving(now) * MILLISECONDS),
             )
             for service, line in self.gateway.lines.items()
-            if line.places
         )
+        return tuple(item for item in found if item.calls or item.arriving_ms)
 
     def _has_watch_duty(self, kind: str) -> bool:
         now = self.clock.monotonic()
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -317,7 +317,7 @@
     """Return a view in which nothing can be fetched from elsewhere."""
     view = FleetView(
         zone="z1",
-        movable=lambda scope, parts, state, now: 0,
+        movable=lambda service, scope, parts, now: 0,
         targets=targets,
         wanted={},
         rollout_seconds=12.0,
--- a/tests/gateway/load_model.py
+++ b/tests/gateway/load_model.py
@@ -13,8 +13,10 @@
 from itertools import count
 import random
 
+from gypsumsail.gateway.arrivals import WorkElsewhere
+from gypsumsail.gateway.comeback import retry_after
 from gypsumsail.gateway.job import Job
-from gypsumsail.gateway.line import Waiting, hopeless, in_order
+from gypsumsail.gateway.line import Waiting, hopeless, in_order, occupied
 from gypsumsail.gateway.models import Customer, Prompt, PromptPart
 from gypsumsail.gateway.placement import Placed
 from gypsumsail.gateway.placer import FleetView, JobPlacer
@@ -47,6 +49,14 @@
         Factor of the rate between ``burst_from`` and ``burst_to``.
     lost_engines
         Engines that are lost at the start of the burst.
+    document_tokens, question_tokens
+        Tokens of the two parts of a prompt; calls share documents.
+    run_seconds
+        Shortest and longest time from the first token to the end.
+    aim, timeout
+        Seconds in which the first token is in time, and after which a caller leaves.
+    comes_back
+        Whether a caller that was refused returns once, when it was told to.
     """
 
     rate: float
@@ -58,6 +68,12 @@
     lost_engines: int = 0
     vms: int = 7
     documents: int = 40
+    document_tokens: int = 7_500
+    question_tokens: int = 1_700
+    run_seconds: tuple[float, float] = (0.1, 0.6)
+    aim: float = 0.8
+    timeout: float = 5.0
+    comes_back: bool = False
 
 
 @dataclass(slots=True)
@@ -68,18 +84,26 @@
     in_time: int = 0
     late: int = 0
     refused_after: list[float] = field(default_factory=list)
+    returned: int = 0
+    returned_served: int = 0
 
     @property
     def share_in_time(self) -> float:
         """Return the share of calls whose first token came in time."""
         return self.in_time / self.asked
 
+    @property
+    def share_of_returned(self) -> float:
+        """Return the share that was served of those who came back when told to."""
+        return self.returned_served / self.returned
+
 
 @dataclass(slots=True)
 class _Run:
     job: Job
     unread: int
     tokens: int
+    sent_at: float
 
 
 class _Engine:
@@ -123,6 +147,7 @@
         self.outcome = Outcome()
         self.events: list[tuple[float, int, Callable[[float], None]]] = []
         self.order = count()
+        self.first_asked: dict[int, float] = {}
         self.engines = {f"e{number}": _Engine() for number in range(load.engines)}
         self.views = [self._view() for _ in range(load.vms)]
         service = document(stream_route()).services[ENGINES]
@@ -138,15 +163,22 @@
         for name in self.engines:
             targets.update(engine(name), 0.0)
         view = fleet_view(targets, lambda: self.load.vms)
-        view.elsewhere = lambda service, now: self._elsewhere(view)
+        view.elsewhere = lambda service, now: self._elsewhere(view, now)
         return view
 
-    def _elsewhere(self, mine: FleetView) -> float:
-        return sum(
-            waiting.work_seconds
-            for view, line in zip(self.views, self.lines, strict=True)
+    def _elsewhere(self, mine: FleetView, now: float) -> WorkElsewhere:
+        others = [
+            (placer, line)
+            for view, placer, line in zip(
+                self.views, self.placers, self.lines, strict=True
+            )
             if view is not mine
-            for waiting in line.values()
+        ]
+        return WorkElsewhere(
+            waiting_seconds=sum(
+                occupied(waiting) for _, line in others for waiting in line.values()
+            ),
+            arriving=sum(placer.arriving(now) for placer, _ in others),
         )
 
     def run(self) -> Outcome:
@@ -175,14 +207,22 @@
 
     def _arrive(self, now: float) -> None:
         self.outcome.asked += 1
-        vm = self.random.randrange(self.load.vms)
-        number = next(self.order)
-        name = f"d{self.random.randrange(self.load.documents)}"
-        own = PromptPart(name=name, tokens=7_500)
-        rest = PromptPart(name=f"q{number}", tokens=1_700)
+        load = self.load
+        name = f"d{self.random.randrange(load.documents)}"
+        own = PromptPart(name=name, tokens=load.document_tokens)
+        rest = PromptPart(name=f"q{next(self.order)}", tokens=load.question_tokens)
         prompt = Prompt(
-            model=MODEL, input_tokens=9_200, output_tokens=10, parts=(own, rest)
+            model=MODEL,
+            input_tokens=own.tokens + rest.tokens,
+            output_tokens=10,
+            parts=(own, rest),
         )
+        self._ask(prompt, now, now)
+
+    def _ask(self, prompt: Prompt, first_at: float, now: float) -> None:
+        """Ask at one VM, at first or again."""
+        vm = self.random.randrange(self.load.vms)
+        number = next(self.order)
         job = Job(
             number=number,
             call=call("/s/x", now=now, prompt=prompt),
@@ -190,16 +230,19 @@
             customer=Customer(name="a"),
             service=ENGINES,
             urgency=1,
-            aim_at=now + 0.8,
-            ends_at=now + 5.0,
+            aim_at=now + self.load.aim,
+            ends_at=first_at + self.load.timeout,
             fingerprint=str(number),
         )
+        self.first_asked[number] = first_at
         self.jobs[vm][number] = job
         if self.choose is not None:
             self._place_by_choice(vm, job, now)
             return
         work = self.placers[vm].work_seconds(job, now)
-        self.lines[vm][number] = job.waiting(work)
+        memory_seconds = self.placers[vm].occupied_seconds(job)
+        self.lines[vm][number] = job.waiting(work, memory_seconds)
+        self.placers[vm].arrived(job, now)
         self._pump(vm, now)
 
     def _place_by_choice(self, vm: int, job: Job, now: float) -> None:
@@ -217,7 +260,7 @@
         for other in states:
             other.blocked_until = 0.0
         if not isinstance(placed, Placed):
-            flight = self.placers[vm]._begin(job, state, 0.0, now)
+            flight = self.placers[vm].begin(job, state, 0.0, now)
             job.place = flight
         self._start(vm, job, now)
 
@@ -236,16 +279,29 @@
                 self._start(vm, self.jobs[vm][waiting.number], now)
             else:
                 left.append(waiting)
-        for waiting in hopeless(left, self.placers[vm].capacity(now), now):
-            del line[waiting.number]
-            self.outcome.refused_after.append(now - waiting.arrived_at)
+        for away in hopeless(left, self.placers[vm].capacity(now), now):
+            del line[away.call.number]
+            self.outcome.refused_after.append(now - away.call.arrived_at)
+            self._come_back(self.jobs[vm][away.call.number], away.free_in, now)
+
+    def _come_back(self, job: Job, free_in: float, now: float) -> None:
+        """Let a caller return once, when it was told to."""
+        first_at = self.first_asked[job.number]
+        if first_at < job.call.received_at or not self.load.comes_back:
+            return
+        self.outcome.returned += 1
+        left = job.ends_at - now
+        at = now + retry_after(free_in, left, self.random.random())
+        prompt = job.call.prompt
+        assert prompt is not None
+        self._at(at, lambda then: self._ask(prompt, first_at, then))
 
     def _start(self, vm: int, job: Job, now: float) -> None:
         assert job.place is not None
         assert job.call.prompt is not None
         found = self.engines[job.place.state.entry.name]
         unread = found.reads(job.call.prompt)
-        found.queue.append(_Run(job, unread, job.call.prompt.tokens))
+        found.queue.append(_Run(job, unread, job.call.prompt.tokens, now))
         self._read_next(found, vm, now)
 
     def _read_next(self, found: _Engine, vm: int, now: float) -> None:
@@ -266,7 +322,9 @@
         place = job.place
         assert place is not None
         assert job.call.prompt is not None
-        if now <= job.aim_at:
+        first_at = self.first_asked[job.number]
+        self.outcome.returned_served += first_at < job.call.received_at
+        if now <= first_at + self.load.aim:
             self.outcome.in_time += 1
         else:
             self.outcome.late += 1
@@ -278,12 +336,17 @@
         for view in self.views:
             state = view.targets.states[place.state.entry.name]
             state.cache.add(place.cache_scope, job.call.prompt.parts[:1], 0)
-        lasts = self.random.uniform(0.1, 0.6)
+        lasts = self.random.uniform(*self.load.run_seconds)
         self._at(now + lasts, lambda at: self._end(found, vm, run, at))
         self._read_next(found, vm, now)
 
     def _end(self, found: _Engine, vm: int, run: _Run, now: float) -> None:
         found.used -= run.tokens
+        place = run.job.place
+        assert place is not None
+        place.state.succeeded(now, now - run.sent_at)
+        run_time = self.views[vm].targets.run_time(run.job.route.name)
+        run_time.observe(now - run.sent_at)
         run.job.leave_place()
         self._read_next(found, vm, now)
 
--- a/tests/gateway/test_load_replay.py
+++ b/tests/gateway/test_load_replay.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from statistics import mean
+from dataclasses import replace
+from statistics import mean, median
 
 import pytest
 
@@ -16,6 +17,18 @@
 BURST = Load(rate=9.0, burst=3.0)
 ENGINES_LOST = Load(rate=9.0, burst=1.5, lost_engines=2)
 TOO_MUCH = Load(rate=30.0)
+MEMORY_FULL = Load(
+    rate=30.0,
+    seconds=20.0,
+    engines=1,
+    vms=2,
+    documents=400,
+    document_tokens=650,
+    question_tokens=177,
+    run_seconds=(2.0, 4.0),
+    aim=1.2,
+    timeout=15.0,
+)
 
 
 def fewest_calls(
@@ -56,3 +69,26 @@
     waits = [wait for outcome in replay(TOO_MUCH) for wait in outcome.refused_after]
     assert waits
     assert max(waits) < 4.6
+
+
+def test_a_call_that_can_not_be_served_is_refused_at_once() -> None:
+    """Calls that were late only because of newer ones waited 1.2 s in vain."""
+    outcomes = replay(replace(TOO_MUCH, comes_back=True))
+    waits = [wait for outcome in outcomes for wait in outcome.refused_after]
+    assert median(waits) < 0.1
+
+
+@pytest.mark.parametrize("load", [BURST, ENGINES_LOST])
+def test_who_comes_back_when_told_to_is_served(load: Load) -> None:
+    outcomes = replay(replace(load, comes_back=True))
+    returned = sum(outcome.returned for outcome in outcomes)
+    served = sum(outcome.returned_served for outcome in outcomes)
+    assert served >= 0.7 * returned
+
+
+def test_long_runs_that_fill_the_memory_are_foreseen() -> None:
+    """Prompts are read in no time; engines have room again when answers end."""
+    outcomes = replay(MEMORY_FULL)
+    assert share(outcomes) >= 0.5
+    waits = [wait for outcome in outcomes for wait in outcome.refused_after]
+    assert median(waits) < 0.25 * (MEMORY_FULL.timeout - MEMORY_FULL.aim)
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -10,6 +10,7 @@
 import pytest
 
 from gypsumsail.core.cbor import ValueInvalidError
+from gypsumsail.gateway.arrivals import WorkElsewhere
 from gypsumsail.gateway.models import PromptPart
 from gypsumsail.gateway.targets import Flight
 from gypsumsail.gossip.messages import (
@@ -41,7 +42,7 @@
     loading=(LoadingTarget(target="e1", life=1),),
     weights=(SeenWeights(target="e1", life=1, model=MODEL, version=2),),
     hosts=("10.0.0.9",),
-    waiting=(WaitingWork(service="engines", calls=2, work_ms=300),),
+    waiting=(WaitingWork(service="engines", calls=2, work_ms=300, arriving_ms=50),),
     stores=(
         StoreNews(
             store="10.9.9.9:1", number=3, life=8, clock_ms=5, changes=(("2", "p", 64),)
@@ -208,12 +209,14 @@
 def test_work_that_waits_elsewhere_is_known() -> None:
     net, one, other = two()
     one.gossip.own_waiting = lambda: (
-        WaitingWork(service="engines", calls=2, work_ms=300),
+        WaitingWork(service="engines", calls=2, work_ms=300, arriving_ms=50),
     )
     net.tick(0.3)
-    assert other.gossip.waiting_elsewhere("engines", net.clock.now) == 0.3
-    assert other.gossip.waiting_elsewhere("portal", net.clock.now) == 0.0
-    assert other.gossip.waiting_elsewhere("engines", net.clock.now + 5) == 0.0
+    assert other.gossip.work_elsewhere("engines", net.clock.now) == WorkElsewhere(
+        waiting_seconds=0.3, arriving=0.05
+    )
+    assert other.gossip.work_elsewhere("portal", net.clock.now) == WorkElsewhere()
+    assert other.gossip.work_elsewhere("engines", net.clock.now + 5) == WorkElsewhere()
 
 
 def test_two_vms_that_meet_silence_warn_the_others() -> None:
--- a/tests/keeping/test_keeping.py
+++ b/tests/keeping/test_keeping.py
@@ -235,8 +235,8 @@
     move = keeping.plan(job, place_, clock.now)
     assert move.fetch == (other.entry.address, other.entry.address, None)
     movable = keeping.movable_parts
-    assert movable("1", prompt.parts, place_.state, clock.now) == 2
-    assert movable("2", prompt.parts, place_.state, clock.now) == 0
+    assert movable(place_.state.entry.service, "1", prompt.parts, clock.now) == 2
+    assert movable(place_.state.entry.service, "2", prompt.parts, clock.now) == 0
     keeping.stop()
 
 
