Log what a call's prompt was expected to read and to fetch

The line of a placement named the target's load but not the prompt's, so that a prompt that was read again could not be told from one that was fetched late.

--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -15,6 +15,8 @@
 
     Attributes
     ----------
+    unread_tokens, moved_tokens
+        Prompt tokens that the engine is expected to read, and to fetch.
     fetched_from
         Engines and stores from which parts of its prompt are fetched.
     """
@@ -22,6 +24,8 @@
     state: TargetState
     flight: int
     start_delay: float
+    unread_tokens: int = 0
+    moved_tokens: int = 0
     cache_scope: str = ""
     weight_version: int | None = None
     fetched_from: frozenset[Address] = frozenset()
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -255,7 +255,7 @@
     ) -> Place:
         """Count a job at a target from now on."""
         prompt = job.call.prompt
-        unread, _ = self._unread(job, state, self._movable(job, now))
+        unread, moved = self._unread(job, state, self._movable(job, now))
         flight = Flight(
             tokens=prompt.tokens if prompt is not None else 0,
             unread=unread,
@@ -269,6 +269,8 @@
             state=state,
             flight=state.begin(flight),
             start_delay=start_delay,
+            unread_tokens=unread,
+            moved_tokens=moved,
             cache_scope=self._scope(job, state) if version else job.call.request_id,
             weight_version=version or None,
         )
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -26,6 +26,13 @@
     return round(seconds * 1000)
 
 
+def _context_of(call: Call) -> str | None:
+    """Return the name of the last part of a prompt that other prompts may share."""
+    if call.prompt is None or len(call.prompt.parts) < 2:
+        return None
+    return call.prompt.parts[-2].name
+
+
 class GatewayTelemetry:
     """What can be known afterwards of each call and each belief.
 
@@ -76,6 +83,9 @@
             expected_ms=_milliseconds(start_delay),
             calls=state.calls(now),
             tokens=state.tokens(now),
+            unread_tokens=place.unread_tokens,
+            moved_tokens=place.moved_tokens,
+            context=_context_of(job.call),
             weights=place.weight_version,
             document=self._document_version(),
             left_ms=_milliseconds(job.ends_at - now),
