Leave only targets that take no connections, and tell near VMs which those are

From 10 s on, when no dark engine was listed any more, it was some 20 a second of 65 long prompts, at engines that worked: each VM has few calls at an engine and took the silence of its own for the engine's. Their prompts were read twice while reading was what bound. Beside, 355 calls found out by a connection that timed out, 0.35 s each, what other VMs of the zone knew; and calls that a target lost went behind all others and were failed as late.

Now a silent target is left when a connection to it can't be opened, or when half of the call's time is over; a target that could not be connected gets calls again after a connection was opened in the background; VMs of a zone tell each other, and the word of two blocks a target; a call that a target lost does not yield to others and waits to its end.

Ruled out: the entries that stay listed while the store is in trouble (they went 2.6 to 6 s after the engines did, as they must).

The tests of the silent, the unreachable and the lost fail on the code before.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -45,6 +45,14 @@
 """Time in which the weight of an earlier result of a target falls to 1/e."""
 FAILURE_COST_SECONDS: Final = 1.0
 """Delay that a target that fails each call is taken to add."""
+CHECK_VALID_SECONDS: Final = 0.5
+"""Time for which a connection that opened shows that a target lives."""
+LOOK_SECONDS: Final = 0.2
+"""Pause between two looks of a waiting call at whether its target was lost."""
+UNREACHABLE_WITNESSES: Final = 2
+"""Other VMs of the zone whose word blocks a target that this VM has not tried."""
+UNREACHABLE_WORD_SECONDS: Final = 1.5
+"""Age above which another VM's word on an unreachable target is not believed."""
 STALL_SECONDS: Final = 0.7
 """Silence of a target with calls, beyond what is expected, that marks it stalled."""
 STALL_WITNESSES: Final = 2
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -24,6 +24,7 @@
 from gypsumsail.gateway.comeback import retry_after
 from gypsumsail.gateway.const import MOST_ANSWER_BYTES, REPORTED_LOAD_SECONDS
 from gypsumsail.gateway.job import Job, Place
+from gypsumsail.gateway.liveness import LivenessChecks
 from gypsumsail.gateway.models import (
     Call,
     Customer,
@@ -109,6 +110,8 @@
         self.lines: dict[str, ServiceLine] = {}
         self.budgets: dict[str, RepeatBudget] = {}
         self.strikes = StrikeBook()
+        self.liveness = LivenessChecks(calls, view.targets, clock)
+        self.liveness.on_checked = telemetry.target_checked
         self.random = random.Random()
         self.next_number = 0
         self.left_running: set[asyncio.Task[None]] = set()
@@ -128,6 +131,11 @@
                 assert isinstance(line.placer, JobPlacer)
                 line.placer.service = service
 
+    @callback
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        self.liveness.tick(now)
+
     @callback
     def pump(self) -> None:
         """Look at all lines, as beliefs on targets have changed."""
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -15,20 +15,20 @@
 
     Attributes
     ----------
-    unread_tokens, moved_tokens
-        Prompt tokens that the engine is expected to read, and to fetch.
     fetched_from
         Engines and stores from which parts of its prompt are fetched.
+    unread_tokens, moved_tokens
+        Prompt tokens that the engine is expected to read, and to fetch.
     """
 
     state: TargetState
     flight: int
     start_delay: float
-    unread_tokens: int = 0
-    moved_tokens: int = 0
     cache_scope: str = ""
     weight_version: int | None = None
     fetched_from: frozenset[Address] = frozenset()
+    unread_tokens: int = 0
+    moved_tokens: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -81,6 +81,7 @@
             ends_at=self.ends_at,
             work_seconds=work_seconds,
             occupied_seconds=occupied_seconds,
+            was_sent=self.has_run,
         )
 
     def leave_place(self) -> None:
--- a/src/gypsumsail/gateway/line.py
+++ b/src/gypsumsail/gateway/line.py
@@ -4,8 +4,9 @@
 that can still be on time goes before all that can't, so that an overload makes
 some calls late instead of each a little; among those the more urgent go first, then
 the earliest aim. A call whose turn is not expected in time, or that has been late for
-long, is turned away while it still has time to come back. What arrives meanwhile goes
-before late calls, so that in a lasting overload they are turned away at once.
+long, is turned away while it still has time to come back; one that a target lost goes
+on, as it may have run and its caller can't be told otherwise. What arrives meanwhile
+goes before late calls, so that in a lasting overload they are turned away at once.
 """
 
 from __future__ import annotations
@@ -38,6 +39,8 @@
     occupied_seconds
         Time for which it takes all that one target has, as its reading or its
         memory, whichever is more.
+    was_sent
+        Whether a target lost it, so that the caller can't be told to come back.
     """
 
     number: int
@@ -47,6 +50,7 @@
     ends_at: float
     work_seconds: float
     occupied_seconds: float = 0.0
+    was_sent: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -92,7 +96,8 @@
 
 def order_key(call: Waiting, now: float) -> tuple[bool, int, float, int]:
     """Return the place of a call in the line; the smallest goes first."""
-    return (is_late(call, now), call.urgency, call.aim_at, call.number)
+    yields = is_late(call, now) and not call.was_sent
+    return (yields, call.urgency, call.aim_at, call.number)
 
 
 def in_order(calls: Iterable[Waiting], now: float) -> list[Waiting]:
@@ -116,7 +121,8 @@
     at = now + capacity.backlog_seconds
     for call in ordered:
         will_be_late = at + call.work_seconds > call.aim_at
-        starts.append(now + (at - now) / room if will_be_late else at)
+        yields = will_be_late and not call.was_sent
+        starts.append(now + (at - now) / room if yields else at)
         at += occupied(call) * slowdown / workers
     return starts
 
@@ -150,11 +156,15 @@
 
 def late_until(call: Waiting) -> float:
     """Return the time until which a call waits though it is late."""
+    if call.was_sent:
+        return call.ends_at
     patience = (call.ends_at - call.aim_at) * LATE_PATIENCE_SHARE
     return max(call.aim_at, call.arrived_at) + max(patience, 0.0)
 
 
 def begins_by(call: Waiting) -> float:
     """Return the time by which a call has to begin, or is turned away before."""
+    if call.was_sent:
+        return call.ends_at - LEAST_SERVICE_SECONDS
     span = call.ends_at - call.arrived_at
     return call.ends_at - span * COMEBACK_SHARE - LEAST_SERVICE_SECONDS
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -100,7 +100,7 @@
         usable = {
             state.entry.name: state
             for state in fitting
-            if state.blocked_until <= now and state.loading_until <= now
+            if not state.is_unreachable(now) and state.loading_until <= now
         }
         movable = self._movable(job, now)
         candidates = [
@@ -138,7 +138,11 @@
 
     def capacity(self, now: float) -> Capacity:
         """Return what works on the service's calls."""
-        states = [state for state in self._states() if not state.is_leaving]
+        states = [
+            state
+            for state in self._states()
+            if not state.is_leaving and not state.is_unreachable(now)
+        ]
         elsewhere = self.view.elsewhere(self.service.name, now)
         if self.service.engine is None:
             slots = sum(state.entry.slots for state in states)
@@ -160,7 +164,7 @@
     def _engine_free_in(self, state: TargetState, now: float) -> float:
         """Return when an engine is expected to have room for one more call."""
         assert self.service.engine is not None
-        free_at = max(state.blocked_until, state.loading_until, now)
+        free_at = max(state.loading_until, now)
         seconds = free_at - now + state.unread(now) / self._rate()
         calls, tokens = state.calls(now), state.tokens(now)
         if not calls:
--- a/src/gypsumsail/gateway/port.py
+++ b/src/gypsumsail/gateway/port.py
@@ -109,6 +109,9 @@
     ) -> Exchange:
         """Send a call; raises ``TransportError``, with nothing sent if it says so."""
 
+    async def async_check(self, target: TargetEntry) -> None:
+        """Open a connection and keep it for a call; raises ``TransportError``."""
+
     def forget(self, target: TargetEntry) -> None:
         """Close idle connections to a target that is gone."""
 
--- a/src/gypsumsail/gateway/runner.py
+++ b/src/gypsumsail/gateway/runner.py
@@ -7,6 +7,8 @@
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.const import (
+    LEAST_SERVICE_SECONDS,
+    LOOK_SECONDS,
     MOST_ANSWER_BYTES,
     STALL_SECONDS,
     TIMEOUT_MARGIN_SECONDS,
@@ -124,34 +126,53 @@
 
     async def _async_head(self, exchange: Exchange) -> AnswerHead | None:
         """Return the head; ``None`` when another target should be tried instead."""
-        while True:
-            patience = self._patience()
-            if patience is None:
-                return await exchange.async_head()
+        check_at = self.sent_at + self._check_interval()
+        while self._may_be_left():
             try:
-                async with asyncio.timeout(patience):
+                async with asyncio.timeout(LOOK_SECONDS):
                     return await exchange.async_head()
             except TimeoutError:
-                if self._may_leave():
-                    return None
-
-    def _may_leave(self) -> bool:
-        """Return whether a silent target is left for another one.
-
-        A target that serves other calls is busy, and would begin the call in vain.
-        """
-        now = self.clock.monotonic()
-        is_silent = self.state.progress_at < max(self.sent_at, now - STALL_SECONDS)
-        return is_silent and self.gateway.may_repeat_send(self.job)
+                now = self.clock.monotonic()
+            if self.state.is_unreachable(now) and await self._async_is_left(exchange):
+                return None
+            if now < check_at or not self._is_silent(now):
+                continue
+            check_at = now + self._check_interval()
+            # A call that waited for half of its time may have lost its answer.
+            is_lost = now >= (self.sent_at + self.job.ends_at) / 2
+            if not is_lost and await self.gateway.liveness.async_is_connectable(
+                self.state
+            ):
+                continue
+            if await self._async_is_left(exchange):
+                return None
+        return await exchange.async_head()
+
+    async def _async_is_left(self, exchange: Exchange) -> bool:
+        """Return whether the target is left, unless the head came meanwhile."""
+        if not self.gateway.may_repeat_send(self.job):
+            return False
+        try:
+            async with asyncio.timeout(0):
+                await exchange.async_head()
+        except TimeoutError:
+            return True
+        return False
 
-    def _patience(self) -> float | None:
-        """Return how long a silent target is waited for, ``None`` to the end."""
+    def _may_be_left(self) -> bool:
+        """Return whether another target could still be tried."""
         job = self.job
         if not job.route.may_repeat or job.targets_used >= job.route.max_targets:
-            return None
-        usual = self.place.start_delay * 3 + STALL_SECONDS / 2
-        left = job.ends_at - self.clock.monotonic()
-        return usual if usual < left / 2 else None
+            return False
+        return self.clock.monotonic() + LEAST_SERVICE_SECONDS < job.ends_at
+
+    def _is_silent(self, now: float) -> bool:
+        """Return whether the target shows no work on other calls either."""
+        return self.state.progress_at < max(self.sent_at, now - STALL_SECONDS)
+
+    def _check_interval(self) -> float:
+        """Return how long a silent target is waited for before it is checked."""
+        return self.place.start_delay * 3 + STALL_SECONDS / 2
 
     async def _async_not_taken(
         self, exchange: Exchange, head: AnswerHead
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -21,6 +21,8 @@
     REPORTED_LOAD_SECONDS,
     STALL_SECONDS,
     STALL_WITNESSES,
+    UNREACHABLE_WITNESSES,
+    UNREACHABLE_WORD_SECONDS,
     USUAL_PLAIN_SECONDS,
 )
 from gypsumsail.gateway.models import TargetEntry
@@ -105,6 +107,12 @@
     ----------
     blocked_until
         Time before which it gets no call, as it could not be connected.
+    needs_check
+        Whether it gets no call before a connection opens.
+    connected_at
+        Time at which a connection to it opened last.
+    unreachable_for
+        Times at which other VMs of the zone said that they can't reach it.
     loading_until
         Time until which it is taken to load other weights.
     usual_seconds
@@ -120,6 +128,9 @@
     weight_versions: dict[str, int] = field(default_factory=dict)
     blocked_until: float = 0.0
     block_seconds: float = 0.0
+    needs_check: bool = False
+    connected_at: float = float("-inf")
+    unreachable_for: dict[str, float] = field(default_factory=dict)
     loading_until: float = 0.0
     failures: float = 0.0
     results: float = 0.0
@@ -200,6 +211,7 @@
     def succeeded(self, now: float, seconds: float) -> None:
         """Note a whole answer and its duration."""
         self._add_result(now, 0.0)
+        self.needs_check = False
         self.block_seconds = 0.0
         self.progress_at = now
         self.usual_seconds += DURATION_WEIGHT * (seconds - self.usual_seconds)
@@ -214,6 +226,24 @@
         doubled = max(self.block_seconds * 2, FIRST_BLOCK_SECONDS)
         self.block_seconds = min(doubled, LONGEST_BLOCK_SECONDS)
         self.blocked_until = now + self.block_seconds
+        self.needs_check = True
+
+    def reachable(self, now: float) -> None:
+        """Note that a connection to it opened."""
+        self.connected_at = now
+        self.blocked_until = now
+        self.block_seconds = 0.0
+        self.needs_check = False
+
+    def is_unreachable(self, now: float) -> bool:
+        """Return whether it gets no call, by own trials or the word of near VMs."""
+        if self.needs_check or self.blocked_until > now:
+            return True
+        since = now - UNREACHABLE_WORD_SECONDS
+        heard = [at for at in self.unreachable_for.values() if at > since]
+        if len(heard) < UNREACHABLE_WITNESSES:
+            return False
+        return max(self.connected_at, self.progress_at) < min(heard)
 
     def expect_load(self, now: float) -> None:
         """Note that an order to load other weights is on its way."""
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -207,6 +207,18 @@
             weights=dict(entry.weight_versions),
         )
 
+    @callback
+    def target_checked(self, state: TargetState, reason: str) -> None:
+        """Log that a target takes connections again, or why it doesn't."""
+        self.log.write(
+            "target unreachable" if reason else "target reachable",
+            target=state.entry.name,
+            life=state.entry.life,
+            reason=reason,
+            blocked_ms=_milliseconds(state.block_seconds),
+            said_by=len(state.unreachable_for),
+        )
+
     @callback
     def target_gone(self, state: TargetState, reason: str) -> None:
         """Log that a target gets no more calls."""
--- a/src/gypsumsail/gossip/const.py
+++ b/src/gypsumsail/gossip/const.py
@@ -24,6 +24,8 @@
 """Bytes of a datagram that no link has to split."""
 NEWS_IN_A_MESSAGE: Final = 8
 """Most strikes, cached prompts and versions in one message, each."""
+UNREACHABLE_IN_A_MESSAGE: Final = 40
+"""Most unreachable targets that one message names."""
 HOSTS_IN_A_MESSAGE: Final = 6
 """Hosts of other VMs that one message names."""
 CATCH_UP_SECONDS: Final = 0.3
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -21,6 +21,7 @@
     NEWS_IN_A_MESSAGE,
     STORE_CHANGES_IN_A_MESSAGE,
     UNCHANGED_INTERVAL_SECONDS,
+    UNREACHABLE_IN_A_MESSAGE,
 )
 from gypsumsail.gossip.endpoint import GossipEndpoint
 from gypsumsail.gossip.messages import (
@@ -31,6 +32,7 @@
     StoreNews,
     Strike,
     TargetLoad,
+    UnreachableTarget,
     WaitingWork,
 )
 from gypsumsail.gossip.peers import Peer, PeerTable
@@ -175,7 +177,7 @@
             peer.sent_at = now
         self.endpoint.send(message, [(peer.host, self.port) for peer in near])
         if far:
-            less = replace(message, cached=(), stores=())
+            less = replace(message, cached=(), stores=(), unreachable=())
             self.endpoint.send(less, [(peer.host, self.port) for peer in far])
 
     def _message(self, now: float, *, tells_all: bool) -> GossipMessage:
@@ -202,6 +204,7 @@
             hosts=self.peers.some_hosts(self.random, now),
             stores=self._stores() if tells_all else (),
             waiting=self.own_waiting(),
+            unreachable=self._unreachable() if tells_all else (),
         )
 
     def work_elsewhere(self, service: str, now: float) -> WorkElsewhere:
@@ -218,6 +221,14 @@
             arriving=sum(item.arriving_ms for item in found) / MILLISECONDS,
         )
 
+    def _unreachable(self) -> tuple[UnreachableTarget, ...]:
+        found = [
+            UnreachableTarget(target=state.entry.name, life=state.entry.life)
+            for state in self.targets.states.values()
+            if state.needs_check
+        ]
+        return tuple(found[:UNREACHABLE_IN_A_MESSAGE])
+
     def _cached(self) -> tuple[CachedPrompt, ...]:
         count = min(len(self.cached), NEWS_IN_A_MESSAGE)
         return tuple(self.cached.popleft() for _ in range(count))
@@ -239,6 +250,8 @@
         if peer is None:
             return
         self._take_loads(message, now)
+        if peer.zone == self.peers.zone:
+            self._take_unreachable(message, now)
         self.waiting[message.vm] = (now, message.waiting)
         for item in message.cached:
             state = self._state(item.target, item.life)
@@ -273,6 +286,15 @@
                 is_stalled=load.is_stalled,
             )
 
+    def _take_unreachable(self, message: GossipMessage, now: float) -> None:
+        """Take which targets another VM of this zone can't connect."""
+        found = {(item.target, item.life) for item in message.unreachable}
+        for state in self.targets.states.values():
+            if (state.entry.name, state.entry.life) in found:
+                state.unreachable_for[message.vm] = now
+            else:
+                state.unreachable_for.pop(message.vm, None)
+
     def _compare(self, peer: Peer, message: GossipMessage, now: float) -> None:
         if not self._behind(message.changed_at):
             peer.ahead_since = None
--- a/src/gypsumsail/gossip/messages.py
+++ b/src/gypsumsail/gossip/messages.py
@@ -10,7 +10,7 @@
 from gypsumsail.gateway.models import PromptPart
 from gypsumsail.gossip.const import FORMAT
 
-MESSAGE_FIELDS = 15
+MESSAGE_FIELDS = 16
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,6 +70,14 @@
     life: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnreachableTarget:
+    """A target to which the sender can open no connection."""
+
+    target: str
+    life: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SeenWeights:
     """Version of the weights that an engine has shown."""
@@ -135,6 +143,7 @@
     hosts: tuple[str, ...] = ()
     stores: tuple[StoreNews, ...] = ()
     waiting: tuple[WaitingWork, ...] = ()
+    unreachable: tuple[UnreachableTarget, ...] = ()
 
 
 def encode(message: GossipMessage) -> bytes:
@@ -190,6 +199,7 @@
                 [item.service, item.calls, item.work_ms, item.arriving_ms]
                 for item in message.waiting
             ],
+            [[item.target, item.life] for item in message.unreachable],
         ]
     )
 
@@ -214,6 +224,7 @@
         hosts=tuple(map(cbor.read_text, cbor.read_list(fields[12]))),
         stores=tuple(map(_store_news, cbor.read_list(fields[13]))),
         waiting=tuple(map(_waiting, cbor.read_list(fields[14]))),
+        unreachable=tuple(map(_unreachable, cbor.read_list(fields[15]))),
     )
 
 
@@ -275,6 +286,11 @@
     return LoadingTarget(target=cbor.read_text(target), life=cbor.read_count(life))
 
 
+def _unreachable(value: object) -> UnreachableTarget:
+    target, life = cbor.read_list(value, 2)
+    return UnreachableTarget(target=cbor.read_text(target), life=cbor.read_count(life))
+
+
 def _weights(value: object) -> SeenWeights:
     target, life, model, version = cbor.read_list(value, 4)
     return SeenWeights(
--- a/src/gypsumsail/keeping/coordinator.py
+++ b/src/gypsumsail/keeping/coordinator.py
@@ -305,7 +305,7 @@
             state
             for state in self.targets.of_service(service)
             if state.cache.has(scope, part)
-            and state.blocked_until <= now
+            and not state.is_unreachable(now)
             and not state.is_stalled(now)
         )
 
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -273,6 +273,10 @@
         connection.send(request, (names.REQUEST_ID, call.request_id.encode()))
         return TargetExchange(pool, connection, self.clock)
 
+    async def async_check(self, target: TargetEntry) -> None:
+        """Open a connection and keep it for a call; raise ``TransportError``."""
+        await self._pool(target).async_add_idle()
+
     @callback
     def forget(self, target: TargetEntry) -> None:
         """Close idle connections to a target that is gone."""
--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -190,7 +190,7 @@
 
     def _may_be_asked(self, state: TargetState, now: float) -> bool:
         not_before = self.not_before.get(self._key(state), 0.0)
-        return state.blocked_until <= now and not_before <= now
+        return not state.is_unreachable(now) and not_before <= now
 
     @staticmethod
     def _key(state: TargetState) -> tuple[str, int]:
--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -16,6 +16,8 @@
 KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 IDLE_LIMIT_SECONDS: Final = 30.0
 """Most that an idle connection is kept where its server states no time."""
+UNUSED_LIMIT_SECONDS: Final = 2.0
+"""Most that a connection without any exchange is kept; servers name no time for it."""
 FIRST_ERROR_STATUS: Final = 400
 FRAMING: Final = frozenset({b"content-length", b"transfer-encoding"})
 
@@ -66,7 +68,7 @@
     def is_reusable(self) -> bool:
         """Return whether the connection may take another request."""
         return (
-            self.is_complete
+            (self.is_complete or not self.exchanges)
             and not self.is_closed
             and self.error is None
             and self.transport is not None
@@ -286,6 +288,12 @@
             raise TransportError(message, sent=False) from err
         return connection
 
+    async def async_add_idle(self) -> None:
+        """Open a connection for later; raise ``TransportError``."""
+        connection = await self.async_connect()
+        connection.idle_until = connection.loop.time() + UNUSED_LIMIT_SECONDS
+        self.idle.appendleft(connection)
+
     async def async_acquire(self) -> ExchangeConnection:
         """Return an idle connection or a new one."""
         return self.take_idle() or await self.async_connect()
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -280,6 +280,7 @@
             await asyncio.sleep(TICK_SECONDS)
             now = self.clock.monotonic()
             self.catalog.tick(now)
+            self.gateway.tick(now)
             self.gossip.tick(now)
             self.writer.flush()
             if not takes_requests(self.signalled_at, now):
@@ -299,6 +300,7 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for server in self.servers:
             await server.async_stop()
+        self.gateway.liveness.stop()
         self.keeping.stop()
         self.clients.close()
         self.gossip.stop()
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -254,6 +254,14 @@
     def __init__(self, *answers: ScriptedExchange | TransportError) -> None:
         self.answers = list(answers)
         self.sent: list[Sent] = []
+        self.is_connectable = False
+        self.checked: list[str] = []
+
+    async def async_check(self, target: TargetEntry) -> None:
+        """Take a connection or not, as was set."""
+        self.checked.append(target.name)
+        if not self.is_connectable:
+            raise TransportError("connect: TimeoutError", sent=False)
 
     async def async_send(
         self, target: TargetEntry, call: Call, terms: SendTerms, now: float
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -21,6 +21,7 @@
     StoreNews,
     Strike,
     TargetLoad,
+    UnreachableTarget,
     WaitingWork,
     decode,
     encode,
@@ -42,6 +43,7 @@
     loading=(LoadingTarget(target="e1", life=1),),
     weights=(SeenWeights(target="e1", life=1, model=MODEL, version=2),),
     hosts=("10.0.0.9",),
+    unreachable=(UnreachableTarget(target="e1", life=1),),
     waiting=(WaitingWork(service="engines", calls=2, work_ms=300, arriving_ms=50),),
     stores=(
         StoreNews(
@@ -82,7 +84,7 @@
         assert isinstance(decode(data), GossipMessage)
 
 
-@pytest.mark.parametrize("place", range(15))
+@pytest.mark.parametrize("place", range(16))
 def test_a_message_with_one_bad_field_is_refused(place: int) -> None:
     fields = cbor2.loads(encode(FULL))
     fields[place] = {"not": "it"}
@@ -236,3 +238,19 @@
         assert stalled == [number == 2] * 2
     states[0].progress_at = net.clock.now
     assert not states[0].is_stalled(net.clock.now)
+
+
+def test_near_vms_tell_each_other_what_they_can_not_reach() -> None:
+    net = Net(ManualClock())
+    members = [Member(net, "v1"), Member(net, "v2"), Member(net, "v3", "z2")]
+    for member in members:
+        member.targets.update(engine("e1"), net.clock.now)
+    net.tick(1.0)
+    one, near, far = (member.targets.states["e1"] for member in members)
+    one.unreachable(net.clock.now)
+    net.tick(0.3)
+    assert set(near.unreachable_for) == {"v1"}
+    assert not far.unreachable_for
+    one.reachable(net.clock.now)
+    net.tick(0.3)
+    assert not near.unreachable_for
