Spread saves over the stores, and give all prompts one rank at engines

Near stores are now drawn by room and speed. - 212 prompts were preempted: drafts went to engines with a higher rank than dossiers and pushed them out of the memory. The waiting line keeps the order of urgency; at engines all prompts have one rank.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -14,6 +14,8 @@
 """Share of an engine's memory that runs may take; the rest absorbs late reports."""
 READ_AHEAD_SHARE: Final = 0.5
 """Unread prompt work of an engine, as a part of a call's aim, above which it waits."""
+ENGINE_URGENCY: Final = 5
+"""Rank of all prompts at engines; a higher one would push others out of the memory."""
 SLOT_SHARE: Final = 1.5
 """Calls at a plain target, per slot, above which calls wait here."""
 LATE_SLOT_SHARE: Final = 1.0
--- a/src/gypsumsail/gateway/runner.py
+++ b/src/gypsumsail/gateway/runner.py
@@ -7,6 +7,7 @@
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.const import (
+    ENGINE_URGENCY,
     LEAST_SERVICE_SECONDS,
     LOOK_SECONDS,
     MOST_ANSWER_BYTES,
@@ -94,7 +95,7 @@
         return SendTerms(
             time_left=self.job.ends_at - now,
             customer=self.job.customer.name,
-            urgency=self.job.urgency,
+            urgency=ENGINE_URGENCY,
             cache_scope=self.place.cache_scope,
             weight_version=self.place.weight_version,
             resume_after=self.job.resume_after,
--- a/src/gypsumsail/keeping/coordinator.py
+++ b/src/gypsumsail/keeping/coordinator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+import random
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.cbor import ValueInvalidError
@@ -78,6 +79,7 @@
         self.asking: set[asyncio.Task[None]] = set()
         self.views: dict[Address, StoreView] = {}
         self.tasks: dict[Address, asyncio.Task[None]] = {}
+        self.random = random.Random()
 
     @callback
     def set_document(self, document: RoutingDocument) -> None:
@@ -216,7 +218,7 @@
                 range(len(prompt.parts) - 1, -1, -1), prompt.parts, strict=True
             )
         ]
-        save = plan_save(facts)
+        save = plan_save(facts, self.random.random())
         for part, address in zip(prompt.parts, save, strict=True):
             if address is not None:
                 self.views[address].expect(scope, (part,), now)
--- a/src/gypsumsail/keeping/planner.py
+++ b/src/gypsumsail/keeping/planner.py
@@ -78,23 +78,34 @@
     return tuple(found)
 
 
-def plan_save(parts: Sequence[PartFacts]) -> tuple[Address | None, ...]:
+def plan_save(parts: Sequence[PartFacts], draw: float) -> tuple[Address | None, ...]:
     """Return a store for each shared part that none keeps.
 
-    The fastest near store with room goes first: many engines fetch from it later.
+    Near stores go first, each as often as it has room and speed: VMs that choose the
+    same store at the same time fill it before any of them has heard of it.
+
+    Parameters
+    ----------
+    draw
+        Evenly drawn from 0 to 1.
     """
-    return tuple(_save_place(facts) for facts in parts)
+    return tuple(_save_place(facts, draw) for facts in parts)
 
 
-def _save_place(facts: PartFacts) -> Address | None:
+def _save_place(facts: PartFacts, draw: float) -> Address | None:
     tokens = facts.part.tokens
     if not facts.is_shared or facts.is_kept or tokens < SMALLEST_KEPT_PART:
         return None
     roomy = [place for place in facts.places if place.free_tokens >= tokens]
-    if not roomy:
-        return None
-    best = max(
-        roomy,
-        key=lambda place: (place.is_near, place.bytes_per_second, place.free_tokens),
-    )
-    return best.address
+    near = [place for place in roomy if place.is_near]
+    return _drawn(near or roomy, draw)
+
+
+def _drawn(places: Sequence[SavePlace], draw: float) -> Address | None:
+    weights = [place.free_tokens * place.bytes_per_second for place in places]
+    left = draw * sum(weights)
+    for place, weight in zip(places, weights, strict=True):
+        left -= weight
+        if left <= 0:
+            return place.address
+    return places[-1].address if places else None
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gypsumsail.core.errors import TransportError
+from gypsumsail.gateway.const import ENGINE_URGENCY
 from gypsumsail.gateway.coordinator import GatewaySettings
 from gypsumsail.gateway.models import CallKind
 from gypsumsail.gateway.repeat_budget import RepeatLimit
@@ -451,3 +452,13 @@
     state.progress_at = 1_000.05
     assert not state.is_unreachable(1_000.1)
     assert not state.is_unreachable(1_002.0)
+
+
+@pytest.mark.parametrize("urgency", [0, 3])
+async def test_no_prompt_pushes_another_out_of_an_engine(urgency: int) -> None:
+    """Short urgent prompts at full engines made long ones be read twice."""
+    calls = ScriptedTargets(stream(b"id: 1\n\n"))
+    found = document(stream_route(urgency=urgency))
+    made = gateway(calls, engine(), found=found)
+    await made.async_handle(call("/s/x", prompt=prompt()), KeptReply())
+    assert calls.sent[0].terms.urgency == ENGINE_URGENCY
