--- a/src/gypsumsail/keeping/planner.py
+++ b/src/gypsumsail/keeping/planner.py
@@ -82,22 +82,30 @@
     """Return a store for each shared part that none keeps.
 
     Near stores go first, each as often as it has room and speed: VMs that choose the
-    same store at the same time fill it before any of them has heard of it.
+    same store at the same time fill it before any of them has heard of it. A part that
+    begins prompts with several shared parts goes to the fastest one, as most engines
+    fetch it.
 
     Parameters
     ----------
     draw
         Evenly drawn from 0 to 1.
     """
-    return tuple(_save_place(facts, draw) for facts in parts)
+    shared = sum(facts.is_shared for facts in parts)
+    return tuple(
+        _save_place(facts, draw, is_common=number == 0 and shared > 1)
+        for number, facts in enumerate(parts)
+    )
 
 
-def _save_place(facts: PartFacts, draw: float) -> Address | None:
+def _save_place(facts: PartFacts, draw: float, *, is_common: bool) -> Address | None:
     tokens = facts.part.tokens
     if not facts.is_shared or facts.is_kept or tokens < SMALLEST_KEPT_PART:
         return None
     roomy = [place for place in facts.places if place.free_tokens >= tokens]
     near = [place for place in roomy if place.is_near]
+    if is_common and near:
+        return max(near, key=lambda place: place.bytes_per_second).address
     return _drawn(near or roomy, draw)
 
 
--- a/tests/keeping/test_keeping.py
+++ b/tests/keeping/test_keeping.py
@@ -87,6 +87,15 @@
     assert found.count(FAR) == 200
 
 
+def test_what_begins_many_prompts_goes_to_the_fastest_store() -> None:
+    """Fetches of four parts that all prompts begin with queued at slow stores."""
+    fast, slow = place(NEAR, speed=8.0, free=10_000), place(FAR, speed=2.0, free=80_000)
+    both = facts(places=(fast, slow))
+    question = facts(is_shared=False)
+    assert plan_save([both, both, question], 0.9) == (NEAR, FAR, None)
+    assert plan_save([both, question], 0.9) == (FAR, None)
+
+
 def test_vms_do_not_fill_a_store_that_each_believes_has_room() -> None:
     """VMs hear of a save after ten others; the fastest store first lost many."""
     random = Random(1)
