Free kept parts of weights that no engine has any more

Cause: managed stores drop nothing by themselves, and parts are kept by version of the weights. After some versions a store was full of parts that no engine can use, and parts of the weights in force found no room until the store restarted.

One VM a store now frees parts of versions below the oldest one named, once no VM may send to older engines (the time for a rollout and 5 s have passed) and no listed engine has had the version for 10 s; with the store's life and a time limit on its clock, so that a late call frees nothing. Parts of old weights are not saved any more while a rollout lasts.

Ruled out: freeing as soon as the last engine has loaded; an engine whose entry lapsed may come back with its old weights, and fetches of calls under way must end before. Not done: parts of the weights in force, by last use; saves that broke off.

--- a/src/gypsumsail/gateway/weights.py
+++ b/src/gypsumsail/gateway/weights.py
@@ -52,3 +52,9 @@
         Name of a customer that shares no parts; empty for all others.
     """
     return f"{version}/{customer}" if customer else str(version)
+
+
+def version_of(scope: str) -> int | None:
+    """Return the version of a text of ``cache_scope``; ``None`` for another text."""
+    version = scope.partition("/")[0]
+    return int(version) if version.isascii() and version.isdigit() else None
--- a/src/gypsumsail/keeping/const.py
+++ b/src/gypsumsail/keeping/const.py
@@ -28,6 +28,16 @@
 """Time after which a fetch that has not ended is thrown away."""
 SLOW_SECONDS: Final = 1.0
 """Time for which nothing is fetched from a store whose fetches came late."""
+UNUSED_SECONDS: Final = 10.0
+"""Time for which no engine has a version before its parts are freed; a few lapses."""
+NAMED_MARGIN_SECONDS: Final = 5.0
+"""Time after the end of a rollout in which the last fetches for it end."""
+FREE_INTERVAL_SECONDS: Final = 2.0
+"""Pause between two looks at what may be freed."""
+PARTS_IN_A_CALL: Final = 200
+"""Most parts that one call frees."""
+FREE_CALL_SECONDS: Final = 1.0
+"""Time after which a store takes a call to free parts no more."""
 FULL_SHARE: Final = 0.97
 """Share of a store's room above which no more is sent to it."""
 MOVED_TOKENS_PER_SECOND: Final = 400_000.0
--- a/src/gypsumsail/keeping/coordinator.py
+++ b/src/gypsumsail/keeping/coordinator.py
@@ -3,28 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 import random
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.cbor import ValueInvalidError
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
+from gypsumsail.core.rendezvous import rank
 from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.models import Address, ContextStore, PromptPart, RoutingDocument
 from gypsumsail.gateway.port import NO_MOVE, ContextMove
 from gypsumsail.gateway.targets import TargetState, TargetTable
+from gypsumsail.gateway.weights import WantedWeights
 from gypsumsail.gossip.messages import StoreNews
 from gypsumsail.gossip.peers import Peer, PeerTable
 from gypsumsail.keeping.const import (
     FETCH_SECONDS,
     FOLLOWERS_IN_A_ZONE,
+    FREE_CALL_SECONDS,
+    FREE_INTERVAL_SECONDS,
+    PARTS_IN_A_CALL,
     POLL_SECONDS,
     POLLING_SHARE,
     RETRY_SECONDS,
     SLOW_SECONDS,
     VIEW_TIMEOUT_SECONDS,
 )
+from gypsumsail.keeping.freeing import VersionUse, oldest_wanted, parts_to_free
 from gypsumsail.keeping.planner import (
     PartFacts,
     SavePlace,
@@ -56,6 +62,10 @@
     ----------
     on_news
         Called with what this VM tells the others of a store.
+    wanted
+        Versions that the operator named, by model.
+    rollout_seconds
+        Time after which no call may begin on older weights.
     """
 
     def __init__(
@@ -64,6 +74,8 @@
         targets: TargetTable,
         peers: PeerTable,
         clients: PeerViews,
+        wanted: Mapping[str, WantedWeights],
+        rollout_seconds: float,
         clock: Clock,
         log: DecisionLog,
     ) -> None:
@@ -80,6 +92,9 @@
         self.views: dict[Address, StoreView] = {}
         self.tasks: dict[Address, asyncio.Task[None]] = {}
         self.random = random.Random()
+        self.use = VersionUse()
+        self.rollout_seconds = rollout_seconds
+        self.wanted = wanted
 
     @callback
     def set_document(self, document: RoutingDocument) -> None:
@@ -123,6 +138,46 @@
                 view.lost()
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def async_run(self) -> None:
+        """Free what no engine can use any more, until cancelled."""
+        while True:
+            await asyncio.sleep(FREE_INTERVAL_SECONDS)
+            await self.async_free_unused(self.clock.monotonic())
+
+    async def async_free_unused(self, now: float) -> None:
+        """Free parts of old weights in the stores that this VM has the duty for."""
+        self.use.look(self.targets.states.values(), now)
+        oldest = oldest_wanted(self.wanted, self.rollout_seconds, now)
+        if not oldest:
+            return
+        for view in list(self.views.values()):
+            if view.store.is_managed and view.is_fresh(now) and self._frees(view, now):
+                await self._async_free(view, oldest, now)
+
+    def _frees(self, view: StoreView, now: float) -> bool:
+        """Return whether this VM is the one that frees parts of a store."""
+        ranked = rank(f"free {view.store.name}", self.peers.names(now))
+        return next(iter(ranked)) == self.peers.vm
+
+    async def _async_free(self, view: StoreView, oldest: int, now: float) -> None:
+        parts = parts_to_free(view.parts, oldest, self.use, now, PARTS_IN_A_CALL)
+        until_ms = view.clock_ms(now + FREE_CALL_SECONDS)
+        if not parts or until_ms is None or view.life is None:
+            return
+        reason = ""
+        try:
+            await self.stores.async_free(view.store, view.life, parts, until_ms)
+        except TransportError as err:
+            reason = str(err)
+        self.log.write(
+            "parts not freed" if reason else "parts freed",
+            store=view.store.name,
+            life=view.life,
+            parts=len(parts),
+            oldest_version=oldest,
+            reason=reason,
+        )
+
     def _is_follower(self, store: ContextStore) -> bool:
         """Return whether this VM asks the store itself."""
         now = self.clock.monotonic()
@@ -218,7 +273,7 @@
                 range(len(prompt.parts) - 1, -1, -1), prompt.parts, strict=True
             )
         ]
-        save = plan_save(facts, self.random.random())
+        save = self._save(prompt.model, place.weight_version, facts)
         for part, address in zip(prompt.parts, save, strict=True):
             if address is not None:
                 self.views[address].expect(scope, (part,), now)
@@ -231,6 +286,15 @@
             fetch_until_ms=until if until is not None else 0,
         )
 
+    def _save(
+        self, model: str, version: int, facts: list[PartFacts]
+    ) -> tuple[Address | None, ...]:
+        """Return where parts are saved; parts of old weights are kept nowhere."""
+        want = self.wanted.get(model)
+        if want is not None and version < want.version:
+            return (None,) * len(facts)
+        return plan_save(facts, self.random.random())
+
     @callback
     def first_token(self, place: Place, waited: float, now: float) -> None:
         """Pass over stores for a while whose fetch seems to have been thrown away."""
--- a/src/gypsumsail/keeping/port.py
+++ b/src/gypsumsail/keeping/port.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from gypsumsail.gateway.models import ContextStore
@@ -20,6 +20,15 @@
     ) -> StoreAnswer:
         """Wait up to ``wait`` seconds for changes."""
 
+    async def async_free(
+        self,
+        store: ContextStore,
+        life: int,
+        parts: Sequence[tuple[str, str]],
+        until_ms: int,
+    ) -> None:
+        """Free parts, by scope and name, unless the store restarted or time is over."""
+
     def forget(self, store: ContextStore) -> None:
         """Close the connections to a store."""
 
--- a/src/gypsumsail/platform/names.py
+++ b/src/gypsumsail/platform/names.py
@@ -68,6 +68,7 @@
 ORDER_PATH: Final = "/v1/order"
 CACHE_EVENTS_PATH: Final = "/v1/kv-events"
 CACHE_LIST_PATH: Final = "/v1/kv-list"
+CACHE_FREE_PATH: Final = "/v1/kv-free"
 
 DOCUMENT_KIND: Final = "config"
 DOCUMENT_KEY: Final = "config/main"
--- a/src/gypsumsail/platform/stores.py
+++ b/src/gypsumsail/platform/stores.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any, Final
 
 import msgspec
@@ -14,6 +15,7 @@
 from gypsumsail.platform.client import JsonClient
 
 CALL_SECONDS: Final = 1.0
+FIRST_ERROR_STATUS: Final = 400
 
 
 class _Events(msgspec.Struct, frozen=True):
@@ -79,6 +81,28 @@
             clock_ms=_whole(found.clock_ms),
         )
 
+    async def async_free(
+        self,
+        store: ContextStore,
+        life: int,
+        parts: Sequence[tuple[str, str]],
+        until_ms: int,
+    ) -> None:
+        """Free parts, by scope and name, unless the store restarted or time is over."""
+        answer = await self._client(store).async_call(
+            "POST",
+            names.CACHE_FREE_PATH,
+            timeout=CALL_SECONDS,
+            body={
+                "parts": [list(part) for part in parts],
+                "epoch": life,
+                "until_ms": until_ms,
+            },
+        )
+        if answer.status >= FIRST_ERROR_STATUS:
+            message = f"{names.CACHE_FREE_PATH}: status {answer.status}"
+            raise TransportError(message, sent=True)
+
     def forget(self, store: ContextStore) -> None:
         """Close the connections to a store."""
         client = self.clients.pop(str(store.address), None)
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -91,7 +91,14 @@
         control = settings.control
         self.clients = PeerClients(control.port if control is not None else None)
         self.keeping = KeepingCoordinator(
-            ports.stores, self.targets, self.peers, self.clients, clock, self.log
+            ports.stores,
+            self.targets,
+            self.peers,
+            self.clients,
+            self.wanted,
+            settings.rollout_seconds,
+            clock,
+            self.log,
         )
         self.gateway = self._make_gateway()
         self.catalog = self._make_catalog()
@@ -235,6 +242,7 @@
             *self.catalog.tasks(),
             self.rollout.async_run,
             self.catch_up.async_run,
+            self.keeping.async_run,
             self.vm_list.async_run,
             self._async_watch_settings,
         ]
@@ -328,6 +336,7 @@
         self.settings = settings
         self.gateway.settings = GatewaySettings(repeat_limit=settings.repeat_limit)
         self.gateway.view.rollout_seconds = settings.rollout_seconds
+        self.keeping.rollout_seconds = settings.rollout_seconds
         now = self.clock.monotonic()
         for host in settings.seed_hosts:
             self.peers.add(host, now)
--- a/tests/keeping/common.py
+++ b/tests/keeping/common.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.job import Job, Place
@@ -70,6 +70,7 @@
         self.contents = answer()
         self.changes: list[StoreAnswer | TransportError] = []
         self.asked = 0
+        self.freed: list[tuple[int, tuple[tuple[str, str], ...], int]] = []
 
     async def async_contents(self, store: ContextStore) -> StoreAnswer:
         """Return the contents."""
@@ -87,6 +88,16 @@
             raise found
         return found
 
+    async def async_free(
+        self,
+        store: ContextStore,
+        life: int,
+        parts: Sequence[tuple[str, str]],
+        until_ms: int,
+    ) -> None:
+        """Keep what is to be freed."""
+        self.freed.append((life, tuple(parts), until_ms))
+
     def forget(self, store: ContextStore) -> None:
         """Do nothing."""
 
@@ -110,6 +121,8 @@
         targets,
         PeerTable("v1", "10.0.0.1", "z1"),
         NoPeers(),
+        {},
+        12.0,
         clock,
         decision_log(clock),
     )
