Give fetches of kept parts 1.5 s beyond the expected start

Cause: at a full engine a prompt waits longer than expected before its fetch begins; the fetch was thrown away 0.6 s after the expected start and the prompt read anew, at the load at which reading binds.

--- a/src/gypsumsail/keeping/const.py
+++ b/src/gypsumsail/keeping/const.py
@@ -24,7 +24,7 @@
 """Tokens of the smallest part that is worth a transfer."""
 SAVE_SECONDS: Final = 4.0
 """Time after which a save that was not reported is taken as broken off."""
-FETCH_SECONDS: Final = 0.6
+FETCH_SECONDS: Final = 1.5
 """Time after which a fetch that has not ended is thrown away."""
 SLOW_SECONDS: Final = 1.0
 """Time for which nothing is fetched from a store whose fetches came late."""
