Let calm VMs confirm removals to those that the store refused

An engine that never says it leaves was removed at 15.281; front-westlands-1 and front-embakasi-1 had been refused by the store until 15.17, took the removal as a lapse of the outage and used the engine until 17.49 (their log: "not listed again after the store's return"). The other five VMs, whom the store had served throughout, dropped it within 40 ms.

A VM that sees a removal while the store is well for it now tells all others; who holds the target as lapsed drops it, also when the word comes before the removal.

Ruled out: shortening the wait after a return; entries that lapsed in an outage may be back up to 2 s after it.

--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -22,3 +22,5 @@
 """Time after the store's return in which targets that it lost may be listed again."""
 TROUBLE_MEMORY_SECONDS: Final = 6.0
 """Time after an outage in which a removal may still come from it."""
+MOST_SEEN_GONE: Final = 500
+"""Removals that other VMs saw which are remembered."""
--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from gypsumsail.catalog.const import WATCH_SECONDS
+from gypsumsail.catalog.const import MOST_SEEN_GONE, WATCH_SECONDS
 from gypsumsail.catalog.copies import Copy
 from gypsumsail.catalog.kind_state import Changes
 from gypsumsail.catalog.kind_watch import KindWatch
@@ -68,6 +69,10 @@
         Called with each new routing document.
     on_target_gone
         Called when a target gets no more calls.
+    seen_gone
+        Names and lives of targets that calm VMs saw removed, the last ones.
+    on_seen_gone
+        Called when this VM saw a removal while the store was well for it.
     """
 
     def __init__(
@@ -109,6 +114,8 @@
         self.source = "store"
         self.removal_trouble = StoreTrouble.NONE
         self.back_at = clock.monotonic()
+        self.seen_gone: deque[tuple[str, int]] = deque(maxlen=MOST_SEEN_GONE)
+        self.on_seen_gone: Callable[[TargetEntry], None] = lambda entry: None
 
     @property
     def knows_targets(self) -> bool:
@@ -228,8 +235,27 @@
         after.is_leaving = entry.phase is TargetPhase.LEAVING
 
     def _removed(self, name: str, now: float) -> None:
-        if self.list.removed(name, self.removal_trouble, self.back_at, now):
-            self._target_gone(name, "removed from the list")
+        state = self.targets.states.get(name)
+        if not self.list.removed(name, self.removal_trouble, self.back_at, now):
+            if state is not None and (name, state.entry.life) in self.seen_gone:
+                self.seen_gone_by_peer(name, state.entry.life)
+            return
+        self._target_gone(name, "removed from the list")
+        if state is not None and self.source == "store":
+            self.on_seen_gone(state.entry)
+
+    @callback
+    def seen_gone_by_peer(self, name: str, life: int) -> None:
+        """Drop a lapsed target whose removal a calm VM saw at the store.
+
+        The word may come before this VM sees the removal itself.
+        """
+        self.seen_gone.append((name, life))
+        state = self.targets.states.get(name)
+        if name not in self.list.lapsed or state is None or state.entry.life != life:
+            return
+        self.list.listed(name)
+        self._target_gone(name, "a VM that the store serves saw it removed")
 
     def _target_gone(self, name: str, reason: str) -> None:
         state = self.targets.states.get(name)
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -13,6 +13,7 @@
 from gypsumsail.gateway.arrivals import WorkElsewhere
 from gypsumsail.gateway.const import PEER_LOAD_SECONDS
 from gypsumsail.gateway.job import Job, Place
+from gypsumsail.gateway.models import TargetEntry
 from gypsumsail.gateway.strikes import StrikeBook
 from gypsumsail.gateway.targets import PeerLoad, TargetState, TargetTable
 from gypsumsail.gossip.const import (
@@ -26,6 +27,7 @@
 from gypsumsail.gossip.endpoint import GossipEndpoint
 from gypsumsail.gossip.messages import (
     CachedPrompt,
+    GoneTarget,
     GossipMessage,
     LoadingTarget,
     SeenWeights,
@@ -60,6 +62,10 @@
         Whether this VM watches a kind at the platform's store itself.
     on_store_news
         Called with what another VM has learned of a store of kept context.
+    on_gone
+        Called with a target, and its life, whose removal another VM saw.
+    loaded, unreachable
+        Targets at which each VM has calls, and those that it can't reach.
     """
 
     def __init__(
@@ -94,6 +100,10 @@
         self.strike_news: list[tuple[Strike, int]] = []
         self.loading_news: list[tuple[LoadingTarget, int]] = []
         self.weight_news: list[tuple[SeenWeights, int]] = []
+        self.gone_news: list[tuple[GoneTarget, int]] = []
+        self.on_gone: Callable[[str, int], None] = lambda target, life: None
+        self.loaded: dict[str, list[TargetState]] = {}
+        self.unreachable: dict[str, list[TargetState]] = {}
 
     async def async_start(self) -> None:
         """Listen for messages."""
@@ -138,6 +148,12 @@
         self.weight_news.append((news, REPEATED_SENDS))
         self.send_to_all(self.clock.monotonic())
 
+    @callback
+    def seen_gone(self, entry: TargetEntry) -> None:
+        """Tell that a target's removal was seen while the store was well."""
+        news = GoneTarget(target=entry.name, life=entry.life)
+        self.gone_news.append((news, REPEATED_SENDS))
+
     @callback
     def tell_store_news(self, news: StoreNews) -> None:
         """Tell the near VMs what a store of kept context holds."""
@@ -205,6 +221,7 @@
             stores=self._stores() if tells_all else (),
             waiting=self.own_waiting(),
             unreachable=self._unreachable() if tells_all else (),
+            gone=_take(self.gone_news),
         )
 
     def work_elsewhere(self, service: str, now: float) -> WorkElsewhere:
@@ -267,17 +284,21 @@
             state = self._state(seen.target, seen.life)
             if state is not None:
                 state.learn_version(seen.model, seen.version, now)
+        for gone in message.gone:
+            self.on_gone(gone.target, gone.life)
         for news in message.stores:
             self.on_store_news(peer, news)
         self._compare(peer, message, now)
 
     def _take_loads(self, message: GossipMessage, now: float) -> None:
-        loads = {(load.target, load.life): load for load in message.loads}
-        for state in self.targets.states.values():
-            load = loads.get((state.entry.name, state.entry.life))
-            if load is None:
-                state.peers.pop(message.vm, None)
+        for before in self.loaded.get(message.vm, ()):
+            before.peers.pop(message.vm, None)
+        found = []
+        for load in message.loads:
+            state = self._state(load.target, load.life)
+            if state is None:
                 continue
+            found.append(state)
             state.peers[message.vm] = PeerLoad(
                 calls=load.calls,
                 tokens=load.tokens,
@@ -285,15 +306,19 @@
                 at=now,
                 is_stalled=load.is_stalled,
             )
+        self.loaded[message.vm] = found
 
     def _take_unreachable(self, message: GossipMessage, now: float) -> None:
         """Take which targets another VM of this zone can't connect."""
-        found = {(item.target, item.life) for item in message.unreachable}
-        for state in self.targets.states.values():
-            if (state.entry.name, state.entry.life) in found:
-                state.unreachable_for[message.vm] = now
-            else:
-                state.unreachable_for.pop(message.vm, None)
+        for state in self.unreachable.pop(message.vm, ()):
+            state.unreachable_for.pop(message.vm, None)
+        if not message.unreachable:
+            return
+        named = [self._state(item.target, item.life) for item in message.unreachable]
+        found = [state for state in named if state is not None]
+        for state in found:
+            state.unreachable_for[message.vm] = now
+        self.unreachable[message.vm] = found
 
     def _compare(self, peer: Peer, message: GossipMessage, now: float) -> None:
         if not self._behind(message.changed_at):
--- a/src/gypsumsail/gossip/messages.py
+++ b/src/gypsumsail/gossip/messages.py
@@ -10,7 +10,7 @@
 from gypsumsail.gateway.models import PromptPart
 from gypsumsail.gossip.const import FORMAT
 
-MESSAGE_FIELDS = 16
+MESSAGE_FIELDS = 17
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,6 +78,14 @@
     life: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GoneTarget:
+    """A target whose removal the sender saw while the store was well for it."""
+
+    target: str
+    life: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SeenWeights:
     """Version of the weights that an engine has shown."""
@@ -144,6 +152,7 @@
     stores: tuple[StoreNews, ...] = ()
     waiting: tuple[WaitingWork, ...] = ()
     unreachable: tuple[UnreachableTarget, ...] = ()
+    gone: tuple[GoneTarget, ...] = ()
 
 
 def encode(message: GossipMessage) -> bytes:
@@ -200,6 +209,7 @@
                 for item in message.waiting
             ],
             [[item.target, item.life] for item in message.unreachable],
+            [[item.target, item.life] for item in message.gone],
         ]
     )
 
@@ -225,6 +235,7 @@
         stores=tuple(map(_store_news, cbor.read_list(fields[13]))),
         waiting=tuple(map(_waiting, cbor.read_list(fields[14]))),
         unreachable=tuple(map(_unreachable, cbor.read_list(fields[15]))),
+        gone=tuple(map(_gone, cbor.read_list(fields[16]))),
     )
 
 
@@ -291,6 +302,11 @@
     return UnreachableTarget(target=cbor.read_text(target), life=cbor.read_count(life))
 
 
+def _gone(value: object) -> GoneTarget:
+    target, life = cbor.read_list(value, 2)
+    return GoneTarget(target=cbor.read_text(target), life=cbor.read_count(life))
+
+
 def _weights(value: object) -> SeenWeights:
     target, life, model, version = cbor.read_list(value, 4)
     return SeenWeights(
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -164,6 +164,8 @@
         self.keeping.on_news = gossip.tell_store_news
         self.gateway.view.elsewhere = gossip.work_elsewhere
         gossip.own_waiting = self._own_waiting
+        gossip.on_gone = self.catalog.seen_gone_by_peer
+        self.catalog.on_seen_gone = gossip.seen_gone
         return gossip
 
     def _make_rollout(self) -> RolloutCoordinator:
--- a/tests/catalog/test_coordinator.py
+++ b/tests/catalog/test_coordinator.py
@@ -5,6 +5,7 @@
 import pytest
 
 from gypsumsail.catalog.copies import decode_copy, encode_copy
+from gypsumsail.gateway.models import TargetEntry
 from tests.catalog.common import Catalog, document_spec, listing, stored, target_spec
 
 
@@ -201,3 +202,48 @@
     assert "a" in learner.targets.states
     learner.coordinator.tick(1_023.5)
     assert not learner.targets.states
+
+
+def troubled_and_calm() -> tuple[Catalog, Catalog]:
+    """Return a VM that the store refused lately and one that it serves."""
+    troubled, calm = Catalog(), Catalog()
+    for catalog in (troubled, calm):
+        first = listing(3, stored("servers/a", 3, target_spec()))
+        catalog.replace("servers", first)
+    link = troubled.coordinator.links["servers"]
+    link.failed()
+    link.answered(1_005.0)
+    for catalog in (troubled, calm):
+        catalog.clock.now = 1_005.1
+    calm.coordinator.on_seen_gone = lambda entry: (
+        troubled.coordinator.seen_gone_by_peer(entry.name, entry.life)
+    )
+    return troubled, calm
+
+
+def test_the_word_of_a_calm_vm_ends_a_lapse() -> None:
+    """A VM that the store refused just before used a removed target for 2.2 s."""
+    troubled, calm = troubled_and_calm()
+    troubled.apply("servers", listing(4, stored("servers/a", 3)))
+    assert "a" in troubled.targets.states
+    calm.apply("servers", listing(4, stored("servers/a", 3)))
+    assert not troubled.targets.states
+
+
+def test_the_word_of_a_calm_vm_may_come_first() -> None:
+    troubled, calm = troubled_and_calm()
+    calm.apply("servers", listing(4, stored("servers/a", 3)))
+    assert "a" in troubled.targets.states
+    troubled.apply("servers", listing(4, stored("servers/a", 3)))
+    assert not troubled.targets.states
+
+
+def test_a_troubled_vm_tells_of_no_removal() -> None:
+    troubled, calm = troubled_and_calm()
+    told: list[TargetEntry] = []
+    troubled.coordinator.on_seen_gone = told.append
+    troubled.apply("servers", listing(4, stored("servers/a", 3)))
+    troubled.coordinator.tick(1_009.0)
+    assert not troubled.targets.states
+    assert not told
+    assert calm.targets.states
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -15,6 +15,7 @@
 from gypsumsail.gateway.targets import Flight
 from gypsumsail.gossip.messages import (
     CachedPrompt,
+    GoneTarget,
     GossipMessage,
     LoadingTarget,
     SeenWeights,
@@ -44,6 +45,7 @@
     weights=(SeenWeights(target="e1", life=1, model=MODEL, version=2),),
     hosts=("10.0.0.9",),
     unreachable=(UnreachableTarget(target="e1", life=1),),
+    gone=(GoneTarget(target="e2", life=1),),
     waiting=(WaitingWork(service="engines", calls=2, work_ms=300, arriving_ms=50),),
     stores=(
         StoreNews(
@@ -84,7 +86,7 @@
         assert isinstance(decode(data), GossipMessage)
 
 
-@pytest.mark.parametrize("place", range(16))
+@pytest.mark.parametrize("place", range(17))
 def test_a_message_with_one_bad_field_is_refused(place: int) -> None:
     fields = cbor2.loads(encode(FULL))
     fields[place] = {"not": "it"}
@@ -254,3 +256,15 @@
     one.reachable(net.clock.now)
     net.tick(0.3)
     assert not near.unreachable_for
+
+
+def test_a_removal_that_a_calm_vm_saw_is_told_to_all() -> None:
+    net = Net(ManualClock())
+    members = [Member(net, "v1"), Member(net, "v2"), Member(net, "v3", "z2")]
+    heard: list[tuple[str, int]] = []
+    for member in members:
+        member.gossip.on_gone = lambda target, life: heard.append((target, life))
+    net.tick(1.0)
+    members[0].gossip.seen_gone(engine("e1"))
+    net.tick(0.5)
+    assert heard.count(("e1", engine("e1").life)) >= 2
--- a/tests/keeping/test_keeping.py
+++ b/tests/keeping/test_keeping.py
@@ -10,6 +10,7 @@
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.targets import TargetTable
+from gypsumsail.keeping.const import FETCH_SECONDS
 from gypsumsail.keeping.coordinator import KeepingCoordinator
 from gypsumsail.keeping.planner import (
     PartFacts,
@@ -245,7 +246,7 @@
     move = keeping.plan(job, place_, clock.now)
     assert move.fetch == (NEAR, NEAR, None)
     assert move.save == (None, None, None)
-    assert move.fetch_until_ms == 50_700
+    assert move.fetch_until_ms == 50_100 + FETCH_SECONDS * 1_000
     keeping.stop()
 
 
@@ -296,9 +297,9 @@
     targets, clock, keeping = await followed(stores)
     job, place_ = job_at(targets, "e1", clock)
     keeping.plan(job, place_, clock.now)
-    keeping.first_token(place_, 0.15, clock.now)
+    keeping.first_token(place_, 0.1 + FETCH_SECONDS - 0.1, clock.now)
     assert keeping.plan(job, place_, clock.now).fetch == (NEAR, NEAR, None)
-    keeping.first_token(place_, 1.2, clock.now)
+    keeping.first_token(place_, 0.1 + FETCH_SECONDS + 0.1, clock.now)
     assert keeping.plan(job, place_, clock.now).fetch == (None, None, None)
     clock.now += 2.5
     keeping.views[NEAR].answered_at = clock.now
