--- a/src/gypsumsail/gossip/const.py
+++ b/src/gypsumsail/gossip/const.py
@@ -18,6 +18,8 @@
 """Pause between messages to a VM that has not been heard."""
 HEARD_SECONDS: Final = 3.0
 """Time after which a VM that is silent is not counted any more."""
+ALIVE_VALID_SECONDS: Final = 0.1
+"""Time for which it is kept which VMs are alive; a silent one counts so much longer."""
 FORGOTTEN_SECONDS: Final = 120.0
 """Time after which a VM that is silent is forgotten."""
 LARGEST_DATAGRAM: Final = 1_400
--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -8,6 +8,7 @@
 
 from gypsumsail.core.rendezvous import rank
 from gypsumsail.gossip.const import (
+    ALIVE_VALID_SECONDS,
     FORGOTTEN_SECONDS,
     HEARD_SECONDS,
     HOSTS_IN_A_MESSAGE,
@@ -53,12 +54,18 @@
     ----------
     vm, host, zone
         This VM itself, which is never a peer.
+    looked_at
+        Time at which it was found which VMs are alive and have duties; this is kept
+        for a moment, as each message asks for it.
     """
 
     vm: str
     host: str
     zone: str
     peers: dict[str, Peer] = field(default_factory=dict)
+    looked_at: float = float("-inf")
+    found_alive: list[Peer] = field(default_factory=list)
+    found_duties: dict[tuple[str, int], bool] = field(default_factory=dict)
 
     def add(self, host: str, now: float) -> None:
         """Note a host that may be a VM of the gateway."""
@@ -74,6 +81,8 @@
         order = (message.started_at, message.number)
         if peer.heard_at is not None and order <= (peer.started_at, peer.number):
             return None
+        if not peer.is_heard(now):
+            self.looked_at = float("-inf")
         peer.vm = message.vm
         peer.zone = message.zone
         peer.started_at, peer.number = order
@@ -84,7 +93,13 @@
 
     def alive(self, now: float) -> list[Peer]:
         """Return the VMs that were heard lately."""
-        return [peer for peer in self.peers.values() if peer.is_heard(now)]
+        if not 0 <= now - self.looked_at < ALIVE_VALID_SECONDS:
+            self.looked_at = now
+            self.found_alive = [
+                peer for peer in self.peers.values() if peer.is_heard(now)
+            ]
+            self.found_duties.clear()
+        return self.found_alive
 
     def count(self, now: float) -> int:
         """Return the number of VMs that are believed alive, this one included."""
@@ -101,8 +116,13 @@
 
     def has_duty(self, duty: str, holders: int, now: float) -> bool:
         """Return whether this VM is one of the holders of a duty in its zone."""
-        names = self.names_in_zone(now)
-        return len(names) <= holders or self.vm in list(rank(duty, names))[:holders]
+        self.alive(now)
+        key = (duty, holders)
+        if key not in self.found_duties:
+            names = self.names_in_zone(now)
+            first = list(rank(duty, names))[:holders]
+            self.found_duties[key] = len(names) <= holders or self.vm in first
+        return self.found_duties[key]
 
     def is_large(self, now: float) -> bool:
         """Return whether not all VMs hear each other at the full rate."""
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -10,6 +10,7 @@
 import pytest
 
 from gypsumsail.core.cbor import ValueInvalidError
+from gypsumsail.core.rendezvous import rank
 from gypsumsail.gateway.arrivals import WorkElsewhere
 from gypsumsail.gateway.models import PromptPart
 from gypsumsail.gateway.targets import Flight
@@ -268,3 +269,14 @@
     members[0].gossip.seen_gone(engine("e1"))
     net.tick(0.5)
     assert heard.count(("e1", engine("e1").life)) >= 2
+
+
+def test_a_vm_that_is_heard_again_counts_at_once() -> None:
+    peers = PeerTable("v1", "10.0.0.1", "z1")
+    assert peers.count(1_000.0) == 1
+    assert peers.has_duty("d", 1, 1_000.0)
+    peers.heard(message("v2"), 1_000.01)
+    assert peers.count(1_000.02) == 2
+    holder = next(iter(rank("d", ["v1", "v2"])))
+    assert peers.has_duty("d", 1, 1_000.02) is (holder == "v1")
+    assert peers.count(1_003.2) == 1
