Reset the answers of an engine that has some

The fault now goes to an engine that runs calls and has sent tokens, as the test of an engine that dies does.

--- a/tests/process/test_whole_answers.py
+++ b/tests/process/test_whole_answers.py
@@ -97,12 +97,15 @@
 async def test_stream_goes_on_elsewhere_when_an_engine_resets(
     shared: Deployment,
 ) -> None:
-    engine = process_of(shared.of_role("engine", "claims")[0])
     lost_before = await async_count_events(shared, "target.lost")
+    tokens_before = await tokens_sent(shared)
 
+    calls = asyncio.create_task(async_complete(shared, *long_calls("engine resets")))
+    # An engine without a call would have nothing to reset.
+    engine = process_of(await busy_engine(shared, tokens_before))
     await shared.async_fault(engine, "reset_mid_answer", after=RESET_AFTER_EVENTS)
     try:
-        outcomes = await async_complete(shared, *long_calls("engine resets"))
+        outcomes = await calls
     finally:
         await shared.async_fault(engine, "reset_mid_answer", on=False)
 
