Hear VMs whose clock went back, and wait while no target takes a connection

- Messages of a VM were ordered by its start on its own clock.
A VM that restarted after its clock had been stepped back was taken for its earlier self and not heard until it was forgotten, for 120 s.
Starts are now told apart, and those before are not believed again.
It now counts the targets as free when they are checked again, so that calls wait as long as that helps them.

Ruled out for the first: another clock; none survives a restart.

--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from gypsumsail.gateway.arrivals import ArrivalRate, WorkElsewhere
-from gypsumsail.gateway.const import MEMORY_SHARE, STALL_SECONDS
+from gypsumsail.gateway.const import CONNECT_SECONDS, MEMORY_SHARE, STALL_SECONDS
 from gypsumsail.gateway.job import Job, Place
 from gypsumsail.gateway.line import Capacity
 from gypsumsail.gateway.models import PromptPart, Service
@@ -138,11 +138,13 @@
 
     def capacity(self, now: float) -> Capacity:
         """Return what works on the service's calls."""
-        states = [
-            state
-            for state in self._states()
-            if not state.is_leaving and not state.is_unreachable(now)
-        ]
+        listed = [state for state in self._states() if not state.is_leaving]
+        reachable = [state for state in listed if not state.is_unreachable(now)]
+        states = reachable or listed
+        checked_in = 0.0
+        if not reachable:
+            checks = (state.blocked_until - now for state in listed)
+            checked_in = max(min(checks, default=0.0), 0.0) + CONNECT_SECONDS
         elsewhere = self.view.elsewhere(self.service.name, now)
         if self.service.engine is None:
             slots = sum(state.entry.slots for state in states)
@@ -156,7 +158,7 @@
             workers = len(states)
         return Capacity(
             workers=workers,
-            backlog_seconds=backlog,
+            backlog_seconds=backlog + checked_in,
             elsewhere_seconds=elsewhere.waiting_seconds,
             arriving=self.arriving(now) + elsewhere.arriving,
         )
--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -25,6 +25,8 @@
 
     Attributes
     ----------
+    started_at, former_starts
+        Its start by its own clock, which may have gone back since an earlier one.
     heard_at
         Time of its last message; ``None`` when none came.
     ahead_since
@@ -36,6 +38,7 @@
     vm: str = ""
     zone: str = ""
     started_at: int = 0
+    former_starts: set[int] = field(default_factory=set)
     number: int = 0
     heard_at: float | None = None
     sent_at: float | None = None
@@ -78,19 +81,28 @@
             return None
         self.add(message.host, now)
         peer = self.peers[message.host]
-        order = (message.started_at, message.number)
-        if peer.heard_at is not None and order <= (peer.started_at, peer.number):
+        if not self._is_newer(peer, message):
             return None
         if not peer.is_heard(now):
             self.looked_at = float("-inf")
         peer.vm = message.vm
         peer.zone = message.zone
-        peer.started_at, peer.number = order
+        if peer.heard_at is not None and peer.started_at != message.started_at:
+            peer.former_starts.add(peer.started_at)
+        peer.started_at, peer.number = message.started_at, message.number
         peer.heard_at = now
         for host in message.hosts:
             self.add(host, now)
         return peer
 
+    @staticmethod
+    def _is_newer(peer: Peer, message: GossipMessage) -> bool:
+        if peer.heard_at is None:
+            return True
+        if message.started_at != peer.started_at:
+            return message.started_at not in peer.former_starts
+        return message.number > peer.number
+
     def alive(self, now: float) -> list[Peer]:
         """Return the VMs that were heard lately."""
         if not 0 <= now - self.looked_at < ALIVE_VALID_SECONDS:
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -462,3 +462,22 @@
     made = gateway(calls, engine(), found=found)
     await made.async_handle(call("/s/x", prompt=prompt()), KeptReply())
     assert calls.sent[0].terms.urgency == ENGINE_URGENCY
+
+
+async def test_a_call_waits_while_no_target_can_be_connected_for_a_moment() -> None:
+    """With one target, a single lost connection made all calls be refused."""
+    refused = TransportError("connect: TimeoutError", sent=False)
+    calls = ScriptedTargets(refused, ScriptedExchange())
+    calls.is_connectable = True
+    found = document(route(kind=CallKind.ONCE))
+    made = gateway(calls, target("t1"), found=found)
+    first, second = KeptReply(), KeptReply()
+    await made.async_handle(call(), first)
+    assert first.status == 503
+    task = asyncio.create_task(made.async_handle(call(request_id="id-2"), second))
+    for _ in range(16):
+        await asyncio.sleep(0.05)
+        made.tick(made.clock.monotonic())
+    async with asyncio.timeout(1.0):
+        await task
+    assert second.status == 200
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -280,3 +280,13 @@
     holder = next(iter(rank("d", ["v1", "v2"])))
     assert peers.has_duty("d", 1, 1_000.02) is (holder == "v1")
     assert peers.count(1_003.2) == 1
+
+
+def test_a_vm_that_restarts_after_its_clock_went_back_is_heard() -> None:
+    """Its messages were taken for older ones until the VM was forgotten, for 120 s."""
+    peers = PeerTable("v1", "10.0.0.1", "z1")
+    assert peers.heard(message("v2", 7, started_at=5_000), 1_000.0) is not None
+    assert peers.heard(message("v2", 1, started_at=2_600), 1_001.0) is not None
+    assert peers.heard(message("v2", 2, started_at=2_600), 1_001.1) is not None
+    assert peers.heard(message("v2", 8, started_at=5_000), 1_001.2) is None
+    assert peers.heard(message("v2", 2, started_at=2_600), 1_001.3) is None
