Send neighbours until each engine runs one before a crash is tried

Cause: the test waits until each of three engines runs one of nine neighbours, sent once. The placement leaves an engine without any now and then; the condition can then never come true. Ruled out: load.

Before: one wave. After: waves until each engine is busy, all of them checked for right answers; the wait ends after its 45 s and says that the condition was not met.

--- a/tests/process/common.py
+++ b/tests/process/common.py
@@ -9,6 +9,7 @@
 import hashlib
 import itertools
 from pathlib import Path
+import time
 from typing import Any, Final
 
 import httpx
@@ -119,7 +120,8 @@
 
 async def wait_until(condition: Callable[[], Awaitable[bool]]) -> None:
     """Wait for a condition, within a generous limit."""
-    for _ in range(int(WAIT_SECONDS / POLL_SECONDS)):
+    until = time.monotonic() + WAIT_SECONDS
+    while time.monotonic() < until:
         if await condition():
             return
         await asyncio.sleep(POLL_SECONDS)
--- a/tests/process/test_crashing_request.py
+++ b/tests/process/test_crashing_request.py
@@ -55,23 +55,39 @@
     return await async_complete(deployment, *calls)
 
 
+async def send_neighbours(deployment: Deployment, wave: int) -> list[Outcome]:
+    calls = [
+        make_call(
+            f"neighbour {wave}.{number}",
+            entry=number % 3,
+            customer=number % 2,
+            max_tokens=NEIGHBOUR_TOKENS,
+        )
+        for number in range(NEIGHBOURS)
+    ]
+    return await async_complete(deployment, *calls)
+
+
+async def async_occupy(deployment: Deployment) -> list[asyncio.Task[list[Outcome]]]:
+    """Send waves of neighbours until each engine that lives runs one.
+
+    A wave may leave an engine without any; then the next one follows its end.
+    """
+    waves: list[asyncio.Task[list[Outcome]]] = []
+
+    async def are_all_busy() -> bool:
+        if not waves or waves[-1].done():
+            wave = send_neighbours(deployment, len(waves))
+            waves.append(asyncio.create_task(wave))
+        return await are_busy(deployment)
+
+    await wait_until(are_all_busy)
+    return waves
+
+
 async def test_takes_two_engines_at_most_and_no_neighbour(shared: Deployment) -> None:
     await switch_marker(shared, *engines_of(shared))
-    neighbours = asyncio.create_task(
-        async_complete(
-            shared,
-            *(
-                make_call(
-                    f"neighbour {number}",
-                    entry=number % 3,
-                    customer=number % 2,
-                    max_tokens=NEIGHBOUR_TOKENS,
-                )
-                for number in range(NEIGHBOURS)
-            ),
-        )
-    )
-    await wait_until(lambda: are_busy(shared))
+    waves = await async_occupy(shared)
 
     outcomes: list[Outcome] = []
 
@@ -86,7 +102,8 @@
 
     assert not [outcome for outcome in outcomes if outcome.whole or outcome.wrong]
     assert len(exited(shared)) == TARGETS_LOST_AT_MOST
-    assert_right(await neighbours)
+    for wave in waves:
+        assert_right(await wave)
 
     lost = exited(shared)
     await async_restart(shared, *lost)
