--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass, field
 import random
+import time
 
 from stand_ins.kerlann import SECRET, Ledger, content
 
@@ -20,6 +21,8 @@
     ----------
     status
         0 where the connection ended without a whole answer.
+    seconds
+        Time to the whole answer.
     """
 
     request_id: str
@@ -27,6 +30,7 @@
     status: int
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
+    seconds: float = 0.0
 
 
 async def call(
@@ -50,6 +54,7 @@
             f"Gypsumsail-Prompt-Prefix: aa:100,b{number % 5}:100,{request_id}:100",
         ]
     result = Result(request_id, kind, 0)
+    begun_at = time.monotonic()
     try:
         async with asyncio.timeout(deadline + 1.0):
             reader, writer = await asyncio.open_connection(host, port)
@@ -60,6 +65,7 @@
                 writer.close()
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         result.status = 0
+    result.seconds = time.monotonic() - begun_at
     return result
 
 
--- /dev/null
+++ b/soak/demo.py
@@ -0,0 +1,75 @@
+"""Plays a calm minute on the platform's stand-in and shows how it went."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import json
+from pathlib import Path
+from statistics import quantiles
+
+import click
+
+from soak.callers import KINDS, PROMISES_NOT_RUN, Result
+from soak.run import Report, Soak
+
+HEADER = ("kind", "calls", "whole", "refused", "failed", "p50", "p95")
+SEED = 1
+
+
+def as_table(results: Sequence[Result]) -> str:
+    """Return a row for each kind of call; times are seconds to the whole answer."""
+    rows = [HEADER, *(_row(kind, results) for kind in KINDS)]
+    return "\n".join("".join(cell.rjust(10) for cell in row) for row in rows)
+
+
+def _row(kind: str, results: Sequence[Result]) -> tuple[str, ...]:
+    found = [result for result in results if result.kind == kind]
+    whole = sorted(result.seconds for result in found if result.status == 200)
+    refused = sum(result.status in PROMISES_NOT_RUN for result in found)
+    cuts = quantiles(whole, n=20) if len(whole) > 1 else []
+    return (
+        kind,
+        str(len(found)),
+        str(len(whole)),
+        str(refused),
+        str(len(found) - len(whole) - refused),
+        f"{cuts[9]:.3f}" if cuts else "-",
+        f"{cuts[18]:.3f}" if cuts else "-",
+    )
+
+
+def documents_in_force(logs: Sequence[str]) -> list[str]:
+    """Return a line for each VM with the document that its log says is in force."""
+    return [f"{Path(log).stem}: {_last_document(Path(log))}" for log in logs]
+
+
+def _last_document(log: Path) -> str:
+    lines = log.read_text(encoding="utf-8", errors="replace").splitlines()
+    events = [json.loads(line) for line in lines if line.startswith("{")]
+    found = [event for event in events if event.get("event") == "document in force"]
+    return f"version {found[-1].get('version')}" if found else "no document"
+
+
+async def _async_demo(vms: int, seconds: float) -> tuple[Report, list[Result]]:
+    soak = Soak(SEED, vms, seconds)
+    click.echo(f"starting {vms} VMs before {len(soak.targets)} targets")
+    click.echo(f"sending the calls of {seconds:g} seconds")
+    return await soak.async_run_calm(), soak.results
+
+
+@click.command()
+@click.option("--vms", type=click.IntRange(1), default=4)
+@click.option("--seconds", type=click.FloatRange(1), default=60.0)
+def main(vms: int, seconds: float) -> None:
+    """Run the demo; the exit code is 1 on a wrong answer or a call not served."""
+    report, results = asyncio.run(_async_demo(vms, seconds))
+    click.echo(as_table(results))
+    click.echo("\n".join(documents_in_force(report.logs)))
+    for finding in report.findings:
+        click.echo(f"BROKEN: {finding}")
+    raise SystemExit(1 if report.findings or report.served < report.calls else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/soak/run.py
+++ b/soak/run.py
@@ -112,6 +112,18 @@
             await self._check_service()
         finally:
             await self._stop()
+        return self._reported()
+
+    async def async_run_calm(self) -> Report:
+        """Send the calls of a seed with no faults."""
+        try:
+            await self._start()
+            await self._load(self.seconds)
+        finally:
+            await self._stop()
+        return self._reported()
+
+    def _reported(self) -> Report:
         self.report.calls = len(self.results)
         self.report.served = sum(result.status == 200 for result in self.results)
         for result in self.results:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak."""
