Release cancelled probes and recheck availability for engines with a slot

Cause: a probe of the circuit breaker whose submitter was cancelled before its batch started stayed claimed, as no commit recorded a result. The planner ordered an engine that already had a slot without counting the engines that had stopped serving since. Change: acquire_call says whether the call is the probe, and the committer releases it when it drops the records. An engine with a slot is ordered only while the others leave room; it keeps its slot. Ruled out: releasing the slot instead, as an order that was sent may still arrive. test_stale_rollout_state_sends_no_order now lets two engines be unavailable, so that the conflict, not the new check, prevents the order.

--- a/src/gypsumsail/once/committer.py
+++ b/src/gypsumsail/once/committer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from itertools import islice
 import logging
@@ -11,7 +11,7 @@
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.object_api.port import ObjectApi
-from gypsumsail.once.circuit_breaker import PlatformCircuitBreaker
+from gypsumsail.once.circuit_breaker import CallPermit, PlatformCircuitBreaker
 from gypsumsail.once.const import (
     COMMIT_INTERVAL_SECONDS,
     COMMIT_TIMEOUT_SECONDS,
@@ -34,6 +34,7 @@
 class _PendingRecords:
     records: tuple[LedgerRecord, ...]
     results: asyncio.Future[tuple[SubmitResult, ...]]
+    is_probe: bool
 
 
 @dataclass(slots=True, kw_only=True)
@@ -81,13 +82,20 @@
         LedgerUnavailableError
             The commit was not confirmed; the records may be in the ledger.
         """
-        if not self.breaker.try_acquire_call(self.clock.monotonic()):
+        permit = self.breaker.acquire_call(self.clock.monotonic())
+        if permit is CallPermit.DENIED:
             raise PlatformPausedError(
                 "circuit breaker is open after a platform failure"
             )
         loop = asyncio.get_running_loop()
         results: asyncio.Future[tuple[SubmitResult, ...]] = loop.create_future()
-        self.waiting.append(_PendingRecords(records=tuple(records), results=results))
+        self.waiting.append(
+            _PendingRecords(
+                records=tuple(records),
+                results=results,
+                is_probe=permit is CallPermit.PROBE,
+            )
+        )
         if self.task is None:
             self.task = asyncio.create_task(self._async_run())
         return await results
@@ -134,6 +142,7 @@
 
     def _next_batch(self) -> list[_PendingRecords]:
         """Remove the next batch; skip records whose submitter was cancelled."""
+        self._release_probe(item for item in self.waiting if item.results.done())
         waiting = [item for item in self.waiting if not item.results.done()]
         count = 0
         records = 0
@@ -145,8 +154,14 @@
 
     def _drain(self) -> list[_PendingRecords]:
         waiting, self.waiting = self.waiting, []
+        self._release_probe(waiting)
         return waiting
 
+    def _release_probe(self, dropped: Iterable[_PendingRecords]) -> None:
+        """Release the probe if its records are dropped without a commit."""
+        if any(item.is_probe for item in dropped):
+            self.breaker.release_probe()
+
     async def _async_commit(self, batch: list[_PendingRecords]) -> None:
         self.last_commit = self.clock.monotonic()
         records = [record for item in batch for record in item.records]
--- a/src/gypsumsail/orders/planner.py
+++ b/src/gypsumsail/orders/planner.py
@@ -154,6 +154,8 @@
         self._put_slot(engine)
         if is_loading_desired(engine.state, self.models):
             return
+        if has_slot and not self._may_become_unavailable(engine):
+            return
         self.orders.append(
             PlannedOrder(
                 target=engine.target,
@@ -167,9 +169,18 @@
     def _may_start_load(self, engine: ObservedEngine) -> bool:
         if len(self.slots) >= MAX_CONCURRENT_LOADS:
             return False
+        return self._may_become_unavailable(engine)
+
+    def _may_become_unavailable(self, engine: ObservedEngine) -> bool:
+        """Return whether an order may take the engine out of service.
+
+        Engines that hold a slot are asked as well: another engine may have stopped
+        serving since the slot was given.
+        """
         if not is_serving(engine.state):
             return True
-        return len(self._unavailable()) < self.max_unavailable
+        others = self._unavailable() - {engine.target}
+        return len(others) < self.max_unavailable
 
     def _unavailable(self) -> set[str]:
         """Return the engines that don't serve or that have a slot to load."""
--- a/tests/orders/test_coordinator.py
+++ b/tests/orders/test_coordinator.py
@@ -9,6 +9,7 @@
 from gypsumsail.orders.const import LEASE_DURATION_SECONDS, ROLLOUT_STATE_KEY
 from gypsumsail.orders.coordinator import OrdersCoordinator
 from gypsumsail.orders.diagnostics import diagnostics
+from gypsumsail.targets.port import EngineRole
 
 from .common import ZONES, Deployment, document, loaded, serving
 
@@ -121,7 +122,8 @@
 
 async def test_stale_rollout_state_sends_no_order() -> None:
     deployment = Deployment(3)
-    deployment.documents = (document(2, "v2"),)
+    # Two engines may be unavailable, so that only the stale state prevents the order.
+    deployment.documents = (document(2, "v2", share=1.0),)
     first = deployment.issuer("entry-1")
     await first.async_step()
     deployment.engines[ENGINE].finish()
@@ -135,6 +137,22 @@
     assert deployment.loading_count() == 1
 
 
+async def test_engine_with_a_slot_is_not_ordered_while_too_many_load() -> None:
+    deployment = Deployment(3)
+    deployment.documents = (document(2, "v2"),)
+    first = deployment.issuer("entry-1")
+    await first.async_step()
+    # The order was lost with the engine's restart; its slot remains.
+    deployment.engines[ENGINE].state = serving("v1")
+    neighbour = deployment.engines["engine-1"]
+    neighbour.state = serving("", models=(), role=EngineRole.STANDBY)
+    await first.async_step()
+    assert deployment.loading_count() == 0
+    neighbour.state = serving("v1")
+    await first.async_step()
+    assert deployment.engines[ENGINE].state.loading
+
+
 async def test_issuer_raises_its_fence_above_one_that_engines_have_seen() -> None:
     deployment = Deployment(fencing=True)
     deployment.documents = (document(2, "v2"),)
