--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 import random
 import signal
 import socket
+from time import monotonic
 from typing import Any
 
 from soak.callers import CallResult, call, check_result, pick_kind
@@ -24,6 +25,7 @@
 # Bound of the loop only: 100 s, but the VMs must be ready within 20 s.
 MAX_READY_POLLS = 1_000
 FINAL_CALLS = 30
+INTERPRETER_START_SECONDS = 0.25
 API_KEY = "key-of-a"
 REVOKED_API_KEY = "key-taken-away"
 
@@ -319,7 +321,12 @@
 
 async def _hang_up(soak: Soak) -> None:
     """Send SIGHUP, on which a VM reloads its settings."""
-    soak.pick_vm().send_signal(signal.SIGHUP)
+    vm = soak.pick_vm()
+    # Until the interpreter runs the program's first line, the signal ends the process.
+    await asyncio.sleep(
+        max(0.0, vm.started_at + INTERPRETER_START_SECONDS - monotonic())
+    )
+    vm.send_signal(signal.SIGHUP)
 
 
 async def _cut(soak: Soak) -> None:
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import tempfile
+from time import monotonic
 
 ROOT = Path(__file__).resolve().parent.parent
 SETTINGS_TEMPLATE = """
@@ -40,6 +41,8 @@
         Whether the last signal sent to the current process was SIGSTOP.
     log_offset
         Size of the log file when the current process was started.
+    started_at
+        Monotonic time of the last start, in seconds.
     """
 
     def __init__(self, name: str, host: str, zone: str, base_port: int) -> None:
@@ -53,6 +56,7 @@
         self.directory = Path(tempfile.mkdtemp(prefix="gypsumsail-soak-"))
         self.log = self.directory / f"{name}.log"
         self.log_offset = 0
+        self.started_at = 0.0
 
     def write_settings(self, store: str, seeds: list[str]) -> None:
         """Write the settings file; ``seeds`` are hosts of other VMs."""
@@ -86,6 +90,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.started_at = monotonic()
         self.last_signal_was_stop = False
 
     def has_logged_start(self) -> bool:
--- a/src/gypsumsail/cli/vm.py
+++ b/src/gypsumsail/cli/vm.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+import signal
 
 import click
 
@@ -47,6 +48,10 @@
 
     Exit codes: 0 stopped, 2 invalid settings or no path of a settings file.
     """
+    # A reload signal that arrives before its handler is installed must not end the
+    # process; the settings are read after this line.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
     import uvloop
 
     from gypsumsail.core.findings import SettingsInvalidError
--- a/tests/cli/test_vm.py
+++ b/tests/cli/test_vm.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import os
 from pathlib import Path
+import signal
+import subprocess
+import sys
 
 from click.testing import CliRunner
 import pytest
 
+from bench.processes import ROOT
 from gypsumsail.cli.const import ExitCode
 from gypsumsail.cli.main import main
 from tests.platform.test_settings import VALID_SETTINGS
@@ -49,3 +54,20 @@
     result = CliRunner().invoke(main, ["vm", "run", "--settings", str(path)])
     assert result.exit_code == ExitCode.USAGE
     assert "node" in result.output
+
+
+def test_reload_signal_during_the_start_does_not_end_the_process(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / "boot.toml"
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, str(ROOT / "deploy" / "launch.py"), "vm", "run"],
+        env={**os.environ, "GYPSUMSAIL_CONFIG": str(path)},
+        stderr=subprocess.DEVNULL,
+    )
+    # The process is about to read its settings once it has opened the other end.
+    with path.open("w", encoding="utf-8") as settings:
+        process.send_signal(signal.SIGHUP)
+        settings.write("ip = 7\n")
+    assert process.wait(timeout=20.0) == ExitCode.USAGE
