--- a/soak/run.py
+++ b/soak/run.py
@@ -18,7 +18,12 @@
 from soak.callers import CallResult, call, check_result, pick_kind
 from soak.proxy import Impairment, Proxy
 from soak.vms import Vm
-from stand_ins.v1_platform import ExecutionLog, Target, V1ObjectStore
+from stand_ins.v1_platform import (
+    ExecutionLog,
+    StoreCopy,
+    Target,
+    V1ObjectStore,
+)
 
 CALLS_PER_SECOND = 25.0
 SETTLE_SECONDS = 3.0
@@ -26,6 +31,7 @@
 MAX_READY_POLLS = 1_000
 FINAL_CALLS = 30
 INTERPRETER_START_SECONDS = 0.25
+RESTORE_SHARE = 0.5
 API_KEY = "key-of-a"
 REVOKED_API_KEY = "key-taken-away"
 
@@ -94,6 +100,8 @@
     """Run of one seed."""
 
     def __init__(self, seed: int, vms: int, seconds: float) -> None:
+        # A generator of its own keeps the other faults of a seed as they were.
+        self.restore_random = random.Random(f"restore {seed}")
         self.random = random.Random(seed)
         self.seconds = seconds
         self.report = Report(seed)
@@ -113,6 +121,7 @@
         ]
         self.proxies: dict[str, Proxy] = {}
         self.document_version = 1
+        self.document_keys: list[str] = []
         self.weight_version = 1
         self.call_number = seed * 1_000_000
         self.results: list[CallResult] = []
@@ -123,8 +132,10 @@
         try:
             await self._start()
             faults = asyncio.create_task(self._inject_faults())
+            restores = asyncio.create_task(self._restore_store())
             await self._send_load(self.seconds)
             await faults
+            await restores
             await self._end_faults()
             await self._check_service()
         finally:
@@ -169,6 +180,7 @@
         await asyncio.gather(*(self._wait_until_ready(vm) for vm in self.vms))
 
     async def _put_document(self, keys: list[str]) -> None:
+        self.document_keys = keys
         await self.store.put(
             "config", "main", routing_document(self.document_version, keys)
         )
@@ -224,6 +236,30 @@
             running.add(asyncio.create_task(fault(self)))
         await asyncio.gather(*running)
 
+    async def _restore_store(self) -> None:
+        """Restore the store from an older copy in half of the seeds."""
+        copied_after = self.restore_random.uniform(0.2, 0.5) * self.seconds
+        is_restored = self.restore_random.random() < RESTORE_SHARE
+        age = self.restore_random.uniform(0.5, 2.5)
+        if not is_restored or copied_after + age > self.seconds:
+            return
+        await asyncio.sleep(copied_after)
+        copy = self.store.copy()
+        await asyncio.sleep(age)
+        self.report.faults.append("restore")
+        await self.restore_store(copy)
+
+    async def restore_store(self, copy: StoreCopy) -> None:
+        """Restore the store; the operator and the targets then write again."""
+        await self.store.restore(copy)
+        await asyncio.sleep(self.restore_random.uniform(0.1, 1.0))
+        await self._put_document(self.document_keys)
+        await self.store.put(
+            "versions", "m0", {"model": "m0", "version": self.weight_version}
+        )
+        for target in self.targets:
+            await target.register(target.registered_address)
+
     async def _end_faults(self) -> None:
         """End all faults, restart ended processes and wait until the VMs recover."""
         self.store.fault = ""
--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -22,5 +22,12 @@
 """Time after the store recovers in which removed targets may be listed again."""
 RECENT_OUTAGE_SECONDS: Final = 6.0
 """Time after an outage during which a removal may still be caused by it."""
+RESTORED_CONFIRM_SECONDS: Final = 8.0
+"""Time after which a removed target that a restored store lists again is alive.
+
+The platform removes the record of a target that has been silent for a few heartbeats.
+"""
+MAX_REMEMBERED_REMOVALS: Final = 500
+"""Maximum number of removed targets that are recognized in a restored store."""
 MAX_CONFIRMED_REMOVALS: Final = 500
 """Maximum number of removals confirmed by other VMs that are remembered."""
--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable, Coroutine, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from gypsumsail.catalog.const import MAX_CONFIRMED_REMOVALS, WATCH_SECONDS
@@ -12,6 +12,7 @@
 from gypsumsail.catalog.kind_watch import KindWatch
 from gypsumsail.catalog.peer_updates import PeerUpdate
 from gypsumsail.catalog.pending_removals import PendingRemovals
+from gypsumsail.catalog.restored_targets import RestoredTargets
 from gypsumsail.catalog.store_health import StoreHealth, StoreOutage
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
@@ -20,6 +21,7 @@
 from gypsumsail.gateway.targets import TargetTable
 from gypsumsail.gateway.telemetry import GatewayTelemetry
 from gypsumsail.gateway.weights import WantedWeights
+from gypsumsail.object_api.eras import era_of
 from gypsumsail.object_api.port import ObjectApi, PlatformObject
 
 
@@ -78,6 +80,8 @@
         without an outage.
     on_removal_seen
         Called when this VM sees a removal while the store has no outage for it.
+    restored_targets
+        Removed targets that are listed again because the store was restored.
     """
 
     def __init__(
@@ -103,6 +107,7 @@
         self.on_target_removed = on_target_removed
         self.document: RoutingDocument | None = None
         self.pending_removals = PendingRemovals()
+        self.restored_targets = RestoredTargets()
         self.store_health = {
             kind: StoreHealth(clock.monotonic()) for kind in kinds.all()
         }
@@ -190,6 +195,8 @@
         health = self.store_health[self.kinds.targets]
         for name in self.pending_removals.pop_expired(health, now):
             self._remove_target(name, "not listed again after the store recovered")
+        for entry in self.restored_targets.pop_confirmed(now):
+            self._add_target(entry, now)
 
     def _on_changes(self, kind: str, changes: Changes) -> None:
         """Apply changes that this VM received from the store."""
@@ -221,7 +228,7 @@
             self._activate_document(document)
 
     def _activate_document(self, document: RoutingDocument) -> None:
-        if self.document is not None and document.revision <= self.document.revision:
+        if self.document is not None and not supersedes(document, self.document):
             return
         self.document = document
         self.telemetry.document_in_force(document, self.source)
@@ -238,12 +245,26 @@
                 if name in self.targets.states:
                     self._handle_removal(name, now)
                 continue
-            self._add_target(entry, now)
+            if not changes.is_restored:
+                self._add_target(entry, now)
+            elif not self.restored_targets.hold_back(entry, now):
+                self._add_target(self._with_known_phase(entry), now)
         for key in changes.removed:
             self._handle_removal(key.partition("/")[2], now)
 
+    def _with_known_phase(self, entry: TargetEntry) -> TargetEntry:
+        """Return the entry, leaving if its target is known to leave.
+
+        The record that said so may be lost.
+        """
+        state = self.targets.states.get(entry.name)
+        if state is None or state.entry.life != entry.life or not state.is_leaving:
+            return entry
+        return replace(entry, phase=TargetPhase.LEAVING)
+
     def _add_target(self, entry: TargetEntry, now: float) -> None:
         self.pending_removals.cancel(entry.name)
+        self.restored_targets.cancel(entry.name)
         before = self.targets.states.get(entry.name)
         if before is not None and before.entry.life > entry.life:
             return
@@ -255,6 +276,7 @@
         after.is_leaving = entry.phase is TargetPhase.LEAVING
 
     def _handle_removal(self, name: str, now: float) -> None:
+        self.restored_targets.cancel(name)
         state = self.targets.states.get(name)
         if not self.pending_removals.record_removal(
             name, self.source_outage, self.recovered_at, now
@@ -292,6 +314,7 @@
         if state is None:
             return
         self.targets.remove(name)
+        self.restored_targets.record_removal(state.entry)
         self.telemetry.target_gone(state, reason)
         self.on_target_removed(state.entry)
 
@@ -322,3 +345,15 @@
         # watch, not the length of the outage.
         event = "store regained" if is_up else "store lost"
         self.telemetry.log.write(event, reason=reason, watch_seconds=WATCH_SECONDS)
+
+
+def supersedes(document: RoutingDocument, active: RoutingDocument) -> bool:
+    """Return whether a document replaces the active one.
+
+    Within an era of the store, the latest write does. A restored store may hold an
+    older document than the active one, which stays until the operator writes a newer
+    version.
+    """
+    if era_of(document.revision) == era_of(active.revision):
+        return document.revision > active.revision
+    return document.version > active.version
--- a/src/gypsumsail/catalog/kind_state.py
+++ b/src/gypsumsail/catalog/kind_state.py
@@ -6,15 +6,24 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from gypsumsail.object_api.eras import era_of
 from gypsumsail.object_api.port import Listing, PlatformObject
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Changes:
-    """Objects that an update wrote, and keys that it removed."""
+    """Objects that an update wrote, and keys that it removed.
+
+    Attributes
+    ----------
+    is_restored
+        Whether the update is the first one since the store was restored from an older
+        copy: objects may be older than before, and removals may be lost writes.
+    """
 
     written: tuple[PlatformObject, ...] = ()
     removed: tuple[str, ...] = ()
+    is_restored: bool = False
 
 
 MAX_REMOVALS = 2_000
@@ -40,7 +49,8 @@
     """Objects by key; an older version never replaces a newer one.
 
     Versions of objects are compared with store revisions, so the store must count both
-    on one scale: the version of an object is the revision of its last write.
+    on one scale: the version of an object is the revision of its last write. Both are
+    positions (see ``object_api.eras``), so all objects of a restored store are newer.
 
     Attributes
     ----------
@@ -71,8 +81,9 @@
         for key in removed:
             self._remove(key, listing.revision)
         self.removals_since = self.removals_since or listing.revision
+        is_restored = self._is_restored(listing.revision)
         self.revision = listing.revision
-        return Changes(written=written, removed=removed)
+        return Changes(written=written, removed=removed, is_restored=is_restored)
 
     def apply(self, listing: Listing) -> Changes:
         """Apply the changes that a watch returned."""
@@ -87,8 +98,15 @@
                 continue
             self._remove(obj.key, listing.revision)
             removed.append(obj.key)
+        is_restored = self._is_restored(listing.revision)
         self.revision = max(self.revision, listing.revision)
-        return Changes(written=tuple(written), removed=tuple(removed))
+        return Changes(
+            written=tuple(written), removed=tuple(removed), is_restored=is_restored
+        )
+
+    def _is_restored(self, revision: int) -> bool:
+        """Return whether a newer revision is from a later era than this copy."""
+        return bool(self.revision) and era_of(revision) > era_of(self.revision)
 
     def update_since(self, revision: int) -> Update:
         """Return the changes that a peer with a copy of that revision lacks."""
--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -27,6 +27,8 @@
     ----------
     must_list
         Whether the next call lists the kind instead of watching it.
+    has_just_listed
+        Whether no watch has succeeded since the last listing.
     on_changes
         Called with the kind and its changes.
     is_watcher
@@ -51,6 +53,7 @@
         self.clock = clock
         self.state = KindState()
         self.must_list = True
+        self.has_just_listed = False
         self.on_changes = on_changes
         self.on_availability = on_availability
         self.is_watcher = is_watcher
@@ -74,6 +77,10 @@
             try:
                 changes = await self._async_step()
             except WatchExpiredError:
+                if self.has_just_listed:
+                    # The store does not know the revision that it has just stated, so
+                    # another listing would not help yet.
+                    await asyncio.sleep(pause)
                 self.must_list = True
                 continue
             except TransportError as err:
@@ -94,13 +101,20 @@
         if self.must_list:
             listing = await self.api.async_list(self.kind)
             self.must_list = False
-            return self.state.replace(listing)
+            self.has_just_listed = True
+            changes = self.state.replace(listing)
+            if changes.is_restored and self.health.record_failure():
+                # The store has lost records of live targets until they write again.
+                reason = "the store was restored from an older copy"
+                self.on_availability(False, reason)
+            return changes
         started_at = self.clock.monotonic()
         # A short wait shows sooner whether a failing store has recovered.
         wait = OUTAGE_WATCH_SECONDS if self.health.is_failing else WATCH_SECONDS
         listing = await self.api.async_watch(
             self.kind, after_revision=self.state.revision, wait=wait
         )
+        self.has_just_listed = False
         now = self.clock.monotonic()
         if now - started_at > wait + WATCH_OVERRUN_SECONDS:
             # The store was unavailable for a while, so records may have expired
--- a/src/gypsumsail/orders/lease.py
+++ b/src/gypsumsail/orders/lease.py
@@ -35,6 +35,25 @@
 DEFAULT_TIMING = LeaseTiming()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EraFences:
+    """Fencing numbers of the store's present era.
+
+    Attributes
+    ----------
+    floor
+        Number that all fencing numbers of the era exceed.
+    lost_grants_until
+        Monotonic time until which a grant of an earlier era may be in use.
+    """
+
+    floor: int
+    lost_grants_until: float
+
+
+NO_ERA = EraFences(floor=0, lost_grants_until=float("-inf"))
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseView:
     """The lease as one entry last read it.
@@ -105,6 +124,7 @@
     highest_fence: int,
     now: float,
     timing: LeaseTiming = DEFAULT_TIMING,
+    era_fences: EraFences = NO_ERA,
 ) -> LeaseStep:
     """Decide whether an entry that does not hold the lease acquires it.
 
@@ -118,8 +138,16 @@
     highest_fence
         Highest fencing number that any engine of the zone reports. The new
         number is higher, even if the lease object was deleted.
+    era_fences
+        A record without a fencing number of the store's present era is older than a
+        grant that the store may have lost with its last restore. The lease is not
+        acquired until such a grant has expired.
     """
     record = view.record
+    is_from_earlier_era = record is None or record.fence <= era_fences.floor
+    if is_from_earlier_era and now < era_fences.lost_grants_until:
+        return WaitForLease()
+    highest_fence = max(highest_fence, era_fences.floor)
     if record is not None and record.holder == holder and record.fence >= highest_fence:
         return _write(view.version, holder, record.fence, timing)
     if record is None:
--- a/src/gypsumsail/orders/lease_manager.py
+++ b/src/gypsumsail/orders/lease_manager.py
@@ -6,11 +6,13 @@
 
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
+from gypsumsail.object_api.eras import EraTracker, fence_floor
 from gypsumsail.object_api.port import ConflictError, ObjectApi
 from gypsumsail.orders.codec import decode_lease, encode_lease
 from gypsumsail.orders.const import LEASE_PREFIX
 from gypsumsail.orders.lease import (
     DEFAULT_TIMING,
+    EraFences,
     HeldLease,
     LeaseTiming,
     LeaseView,
@@ -35,6 +37,8 @@
         has expired until the loss is detected; check it with ``may_order``.
     view
         The lease as last read while this entry does not hold it.
+    eras
+        Latest era of the store that holds the lease.
     """
 
     def __init__(
@@ -44,9 +48,11 @@
         zone: str,
         holder: str,
         timing: LeaseTiming = DEFAULT_TIMING,
+        eras: EraTracker | None = None,
     ) -> None:
         self.api = api
         self.timing = timing
+        self.eras = eras if eras is not None else EraTracker()
         self.clock = clock
         self.holder = holder
         self.key = f"{LEASE_PREFIX}{zone}"
@@ -68,11 +74,22 @@
             return
         view = await self._async_read()
         step = decide_acquisition(
-            view, self.holder, highest_fence, self.clock.monotonic(), self.timing
+            view,
+            self.holder,
+            highest_fence,
+            self.clock.monotonic(),
+            self.timing,
+            self._era_fences(),
         )
         if isinstance(step, WriteLease):
             await self._async_write(step)
 
+    def _era_fences(self) -> EraFences:
+        return EraFences(
+            floor=fence_floor(self.eras.current),
+            lost_grants_until=self.eras.since + self.timing.seconds,
+        )
+
     async def async_release(self) -> None:
         """Release the lease, so that another entry can acquire it immediately."""
         held, self.held = self.held, None
--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -48,7 +48,9 @@
 
 def make_ports(settings: VmSettings, path: Path, clock: SystemClock) -> VmPorts:
     """Create the platform adapters of a process."""
-    api = PlatformObjects(JsonClient(settings.object_store), STORE_TIMEOUT_SECONDS)
+    api = PlatformObjects(
+        JsonClient(settings.object_store), STORE_TIMEOUT_SECONDS, clock
+    )
     calls = PlatformTargetCalls(clock)
     engines = PlatformEngines()
 
@@ -58,6 +60,7 @@
 
     return VmPorts(
         object_api=api,
+        eras=api.eras,
         kinds=Kinds(
             documents=names.ROUTING_DOCUMENT_KIND,
             document_key=names.ROUTING_DOCUMENT_KEY,
--- a/src/gypsumsail/platform/client.py
+++ b/src/gypsumsail/platform/client.py
@@ -19,10 +19,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JsonAnswer:
-    """Status and decoded body of an answer; ``None`` stands for an empty body."""
+    """Status, decoded body and headers of an answer.
+
+    Attributes
+    ----------
+    body
+        ``None`` stands for an empty body.
+    headers
+        Names in lowercase, and values.
+    """
 
     status: int
     body: Any
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class JsonClient:
@@ -65,7 +74,9 @@
         answer = await self.client.async_call(
             method, path, timeout=timeout, query=query, body=data, headers=all_headers
         )
-        return JsonAnswer(status=answer.status, body=_decode(answer.body))
+        return JsonAnswer(
+            status=answer.status, body=_decode(answer.body), headers=answer.headers
+        )
 
 
 def _decode(data: bytes) -> Any:
--- a/src/gypsumsail/platform/names.py
+++ b/src/gypsumsail/platform/names.py
@@ -25,6 +25,8 @@
 INSTANCE_ID_HEADER: Final = b"gypsumsail-instance-id"
 """Name of the target that sent an answer."""
 SERVER_LOAD_HEADER: Final = b"gypsumsail-server-load"
+STORE_ERA_HEADER: Final = b"store-era"
+"""Number of the store's restores from an older copy, in all of its answers."""
 WEIGHT_VERSIONS_HEADER: Final = b"gypsumsail-weight-versions"
 
 CONNECTION_HEADERS: Final = frozenset(
--- a/src/gypsumsail/platform/objects.py
+++ b/src/gypsumsail/platform/objects.py
@@ -6,13 +6,22 @@
 import base64
 import binascii
 from collections.abc import Mapping
+import logging
 import secrets
 from typing import Any, Final
 from urllib.parse import quote
 
 import msgspec
 
+from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError, UnavailableError
+from gypsumsail.object_api.eras import (
+    MAX_ERA,
+    EraTracker,
+    era_of,
+    position,
+    revision_of,
+)
 from gypsumsail.object_api.port import (
     MUST_NOT_EXIST,
     ConflictError,
@@ -21,7 +30,9 @@
     WatchExpiredError,
 )
 from gypsumsail.platform.client import JsonAnswer, JsonClient
-from gypsumsail.platform.names import OBJECTS_PATH
+from gypsumsail.platform.names import OBJECTS_PATH, STORE_ERA_HEADER
+
+_LOGGER = logging.getLogger(__name__)
 
 WATCH_TIMEOUT_MARGIN_SECONDS: Final = 0.7
 """How much longer than its ``wait`` a watch may take before it times out."""
@@ -40,11 +51,20 @@
     gateway wrote is returned as its bytes; the value of any other object is the
     JSON of its ``spec``. Further slashes in the name are stored as dots, and a listing
     returns the key with the dots.
+
+    Versions and revisions are positions (see ``object_api.eras``), also in conditions.
+
+    Attributes
+    ----------
+    eras
+        Latest era of the store, from the answers.
     """
 
-    def __init__(self, client: JsonClient, timeout: float) -> None:
+    def __init__(self, client: JsonClient, timeout: float, clock: Clock) -> None:
         self.client = client
         self.timeout = timeout
+        self.clock = clock
+        self.eras = EraTracker()
         self.writer_id = secrets.token_hex(4)
         self.write_count = 0
 
@@ -54,7 +74,7 @@
         if answer.status == 404:
             return None
         _raise_for_status(answer, "get")
-        return _parse_object(_key_kind(key), answer.body)
+        return _parse_object(_key_kind(key), answer.body, self.eras.current)
 
     async def async_list(self, prefix: str, *, allow_stale: bool = False) -> Listing:
         """Return the objects of a kind, up to `MAX_LIST_PAGES` pages.
@@ -71,26 +91,40 @@
         objects: list[PlatformObject] = []
         query = {"stale_ok": "1"} if allow_stale else {}
         revision = 0
+        era: int | None = None
         for _ in range(MAX_LIST_PAGES):
             answer = await self._async_call("GET", _object_path(kind), query=query)
             _raise_for_status(answer, "list")
+            if era not in (None, self.eras.current):
+                raise TransportError(
+                    "list: the store was restored meanwhile", sent=True
+                )
+            era = self.eras.current
             body = _require_mapping(answer.body)
             items = body.get("items")
             if not isinstance(items, list):
                 raise TransportError("list: the answer has no list of items", sent=True)
             objects += [
-                item for raw in items if (item := _parse_object(kind, raw)) is not None
+                item
+                for raw in items
+                if (item := _parse_object(kind, raw, era)) is not None
             ]
             # The revision of the first page is returned, so that a watch from it also
             # reports changes made while later pages were read.
-            revision = revision or _parse_revision(body)
+            revision = revision or position(era, _parse_revision(body))
             if not body.get("has_more") or not items:
                 break
             query = {**query, "after": _metadata_name(items[-1])}
         return Listing(objects=tuple(objects), revision=revision)
 
     async def async_put(self, key: str, value: bytes, *, if_version: int) -> int:
-        """Write the object if its version is ``if_version``; return the new version."""
+        """Write the object if its version is ``if_version``; return the new version.
+
+        A condition from an earlier era of the store is a conflict, as its revision may
+        have been given out again.
+        """
+        self._check_condition(key, if_version)
+        era = self.eras.current
         name = _key_name(key)
         # The platform ignores a write that changes nothing and keeps the version, so
         # each write carries a unique ID.
@@ -105,26 +139,29 @@
                 "POST", _object_path(_key_kind(key)), body=body
             )
         else:
-            body["metadata"]["rev"] = if_version
+            body["metadata"]["rev"] = revision_of(if_version)
             answer = await self._async_call("PUT", _object_path(key), body=body)
         if answer.status == 404:
             raise ConflictError(f"{key} does not exist", current=0)
         if answer.status == 409:
-            current = _parse_object(_key_kind(key), answer.body)
+            current = _parse_object(_key_kind(key), answer.body, self.eras.current)
             version = current.version if current is not None else 0
             raise ConflictError(
                 f"{key} has a different version (current: {version}, 0 if unknown)",
                 current=version,
             )
         _raise_for_status(answer, "put")
-        written = _parse_object(_key_kind(key), answer.body)
+        if era and self.eras.current != era:
+            raise ConflictError(f"{key}: the store was restored meanwhile", current=0)
+        written = _parse_object(_key_kind(key), answer.body, self.eras.current)
         if written is None:
             raise TransportError("put: the answer contains no valid object", sent=True)
         return written.version
 
     async def async_delete(self, key: str, *, if_version: int) -> None:
         """Delete the object if its version is ``if_version``."""
-        query = {"rev": str(if_version)}
+        self._check_condition(key, if_version)
+        query = {"rev": str(revision_of(if_version))}
         answer = await self._async_call("DELETE", _object_path(key), query=query)
         if answer.status in (404, 409):
             raise ConflictError(
@@ -137,7 +174,11 @@
     ) -> Listing:
         """Wait up to ``wait`` seconds for changes of the kind ``prefix``."""
         kind = prefix.rstrip("/")
-        query = {"watch": str(after_revision), "wait_ms": str(int(wait * 1000))}
+        query = {
+            "watch": str(revision_of(after_revision)),
+            "wait_ms": str(int(wait * 1000)),
+        }
+        self._check_watch(after_revision)
         answer = await self.client.async_call(
             "GET",
             _object_path(kind),
@@ -145,14 +186,33 @@
             timeout=wait + WATCH_TIMEOUT_MARGIN_SECONDS,
         )
         if answer.status == 410:
+            self._observe_era(answer)
             raise WatchExpiredError(f"revision {after_revision} is no longer available")
         _raise_for_status(answer, "watch")
+        era = self._observe_era(answer)
+        self._check_watch(after_revision)
         body = _require_mapping(answer.body)
         events = body.get("events")
         if not isinstance(events, list):
             raise TransportError("watch: the answer has no list of events", sent=True)
-        changes = [change for raw in events if (change := _parse_change(kind, raw))]
-        return Listing(objects=tuple(changes), revision=_parse_revision(body))
+        changes = [
+            change for raw in events if (change := _parse_change(kind, raw, era))
+        ]
+        revision = position(era, _parse_revision(body))
+        return Listing(objects=tuple(changes), revision=revision)
+
+    def _check_condition(self, key: str, if_version: int) -> None:
+        if if_version != MUST_NOT_EXIST and era_of(if_version) != self.eras.current:
+            message = f"{key} was read before the store was restored"
+            raise ConflictError(message, current=0)
+
+    def _check_watch(self, after_revision: int) -> None:
+        if era_of(after_revision) != self.eras.current:
+            message = f"revision {after_revision} is from an earlier era of the store"
+            raise WatchExpiredError(message)
+
+    def _observe_era(self, answer: JsonAnswer) -> int:
+        return self.eras.observe(_parse_era(answer), self.clock.monotonic())
 
     async def _async_call(
         self,
@@ -169,13 +229,15 @@
         """
         try:
             async with asyncio.timeout(self.timeout):
-                return await self.client.async_call(
+                answer = await self.client.async_call(
                     method, path, timeout=self.timeout, query=query, body=body
                 )
         except TimeoutError as err:
             raise TransportError(
                 f"{method} {path}: no answer within the time limit", sent=True
             ) from err
+        self._observe_era(answer)
+        return answer
 
 
 def _key_kind(key: str) -> str:
@@ -206,6 +268,17 @@
     return value
 
 
+def _parse_era(answer: JsonAnswer) -> int | None:
+    """Return the era that an answer states; ``None`` if it is missing or invalid."""
+    for name, value in answer.headers:
+        if name != STORE_ERA_HEADER:
+            continue
+        if value.isdigit() and int(value) <= MAX_ERA:
+            return int(value)
+        _LOGGER.warning("Era of the store is invalid and ignored: %r", value)
+    return None
+
+
 def _parse_revision(body: Mapping[str, Any]) -> int:
     revision = body.get("store_revision")
     if not isinstance(revision, int):
@@ -219,16 +292,16 @@
     return name if isinstance(name, str) else ""
 
 
-def _parse_change(kind: str, raw: Any) -> PlatformObject | None:
+def _parse_change(kind: str, raw: Any, era: int) -> PlatformObject | None:
     if not isinstance(raw, dict):
         return None
-    found = _parse_object(kind, raw.get("object"))
+    found = _parse_object(kind, raw.get("object"), era)
     if found is None or not raw.get("deleted"):
         return found
     return PlatformObject(key=found.key, version=found.version, value=None)
 
 
-def _parse_object(kind: str, raw: Any) -> PlatformObject | None:
+def _parse_object(kind: str, raw: Any, era: int) -> PlatformObject | None:
     """Return the object, or ``None`` if it has no valid name or version (``rev``)."""
     if not isinstance(raw, dict) or not (name := _metadata_name(raw)):
         return None
@@ -236,7 +309,9 @@
     if not isinstance(version, int):
         return None
     return PlatformObject(
-        key=f"{kind}/{name}", version=version, value=_decode_spec(raw.get("spec"))
+        key=f"{kind}/{name}",
+        version=position(era, version),
+        value=_decode_spec(raw.get("spec")),
     )
 
 
--- a/src/gypsumsail/transport/bytes_client.py
+++ b/src/gypsumsail/transport/bytes_client.py
@@ -17,10 +17,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BytesResponse:
-    """Status and body of a response."""
+    """Status, body and headers of a response; header names are in lowercase."""
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class BytesClient:
@@ -70,7 +71,9 @@
         except TimeoutError as err:
             message = f"{method} {path}: no response within {timeout:g} s"
             raise TransportError(message, sent=is_sent) from err
-        return BytesResponse(status=connection.status, body=data)
+        return BytesResponse(
+            status=connection.status, body=data, headers=tuple(connection.headers)
+        )
 
     def _encode(
         self,
--- a/src/gypsumsail/vm/ports.py
+++ b/src/gypsumsail/vm/ports.py
@@ -9,6 +9,7 @@
 from gypsumsail.context_stores.port import ContextStores
 from gypsumsail.gateway.models import Call, TargetEntry
 from gypsumsail.gateway.port import CallerReply, TargetClient
+from gypsumsail.object_api.eras import EraTracker
 from gypsumsail.object_api.port import Listing, ObjectApi
 from gypsumsail.rollout.port import EngineOrders
 from gypsumsail.transport.http_reply import Reply
@@ -24,6 +25,8 @@
     ----------
     object_api
         API of the platform's object store.
+    eras
+        Latest era of that store that this VM has seen.
     kinds
         Object kinds that the catalog reads.
     decoder
@@ -51,6 +54,7 @@
     """
 
     object_api: ObjectApi
+    eras: EraTracker
     kinds: Kinds
     decoder: Decoder
     calls: TargetClient
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -179,7 +179,12 @@
         )
         holder = f"{self.settings.vm}@{self.settings.host}"
         lease_manager = LeaseManager(
-            self.ports.object_api, self.clock, LEASE_NAME, holder, timing
+            self.ports.object_api,
+            self.clock,
+            LEASE_NAME,
+            holder,
+            timing,
+            self.ports.eras,
         )
         rollout = RolloutCoordinator(
             self.settings.vm,
--- a/src/gypsumsail/vm/vm_list.py
+++ b/src/gypsumsail/vm/vm_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 
 import cbor2
 
@@ -18,7 +19,14 @@
 
 
 class VmRegistration:
-    """Registration of this VM and list of the other VMs; records never expire."""
+    """Registration of this VM and list of the other VMs; records never expire.
+
+    Attributes
+    ----------
+    registered_era
+        Era of the store in which this VM was registered; ``None`` before that. A store
+        that is restored from an older copy may have lost the record.
+    """
 
     def __init__(
         self,
@@ -33,18 +41,20 @@
         self.peers = peers
         self.clock = clock
         self.log = log
-        self.is_registered = False
+        self.registered_era: int | None = None
+        self.random = Random()
 
     async def async_run(self) -> None:
         """Register this VM once, and read the list periodically."""
         while True:
             try:
-                if not self.is_registered:
+                if self.registered_era != self.ports.eras.current:
                     await self._async_register()
                 await self._async_refresh_peers()
             except TransportError as err:
                 self.log.write("list of VMs not read", reason=str(err))
-            await asyncio.sleep(VM_LIST_POLL_SECONDS)
+            # The jitter spreads the calls of VMs that started together.
+            await asyncio.sleep(VM_LIST_POLL_SECONDS * self.random.uniform(0.5, 1.5))
 
     async def _async_register(self) -> None:
         key = f"{self.ports.vms_kind}/{self.settings.vm}"
@@ -53,7 +63,7 @@
             await self.ports.object_api.async_put(key, value, if_version=MUST_NOT_EXIST)
         except ConflictError as err:
             await self._async_replace(key, value, err.current)
-        self.is_registered = True
+        self.registered_era = self.ports.eras.current
 
     async def _async_replace(self, key: str, value: bytes, version: int) -> None:
         """Replace the record of an earlier VM of the same name."""
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -25,6 +25,14 @@
     return hashlib.blake2b(f"{request_id}/{event}".encode(), digest_size=8).hexdigest()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """Copy of all objects of the store at a revision."""
+
+    objects: dict[str, dict[str, dict[str, Any]]]
+    revision: int
+
+
 class V1ObjectStore:
     """Versioned objects by kind and name, with watches.
 
@@ -38,9 +46,12 @@
         Empty, ``busy`` (status 503), ``reset`` (the connection is reset), ``silent``
         (no response for 30 s) or ``lost`` (a write is applied, but its response is
         not sent).
+    era
+        Number of restores from an older copy, plus one; in all answers.
     """
 
     def __init__(self) -> None:
+        self.era = 1
         self.server = RawServer(self.handle)
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -72,6 +83,23 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(
+            objects={kind: dict(found) for kind, found in self.objects.items()},
+            revision=self.revision,
+        )
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Lose all changes since a copy and give out their revisions again."""
+        self.era += 1
+        self.objects = {kind: dict(found) for kind, found in copy.objects.items()}
+        self.revision = copy.revision
+        self.history.clear()
+        self.compacted_revision = 0
+        async with self.changed:
+            self.changed.notify_all()
+
     async def _record_change(
         self, kind: str, found: dict[str, Any], *, deleted: bool
     ) -> None:
@@ -83,7 +111,7 @@
         """Respond to one call; return whether the connection stays open."""
         match self.fault:
             case "busy":
-                writer.write(encode_response(503))
+                writer.write(encode_response(503, b"", self._headers()))
                 return True
             case "reset":
                 reset_connection(writer)
@@ -101,9 +129,13 @@
             if self.fault == "lost":
                 reset_connection(writer)
                 return False
-        writer.write(encode_response(status, json.dumps(body).encode()))
+        data = json.dumps(body).encode()
+        writer.write(encode_response(status, data, self._headers()))
         return True
 
+    def _headers(self) -> dict[str, str]:
+        return {"Store-Era": str(self.era)}
+
     async def _read(
         self, kind: str, name: str, query: dict[str, str]
     ) -> tuple[int, Any]:
@@ -124,10 +156,13 @@
     async def _watch(
         self, kind: str, after_revision: int, wait: float
     ) -> tuple[int, Any]:
-        if after_revision < self.compacted_revision:
+        if not self.compacted_revision <= after_revision <= self.revision:
             return 410, {}
+        era = self.era
         end = time.monotonic() + wait
         while True:
+            if self.era != era:
+                return 410, {}
             events = [
                 {"object": found, "deleted": deleted}
                 for revision, changed_kind, found, deleted in self.history
--- a/tests/orders/test_lease.py
+++ b/tests/orders/test_lease.py
@@ -10,6 +10,7 @@
 import pytest
 
 from gypsumsail.core.errors import TransportError
+from gypsumsail.object_api.eras import EraTracker, fence_floor
 from gypsumsail.orders.codec import decode_lease, decode_rollout_state
 from gypsumsail.orders.const import LEASE_DURATION_SECONDS, LEASE_RENEW_SECONDS
 from gypsumsail.orders.errors import OrdersCorruptError
@@ -118,3 +119,57 @@
     for decode in (decode_lease, decode_rollout_state):
         with suppress(OrdersCorruptError):
             decode(value)
+
+
+class RestoredPair(Pair):
+    """Two entries that know the era of a store that loses the lease."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.eras = EraTracker(current=1)
+        self.first.eras = self.second.eras = self.eras
+
+    def lose_lease(self) -> None:
+        self.api.objects.clear()
+        self.eras.observe(2, self.clock.now)
+
+
+async def test_lost_lease_is_not_given_out_while_its_holder_may_order() -> None:
+    pair = RestoredPair()
+    await pair.first.async_step(0)
+    pair.lose_lease()
+    await pair.second.async_step(0)
+    assert pair.may_order(pair.first)
+    assert not pair.may_order(pair.second)
+    pair.clock.now += LEASE_DURATION_SECONDS
+    await pair.second.async_step(0)
+    assert not pair.may_order(pair.first)
+    assert pair.may_order(pair.second)
+
+
+async def test_fences_of_a_lost_lease_are_not_given_out_again() -> None:
+    pair = RestoredPair()
+    await pair.first.async_step(0)
+    assert pair.first.held is not None
+    lost = pair.first.held.fence
+    pair.lose_lease()
+    pair.clock.now += LEASE_DURATION_SECONDS
+    await pair.second.async_step(0)
+    assert pair.second.held is not None
+    assert lost <= fence_floor(2) < pair.second.held.fence
+
+
+async def test_holder_does_not_continue_its_own_older_lease() -> None:
+    pair = RestoredPair()
+    await pair.second.async_step(0)
+    older = dict(pair.api.objects)
+    pair.clock.now += LEASE_DURATION_SECONDS
+    await pair.first.async_step(0)
+    pair.clock.now += LEASE_DURATION_SECONDS
+    await pair.first.async_step(0)
+    assert pair.may_order(pair.first)
+    pair.lose_lease()
+    pair.api.objects.update(older)
+    pair.second.held = None
+    await pair.second.async_step(0)
+    assert not pair.may_order(pair.second)
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -12,9 +12,11 @@
 
 from gypsumsail.core.errors import TransportError, UnavailableError
 from gypsumsail.gateway.models import Address
+from gypsumsail.object_api.eras import position
 from gypsumsail.object_api.port import ConflictError, WatchExpiredError
 from gypsumsail.platform.client import JsonClient
 from gypsumsail.platform.objects import PlatformObjects
+from tests.common import ManualClock
 from tests.raw_server import raw_server
 
 
@@ -22,9 +24,10 @@
     return {"metadata": {"name": name, "rev": rev}, "spec": spec, "status": None}
 
 
-def http_response(body: Any, status: int = 200) -> bytes:
+def http_response(body: Any, status: int = 200, era: str | None = None) -> bytes:
     data = body if isinstance(body, bytes) else json.dumps(body).encode()
-    head = f"HTTP/1.1 {status} S\r\nContent-Length: {len(data)}\r\n\r\n"
+    head = f"HTTP/1.1 {status} S\r\nContent-Length: {len(data)}\r\n"
+    head += "\r\n" if era is None else f"Store-Era: {era}\r\n\r\n"
     return head.encode() + data
 
 
@@ -35,7 +38,7 @@
         assert parts.hostname is not None
         assert parts.port is not None
         client = JsonClient(Address(host=parts.hostname, port=parts.port))
-        yield PlatformObjects(client, 0.5)
+        yield PlatformObjects(client, 0.5, ManualClock())
         client.close()
 
 
@@ -164,3 +167,90 @@
         stored = await objects.async_get("k/a")
     assert stored is not None
     assert stored.value == b"\x01\x02"
+
+
+LISTING = {"items": [object_json("a", 3, 1)], "has_more": False, "store_revision": 9}
+WRITTEN = object_json("a", 4, {"base64": "AQI=", "write": "x.1"})
+
+
+async def test_versions_and_revisions_carry_the_era() -> None:
+    changes = {"events": [{"object": object_json("a", 10, 2)}], "store_revision": 11}
+    async with serve_objects(
+        http_response(LISTING, era="2"), http_response(changes, era="2")
+    ) as objects:
+        listing = await objects.async_list("k")
+        watched = await objects.async_watch(
+            "k", after_revision=listing.revision, wait=0.1
+        )
+    assert listing.revision == position(2, 9)
+    assert [item.version for item in listing.objects] == [position(2, 3)]
+    assert watched.revision == position(2, 11)
+    assert [item.version for item in watched.objects] == [position(2, 10)]
+
+
+async def test_watch_from_an_earlier_era_expires_without_a_call() -> None:
+    async with serve_objects(http_response(LISTING, era="2")) as objects:
+        await objects.async_list("k")
+        with pytest.raises(WatchExpiredError, match="earlier era"):
+            await objects.async_watch("k", after_revision=position(1, 9), wait=0.1)
+
+
+async def test_watch_that_is_answered_in_a_later_era_expires() -> None:
+    no_changes = {"events": [], "store_revision": 9}
+    async with serve_objects(
+        http_response(LISTING, era="1"), http_response(no_changes, era="2")
+    ) as objects:
+        listing = await objects.async_list("k")
+        with pytest.raises(WatchExpiredError, match="earlier era"):
+            await objects.async_watch("k", after_revision=listing.revision, wait=0.1)
+
+
+async def test_condition_from_an_earlier_era_is_a_conflict_without_a_call() -> None:
+    async with serve_objects(http_response(LISTING, era="2")) as objects:
+        await objects.async_list("k")
+        with pytest.raises(ConflictError, match="before the store was restored"):
+            await objects.async_put("k/a", b"", if_version=position(1, 3))
+        with pytest.raises(ConflictError, match="before the store was restored"):
+            await objects.async_delete("k/a", if_version=position(1, 3))
+
+
+async def test_write_that_is_answered_in_a_later_era_is_a_conflict() -> None:
+    async with serve_objects(
+        http_response(LISTING, era="1"), http_response(WRITTEN, era="2")
+    ) as objects:
+        await objects.async_list("k")
+        with pytest.raises(ConflictError, match="restored meanwhile"):
+            await objects.async_put("k/a", b"", if_version=position(1, 3))
+
+
+async def test_first_answer_that_states_an_era_is_no_restore() -> None:
+    async with serve_objects(http_response(WRITTEN, era="7")) as objects:
+        version = await objects.async_put("k/a", b"", if_version=0)
+    assert version == position(7, 4)
+
+
+async def test_list_whose_pages_are_of_two_eras_is_rejected() -> None:
+    first = {"items": [object_json("a", 3, 1)], "has_more": True, "store_revision": 9}
+    async with serve_objects(
+        http_response(first, era="1"), http_response(LISTING, era="2")
+    ) as objects:
+        with pytest.raises(TransportError, match="restored meanwhile"):
+            await objects.async_list("k")
+
+
+async def test_answer_of_an_earlier_era_is_rejected() -> None:
+    async with serve_objects(
+        http_response(LISTING, era="3"), http_response(LISTING, era="2")
+    ) as objects:
+        await objects.async_list("k")
+        with pytest.raises(TransportError, match="era 2"):
+            await objects.async_list("k")
+
+
+@pytest.mark.parametrize("era", [None, "", "x", "-1", "1.5", "99999999999"])
+async def test_missing_or_invalid_era_counts_as_the_latest_one(era: str | None) -> None:
+    async with serve_objects(
+        http_response(LISTING, era="3"), http_response(LISTING, era=era)
+    ) as objects:
+        await objects.async_list("k")
+        assert (await objects.async_list("k")).revision == position(3, 9)
--- a/tests/specs/lease_spec.py
+++ b/tests/specs/lease_spec.py
@@ -5,6 +5,10 @@
 remaining times that stop at a bound, so the state space is finite although time never
 ends. The platform applies a write some time after it was sent, and the answer may be
 late or lost. ``fence`` is the fencing number (fencing token) of a lease.
+
+With ``restores``, the platform may once return from an older copy. It then starts a
+new era and gives out versions again, so a condition on a version of the earlier era may
+hold although the lease has changed. Entries compare versions together with the era.
 """
 
 from __future__ import annotations
@@ -20,6 +24,9 @@
 # The holder stops sending orders this long before its lease ends.
 LEASE_MARGIN_STEPS: Final = 1
 MAX_VERSION: Final = 3
+MAX_VERSION_WITH_RESTORES: Final = 2
+# Step between the values that versions and fencing numbers have in different eras.
+ERA_STEP: Final = 10
 
 
 class Write(NamedTuple):
@@ -41,7 +48,8 @@
     ``order_time_left`` is the time for which it may still send orders. ``seen_version``
     is the version that the entry read last, and ``unchanged_for`` is the time since it
     first read that version. ``timed_out_write`` is a write whose answer the entry no
-    longer waits for.
+    longer waits for. ``era`` is the latest era that the entry has seen, and
+    ``era_known_for`` the time since it first saw it.
     """
 
     version: int = 0
@@ -53,15 +61,34 @@
     unchanged_for: int = 0
     write: Write | None = None
     timed_out_write: Write | None = None
+    era: int = 0
+    era_known_for: int = LEASE_DURATION_STEPS
+
+
+class Lease(NamedTuple):
+    """The lease on the platform; its version counts from 0 in each era."""
+
+    version: int = 0
+    holder: int = UNSET
+    fence: int = 0
 
 
 class State(NamedTuple):
-    """The lease on the platform and the entries."""
+    """The lease on the platform and the entries.
+
+    ``copy`` is the copy from which the platform may return, ``lost_fence`` the highest
+    fencing number before that, and ``has_fence_fallen`` whether a number that is not
+    higher was granted afterwards.
+    """
 
     version: int = 0
     holder: int = UNSET
     fence: int = 0
     entries: tuple[Entry, ...] = tuple(Entry() for _ in ENTRIES)
+    era: int = 0
+    copy: Lease | None = None
+    lost_fence: int = 0
+    has_fence_fallen: bool = False
 
 
 class Guards(NamedTuple):
@@ -78,12 +105,27 @@
         The platform applies a write only if the lease has the expected version.
     answer_required
         An entry holds the lease only after its write was answered.
+    waits_after_restore
+        An entry that has seen a new era acquires a lease of an earlier era only after
+        the lease duration.
+    fences_rise_with_era
+        Fencing numbers of an era are higher than those of earlier eras.
+    versions_carry_era
+        An entry treats a write as failed if the era has changed since it read the
+        version of the condition.
+    restores
+        Not a rule: whether the platform may return from a copy. The model is then
+        smaller elsewhere: no write is applied after its timeout, and fewer versions.
     """
 
     lease_counted_from_send: bool = True
     waits_full_lease: bool = True
     conditional_write: bool = True
     answer_required: bool = True
+    waits_after_restore: bool = True
+    fences_rise_with_era: bool = True
+    versions_carry_era: bool = True
+    restores: bool = False
 
 
 ALL_GUARDS: Final = Guards()
@@ -94,28 +136,49 @@
     return entry.version > 0 and entry.order_time_left > 0
 
 
+def era_floor(entry: Entry, guards: Guards = ALL_GUARDS) -> int:
+    """Return the number that all fencing numbers of the entry's era exceed."""
+    return entry.era * ERA_STEP if guards.fences_rise_with_era else 0
+
+
 def may_acquire(entry: Entry, number: int, guards: Guards) -> bool:
     """Return whether an entry without a lease may try to acquire it."""
-    if entry.seen_holder in (UNSET, number) or not guards.waits_full_lease:
+    is_from_earlier_era = entry.seen_fence <= entry.era * ERA_STEP
+    is_grant_lost = entry.era_known_for < LEASE_DURATION_STEPS
+    if guards.waits_after_restore and is_from_earlier_era and is_grant_lost:
+        return False
+    if entry.seen_holder == UNSET or not guards.waits_full_lease:
+        return True
+    if entry.seen_holder == number and entry.seen_fence >= era_floor(entry, guards):
         return True
     return entry.unchanged_for >= LEASE_DURATION_STEPS
 
 
-def next_fence(entry: Entry, number: int) -> int:
+def next_fence(entry: Entry, number: int, guards: Guards = ALL_GUARDS) -> int:
     """Return the fencing number that an entry writes when it acquires the lease."""
-    return entry.seen_fence if entry.seen_holder == number else entry.seen_fence + 1
+    floor = era_floor(entry, guards)
+    if entry.seen_holder == number and entry.seen_fence >= floor:
+        return entry.seen_fence
+    return max(entry.seen_fence, floor) + 1
 
 
-def specification(guards: Guards = ALL_GUARDS) -> Specification:
+def specification(
+    guards: Guards = ALL_GUARDS, *, restores: bool = False
+) -> Specification:
     """Build the specification with the given guards."""
-    disabled = [name for name, enabled in guards._asdict().items() if not enabled]
+    rules = guards._replace(restores=True)._asdict()
+    disabled = [name for name, enabled in rules.items() if not enabled]
     return Specification(
-        name=f"lease, disabled guards: {', '.join(disabled) or 'none'}",
+        name=f"lease, restores {restores}, disabled guards: "
+        f"{', '.join(disabled) or 'none'}",
         initial=State(),
-        transitions=lambda state: _transitions(state, guards),
+        transitions=lambda state: _transitions(
+            state, guards._replace(restores=restores)
+        ),
         invariants={
             "at_most_one_may_order": _at_most_one_may_order,
             "holders_have_different_fences": _holders_have_different_fences,
+            "fences_never_fall": lambda fields: not fields["has_fence_fallen"],
         },
     )
 
@@ -136,6 +199,8 @@
         steps += _entry_steps(state, number, guards)
         steps += _write_steps(state, number, guards)
         steps += _timed_out_write_steps(state, number, guards)
+    if guards.restores:
+        steps += _restore_steps(state)
     return [(label, _drop_obsolete_writes(after, guards)) for label, after in steps]
 
 
@@ -150,10 +215,42 @@
     return entry._replace(
         order_time_left=max(0, entry.order_time_left - 1),
         unchanged_for=min(LEASE_DURATION_STEPS, entry.unchanged_for + 1),
+        era_known_for=min(LEASE_DURATION_STEPS, entry.era_known_for + 1),
         write=write,
     )
 
 
+def _restore_steps(state: State) -> list[Step]:
+    """Return the steps of a platform that copies its state once and returns to it.
+
+    Nothing could be written after a return to the last version, so it is not copied.
+    """
+    if state.era:
+        return []
+    if state.copy is None:
+        if state.version >= MAX_VERSION_WITH_RESTORES:
+            return []
+        copy = Lease(state.version, state.holder, state.fence)
+        return [("the platform is copied", state._replace(copy=copy))]
+    fences = (state.fence, *(entry.fence for entry in state.entries))
+    restored = state._replace(
+        **state.copy._asdict(), era=1, copy=None, lost_fence=max(fences)
+    )
+    return [("the platform returns from the copy", restored)]
+
+
+def position(state: State) -> int:
+    """Return the version of the lease together with the era."""
+    return state.era * ERA_STEP + state.version
+
+
+def _with_era(entry: Entry, era: int) -> Entry:
+    """Return the entry after an answer that states the era."""
+    if entry.era == era:
+        return entry
+    return entry._replace(era=era, era_known_for=0)
+
+
 def replace_entry(state: State, number: int, entry: Entry) -> State:
     """Return the state with one entry replaced."""
     entries = list(state.entries)
@@ -166,14 +263,22 @@
     if entry.write is not None:
         return []
     name = f"entry {number}"
+    steps: list[Step] = []
+    if entry.era != state.era:
+        informed = _with_era(entry, state.era)
+        steps.append((f"{name} sees the era", replace_entry(state, number, informed)))
     if entry.version > 0:
+        if guards.versions_carry_era and entry.version // ERA_STEP != entry.era:
+            lost = entry._replace(version=0, fence=0, order_time_left=0)
+            steps.append((f"{name} drops it", replace_entry(state, number, lost)))
+            return steps
         write = Write(entry.version, entry.fence)
         renewing = entry._replace(write=write)
-        return [(f"{name} renews", replace_entry(state, number, renewing))]
-    steps: list[Step] = []
-    if entry.seen_version != state.version:
-        observed = entry._replace(
-            seen_version=state.version,
+        steps.append((f"{name} renews", replace_entry(state, number, renewing)))
+        return steps
+    if entry.seen_version != position(state):
+        observed = _with_era(entry, state.era)._replace(
+            seen_version=position(state),
             seen_holder=state.holder,
             seen_fence=state.fence,
             unchanged_for=0,
@@ -182,7 +287,7 @@
             (f"{name} reads the lease", replace_entry(state, number, observed))
         )
     if entry.seen_version != UNSET and may_acquire(entry, number, guards):
-        write = Write(entry.seen_version, next_fence(entry, number))
+        write = Write(entry.seen_version, next_fence(entry, number, guards))
         acquiring = entry._replace(write=write)
         steps.append(
             (
@@ -204,16 +309,23 @@
     steps: list[Step] = []
     if _is_applicable(state, write, guards):
         applied = entry._replace(
-            write=write._replace(applied_version=state.version + 1)
+            write=write._replace(applied_version=position(state) + 1)
         )
         next_state = _apply_write(replace_entry(state, number, applied), number, write)
         steps.append((f"write of {name} is applied", next_state))
-    if write.if_version != state.version and guards.conditional_write:
-        refused = entry._replace(version=0, fence=0, order_time_left=0, write=None)
+    if not _is_condition_met(state, write) and guards.conditional_write:
+        refused = _with_era(entry, state.era)._replace(
+            version=0, fence=0, order_time_left=0, write=None
+        )
         steps.append(
             (f"{name} receives a conflict", replace_entry(state, number, refused))
         )
-    if entry.timed_out_write is None:
+    if guards.restores:
+        timed_out = entry._replace(write=None)
+        steps.append(
+            (f"write of {name} is lost", replace_entry(state, number, timed_out))
+        )
+    elif entry.timed_out_write is None:
         # The age of a timed-out write has no effect; resetting it merges states.
         timed_out = entry._replace(write=None, timed_out_write=write._replace(age=0))
         steps.append(
@@ -240,10 +352,13 @@
     """
     if not guards.conditional_write:
         return state
+    # A copy with a lower version makes the condition hold again.
+    may_return = state.copy is not None
     entries = tuple(
         entry._replace(timed_out_write=None)
         if entry.timed_out_write is not None
-        and entry.timed_out_write.if_version < state.version
+        and entry.timed_out_write.if_version % ERA_STEP < state.version
+        and not may_return
         else entry
         for entry in state.entries
     )
@@ -251,9 +366,17 @@
 
 
 def _is_applicable(state: State, write: Write, guards: Guards) -> bool:
-    if state.version >= MAX_VERSION:
+    if state.version >= (MAX_VERSION_WITH_RESTORES if guards.restores else MAX_VERSION):
         return False
-    return write.if_version == state.version or not guards.conditional_write
+    return _is_condition_met(state, write) or not guards.conditional_write
+
+
+def _is_condition_met(state: State, write: Write) -> bool:
+    """Return whether the platform applies a conditional write.
+
+    It compares versions without the era.
+    """
+    return write.if_version % ERA_STEP == state.version
 
 
 def _apply_write(state: State, number: int, write: Write) -> State:
@@ -266,12 +389,23 @@
     entry = state.entries[number]
     name = f"entry {number}"
     age = write.age if guards.lease_counted_from_send else 0
+    applied_era = write.applied_version // ERA_STEP
+    if guards.versions_carry_era and applied_era != write.if_version // ERA_STEP:
+        refused = _with_era(entry, max(applied_era, entry.era))._replace(
+            version=0, fence=0, order_time_left=0, write=None
+        )
+        return [(f"{name} finds a new era", replace_entry(state, number, refused))]
     held = Entry(
         version=write.applied_version,
         fence=write.fence,
         order_time_left=max(0, LEASE_DURATION_STEPS - LEASE_MARGIN_STEPS - age),
         timed_out_write=entry.timed_out_write,
+        era=max(applied_era, entry.era),
+        era_known_for=entry.era_known_for if applied_era <= entry.era else 0,
     )
+    granted = state
+    if applied_era and write.fence <= state.lost_fence:
+        granted = state._replace(has_fence_fallen=True)
     after_lost_answer = entry._replace(write=None)
     # Without the guard, the entry takes an unanswered write as successful.
     if not guards.answer_required:
@@ -279,6 +413,6 @@
             order_time_left=LEASE_DURATION_STEPS - LEASE_MARGIN_STEPS
         )
     return [
-        (f"{name} is answered", replace_entry(state, number, held)),
+        (f"{name} is answered", replace_entry(granted, number, held)),
         (f"answer to {name} is lost", replace_entry(state, number, after_lost_answer)),
     ]
--- a/tests/specs/test_lease_spec.py
+++ b/tests/specs/test_lease_spec.py
@@ -9,6 +9,8 @@
 
 from gypsumsail.orders.const import LEASE_DURATION_SECONDS, LEASE_MARGIN_SECONDS
 from gypsumsail.orders.lease import (
+    DEFAULT_TIMING,
+    EraFences,
     HeldLease,
     LeaseView,
     WriteLease,
@@ -54,11 +56,29 @@
     assert shortest_violation(lease_spec.specification(guards), "at_most_one_may_order")
 
 
+def test_at_most_one_entry_may_order_although_the_store_is_restored() -> None:
+    assert_invariants_hold(lease_spec.specification(restores=True))
+
+
+@pytest.mark.parametrize(
+    ("guard", "invariant"),
+    [
+        ("waits_after_restore", "at_most_one_may_order"),
+        ("fences_rise_with_era", "fences_never_fall"),
+        ("versions_carry_era", "at_most_one_may_order"),
+    ],
+)
+def test_restore_breaks_the_lease_without_guard(guard: str, invariant: str) -> None:
+    guards = lease_spec.ALL_GUARDS._replace(**{guard: False})
+    specification = lease_spec.specification(guards, restores=True)
+    assert shortest_violation(specification, invariant)
+
+
 def test_code_matches_lease_specification() -> None:
     assert LEASE_DURATION_SECONDS == lease_spec.LEASE_DURATION_STEPS * TIME_STEP_SECONDS
     seen = {
         (number, entry)
-        for transition in lease_spec.specification().iter_transitions()
+        for transition in lease_spec.specification(restores=True).iter_transitions()
         for number, entry in enumerate(transition.state.entries)
     }
     LOGGER.info(
@@ -98,10 +118,15 @@
     )
     view = LeaseView(
         version=entry.seen_version,
-        record=record if entry.seen_version else None,
+        record=record if entry.seen_holder != lease_spec.UNSET else None,
         since=NOW - entry.unchanged_for * TIME_STEP_SECONDS,
     )
-    decision = decide_acquisition(view, str(number), 0, NOW)
+    lost_grant_steps = lease_spec.LEASE_DURATION_STEPS - entry.era_known_for
+    era_fences = EraFences(
+        floor=lease_spec.era_floor(entry),
+        lost_grants_until=NOW + lost_grant_steps * TIME_STEP_SECONDS,
+    )
+    decision = decide_acquisition(view, str(number), 0, NOW, DEFAULT_TIMING, era_fences)
     takes = lease_spec.may_acquire(entry, number, lease_spec.ALL_GUARDS)
     assert isinstance(decision, WriteLease) is takes
     if isinstance(decision, WriteLease):
