--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -10,8 +10,14 @@
 """Maximum wait of a watch request after a failed call to the store."""
 WATCH_OVERRUN_SECONDS: Final = 0.3
 """Delay beyond the requested wait from which a response indicates an outage."""
-WATCHERS_PER_ZONE: Final = 3
-"""Number of VMs per zone that watch a kind on behalf of the others."""
+MIN_WATCHERS: Final = 4
+"""Number of VMs of all zones that watch a kind, at least.
+
+Each zone has at least one, so that it follows the store while it is cut off from the
+other zones. A zone whose only watcher fails learns of changes from the other zones.
+"""
+MAX_WATCHERS_PER_ZONE: Final = 3
+"""Number of VMs per zone that watch a kind, at most."""
 WATCHER_CHECK_SECONDS: Final = 0.2
 """Interval at which a VM checks whether it has to watch a kind."""
 RETRY_SECONDS: Final = 0.25
--- a/src/gypsumsail/vm/const.py
+++ b/src/gypsumsail/vm/const.py
@@ -13,7 +13,16 @@
 PEER_TIMEOUT_SECONDS: Final = 1.0
 """Timeout of a call to another VM."""
 VM_LIST_POLL_SECONDS: Final = 5.0
-"""Interval at which the platform's list of VMs is read."""
+"""Mean interval at which the platform's list of VMs is read."""
+IDLE_VM_LIST_POLL_SECONDS: Final = 60.0
+"""The same of a VM of a large fleet without the duty to read the list.
+
+Such a VM learns of others from their messages.
+"""
+VM_LIST_READERS_PER_ZONE: Final = 1
+"""Number of VMs per zone of a large fleet with the duty to read the list of VMs."""
+VM_LIST_DUTY: Final = "list of VMs"
+"""Name of that duty."""
 PEER_RETRY_SECONDS: Final = 0.5
 """Pause after a failed attempt to fetch updates from a peer."""
 SETTINGS_POLL_SECONDS: Final = 1.0
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -8,8 +8,8 @@
 import signal
 from typing import Any
 
-from gypsumsail.catalog.const import WATCHERS_PER_ZONE
 from gypsumsail.catalog.coordinator import CatalogCoordinator
+from gypsumsail.catalog.watchers import watchers_per_zone
 from gypsumsail.context_stores.coordinator import ContextStoreCoordinator
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
@@ -224,7 +224,10 @@
 
     def _is_watcher(self, kind: str) -> bool:
         now = self.clock.monotonic()
-        return self.peers.is_assigned(kind, WATCHERS_PER_ZONE, now)
+        count = watchers_per_zone(
+            len(self.peers.other_zones()) + 1, is_large=self.peers.is_large(now)
+        )
+        return self.peers.is_assigned(kind, count, now)
 
     def _models_of(self, service: str) -> tuple[str, ...]:
         document = self.catalog.document
--- a/src/gypsumsail/vm/vm_list.py
+++ b/src/gypsumsail/vm/vm_list.py
@@ -13,7 +13,12 @@
 from gypsumsail.gossip.peers import PeerTable
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.object_api.port import MUST_NOT_EXIST, ConflictError, PlatformObject
-from gypsumsail.vm.const import VM_LIST_POLL_SECONDS
+from gypsumsail.vm.const import (
+    IDLE_VM_LIST_POLL_SECONDS,
+    VM_LIST_DUTY,
+    VM_LIST_POLL_SECONDS,
+    VM_LIST_READERS_PER_ZONE,
+)
 from gypsumsail.vm.ports import VmPorts
 from gypsumsail.vm.settings import VmSettings
 
@@ -53,8 +58,26 @@
                 await self._async_refresh_peers()
             except TransportError as err:
                 self.log.write("list of VMs not read", reason=str(err))
-            # The jitter spreads the calls of VMs that started together.
-            await asyncio.sleep(VM_LIST_POLL_SECONDS * self.random.uniform(0.5, 1.5))
+            await self._async_wait_for_next_poll()
+
+    async def _async_wait_for_next_poll(self) -> None:
+        """Wait until the list is due, or this VM has to be registered again."""
+        # The jitter spreads the calls of VMs that started together.
+        jitter = self.random.uniform(0.5, 1.5)
+        started_at = self.clock.monotonic()
+        while True:
+            await asyncio.sleep(VM_LIST_POLL_SECONDS * jitter)
+            now = self.clock.monotonic()
+            if now - started_at >= self._poll_seconds(now) * jitter:
+                return
+            if self.registered_era != self.ports.eras.current:
+                return
+
+    def _poll_seconds(self, now: float) -> float:
+        is_reader = not self.peers.is_large(now) or self.peers.is_assigned(
+            VM_LIST_DUTY, VM_LIST_READERS_PER_ZONE, now
+        )
+        return VM_LIST_POLL_SECONDS if is_reader else IDLE_VM_LIST_POLL_SECONDS
 
     async def _async_register(self) -> None:
         key = f"{self.ports.vms_kind}/{self.settings.vm}"
