Refuse streams before their callers leave, and learn engine speeds sooner

The prefill speed moved by a twentieth with each sample from an assumption that is a seventh of the real speed there. Change: the time by which a caller needs its first event bounds the queue; the first samples of the speed have equal weights. Tests of gateway and platform pass.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -8,9 +8,16 @@
 from typing import Final
 
 INITIAL_PREFILL_TOKENS_PER_SECOND: Final = 20_000.0
-"""Prefill speed of an engine that is assumed until answers have been measured."""
+"""Prefill speed of an engine that is assumed until answers have been measured.
+
+An assumption that is too high fills slow engines with a backlog when an overload begins
+before the first answers.
+"""
 PREFILL_RATE_SMOOTHING: Final = 0.05
-"""Share of a new sample in the moving average of the prefill speed."""
+"""Smallest share of a new sample in the average of the prefill speed.
+
+The assumed speed and the first samples are averaged with equal weights.
+"""
 MIN_PREFILL_SAMPLE_TOKENS: Final = 1_000
 """Prompt tokens below which a sample of the prefill speed is too noisy to use."""
 USABLE_MEMORY_SHARE: Final = 0.92
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -86,6 +86,15 @@
     first_at: float = 0.0
     work_seconds: float = 0.0
 
+    def answer_needed_by(self) -> float:
+        """Return the time by which the caller needs the first event or the answer.
+
+        The caller of a stream leaves before its deadline if it hears nothing.
+        """
+        if not self.route.patience or self.first_at:
+            return self.deadline
+        return min(self.deadline, self.call.received_at + self.route.patience)
+
     def queued_call(
         self, work_seconds: float, memory_seconds: float = 0.0
     ) -> QueuedCall:
@@ -96,7 +105,7 @@
             priority=self.priority,
             arrived_at=self.call.received_at,
             due_at=self.due_at,
-            deadline=self.deadline,
+            deadline=self.answer_needed_by(),
             work_seconds=work_seconds,
             memory_seconds=memory_seconds,
             may_have_run=self.may_have_run,
--- a/src/gypsumsail/gateway/models.py
+++ b/src/gypsumsail/gateway/models.py
@@ -61,6 +61,9 @@
         Whether calls without a known API key are accepted.
     is_resumable
         Whether a stream may be resumed at another target.
+    patience
+        Seconds without an event after which the caller of a stream disconnects, also
+        before the first event; 0 where it waits until its deadline.
     """
 
     name: str
@@ -74,6 +77,7 @@
     max_targets: int
     is_public: bool
     is_resumable: bool
+    patience: float = 0.0
 
     @property
     def may_repeat(self) -> bool:
--- a/src/gypsumsail/gateway/queue_policy.py
+++ b/src/gypsumsail/gateway/queue_policy.py
@@ -36,7 +36,8 @@
     due_at
         Time by which the first token, or a plain call's answer, is on time.
     deadline
-        Time by which the caller gets a final answer, be it a failure.
+        Time by which the caller gets its first event or a final answer, be it a
+        failure; the caller of a stream does not wait longer than that.
     work_seconds
         Seconds that one target is expected to work before the first token, or on a
         whole plain call.
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -86,18 +86,22 @@
 
 @dataclass(slots=True, kw_only=True)
 class PrefillRate:
-    """Moving average of the prefill speed of a service's engines, in tokens/s."""
+    """Moving average of the prefill speed of a service's engines, in tokens/s.
+
+    The assumed speed counts as one sample.
+    """
 
     tokens_per_second: float = INITIAL_PREFILL_TOKENS_PER_SECOND
+    samples: int = 0
 
     def observe(self, tokens: int, seconds: float) -> None:
         """Add a sample: the seconds in which an engine prefilled some tokens."""
         if tokens < MIN_PREFILL_SAMPLE_TOKENS or seconds <= 0:
             return
         sample = tokens / seconds
-        self.tokens_per_second += PREFILL_RATE_SMOOTHING * (
-            sample - self.tokens_per_second
-        )
+        self.samples += 1
+        weight = max(1.0 / (self.samples + 1), PREFILL_RATE_SMOOTHING)
+        self.tokens_per_second += weight * (sample - self.tokens_per_second)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -24,6 +24,11 @@
 
 BITS_PER_BYTE = 8
 MILLISECONDS_PER_SECOND = 1000.0
+# Callers of streams leave after the longest of these: some seconds, a multiple of the
+# route's latency goal, and a multiple of its longest pause that is still on time.
+MIN_PATIENCE_SECONDS = 2.0
+PATIENCE_GOALS = 4
+PATIENCE_GAPS = 8
 DEFAULT_TIMEOUT_MS = 60_000.0
 CALL_KINDS = {
     "safe": CallKind.REPEATABLE,
@@ -60,6 +65,7 @@
     attempts: int = 1
     public: bool = False
     resumable: bool = False
+    gap_aim_ms: float = 0.0
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -247,6 +253,16 @@
         max_targets=max(item.attempts, 1),
         is_public=item.public,
         is_resumable=item.resumable,
+        patience=_patience(item) if kind is CallKind.STREAM else 0.0,
+    )
+
+
+def _patience(item: _Route) -> float:
+    """Return the seconds of silence after which the caller of a stream leaves."""
+    return max(
+        MIN_PATIENCE_SECONDS,
+        item.goal_ms * PATIENCE_GOALS / MILLISECONDS_PER_SECOND,
+        item.gap_aim_ms * PATIENCE_GAPS / MILLISECONDS_PER_SECOND,
     )
 
 
--- a/tests/gateway/load_model.py
+++ b/tests/gateway/load_model.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 import heapq
 from itertools import count
 import random
@@ -68,6 +68,10 @@
         disconnects.
     retries_after_refusal
         Whether a refused caller retries once, after the delay that it was given.
+    prefill_tokens_per_second, memory_tokens
+        Speed and memory of an engine.
+    patience
+        Seconds without a first token after which a caller disconnects; 0 for none.
     """
 
     rate: float
@@ -85,11 +89,20 @@
     latency_goal: float = 0.8
     timeout: float = 5.0
     retries_after_refusal: bool = False
+    prefill_tokens_per_second: float = PREFILL_TOKENS_PER_SECOND
+    memory_tokens: int = MEMORY_TOKENS
+    patience: float = 0.0
 
 
 @dataclass(slots=True)
 class Outcome:
-    """Counts of the calls by their outcome."""
+    """Counts of the calls by their outcome.
+
+    Attributes
+    ----------
+    left_untried
+        Calls whose caller disconnected while they were queued.
+    """
 
     calls: int = 0
     in_time: int = 0
@@ -97,6 +110,7 @@
     refused_after: list[float] = field(default_factory=list)
     retried: int = 0
     retried_served: int = 0
+    left_untried: int = 0
 
     @property
     def share_in_time(self) -> float:
@@ -165,6 +179,9 @@
         self.engines = {f"e{number}": _Engine() for number in range(load.engines)}
         self.views = [self._view() for _ in range(load.vms)]
         service = document(stream_route()).services[ENGINES]
+        assert service.engine is not None
+        size = replace(service.engine, memory_tokens=load.memory_tokens)
+        service = replace(service, engine=size)
         self.jobs: list[dict[int, Job]] = [{} for _ in self.views]
         self.placers = [
             JobPlacer(view, service, jobs)
@@ -242,7 +259,7 @@
         job = Job(
             number=number,
             call=call("/s/x", now=now, prompt=prompt),
-            route=stream_route(),
+            route=stream_route(patience=self.load.patience),
             customer=Customer(name="a"),
             service=ENGINES,
             priority=1,
@@ -289,6 +306,7 @@
     def _dispatch(self, vm: int, now: float) -> None:
         queue = self.queues[vm]
         left = []
+        self._drop_impatient(queue, now)
         for waiting in sort_by_priority(queue.values(), now):
             placed = self.placers[vm].place(waiting.number, now)
             if isinstance(placed, Placed):
@@ -301,6 +319,14 @@
             self.outcome.refused_after.append(now - shed.call.arrived_at)
             self._retry_later(self.jobs[vm][shed.call.number], shed.expected_wait, now)
 
+    def _drop_impatient(self, queue: dict[int, QueuedCall], now: float) -> None:
+        if not self.load.patience:
+            return
+        for number, waiting in list(queue.items()):
+            if now - waiting.arrived_at >= self.load.patience:
+                del queue[number]
+                self.outcome.left_untried += 1
+
     def _retry_later(self, job: Job, expected_wait: float, now: float) -> None:
         """Let a refused caller retry once, after the delay that it was given."""
         first_at = self.first_arrivals[job.number]
@@ -327,12 +353,12 @@
         if target_engine.is_prefilling or not target_engine.queue:
             return
         run = target_engine.queue[0]
-        if target_engine.used + run.tokens > MEMORY_TOKENS:
+        if target_engine.used + run.tokens > self.load.memory_tokens:
             return
         target_engine.queue.pop(0)
         target_engine.used += run.tokens
         target_engine.is_prefilling = True
-        seconds = run.prefill_tokens / PREFILL_TOKENS_PER_SECOND + 0.02
+        seconds = run.prefill_tokens / self.load.prefill_tokens_per_second + 0.02
         self._at(
             now + seconds, lambda at: self._first_token(target_engine, vm, run, at)
         )
--- a/tests/gateway/test_load_simulation.py
+++ b/tests/gateway/test_load_simulation.py
@@ -30,6 +30,22 @@
     timeout=15.0,
 )
 
+FAST_ENGINES = Load(
+    rate=50.0,
+    seconds=6.0,
+    engines=6,
+    vms=9,
+    documents=60,
+    document_tokens=9_100,
+    question_tokens=2_900,
+    latency_goal=0.6,
+    timeout=10.0,
+    prefill_tokens_per_second=140_000.0,
+    memory_tokens=110_000,
+    patience=2.4,
+)
+IMPATIENT = Load(rate=30.0, timeout=12.0, patience=2.4)
+
 
 def fewest_calls(
     states: Sequence[TargetState], job: Job, now: float
@@ -92,3 +108,18 @@
     assert share(outcomes) > share(simulate(MEMORY_FULL, naive=True))
     waits = [wait for outcome in outcomes for wait in outcome.refused_after]
     assert median(waits) < 0.25 * (MEMORY_FULL.timeout - MEMORY_FULL.latency_goal)
+
+
+def test_engines_of_unknown_speed_are_used_from_the_first_second() -> None:
+    """The engines are seven times as fast as is assumed without measurements."""
+    outcomes = simulate(FAST_ENGINES)
+    assert share(outcomes) >= 0.95
+    assert not any(outcome.left_untried for outcome in outcomes)
+
+
+def test_callers_are_refused_before_they_leave() -> None:
+    """Guards against queueing streams whose callers leave long before the deadline."""
+    outcomes = simulate(IMPATIENT)
+    assert not any(outcome.left_untried for outcome in outcomes)
+    waits = [wait for outcome in outcomes for wait in outcome.refused_after]
+    assert median(waits) < 0.1
