Let the periodic tasks of a VM wake up together

Cause: a VM ran about 150 timers a second at different times: 20 checks a second for peers that are ahead, 20 of the main loop, 15 of the watches and 1.7 for each context store (37 of them on the large site). Each wake-up costs processor time of its own.

--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -15,6 +15,7 @@
 )
 from gypsumsail.catalog.kind_state import Changes, KindState
 from gypsumsail.catalog.store_health import StoreHealth
+from gypsumsail.core.aligned_sleep import async_sleep_aligned
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.object_api.port import ObjectApi, WatchExpiredError
@@ -72,7 +73,7 @@
         pause = RETRY_SECONDS
         while True:
             if not self.reads_store:
-                await asyncio.sleep(WATCHER_CHECK_SECONDS)
+                await async_sleep_aligned(WATCHER_CHECK_SECONDS)
                 continue
             try:
                 changes = await self._async_step()
--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -40,6 +40,7 @@
     relayed_changes,
 )
 from gypsumsail.context_stores.store_view import StoreView
+from gypsumsail.core.aligned_sleep import async_sleep_aligned
 from gypsumsail.core.callback import callback
 from gypsumsail.core.cbor import ValueInvalidError
 from gypsumsail.core.clock import Clock
@@ -138,7 +139,7 @@
         """Keep a view up to date until cancelled."""
         while True:
             if not self._polls_store(view.store):
-                await asyncio.sleep(POLLING_CHECK_SECONDS)
+                await async_sleep_aligned(POLLING_CHECK_SECONDS)
                 continue
             try:
                 await self._async_poll(view)
@@ -153,7 +154,7 @@
     async def async_run(self) -> None:
         """Free parts that no engine can use any more, until cancelled."""
         while True:
-            await asyncio.sleep(FREE_INTERVAL_SECONDS)
+            await async_sleep_aligned(FREE_INTERVAL_SECONDS)
             await self.async_free_unused(self.clock.monotonic())
 
     async def async_free_unused(self, now: float) -> None:
--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from gypsumsail.core.aligned_sleep import async_sleep_aligned
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.rendezvous import rank
@@ -106,7 +107,7 @@
             except (TransportError, OrdersCorruptError) as err:
                 self.log.write("rollout step failed", reason=str(err))
                 is_busy = False
-            await asyncio.sleep(STEP_SECONDS if is_busy else IDLE_STEP_SECONDS)
+            await async_sleep_aligned(STEP_SECONDS if is_busy else IDLE_STEP_SECONDS)
 
     async def _async_step(self) -> bool:
         """Perform one step; return whether a rollout is in progress."""
--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from gypsumsail.core.aligned_sleep import aligned_delay
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.transport.http_reply import REASON_PHRASES, Reply, ReplyPhase
@@ -302,6 +303,7 @@
             self.close()
             return
         delay = min(limits.request_seconds, limits.idle_seconds) / 4
+        delay = aligned_delay(self.loop.time(), delay)
         self.timer = self.loop.call_later(delay, self._check_timeouts)
 
 
--- a/src/gypsumsail/vm/catch_up.py
+++ b/src/gypsumsail/vm/catch_up.py
@@ -7,6 +7,7 @@
 
 from gypsumsail.catalog.coordinator import CatalogCoordinator
 from gypsumsail.catalog.peer_updates import PEER_UPDATE_PATH, decode_peer_update
+from gypsumsail.core.aligned_sleep import async_sleep_aligned
 from gypsumsail.core.cbor import ValueInvalidError
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
@@ -37,7 +38,7 @@
     async def async_run(self) -> None:
         """Fetch changes from peers that are ahead until the task is cancelled."""
         while True:
-            await asyncio.sleep(TICK_SECONDS)
+            await async_sleep_aligned(TICK_SECONDS)
             peer = self.gossip.peer_to_catch_up_from(self.clock.monotonic())
             if peer is None:
                 continue
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -11,6 +11,7 @@
 from gypsumsail.catalog.coordinator import CatalogCoordinator
 from gypsumsail.catalog.watchers import watchers_per_zone
 from gypsumsail.context_stores.coordinator import ContextStoreCoordinator
+from gypsumsail.core.aligned_sleep import async_sleep_aligned
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import (
@@ -305,7 +306,7 @@
 
     async def _async_serve(self) -> None:
         while True:
-            await asyncio.sleep(TICK_SECONDS)
+            await async_sleep_aligned(TICK_SECONDS)
             now = self.clock.monotonic()
             self.catalog.tick(now)
             self.gateway.tick(now)
@@ -373,7 +374,7 @@
 
     async def _async_watch_settings(self) -> None:
         while True:
-            await asyncio.sleep(SETTINGS_POLL_SECONDS)
+            await async_sleep_aligned(SETTINGS_POLL_SECONDS)
             self.reload()
 
     @callback
