Spend less on each gossip message

Cause: each load of a message became two objects and each empty list was validated as one with rows; a VM of a zone of 39 receives 80 messages a second. Change: loads of messages and of reports are applied by the same fields, without a conversion; empty lists are returned at once.

--- a/src/gypsumsail/core/cbor.py
+++ b/src/gypsumsail/core/cbor.py
@@ -79,7 +79,9 @@
 
     def read_all(self, rows: object) -> list[list[Any]]:
         """Validate and return a list of rows; raises ValueInvalidError."""
-        return [self.read(row) for row in read_list(rows)]
+        found = read_list(rows)
+        # Most lists of a gossip message are empty.
+        return [self.read(row) for row in found] if found else []
 
 
 def read_strings(value: object) -> list[str]:
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -335,7 +335,7 @@
             return
         # The sum of the VM's zone already contains these loads.
         if not self.peers.is_told_by_reports(peer, now):
-            self._apply_loads(message.vm, map(_summed, message.loads), now)
+            self._apply_loads(message.vm, message.loads, now)
             self.waiting[message.vm] = (now, message.waiting)
         updates = _fleet_updates(message)
         if peer.zone == self.peers.zone:
@@ -388,7 +388,9 @@
                 case RemovedTarget(target=target, life=life):
                     self.on_removal_confirmed(target, life)
 
-    def _apply_loads(self, key: str, loads: Iterable[SummedLoad], now: float) -> None:
+    def _apply_loads(
+        self, key: str, loads: Iterable[TargetLoad | SummedLoad], now: float
+    ) -> None:
         """Replace the loads of one VM or of a sum."""
         for previous in self.targets_with_calls.get(key, ()):
             previous.peers.pop(key, None)
@@ -468,17 +470,6 @@
     )
 
 
-def _summed(load: TargetLoad) -> SummedLoad:
-    return SummedLoad(
-        target=load.target,
-        life=load.life,
-        calls=load.calls,
-        tokens=load.tokens,
-        pending_prefill_tokens=load.pending_prefill_tokens,
-        stalled_vms=int(load.is_stalled),
-    )
-
-
 def _fleet_updates(message: GossipMessage) -> tuple[FleetUpdate, ...]:
     return (
         *message.crash_reports,
--- a/src/gypsumsail/gossip/messages.py
+++ b/src/gypsumsail/gossip/messages.py
@@ -26,6 +26,11 @@
     pending_prefill_tokens: int
     is_stalled: bool = False
 
+    @property
+    def stalled_vms(self) -> int:
+        """Return the number of VMs to which the target seems stalled: 0 or 1."""
+        return int(self.is_stalled)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceLoad:
