Pass the start time to the zone reporter and name what a report sums

Cause: read-through: a field was set after the construction, and a pair was built only to drop half of it. Result: no change of behaviour; tests/gossip passes.

--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -126,8 +126,8 @@
             last_changed_revisions,
             self._send_report,
             lambda: self.own_service_loads(),
+            self.started_at_ms,
         )
-        self.reporter.started_at_ms = self.started_at_ms
         self.targets_with_calls: dict[str, list[TargetState]] = {}
         self.reported_unreachable: dict[str, list[TargetState]] = {}
 
--- a/src/gypsumsail/gossip/reporter.py
+++ b/src/gypsumsail/gossip/reporter.py
@@ -65,6 +65,7 @@
         last_changed_revisions: Callable[[], Mapping[str, int]],
         send: Callable[[ZoneReport, list[str]], None],
         own_service_loads: Callable[[], tuple[ServiceLoad, ...]],
+        started_at_ms: int,
     ) -> None:
         self.peers = peers
         self.targets = targets
@@ -77,7 +78,7 @@
         self.zones_told_at = float("-inf")
         self.vms_told_at = float("-inf")
         self.sequence_number = 0
-        self.started_at_ms = 0
+        self.started_at_ms = started_at_ms
 
     def is_active(self, now: float) -> bool:
         """Return whether this VM reports for its zone."""
@@ -120,22 +121,22 @@
             self._report_other_zones(now)
 
     def _report_zone(self, now: float) -> None:
-        hosts = self.peers.reporter_hosts(REPORTER_DUTY, now)
-        names = self.peers.reporting_names(now)
-        own = tuple((self.peers.vm, item) for item in self.own_service_loads())
+        """Tell the other zones the sum of this zone, with this VM."""
         report = self._report(
             ReportScope.ZONE,
-            names,
+            self.peers.reporting_names(now),
             now,
             self.to_zones,
             include_own=True,
-            own_service_loads=tuple(item for _, item in own),
         )
-        self.send(report, hosts)
+        self.send(report, self.peers.reporter_hosts(REPORTER_DUTY, now))
 
     def _report_other_zones(self, now: float) -> None:
+        """Tell the VMs of this zone the sum of the other zones."""
         keys = frozenset(map(zone_key, self.peers.other_zones()))
-        report = self._report(ReportScope.OTHER_ZONES, keys, now, self.to_vms)
+        report = self._report(
+            ReportScope.OTHER_ZONES, keys, now, self.to_vms, include_own=False
+        )
         self.send(report, self.peers.reporting_hosts(now))
 
     def _report(
@@ -145,11 +146,20 @@
         now: float,
         relay: UpdateRelay,
         *,
-        include_own: bool = False,
-        own_service_loads: tuple[ServiceLoad, ...] = (),
+        include_own: bool,
     ) -> ZoneReport:
+        """Return the next report.
+
+        Parameters
+        ----------
+        keys
+            VMs or zones whose loads are summed, by their keys in the tables of loads.
+        include_own
+            Whether the sum contains the load of this VM.
+        """
         batch = relay.take(now)
         self.sequence_number += 1
+        own_service_loads = self.own_service_loads() if include_own else ()
         summed = (
             _summed_load(state, keys, now, include_own=include_own)
             for state in self.targets.states.values()
