Count a rollout from the suspension in which its version was named

Change: a version seen first after a gap of the main loop counts from the start of the gap; the log line has its age. Ruled out: counting from the last contact for every VM (a watch waits up to 2.5 s, so that all would refuse old weights too early).

--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -35,5 +35,9 @@
 """
 MAX_REMEMBERED_REMOVALS: Final = 500
 """Maximum number of removed targets that are recognized in a restored store."""
+CLOCK_GAP_SECONDS: Final = 1.0
+"""Time without a tick of the main loop from which the process counts as suspended."""
+GAP_CATCH_UP_SECONDS: Final = 2.0
+"""Time after a suspension in which changes from before its end are still received."""
 MAX_CONFIRMED_REMOVALS: Final = 500
 """Maximum number of removals confirmed by other VMs that are remembered."""
--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -10,6 +10,7 @@
 from gypsumsail.catalog.const import MAX_CONFIRMED_REMOVALS, WATCH_SECONDS
 from gypsumsail.catalog.kind_state import Changes
 from gypsumsail.catalog.kind_watch import KindWatch
+from gypsumsail.catalog.naming_time import NamingTime
 from gypsumsail.catalog.peer_updates import PeerUpdate
 from gypsumsail.catalog.pending_removals import PendingRemovals
 from gypsumsail.catalog.restored_targets import RestoredTargets
@@ -108,6 +109,7 @@
         self.document: RoutingDocument | None = None
         self.pending_removals = PendingRemovals()
         self.restored_targets = RestoredTargets()
+        self.naming_time = NamingTime()
         self.store_health = {
             kind: StoreHealth(clock.monotonic()) for kind in kinds.all()
         }
@@ -192,6 +194,7 @@
     @callback
     def tick(self, now: float) -> None:
         """Remove targets that were not listed again after an outage."""
+        self.naming_time.tick(now)
         health = self.store_health[self.kinds.targets]
         for name in self.pending_removals.pop_expired(health, now):
             self._remove_target(name, "not listed again after the store recovered")
@@ -329,10 +332,17 @@
             if known is not None and known.version >= version:
                 continue
             now = self.clock.monotonic()
-            weights = WantedWeights(model=model, version=version, first_seen_at=now)
+            named_at = self.naming_time.earliest(now)
+            weights = WantedWeights(
+                model=model, version=version, first_seen_at=named_at
+            )
             self.wanted_weights[model] = weights
             self.telemetry.log.write(
-                "weights named", model=model, version=version, source=self.source
+                "weights named",
+                model=model,
+                version=version,
+                source=self.source,
+                age_ms=round((now - named_at) * 1000),
             )
 
     def _log_invalid_object(self, obj: PlatformObject, err: GypsumsailError) -> None:
--- a/src/gypsumsail/gateway/weights.py
+++ b/src/gypsumsail/gateway/weights.py
@@ -18,7 +18,8 @@
     Attributes
     ----------
     first_seen_at
-        Time at which this VM first learned of the version.
+        Time at which this VM first learned of the version, or the earlier time since
+        which it may have been named while this VM was suspended.
     """
 
     model: str
--- a/tests/catalog/test_coordinator.py
+++ b/tests/catalog/test_coordinator.py
@@ -259,3 +259,35 @@
     assert not recovering.targets.states
     assert not confirmed
     assert healthy.targets.states
+
+
+def test_version_named_during_a_suspension_counts_from_its_start() -> None:
+    """Guards against calls on replaced weights by a VM that was suspended.
+
+    It counted the time of a rollout from its own first sight of the version.
+    """
+    catalog = Catalog()
+    spec = {"model": "m0", "version": 1}
+    catalog.replace("versions", listing(3, stored("versions/m0", 3, spec)))
+    catalog.coordinator.tick(catalog.clock.now)
+    suspended_at = catalog.clock.now
+    catalog.clock.now += 3.0
+    spec = {"model": "m0", "version": 2}
+    catalog.apply("versions", listing(4, stored("versions/m0", 4, spec)))
+    assert catalog.wanted_weights["m0"].first_seen_at == suspended_at
+    # The main loop may run before the change is received.
+    catalog.coordinator.tick(catalog.clock.now)
+    catalog.clock.now += 0.5
+    spec = {"model": "m0", "version": 3}
+    catalog.apply("versions", listing(5, stored("versions/m0", 5, spec)))
+    assert catalog.wanted_weights["m0"].first_seen_at == suspended_at
+
+
+def test_version_counts_from_its_sight_while_the_vm_runs() -> None:
+    catalog = Catalog()
+    for _ in range(60):
+        catalog.clock.now += 0.05
+        catalog.coordinator.tick(catalog.clock.now)
+    spec = {"model": "m0", "version": 2}
+    catalog.replace("versions", listing(4, stored("versions/m0", 4, spec)))
+    assert catalog.wanted_weights["m0"].first_seen_at == catalog.clock.now
