--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -254,7 +254,11 @@
             self.telemetry.placed(job, job.assignment, placed.answer_delay, now)
             outcome = await JobSend(self, job, job.assignment, reply).async_run()
             self.telemetry.send_ended(
-                job, job.assignment, outcome, self.clock.monotonic()
+                job,
+                job.assignment,
+                outcome,
+                self.crash_suspects.crashes(job.fingerprint),
+                self.clock.monotonic(),
             )
             job.release()
             if not self._should_continue(job, outcome, reply, work_seconds):
--- a/src/gypsumsail/gateway/crash_suspects.py
+++ b/src/gypsumsail/gateway/crash_suspects.py
@@ -30,7 +30,11 @@
 
     def is_blocked(self, fingerprint: str) -> bool:
         """Return whether the request is to be refused."""
-        return len(self.crashed_lives.get(fingerprint, ())) >= MIN_CRASHED_LIVES
+        return self.crashes(fingerprint) >= MIN_CRASHED_LIVES
+
+    def crashes(self, fingerprint: str) -> int:
+        """Return the number of target lives that failed under the request."""
+        return len(self.crashed_lives.get(fingerprint, ()))
 
     def record_local(self, fingerprint: str, target: str, life: int) -> None:
         """Record a failure that this VM saw, and queue it for the peers."""
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -10,6 +10,7 @@
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import Call, RoutingDocument, TargetEntry
 from gypsumsail.gateway.outcomes import (
+    Broken,
     Delivered,
     Fail,
     FinalAnswer,
@@ -109,9 +110,21 @@
 
     @callback
     def send_ended(
-        self, job: Job, assignment: Assignment, outcome: SendOutcome, now: float
+        self,
+        job: Job,
+        assignment: Assignment,
+        outcome: SendOutcome,
+        crashes: int,
+        now: float,
     ) -> None:
-        """Count the outcome of a send, and log it unless it was delivered."""
+        """Count the outcome of a send, and log it unless it was delivered.
+
+        Parameters
+        ----------
+        crashes
+            Number of target lives that failed under the same request, as far as this
+            VM knows.
+        """
         name = type(outcome).__name__
         self.sends.labels(job.service, name).increment()
         if isinstance(outcome, Delivered):
@@ -124,6 +137,7 @@
             after_ms=_milliseconds(now - job.call.received_at),
             targets_used=job.targets_used,
             **_outcome_fields(outcome),
+            **(_broken_fields(job, crashes) if isinstance(outcome, Broken) else {}),
         )
 
     @callback
@@ -342,3 +356,13 @@
         return fields
     fields.update(asdict(outcome))
     return fields
+
+
+def _broken_fields(job: Job, crashes: int) -> dict[str, Any]:
+    """Return what helps to tell whether the request crashed its target."""
+    prompt = job.call.prompt
+    return {
+        "began": bool(job.first_at),
+        "shared_parts": [part.name for part in prompt.parts[:-1]] if prompt else [],
+        "crashes": crashes,
+    }
