--- a/soak/callers.py
+++ b/soak/callers.py
@@ -38,15 +38,26 @@
 
 
 async def call(
-    host: str, port: int, kind: str, number: int, key: str, deadline: float = 3.0
+    host: str,
+    port: int,
+    kind: str,
+    number: int,
+    key: str,
+    deadline: float = 3.0,
+    part: str = "",
 ) -> CallResult:
     """Send one call on a connection of its own.
 
     The status is 0 if the connection fails or times out.
+
+    Parameters
+    ----------
+    part
+        Name of the second part of the prompt of a stream; empty for the usual one.
     """
     caller = KeptCaller(host, port)
     try:
-        return await caller.async_call(kind, number, key, deadline)
+        return await caller.async_call(kind, number, key, deadline, part)
     finally:
         caller.close()
 
@@ -74,7 +85,7 @@
         self.reader = self.writer = None
 
     async def async_call(
-        self, kind: str, number: int, key: str, deadline: float = 3.0
+        self, kind: str, number: int, key: str, deadline: float = 3.0, part: str = ""
     ) -> CallResult:
         """Send one call; the status is 0 if the connection fails or times out."""
         request_id = f"{number:016x}"
@@ -83,7 +94,7 @@
         try:
             async with asyncio.timeout(deadline + 1.0):
                 await self._async_exchange(
-                    encode_call(kind, number, key, deadline), result
+                    encode_call(kind, number, key, deadline, part), result
                 )
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             result.status = 0
@@ -103,8 +114,11 @@
             self.close()
 
 
-def encode_call(kind: str, number: int, key: str, deadline: float) -> bytes:
+def encode_call(
+    kind: str, number: int, key: str, deadline: float, part: str = ""
+) -> bytes:
     """Return the request of a call."""
+    part = part or f"b{number % 5}"
     request_id = f"{number:016x}"
     body = b"" if kind == "safe" else f"body of {number}".encode()
     lines = [
@@ -119,7 +133,7 @@
         lines += [
             "Gypsumsail-Model: m0",
             "Gypsumsail-Token-Count: 300,8",
-            f"Gypsumsail-Prompt-Prefix: aa:100,b{number % 5}:100,{request_id}:100",
+            f"Gypsumsail-Prompt-Prefix: aa:100,{part}:100,{request_id}:100",
         ]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -23,6 +23,8 @@
 SLOW_EVENT_SECONDS = 0.25
 SLOW_ANSWER_SECONDS = 1.0
 DRIP_SECONDS = 0.1
+CRASH_DELAY_SECONDS = 0.05
+CRASHED_SECONDS = 1.0
 
 
 def event_content(request_id: str, event: int) -> str:
@@ -308,6 +310,13 @@
         Answers with ``Retry-After``.
     fences
         Fencing numbers of all orders that were accepted.
+    crashing_parts
+        Names of prompt parts on which an engine crashes when it begins to write; it is
+        back ``CRASHED_SECONDS`` later.
+    crashes
+        Times of these crashes.
+    crashing_arrivals
+        Times at which calls with such a part have arrived.
     """
 
     def __init__(
@@ -336,6 +345,10 @@
         self.arrived_ids: list[str] = []
         self.pauses: list[PauseAnswer] = []
         self.fences: list[int] = []
+        self.crashing_parts: set[str] = set()
+        self.crashes: list[float] = []
+        self.crashing_arrivals: list[float] = []
+        self.restarts: set[asyncio.Task[None]] = set()
 
     @property
     def is_engine(self) -> bool:
@@ -395,6 +408,26 @@
         self.pauses.clear()
         self.server.stop_resetting()
 
+    def _has_crashing_part(self, request: RawRequest) -> bool:
+        text = request.headers.get("gypsumsail-prompt-prefix", "")
+        names = [item.partition(":")[0] for item in text.split(",")]
+        return not self.crashing_parts.isdisjoint(names[:-1])
+
+    def _crash(self) -> None:
+        """Reset all connections until the engine is back as a new incarnation."""
+        if self.server.resets_connections:
+            return
+        self.crashes.append(time.monotonic())
+        self.server.start_resetting()
+        task = asyncio.get_running_loop().create_task(self._async_come_back())
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
+
+    async def _async_come_back(self) -> None:
+        await asyncio.sleep(CRASHED_SECONDS)
+        self.restart()
+        await self.register(self.registered_address)
+
     async def handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
         """Respond to one request; return whether the connection stays open."""
         if request.path == "/v1/report":
@@ -442,6 +475,8 @@
         request_id = request.headers.get("gypsumsail-request-id", "")
         self.arrivals.append(time.monotonic())
         self.arrived_ids.append(request_id)
+        if self.is_engine and self._has_crashing_part(request):
+            self.crashing_arrivals.append(time.monotonic())
         response_headers = {
             "Gypsumsail-Request-Id": request_id,
             "Gypsumsail-Instance-Id": self.name,
@@ -515,6 +550,10 @@
         lines = [f"{name}: {value}" for name, value in response_headers.items()]
         head = ["HTTP/1.1 200 S", "Transfer-Encoding: chunked", *lines]
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        if self._has_crashing_part(request):
+            await asyncio.sleep(CRASH_DELAY_SECONDS)
+            self._crash()
+            raise ConnectionError
         first_event = int(request.headers.get("last-event-id", "0")) + 1
         if self.fault == "drip":
             await self._drip(writer)
