Refuse calls with a prompt part on which engines crash

Callers saw streams cut off, and drafts that failed, while engine after engine ended. Requests with one common part came at all VMs, no two alike; after the fifth crash 11 and 12 more of them were sent.

Cause: crashes were counted by the fingerprint of a whole request, which was new each time.

Now each part of a prompt but the last is watched. A crash counts against the parts of the calls whose answer had not begun at that target; an answer that begins, on any VM, speaks for its parts. A crash has an order, one more than that of the latest crash known at the send, so that targets that fail at the same time count as one. From three crashes after each other on, calls with the part are refused at once, unless another blocked part that is not in the prompt explains the crashes. From two on they are sent to no second target. One VM tries a blocked part again, ever more rarely. Started VMs and VMs that were cut off are told; the rows are read by older builds as reports on requests that never come.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 import random
 from typing import Final
@@ -50,6 +50,7 @@
     final_answer,
     should_try_another_target,
 )
+from gypsumsail.gateway.part_suspects import PartSuspects
 from gypsumsail.gateway.placer import FleetView, JobPlacer
 from gypsumsail.gateway.port import (
     NO_TRANSFER,
@@ -80,6 +81,14 @@
 """Leading bytes of a body that enter the fingerprint of a request."""
 
 
+MAX_SHARED_PARTS: Final = 64
+"""Parts of one prompt that are watched for crashes."""
+MAX_PART_NAME_CHARACTERS: Final = 64
+"""Length from which a hash stands for the name of a part."""
+NO_RETRY_ERRORS: Final = (UnauthorizedError, UnknownServiceError, CrashSuspectError)
+"""Refusals after which the same call would be refused again."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewaySettings:
     """Settings of the gateway that the deployment provides."""
@@ -129,6 +138,9 @@
         self.queues: dict[str, ServiceQueue] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.crash_suspects = CrashSuspectTracker()
+        self.part_suspects = PartSuspects()
+        self.part_suspects.on_blocked = telemetry.part_blocked
+        self.part_suspects.on_released = telemetry.part_released
         self.liveness = LivenessChecks(calls, view.targets, clock)
         self.liveness.on_checked = telemetry.target_checked
         self.random = random.Random()
@@ -204,9 +216,13 @@
         fingerprint = _fingerprint(call, customer)
         if self.crash_suspects.is_blocked(fingerprint):
             raise CrashSuspectError("several targets failed while running the request")
+        shared_parts = _shared_parts(call)
+        blocked_part = self.part_suspects.blocked_part(shared_parts, call.received_at)
+        if blocked_part is not None:
+            raise _blocked_part_error(blocked_part)
         budget = self.budgets.setdefault(service, RetryBudget())
         budget.count_call(self.settings.retry_limit, call.received_at)
-        return self._job(call, route, customer, service, fingerprint)
+        return self._job(call, route, customer, service, fingerprint, shared_parts)
 
     def _job(
         self,
@@ -215,6 +231,7 @@
         customer: Customer,
         service: str,
         fingerprint: str,
+        shared_parts: tuple[str, ...],
     ) -> Job:
         self.last_number += 1
         deadline = call.received_at + (route.timeout or DEFAULT_TIMEOUT_SECONDS)
@@ -231,6 +248,7 @@
             deadline=deadline,
             fingerprint=fingerprint,
             resume_after=call.resume_after,
+            shared_parts=shared_parts,
         )
 
     async def _async_serve(self, job: Job, reply: CallerReply) -> None:
@@ -250,6 +268,11 @@
                 break
             assert job.assignment is not None
             now = self.clock.monotonic()
+            blocked_part = self.part_suspects.admit(job.shared_parts, now)
+            if blocked_part is not None:
+                if outcome is None:
+                    raise _blocked_part_error(blocked_part)
+                break
             job.placed_at = job.placed_at or now
             self.telemetry.placed(job, job.assignment, placed.answer_delay, now)
             outcome = await JobSend(self, job, job.assignment, reply).async_run()
@@ -275,6 +298,8 @@
             return False
         if not counts_as_retry(outcome):
             return True
+        if self.part_suspects.stops_retries(job.shared_parts):
+            return False
         budget = self.budgets[job.service]
         return budget.take(self.settings.retry_limit, self.view.vms(), now)
 
@@ -324,7 +349,7 @@
         if isinstance(err, CrashSuspectError):
             status = 503
         headers: HeaderPairs = ()
-        if not isinstance(err, UnauthorizedError | UnknownServiceError):
+        if not isinstance(err, NO_RETRY_ERRORS):
             headers = self._retry_after_headers(call, err.retry_after or 0.0)
         reply.send(status, headers, b"")
         self.telemetry.refused(call, job, err, status, now)
@@ -416,6 +441,20 @@
     def _record_leaving(self, state: TargetState) -> bool:
         return self.view.targets.record_leaving(state.entry.name, state.entry.life)
 
+    @callback
+    def record_unanswered_crash(
+        self, state: TargetState, orders: Mapping[str, int]
+    ) -> None:
+        """Record that a target failed before its answer had begun.
+
+        Parameters
+        ----------
+        orders
+            Order of the latest crash of each part of the prompt, known at the send.
+        """
+        now = self.clock.monotonic()
+        self.part_suspects.record_crash(orders, state.entry.name, state.entry.life, now)
+
     @callback
     def record_broken_call(self, job: Job, state: TargetState) -> None:
         """Record that a target failed while it ran the job."""
@@ -477,3 +516,20 @@
         digest.update(part + b"\0")
     digest.update(call.body[:MAX_FINGERPRINTED_BODY_BYTES])
     return digest.hexdigest()
+
+
+def _shared_parts(call: Call) -> tuple[str, ...]:
+    """Return the names of the parts of a prompt that other prompts may share."""
+    if call.prompt is None:
+        return ()
+    names = (part.name for part in call.prompt.parts[:-1][:MAX_SHARED_PARTS])
+    return tuple(
+        name
+        if len(name) <= MAX_PART_NAME_CHARACTERS
+        else xxhash.xxh3_64_hexdigest(name.encode())
+        for name in names
+    )
+
+
+def _blocked_part_error(part: str) -> CrashSuspectError:
+    return CrashSuspectError(f"targets crash on part {part} of the prompt")
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -65,6 +65,8 @@
         Time of the first placement, and of the first event or plain answer.
     work_seconds
         Seconds that one target is expected to work before the first token.
+    shared_parts
+        Names of the parts of the prompt that other prompts may share.
     """
 
     number: int
@@ -85,6 +87,7 @@
     placed_at: float = 0.0
     first_at: float = 0.0
     work_seconds: float = 0.0
+    shared_parts: tuple[str, ...] = ()
 
     def answer_needed_by(self) -> float:
         """Return the time by which the caller needs the first event or the answer.
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -46,6 +46,10 @@
         Whether the job may have run on an earlier send.
     is_detached
         Whether the exchange continues in the background without its caller.
+    has_begun
+        Whether an event or the whole answer has come.
+    crash_orders
+        Order of the latest crash of each shared part of the prompt, known at the send.
     """
 
     def __init__(
@@ -60,6 +64,8 @@
         self.sent_at = self.clock.monotonic()
         self.may_have_run_before = job.may_have_run
         self.is_detached = False
+        self.has_begun = False
+        self.crash_orders = gateway.part_suspects.orders(job.shared_parts, self.sent_at)
 
     async def async_run(self) -> SendOutcome:
         """Send the job and forward the answer to the caller."""
@@ -92,6 +98,7 @@
         except TransportError as err:
             self.state.record_failure(self.clock.monotonic())
             self.gateway.record_broken_call(self.job, self.state)
+            self._record_crash()
             return Broken(reason=str(err))
         except asyncio.CancelledError:
             if self.job.route.kind is CallKind.ONCE:
@@ -218,6 +225,7 @@
             self.state.record_failure(now)
             return TargetError(status=head.status, headers=head.headers, body=body)
         self.state.record_success(now, now - self.sent_at)
+        self._record_begin(now)
         self.job.first_at = now
         self.reply.send(head.status, head.headers, body)
         return Delivered(status=head.status)
@@ -236,6 +244,7 @@
                 self.job.resume_after = splitter.last_id
             await self.reply.async_drain()
         if splitter.has_partial or not self.reply.has_begun:
+            self._record_crash()
             return Broken(reason="the stream ended before an event was complete")
         now = self.clock.monotonic()
         self.state.record_success(now, now - self.sent_at)
@@ -244,8 +253,18 @@
         self.reply.end()
         return Delivered(status=head.status)
 
+    def _record_crash(self) -> None:
+        if not self.has_begun:
+            self.gateway.record_unanswered_crash(self.state, self.crash_orders)
+
+    def _record_begin(self, now: float) -> None:
+        if not self.has_begun:
+            self.has_begun = True
+            self.gateway.part_suspects.record_answer(self.job.shared_parts, now)
+
     def _record_progress(self, head: AnswerHead) -> None:
         now = self.clock.monotonic()
+        self._record_begin(now)
         if not self.job.first_at:
             self.job.first_at = now
         in_flight_call = self.state.in_flight.get(self.assignment.in_flight_id)
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import asdict
 from typing import Any, Final
 
@@ -18,6 +19,7 @@
     SendOutcome,
     TargetError,
 )
+from gypsumsail.gateway.part_suspects import TargetLife
 from gypsumsail.gateway.target_pause import InvalidPause, PauseStatement
 from gypsumsail.gateway.targets import TargetState
 from gypsumsail.logs.decisions import DecisionLog
@@ -66,6 +68,12 @@
             "Notices of targets by service: leaving, pause or changed limit.",
             ("service", "notice"),
         )
+        self.blocked_parts = registry.counter(
+            "gypsumsail_gateway_blocked_parts_total",
+            "Parts of prompts that were blocked because targets crash on them, and "
+            "released again.",
+            ("change",),
+        )
         self.waits = registry.histogram(
             "gypsumsail_gateway_wait_seconds",
             "Time from a call's arrival to its first placement.",
@@ -334,6 +342,22 @@
             kept=state.limit.calls_per_second,
         )
 
+    @callback
+    def part_blocked(self, part: str, crashes: Iterable[TargetLife]) -> None:
+        """Log that calls with a part are refused, and the crashes that led to it."""
+        self.blocked_parts.labels("blocked").increment()
+        self.log.write(
+            "part blocked",
+            part=part,
+            crashes=[f"{target}/{life}" for target, life in crashes],
+        )
+
+    @callback
+    def part_released(self, part: str) -> None:
+        """Log that an answer on a blocked part has begun."""
+        self.blocked_parts.labels("released").increment()
+        self.log.write("part released", part=part)
+
     @callback
     def target_gone(self, state: TargetState, reason: str) -> None:
         """Log that a target was removed."""
@@ -360,9 +384,8 @@
 
 def _broken_fields(job: Job, crashes: int) -> dict[str, Any]:
     """Return what helps to tell whether the request crashed its target."""
-    prompt = job.call.prompt
     return {
         "began": bool(job.first_at),
-        "shared_parts": [part.name for part in prompt.parts[:-1]] if prompt else [],
+        "shared_parts": list(job.shared_parts),
         "crashes": crashes,
     }
--- a/src/gypsumsail/gossip/const.py
+++ b/src/gypsumsail/gossip/const.py
@@ -79,6 +79,12 @@
 
 It limits crash reports, loading targets, weight versions, removals and cached prompts.
 """
+PART_REPEAT_MIN_SECONDS: Final = 2.0
+"""Minimum pause after which a VM repeats the crashes of suspected parts."""
+PART_REPEAT_SECONDS_PER_VM: Final = 0.3
+"""The same pause for each VM of the fleet; the longer of both applies."""
+MAX_REPEATED_CRASHES: Final = 12
+"""Maximum number of crashes of parts that are repeated in one message."""
 MAX_UNREACHABLE_PER_MESSAGE: Final = 40
 """Maximum number of unreachable targets in one message."""
 MAX_HOSTS_PER_MESSAGE: Final = 6
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -16,13 +16,17 @@
 from gypsumsail.gateway.crash_suspects import CrashSuspectTracker
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import TargetEntry
+from gypsumsail.gateway.part_suspects import PartAnswered, PartCrash, PartSuspects
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.targets import PeerTargetLoad, TargetState
 from gypsumsail.gossip.const import (
     CATCH_UP_DELAY_SECONDS,
     MAX_CONTEXT_STORE_CHANGES_PER_MESSAGE,
+    MAX_REPEATED_CRASHES,
     MAX_UNREACHABLE_PER_MESSAGE,
     MAX_UPDATES_PER_MESSAGE,
+    PART_REPEAT_MIN_SECONDS,
+    PART_REPEAT_SECONDS_PER_VM,
     UNCHANGED_INTERVAL_SECONDS,
 )
 from gypsumsail.gossip.endpoint import GossipEndpoint
@@ -30,6 +34,7 @@
     CachedPrompt,
     ContextStoreUpdate,
     CrashReport,
+    CrashUpdate,
     GossipMessage,
     LoadingTarget,
     ObservedWeights,
@@ -92,6 +97,7 @@
         peers: PeerTable,
         targets: TargetTable,
         crash_suspects: CrashSuspectTracker,
+        part_suspects: PartSuspects,
         clock: Clock,
         last_changed_revisions: Callable[[], Mapping[str, int]],
         reads_store: Callable[[str], bool],
@@ -101,6 +107,8 @@
         self.peers = peers
         self.targets = targets
         self.crash_suspects = crash_suspects
+        self.part_suspects = part_suspects
+        self.crashes_repeated_at = clock.monotonic()
         self.clock = clock
         self.last_changed_revisions = last_changed_revisions
         self.reads_store = reads_store
@@ -120,7 +128,7 @@
         self.waiting: dict[str, tuple[float, tuple[ServiceLoad, ...]]] = {}
         self.cached: deque[CachedPrompt] = deque(maxlen=256)
         self.context_store_updates: deque[ContextStoreUpdate] = deque(maxlen=512)
-        self.crash_report_updates: list[tuple[CrashReport, int]] = []
+        self.crash_report_updates: list[tuple[CrashUpdate, int]] = []
         self.loading_updates: list[tuple[LoadingTarget, int]] = []
         self.weight_updates: list[tuple[ObservedWeights, int]] = []
         self.removal_updates: list[tuple[RemovedTarget, int]] = []
@@ -201,6 +209,7 @@
         """Send the messages that are due."""
         self.reporter.tick(now)
         self.notices.tick(now)
+        self._repeat_part_crashes(now)
         last_changed_revisions = self.last_changed_revisions()
         if last_changed_revisions != self.sent_revisions:
             has_read_change = self._has_read_change(last_changed_revisions)
@@ -268,6 +277,40 @@
                 reduced_message, [(peer.host, self.port) for peer in reduced]
             )
 
+    def _repeat_part_crashes(self, now: float) -> None:
+        """Repeat what is known of suspected parts, for VMs that were cut off.
+
+        Each VM hears of it at about the same rate, whatever the number of VMs.
+        """
+        interval = max(
+            PART_REPEAT_MIN_SECONDS, PART_REPEAT_SECONDS_PER_VM * self.peers.count(now)
+        )
+        if now - self.crashes_repeated_at < interval:
+            return
+        self.crashes_repeated_at = now
+        updates = self.part_suspects.updates_to_repeat()
+        count = min(len(updates), MAX_REPEATED_CRASHES)
+        self.crash_report_updates += [
+            (update, 1) for update in self.random.sample(updates, count)
+        ]
+
+    def _tell_started(self, peer: Peer, now: float) -> None:
+        """Tell a VM that has just started what it needs before its first call."""
+        updates = self.part_suspects.updates_to_repeat()
+        for first in range(0, len(updates), MAX_REPEATED_CRASHES):
+            self.sequence_number += 1
+            message = GossipMessage(
+                vm=self.peers.vm,
+                host=self.peers.host,
+                zone=self.peers.zone,
+                started_at_ms=self.started_at_ms,
+                sequence_number=self.sequence_number,
+                crash_reports=tuple(updates[first : first + MAX_REPEATED_CRASHES]),
+                hosts=self.peers.sample_hosts(self.random, now),
+            )
+            self.endpoint.send(message, [(peer.host, self.port)])
+        self.notices.tell_started(peer, now)
+
     def _next_message(self, now: float, *, is_full: bool) -> GossipMessage:
         """Take the next updates from the queues and return a message with them."""
         for fingerprint, target, life in self.crash_suspects.take_unsent(
@@ -277,6 +320,12 @@
                 fingerprint=fingerprint, target=target, life=life
             )
             self.crash_report_updates.append((crash_report, SENDS_PER_UPDATE))
+        # The others wait among the unsent updates, which are sorted by gravity.
+        room = max(MAX_UPDATES_PER_MESSAGE - len(self.crash_report_updates), 0)
+        self.crash_report_updates += [
+            (update, SENDS_PER_UPDATE)
+            for update in self.part_suspects.take_unsent(room)
+        ]
         self.sequence_number += 1
         message = self._message(now, is_full=is_full)
         self.reporter.note_updates(_fleet_updates(message), now)
@@ -353,7 +402,7 @@
         if peer is None:
             return
         if peer.started_at_ms != known_start:
-            self.notices.tell_started(peer, now)
+            self._tell_started(peer, now)
         # The sum of the VM's zone already contains these loads.
         if not self.peers.is_told_by_reports(peer, now):
             self._apply_loads(message.vm, message.loads, now)
@@ -400,6 +449,8 @@
             match update:
                 case CrashReport(fingerprint=fingerprint, target=target, life=life):
                     self.crash_suspects.record(fingerprint, target, life)
+                case PartCrash() | PartAnswered():
+                    self.part_suspects.apply(update, now)
                 case LoadingTarget(target=target, life=life):
                     if (state := self._state(target, life)) is not None:
                         state.expect_weight_loading(now)
--- a/src/gypsumsail/gossip/messages.py
+++ b/src/gypsumsail/gossip/messages.py
@@ -12,6 +12,7 @@
 
 from gypsumsail.core import cbor
 from gypsumsail.gateway.models import PromptPart
+from gypsumsail.gateway.part_suspects import PartAnswered, PartCrash
 from gypsumsail.gossip.const import FORMAT_VERSION
 
 
@@ -71,6 +72,17 @@
     life: int
 
 
+CrashUpdate = CrashReport | PartCrash | PartAnswered
+"""Update on what makes targets crash.
+
+All have the same columns in a datagram. Builds that don't know parts take their rows
+for reports on requests that never come.
+"""
+
+_PART_CRASH_PREFIX: Final = "part "
+_PART_ANSWERED_PREFIX: Final = "answered "
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadingTarget:
     """An engine that was ordered to load other weights."""
@@ -157,7 +169,7 @@
     last_changed_revisions: tuple[tuple[str, int], ...] = ()
     loads: tuple[TargetLoad, ...] = ()
     cached: tuple[CachedPrompt, ...] = ()
-    crash_reports: tuple[CrashReport, ...] = ()
+    crash_reports: tuple[CrashUpdate, ...] = ()
     loading: tuple[LoadingTarget, ...] = ()
     weights: tuple[ObservedWeights, ...] = ()
     hosts: tuple[str, ...] = ()
@@ -199,10 +211,7 @@
                 ]
                 for item in message.cached
             ],
-            [
-                [item.fingerprint, item.target, item.life]
-                for item in message.crash_reports
-            ],
+            list(map(crash_row, message.crash_reports)),
             [[item.target, item.life] for item in message.loading],
             [
                 [item.target, item.life, item.model, item.version]
@@ -248,7 +257,7 @@
         last_changed_revisions=tuple(map(tuple, _REVISIONS.read_all(fields[6]))),
         loads=tuple(map(_load, _LOAD.read_all(fields[7]))),
         cached=tuple(map(_cached, _CACHED.read_all(fields[8]))),
-        crash_reports=tuple(map(_crash_report, _CRASH_REPORT.read_all(fields[9]))),
+        crash_reports=parse_crash_updates(fields[9]),
         loading=tuple(map(_loading, _TARGET_LIFE.read_all(fields[10]))),
         weights=tuple(map(_weights, _WEIGHTS.read_all(fields[11]))),
         hosts=tuple(cbor.read_strings(fields[12])),
@@ -265,7 +274,7 @@
 _REVISIONS: Final = cbor.RowReader(str, int)
 _LOAD: Final = cbor.RowReader(str, int, int, int, int, bool)
 _CACHED: Final = cbor.RowReader(str, int, str, list, list)
-_CRASH_REPORT: Final = cbor.RowReader(str, str, int)
+_CRASH_UPDATE: Final = cbor.RowReader(str, str, int)
 _TARGET_LIFE: Final = cbor.RowReader(str, int)
 _WEIGHTS: Final = cbor.RowReader(str, int, str, int)
 _CONTEXT_STORE_UPDATE: Final = cbor.RowReader(str, int, int, int, list)
@@ -312,9 +321,34 @@
     )
 
 
-def _crash_report(row: _Row) -> CrashReport:
-    fingerprint, target, life = row
-    return CrashReport(fingerprint=fingerprint, target=target, life=life)
+def crash_row(update: CrashUpdate) -> list[str | int]:
+    """Return the columns of an update."""
+    match update:
+        case CrashReport(fingerprint=subject):
+            pass
+        case PartCrash(part=part, order=order):
+            subject = f"{_PART_CRASH_PREFIX}{order} {part}"
+        case PartAnswered(part=part):
+            subject = f"{_PART_ANSWERED_PREFIX}{part}"
+    return [subject, update.target, update.life]
+
+
+def parse_crash_updates(value: object) -> tuple[CrashUpdate, ...]:
+    """Parse the rows of updates; raises ``ValueInvalidError``."""
+    return tuple(map(_crash_update, _CRASH_UPDATE.read_all(value)))
+
+
+def _crash_update(row: _Row) -> CrashUpdate:
+    subject, target, life = row
+    if subject.startswith(_PART_CRASH_PREFIX):
+        text, _, part = subject.removeprefix(_PART_CRASH_PREFIX).partition(" ")
+        if not (text.isascii() and text.isdigit()):
+            raise cbor.ValueInvalidError("the order of a crash is not a number")
+        return PartCrash(part=part, target=target, life=life, order=int(text))
+    if subject.startswith(_PART_ANSWERED_PREFIX):
+        part = subject.removeprefix(_PART_ANSWERED_PREFIX)
+        return PartAnswered(part=part, target=target, life=life)
+    return CrashReport(fingerprint=subject, target=target, life=life)
 
 
 def _loading(row: _Row) -> LoadingTarget:
--- a/src/gypsumsail/gossip/update_relay.py
+++ b/src/gypsumsail/gossip/update_relay.py
@@ -6,7 +6,7 @@
 
 from gypsumsail.gossip.const import MAX_RELAYED_UPDATES, RELAY_REPEAT_SECONDS
 from gypsumsail.gossip.messages import (
-    CrashReport,
+    CrashUpdate,
     LoadingTarget,
     ObservedWeights,
     RemovedTarget,
@@ -18,7 +18,7 @@
 class UpdateBatch:
     """Updates of one report, by type."""
 
-    crash_reports: tuple[CrashReport, ...] = ()
+    crash_reports: tuple[CrashUpdate, ...] = ()
     loading: tuple[LoadingTarget, ...] = ()
     weights: tuple[ObservedWeights, ...] = ()
     removed: tuple[RemovedTarget, ...] = ()
@@ -56,7 +56,7 @@
         del self.pending[:MAX_RELAYED_UPDATES]
         self._forget_old(now)
         return UpdateBatch(
-            crash_reports=tuple(x for x in taken if isinstance(x, CrashReport)),
+            crash_reports=tuple(x for x in taken if isinstance(x, CrashUpdate)),
             loading=tuple(x for x in taken if isinstance(x, LoadingTarget)),
             weights=tuple(x for x in taken if isinstance(x, ObservedWeights)),
             removed=tuple(x for x in taken if isinstance(x, RemovedTarget)),
--- a/src/gypsumsail/gossip/zone_reports.py
+++ b/src/gypsumsail/gossip/zone_reports.py
@@ -13,17 +13,19 @@
 
 from gypsumsail.core import cbor
 from gypsumsail.gossip.messages import (
-    CrashReport,
+    CrashUpdate,
     LoadingTarget,
     ObservedWeights,
     RemovedTarget,
     ServiceLoad,
+    crash_row,
+    parse_crash_updates,
 )
 
 REPORT_FORMAT_VERSION: Final = 3
 """Version of the report format, which also tells reports from gossip messages."""
 
-FleetUpdate = CrashReport | LoadingTarget | ObservedWeights | RemovedTarget
+FleetUpdate = CrashUpdate | LoadingTarget | ObservedWeights | RemovedTarget
 """Update that every VM of the fleet needs, whatever its zone."""
 
 
@@ -72,7 +74,7 @@
     last_changed_revisions: tuple[tuple[str, int], ...] = ()
     loads: tuple[SummedLoad, ...] = ()
     waiting: tuple[ServiceLoad, ...] = ()
-    crash_reports: tuple[CrashReport, ...] = ()
+    crash_reports: tuple[CrashUpdate, ...] = ()
     loading: tuple[LoadingTarget, ...] = ()
     weights: tuple[ObservedWeights, ...] = ()
     removed: tuple[RemovedTarget, ...] = ()
@@ -109,10 +111,7 @@
                 [item.service, item.calls, item.work_ms, item.arriving_ms_per_second]
                 for item in report.waiting
             ],
-            [
-                [item.fingerprint, item.target, item.life]
-                for item in report.crash_reports
-            ],
+            list(map(crash_row, report.crash_reports)),
             [[item.target, item.life] for item in report.loading],
             [
                 [item.target, item.life, item.model, item.version]
@@ -151,10 +150,7 @@
             )
             for service, calls, work_ms, arriving in _WAITING.read_all(fields[9])
         ),
-        crash_reports=tuple(
-            CrashReport(fingerprint=fingerprint, target=target, life=life)
-            for fingerprint, target, life in _CRASH_REPORT.read_all(fields[10])
-        ),
+        crash_reports=parse_crash_updates(fields[10]),
         loading=tuple(
             LoadingTarget(target=target, life=life)
             for target, life in _TARGET_LIFE.read_all(fields[11])
@@ -186,6 +182,5 @@
 _REVISIONS: Final = cbor.RowReader(str, int)
 _SUMMED_LOAD: Final = cbor.RowReader(str, int, int, int, int, int)
 _WAITING: Final = cbor.RowReader(str, int, int, int)
-_CRASH_REPORT: Final = cbor.RowReader(str, str, int)
 _TARGET_LIFE: Final = cbor.RowReader(str, int)
 _WEIGHTS: Final = cbor.RowReader(str, int, str, int)
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -173,11 +173,13 @@
             self.peers,
             self.targets,
             self.gateway.crash_suspects,
+            self.gateway.part_suspects,
             self.clock,
             self.catalog.last_changed_revisions,
             self.catalog.reads_store,
             self.context_stores.apply_store_update,
         )
+        self.gateway.part_suspects.may_try = self._may_try_part
         self.gateway.on_first_token = self._on_first_token
         self.context_stores.on_store_update = gossip.publish_context_store_update
         self.gateway.view.peer_service_load = gossip.peer_service_load
@@ -273,6 +275,11 @@
             return None
         return self.peers.ring(now)
 
+    def _may_try_part(self, part: str, now: float) -> bool:
+        """Return whether this VM, and no other, tries a blocked part again."""
+        ring = self._limit_ring(now)
+        return ring is not None and ring.owner(part) == self.peers.host
+
     def _is_watcher(self, kind: str) -> bool:
         now = self.clock.monotonic()
         count = watchers_per_zone(
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -15,6 +15,7 @@
 from gypsumsail.gateway.coordinator import GatewaySettings
 from gypsumsail.gateway.models import CallKind
 from gypsumsail.gateway.notices import AnswerNotices
+from gypsumsail.gateway.part_suspects import MIN_CRASHES
 from gypsumsail.gateway.retry_budget import RetryLimit
 from gypsumsail.gateway.target_pause import NamedPause
 from tests.gateway.common import (
@@ -481,3 +482,55 @@
     gw = gateway(calls, engine(), routing=routing)
     await gw.async_handle(call("/s/x", prompt=prompt()), RecordedReply())
     assert calls.sent[0].terms.priority == ENGINE_PRIORITY
+
+
+async def test_calls_with_a_part_on_which_engines_crash_are_refused_at_once() -> None:
+    """Each call is a new one; the refusal does not invite the caller back."""
+    crashes = [stream(BROKEN) for _ in range(3)]
+    calls = ScriptedTargets(*crashes, stream())
+    engines = [engine(f"e{number}") for number in range(4)]
+    gw = gateway(calls, *engines, routing=document(stream_route(max_targets=1)))
+    replies = []
+    for number in range(5):
+        reply = RecordedReply()
+        body = f"question {number}".encode()
+        its_call = call("/s/x", prompt=prompt(), method=b"POST", body=body)
+        await gw.async_handle(its_call, reply)
+        replies.append(reply)
+    assert [reply.status for reply in replies] == [502, 502, 502, 503, 503]
+    assert len(calls.sent) == 3
+    assert all(not reply.headers for reply in replies[3:])
+
+
+async def test_stream_that_ends_without_length_or_event_counts_as_crash() -> None:
+    calls = ScriptedTargets(stream(b"id: 1\n"))
+    routing = document(stream_route(max_targets=1))
+    gw = gateway(calls, engine("e1"), routing=routing)
+    await gw.async_handle(call("/s/x", prompt=prompt()), RecordedReply())
+    assert gw.part_suspects.orders(["attachment"], 0.0) == {"attachment": 1}
+
+
+async def test_stream_that_had_begun_counts_against_no_part() -> None:
+    calls = ScriptedTargets(stream(b"id: 1\n\n", BROKEN))
+    routing = document(stream_route(max_targets=1))
+    gw = gateway(calls, engine("e1"), routing=routing)
+    await gw.async_handle(call("/s/x", prompt=prompt()), RecordedReply())
+    assert gw.part_suspects.orders(["attachment"], 0.0) == {"attachment": 0}
+
+
+async def test_call_that_waits_is_refused_once_its_part_is_blocked() -> None:
+    gw = gateway(ScriptedTargets(), routing=document(stream_route()))
+    gw.view.targets.update(engine("e1"), gw.clock.monotonic())
+    gw.view.targets.states["e1"].paused_until = gw.clock.monotonic() + 0.3
+    reply = RecordedReply()
+    waiting_call = call("/s/x", prompt=prompt(), now=gw.clock.monotonic())
+    waiting = asyncio.create_task(gw.async_handle(waiting_call, reply))
+    await asyncio.sleep(0.05)
+    for life in range(MIN_CRASHES):
+        now = gw.clock.monotonic()
+        orders = gw.part_suspects.orders(["attachment"], now)
+        gw.part_suspects.record_crash(orders, "e9", life, now)
+    async with asyncio.timeout(2.0):
+        await waiting
+    assert reply.status == 503
+    assert not reply.headers
--- a/tests/gossip/common.py
+++ b/tests/gossip/common.py
@@ -6,6 +6,7 @@
 
 from gypsumsail.core import cbor
 from gypsumsail.gateway.crash_suspects import CrashSuspectTracker
+from gypsumsail.gateway.part_suspects import PartSuspects
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gossip.coordinator import GossipCoordinator
 from gypsumsail.gossip.endpoint import GossipEndpoint
@@ -95,6 +96,7 @@
         self.revisions: dict[str, int] = {"config": 1}
         self.targets = TargetTable()
         self.crash_suspects = CrashSuspectTracker()
+        self.part_suspects = PartSuspects()
         self.context_store_updates: list[tuple[Peer, ContextStoreUpdate]] = []
         self.reads_store = True
         host = f"10.0.0.{vm[1:]}"
@@ -106,6 +108,7 @@
             self.peers,
             self.targets,
             self.crash_suspects,
+            self.part_suspects,
             net.clock,
             self._last_changed_revisions,
             lambda kind: self.reads_store,
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -15,10 +15,12 @@
 from gypsumsail.gateway.arrivals import PeerServiceLoad
 from gypsumsail.gateway.const import PEER_LOAD_MAX_AGE_SECONDS
 from gypsumsail.gateway.models import PromptPart
+from gypsumsail.gateway.part_suspects import MIN_CRASHES
 from gypsumsail.gateway.targets import InFlightCall
 from gypsumsail.gossip.const import (
     CROSS_ZONE_ALIVE_TIMEOUT_SECONDS,
     CROSS_ZONE_MESSAGES_PER_SECOND,
+    PART_REPEAT_MIN_SECONDS,
     PEER_RETENTION_SECONDS,
     SAME_ZONE_MESSAGES_PER_SECOND,
 )
@@ -415,3 +417,39 @@
     assert "10.0.0.9" in peers.ring(101.0).members
     late = 100.0 + CROSS_ZONE_ALIVE_TIMEOUT_SECONDS + 1.0
     assert "10.0.0.9" not in peers.ring(late).members
+
+
+def test_crashes_of_parts_are_shared_until_an_answer_refutes_them() -> None:
+    net, one, other = make_pair()
+    for life in range(MIN_CRASHES):
+        orders = one.part_suspects.orders(["head", "bad"], net.clock.now)
+        one.part_suspects.record_crash(orders, "e1", life, net.clock.now)
+    net.tick(0.5)
+    assert other.part_suspects.blocked == {"head", "bad"}
+    other.part_suspects.record_answer(["head"], net.clock.now)
+    net.tick(0.5)
+    assert one.part_suspects.blocked == {"bad"}
+
+
+def test_started_vm_hears_of_blocked_parts_before_its_first_call() -> None:
+    net, one, _ = make_pair()
+    for life in range(MIN_CRASHES):
+        orders = one.part_suspects.orders(["bad"], net.clock.now)
+        one.part_suspects.record_crash(orders, "e1", life, net.clock.now)
+    net.tick(2.0)
+    started = Member(net, "v3")
+    while not started.gossip.notices.has_heard:
+        net.tick(0.05)
+    assert started.part_suspects.blocked == {"bad"}
+
+
+def test_vm_that_was_cut_off_hears_of_blocked_parts() -> None:
+    net, one, other = make_pair()
+    cut_off = net.members.pop(other.peers.host)
+    for life in range(MIN_CRASHES):
+        orders = one.part_suspects.orders(["bad"], net.clock.now)
+        one.part_suspects.record_crash(orders, "e1", life, net.clock.now)
+    net.tick(8.0)
+    net.members[other.peers.host] = cut_off
+    net.tick(PART_REPEAT_MIN_SECONDS + 1.0)
+    assert other.part_suspects.blocked == {"bad"}
--- a/tests/gossip/test_recorded_datagrams.py
+++ b/tests/gossip/test_recorded_datagrams.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+import pytest
+
 from gypsumsail.core import cbor
-from gypsumsail.gossip.messages import decode
+from gypsumsail.gateway.part_suspects import PartAnswered, PartCrash
+from gypsumsail.gossip.messages import (
+    CrashReport,
+    crash_row,
+    decode,
+    parse_crash_updates,
+)
 from gypsumsail.gossip.zone_reports import is_report, parse_report
 
 # Recorded from the build f969c79, the last one without notices of targets.
@@ -31,3 +39,19 @@
     value = cbor.load(REPORT)
     assert is_report(value)
     assert parse_report(value).loads[0].stalled_vms == 2
+
+
+def test_crash_rows_of_parts_have_the_columns_that_older_builds_read() -> None:
+    """Builds without parts take the first column for the fingerprint of a request."""
+    update = PartCrash(part="5c1e07a2", target="e1", life=9, order=2)
+    answered = PartAnswered(part="5c1e07a2", target="e1", life=9)
+    assert crash_row(update) == ["part 2 5c1e07a2", "e1", 9]
+    assert crash_row(answered) == ["answered 5c1e07a2", "e1", 9]
+    rows = [crash_row(update), crash_row(answered), ["a1b2", "e1", 9]]
+    assert parse_crash_updates(rows) == (
+        update,
+        answered,
+        CrashReport(fingerprint="a1b2", target="e1", life=9),
+    )
+    with pytest.raises(cbor.ValueInvalidError):
+        parse_crash_updates([["part x 5c1e07a2", "e1", 9]])
