--- a/src/gypsumsail/gateway/models.py
+++ b/src/gypsumsail/gateway/models.py
@@ -246,6 +246,8 @@
         Version of the weights by model.
     orders_taken
         Number of orders to load weights that the target has accepted since its start.
+    build
+        Version of the target's software; empty if its entry names none.
     """
 
     name: str
@@ -258,6 +260,7 @@
     cold_seconds: float = 0.0
     weight_versions: Mapping[str, int] = field(default_factory=dict)
     orders_taken: int = 0
+    build: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -307,6 +310,8 @@
     resume_after
         Id of the last event that the caller has received of a stream; empty for a
         new stream.
+    resumes
+        Id of the request that brought the first event of that stream.
     """
 
     request_id: str
@@ -321,3 +326,4 @@
     deadline: float | None
     prompt: Prompt | None
     resume_after: str = ""
+    resumes: str = ""
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -110,6 +110,9 @@
             moved_tokens=assignment.fetch_tokens,
             context=_context_of(job.call),
             weights=assignment.weight_version,
+            build=state.entry.build,
+            resumes=job.call.resumes or None,
+            resume_after=job.resume_after or None,
             document=self._document_version(),
             left_ms=_milliseconds(job.deadline - now),
             limit=state.limit.calls_per_second,
@@ -247,6 +250,7 @@
             service=entry.service,
             zone=entry.zone,
             phase=entry.phase.value,
+            build=entry.build,
             weights=dict(entry.weight_versions),
         )
 
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -39,6 +39,7 @@
         names.TOKEN_COUNT_HEADER,
         names.PROMPT_PARTS_HEADER,
         names.LAST_EVENT_ID_HEADER,
+        names.RESUMES_HEADER,
         b"authorization",
     }
 )
@@ -91,6 +92,7 @@
         ),
         prompt=_parse_prompt(header_values),
         resume_after=header_values.get(names.LAST_EVENT_ID_HEADER, ""),
+        resumes=header_values.get(names.RESUMES_HEADER, ""),
     )
 
 
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -133,6 +133,8 @@
         Remaining time for which the target is still slow after its start.
     call_seq
         Number of orders to load weights that the target has accepted.
+    version
+        Version of the target's software, not of its weights.
     """
 
     service: str
@@ -144,6 +146,7 @@
     cold_left_ms: float = 0.0
     models: list[_LoadedModel] = []
     call_seq: int = 0
+    version: str = ""
 
 
 class _Weights(msgspec.Struct, frozen=True):
@@ -218,6 +221,7 @@
         cold_seconds=item.cold_left_ms / MILLISECONDS_PER_SECOND,
         weight_versions={model.name: model.version for model in item.models},
         orders_taken=item.call_seq,
+        build=item.version,
     )
 
 
