--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,22 @@
 PATHS_BY_KIND = {"safe": "/safe/", "once": "/once/", "stream": "/stream/"}
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Resumption:
+    """Where a stream is taken up.
+
+    Attributes
+    ----------
+    began_as
+        Id of the request that brought the first event.
+    last_event
+        Id of the last event that the caller has.
+    """
+
+    began_as: str
+    last_event: int
+
+
 @dataclass(slots=True)
 class CallResult:
     """Result of one call.
@@ -45,6 +61,7 @@
     key: str,
     deadline: float = 3.0,
     part: str = "",
+    resumption: Resumption | None = None,
 ) -> CallResult:
     """Send one call on a connection of its own.
 
@@ -54,10 +71,12 @@
     ----------
     part
         Name of the second part of the prompt of a stream; empty for the usual one.
+    resumption
+        Stream that the call takes up; ``None`` for a new one.
     """
     caller = KeptCaller(host, port)
     try:
-        return await caller.async_call(kind, number, key, deadline, part)
+        return await caller.async_call(kind, number, key, deadline, part, resumption)
     finally:
         caller.close()
 
@@ -85,7 +104,13 @@
         self.reader = self.writer = None
 
     async def async_call(
-        self, kind: str, number: int, key: str, deadline: float = 3.0, part: str = ""
+        self,
+        kind: str,
+        number: int,
+        key: str,
+        deadline: float = 3.0,
+        part: str = "",
+        resumption: Resumption | None = None,
     ) -> CallResult:
         """Send one call; the status is 0 if the connection fails or times out."""
         request_id = f"{number:016x}"
@@ -94,7 +119,7 @@
         try:
             async with asyncio.timeout(deadline + 1.0):
                 await self._async_exchange(
-                    encode_call(kind, number, key, deadline, part), result
+                    encode_call(kind, number, key, deadline, part, resumption), result
                 )
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             result.status = 0
@@ -115,7 +140,12 @@
 
 
 def encode_call(
-    kind: str, number: int, key: str, deadline: float, part: str = ""
+    kind: str,
+    number: int,
+    key: str,
+    deadline: float,
+    part: str = "",
+    resumption: Resumption | None = None,
 ) -> bytes:
     """Return the request of a call."""
     part = part or f"b{number % 5}"
@@ -135,6 +165,11 @@
             "Gypsumsail-Token-Count: 300,8",
             f"Gypsumsail-Prompt-Prefix: aa:100,{part}:100,{request_id}:100",
         ]
+    if resumption is not None:
+        lines += [
+            f"Resumes: {resumption.began_as}",
+            f"Last-Event-Id: {resumption.last_event}",
+        ]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -245,9 +245,17 @@
 
 @dataclass(slots=True)
 class ExecutionLog:
-    """All executions at all targets by request id."""
+    """All executions at all targets by request id.
+
+    Attributes
+    ----------
+    builds
+        Builds of the engines that wrote events of each stream, by the id of the request
+        that began it.
+    """
 
     executions: dict[str, list[Execution]] = field(default_factory=dict)
+    builds: dict[str, set[str]] = field(default_factory=dict)
 
     def record_start(self, request_id: str, target: str, tenant: str) -> Execution:
         """Record and return a new execution of a request."""
@@ -308,6 +316,8 @@
         Ids of the same calls.
     pauses
         Answers with ``Retry-After``.
+    build
+        Version of the software; empty for an entry without one.
     fences
         Fencing numbers of all orders that were accepted.
     crashing_parts
@@ -345,6 +355,7 @@
         self.arrived_ids: list[str] = []
         self.pauses: list[PauseAnswer] = []
         self.fences: list[int] = []
+        self.build = ""
         self.crashing_parts: set[str] = set()
         self.crashes: list[float] = []
         self.crashing_arrivals: list[float] = []
@@ -371,6 +382,8 @@
             "born": self.started_at_ms,
             "call_seq": self.order_count,
         }
+        if self.build:
+            spec["version"] = self.build
         if self.is_engine:
             spec["models"] = [{"name": "m0", "version": self.version}]
         await self.store.put("servers", self.name, spec)
@@ -555,16 +568,18 @@
             self._crash()
             raise ConnectionError
         first_event = int(request.headers.get("last-event-id", "0")) + 1
+        began_as = request.headers.get("resumes", request_id)
         if self.fault == "drip":
             await self._drip(writer)
         # A complete answer has events 1 to 8; the fault ``cut`` ends it in event 5.
         for event in range(first_event, 9):
-            text = f"id: {event}\ndata: {event_content(request_id, event)}\n\n".encode()
+            text = f"id: {event}\ndata: {event_content(began_as, event)}\n\n".encode()
             if self.fault == "cut" and event == 5:
                 writer.write(b"%x\r\n%b" % (len(text), text[:7]))
                 reset_connection(writer)
                 raise ConnectionError
             writer.write(b"%x\r\n%b\r\n" % (len(text), text))
+            self.execution_log.builds.setdefault(began_as, set()).add(self.build)
             await writer.drain()
             await asyncio.sleep(
                 SLOW_EVENT_SECONDS if self.fault == "slow" else EVENT_SECONDS
--- /dev/null
+++ b/tests/process/test_mixed_builds.py
@@ -0,0 +1,127 @@
+"""Tests of streams while engines of two software versions serve side by side."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from soak.callers import CallResult, Resumption, call
+from soak.const import API_KEY
+from soak.run import Soak
+from soak.vms import Vm
+
+BUILDS = ["v1", "v1", "v1.1", "v1.1"]
+CALLERS = 16
+SECONDS = 14.0
+STREAM_SECONDS = 3.0
+ENGINE_RESTART_SECONDS = 0.7
+VM_KILL_SECONDS = 2.5
+MAX_MIXED_STREAMS = 2
+MIN_RESUMED_STREAMS = 12
+MIN_RESUMED_SHARE = 0.5
+
+
+class MixedBuildsRun(Soak):
+    """Callers that take up broken streams at other VMs, as engines and VMs fail.
+
+    Attributes
+    ----------
+    first_tries, next_tries
+        Results of the calls that begin a stream, and of those that take one up.
+    """
+
+    def __init__(self, seed: int, vms: int, seconds: float) -> None:
+        super().__init__(seed, vms, seconds)
+        self.first_tries: list[CallResult] = []
+        self.next_tries: list[CallResult] = []
+        engines = (target for target in self.targets if target.is_engine)
+        for engine, build in zip(engines, BUILDS, strict=True):
+            engine.build = build
+            engine.fault = "slow"
+
+    async def async_run_with_failures(self) -> None:
+        """Send streams while engines restart and VMs are killed in turn."""
+        try:
+            await self._start()
+            end = asyncio.get_running_loop().time() + self.seconds
+            await asyncio.gather(
+                self._async_restart_engines(end),
+                self._async_kill_vms(end),
+                *(self._async_send_streams(end) for _ in range(CALLERS)),
+            )
+        finally:
+            await self._stop()
+
+    async def _async_restart_engines(self, end: float) -> None:
+        engines = [target for target in self.targets if target.is_engine]
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(ENGINE_RESTART_SECONDS)
+            engine = self.random.choice(engines)
+            engine.restart()
+            await engine.register(engine.registered_address)
+
+    async def _async_kill_vms(self, end: float) -> None:
+        while asyncio.get_running_loop().time() < end - VM_KILL_SECONDS:
+            await asyncio.sleep(VM_KILL_SECONDS)
+            vm = self.random.choice(self.vms)
+            await vm.async_kill()
+            await asyncio.sleep(0.2)
+            await vm.async_start()
+
+    async def _async_send_streams(self, end: float) -> None:
+        while asyncio.get_running_loop().time() < end:
+            await self._async_send_stream()
+
+    async def _async_send_stream(self) -> None:
+        """Send one stream; take it up at other VMs until its time is over."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + STREAM_SECONDS
+        resumption: Resumption | None = None
+        while (left := give_up_at - loop.time()) > 0.2:
+            vm = self._pick_running_vm()
+            result = await call(
+                vm.host,
+                vm.front_port,
+                "stream",
+                self._next_number(vm),
+                API_KEY,
+                left,
+                resumption=resumption,
+            )
+            tries = self.first_tries if resumption is None else self.next_tries
+            tries.append(result)
+            if result.status == 200:
+                return
+            events = result.body.count(b"\n\n")
+            if resumption is not None:
+                resumption = Resumption(
+                    began_as=resumption.began_as,
+                    last_event=resumption.last_event + events,
+                )
+            elif events:
+                resumption = Resumption(began_as=result.request_id, last_event=events)
+            await asyncio.sleep(0.05)
+
+    def _pick_running_vm(self) -> Vm:
+        running = [vm for vm in self.vms if vm.last_signal is not signal.SIGKILL]
+        return self.random.choice(running or self.vms)
+
+    def mixed_streams(self) -> list[str]:
+        """Return the streams that hold events of two builds."""
+        builds = self.execution_log.builds
+        return [began_as for began_as, found in builds.items() if len(found) > 1]
+
+
+def _has_begun(result: CallResult) -> bool:
+    return b"\n\n" in result.body
+
+
+async def test_streams_stay_with_the_build_that_began_them() -> None:
+    """Within one answer, and over the tries of callers at other VMs."""
+    run = MixedBuildsRun(21, vms=5, seconds=SECONDS)
+    await run.async_run_with_failures()
+    assert len(run.next_tries) >= MIN_RESUMED_STREAMS
+    assert len(run.mixed_streams()) <= MAX_MIXED_STREAMS
+    new_share = sum(map(_has_begun, run.first_tries)) / len(run.first_tries)
+    resumed_share = sum(map(_has_begun, run.next_tries)) / len(run.next_tries)
+    assert resumed_share >= MIN_RESUMED_SHARE * new_share
