Deliver the end of a stream whose last event the caller already has

Callers whose connection broke between the last event and the end of the answer took the stream up, and got 502 for it at every try until their time was over.

Cause: an answer without any event counted as broken off. When a stream is taken up, an answer that has a length or comes in chunks and ends without an event is the end of the stream. Without framing it is still taken for a failure, since a target that fails closes its connection in the same way. For the same reason only an answer without framing counts as a crash against the parts of its prompt.

--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -243,9 +243,14 @@
             if splitter.last_id:
                 self.job.resume_after = splitter.last_id
             await self.reply.async_drain()
-        if splitter.has_partial or not self.reply.has_begun:
-            self._record_crash()
+        # A caller that takes up a stream may have its last event already.
+        may_be_empty = bool(self.job.resume_after) and head.is_framed
+        if splitter.has_partial or not (self.reply.has_begun or may_be_empty):
+            if not head.is_framed:
+                self._record_crash()
             return Broken(reason="the stream ended before an event was complete")
+        if not self.reply.has_begun:
+            self.reply.begin(head.status, head.headers)
         now = self.clock.monotonic()
         self.state.record_success(now, now - self.sent_at)
         generation_time = self.gateway.view.targets.generation_time(self.job.route.name)
--- a/src/gypsumsail/gateway/port.py
+++ b/src/gypsumsail/gateway/port.py
@@ -81,6 +81,9 @@
         Name that the target gave; empty where it gave none.
     headers
         Headers that are forwarded to the caller.
+    is_framed
+        Whether the answer has a length or comes in chunks. Otherwise it ends with its
+        connection, as it also does when the target fails.
     notices
         What the target says of itself.
     """
@@ -93,6 +96,7 @@
     load: TargetReportedLoad | None
     weight_version: int | None
     headers: HeaderPairs
+    is_framed: bool = True
     notices: AnswerNotices = NO_NOTICES
 
 
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -217,6 +217,7 @@
         ),
         load=_parse_load(headers_by_name.get(names.SERVER_LOAD_HEADER), now),
         weight_version=int(weights) if weights.isdigit() else None,
+        is_framed=connection.has_framing,
         notices=parse_notices(connection.status, connection.headers, headers_by_name),
         headers=tuple(
             pair
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -211,6 +211,7 @@
     says_not_run: bool = False
     is_wrong_target: bool = False
     target_name: str = ""
+    is_framed: bool = True
     weight_version: int | None = None
     notices: AnswerNotices = NO_NOTICES
     hangs: bool = False
@@ -235,6 +236,7 @@
             says_not_run=self.says_not_run,
             is_wrong_target=self.is_wrong_target,
             target_name=self.target_name,
+            is_framed=self.is_framed,
             load=None,
             weight_version=self.weight_version,
             headers=((b"x-signature", b"s"),) if self.is_signed else (),
