Continue streams only at the software version that began them

Cause: no VM knew the version of an engine's software, nor which one began a stream.

Now a stream goes on at targets of its build only. A VM knows the builds of streams that it began. While one build serves nothing is told; that build began every stream, if the VM has looked at the targets without a gap for as long as a stream may be taken up, and the store had no outage. Where nobody knows, the call is refused at once, without Retry-After.

--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -138,6 +138,11 @@
         """Return whether the targets were listed at least once."""
         return self.watches[self.kinds.targets].state.revision > 0
 
+    def is_target_list_current(self, now: float) -> bool:
+        """Return whether the targets are listed and the store had no recent outage."""
+        health = self.store_health[self.kinds.targets]
+        return self.knows_targets and health.outage(now) is StoreOutage.NONE
+
     def last_changed_revisions(self) -> Mapping[str, int]:
         """Return the revision of the newest known change, by kind."""
         return {
--- a/src/gypsumsail/core/errors.py
+++ b/src/gypsumsail/core/errors.py
@@ -144,6 +144,13 @@
     status: ClassVar[int] = 503
 
 
+class StreamUnknownError(RequestError):
+    """It is not known which build of the targets began the stream."""
+
+    code: ClassVar[str] = "stream_unknown"
+    status: ClassVar[int] = 503
+
+
 class CrashSuspectError(RequestError):
     """The request crashed the targets that ran it and is not retried."""
 
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 import random
 from typing import Final
@@ -17,6 +17,7 @@
     InvalidRequestError,
     NoTargetError,
     RequestError,
+    StreamUnknownError,
     TransportError,
     UnauthorizedError,
     UnknownServiceError,
@@ -30,6 +31,7 @@
 from gypsumsail.gateway.liveness import LivenessChecks
 from gypsumsail.gateway.models import (
     Call,
+    CallKind,
     Customer,
     HeaderPairs,
     Route,
@@ -69,6 +71,7 @@
     pick_service,
 )
 from gypsumsail.gateway.service_queue import ServiceQueue
+from gypsumsail.gateway.stream_builds import StreamBegin, StreamBuilds
 from gypsumsail.gateway.targets import InFlightCall, TargetState
 from gypsumsail.gateway.telemetry import GatewayTelemetry
 
@@ -85,7 +88,12 @@
 """Parts of one prompt that are watched for crashes."""
 MAX_PART_NAME_CHARACTERS: Final = 64
 """Length from which a hash stands for the name of a part."""
-NO_RETRY_ERRORS: Final = (UnauthorizedError, UnknownServiceError, CrashSuspectError)
+NO_RETRY_ERRORS: Final = (
+    UnauthorizedError,
+    UnknownServiceError,
+    CrashSuspectError,
+    StreamUnknownError,
+)
 """Refusals after which the same call would be refused again."""
 
 
@@ -118,6 +126,12 @@
     on_target_news
         Called with a target that says that it leaves or names another limit, and the
         current time.
+    on_stream_began
+        Called with a stream whose first event has come, before it is forwarded.
+    ask_build
+        Asks other VMs for the build that began a stream of a service.
+    is_view_current
+        Returns whether this VM has heard of all listed targets at a time.
     """
 
     def __init__(
@@ -141,6 +155,8 @@
         self.part_suspects = PartSuspects()
         self.part_suspects.on_blocked = telemetry.part_blocked
         self.part_suspects.on_released = telemetry.part_released
+        self.stream_builds = StreamBuilds(clock.monotonic())
+        view.build_of = self.stream_builds.build_of
         self.liveness = LivenessChecks(calls, view.targets, clock)
         self.liveness.on_checked = telemetry.target_checked
         self.random = random.Random()
@@ -153,11 +169,17 @@
         self.on_target_news: Callable[[TargetState, float], None] = lambda state, now: (
             None
         )
+        self.on_stream_began: Callable[[StreamBegin, float], None] = (
+            _ignore_stream_began
+        )
+        self.ask_build: Callable[[str, str], Awaitable[str | None]] = _async_no_answer
+        self.is_view_current: Callable[[float], bool] = lambda now: True
 
     @callback
     def set_document(self, document: RoutingDocument) -> None:
         """Apply a routing document; queues of removed services are kept."""
         self.document = document
+        self.stream_builds.return_seconds = _longest_stream(document)
         for name, service in document.services.items():
             queue = self.queues.get(name)
             if queue is None:
@@ -169,8 +191,10 @@
 
     @callback
     def tick(self, now: float) -> None:
-        """Run the periodic liveness checks."""
+        """Run the periodic liveness checks and note the builds of the targets."""
         self.liveness.tick(now)
+        states = self.view.targets.states.values()
+        self.stream_builds.note_targets((state.entry for state in states), now)
 
     @callback
     def dispatch(self) -> None:
@@ -255,6 +279,8 @@
         queue = self.queues[job.service]
         assert isinstance(queue.placer, JobPlacer)
         outcome: SendOutcome | None = None
+        if job.resume_after and job.route.kind is CallKind.STREAM:
+            job.build = await self._async_find_build(job)
         while True:
             work_seconds = queue.placer.work_seconds(job, self.clock.monotonic())
             try:
@@ -288,6 +314,43 @@
                 break
         self._finish(job, outcome, reply)
 
+    async def _async_find_build(self, job: Job) -> str:
+        """Return the build that began the stream which a caller takes up.
+
+        Raises
+        ------
+        StreamUnknownError
+            Neither this VM nor the others know it, so that no target may go on.
+        """
+        now = self.clock.monotonic()
+        stream = job.call.resumes
+        build = self.stream_builds.find(stream, now)
+        source = "this VM"
+        if build is None and self.is_view_current(now):
+            build = self.stream_builds.sole_build(job.service, now)
+            source = "only build"
+        if build is None and stream:
+            build = await self.ask_build(stream, job.service)
+            source = "another VM"
+        self.telemetry.stream_taken_up(job, build, source)
+        if build is None:
+            raise StreamUnknownError("no VM knows which build began the stream")
+        return build
+
+    @callback
+    def stream_began(self, job: Job, state: TargetState, now: float) -> None:
+        """Record which build began a stream, before its first event is forwarded."""
+        if job.build is not None or job.route.kind is not CallKind.STREAM:
+            return
+        job.build = self.stream_builds.build_of(state.entry, now)
+        if not job.route.is_resumable:
+            return
+        begin = StreamBegin(
+            stream=job.call.request_id, service=job.service, build=job.build
+        )
+        self.stream_builds.record(begin, now, is_own=True)
+        self.on_stream_began(begin, now)
+
     def _should_continue(
         self, job: Job, outcome: SendOutcome, reply: CallerReply, work_seconds: float
     ) -> bool:
@@ -533,3 +596,23 @@
 
 def _blocked_part_error(part: str) -> CrashSuspectError:
     return CrashSuspectError(f"targets crash on part {part} of the prompt")
+
+
+def _longest_stream(document: RoutingDocument) -> float:
+    """Return the longest time, in seconds, after which a stream is taken up."""
+    return max(
+        (
+            route.timeout or DEFAULT_TIMEOUT_SECONDS
+            for route in document.routes
+            if route.is_resumable
+        ),
+        default=0.0,
+    )
+
+
+async def _async_no_answer(stream: str, service: str) -> str | None:
+    return None
+
+
+def _ignore_stream_began(begin: StreamBegin, now: float) -> None:
+    """Tell nobody, as there is no other VM."""
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -67,6 +67,8 @@
         Seconds that one target is expected to work before the first token.
     shared_parts
         Names of the parts of the prompt that other prompts may share.
+    build
+        Build that began the stream; ``None`` for any.
     """
 
     number: int
@@ -88,6 +90,7 @@
     first_at: float = 0.0
     work_seconds: float = 0.0
     shared_parts: tuple[str, ...] = ()
+    build: str | None = None
 
     def answer_needed_by(self) -> float:
         """Return the time by which the caller needs the first event or the answer.
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -17,7 +17,7 @@
 )
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.limit_slots import LimitSharing
-from gypsumsail.gateway.models import PromptPart, Service
+from gypsumsail.gateway.models import PromptPart, Service, TargetEntry
 from gypsumsail.gateway.placement import (
     Candidate,
     Demand,
@@ -66,6 +66,8 @@
         themselves before it.
     load_report_interval
         Returns the seconds between the load reports of another VM.
+    build_of
+        Returns the build of a target at a time, with which those of streams compare.
     """
 
     zone: str
@@ -80,6 +82,7 @@
     )
     load_report_interval: Callable[[float], float] = lambda now: 0.0
     knows_notices: Callable[[float], bool] = lambda now: True
+    build_of: Callable[[TargetEntry, float], str] = lambda entry, now: entry.build
 
 
 class _FetchableByScope(dict[str, int]):
@@ -282,9 +285,14 @@
             for state in self._states()
             if not state.is_leaving
             and (state.entry.name, state.entry.life) not in job.tried
+            and self._has_build(job, state, now)
             and self._weight_fit(job, state, now) is not WeightFit.REFUSED
         ]
 
+    def _has_build(self, job: Job, state: TargetState, now: float) -> bool:
+        """Return whether the stream of a job may go on at a target."""
+        return job.build is None or self.view.build_of(state.entry, now) == job.build
+
     def _version(self, job: Job, state: TargetState) -> int:
         """Return the version of a target's weights for the job's model.
 
--- /dev/null
+++ b/src/gypsumsail/gateway/stream_builds.py
@@ -0,0 +1,157 @@
+"""Which version of its targets' software (build) began each stream.
+
+What two builds write does not fit together, and targets do not check it. A stream is
+therefore taken up only at the build that began it. A VM knows the build of the streams
+that it began itself and of those that other VMs told it. While only one build serves,
+nothing has to be told: then that build began every stream.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from gypsumsail.gateway.models import TargetEntry
+
+NOTE_INTERVAL_SECONDS: Final = 0.5
+"""Pause between looks at the builds of all listed targets."""
+MAX_NOTE_GAP_SECONDS: Final = 2.0
+"""Pause, such as a suspension, after which builds may have been missed."""
+MAX_STREAMS: Final = 20_000
+"""Streams whose build is kept; the oldest are evicted first."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamBegin:
+    """A stream of which a first event has come.
+
+    Attributes
+    ----------
+    stream
+        Id of the request that began the stream.
+    """
+
+    stream: str
+    service: str
+    build: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Record:
+    begin: StreamBegin
+    is_own: bool
+    expires_at: float
+
+
+@dataclass(slots=True)
+class _ServiceBuilds:
+    """Time at which targets of each build were last listed."""
+
+    listed_at: dict[str, float] = field(default_factory=dict)
+
+
+class StreamBuilds:
+    """Builds of streams and of targets, as far as this VM knows.
+
+    Attributes
+    ----------
+    return_seconds
+        Longest time after its begin at which a stream may be taken up.
+    observed_since
+        Time since which this VM has looked at the listed targets without a gap.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.return_seconds = 0.0
+        self.observed_since = now
+        self.noted_at = float("-inf")
+        self.records: OrderedDict[str, _Record] = OrderedDict()
+        self.services: dict[str, _ServiceBuilds] = {}
+
+    def note_targets(self, entries: Iterable[TargetEntry], now: float) -> None:
+        """Note the builds of all listed targets, if it is time."""
+        gap = now - self.noted_at
+        if 0 <= gap < NOTE_INTERVAL_SECONDS:
+            return
+        if gap > MAX_NOTE_GAP_SECONDS:
+            self.observed_since = now
+        self.noted_at = now
+        for entry in entries:
+            self._note(entry.service, entry.build, now)
+        self._forget_expired(now)
+
+    def _note(self, service: str, build: str, now: float) -> None:
+        builds = self.services.setdefault(service, _ServiceBuilds())
+        builds.listed_at[build] = now
+
+    def _forget_expired(self, now: float) -> None:
+        while self.records:
+            first = next(iter(self.records))
+            if self.records[first].expires_at > now:
+                break
+            del self.records[first]
+
+    def builds(self, service: str, now: float) -> set[str]:
+        """Return the builds that may have begun a stream that is still taken up."""
+        found = self.services.get(service)
+        if found is None:
+            return set()
+        return {
+            build
+            for build, at in found.listed_at.items()
+            if now - at <= self.return_seconds + NOTE_INTERVAL_SECONDS
+        }
+
+    def is_mixed(self, service: str, now: float) -> bool:
+        """Return whether targets of several builds serve, or did until recently."""
+        return len(self.builds(service, now)) > 1
+
+    def sole_build(self, service: str, now: float) -> str | None:
+        """Return the build of all targets that may have begun a stream.
+
+        It is ``None`` if there were several, or if this VM may have missed some.
+        """
+        if now - self.observed_since < self.return_seconds:
+            return None
+        builds = self.builds(service, now)
+        return next(iter(builds)) if len(builds) == 1 else None
+
+    def build_of(self, entry: TargetEntry, now: float) -> str:
+        """Return the build of a target.
+
+        A target whose entry names none, beside others that do, may have any: then it
+        counts as a build of its own.
+        """
+        if entry.build or not self.is_mixed(entry.service, now):
+            return entry.build
+        return f"{entry.name}/{entry.life}"
+
+    def record(self, begin: StreamBegin, now: float, *, is_own: bool) -> None:
+        """Record the build that began a stream; the first one that is named counts."""
+        if begin.stream in self.records:
+            return
+        self._note(begin.service, begin.build, now)
+        self.records[begin.stream] = _Record(
+            begin=begin, is_own=is_own, expires_at=now + self.return_seconds
+        )
+        if len(self.records) > MAX_STREAMS:
+            self.records.popitem(last=False)
+
+    def find(self, stream: str, now: float) -> str | None:
+        """Return the build that began a stream; ``None`` if it is not known."""
+        record = self.records.get(stream)
+        if record is None or record.expires_at <= now:
+            return None
+        return record.begin.build
+
+    def own_begins(self, service: str, now: float) -> list[StreamBegin]:
+        """Return the streams of a service that this VM began and may be taken up."""
+        return [
+            record.begin
+            for record in self.records.values()
+            if record.is_own
+            and record.begin.service == service
+            and record.expires_at > now
+        ]
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -68,6 +68,12 @@
             "Notices of targets by service: leaving, pause or changed limit.",
             ("service", "notice"),
         )
+        self.taken_up = registry.counter(
+            "gypsumsail_gateway_streams_taken_up_total",
+            "Streams that callers take up, by service and by who knew the build that "
+            "began them.",
+            ("service", "source"),
+        )
         self.blocked_parts = registry.counter(
             "gypsumsail_gateway_blocked_parts_total",
             "Parts of prompts that were blocked because targets crash on them, and "
@@ -346,6 +352,28 @@
             kept=state.limit.calls_per_second,
         )
 
+    @callback
+    def stream_taken_up(self, job: Job, build: str | None, source: str) -> None:
+        """Log that a caller takes up a stream, and the build that began it.
+
+        Parameters
+        ----------
+        build
+            ``None`` if it is not known.
+        source
+            From where this VM knows it.
+        """
+        source = source if build is not None else "unknown"
+        self.taken_up.labels(job.service, source).increment()
+        self.log.write(
+            "stream taken up",
+            request=job.call.request_id,
+            resumes=job.call.resumes,
+            resume_after=job.resume_after,
+            build=build,
+            source=source,
+        )
+
     @callback
     def part_blocked(self, part: str, crashes: Iterable[TargetLife]) -> None:
         """Log that calls with a part are refused, and the crashes that led to it."""
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -17,6 +17,7 @@
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import TargetEntry
 from gypsumsail.gateway.part_suspects import PartAnswered, PartCrash, PartSuspects
+from gypsumsail.gateway.stream_builds import StreamBuilds
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.targets import PeerTargetLoad, TargetState
 from gypsumsail.gossip.const import (
@@ -46,6 +47,8 @@
 from gypsumsail.gossip.notice_exchange import NoticeExchange
 from gypsumsail.gossip.peers import Peer, PeerTable
 from gypsumsail.gossip.reporter import OTHER_ZONES_KEY, ZoneReporter, zone_key
+from gypsumsail.gossip.stream_exchange import StreamExchange
+from gypsumsail.gossip.stream_messages import StreamMessage
 from gypsumsail.gossip.target_notices import TargetNotices
 from gypsumsail.gossip.zone_reports import (
     FleetUpdate,
@@ -98,6 +101,7 @@
         targets: TargetTable,
         crash_suspects: CrashSuspectTracker,
         part_suspects: PartSuspects,
+        stream_builds: StreamBuilds,
         clock: Clock,
         last_changed_revisions: Callable[[], Mapping[str, int]],
         reads_store: Callable[[str], bool],
@@ -114,7 +118,13 @@
         self.reads_store = reads_store
         self.on_context_store_update = on_context_store_update
         self.endpoint = GossipEndpoint(
-            self.handle_message, self.handle_report, self.handle_notices
+            self.handle_message,
+            self.handle_report,
+            self.handle_notices,
+            self.handle_stream_message,
+        )
+        self.streams = StreamExchange(
+            peers, stream_builds, clock, self._send_stream_message
         )
         self.notices = NoticeExchange(
             peers, targets, self._send_notices, clock.monotonic()
@@ -209,6 +219,7 @@
         """Send the messages that are due."""
         self.reporter.tick(now)
         self.notices.tick(now)
+        self.streams.tick(now)
         self._repeat_part_crashes(now)
         last_changed_revisions = self.last_changed_revisions()
         if last_changed_revisions != self.sent_revisions:
@@ -251,6 +262,15 @@
     def _send_notices(self, message: TargetNotices, hosts: list[str]) -> None:
         self.endpoint.send_notices(message, [(host, self.port) for host in hosts])
 
+    def _send_stream_message(self, message: StreamMessage, hosts: list[str]) -> None:
+        addresses = [(host, self.port) for host in hosts]
+        self.endpoint.send_stream_message(message, addresses)
+
+    @callback
+    def handle_stream_message(self, message: StreamMessage) -> None:
+        """Apply a message on streams of another VM."""
+        self.streams.handle(message)
+
     @callback
     def handle_notices(self, message: TargetNotices) -> None:
         """Apply notices of targets that another VM sends."""
--- a/src/gypsumsail/gossip/endpoint.py
+++ b/src/gypsumsail/gossip/endpoint.py
@@ -12,6 +12,12 @@
 from gypsumsail.core.cbor import ValueInvalidError
 from gypsumsail.gossip.const import MAX_DATAGRAM_BYTES
 from gypsumsail.gossip.messages import GossipMessage, encode, parse
+from gypsumsail.gossip.stream_messages import (
+    StreamMessage,
+    encode_stream_message,
+    is_stream_message,
+    parse_stream_message,
+)
 from gypsumsail.gossip.target_notices import (
     TargetNotices,
     encode_notices,
@@ -42,10 +48,12 @@
         on_message: Callable[[GossipMessage], None],
         on_report: Callable[[ZoneReport], None],
         on_notices: Callable[[TargetNotices], None],
+        on_stream_message: Callable[[StreamMessage], None],
     ) -> None:
         self.on_message = on_message
         self.on_report = on_report
         self.on_notices = on_notices
+        self.on_stream_message = on_stream_message
         self.transport: asyncio.DatagramTransport | None = None
         self.invalid_datagrams = 0
         self.bytes_sent = 0
@@ -81,6 +89,14 @@
         if addresses:
             self._send(encode_notices(message), addresses)
 
+    @callback
+    def send_stream_message(
+        self, message: StreamMessage, addresses: list[tuple[str, int]]
+    ) -> None:
+        """Send a message on streams to several VMs."""
+        if addresses:
+            self._send(encode_stream_message(message), addresses)
+
     def _send(self, data: bytes, addresses: list[tuple[str, int]]) -> None:
         if self.transport is None:
             return
@@ -104,6 +120,9 @@
             if is_notices(value):
                 self.on_notices(parse_notices(value))
                 return
+            if is_stream_message(value):
+                self.on_stream_message(parse_stream_message(value))
+                return
             message = parse(value)
         except ValueInvalidError as err:
             self.invalid_datagrams += 1
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -174,12 +174,17 @@
             self.targets,
             self.gateway.crash_suspects,
             self.gateway.part_suspects,
+            self.gateway.stream_builds,
             self.clock,
             self.catalog.last_changed_revisions,
             self.catalog.reads_store,
             self.context_stores.apply_store_update,
         )
         self.gateway.part_suspects.may_try = self._may_try_part
+        self.gateway.on_stream_began = gossip.streams.tell
+        self.gateway.ask_build = gossip.streams.async_ask
+        self.gateway.is_view_current = self.catalog.is_target_list_current
+        gossip.streams.is_view_current = self.catalog.is_target_list_current
         self.gateway.on_first_token = self._on_first_token
         self.context_stores.on_store_update = gossip.publish_context_store_update
         self.gateway.view.peer_service_load = gossip.peer_service_load
