Bound the bytes of a response outside its body

A target in trouble may send bytes without end. Heads, bodies and answers to other requests were bounded, but sizes of chunks with an endless extension and headers after the body were not: the connection stayed open until the deadline of the call, and the headers were kept in memory.

Bytes are now counted from the last ones of a body on, in both clients, and headers after the body are dropped.

--- a/src/gypsumsail/transport/connection.py
+++ b/src/gypsumsail/transport/connection.py
@@ -25,6 +25,9 @@
         Whether the head of the response has arrived.
     is_complete
         Whether the whole response has arrived.
+    framing_bytes
+        Bytes that have arrived since the last ones of a body: heads, sizes of chunks
+        and headers after the body.
     is_reusable
         Whether the connection can be used for another request.
     """
@@ -41,7 +44,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.status = 0
         self.content_type = ""
-        self.head_bytes = 0
+        self.framing_bytes = 0
         self.chunks: list[bytes] = []
         self.unread_bytes = 0
         self.has_head = False
@@ -131,12 +134,15 @@
         if self.is_complete or not self.is_used:
             self.fail("received bytes without a pending request")
             return
-        if not self.has_head:
-            self.head_bytes += len(data)
-            # Approximate limit: the last chunk may also contain the start of the body.
-            if self.head_bytes > HEADER_LIMIT_BYTES + MAX_UNREAD_BODY_BYTES:
-                self.fail("response head is too large")
-                return
+        self.framing_bytes += len(data)
+        # Approximate limit: the last bytes may also contain the start of the body.
+        if self.framing_bytes > HEADER_LIMIT_BYTES + MAX_UNREAD_BODY_BYTES:
+            self.fail(
+                "the response has too many bytes outside its body"
+                if self.has_head
+                else "response head is too large"
+            )
+            return
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -156,6 +162,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body; pause reading when the buffer is too large."""
+        self.framing_bytes = 0
         self.chunks.append(body)
         self.unread_bytes += len(body)
         too_much = self.unread_bytes > MAX_UNREAD_BODY_BYTES
--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -42,6 +42,9 @@
         Headers of the response, with lower-case names.
     is_complete
         Whether the whole response has arrived.
+    framing_bytes
+        Bytes that have arrived since the last ones of a body: heads, sizes of chunks
+        and headers after the body.
     idle_until
         Event loop time, in seconds, after which the idle connection is not reused.
     """
@@ -63,7 +66,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
         self.unread_bytes = 0
-        self.head_bytes = 0
+        self.framing_bytes = 0
         self.has_head = False
         self.has_framing = False
         self.is_complete = False
@@ -193,12 +196,15 @@
         if not self.is_in_use or self.is_complete:
             self._fail("received bytes without a pending request")
             return
-        if not self.has_head:
-            self.head_bytes += len(data)
-            # Approximate limit: the last chunk may also contain the start of the body.
-            if self.head_bytes > HEADER_LIMIT_BYTES + MAX_UNREAD_BODY_BYTES:
-                self._fail("response head is too large")
-                return
+        self.framing_bytes += len(data)
+        # Approximate limit: the last bytes may also contain the start of the body.
+        if self.framing_bytes > HEADER_LIMIT_BYTES + MAX_UNREAD_BODY_BYTES:
+            self._fail(
+                "the response has too many bytes outside its body"
+                if self.has_head
+                else "response head is too large"
+            )
+            return
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -212,8 +218,9 @@
             raise BrokenStreamError("received a second response to one request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self.headers.append((name.lower(), value))
+        """Store a header; those after the body are ignored."""
+        if not self.has_head:
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Store the status; an interim (1xx) response is skipped."""
@@ -244,6 +251,7 @@
         """Buffer a part of the body; pause reading when the buffer is too large."""
         if self.is_unrelated:
             return
+        self.framing_bytes = 0
         self.chunks.append(body)
         self.unread_bytes += len(body)
         too_much = self.unread_bytes > MAX_UNREAD_BODY_BYTES
--- /dev/null
+++ b/tests/transport/test_endless_bytes.py
@@ -0,0 +1,126 @@
+"""Tests of targets that send bytes without end until the caller closes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+
+import pytest
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.transport.connection import StreamConnection
+from gypsumsail.transport.exchange import ExchangeConnection, ExchangePool
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+ID = b"X-Id: mine\r\n"
+CHUNKED = b"HTTP/1.1 200 S\r\n" + ID + b"Transfer-Encoding: chunked\r\n\r\n"
+MAX_SENT_BYTES = 16 * 1024 * 1024
+BODY_LIMIT_BYTES = 1024 * 1024
+CLOSE_SECONDS = 4.0
+
+ENDLESS = {
+    "blank lines": (b"", b"\r\n"),
+    "garbage": (b"", b"\x00\xff"),
+    "header value": (b"HTTP/1.1 200 S\r\nX: ", b"a"),
+    "headers": (b"HTTP/1.1 200 S\r\n", b"X: y\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 102 P\r\n\r\n"),
+    "chunk extension": (CHUNKED + b"1;", b"a"),
+    "trailer value": (CHUNKED + b"0\r\nX: ", b"a"),
+    "trailers": (CHUNKED + b"0\r\n", b"X: y\r\n"),
+}
+"""First bytes, and those that follow without end."""
+ENDLESS_ANSWERS = {
+    "body without length": (b"HTTP/1.1 200 S\r\n" + ID + b"\r\n", b"a"),
+    "body in chunks": (CHUNKED, b"1\r\na\r\n"),
+    "answer to another request": (
+        b"HTTP/1.1 200 S\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1\r\na\r\n",
+    ),
+}
+
+
+class EndlessServer:
+    """Server that sends bytes without end.
+
+    Attributes
+    ----------
+    sent_bytes
+        Number of bytes that it has sent on the connection.
+    is_closed
+        Set once the caller has closed the connection.
+    """
+
+    def __init__(self, first: bytes, repeated: bytes) -> None:
+        self.first = first
+        self.block = repeated * (16_384 // len(repeated))
+        self.sent_bytes = 0
+        self.is_closed = asyncio.Event()
+
+    async def async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send until the caller closes."""
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.first)
+            while self.sent_bytes <= MAX_SENT_BYTES:
+                writer.write(self.block)
+                self.sent_bytes += len(self.block)
+                await writer.drain()
+        self.is_closed.set()
+        writer.close()
+
+
+@asynccontextmanager
+async def endless_server(
+    first: bytes, repeated: bytes
+) -> AsyncIterator[tuple[EndlessServer, int]]:
+    """Run a server; yield it with its port."""
+    endless = EndlessServer(first, repeated)
+    server = await asyncio.start_server(endless.async_serve, "127.0.0.1", 0)
+    try:
+        yield endless, server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+async def async_read_exchange(connection: ExchangeConnection) -> None:
+    await connection.async_wait_for_head()
+    await connection.async_read_all(BODY_LIMIT_BYTES)
+
+
+async def async_read_stream(connection: StreamConnection) -> None:
+    await connection.async_wait_for_head()
+    while await connection.async_read():
+        pass
+
+
+@pytest.mark.parametrize("name", [*ENDLESS, *ENDLESS_ANSWERS])
+async def test_exchange_ends_in_bounded_memory(name: str) -> None:
+    async with endless_server(*(ENDLESS | ENDLESS_ANSWERS)[name]) as (server, port):
+        pool = ExchangePool("127.0.0.1", port, 0.5)
+        connection = await pool.async_acquire()
+        async with asyncio.timeout(CLOSE_SECONDS):
+            connection.send(REQUEST, (b"x-id", b"mine"))
+            with pytest.raises(TransportError):
+                await async_read_exchange(connection)
+            pool.release(connection)
+            await server.is_closed.wait()
+        assert not pool.idle
+        assert server.sent_bytes <= MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+async def test_stream_ends_in_bounded_memory(name: str) -> None:
+    async with endless_server(*ENDLESS[name]) as (server, port):
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            StreamConnection, "127.0.0.1", port
+        )
+        async with asyncio.timeout(CLOSE_SECONDS):
+            connection.send(REQUEST)
+            with pytest.raises(TransportError):
+                await async_read_stream(connection)
+            await server.is_closed.wait()
+        assert server.sent_bytes <= MAX_SENT_BYTES
