--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 import random
 from typing import Final
 
-import xxhash
-
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import (
@@ -26,6 +24,7 @@
 from gypsumsail.gateway.call_limit import InvalidLimit
 from gypsumsail.gateway.const import MAX_ANSWER_BYTES, REPORTED_LOAD_MAX_AGE_SECONDS
 from gypsumsail.gateway.crash_suspects import CrashSuspectTracker
+from gypsumsail.gateway.fingerprints import fingerprint, shared_parts
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.job_send import JobSend, call_facts
 from gypsumsail.gateway.liveness import LivenessChecks
@@ -71,7 +70,8 @@
     pick_service,
 )
 from gypsumsail.gateway.service_queue import ServiceQueue
-from gypsumsail.gateway.stream_builds import StreamBegin, StreamBuilds
+from gypsumsail.gateway.stream_builds import StreamBuilds
+from gypsumsail.gateway.stream_resumption import StreamResumption
 from gypsumsail.gateway.targets import InFlightCall, TargetState
 from gypsumsail.gateway.telemetry import GatewayTelemetry
 
@@ -80,14 +80,6 @@
 
 An earlier deadline of the caller still applies.
 """
-MAX_FINGERPRINTED_BODY_BYTES: Final = 65_536
-"""Leading bytes of a body that enter the fingerprint of a request."""
-
-
-MAX_SHARED_PARTS: Final = 64
-"""Parts of one prompt that are watched for crashes."""
-MAX_PART_NAME_CHARACTERS: Final = 64
-"""Length from which a hash stands for the name of a part."""
 NO_RETRY_ERRORS: Final = (
     UnauthorizedError,
     UnknownServiceError,
@@ -126,12 +118,6 @@
     on_target_news
         Called with a target that says that it leaves or names another limit, and the
         current time.
-    on_stream_began
-        Called with a stream whose first event has come, before it is forwarded.
-    ask_build
-        Asks other VMs for the build that began a stream of a service.
-    is_view_current
-        Returns whether this VM has heard of all listed targets at a time.
     """
 
     def __init__(
@@ -156,6 +142,7 @@
         self.part_suspects.on_blocked = telemetry.part_blocked
         self.part_suspects.on_released = telemetry.part_released
         self.stream_builds = StreamBuilds(clock.monotonic())
+        self.resumption = StreamResumption(self.stream_builds, clock, telemetry)
         view.build_of = self.stream_builds.build_of
         self.liveness = LivenessChecks(calls, view.targets, clock)
         self.liveness.on_checked = telemetry.target_checked
@@ -169,11 +156,6 @@
         self.on_target_news: Callable[[TargetState, float], None] = lambda state, now: (
             None
         )
-        self.on_stream_began: Callable[[StreamBegin, float], None] = (
-            _ignore_stream_began
-        )
-        self.ask_build: Callable[[str, str], Awaitable[str | None]] = _async_no_answer
-        self.is_view_current: Callable[[float], bool] = lambda now: True
 
     @callback
     def set_document(self, document: RoutingDocument) -> None:
@@ -237,16 +219,17 @@
             raise NoTargetError(
                 "the routing document lacks the service", retry_after=1.0
             )
-        fingerprint = _fingerprint(call, customer)
-        if self.crash_suspects.is_blocked(fingerprint):
+        request_fingerprint = fingerprint(call, customer)
+        if self.crash_suspects.is_blocked(request_fingerprint):
             raise CrashSuspectError("several targets failed while running the request")
-        shared_parts = _shared_parts(call)
-        blocked_part = self.part_suspects.blocked_part(shared_parts, call.received_at)
+        blocked_part = self.part_suspects.blocked_part(
+            shared_parts(call), call.received_at
+        )
         if blocked_part is not None:
             raise _blocked_part_error(blocked_part)
         budget = self.budgets.setdefault(service, RetryBudget())
         budget.count_call(self.settings.retry_limit, call.received_at)
-        return self._job(call, route, customer, service, fingerprint, shared_parts)
+        return self._job(call, route, customer, service, request_fingerprint)
 
     def _job(
         self,
@@ -254,8 +237,7 @@
         route: Route,
         customer: Customer,
         service: str,
-        fingerprint: str,
-        shared_parts: tuple[str, ...],
+        request_fingerprint: str,
     ) -> Job:
         self.last_number += 1
         deadline = call.received_at + (route.timeout or DEFAULT_TIMEOUT_SECONDS)
@@ -270,9 +252,9 @@
             priority=effective_priority(route, customer),
             due_at=call.received_at + route.latency_goal,
             deadline=deadline,
-            fingerprint=fingerprint,
+            fingerprint=request_fingerprint,
             resume_after=call.resume_after,
-            shared_parts=shared_parts,
+            shared_parts=shared_parts(call),
         )
 
     async def _async_serve(self, job: Job, reply: CallerReply) -> None:
@@ -280,7 +262,7 @@
         assert isinstance(queue.placer, JobPlacer)
         outcome: SendOutcome | None = None
         if job.resume_after and job.route.kind is CallKind.STREAM:
-            job.build = await self._async_find_build(job)
+            job.build = await self.resumption.async_find_build(job)
         while True:
             work_seconds = queue.placer.work_seconds(job, self.clock.monotonic())
             try:
@@ -314,43 +296,6 @@
                 break
         self._finish(job, outcome, reply)
 
-    async def _async_find_build(self, job: Job) -> str:
-        """Return the build that began the stream which a caller takes up.
-
-        Raises
-        ------
-        StreamUnknownError
-            Neither this VM nor the others know it, so that no target may go on.
-        """
-        now = self.clock.monotonic()
-        stream = job.call.resumes
-        build = self.stream_builds.find(stream, now)
-        source = "this VM"
-        if build is None and self.is_view_current(now):
-            build = self.stream_builds.sole_build(job.service, now)
-            source = "only build"
-        if build is None and stream:
-            build = await self.ask_build(stream, job.service)
-            source = "another VM"
-        self.telemetry.stream_taken_up(job, build, source)
-        if build is None:
-            raise StreamUnknownError("no VM knows which build began the stream")
-        return build
-
-    @callback
-    def stream_began(self, job: Job, state: TargetState, now: float) -> None:
-        """Record which build began a stream, before its first event is forwarded."""
-        if job.build is not None or job.route.kind is not CallKind.STREAM:
-            return
-        job.build = self.stream_builds.build_of(state.entry, now)
-        if not job.route.is_resumable:
-            return
-        begin = StreamBegin(
-            stream=job.call.request_id, service=job.service, build=job.build
-        )
-        self.stream_builds.record(begin, now, is_own=True)
-        self.on_stream_began(begin, now)
-
     def _should_continue(
         self, job: Job, outcome: SendOutcome, reply: CallerReply, work_seconds: float
     ) -> bool:
@@ -572,28 +517,6 @@
         self.telemetry.detached_call_ended(job, outcome, self.clock.monotonic())
 
 
-def _fingerprint(call: Call, customer: Customer) -> str:
-    """Return a hash that identifies equal requests of a customer."""
-    digest = xxhash.xxh3_64()
-    for part in (call.method, call.target, customer.name.encode()):
-        digest.update(part + b"\0")
-    digest.update(call.body[:MAX_FINGERPRINTED_BODY_BYTES])
-    return digest.hexdigest()
-
-
-def _shared_parts(call: Call) -> tuple[str, ...]:
-    """Return the names of the parts of a prompt that other prompts may share."""
-    if call.prompt is None:
-        return ()
-    names = (part.name for part in call.prompt.parts[:-1][:MAX_SHARED_PARTS])
-    return tuple(
-        name
-        if len(name) <= MAX_PART_NAME_CHARACTERS
-        else xxhash.xxh3_64_hexdigest(name.encode())
-        for name in names
-    )
-
-
 def _blocked_part_error(part: str) -> CrashSuspectError:
     return CrashSuspectError(f"targets crash on part {part} of the prompt")
 
@@ -608,11 +531,3 @@
         ),
         default=0.0,
     )
-
-
-async def _async_no_answer(stream: str, service: str) -> str | None:
-    return None
-
-
-def _ignore_stream_began(begin: StreamBegin, now: float) -> None:
-    """Tell nobody, as there is no other VM."""
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -270,7 +270,7 @@
     def _record_progress(self, head: AnswerHead) -> None:
         now = self.clock.monotonic()
         self._record_begin(now)
-        self.gateway.stream_began(self.job, self.state, now)
+        self.gateway.resumption.stream_began(self.job, self.state, now)
         if not self.job.first_at:
             self.job.first_at = now
         in_flight_call = self.state.in_flight.get(self.assignment.in_flight_id)
--- /dev/null
+++ b/src/gypsumsail/gateway/stream_resumption.py
@@ -0,0 +1,83 @@
+"""Finds the build at which a stream goes on, and tells of streams that begin."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from gypsumsail.core.callback import callback
+from gypsumsail.core.clock import Clock
+from gypsumsail.core.errors import StreamUnknownError
+from gypsumsail.gateway.job import Job
+from gypsumsail.gateway.models import CallKind
+from gypsumsail.gateway.stream_builds import StreamBegin, StreamBuilds
+from gypsumsail.gateway.targets import TargetState
+from gypsumsail.gateway.telemetry import GatewayTelemetry
+
+
+class StreamResumption:
+    """Streams that begin at this VM, and those that callers take up here.
+
+    Attributes
+    ----------
+    on_began
+        Called with a stream whose first event has come, before it is forwarded.
+    ask_build
+        Asks other VMs for the build that began a stream of a service.
+    is_view_current
+        Returns whether this VM has heard of all listed targets at a time.
+    """
+
+    def __init__(
+        self, builds: StreamBuilds, clock: Clock, telemetry: GatewayTelemetry
+    ) -> None:
+        self.builds = builds
+        self.clock = clock
+        self.telemetry = telemetry
+        self.on_began: Callable[[StreamBegin, float], None] = _tell_nobody
+        self.ask_build: Callable[[str, str], Awaitable[str | None]] = _async_ask_nobody
+        self.is_view_current: Callable[[float], bool] = lambda now: True
+
+    async def async_find_build(self, job: Job) -> str:
+        """Return the build that began the stream which a caller takes up.
+
+        Raises
+        ------
+        StreamUnknownError
+            Neither this VM nor the others know it, so that no target may go on.
+        """
+        now = self.clock.monotonic()
+        stream = job.call.resumes
+        build = self.builds.find(stream, now)
+        source = "this VM"
+        if build is None and self.is_view_current(now):
+            build = self.builds.sole_build(job.service, now)
+            source = "only build"
+        if build is None and stream:
+            build = await self.ask_build(stream, job.service)
+            source = "another VM"
+        self.telemetry.stream_taken_up(job, build, source)
+        if build is None:
+            raise StreamUnknownError("no VM knows which build began the stream")
+        return build
+
+    @callback
+    def stream_began(self, job: Job, state: TargetState, now: float) -> None:
+        """Record which build began a stream, before its first event is forwarded."""
+        if job.build is not None or job.route.kind is not CallKind.STREAM:
+            return
+        job.build = self.builds.build_of(state.entry, now)
+        if not job.route.is_resumable:
+            return
+        begin = StreamBegin(
+            stream=job.call.request_id, service=job.service, build=job.build
+        )
+        self.builds.record(begin, now, is_own=True)
+        self.on_began(begin, now)
+
+
+def _tell_nobody(begin: StreamBegin, now: float) -> None:
+    """Stand in for the other VMs where there are none."""
+
+
+async def _async_ask_nobody(stream: str, service: str) -> str | None:
+    return None
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -26,10 +26,9 @@
     MAX_REPEATED_CRASHES,
     MAX_UNREACHABLE_PER_MESSAGE,
     MAX_UPDATES_PER_MESSAGE,
-    PART_REPEAT_MIN_SECONDS,
-    PART_REPEAT_SECONDS_PER_VM,
     UNCHANGED_INTERVAL_SECONDS,
 )
+from gypsumsail.gossip.crash_repeats import CrashRepeats
 from gypsumsail.gossip.endpoint import GossipEndpoint
 from gypsumsail.gossip.messages import (
     CachedPrompt,
@@ -112,7 +111,7 @@
         self.targets = targets
         self.crash_suspects = crash_suspects
         self.part_suspects = part_suspects
-        self.crashes_repeated_at = clock.monotonic()
+        self.crash_repeats = CrashRepeats(part_suspects, peers, clock.monotonic())
         self.clock = clock
         self.last_changed_revisions = last_changed_revisions
         self.reads_store = reads_store
@@ -220,7 +219,9 @@
         self.reporter.tick(now)
         self.notices.tick(now)
         self.streams.tick(now)
-        self._repeat_part_crashes(now)
+        self.crash_report_updates += [
+            (update, 1) for update in self.crash_repeats.due(now)
+        ]
         last_changed_revisions = self.last_changed_revisions()
         if last_changed_revisions != self.sent_revisions:
             has_read_change = self._has_read_change(last_changed_revisions)
@@ -297,23 +298,6 @@
                 reduced_message, [(peer.host, self.port) for peer in reduced]
             )
 
-    def _repeat_part_crashes(self, now: float) -> None:
-        """Repeat what is known of suspected parts, for VMs that were cut off.
-
-        Each VM hears of it at about the same rate, whatever the number of VMs.
-        """
-        interval = max(
-            PART_REPEAT_MIN_SECONDS, PART_REPEAT_SECONDS_PER_VM * self.peers.count(now)
-        )
-        if now - self.crashes_repeated_at < interval:
-            return
-        self.crashes_repeated_at = now
-        updates = self.part_suspects.updates_to_repeat()
-        count = min(len(updates), MAX_REPEATED_CRASHES)
-        self.crash_report_updates += [
-            (update, 1) for update in self.random.sample(updates, count)
-        ]
-
     def _tell_started(self, peer: Peer, now: float) -> None:
         """Tell a VM that has just started what it needs before its first call."""
         updates = self.part_suspects.updates_to_repeat()
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -181,9 +181,10 @@
             self.context_stores.apply_store_update,
         )
         self.gateway.part_suspects.may_try = self._may_try_part
-        self.gateway.on_stream_began = gossip.streams.tell
-        self.gateway.ask_build = gossip.streams.async_ask
-        self.gateway.is_view_current = self.catalog.is_target_list_current
+        resumption = self.gateway.resumption
+        resumption.on_began = gossip.streams.tell
+        resumption.ask_build = gossip.streams.async_ask
+        resumption.is_view_current = self.catalog.is_target_list_current
         gossip.streams.is_view_current = self.catalog.is_target_list_current
         self.gateway.on_first_token = self._on_first_token
         self.context_stores.on_store_update = gossip.publish_context_store_update
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -644,7 +644,7 @@
         asked.append((stream_id, service))
         return "v2"
 
-    gw.ask_build = async_ask
+    gw.resumption.ask_build = async_ask
     its_call = call("/s/x", prompt=prompt(), resume_after="1", resumes="id-0")
     await gw.async_handle(its_call, RecordedReply())
     assert asked == [("id-0", ENGINES)]
@@ -655,6 +655,6 @@
     gw = two_builds(ScriptedTargets(stream(b"id: 1\n\n")))
     reply = RecordedReply()
     told: list[tuple[str, bytes]] = []
-    gw.on_stream_began = lambda begin, now: told.append((begin.stream, reply.body))
+    gw.resumption.on_began = lambda begin, now: told.append((begin.stream, reply.body))
     await gw.async_handle(call("/s/x", prompt=prompt()), reply)
     assert told == [("id-1", b"")]
