Trust the only listed build only while the VM hears its zone

A VM that is cut off from the store and from all VMs notices the cut of the store only at the timeout of its watch. Until then it took the build that it had seen last for the only one, and could take a stream up that another build had begun, which binds cut VMs too. Silence of most VMs of the zone for 1.5 s now counts as a cut; such a VM asks, and refuses if nobody answers.

The time for which a stream may return no longer falls with a document that shortens a timeout, and covers the deadlines that callers send, up to 60 s. Found by reading; the tests of hears_zone and of the return time are new.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -161,7 +161,7 @@
     def set_document(self, document: RoutingDocument) -> None:
         """Apply a routing document; queues of removed services are kept."""
         self.document = document
-        self.stream_builds.return_seconds = _longest_stream(document)
+        self.stream_builds.note_return(_longest_stream(document))
         for name, service in document.services.items():
             queue = self.queues.get(name)
             if queue is None:
--- a/src/gypsumsail/gateway/stream_builds.py
+++ b/src/gypsumsail/gateway/stream_builds.py
@@ -19,6 +19,8 @@
 """Pause between looks at the builds of all listed targets."""
 MAX_NOTE_GAP_SECONDS: Final = 2.0
 """Pause, such as a suspension, after which builds may have been missed."""
+MAX_RETURN_SECONDS: Final = 60.0
+"""Time after its begin from which a stream is not taken up any more, at most."""
 MAX_STREAMS: Final = 20_000
 """Streams whose build is kept; the oldest are evicted first."""
 
@@ -58,7 +60,8 @@
     Attributes
     ----------
     return_seconds
-        Longest time after its begin at which a stream may be taken up.
+        Longest time after its begin at which a stream may be taken up. It never falls,
+        because streams that began under an earlier document are still taken up.
     observed_since
         Time since which this VM has looked at the listed targets without a gap.
     """
@@ -70,6 +73,10 @@
         self.records: OrderedDict[str, _Record] = OrderedDict()
         self.services: dict[str, _ServiceBuilds] = {}
 
+    def note_return(self, seconds: float) -> None:
+        """Note a timeout of a route, or the deadline of a caller, for streams."""
+        self.return_seconds = max(self.return_seconds, min(seconds, MAX_RETURN_SECONDS))
+
     def note_targets(self, entries: Iterable[TargetEntry], now: float) -> None:
         """Note the builds of all listed targets, if it is time."""
         gap = now - self.noted_at
--- a/src/gypsumsail/gateway/stream_resumption.py
+++ b/src/gypsumsail/gateway/stream_resumption.py
@@ -46,6 +46,7 @@
             Neither this VM nor the others know it, so that no target may go on.
         """
         now = self.clock.monotonic()
+        self._note_deadline(job)
         stream = job.call.resumes
         build = self.builds.find(stream, now)
         source = "this VM"
@@ -68,12 +69,17 @@
         job.build = self.builds.build_of(state.entry, now)
         if not job.route.is_resumable:
             return
+        self._note_deadline(job)
         begin = StreamBegin(
             stream=job.call.request_id, service=job.service, build=job.build
         )
         self.builds.record(begin, now, is_own=True)
         self.on_began(begin, now)
 
+    def _note_deadline(self, job: Job) -> None:
+        if job.call.deadline is not None:
+            self.builds.note_return(job.call.deadline - job.call.received_at)
+
 
 def _tell_nobody(begin: StreamBegin, now: float) -> None:
     """Stand in for the other VMs where there are none."""
--- a/src/gypsumsail/gossip/const.py
+++ b/src/gypsumsail/gossip/const.py
@@ -56,6 +56,8 @@
 """Pause between messages to a VM that is not known to be alive."""
 ALIVE_TIMEOUT_SECONDS: Final = 3.0
 """Time without a message after which a VM no longer counts as alive."""
+HEARD_LATELY_SECONDS: Final = 1.5
+"""Time without a message after which a VM may be cut off from another of its zone."""
 ALIVE_CACHE_SECONDS: Final = 0.1
 """Time for which the set of live VMs is cached; a silent VM counts that much longer."""
 NOTICE_INTERVAL_SECONDS: Final = 0.5
--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -18,6 +18,7 @@
     CROSS_ZONE_MAX_INTERVAL_SECONDS,
     CROSS_ZONE_MESSAGES_PER_SECOND,
     CROSS_ZONE_MIN_INTERVAL_SECONDS,
+    HEARD_LATELY_SECONDS,
     MAX_FULL_RATE_VMS,
     MAX_HOSTS_PER_MESSAGE,
     OTHER_ZONES_REPORT_INTERVAL_SECONDS,
@@ -200,6 +201,19 @@
         self.has_many_vms = len(heard) + 1 > MAX_FULL_RATE_VMS
         return [peer for peer in heard if peer.is_alive(now, self.alive_timeout(peer))]
 
+    def hears_zone(self, now: float) -> bool:
+        """Return whether most of the known VMs of this zone were heard a moment ago.
+
+        Without other VMs there is nobody to hear.
+        """
+        zone = [
+            peer
+            for peer in self._on_ring(now)
+            if peer.zone == self.zone or not peer.zone
+        ]
+        heard = sum(peer.is_alive(now, HEARD_LATELY_SECONDS) for peer in zone)
+        return 2 * heard >= len(zone)
+
     def alive_timeout(self, peer: Peer) -> float:
         """Return the seconds without a message after which a VM is not alive."""
         if self.has_many_vms and peer.zone != self.zone:
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -184,8 +184,8 @@
         resumption = self.gateway.resumption
         resumption.on_began = gossip.streams.tell
         resumption.ask_build = gossip.streams.async_ask
-        resumption.is_view_current = self.catalog.is_target_list_current
-        gossip.streams.is_view_current = self.catalog.is_target_list_current
+        resumption.is_view_current = self._is_view_current
+        gossip.streams.is_view_current = self._is_view_current
         self.gateway.on_first_token = self._on_first_token
         self.context_stores.on_store_update = gossip.publish_context_store_update
         self.gateway.view.peer_service_load = gossip.peer_service_load
@@ -281,6 +281,13 @@
             return None
         return self.peers.ring(now)
 
+    def _is_view_current(self, now: float) -> bool:
+        """Return whether this VM would have heard of a target of another build.
+
+        A cut is noticed later than the silence of the other VMs.
+        """
+        return self.catalog.is_target_list_current(now) and self.peers.hears_zone(now)
+
     def _may_try_part(self, part: str, now: float) -> bool:
         """Return whether this VM, and no other, tries a blocked part again."""
         ring = self._limit_ring(now)
--- a/tests/gateway/test_stream_builds.py
+++ b/tests/gateway/test_stream_builds.py
@@ -4,6 +4,7 @@
 
 from gypsumsail.gateway.stream_builds import (
     MAX_NOTE_GAP_SECONDS,
+    MAX_RETURN_SECONDS,
     MAX_STREAMS,
     NOTE_INTERVAL_SECONDS,
     StreamBegin,
@@ -98,6 +99,15 @@
     assert [item.stream for item in found.own_begins(ENGINES, 6.0)] == ["s2"]
 
 
+def test_streams_of_an_earlier_document_may_still_be_taken_up() -> None:
+    found = builds(V1)
+    found.note_return(12.0)
+    found.note_return(1.0)
+    assert found.return_seconds == 12.0
+    found.note_return(86_400.0)
+    assert found.return_seconds == MAX_RETURN_SECONDS
+
+
 def test_memory_is_bounded() -> None:
     found = builds(V1)
     for number in range(MAX_STREAMS + 10):
--- a/tests/gossip/test_stream_exchange.py
+++ b/tests/gossip/test_stream_exchange.py
@@ -103,6 +103,21 @@
     assert await members[0].gossip.streams.async_ask("s7", ENGINES) is None
 
 
+async def test_vm_that_is_cut_off_hears_no_vm_of_its_zone() -> None:
+    net, members = fleet(9, V1)
+    one = members[0]
+    assert one.peers.hears_zone(net.clock.now)
+    for member in members[1:]:
+        del net.members[member.peers.host]
+    pass_time(net, 2.0, V1)
+    assert not one.peers.hears_zone(net.clock.now)
+
+
+async def test_single_vm_is_not_cut_off() -> None:
+    net, members = fleet(1, V1)
+    assert members[0].peers.hears_zone(net.clock.now)
+
+
 async def test_question_without_an_answer_ends_in_time() -> None:
     net, members = fleet(3, V1, V2)
     for member in members[1:]:
