--- a/tests/gateway/test_part_suspects.py
+++ b/tests/gateway/test_part_suspects.py
@@ -251,3 +251,11 @@
     fleet.at(10.0, lambda: fleet.healed_parts.add("bad"))
     fleet.run(10.0 + TRIAL_DELAYS_SECONDS[0] + TRIAL_DELAYS_SECONDS[1])
     assert not any(vm.blocked for vm in fleet.fleet)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_part_stays_blocked_when_all_vms_are_replaced_at_once(seed: int) -> None:
+    fleet = model(7, seed, bad_parts={"bad": 0.7})
+    fleet.at(25.0, fleet.start_vms)
+    fleet.run(60.0)
+    assert fleet.late_bad_sends("bad") <= 3
