--- a/src/gypsumsail/gateway/stream_resumption.py
+++ b/src/gypsumsail/gateway/stream_resumption.py
@@ -53,7 +53,8 @@
         if build is None and self.is_view_current(now):
             build = self.builds.sole_build(job.service, now)
             source = "only build"
-        if build is None and stream:
+        if build is None:
+            # Also without a name: another VM may have seen that only one build served.
             build = await self.ask_build(stream, job.service)
             source = "another VM"
         self.telemetry.stream_taken_up(job, build, source)
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -651,6 +651,21 @@
     assert [sent.target.name for sent in calls.sent] == ["e2"]
 
 
+async def test_another_vm_may_know_the_only_build_of_a_stream_without_a_name() -> None:
+    """A VM that has just started has not seen which builds served before."""
+    calls = ScriptedTargets(stream(b"id: 2\n\n"))
+    routing = document(stream_route(is_resumable=True))
+    gw = gateway(calls, engine("e1", build="v1"), routing=routing)
+
+    async def async_ask(stream_id: str, service: str) -> str | None:
+        return "v1" if (stream_id, service) == ("", ENGINES) else None
+
+    gw.resumption.ask_build = async_ask
+    reply = RecordedReply()
+    await gw.async_handle(call("/s/x", prompt=prompt(), resume_after="1"), reply)
+    assert reply.status == 200
+
+
 async def test_begin_of_a_stream_is_told_before_its_first_event_is_sent() -> None:
     gw = two_builds(ScriptedTargets(stream(b"id: 1\n\n")))
     reply = RecordedReply()
