Log and count which targets of a service a VM reaches

Change: `refused` has the targets of the service, those that the VM reaches and those that only reports block; the gauge `gypsumsail_targets` counts them. No decision changes.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -360,7 +360,12 @@
         if not isinstance(err, NO_RETRY_ERRORS):
             headers = self._retry_after_headers(call, err.retry_after or 0.0)
         reply.send(status, headers, b"")
-        self.telemetry.refused(call, job, err, status, now)
+        reachability = (
+            self.view.targets.reachability(job.service, now)
+            if job is not None
+            else None
+        )
+        self.telemetry.refused(call, job, err, status, now, reachability)
 
     def _retry_after_headers(self, call: Call, expected_wait: float) -> HeaderPairs:
         now = self.clock.monotonic()
--- a/src/gypsumsail/gateway/target_table.py
+++ b/src/gypsumsail/gateway/target_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from gypsumsail.gateway.averages import GenerationTime, PrefillRate
 from gypsumsail.gateway.call_limit import CallLimit
 from gypsumsail.gateway.const import MAX_REMEMBERED_LEAVING, MAX_REMEMBERED_LIMITS
@@ -10,6 +12,25 @@
 from gypsumsail.gateway.targets import TargetState
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reachability:
+    """How many targets of a service a VM reaches.
+
+    Attributes
+    ----------
+    listed
+        Number of targets that don't leave.
+    reached
+        Number of these that this VM may send calls to.
+    blocked_by_reports
+        Number of these that only reports of other VMs block.
+    """
+
+    listed: int
+    reached: int
+    blocked_by_reports: int
+
+
 class TargetTable:
     """All known targets by name, with averages by service and route.
 
@@ -34,6 +55,19 @@
             state for state in self.states.values() if state.entry.service == service
         ]
 
+    def reachability(self, service: str, now: float) -> Reachability:
+        """Return how many targets of a service this VM reaches."""
+        listed = [state for state in self.of_service(service) if not state.is_leaving]
+        blocked = [state for state in listed if state.is_unreachable(now)]
+        return Reachability(
+            listed=len(listed),
+            reached=len(listed) - len(blocked),
+            blocked_by_reports=sum(
+                not state.needs_check and state.blocked_until <= now
+                for state in blocked
+            ),
+        )
+
     def rate(self, service: str) -> PrefillRate:
         """Return the prefill speed of a service's engines."""
         return self.rates.setdefault(service, PrefillRate())
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -346,6 +346,10 @@
         """Return whether this VM's attempts or peer reports block the target."""
         if self.needs_check or self.blocked_until > now:
             return True
+        return self.is_reported_unreachable(now)
+
+    def is_reported_unreachable(self, now: float) -> bool:
+        """Return whether other VMs' reports alone would block the target."""
         since = now - UNREACHABLE_REPORT_MAX_AGE_SECONDS
         report_times = [at for at in self.unreachable_reports.values() if at > since]
         if len(report_times) < UNREACHABLE_MIN_REPORTS:
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -21,6 +21,7 @@
 )
 from gypsumsail.gateway.part_suspects import TargetLife
 from gypsumsail.gateway.target_pause import InvalidPause, PauseStatement
+from gypsumsail.gateway.target_table import Reachability
 from gypsumsail.gateway.targets import TargetState
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.metrics.registry import MetricsRegistry
@@ -33,6 +34,14 @@
     return round(seconds * 1000)
 
 
+def _reachability_fields(found: Reachability) -> dict[str, int]:
+    return {
+        "targets": found.listed,
+        "targets_reached": found.reached,
+        "blocked_by_reports": found.blocked_by_reports,
+    }
+
+
 def _context_of(call: Call) -> str | None:
     """Return the name of the last prompt part that other prompts may share."""
     if call.prompt is None or len(call.prompt.parts) < 2:
@@ -192,9 +201,21 @@
 
     @callback
     def refused(
-        self, call: Call, job: Job | None, err: RequestError, status: int, now: float
+        self,
+        call: Call,
+        job: Job | None,
+        err: RequestError,
+        status: int,
+        now: float,
+        reachability: Reachability | None,
     ) -> None:
-        """Log a refused call, which was not run."""
+        """Log a refused call, which was not run.
+
+        Parameters
+        ----------
+        reachability
+            Which targets of its service this VM reaches; ``None`` without a service.
+        """
         route = job.route.name if job is not None else ""
         self.calls.labels(route, err.code).increment()
         self.log.write(
@@ -209,6 +230,7 @@
             free_in_ms=_milliseconds(err.retry_after or 0.0),
             after_ms=_milliseconds(now - call.received_at),
             document=self._document_version(),
+            **(_reachability_fields(reachability) if reachability is not None else {}),
         )
 
     @callback
--- a/src/gypsumsail/vm/metrics.py
+++ b/src/gypsumsail/vm/metrics.py
@@ -32,6 +32,11 @@
             "Calls of this VM at each target.",
             ("service", "target"),
         )
+        self.targets = registry.gauge(
+            "gypsumsail_targets",
+            "Targets of a service by whether this VM reaches them.",
+            ("service", "reached"),
+        )
         self.peers = registry.gauge("gypsumsail_vms", "VMs that are believed alive.")
         self.document = registry.gauge(
             "gypsumsail_routing_document", "Version of the routing document in force."
@@ -57,6 +62,9 @@
         now = vm.clock.monotonic()
         for service, queue in vm.gateway.queues.items():
             self.waiting.labels(service).set(len(queue.entries))
+            found = vm.targets.reachability(service, now)
+            self.targets.labels(service, "yes").set(found.reached)
+            self.targets.labels(service, "no").set(found.listed - found.reached)
         for state in vm.targets.states.values():
             labels = (state.entry.service, state.entry.name)
             self.in_flight.labels(*labels).set(len(state.in_flight))
