--- a/soak/callers.py
+++ b/soak/callers.py
@@ -43,6 +43,8 @@
         HTTP status; 0 if the connection ended before the answer was complete.
     seconds
         Time until the answer was complete or the call failed.
+    began_at
+        Monotonic time at which the call was sent, in seconds.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     seconds: float = 0.0
+    began_at: float = 0.0
 
 
 async def call(
@@ -115,7 +118,7 @@
         """Send one call; the status is 0 if the connection fails or times out."""
         request_id = f"{number:016x}"
         result = CallResult(request_id, kind, 0)
-        started_at = time.monotonic()
+        started_at = result.began_at = time.monotonic()
         try:
             async with asyncio.timeout(deadline + 1.0):
                 await self._async_exchange(
--- /dev/null
+++ b/soak/links.py
@@ -0,0 +1,129 @@
+"""Links of single VMs to targets, which can be cut without harm to other VMs.
+
+Each VM reads the target list with addresses of its own, at which a link forwards to the
+target.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from enum import StrEnum
+import json
+import socket
+
+from soak.proxy import Impairment, Proxy
+from stand_ins.raw_http import RawRequest, RawServer
+from stand_ins.v1_platform import V1ObjectStore
+
+FILLING_CONNECTIONS = 3
+"""Connections that fill the accept queue of a socket with a backlog of 0."""
+
+
+class LinkCut(StrEnum):
+    """How a link is cut.
+
+    Attributes
+    ----------
+    HANG
+        Nothing arrives any more, and new connections are not answered.
+    REFUSE
+        Open connections are reset, and new ones are refused.
+    NO_NEW
+        Open connections live on, and new ones are refused.
+    """
+
+    HANG = "hang"
+    REFUSE = "refuse"
+    NO_NEW = "no_new"
+
+
+class Link:
+    """Link of one VM to one target."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.proxy = Proxy(host, port)
+        self.host = ""
+        self.port = 0
+        self.blackhole: socket.socket | None = None
+        self.fillers: list[socket.socket] = []
+
+    @property
+    def address(self) -> str:
+        """Return the address at which the VM finds the target."""
+        return f"{self.host}:{self.port}"
+
+    async def async_start(self, host: str) -> None:
+        """Start listening on a free port."""
+        self.host = host
+        self.port = await self.proxy.async_start(host)
+
+    async def async_cut(self, how: LinkCut) -> None:
+        """Cut the link."""
+        self.proxy.stop_listening()
+        match how:
+            case LinkCut.HANG:
+                self.proxy.impairment = Impairment.SILENT
+                self._listen_without_answer()
+            case LinkCut.REFUSE:
+                self.proxy.reset_all()
+            case LinkCut.NO_NEW:
+                pass
+
+    async def async_heal(self) -> None:
+        """Forward again; connections that were opened before a hang are reset."""
+        self._close_blackhole()
+        if self.proxy.impairment is Impairment.SILENT:
+            self.proxy.reset_all()
+        self.proxy.impairment = Impairment.NONE
+        await self.proxy.async_start(self.host, self.port)
+
+    def stop(self) -> None:
+        """End all connections."""
+        self._close_blackhole()
+        self.proxy.stop()
+
+    def _listen_without_answer(self) -> None:
+        """Take the port with a socket whose accept queue is full."""
+        self.blackhole = socket.socket()
+        self.blackhole.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.blackhole.bind((self.host, self.port))
+        self.blackhole.listen(0)
+        for _ in range(FILLING_CONNECTIONS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self.host, self.port))
+            self.fillers.append(filler)
+
+    def _close_blackhole(self) -> None:
+        for found in (*self.fillers, self.blackhole):
+            if found is not None:
+                found.close()
+        self.fillers.clear()
+        self.blackhole = None
+
+
+class StoreView:
+    """Address of the object store for one VM, with that VM's addresses of the targets.
+
+    Attributes
+    ----------
+    addresses
+        Address at which the VM finds a target, by the address in the target's entry.
+    """
+
+    def __init__(self, store: V1ObjectStore, addresses: Mapping[str, str]) -> None:
+        self.store = store
+        self.addresses = addresses
+        self.server = RawServer(self.async_handle)
+
+    async def async_handle(
+        self, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Respond to one call."""
+        return await self.store.handle(request, writer, self._translate)
+
+    def _translate(self, body: bytes) -> bytes:
+        for listed, own in self.addresses.items():
+            body = body.replace(json.dumps(listed).encode(), json.dumps(own).encode())
+        return body
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -45,9 +45,9 @@
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
-    async def async_start(self, host: str) -> int:
-        """Start listening on a free port; return the port."""
-        self.server = await asyncio.start_server(self._serve_connection, host, 0)
+    async def async_start(self, host: str, port: int = 0) -> int:
+        """Start listening, on a free port if none is given; return the port."""
+        self.server = await asyncio.start_server(self._serve_connection, host, port)
         port = self.server.sockets[0].getsockname()[1]
         assert isinstance(port, int)
         return port
@@ -57,10 +57,14 @@
         for writer in list(self.writers):
             reset_connection(writer)
 
-    def stop(self) -> None:
-        """Stop listening and reset all connections."""
+    def stop_listening(self) -> None:
+        """Refuse new connections; the open ones live on."""
         if self.server is not None:
             self.server.close()
+
+    def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        self.stop_listening()
         self.reset_all()
 
     async def _serve_connection(
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,7 @@
     SETTLE_SECONDS,
 )
 from soak.faults import FAULTS, NOTICES, long_pause
+from soak.links import Link, StoreView
 from soak.proxy import Impairment, Proxy
 from soak.vms import Vm
 from stand_ins.v1_platform import (
@@ -102,9 +103,14 @@
     ----------
     uses_kept_connections
         Whether one caller for each VM uses its connection until the VM closes it.
+    uses_own_links
+        Whether each VM has a link of its own to each target.
+    links
+        Links of each VM to the targets, by their names.
     """
 
     uses_kept_connections = True
+    uses_own_links = False
 
     def __init__(self, seed: int, vms: int, seconds: float) -> None:
         # Generators of their own keep the other faults of a seed as they were.
@@ -129,6 +135,8 @@
             for number in range(vms)
         ]
         self.proxies: dict[str, Proxy] = {}
+        self.links: dict[str, dict[str, Link]] = {}
+        self.views: list[StoreView] = []
         self.document_version = 1
         self.document_keys: list[str] = []
         self.weight_version = 1
@@ -194,6 +202,8 @@
         await self.store.put("versions", "m0", {"model": "m0", "version": 1})
         seeds = [vm.host for vm in self.vms[:3]]
         for vm in self.vms:
+            if self.uses_own_links:
+                store_port = await self._start_links(vm)
             proxy = Proxy("127.0.0.1", store_port)
             self.proxies[vm.name] = proxy
             port = await proxy.async_start("127.0.0.1")
@@ -201,6 +211,18 @@
             await vm.async_start()
         await asyncio.gather(*(self._wait_until_ready(vm) for vm in self.vms))
 
+    async def _start_links(self, vm: Vm) -> int:
+        """Give a VM links of its own; return the port of its view of the store."""
+        links = self.links[vm.name] = {}
+        addresses = {}
+        for target in self.targets:
+            link = links[target.name] = Link("127.0.0.1", target.port)
+            await link.async_start("127.0.0.1")
+            addresses[target.registered_address] = link.address
+        view = StoreView(self.store, addresses)
+        self.views.append(view)
+        return await view.server.async_start("127.0.0.1")
+
     async def async_put_document(self, keys: list[str]) -> None:
         """Write the routing document with the customer's keys."""
         self.document_keys = keys
@@ -379,6 +401,11 @@
             await vm.async_kill()
         for proxy in self.proxies.values():
             proxy.stop()
+        for links in self.links.values():
+            for link in links.values():
+                link.stop()
+        for view in self.views:
+            await view.server.async_stop()
         for target in self.targets:
             await target.server.async_stop()
         await self.store.server.async_stop()
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from bisect import bisect_left
+from collections.abc import Callable
 from dataclasses import dataclass, field
 import hashlib
 import json
@@ -114,8 +115,19 @@
         async with self.changed:
             self.changed.notify_all()
 
-    async def handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
-        """Respond to one call; return whether the connection stays open."""
+    async def handle(
+        self,
+        request: RawRequest,
+        writer: asyncio.StreamWriter,
+        translate: Callable[[bytes], bytes] = lambda body: body,
+    ) -> bool:
+        """Respond to one call; return whether the connection stays open.
+
+        Parameters
+        ----------
+        translate
+            Changes the body of each answer.
+        """
         match self.fault:
             case "busy":
                 writer.write(encode_response(503, b"", self._headers()))
@@ -136,7 +148,7 @@
             if self.fault == "lost":
                 reset_connection(writer)
                 return False
-        data = json.dumps(body).encode()
+        data = translate(json.dumps(body).encode())
         writer.write(encode_response(status, data, self._headers()))
         return True
 
--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/test_liveness.py
@@ -110,3 +110,39 @@
     async with asyncio.timeout(1.0):
         await task
     assert second.status == 200
+
+
+async def test_reports_of_cut_vms_take_no_target_from_a_vm_that_reaches_it() -> None:
+    """Two VMs that lost their own links report a target that is sound."""
+    calls = ScriptedTargets(ScriptedExchange())
+    calls.is_connectable = True
+    gw = gateway(calls, target("t1"))
+    state = gw.view.targets.states["t1"]
+    now = gw.clock.monotonic()
+    state.unreachable_reports.update(v2=now, v3=now)
+    gw.tick(now)
+    await asyncio.sleep(0.01)
+    reply = RecordedReply()
+    async with asyncio.timeout(0.5):
+        await gw.async_handle(call(), reply)
+    assert reply.status == 200
+    assert calls.checked == ["t1"]
+
+
+async def test_reports_of_cut_vms_end_no_call_at_a_target_that_accepts_connections() -> (
+    None
+):
+    slow = ScriptedExchange()
+    slow.delay = 0.5
+    calls = ScriptedTargets(slow, ScriptedExchange())
+    calls.is_connectable = True
+    reply = RecordedReply()
+    gw = gateway(calls, target("t1"), target("t2"))
+    task = asyncio.create_task(gw.async_handle(call(), reply))
+    await asyncio.sleep(0.05)
+    state = gw.view.targets.states[calls.sent[0].target.name]
+    now = gw.clock.monotonic()
+    state.unreachable_reports.update(v2=now, v3=now)
+    await task
+    assert reply.status == 200
+    assert len(calls.sent) == 1
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -356,6 +356,23 @@
     assert not near.unreachable_reports
 
 
+def test_repeated_reports_do_not_outweigh_an_own_connection() -> None:
+    """Cut VMs repeat for as long as they are cut that a target is unreachable."""
+    net = Net(ManualClock())
+    members = [Member(net, f"v{number}") for number in range(1, 4)]
+    for member in members:
+        member.targets.update(engine("e1"), net.clock.now)
+    net.tick(1.0)
+    *cut, sound = (member.targets.states["e1"] for member in members)
+    for state in cut:
+        state.mark_unreachable(net.clock.now)
+    net.tick(0.3)
+    sound.mark_reachable(net.clock.now)
+    for _ in range(10):
+        net.tick(0.3)
+        assert not sound.is_unreachable(net.clock.now)
+
+
 def test_confirmed_removal_is_received_by_other_vms() -> None:
     net = Net(ManualClock())
     members = [Member(net, "v1"), Member(net, "v2"), Member(net, "v3", "z2")]
