Check a target that other VMs report instead of taking their word

Cause: two reports of a zone blocked a target for a VM that had not used it since. A blocked target gets no call, so the VM never found out that it reached it; and each repetition of the reports counted as news, so that a connection in between did not help. Calls in flight were abandoned too. Evidence: no `target unreachable` line on that VM; three tests that failed before. Change: a report makes this VM open a connection of its own, and holds calls back only until that ends. Repeated reports count from the first one. A call in flight is abandoned after a failed check only. Why it works: only own attempts decide, and the check needs no call.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -72,9 +72,9 @@
 REACHABILITY_POLL_SECONDS: Final = 0.2
 """Interval at which a call in flight checks whether its target is unreachable."""
 UNREACHABLE_MIN_REPORTS: Final = 2
-"""Reports of other VMs in the zone that block a target.
+"""Reports of other VMs in the zone after which this VM checks a target itself.
 
-They block it only if this VM has had no contact with it since the oldest of them.
+It does so only if it has had no contact with the target since the oldest of them.
 """
 UNREACHABLE_REPORT_MAX_AGE_SECONDS: Final = 1.5
 """Age above which another VM's report of an unreachable target is ignored."""
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -153,9 +153,9 @@
                     return await exchange.async_head()
             except TimeoutError:
                 now = self.clock.monotonic()
-            if self.state.is_unreachable(now) and await self._async_should_abandon(
-                exchange
-            ):
+            if await self._async_is_unreachable(
+                now
+            ) and await self._async_should_abandon(exchange):
                 return None
             if now < check_at or not self._is_silent(now):
                 continue
@@ -171,6 +171,14 @@
                 return None
         return await exchange.async_head()
 
+    async def _async_is_unreachable(self, now: float) -> bool:
+        """Return whether the target can't be connected to, by this VM's own attempt."""
+        if self.state.has_failed_attempt(now):
+            return True
+        if not self.state.is_reported_unreachable(now):
+            return False
+        return not await self.gateway.liveness.async_is_connectable(self.state)
+
     async def _async_should_abandon(self, exchange: Exchange) -> bool:
         """Return whether to abandon the target; not if the head has arrived."""
         if not self.gateway.may_retry(self.job):
--- a/src/gypsumsail/gateway/liveness.py
+++ b/src/gypsumsail/gateway/liveness.py
@@ -4,6 +4,9 @@
 failure, every VM would abandon working engines, and prompts would be prefilled twice.
 After a failed connection attempt, a target gets no call until a check has opened a
 connection, so that no call spends its time on another failed attempt.
+
+What other VMs report of a target is a reason for a check and no proof: they may be cut
+off themselves, and this VM would then never learn that it reaches the target.
 """
 
 from __future__ import annotations
@@ -47,9 +50,11 @@
 
     @callback
     def tick(self, now: float) -> None:
-        """Check blocked targets whose block has expired."""
+        """Check targets whose block has expired, and those that other VMs report."""
         for state in self.targets.states.values():
-            if state.needs_check and state.blocked_until <= now:
+            if state.blocked_until > now:
+                continue
+            if state.needs_check or state.is_reported_unreachable(now):
                 self._check(state)
 
     @callback
--- a/src/gypsumsail/gateway/target_table.py
+++ b/src/gypsumsail/gateway/target_table.py
@@ -63,8 +63,7 @@
             listed=len(listed),
             reached=len(listed) - len(blocked),
             blocked_by_reports=sum(
-                not state.needs_check and state.blocked_until <= now
-                for state in blocked
+                not state.has_failed_attempt(now) for state in blocked
             ),
         )
 
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -77,6 +77,20 @@
     stalled_vms: int = 0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnreachableReport:
+    """Repeated report of another VM that it can't connect to a target.
+
+    Attributes
+    ----------
+    since, at
+        Times of the first report without one to the contrary, and of the latest.
+    """
+
+    since: float
+    at: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetReportedLoad:
     """Load that a target reported with an answer."""
@@ -115,7 +129,7 @@
     connected_at
         Time at which a connection to the target last opened.
     unreachable_reports
-        Times at which other VMs of the zone reported the target unreachable.
+        Reports of other VMs of the zone that the target is unreachable.
     paused_until
         Time until which the target gets no call, because it is assumed to load other
         weights or has rejected a call.
@@ -148,7 +162,7 @@
     block_seconds: float = 0.0
     needs_check: bool = False
     connected_at: float = float("-inf")
-    unreachable_reports: dict[str, float] = field(default_factory=dict)
+    unreachable_reports: dict[str, UnreachableReport] = field(default_factory=dict)
     paused_until: float = 0.0
     failures: float = 0.0
     results: float = 0.0
@@ -343,18 +357,35 @@
         self.needs_check = False
 
     def is_unreachable(self, now: float) -> bool:
-        """Return whether this VM's attempts or peer reports block the target."""
-        if self.needs_check or self.blocked_until > now:
-            return True
-        return self.is_reported_unreachable(now)
+        """Return whether the target gets no calls of this VM.
+
+        Reports of other VMs hold calls back only until this VM has tried a connection.
+        """
+        return self.has_failed_attempt(now) or self.is_reported_unreachable(now)
+
+    def has_failed_attempt(self, now: float) -> bool:
+        """Return whether this VM's own attempt to connect has failed."""
+        return self.needs_check or self.blocked_until > now
+
+    def record_unreachable_report(self, vm: str, now: float) -> None:
+        """Record that another VM of the zone can't connect to the target."""
+        earlier = self.unreachable_reports.get(vm)
+        since = earlier.since if earlier is not None else now
+        self.unreachable_reports[vm] = UnreachableReport(since=since, at=now)
 
     def is_reported_unreachable(self, now: float) -> bool:
-        """Return whether other VMs' reports alone would block the target."""
-        since = now - UNREACHABLE_REPORT_MAX_AGE_SECONDS
-        report_times = [at for at in self.unreachable_reports.values() if at > since]
-        if len(report_times) < UNREACHABLE_MIN_REPORTS:
+        """Return whether others report the target that this VM has not reached since.
+
+        They may be cut off themselves, and repeat it for as long as they are.
+        """
+        oldest = now - UNREACHABLE_REPORT_MAX_AGE_SECONDS
+        reports = [
+            report for report in self.unreachable_reports.values() if report.at > oldest
+        ]
+        if len(reports) < UNREACHABLE_MIN_REPORTS:
             return False
-        return max(self.connected_at, self.progress_at) < min(report_times)
+        contact_at = max(self.connected_at, self.progress_at)
+        return contact_at < min(report.since for report in reports)
 
     def expect_weight_loading(self, now: float) -> None:
         """Record that an order to load other weights was sent."""
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -487,15 +487,16 @@
 
     def _apply_unreachable(self, message: GossipMessage, now: float) -> None:
         """Apply the targets that another VM of this zone can't connect to."""
-        for state in self.reported_unreachable.pop(message.vm, ()):
-            state.unreachable_reports.pop(message.vm, None)
-        if not message.unreachable:
-            return
         named = [self._state(item.target, item.life) for item in message.unreachable]
         found = [state for state in named if state is not None]
+        names = {state.entry.name for state in found}
+        for state in self.reported_unreachable.pop(message.vm, ()):
+            if state.entry.name not in names:
+                state.unreachable_reports.pop(message.vm, None)
         for state in found:
-            state.unreachable_reports[message.vm] = now
-        self.reported_unreachable[message.vm] = found
+            state.record_unreachable_report(message.vm, now)
+        if found:
+            self.reported_unreachable[message.vm] = found
 
     def _track_newer_revisions(
         self, peer: Peer, revisions: tuple[tuple[str, int], ...], now: float
--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/test_liveness.py
@@ -54,7 +54,8 @@
     await asyncio.sleep(0.05)
     state = gw.view.targets.states[calls.sent[0].target.name]
     now = gw.clock.monotonic()
-    state.unreachable_reports.update(v2=now, v3=now)
+    for vm in ("v2", "v3"):
+        state.record_unreachable_report(vm, now)
     async with asyncio.timeout(0.4):
         await task
     assert reply.status == 200
@@ -84,9 +85,9 @@
     gw = gateway(ScriptedTargets(), target("t1"))
     state = gw.view.targets.states["t1"]
     state.progress_at = 900.0
-    state.unreachable_reports["v2"] = 1_000.0
+    state.record_unreachable_report("v2", 1_000.0)
     assert not state.is_unreachable(1_000.1)
-    state.unreachable_reports["v3"] = 1_000.0
+    state.record_unreachable_report("v3", 1_000.0)
     assert state.is_unreachable(1_000.1)
     state.progress_at = 1_000.05
     assert not state.is_unreachable(1_000.1)
@@ -119,7 +120,8 @@
     gw = gateway(calls, target("t1"))
     state = gw.view.targets.states["t1"]
     now = gw.clock.monotonic()
-    state.unreachable_reports.update(v2=now, v3=now)
+    for vm in ("v2", "v3"):
+        state.record_unreachable_report(vm, now)
     gw.tick(now)
     await asyncio.sleep(0.01)
     reply = RecordedReply()
@@ -129,9 +131,7 @@
     assert calls.checked == ["t1"]
 
 
-async def test_reports_of_cut_vms_end_no_call_at_a_target_that_accepts_connections() -> (
-    None
-):
+async def test_reports_of_cut_vms_end_no_call_at_a_sound_target() -> None:
     slow = ScriptedExchange()
     slow.delay = 0.5
     calls = ScriptedTargets(slow, ScriptedExchange())
@@ -142,7 +142,8 @@
     await asyncio.sleep(0.05)
     state = gw.view.targets.states[calls.sent[0].target.name]
     now = gw.clock.monotonic()
-    state.unreachable_reports.update(v2=now, v3=now)
+    for vm in ("v2", "v3"):
+        state.record_unreachable_report(vm, now)
     await task
     assert reply.status == 200
     assert len(calls.sent) == 1
