Forward calls to another VM while this one reaches no target of their service

Cause: a call could leave a VM only over that VM's own connections to targets. A VM without links refused what others could have served, and nothing else of it was unsound. Evidence: the targets had room all the while, no call of the cut VMs reached one. Change: when all listed targets of a service are unreachable, the call goes to another VM's control port with the caller's whole request. That VM serves it as one of its own, with its newer document, limits, pauses and blocked parts, and never forwards it again; one with an older document, without targets, without room or shutting down says at once that it did not take the call. Targets are counted over both VMs, the retry budget counts the call once. Builds before this are never asked.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -100,6 +100,8 @@
 REPORTED_LOAD_MAX_AGE_SECONDS: Final = 0.5
 """Age above which a target's own report of its load is ignored."""
 
+FORWARD_TIMEOUT_MARGIN_SECONDS: Final = 0.1
+"""Further time in which a helper's answer to a call at its deadline may arrive."""
 TIMEOUT_MARGIN_SECONDS: Final = 0.08
 """Time after a call's deadline in which the target's own timeout answer may arrive."""
 MIN_SERVICE_SECONDS: Final = 0.05
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -25,6 +25,12 @@
 from gypsumsail.gateway.const import MAX_ANSWER_BYTES, REPORTED_LOAD_MAX_AGE_SECONDS
 from gypsumsail.gateway.crash_suspects import CrashSuspectTracker
 from gypsumsail.gateway.fingerprints import fingerprint, shared_parts
+from gypsumsail.gateway.forwarding import (
+    ForwardClient,
+    ForwardSend,
+    ForwardTerms,
+    HelperDirectory,
+)
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.job_send import JobSend, call_facts
 from gypsumsail.gateway.liveness import LivenessChecks
@@ -52,6 +58,7 @@
     should_try_another_target,
 )
 from gypsumsail.gateway.part_suspects import PartSuspects
+from gypsumsail.gateway.placement import Forward, Placed
 from gypsumsail.gateway.placer import FleetView, JobPlacer
 from gypsumsail.gateway.port import (
     NO_TRANSFER,
@@ -115,6 +122,9 @@
     on_first_token
         Called with a job, its assignment and the current time at the first token of
         each send; not called for a job without a prompt.
+    forward_client, helpers
+        Client that forwards calls to other VMs, and the choice among these; ``None``
+        where there are none.
     on_target_news
         Called with a target that says that it leaves or names another limit, and the
         current time.
@@ -153,6 +163,8 @@
             Callable[[Job, Assignment, float], ContextTransfer] | None
         ) = None
         self.on_first_token: Callable[[Job, Assignment, float], None] | None = None
+        self.forward_client: ForwardClient | None = None
+        self.helpers: HelperDirectory | None = None
         self.on_target_news: Callable[[TargetState, float], None] = lambda state, now: (
             None
         )
@@ -184,10 +196,23 @@
         for queue in self.queues.values():
             queue.dispatch()
 
-    async def async_handle(self, call: Call, reply: CallerReply) -> None:
-        """Serve one call until it has its final answer."""
+    @property
+    def document_revision(self) -> int:
+        """Return the revision of the document in force; 0 without one."""
+        return self.document.revision if self.document is not None else 0
+
+    async def async_handle(
+        self, call: Call, reply: CallerReply, terms: ForwardTerms | None = None
+    ) -> None:
+        """Serve one call until it has its final answer.
+
+        Parameters
+        ----------
+        terms
+            What accompanies a call that another VM has forwarded.
+        """
         try:
-            job = self._accept(call)
+            job = self._accept(call, terms)
         except RequestError as err:
             self._refuse_call(call, None, reply, err)
             return
@@ -204,7 +229,7 @@
             del self.jobs[job.number]
             self.queues[job.service].dispatch()
 
-    def _accept(self, call: Call) -> Job:
+    def _accept(self, call: Call, terms: ForwardTerms | None) -> Job:
         document = self.document
         if document is None:
             raise NoTargetError(
@@ -215,6 +240,8 @@
         route = find_route(document, call.host, call.path)
         customer = find_customer(document, route, call.api_key)
         service = pick_service(route, self.random.random())
+        if terms is not None and route.allows(terms.service):
+            service = terms.service
         if service not in self.queues or service not in document.services:
             raise NoTargetError(
                 "the routing document lacks the service", retry_after=1.0
@@ -228,8 +255,15 @@
         if blocked_part is not None:
             raise _blocked_part_error(blocked_part)
         budget = self.budgets.setdefault(service, RetryBudget())
-        budget.count_call(self.settings.retry_limit, call.received_at)
-        return self._job(call, route, customer, service, request_fingerprint)
+        job = self._job(call, route, customer, service, request_fingerprint)
+        if terms is None:
+            budget.count_call(self.settings.retry_limit, call.received_at)
+        else:
+            # The VM that received the call has counted it.
+            job.is_forwarded = True
+            job.targets_used = max(route.max_targets - terms.max_targets, 0)
+            job.build = terms.build or None
+        return job
 
     def _job(
         self,
@@ -261,20 +295,22 @@
         queue = self.queues[job.service]
         assert isinstance(queue.placer, JobPlacer)
         outcome: SendOutcome | None = None
-        if job.resume_after and job.route.kind is CallKind.STREAM:
+        is_resumed = job.resume_after and job.route.kind is CallKind.STREAM
+        if is_resumed and job.build is None:
             job.build = await self.resumption.async_find_build(job)
         while True:
             work_seconds = queue.placer.work_seconds(job, self.clock.monotonic())
             try:
                 memory_seconds = queue.placer.memory_seconds(job)
                 waiting = job.queued_call(work_seconds, memory_seconds)
-                queue.placer.record_arrival(job, self.clock.monotonic())
+                now = self.clock.monotonic()
+                if not queue.placer.forwards(job, now):
+                    queue.placer.record_arrival(job, now)
                 placed = await queue.async_place(waiting)
             except NoTargetError:
                 if outcome is None:
                     raise
                 break
-            assert job.assignment is not None
             now = self.clock.monotonic()
             blocked_part = self.part_suspects.admit(job.shared_parts, now)
             if blocked_part is not None:
@@ -282,20 +318,42 @@
                     raise _blocked_part_error(blocked_part)
                 break
             job.placed_at = job.placed_at or now
-            self.telemetry.placed(job, job.assignment, placed.answer_delay, now)
-            outcome = await JobSend(self, job, job.assignment, reply).async_run()
-            self.telemetry.send_ended(
-                job,
-                job.assignment,
-                outcome,
-                self.crash_suspects.crashes(job.fingerprint),
-                self.clock.monotonic(),
-            )
-            job.release()
+            if isinstance(placed, Forward):
+                outcome = await self._async_forward(job, placed.host, reply)
+            else:
+                outcome = await self._async_send(job, placed, reply)
             if not self._should_continue(job, outcome, reply, work_seconds):
                 break
         self._finish(job, outcome, reply)
 
+    async def _async_send(
+        self, job: Job, placed: Placed, reply: CallerReply
+    ) -> SendOutcome:
+        """Send a job to the target that it is assigned to."""
+        assert job.assignment is not None
+        self.telemetry.placed(
+            job, job.assignment, placed.answer_delay, self.clock.monotonic()
+        )
+        outcome = await JobSend(self, job, job.assignment, reply).async_run()
+        self.telemetry.send_ended(
+            job,
+            job.assignment,
+            outcome,
+            self.crash_suspects.crashes(job.fingerprint),
+            self.clock.monotonic(),
+        )
+        job.release()
+        return outcome
+
+    async def _async_forward(
+        self, job: Job, host: str, reply: CallerReply
+    ) -> SendOutcome:
+        """Have another VM serve a job."""
+        self.telemetry.forwarded(job, host, self.clock.monotonic())
+        outcome = await ForwardSend(self, job, host, reply).async_run()
+        self.telemetry.forward_ended(job, host, outcome, self.clock.monotonic())
+        return outcome
+
     def _should_continue(
         self, job: Job, outcome: SendOutcome, reply: CallerReply, work_seconds: float
     ) -> bool:
@@ -304,6 +362,9 @@
             outcome, call_facts(job, reply, now, work_seconds)
         ):
             return False
+        if reply.has_begun and job.helpers_tried:
+            # The weights with which the helper's target began are not known here.
+            return False
         if not counts_as_retry(outcome):
             return True
         if self.part_suspects.stops_retries(job.shared_parts):
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -69,6 +69,10 @@
         Names of the parts of the prompt that other prompts may share.
     build
         Build that began the stream; ``None`` for any.
+    is_forwarded
+        Whether another VM has forwarded the call; it is not forwarded again.
+    helpers_tried
+        Hosts of the VMs to which this one has tried to forward the call.
     """
 
     number: int
@@ -91,6 +95,8 @@
     work_seconds: float = 0.0
     shared_parts: tuple[str, ...] = ()
     build: str | None = None
+    is_forwarded: bool = False
+    helpers_tried: set[str] = field(default_factory=set)
 
     def answer_needed_by(self) -> float:
         """Return the time by which the caller needs the first event or the answer.
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -18,6 +18,7 @@
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import CallKind
 from gypsumsail.gateway.outcomes import (
+    NOT_RUN_STATUSES,
     Broken,
     CallFacts,
     Delivered,
@@ -33,8 +34,6 @@
     from gypsumsail.gateway.coordinator import Gateway
 
 FIRST_ERROR_STATUS = 500
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses from which a caller concludes that the call was not run."""
 
 
 class JobSend:
--- a/src/gypsumsail/gateway/models.py
+++ b/src/gypsumsail/gateway/models.py
@@ -79,6 +79,10 @@
     is_resumable: bool
     patience: float = 0.0
 
+    def allows(self, service: str) -> bool:
+        """Return whether the calls of the route may go to a service."""
+        return any(item.service == service for item in self.services)
+
     @property
     def may_repeat(self) -> bool:
         """Return whether a call may run at a second target."""
@@ -312,6 +316,8 @@
         new stream.
     resumes
         Id of the request that brought the first event of that stream.
+    received_headers
+        All headers as the caller sent them.
     """
 
     request_id: str
@@ -327,3 +333,4 @@
     prompt: Prompt | None
     resume_after: str = ""
     resumes: str = ""
+    received_headers: HeaderPairs = ()
--- a/src/gypsumsail/gateway/outcomes.py
+++ b/src/gypsumsail/gateway/outcomes.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 from gypsumsail.core.errors import RunState
 from gypsumsail.gateway.const import MIN_TIME_FOR_RETRY_SECONDS
 from gypsumsail.gateway.models import HeaderPairs
 
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""Statuses from which a caller concludes that the call was not run."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Delivered:
--- a/src/gypsumsail/gateway/placement.py
+++ b/src/gypsumsail/gateway/placement.py
@@ -126,7 +126,14 @@
     """No listed target may serve the call, now or later."""
 
 
-Placement = Placed | Wait | Unplaceable
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Forward:
+    """Another VM, by its host, serves the call."""
+
+    host: str
+
+
+Placement = Placed | Forward | Wait | Unplaceable
 
 
 def answer_delay(candidate: Candidate, demand: Demand) -> float:
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -21,6 +21,7 @@
 from gypsumsail.gateway.placement import (
     Candidate,
     Demand,
+    Forward,
     Placed,
     Placement,
     Unplaceable,
@@ -68,6 +69,10 @@
         Returns the seconds between the load reports of another VM.
     build_of
         Returns the build of a target at a time, with which those of streams compare.
+    choose_helper
+        Returns the host of another VM that may serve a call of a service; ``None`` if
+        there is none. Its arguments are the service, the hosts that were tried and
+        the time.
     """
 
     zone: str
@@ -83,6 +88,9 @@
     load_report_interval: Callable[[float], float] = lambda now: 0.0
     knows_notices: Callable[[float], bool] = lambda now: True
     build_of: Callable[[TargetEntry, float], str] = lambda entry, now: entry.build
+    choose_helper: Callable[[str, set[str], float], str | None] = (
+        lambda service, tried, now: None
+    )
 
 
 class _FetchableByScope(dict[str, int]):
@@ -146,6 +154,10 @@
         if not self.view.knows_notices(now):
             return Wait()
         job = self.jobs[number]
+        if self.forwards(job, now):
+            host = self.view.choose_helper(self.service.name, job.helpers_tried, now)
+            if host is not None:
+                return Forward(host=host)
         eligible = self._eligible(job, now)
         if not eligible:
             return Unplaceable()
@@ -173,6 +185,12 @@
             job.assignment = self.begin(job, state, placed.answer_delay, now)
         return placed
 
+    def forwards(self, job: Job, now: float) -> bool:
+        """Return whether a job is forwarded, because no target can be reached."""
+        return not job.is_forwarded and self.view.targets.is_cut_off(
+            self.service.name, now
+        )
+
     def _is_usable(self, state: TargetState, now: float) -> bool:
         """Return whether a target takes a call of this VM at this moment."""
         if state.is_unreachable(now) or state.paused_until > now:
--- a/src/gypsumsail/gateway/service_queue.py
+++ b/src/gypsumsail/gateway/service_queue.py
@@ -10,7 +10,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import NoTargetError
 from gypsumsail.gateway.const import MAX_QUEUE_LENGTH, QUEUE_INTERVAL_SECONDS
-from gypsumsail.gateway.placement import Placed, Placement, Unplaceable
+from gypsumsail.gateway.placement import Forward, Placed, Placement, Unplaceable
 from gypsumsail.gateway.queue_policy import (
     Capacity,
     QueuedCall,
@@ -37,7 +37,7 @@
 @dataclass(slots=True)
 class _QueueEntry:
     waiting: QueuedCall
-    future: asyncio.Future[Placed]
+    future: asyncio.Future[Placed | Forward]
 
 
 class ServiceQueue:
@@ -49,8 +49,8 @@
         self.entries: dict[int, _QueueEntry] = {}
         self.timer: asyncio.TimerHandle | None = None
 
-    async def async_place(self, waiting: QueuedCall) -> Placed:
-        """Wait until the call is placed on a target.
+    async def async_place(self, waiting: QueuedCall) -> Placed | Forward:
+        """Wait until the call is placed on a target, or is to be forwarded.
 
         Raises
         ------
@@ -61,7 +61,7 @@
         now = self.clock.monotonic()
         if not self.entries:
             placed = self.placer.place(waiting.number, now)
-            if isinstance(placed, Placed):
+            if isinstance(placed, (Placed, Forward)):
                 return placed
             if isinstance(placed, Unplaceable):
                 raise NoTargetError(
@@ -105,7 +105,7 @@
     def _try_place(self, call: QueuedCall, now: float) -> bool:
         placed = self.placer.place(call.number, now)
         match placed:
-            case Placed():
+            case Placed() | Forward():
                 self.entries.pop(call.number).future.set_result(placed)
                 return True
             case Unplaceable():
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -72,6 +72,16 @@
             "Sends to targets by service and by how they ended.",
             ("service", "end"),
         )
+        self.forwards = registry.counter(
+            "gypsumsail_gateway_forwards_total",
+            "Calls forwarded to other VMs by service and by how they ended.",
+            ("service", "outcome"),
+        )
+        self.received = registry.counter(
+            "gypsumsail_gateway_forwards_received_total",
+            "Calls that other VMs forwarded to this one, by whether it took them.",
+            ("answer",),
+        )
         self.notices = registry.counter(
             "gypsumsail_gateway_target_notices_total",
             "Notices of targets by service: leaving, pause or changed limit.",
@@ -166,6 +176,56 @@
             **(_broken_fields(job, crashes) if isinstance(outcome, Broken) else {}),
         )
 
+    @callback
+    def forwarded(self, job: Job, host: str, now: float) -> None:
+        """Log a call that is forwarded to another VM."""
+        self.waits.labels(job.service).observe(now - job.call.received_at)
+        self.log.write(
+            "forwarded",
+            request=job.call.request_id,
+            route=job.route.name,
+            service=job.service,
+            host=host,
+            waited_ms=_milliseconds(now - job.call.received_at),
+            document=self._document_version(),
+            left_ms=_milliseconds(job.deadline - now),
+        )
+
+    @callback
+    def forward_ended(
+        self, job: Job, host: str, outcome: SendOutcome, now: float
+    ) -> None:
+        """Count the outcome of a forwarded call, and log it unless it was answered."""
+        name = type(outcome).__name__
+        self.forwards.labels(job.service, name).increment()
+        if isinstance(outcome, Delivered):
+            return
+        self.log.write(
+            "forward failed",
+            request=job.call.request_id,
+            host=host,
+            after_ms=_milliseconds(now - job.call.received_at),
+            **_outcome_fields(outcome),
+        )
+
+    @callback
+    def forward_received(self, call: Call, sender: str, refusal: str | None) -> None:
+        """Log a call that another VM forwards to this one, and count it."""
+        self.received.labels(refusal or "taken").increment()
+        self.log.write(
+            "forward received",
+            request=call.request_id,
+            sender=sender,
+            refusal=refusal,
+            document=self._document_version(),
+        )
+
+    @callback
+    def forward_invalid(self, reason: str) -> None:
+        """Log a malformed forwarded call."""
+        self.received.labels("malformed").increment()
+        self.log.write("malformed forwarded call", reason=reason)
+
     @callback
     def finished(
         self, job: Job, answer: FinalAnswer, outcome: SendOutcome, now: float
--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -36,10 +36,12 @@
 """Entry among the hosts of a message whose sender reads zone reports.
 
 Builds that don't know the reports ignore an empty host. Two entries mean that the
-sender also reads notices of targets, three that it reads messages on streams as well.
+sender also reads notices of targets, three that it reads messages on streams as well,
+four that it takes forwarded calls.
 """
 READS_NOTICES_COUNT: Final = 2
 READS_STREAMS_COUNT: Final = 3
+READS_FORWARDS_COUNT: Final = 4
 
 
 @dataclass(slots=True)
@@ -62,6 +64,8 @@
         Whether the VM understands notices of targets; builds before them do not.
     reads_streams
         Whether the VM understands messages on the builds that began streams.
+    reads_forwards
+        Whether the VM takes forwarded calls; builds before them do not.
     last_report_at
         Time of the last zone report; ``None`` if the VM has sent none.
     last_report
@@ -81,6 +85,7 @@
     reads_reports: bool = False
     reads_notices: bool = False
     reads_streams: bool = False
+    reads_forwards: bool = False
     last_report_at: float | None = None
     last_report: tuple[int, int] = (0, 0)
 
@@ -142,6 +147,7 @@
         peer.reads_reports = markers > 0
         peer.reads_notices = markers >= READS_NOTICES_COUNT
         peer.reads_streams = markers >= READS_STREAMS_COUNT
+        peer.reads_forwards = markers >= READS_FORWARDS_COUNT
         if (
             peer.last_message_at is not None
             and peer.started_at_ms != message.started_at_ms
@@ -378,7 +384,7 @@
         """Return a random sample of the hosts of live VMs."""
         hosts = [peer.host for peer in self.alive(now)]
         sample = random.sample(hosts, min(len(hosts), MAX_HOSTS_PER_MESSAGE))
-        return (*[READS_REPORTS_MARKER] * READS_STREAMS_COUNT, *sample)
+        return (*[READS_REPORTS_MARKER] * READS_FORWARDS_COUNT, *sample)
 
     def evict_silent(self, now: float) -> None:
         """Remove VMs that have been silent for longer than the retention time."""
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -93,6 +93,7 @@
         prompt=_parse_prompt(header_values),
         resume_after=header_values.get(names.LAST_EVENT_ID_HEADER, ""),
         resumes=header_values.get(names.RESUMES_HEADER, ""),
+        received_headers=tuple(request.headers),
     )
 
 
--- a/src/gypsumsail/vm/control.py
+++ b/src/gypsumsail/vm/control.py
@@ -7,6 +7,7 @@
 
 from gypsumsail.catalog.peer_updates import PEER_UPDATE_PATH, encode_peer_update
 from gypsumsail.context_stores.relay import VIEW_PATH
+from gypsumsail.forwarding.const import FORWARD_PATH
 from gypsumsail.transport.http_reply import Reply
 from gypsumsail.transport.http_request import HttpRequest
 
@@ -28,6 +29,8 @@
         path = request.target.partition(b"?")[0]
         if path == self.vm.ports.ready_path:
             reply.send(200 if self.vm.readiness().is_ready else 503, [], b"")
+        elif path == FORWARD_PATH.encode():
+            await self.vm.forward_endpoint.async_handle(request, reply)
         elif path.startswith(PEER_PATH):
             body = self._peer_response(path.decode("latin-1"), request.target)
             reply.send(404 if body is None else 200, [], body or b"")
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -21,6 +21,10 @@
 from gypsumsail.core.hash_ring import HashRing
 from gypsumsail.core.signals import handle_signal
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
+from gypsumsail.forwarding.client import HelperClient
+from gypsumsail.forwarding.const import MESSAGE_OVERHEAD_BYTES
+from gypsumsail.forwarding.endpoint import ForwardEndpoint
+from gypsumsail.forwarding.helpers import Helpers
 from gypsumsail.gateway.coordinator import Gateway, GatewaySettings
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.limit_slots import LimitSharing
@@ -111,6 +115,20 @@
             self.log,
         )
         self.gateway = self._make_gateway()
+        self.helper_client = HelperClient(
+            settings.vm, control.port if control is not None else None
+        )
+        self.helpers = Helpers(self.peers)
+        self.gateway.forward_client = self.helper_client
+        self.gateway.helpers = self.helpers
+        self.gateway.view.choose_helper = self.helpers.choose
+        self.forward_endpoint = ForwardEndpoint(
+            self.gateway,
+            clock,
+            ports.read_call,
+            ports.make_reply,
+            lambda: self.signalled_at is not None,
+        )
         self.catalog = self._make_catalog()
         self.gossip = self._make_gossip()
         self.rollout = self._make_rollout()
@@ -125,7 +143,7 @@
         self.caller_server = HttpServer(
             self._async_handle_request, ServerLimits(), clock, self.metrics.refused
         )
-        self.servers = [self.caller_server]
+        self.control_servers: list[HttpServer] = []
         self.tasks: list[asyncio.Task[None]] = []
 
     def _make_gateway(self) -> Gateway:
@@ -356,7 +374,7 @@
             server = HttpServer(
                 self.control_api.async_handle, ServerLimits(), self.clock
             )
-            self.servers.append(server)
+            self.control_servers.append(server)
             await server.async_start(address.host, address.port)
 
     def _install_signal_handlers(self) -> None:
@@ -385,7 +403,7 @@
                 self.caller_server.stop_accepting()
             if self.signalled_at is not None and may_exit(
                 self.signalled_at,
-                self.caller_server.busy_connections,
+                self.caller_server.busy_connections + self.forward_endpoint.in_progress,
                 self.settings.grace_seconds,
                 now,
             ):
@@ -396,11 +414,12 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        for server in self.servers:
+        for server in (self.caller_server, *self.control_servers):
             await server.async_stop()
         self.gateway.liveness.stop()
         self.context_stores.stop()
         self.clients.close()
+        self.helper_client.close()
         self.gossip.stop()
         self.writer.flush()
 
@@ -457,6 +476,12 @@
             request_seconds=limits.request_seconds,
             idle_seconds=limits.idle_seconds,
         )
+        # Other VMs forward whole requests of their callers to the control port.
+        control_limits = ServerLimits(
+            body_bytes=limits.head_bytes + limits.body_bytes + MESSAGE_OVERHEAD_BYTES
+        )
+        for server in self.control_servers:
+            server.limits = control_limits
         self.gateway.dispatch()
 
     @callback
--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the vm package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/forwarding/test_forwarding.py
@@ -0,0 +1,237 @@
+"""Tests of calls that a VM without links to the targets has another VM serve."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import replace
+
+import pytest
+
+from gypsumsail.core.errors import TransportError
+from tests.forwarding.common import ForwardingPair, async_wait_until, routes
+from tests.gateway.common import (
+    RecordedReply,
+    ScriptedExchange,
+    ScriptedTargets,
+    engine,
+    target,
+)
+
+LOST = TransportError("the connection was lost", sent=True)
+
+
+@pytest.fixture
+async def pair() -> AsyncIterator[ForwardingPair]:
+    """Return a cut VM and its helper, whose targets have no answers yet."""
+    found = ForwardingPair()
+    await found.async_start()
+    yield found
+    await found.async_stop()
+
+
+async def serve(
+    pair: ForwardingPair, path: str = "/a/x", **headers: str
+) -> RecordedReply:
+    """Return the reply of the cut VM to a call."""
+    reply = RecordedReply()
+    async with asyncio.timeout(6.0):
+        await pair.cut.async_handle(pair.call(path, **headers), reply)
+    return reply
+
+
+async def test_helper_serves_the_call_with_the_answer_of_the_target(
+    pair: ForwardingPair,
+) -> None:
+    pair.targets.answers = [ScriptedExchange()]
+    reply = await serve(pair)
+    assert (reply.status, reply.body) == (200, b"whole")
+    assert (b"x-signature", b"s") in reply.headers
+    assert not any(name.startswith(b"forward") for name, _ in reply.headers)
+    [sent] = pair.targets.sent
+    assert sent.terms.customer == "a"
+    assert 3.0 < sent.terms.time_left <= 4.0
+    assert sent.call.body == b"body"
+
+
+async def test_events_pass_without_waiting_for_more(pair: ForwardingPair) -> None:
+    pair.helper.view.targets.update(engine("e1"), pair.helper.clock.monotonic())
+    pair.cut.view.targets.update(engine("e1"), pair.cut.clock.monotonic())
+    pair.keep_cut(pair.cut)
+    stream = ScriptedExchange(body=[b"id: 1\n\n", b"id: 2\n\n"])
+    pair.targets.answers = [stream]
+    reply = await serve(pair, "/s/x")
+    assert (reply.status, reply.body) == (200, b"id: 1\n\nid: 2\n\n")
+    assert reply.is_complete
+
+
+async def test_stream_that_breaks_at_the_helper_does_not_look_complete(
+    pair: ForwardingPair,
+) -> None:
+    plain = routes()
+    fragile = tuple(replace(item, is_resumable=False) for item in plain.routes)
+    for vm in (pair.helper, pair.cut):
+        vm.set_document(replace(plain, routes=fragile))
+        vm.view.targets.update(engine("e1"), vm.clock.monotonic())
+    pair.keep_cut(pair.cut)
+    pair.targets.answers = [ScriptedExchange(body=[b"id: 1\n\n", LOST])]
+    reply = await serve(pair, "/s/x")
+    assert reply.body == b"id: 1\n\n"
+    assert reply.is_aborted
+    assert not reply.is_complete
+
+
+async def test_call_is_forwarded_only_once(pair: ForwardingPair) -> None:
+    """The helper is cut too and would forward the call back."""
+    pair.keep_cut(pair.helper)
+    pair.helper.view.choose_helper = lambda service, tried, now: "10.0.0.9"
+    reply = await serve(pair)
+    assert reply.status == 503
+    assert not pair.targets.sent
+
+
+async def test_refusal_of_a_helper_that_reaches_no_target_is_immediate(
+    pair: ForwardingPair,
+) -> None:
+    pair.keep_cut(pair.helper)
+    assert pair.cut.helpers is not None
+    started = pair.cut.clock.monotonic()
+    reply = await serve(pair)
+    assert reply.status == 503
+    assert pair.cut.clock.monotonic() - started < 1.0
+    assert pair.cut.helpers.choose("portal", set(), pair.cut.clock.monotonic()) is None
+
+
+async def test_call_that_runs_once_is_not_sent_on_after_the_helper_broke_off(
+    pair: ForwardingPair,
+) -> None:
+    pair.targets.answers = [
+        ScriptedExchange(head_error=LOST),
+        ScriptedExchange(),
+    ]
+    reply = await serve(pair, "/o/x")
+    assert reply.status == 502
+    assert len(pair.targets.sent) == 1
+
+
+async def test_helper_that_dies_leaves_no_false_not_run(pair: ForwardingPair) -> None:
+    """The target may have the call when the connection between the VMs breaks."""
+    pair.targets.answers = [ScriptedExchange(hangs=True), ScriptedExchange()]
+    task = asyncio.create_task(serve(pair, "/o/x"))
+    await async_wait_until(lambda: bool(pair.targets.sent))
+    await pair.server.async_stop()
+    reply = await task
+    assert reply.status == 502
+    assert len(pair.targets.sent) == 1
+
+
+async def test_helper_that_cannot_be_connected_to_costs_no_false_failure(
+    pair: ForwardingPair,
+) -> None:
+    await pair.server.async_stop()
+    reply = await serve(pair, "/o/x")
+    assert reply.status == 503
+    assert any(name == b"retry-after" for name, _ in reply.headers)
+
+
+async def test_refusal_of_the_helper_reaches_the_caller(pair: ForwardingPair) -> None:
+    """The target turns the call away without running it."""
+    pair.targets.answers = [
+        ScriptedExchange(status=503, says_not_run=True, is_signed=False)
+    ]
+    reply = await serve(pair, "/o/x")
+    assert reply.status == 503
+    assert any(name == b"retry-after" for name, _ in reply.headers)
+
+
+async def test_helper_with_an_older_document_is_not_used(pair: ForwardingPair) -> None:
+    """It might know a key that was withdrawn since."""
+    pair.cut.set_document(routes(revision=2))
+    reply = await serve(pair, "/o/x")
+    assert reply.status == 503
+    assert not pair.targets.sent
+
+
+async def test_newer_document_of_the_helper_decides(pair: ForwardingPair) -> None:
+    pair.helper.set_document(routes(revision=2, customers_by_key={}))
+    reply = await serve(pair)
+    assert reply.status == 401
+    assert not pair.targets.sent
+
+
+async def test_port_between_vms_gives_callers_no_more_than_their_own_address(
+    pair: ForwardingPair,
+) -> None:
+    """Headers that only a VM may set don't pass, and the key is checked again."""
+    pair.targets.answers = [ScriptedExchange()]
+    reply = await serve(pair, Gypsumsail_Tenant="other", Gypsumsail_Cache_Salt="s")
+    assert reply.status == 200
+    names = {name.lower() for name, _ in pair.targets.sent[0].call.headers}
+    assert b"gypsumsail-tenant" not in names
+    assert b"gypsumsail-cache-salt" not in names
+    assert b"authorization" not in names
+
+
+async def test_helper_that_stops_takes_no_call(pair: ForwardingPair) -> None:
+    pair.is_stopping = True
+    reply = await serve(pair, "/o/x")
+    assert reply.status == 503
+    assert not pair.targets.sent
+
+
+async def test_targets_of_one_call_are_counted_over_both_vms(
+    pair: ForwardingPair,
+) -> None:
+    """The route allows three: the helper gets two, and one stays for another."""
+    pair.targets.answers = [ScriptedExchange(head_error=LOST) for _ in range(3)]
+    reply = await serve(pair)
+    assert reply.status == 502
+    assert len(pair.targets.sent) == 2
+
+
+async def test_call_counts_once_against_the_retry_budget(pair: ForwardingPair) -> None:
+    pair.targets.answers = [ScriptedExchange()]
+    await serve(pair)
+    assert "portal" in pair.cut.budgets
+    budget = pair.helper.budgets["portal"]
+    assert not budget.calls
+
+
+async def test_caller_that_leaves_ends_the_work_at_the_helper(
+    pair: ForwardingPair,
+) -> None:
+    hanging = ScriptedExchange(hangs=True)
+    pair.targets.answers = [hanging]
+    task = asyncio.create_task(serve(pair))
+    await async_wait_until(lambda: bool(pair.targets.sent))
+    task.cancel()
+    async with asyncio.timeout(0.5):
+        await async_wait_until(lambda: hanging.is_finished)
+
+
+async def test_silent_helper_is_abandoned_for_a_repeatable_call(
+    pair: ForwardingPair,
+) -> None:
+    """The helper is frozen; the target that is left is used through another VM."""
+    pair.targets.is_connectable = True
+    pair.targets.answers = [ScriptedExchange(hangs=True), ScriptedExchange()]
+    task = asyncio.create_task(serve(pair))
+    await async_wait_until(lambda: bool(pair.targets.sent))
+    second = await pair.async_start_second()
+    for _ in range(40):
+        pair.hear_helper("127.0.0.2")
+        await asyncio.sleep(0.05)
+    reply = await task
+    await second.async_stop()
+    assert reply.status == 200
+
+
+async def test_vm_that_reaches_one_target_forwards_nothing(
+    pair: ForwardingPair,
+) -> None:
+    now = pair.cut.clock.monotonic()
+    pair.cut.calls = ScriptedTargets(ScriptedExchange())
+    pair.cut.view.targets.update(target("t9"), now)
+    reply = await serve(pair)
+    assert reply.status == 200
+    assert not pair.targets.sent
