Check all links when no target was heard since a failed attempt

Evidence: `target unreachable` lines of the four cut VMs; the new test fails without the change. Change: after a failed attempt, if no target was heard since it began, connections to all others are tried at once. Another target's answer shows that the links are sound; then nothing is checked. Why it works: the cut of a whole VM shows in all its links, and one round of attempts finds it.

--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -88,7 +88,9 @@
                 self.state.entry, self.job.call, terms, now
             )
         except TransportError as err:
-            self.state.mark_unreachable(self.clock.monotonic())
+            now = self.clock.monotonic()
+            self.state.mark_unreachable(now)
+            self.gateway.liveness.check_links(now)
             return NotSent(reason=str(err))
         self.job.may_have_run = True
         self.job.targets_used += 1
--- a/src/gypsumsail/gateway/liveness.py
+++ b/src/gypsumsail/gateway/liveness.py
@@ -17,7 +17,7 @@
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
-from gypsumsail.gateway.const import CHECK_VALID_SECONDS
+from gypsumsail.gateway.const import CHECK_VALID_SECONDS, CONNECT_SECONDS
 from gypsumsail.gateway.port import TargetClient
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.targets import TargetState
@@ -57,6 +57,20 @@
             if state.needs_check or state.is_reported_unreachable(now):
                 self._check(state)
 
+    @callback
+    def check_links(self, now: float) -> None:
+        """Check all targets if none has been heard since a failed attempt began.
+
+        The links of this VM may be cut then, and no call should have to find that out
+        for each target. Attempts last for ``CONNECT_SECONDS`` at most.
+        """
+        states = self.targets.states.values()
+        if any(state.contact_at >= now - CONNECT_SECONDS for state in states):
+            return
+        for state in states:
+            if not state.has_failed_attempt(now):
+                self._check(state)
+
     @callback
     def stop(self) -> None:
         """Cancel the running checks."""
@@ -77,8 +91,10 @@
         try:
             await self.calls.async_check(state.entry)
         except TransportError as err:
-            state.mark_unreachable(self.clock.monotonic())
+            now = self.clock.monotonic()
+            state.mark_unreachable(now)
             self.on_checked(state, str(err))
+            self.check_links(now)
             return False
         was_blocked = state.needs_check
         state.mark_reachable(self.clock.monotonic())
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -184,6 +184,11 @@
         """Return whether the target gets no new calls because it leaves."""
         return self.is_listed_leaving or self.has_said_leaving
 
+    @property
+    def contact_at(self) -> float:
+        """Return the time at which this VM last had contact with the target."""
+        return max(self.connected_at, self.progress_at)
+
     def is_within_limit(self, sharing: LimitSharing, now: float) -> bool:
         """Return whether the limit of the target lets this VM send a call now."""
         limit = self.limit.calls_per_second
@@ -384,8 +389,7 @@
         ]
         if len(reports) < UNREACHABLE_MIN_REPORTS:
             return False
-        contact_at = max(self.connected_at, self.progress_at)
-        return contact_at < min(report.since for report in reports)
+        return self.contact_at < min(report.since for report in reports)
 
     def expect_weight_loading(self, now: float) -> None:
         """Record that an order to load other weights was sent."""
--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/test_liveness.py
@@ -147,3 +147,28 @@
     await task
     assert reply.status == 200
     assert len(calls.sent) == 1
+
+
+async def test_cut_is_noticed_at_all_targets_after_the_first_failure() -> None:
+    """Each target used to be found out by a call of its own, one after the other."""
+    refused = TransportError("connect: TimeoutError", sent=False)
+    names = [f"t{number}" for number in range(1, 9)]
+    gw = gateway(ScriptedTargets(refused), *map(target, names))
+    for state in gw.view.targets.states.values():
+        state.progress_at = 0.0
+    # The time that is left allows no send to a second target.
+    await gw.async_handle(call(deadline=1_000.1), RecordedReply())
+    await asyncio.sleep(0.01)
+    assert gw.view.targets.is_cut_off("portal", gw.clock.monotonic())
+
+
+async def test_failed_target_alone_is_no_reason_to_check_the_others() -> None:
+    """A stream or an answer from another target shows that the links are sound."""
+    refused = TransportError("connect: TimeoutError", sent=False)
+    calls = ScriptedTargets(refused, ScriptedExchange())
+    gw = gateway(calls, *(target(f"t{number}") for number in range(1, 9)))
+    for state in gw.view.targets.states.values():
+        state.progress_at = 0.0
+    gw.view.targets.states["t8"].progress_at = gw.clock.monotonic()
+    await gw.async_handle(call(), RecordedReply())
+    assert not calls.checked
