Let the lease for orders expire at a VM that reaches no engine

Callers would see: answers on old weights until the end of the cut, if the VM that holds the lease loses its links to the engines. Cause: the holder renewed its lease although its orders could reach nobody, and other VMs, which reached the engines, waited for its end. Evidence: the new test times out after 15 s without the change. Change: a VM for which all outdated engines are unreachable neither takes nor renews the lease. Why it works: the lease expires as after the end of its holder, with the same gap between two holders.

--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -122,6 +122,9 @@
         self._drop_finished_orders(now)
         if not outdated or self.last_progress_at is None:
             return False
+        # A VM that is cut off lets its lease expire, for one that reaches the engines.
+        if all(state.is_unreachable(now) for state, _ in outdated):
+            return True
         if not self._may_take_over(now) or not self._may_poll_lease(now):
             return True
         # The argument is the highest fencing token that engines have reported. It is 0,
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -269,6 +269,26 @@
     assert fences[other] > fences[first]
 
 
+async def test_vm_that_reaches_no_engine_leaves_the_lease_to_another() -> None:
+    """Its orders reach nobody, and it used to renew the lease for as long as it was cut."""
+    shared = SharedObjects()
+    engines = LoadingEngines([f"e{number}" for number in range(5)], load_seconds=1.0)
+    names = ["v1", "v2"]
+    vms = {vm: rollout(vm, shared, engines, lambda: names) for vm in names}
+    tasks = [asyncio.create_task(vm.async_run()) for vm in vms.values()]
+    await asyncio.sleep(0.6)
+    first = engines.orders[0][1].holder
+    for state in vms[first].targets.states.values():
+        state.needs_check = True
+        state.blocked_until = float("inf")
+    try:
+        await until_loaded(engines, 15.0)
+    finally:
+        for task in tasks:
+            task.cancel()
+    assert {order.holder for _, order, _ in engines.orders} == set(names)
+
+
 async def test_renewed_lease_is_not_taken_over() -> None:
     shared = SharedObjects()
     clock = SystemClock()
