Cut VMs from all targets in the soak

Change: with links of their own (now the default of the command), some, most or all VMs are cut from all targets at random times, by hanging, refused or only refused new connections; a generator of its own keeps the other faults of a seed. The links lie before the proxies of the targets, whose faults stay. The check of pauses excuses a VM whose links were cut, as it does for its restart, because its calls come to targets through other VMs. Two seeds run in the tests.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,11 +16,16 @@
 @click.option(
     "--seconds", default=12.0, help="Seconds of injected faults for each seed."
 )
-def main(first: int, seeds: int, vms: int, seconds: float) -> None:
+@click.option(
+    "--cut-vms/--no-cut-vms", default=True, help="Also cut VMs from all targets."
+)
+def main(first: int, seeds: int, vms: int, seconds: float, cut_vms: bool) -> None:
     """Run each seed; the exit code is 1 if any seed has findings."""
     failed = False
     for seed in range(first, first + seeds):
-        report = asyncio.run(Soak(seed, vms, seconds).async_run())
+        run = Soak(seed, vms, seconds)
+        run.uses_own_links = cut_vms
+        report = asyncio.run(run.async_run())
         click.echo(
             f"seed {seed}: {report.served} of {report.calls} calls served, "
             f"{len(report.faults)} faults, {len(report.findings)} findings"
--- a/soak/const.py
+++ b/soak/const.py
@@ -31,5 +31,7 @@
 PAUSE_NOTICE_SECONDS: Final = 0.5
 """Time after a request for a pause from which the VM's calls are counted."""
 MAX_CALLS_IN_PAUSE: Final = 2
+MAX_CUT_SECONDS: Final = 3.0
+"""Longest cut of VMs from all targets."""
 MAX_DISTURBANCE_SECONDS: Final = 3.0
 """Longest freeze or cut, with the time to recover from it."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,11 +21,13 @@
     PAUSES,
     START_POLL_SECONDS,
 )
+from soak.links import LinkCut
 from soak.pauses import pause_finding, pause_seconds
 from soak.proxy import Impairment
 
 if TYPE_CHECKING:
     from soak.run import Soak
+    from soak.vms import Vm
 
 
 async def _kill(soak: Soak) -> None:
@@ -179,6 +181,18 @@
     target.pauses.clear()
 
 
+async def cut_links(soak: Soak, vms: list[Vm], how: LinkCut, seconds: float) -> None:
+    """Cut VMs from all targets for a time."""
+    links = [link for vm in vms for link in soak.links[vm.name].values()]
+    for vm in vms:
+        soak.record_network_fault(f"links of {vm.name}")
+    for link in links:
+        await link.async_cut(how)
+    await asyncio.sleep(seconds)
+    for link in links:
+        await link.async_heal()
+
+
 async def _foreign(soak: Soak) -> None:
     """Write an invalid server entry to the object store."""
     await soak.store.put("servers", "foreign", {"service": 7, "addr": None})
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
     API_KEY,
     CALLS_PER_SECOND,
     FINAL_CALLS,
+    MAX_CUT_SECONDS,
     MAX_DISTURBANCE_SECONDS,
     MAX_PAUSE_SECONDS,
     MAX_READY_POLLS,
@@ -21,8 +22,8 @@
     REVOKED_API_KEY,
     SETTLE_SECONDS,
 )
-from soak.faults import FAULTS, NOTICES, long_pause
-from soak.links import Link, StoreView
+from soak.faults import FAULTS, NOTICES, cut_links, long_pause
+from soak.links import Link, LinkCut, StoreView
 from soak.proxy import Impairment, Proxy
 from soak.vms import Vm
 from stand_ins.v1_platform import (
@@ -117,6 +118,7 @@
         self.restore_random = random.Random(f"restore {seed}")
         self.notice_random = random.Random(f"notices {seed}")
         self.pause_random = random.Random(f"pauses {seed}")
+        self.link_random = random.Random(f"links {seed}")
         self.random = random.Random(seed)
         self.seconds = seconds
         self.report = Report(seed)
@@ -156,11 +158,13 @@
             restores = asyncio.create_task(self._restore_store())
             notices = asyncio.create_task(self._let_targets_say())
             pauses = asyncio.create_task(self._let_targets_pause())
+            cuts = asyncio.create_task(self._cut_vms())
             await self._send_load(self.seconds)
             await faults
             await restores
             await notices
             await pauses
+            await cuts
             await self._end_faults()
             await self._check_service()
         finally:
@@ -216,8 +220,10 @@
         links = self.links[vm.name] = {}
         addresses = {}
         for target in self.targets:
-            link = links[target.name] = Link("127.0.0.1", target.port)
-            await link.async_start("127.0.0.1")
+            # The fault of the target's own proxy concerns all VMs.
+            host, _, port = target.registered_address.rpartition(":")
+            link = links[target.name] = Link(host, int(port))
+            await link.async_start(host)
             addresses[target.registered_address] = link.address
         view = StoreView(self.store, addresses)
         self.views.append(view)
@@ -329,6 +335,19 @@
             self.report.faults.append("long_pause")
             await long_pause(self)
 
+    async def _cut_vms(self) -> None:
+        """Cut some, most or all VMs from all targets, at random times."""
+        if not self.uses_own_links:
+            return
+        rng = self.link_random
+        end = asyncio.get_running_loop().time() + self.seconds - MAX_CUT_SECONDS
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            vms = rng.sample(self.vms, rng.randint(1, len(self.vms)))
+            how = rng.choice(list(LinkCut))
+            self.report.faults.append(f"cut {len(vms)} VMs, {how}")
+            await cut_links(self, vms, how, rng.uniform(0.3, MAX_CUT_SECONDS))
+
     async def _restore_store(self) -> None:
         """Restore the store from an older copy in half of the seeds."""
         copied_after = self.restore_random.uniform(0.2, 0.5) * self.seconds
@@ -416,13 +435,14 @@
             self.report.findings.append(finding)
 
     def record_network_fault(self, name: str) -> None:
-        """Record a fault on the network of a VM or target."""
+        """Record a fault on the network of a VM or target, or on a VM's links."""
         self.network_faults.append((monotonic(), name))
 
     def is_disturbed(self, vm: str, target: str, start: float, end: float) -> bool:
         """Return whether a restart, freeze or cut excuses a VM in a time."""
         steps = [step for item in self.vms if item.name == vm for step in item.history]
-        faults = [step for step in self.network_faults if step[1] == target]
+        names = (target, f"links of {vm}")
+        faults = [step for step in self.network_faults if step[1] in names]
         since = start - MAX_DISTURBANCE_SECONDS
         return any(since <= at <= end for at, _ in (*steps, *faults))
 
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -33,3 +33,11 @@
     report = await async_run_soak(seed, 6.0)
     assert not report.findings, (report.faults, report.logs)
     assert report.served > report.calls / 2
+
+
+@pytest.mark.parametrize("seed", [7, 11])
+async def test_guarantees_hold_while_vms_are_cut_from_all_targets(seed: int) -> None:
+    run = Soak(seed, vms=4, seconds=7.0)
+    run.uses_own_links = True
+    report = await run.async_run()
+    assert not report.findings, (report.faults, report.logs)
