--- a/src/gypsumsail/forwarding/helpers.py
+++ b/src/gypsumsail/forwarding/helpers.py
@@ -1,9 +1,9 @@
 """Choice of the VM that serves a call of a VM without links to the targets.
 
 Load pattern: many VMs lose their links at once, and all calls there need a helper in
-the same second. Each sender takes the less used of two helpers, so that they share the
-calls without asking each other. A helper that reaches no target either says so at once
-and is left out for a while.
+the same second. Each sender takes the least used of a few random helpers, so that they
+share the calls without asking each other. A helper that reaches no target either says
+so at once and is left out for a while.
 """
 
 from __future__ import annotations
@@ -24,7 +24,10 @@
 from gypsumsail.gossip.peers import Peer, PeerTable
 
 CHOICES = 2
-"""Helpers of which the less used one is taken."""
+"""Helpers of which the least used one is taken.
+
+One more takes part if all of these have served calls lately.
+"""
 
 
 @dataclass(slots=True)
@@ -73,11 +76,14 @@
         others = [peer for peer in candidates if peer not in good]
         if not good and self._is_down(service, now):
             return None
-        drawn = self.random.sample(good, min(len(good), CHOICES))
+        drawn = self._draw(good, CHOICES)
         # One that was not tried lately takes part, so that helpers are found again.
-        drawn += self.random.sample(others, min(len(others), CHOICES - len(drawn) or 1))
+        drawn += self._draw(others, max(CHOICES - len(drawn), 1))
         return min(drawn, key=self._rank).host if drawn else None
 
+    def _draw(self, peers: list[Peer], count: int) -> list[Peer]:
+        return self.random.sample(peers, min(len(peers), count))
+
     def _rank(self, peer: Peer) -> tuple[int, bool]:
         return self.in_progress[peer.host], peer.zone != self.peers.zone
 
--- a/src/gypsumsail/gateway/part_suspects.py
+++ b/src/gypsumsail/gateway/part_suspects.py
@@ -111,7 +111,8 @@
     may_try
         Returns whether this VM is the one that tries a blocked part again.
     on_blocked, on_released
-        Called with the name of a part and the target lives of its crashes.
+        Called with the name of a part; ``on_blocked`` also with the target lives of
+        its crashes.
     """
 
     def __init__(self) -> None:
--- a/tests/process/test_cut_vms.py
+++ b/tests/process/test_cut_vms.py
@@ -22,7 +22,8 @@
 MAX_FAILED_CALLS = 10
 MAX_FAILED_SHARE = 1 / 50
 # Two of the three VMs of one zone, so that reports from a zone can name all targets.
-CUT_VMS = ("v0", "v2")
+MOST_OF_ZONE = ("v0", "v2")
+WHOLE_ZONE = ("v0", "v2", "v4")
 
 
 @dataclass(slots=True)
@@ -49,15 +50,18 @@
 
     Attributes
     ----------
+    cut_vms
+        Names of these VMs.
     cut_at, healed_at
         Times of the start and the end of the cut.
     """
 
     uses_own_links = True
 
-    def __init__(self, seed: int, how: LinkCut) -> None:
+    def __init__(self, seed: int, how: LinkCut, cut_vms: tuple[str, ...]) -> None:
         super().__init__(seed, VMS, SECONDS)
         self.how = how
+        self.cut_vms = cut_vms
         self.cut_at = 0.0
         self.healed_at = 0.0
 
@@ -80,13 +84,13 @@
         self._complete_report()
 
     def _cut_links(self) -> list[Link]:
-        return [link for vm in CUT_VMS for link in self.links[vm].values()]
+        return [link for vm in self.cut_vms for link in self.links[vm].values()]
 
     def first_tries(self, *, at_cut_vms: bool) -> FirstTries:
         """Return the calls that began in the compared time of the cut."""
         found = FirstTries()
         for result in self.results:
-            is_cut = self.vm_by_request_id[result.request_id] in CUT_VMS
+            is_cut = self.vm_by_request_id[result.request_id] in self.cut_vms
             is_compared = (
                 self.cut_at + CONTACT_SECONDS <= result.began_at < self.healed_at
             )
@@ -101,7 +105,15 @@
 @pytest.mark.parametrize("how", list(LinkCut))
 async def test_calls_at_vms_without_links_to_targets_are_served(how: LinkCut) -> None:
     """Other VMs reach every target, and all targets have room."""
-    run = CutVmsRun(7, how)
+    await async_check_cut(CutVmsRun(7, how, MOST_OF_ZONE))
+
+
+async def test_calls_at_a_zone_without_links_to_targets_are_served() -> None:
+    await async_check_cut(CutVmsRun(8, LinkCut.HANG, WHOLE_ZONE))
+
+
+async def async_check_cut(run: CutVmsRun) -> None:
+    """Check that cut VMs serve calls about as often as the others."""
     await run.async_run_with_cut()
     cut = run.first_tries(at_cut_vms=True)
     others = run.first_tries(at_cut_vms=False)
