--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -304,7 +304,7 @@
                 memory_seconds = queue.placer.memory_seconds(job)
                 waiting = job.queued_call(work_seconds, memory_seconds)
                 now = self.clock.monotonic()
-                if not queue.placer.forwards(job, now):
+                if not queue.placer.should_forward(job, now):
                     queue.placer.record_arrival(job, now)
                 placed = await queue.async_place(waiting)
             except NoTargetError:
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -154,7 +154,7 @@
         if not self.view.knows_notices(now):
             return Wait()
         job = self.jobs[number]
-        if self.forwards(job, now):
+        if self.should_forward(job, now):
             host = self.view.choose_helper(self.service.name, job.helpers_tried, now)
             if host is not None:
                 return Forward(host=host)
@@ -185,8 +185,8 @@
             job.assignment = self.begin(job, state, placed.answer_delay, now)
         return placed
 
-    def forwards(self, job: Job, now: float) -> bool:
-        """Return whether a job is forwarded, because no target can be reached."""
+    def should_forward(self, job: Job, now: float) -> bool:
+        """Return whether another VM should serve a job, as no target can be reached."""
         return not job.is_forwarded and self.view.targets.is_cut_off(
             self.service.name, now
         )
