Reject forwarded calls that an HTTP parser would not have let through

Cause: found by reading. Whoever reaches the port between VMs could end a line there and smuggle a second request, which the address for callers does not allow. Change: they are checked against HTTP's own characters. Result: five new cases failed before and pass.

--- a/src/gypsumsail/forwarding/messages.py
+++ b/src/gypsumsail/forwarding/messages.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import re
 from typing import Any, Final
 
 import cbor2
@@ -67,6 +68,8 @@
         raise cbor.ValueInvalidError("unsupported version of the message format")
     _, sender, service, revision, max_targets, left_ms, build = fields[:7]
     method, target, headers, body = fields[7:]
+    pairs = tuple(map(_pair, _HEADER.read_all(headers)))
+    _check_request(method, target, pairs)
     return ForwardMessage(
         sender=sender,
         terms=ForwardTerms(
@@ -78,7 +81,7 @@
         ),
         method=method,
         target=target,
-        headers=tuple(map(_pair, _HEADER.read_all(headers))),
+        headers=pairs,
         body=body,
     )
 
@@ -87,6 +90,21 @@
     int, str, str, int, int, int, str, bytes, bytes, list, bytes
 )
 _HEADER: Final = cbor.RowReader(bytes, bytes)
+_TOKEN: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_TARGET: Final = re.compile(rb"[^\x00-\x20\x7f]+")
+_VALUE: Final = re.compile(rb"[^\x00-\x08\x0a-\x1f\x7f]*")
+
+
+def _check_request(method: bytes, target: bytes, headers: HeaderPairs) -> None:
+    """Reject bytes that an HTTP parser would not have let through.
+
+    They could end a line of the request to the target, and begin another request.
+    """
+    is_valid = _TOKEN.fullmatch(method) and _TARGET.fullmatch(target)
+    if not is_valid or not all(
+        _TOKEN.fullmatch(name) and _VALUE.fullmatch(value) for name, value in headers
+    ):
+        raise cbor.ValueInvalidError("malformed method, target or header")
 
 
 def _pair(row: list[Any]) -> tuple[bytes, bytes]:
--- a/tests/forwarding/test_messages.py
+++ b/tests/forwarding/test_messages.py
@@ -27,6 +27,24 @@
     assert list(found.headers) == request.headers
 
 
+@pytest.mark.parametrize(
+    ("index", "value"),
+    [
+        (7, b"GET / HTTP/1.1\r\n"),
+        (8, b"/a HTTP/1.1\r\nx: y"),
+        (9, [[b"x", b"1\r\n\r\nGET /b HTTP/1.1"]]),
+        (9, [[b"x: 1\r\ny", b"2"]]),
+        (9, [[b"", b"2"]]),
+    ],
+)
+def test_message_can_smuggle_no_second_request(index: int, value: object) -> None:
+    """No HTTP parser has checked what comes in the message."""
+    fields = cbor2.loads(encode_forward("v1", parse_call(caller_request()), TERMS))
+    fields[index] = value
+    with pytest.raises(ValueInvalidError):
+        decode_forward(cbor2.dumps(fields))
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_decoded_or_rejected(data: bytes) -> None:
     try:
