--- a/src/gypsumsail/forwarding/endpoint.py
+++ b/src/gypsumsail/forwarding/endpoint.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from gypsumsail.core.callback import callback
 from gypsumsail.core.cbor import ValueInvalidError
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import InvalidRequestError
@@ -18,54 +17,12 @@
 from gypsumsail.forwarding.messages import ForwardMessage, decode_forward
 from gypsumsail.gateway.coordinator import Gateway
 from gypsumsail.gateway.forwarding import ForwardRefusal, forward_refusal
-from gypsumsail.gateway.models import Call, HeaderPairs
+from gypsumsail.gateway.models import Call
 from gypsumsail.gateway.port import CallerReply
 from gypsumsail.transport.http_reply import Reply
 from gypsumsail.transport.http_request import HttpRequest
 
 
-class ForwardedReply:
-    """Reply to a VM that forwarded a call."""
-
-    def __init__(self, reply: CallerReply, headers: HeaderPairs) -> None:
-        self.reply = reply
-        self.headers = headers
-
-    @property
-    def has_begun(self) -> bool:
-        """Return whether any byte of the reply has been sent."""
-        return self.reply.has_begun
-
-    @callback
-    def send(self, status: int, headers: HeaderPairs, body: bytes) -> None:
-        """Send a complete reply."""
-        self.reply.send(status, (*headers, *self.headers), body)
-
-    @callback
-    def begin(self, status: int, headers: HeaderPairs) -> None:
-        """Send the head of a stream."""
-        self.reply.begin(status, (*headers, *self.headers))
-
-    @callback
-    def write(self, data: bytes) -> None:
-        """Send a part of a stream."""
-        self.reply.write(data)
-
-    @callback
-    def end(self) -> None:
-        """Mark a stream as complete."""
-        self.reply.end()
-
-    @callback
-    def abort(self) -> None:
-        """Close the connection, so that the reply can't appear complete."""
-        self.reply.abort()
-
-    async def async_drain(self) -> None:
-        """Wait until the other VM has read enough of the buffered data."""
-        await self.reply.async_drain()
-
-
 class ForwardEndpoint:
     """Serves calls of other VMs as calls of this one.
 
@@ -94,24 +51,23 @@
 
     async def async_handle(self, request: HttpRequest, reply: Reply) -> None:
         """Serve one forwarded call, or say at once why not."""
-        headers = _answer_headers(request)
+        reply.common_headers += _answer_headers(request)
         try:
             message = decode_forward(request.body)
             call = self._call(message, request.received_at)
         except (ValueInvalidError, InvalidRequestError) as err:
             self.gateway.telemetry.forward_invalid(str(err))
-            reply.send(400, list(headers), b"")
+            reply.send(400, [], b"")
             return
         refusal = self._refusal(message)
         self.gateway.telemetry.forward_received(call, message.sender, refusal)
         if refusal is not None:
-            reply.send(503, [*headers, (REFUSAL_HEADER, refusal.encode())], b"")
+            reply.send(503, [(REFUSAL_HEADER, refusal.encode())], b"")
             return
         self.in_progress += 1
         try:
-            inner = self.make_reply(reply, call.request_id)
             await self.gateway.async_handle(
-                call, ForwardedReply(inner, headers), message.terms
+                call, self.make_reply(reply, call.request_id), message.terms
             )
         finally:
             self.in_progress -= 1
@@ -138,11 +94,11 @@
         return forward_refusal(self.gateway, message.terms, self.clock.monotonic())
 
 
-def _answer_headers(request: HttpRequest) -> HeaderPairs:
+def _answer_headers(request: HttpRequest) -> list[tuple[bytes, bytes]]:
     """Return the headers of all answers; the id is that of the forwarded call."""
     found = [
         (FORWARD_ID_HEADER, value)
         for name, value in request.headers
         if name.lower() == FORWARD_ID_HEADER
     ]
-    return (*found, (b"keep-alive", b"timeout=%d" % KEEP_ALIVE_SECONDS))
+    return [*found, (b"keep-alive", b"timeout=%d" % KEEP_ALIVE_SECONDS)]
--- a/src/gypsumsail/transport/http_reply.py
+++ b/src/gypsumsail/transport/http_reply.py
@@ -47,6 +47,8 @@
         Progress of the reply; the connection is closed after an incomplete reply.
     is_closing
         Whether the connection is closed after this reply.
+    common_headers
+        Headers that are added to the reply, whoever sends it.
     """
 
     def __init__(self, connection: CallerConnection, request: HttpRequest) -> None:
@@ -55,6 +57,7 @@
         self.phase = ReplyPhase.NOT_STARTED
         self.is_chunked = False
         self.is_closing = not request.keep_alive
+        self.common_headers: HeaderPairs = []
 
     @callback
     def send(self, status: int, headers: HeaderPairs, body: bytes) -> None:
@@ -101,7 +104,7 @@
             self.is_closing = True
         reason = REASON_PHRASES.get(status, "Status").encode()
         lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
-        lines += [b"%b: %b\r\n" % pair for pair in headers]
+        lines += [b"%b: %b\r\n" % pair for pair in (*headers, *self.common_headers)]
         if self.is_closing:
             lines.append(b"connection: close\r\n")
         return b"".join(lines)
