Keep the port of a cut link in the soak

Cause: while a link refused new connections, its port was free, and another process could take it. Change: a socket that is bound, and listens only for a hang, holds the port during each cut.

--- a/soak/links.py
+++ b/soak/links.py
@@ -45,7 +45,8 @@
         self.proxy = Proxy(host, port)
         self.host = ""
         self.port = 0
-        self.blackhole: socket.socket | None = None
+        # Holds the port while the link is cut; no other process may take it.
+        self.placeholder: socket.socket | None = None
         self.fillers: list[socket.socket] = []
 
     @property
@@ -61,10 +62,14 @@
     async def async_cut(self, how: LinkCut) -> None:
         """Cut the link."""
         self.proxy.stop_listening()
+        placeholder = socket.socket()
+        placeholder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        placeholder.bind((self.host, self.port))
+        self.placeholder = placeholder
         match how:
             case LinkCut.HANG:
                 self.proxy.impairment = Impairment.SILENT
-                self._listen_without_answer()
+                self._listen_without_answer(placeholder)
             case LinkCut.REFUSE:
                 self.proxy.reset_all()
             case LinkCut.NO_NEW:
@@ -72,7 +77,7 @@
 
     async def async_heal(self) -> None:
         """Forward again; connections that were opened before a hang are reset."""
-        self._close_blackhole()
+        self._close_placeholder()
         if self.proxy.impairment is Impairment.SILENT:
             self.proxy.reset_all()
         self.proxy.impairment = Impairment.NONE
@@ -80,27 +85,24 @@
 
     def stop(self) -> None:
         """End all connections."""
-        self._close_blackhole()
+        self._close_placeholder()
         self.proxy.stop()
 
-    def _listen_without_answer(self) -> None:
-        """Take the port with a socket whose accept queue is full."""
-        self.blackhole = socket.socket()
-        self.blackhole.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.blackhole.bind((self.host, self.port))
-        self.blackhole.listen(0)
+    def _listen_without_answer(self, placeholder: socket.socket) -> None:
+        """Fill the accept queue of the socket, so that connections are not answered."""
+        placeholder.listen(0)
         for _ in range(FILLING_CONNECTIONS):
             filler = socket.socket()
             filler.setblocking(False)
             filler.connect_ex((self.host, self.port))
             self.fillers.append(filler)
 
-    def _close_blackhole(self) -> None:
-        for found in (*self.fillers, self.blackhole):
+    def _close_placeholder(self) -> None:
+        for found in (*self.fillers, self.placeholder):
             if found is not None:
                 found.close()
         self.fillers.clear()
-        self.blackhole = None
+        self.placeholder = None
 
 
 class StoreView:
