Don't forward a stream whose first event was passed on

Cause: a stream broke at its target while the VM lost its links, and the retry was forwarded. Change: a job that has had its first event is not forwarded; it waits for own links, and then breaks off.

--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -186,10 +186,13 @@
         return placed
 
     def should_forward(self, job: Job, now: float) -> bool:
-        """Return whether another VM should serve a job, as no target can be reached."""
-        return not job.is_forwarded and self.view.targets.is_cut_off(
-            self.service.name, now
-        )
+        """Return whether another VM should serve a job, as no target can be reached.
+
+        A stream that has begun is not forwarded: the other VM would begin it anew.
+        """
+        if job.is_forwarded or job.first_at:
+            return False
+        return self.view.targets.is_cut_off(self.service.name, now)
 
     def _is_usable(self, state: TargetState, now: float) -> bool:
         """Return whether a target takes a call of this VM at this moment."""
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -9,6 +9,8 @@
 import pytest
 
 from gypsumsail.core.errors import TransportError
+from gypsumsail.gateway.job import Job
+from gypsumsail.gateway.targets import TargetState
 from tests.forwarding.common import ForwardingPair, async_wait_until, routes
 from tests.gateway.common import (
     RecordedReply,
@@ -81,6 +83,31 @@
     assert not reply.is_complete
 
 
+async def test_stream_that_has_begun_is_not_forwarded_when_links_are_cut(
+    pair: ForwardingPair,
+) -> None:
+    """A second head in the middle of the answer is no answer in the protocol."""
+    vm = pair.cut
+    vm.calls = ScriptedTargets(ScriptedExchange(body=[b"id: 1\n\n", LOST]))
+    for gateway in (vm, pair.helper):
+        for name in ("e1", "e2"):
+            gateway.view.targets.update(engine(name), gateway.clock.monotonic())
+    record = vm.record_broken_call
+
+    def record_and_cut(job: Job, state: TargetState) -> None:
+        record(job, state)
+        pair.keep_cut(vm)
+
+    vm.record_broken_call = record_and_cut  # type: ignore[method-assign]
+    pair.targets.answers = [ScriptedExchange(body=[b"id: 1\n\n", b"id: 2\n\n"])]
+    call = pair.call("/s/x")
+    reply = RecordedReply()
+    await vm.async_handle(replace(call, deadline=call.received_at + 0.8), reply)
+    assert not pair.targets.sent
+    assert reply.body == b"id: 1\n\n"
+    assert reply.is_aborted
+
+
 async def test_call_is_forwarded_only_once(pair: ForwardingPair) -> None:
     """The helper is cut too and would forward the call back."""
     pair.keep_cut(pair.helper)
