--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/test_liveness.py
@@ -191,3 +191,22 @@
         reply = RecordedReply()
         await gw.async_handle(call(), reply)
         assert reply.status == status
+
+
+async def test_answered_request_that_later_crashes_targets_is_blocked() -> None:
+    """Each target is listed with a new life after its failure, so it did crash."""
+    lost = TransportError("the connection was lost", sent=True)
+    failures = [ScriptedExchange(head_error=lost) for _ in range(12)]
+    calls = ScriptedTargets(ScriptedExchange(), *failures)
+    names = [f"t{number}" for number in range(1, 4)]
+    routing = document(route(max_targets=1))
+    gw = gateway(calls, *map(target, names), routing=routing)
+    await gw.async_handle(call(), RecordedReply())
+    reply = RecordedReply()
+    for life in range(2, 10):
+        reply = RecordedReply()
+        await gw.async_handle(call(), reply)
+        now = gw.clock.monotonic()
+        for name in names:
+            gw.view.targets.update(target(name, life=life), now)
+    assert reply.status == 503
