Tell from ids and logs which system call reached a target

An id that a target named could not be found in any log: reports, orders and calls to context stores were sent with random ids that nothing recorded, and a store that is not followed logged the first reason only, without its address.

The ids of these calls now name the VM and what the call is for; 'store of context lost' is logged again when its reason changes, with the address.

No logic is changed.

--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -72,6 +72,8 @@
         Called with each update on a store that this VM relays to other VMs.
     requested_views
         Stores for which a whole view has been requested from another VM.
+    loss_reasons
+        Reason, last logged, for which a store is not followed.
     wanted
         Versions that the operator selected, by model.
     rollout_seconds
@@ -99,6 +101,7 @@
         self.on_store_update: Callable[[ContextStoreUpdate], None] = lambda update: None
         self.relays: dict[Address, StoreRelay] = {}
         self.requested_views: set[Address] = set()
+        self.loss_reasons: dict[Address, str] = {}
         self.view_tasks: set[asyncio.Task[None]] = set()
         self.views: dict[Address, StoreView] = {}
         self.views_by_name: dict[str, StoreView] = {}
@@ -132,6 +135,7 @@
 
     def _remove_view(self, address: Address) -> None:
         view = self.views.pop(address)
+        self.loss_reasons.pop(address, None)
         del self.views_by_name[str(address)]
         self.tasks.pop(address).cancel()
         self.stores.forget(view.store)
@@ -145,12 +149,23 @@
             try:
                 await self._async_poll(view)
             except TransportError as err:
-                if view.life is not None:
-                    self.log.write(
-                        "store of context lost", store=view.store.name, reason=str(err)
-                    )
+                self._log_loss(view, str(err))
                 view.reset()
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
+            else:
+                self.loss_reasons.pop(view.store.address, None)
+
+    def _log_loss(self, view: StoreView, reason: str) -> None:
+        """Log that a store does not answer as expected; once for each reason."""
+        if self.loss_reasons.get(view.store.address) == reason:
+            return
+        self.loss_reasons[view.store.address] = reason
+        self.log.write(
+            "store of context lost",
+            store=view.store.name,
+            address=str(view.store.address),
+            reason=reason,
+        )
 
     async def async_run(self) -> None:
         """Free parts that no engine can use any more, until cancelled."""
@@ -214,6 +229,7 @@
             self.log.write(
                 "store of context followed",
                 store=view.store.name,
+                address=str(view.store.address),
                 life=answer.life,
                 parts=len(view.parts),
             )
--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -52,7 +52,7 @@
         JsonClient(settings.object_store), STORE_TIMEOUT_SECONDS, clock
     )
     calls = PlatformTargetCalls(clock)
-    engines = PlatformEngines(clock)
+    engines = PlatformEngines(clock, settings.vm)
 
     def close_idle_connections(target: TargetEntry) -> None:
         calls.forget(target)
@@ -70,7 +70,7 @@
         decoder=PlatformDecoder(),
         calls=calls,
         orders=engines,
-        stores=PlatformContextStores(),
+        stores=PlatformContextStores(settings.vm),
         vms_kind=names.VM_KIND,
         list_vms=lambda: api.async_list(names.VM_KIND, allow_stale=True),
         ready_path=names.READY_PATH,
--- a/src/gypsumsail/platform/client.py
+++ b/src/gypsumsail/platform/client.py
@@ -12,6 +12,7 @@
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import Address
+from gypsumsail.platform import names
 from gypsumsail.transport.bytes_client import BytesClient
 
 _LOGGER = logging.getLogger(__name__)
@@ -35,18 +36,10 @@
 
 
 class JsonClient:
-    """Makes calls to one address over persistent connections.
+    """Makes calls to one address over persistent connections."""
 
-    Attributes
-    ----------
-    request_id_name
-        Name of the header in which the server repeats the id of a request; ``None``
-        if it repeats none.
-    """
-
-    def __init__(self, address: Address, request_id_name: bytes | None = None) -> None:
+    def __init__(self, address: Address) -> None:
         self.client = BytesClient(address.host, address.port)
-        self.request_id_name = request_id_name
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -61,6 +54,7 @@
         query: Mapping[str, str] | None = None,
         body: Any = None,
         headers: Mapping[str, str] | None = None,
+        request_id: str | None = None,
     ) -> JsonAnswer:
         """Make one call.
 
@@ -68,6 +62,8 @@
         ----------
         timeout
             Time limit of the call in seconds.
+        request_id
+            Id that the server repeats in its answer; ``None`` if it repeats none.
 
         Raises
         ------
@@ -86,7 +82,9 @@
             query=query,
             body=data,
             headers=all_headers,
-            request_id_name=self.request_id_name,
+            request_id=(
+                (names.REQUEST_ID_HEADER, request_id.encode()) if request_id else None
+            ),
         )
         return JsonAnswer(
             status=answer.status, body=_decode(answer.body), headers=answer.headers
--- a/src/gypsumsail/platform/context_stores.py
+++ b/src/gypsumsail/platform/context_stores.py
@@ -10,6 +10,7 @@
 from gypsumsail.context_stores.const import LONG_POLL_MARGIN_SECONDS
 from gypsumsail.context_stores.store_view import StoreAnswer, StoreChange
 from gypsumsail.core.errors import TransportError
+from gypsumsail.core.ids import new_system_call_id
 from gypsumsail.gateway.models import ContextStore
 from gypsumsail.platform import names
 from gypsumsail.platform.client import JsonClient
@@ -51,7 +52,8 @@
 class PlatformContextStores:
     """Makes calls to context stores over persistent connections."""
 
-    def __init__(self) -> None:
+    def __init__(self, vm: str) -> None:
+        self.vm = vm
         self.clients: dict[str, JsonClient] = {}
 
     async def async_contents(self, store: ContextStore) -> StoreAnswer:
@@ -60,7 +62,7 @@
         They are returned as changes that add the parts.
         """
         body = await self._async_get(
-            store, names.CACHE_LIST_PATH, {}, {}, CONTEXT_STORE_TIMEOUT_SECONDS
+            store, "list", names.CACHE_LIST_PATH, {}, {}, CONTEXT_STORE_TIMEOUT_SECONDS
         )
         response = _convert(body, _Contents)
         return StoreAnswer(
@@ -84,6 +86,7 @@
         """
         body = await self._async_get(
             store,
+            "events",
             names.CACHE_EVENTS_PATH,
             {"since": str(since)},
             {"Wait-Ms": str(int(wait * 1000))},
@@ -123,6 +126,7 @@
             "POST",
             names.CACHE_FREE_PATH,
             timeout=CONTEXT_STORE_TIMEOUT_SECONDS,
+            request_id=new_system_call_id(self.vm, "free"),
             body={
                 "parts": [list(part) for part in parts],
                 "epoch": life,
@@ -142,13 +146,19 @@
     async def _async_get(
         self,
         store: ContextStore,
+        call: str,
         path: str,
         query: dict[str, str],
         headers: dict[str, str],
         timeout: float,
     ) -> Any:
         answer = await self._client(store).async_call(
-            "GET", path, timeout=timeout, query=query, headers=headers
+            "GET",
+            path,
+            timeout=timeout,
+            query=query,
+            headers=headers,
+            request_id=new_system_call_id(self.vm, call),
         )
         if answer.status != 200:
             raise TransportError(f"{path}: status {answer.status}", sent=True)
@@ -157,7 +167,7 @@
     def _client(self, store: ContextStore) -> JsonClient:
         key = str(store.address)
         if key not in self.clients:
-            self.clients[key] = JsonClient(store.address, names.REQUEST_ID_HEADER)
+            self.clients[key] = JsonClient(store.address)
         return self.clients[key]
 
 
--- a/src/gypsumsail/platform/engines.py
+++ b/src/gypsumsail/platform/engines.py
@@ -9,6 +9,7 @@
 
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
+from gypsumsail.core.ids import new_system_call_id
 from gypsumsail.gateway.models import TargetEntry
 from gypsumsail.gateway.notices import AnswerNotices
 from gypsumsail.platform import names
@@ -48,8 +49,9 @@
         Called with an engine, the notices of an answer and the time of the call.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, vm: str) -> None:
         self.clock = clock
+        self.vm = vm
         self.clients: dict[tuple[str, int], JsonClient] = {}
         self.on_notices: Callable[[TargetEntry, AnswerNotices, float], None] = (
             lambda target, notices, sent_at: None
@@ -66,6 +68,7 @@
             "POST",
             names.ORDER_PATH,
             timeout=ORDER_TIMEOUT_SECONDS,
+            call="order",
             body={
                 "op": "version",
                 "model": order.model,
@@ -85,6 +88,7 @@
             "GET",
             names.REPORT_PATH,
             timeout=REPORT_TIMEOUT_SECONDS,
+            call="report",
         )
         if answer.status != 200:
             raise TransportError(f"report: status {answer.status}", sent=True)
@@ -97,6 +101,7 @@
         path: str,
         *,
         timeout: float,
+        call: str,
         body: Any = None,
     ) -> JsonAnswer:
         sent_at = self.clock.monotonic()
@@ -106,6 +111,7 @@
             timeout=timeout,
             body=body,
             headers={"Gypsumsail-Target-Instance": target.name},
+            request_id=new_system_call_id(self.vm, call),
         )
         notices = parse_notices(answer.status, answer.headers, dict(answer.headers))
         self.on_notices(target, notices, sent_at)
@@ -120,7 +126,7 @@
     def _client(self, target: TargetEntry) -> JsonClient:
         key = (target.name, target.life)
         if key not in self.clients:
-            self.clients[key] = JsonClient(target.address, names.REQUEST_ID_HEADER)
+            self.clients[key] = JsonClient(target.address)
         return self.clients[key]
 
 
--- a/src/gypsumsail/transport/bytes_client.py
+++ b/src/gypsumsail/transport/bytes_client.py
@@ -9,8 +9,7 @@
 from urllib.parse import urlencode
 
 from gypsumsail.core.errors import TransportError
-from gypsumsail.core.ids import new_id
-from gypsumsail.transport.exchange import ExchangePool
+from gypsumsail.transport.exchange import ExchangePool, RequestIdHeader
 
 SHORT_CALL_CONNECT_TIMEOUT_SECONDS: Final = 0.5
 SHORT_CALL_MAX_BODY_BYTES: Final = 32 * 1024 * 1024
@@ -48,16 +47,15 @@
         query: Mapping[str, str] | None = None,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
-        request_id_name: bytes | None = None,
+        request_id: RequestIdHeader | None = None,
     ) -> BytesResponse:
         """Make one call and return its response, whatever its status.
 
         Parameters
         ----------
-        request_id_name
-            Name of the header in which the server repeats the id of a request, in
-            lower case. A response with another id is skipped: it is a second copy of
-            an earlier one.
+        request_id
+            Header with an id that the server repeats, its name in lower case. A
+            response with another id is skipped: it is a second copy of an earlier one.
 
         Raises
         ------
@@ -66,18 +64,16 @@
             taken effect.
         """
         request_headers = dict(headers or {})
-        id_header = None
-        if request_id_name is not None:
-            request_id = new_id()
-            request_headers[request_id_name.decode()] = request_id
-            id_header = (request_id_name, request_id.encode())
+        if request_id is not None:
+            name, value = request_id
+            request_headers[name.decode()] = value.decode()
         request = self._encode(method, path, query, body, request_headers)
         is_sent = False
         try:
             async with asyncio.timeout(timeout):
                 connection = await self.pool.async_acquire()
                 try:
-                    connection.send(request, id_header, may_lack_id=True)
+                    connection.send(request, request_id, may_lack_id=True)
                     is_sent = True
                     await connection.async_wait_for_head()
                     data = await connection.async_read_all(SHORT_CALL_MAX_BODY_BYTES)
--- a/tests/platform/test_late_answers.py
+++ b/tests/platform/test_late_answers.py
@@ -75,7 +75,7 @@
 async def test_late_copy_of_a_report_is_not_taken_for_the_answer_to_an_order() -> None:
     async with served(RepeatingServer((200, {"born": 1}), (409, {}))) as address:
         target = engine(address=address)
-        engines = PlatformEngines(SystemClock())
+        engines = PlatformEngines(SystemClock(), "v1")
         await engines.async_report(target)
         assert await engines.async_order(target, ORDER) is OrderAnswer.BUSY
         engines.forget(target)
@@ -88,7 +88,7 @@
     ]
     async with served(RepeatingServer(*reports)) as address:
         target = engine(address=address)
-        engines = PlatformEngines(SystemClock())
+        engines = PlatformEngines(SystemClock(), "v1")
         await engines.async_report(target)
         assert (await engines.async_report(target)).orders_taken == 2
         engines.forget(target)
@@ -101,7 +101,7 @@
     ]
     async with served(RepeatingServer(*changes)) as address:
         store = context_store(address)
-        stores = PlatformContextStores()
+        stores = PlatformContextStores("v1")
         await stores.async_changes(store, 0, 0.0)
         answer = await stores.async_changes(store, 1, 0.0)
         assert (answer.next_number, answer.has_gap) == (2, True)
@@ -112,7 +112,7 @@
 async def test_answer_without_an_id_counts(status: int) -> None:
     async with served(RepeatingServer((status, {}), echoes_id=False)) as address:
         target = engine(address=address)
-        engines = PlatformEngines(SystemClock())
+        engines = PlatformEngines(SystemClock(), "v1")
         answer = await engines.async_order(target, ORDER)
         assert answer is (OrderAnswer.TAKEN if status == 202 else OrderAnswer.BUSY)
         engines.forget(target)
