Send no request id where it is not repeated and no instance is named

What callers saw: nothing. A target of a plain service ran requests that no caller had sent, 21 within a second, three from each VM.

Cause: since calls to context stores carry a request id, so that a late second copy of an answer is recognised. An id is what makes a call a request: once a store is gone and its address belongs to a target of another service, that target runs the call. Without an id it answers 400 and runs nothing. Reports and orders have an id too, but name the instance that they are meant for, and any other one rejects them.

Three tests of tests/platform/test_reused_addresses.py failed before and pass now.

Ruled out: naming an instance in the calls to stores. A store has no such name, and what one does with a name is not stated; without an id nothing depends on that.

Why it works: JsonClient adds an id only together with the instance that the call names. A call without both can't be a request anywhere.

--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -238,6 +238,16 @@
             view.store, view.next_number, LONG_POLL_SECONDS
         )
         now = self.clock.monotonic()
+        if view.repeats_earlier(answer):
+            # The answer to this request would be taken for that to the next one.
+            self.stores.forget(view.store)
+            self.log.write(
+                "store of context repeated an answer",
+                store=view.store.name,
+                since=view.next_number,
+                next=answer.next_number,
+            )
+            return
         if not view.apply_changes(answer, now):
             self.log.write("store of context restarted", store=view.store.name)
             return
--- a/src/gypsumsail/context_stores/store_view.py
+++ b/src/gypsumsail/context_stores/store_view.py
@@ -135,6 +135,18 @@
         self.life = answer.life
         self._apply(answer, now)
 
+    def repeats_earlier(self, answer: StoreAnswer) -> bool:
+        """Return whether an answer is a second copy of one that was applied before.
+
+        New changes raise the number from which the next ones continue. A copy without
+        changes is the same as news that there are none.
+        """
+        if answer.life != self.life:
+            return False
+        if answer.changes:
+            return answer.next_number <= self.next_number
+        return answer.next_number < self.next_number
+
     def apply_changes(self, answer: StoreAnswer, now: float) -> bool:
         """Apply changes; return false if the whole contents must be requested again."""
         if answer.life != self.life or answer.has_gap:
--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -70,7 +70,7 @@
         decoder=PlatformDecoder(),
         calls=calls,
         orders=engines,
-        stores=PlatformContextStores(settings.vm),
+        stores=PlatformContextStores(),
         vms_kind=names.VM_KIND,
         list_vms=lambda: api.async_list(names.VM_KIND, allow_stale=True),
         ready_path=names.READY_PATH,
--- a/src/gypsumsail/platform/client.py
+++ b/src/gypsumsail/platform/client.py
@@ -35,6 +35,26 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetCall:
+    """What marks a call as one to a certain target.
+
+    Whoever receives a request id may run the call as a request of a caller. Therefore
+    an id is never sent without the instance that it is meant for: any other one at
+    the address rejects the call.
+
+    Attributes
+    ----------
+    instance
+        Name of the only target that may accept the call.
+    request_id
+        Id that the target repeats in its answer.
+    """
+
+    instance: str
+    request_id: str
+
+
 class JsonClient:
     """Makes calls to one address over persistent connections."""
 
@@ -54,7 +74,7 @@
         query: Mapping[str, str] | None = None,
         body: Any = None,
         headers: Mapping[str, str] | None = None,
-        request_id: str | None = None,
+        target_call: TargetCall | None = None,
     ) -> JsonAnswer:
         """Make one call.
 
@@ -62,8 +82,8 @@
         ----------
         timeout
             Time limit of the call in seconds.
-        request_id
-            Id that the server repeats in its answer; ``None`` if it repeats none.
+        target_call
+            Target that the call is meant for; ``None`` for a call to another server.
 
         Raises
         ------
@@ -71,6 +91,10 @@
             No complete answer arrived, or it is not valid JSON.
         """
         all_headers = dict(headers or {})
+        request_id = None
+        if target_call is not None:
+            all_headers[names.TARGET_NAME_HEADER.decode()] = target_call.instance
+            request_id = (names.REQUEST_ID_HEADER, target_call.request_id.encode())
         data = None
         if body is not None:
             all_headers["Content-Type"] = "application/json"
@@ -82,9 +106,7 @@
             query=query,
             body=data,
             headers=all_headers,
-            request_id=(
-                (names.REQUEST_ID_HEADER, request_id.encode()) if request_id else None
-            ),
+            request_id=request_id,
         )
         return JsonAnswer(
             status=answer.status, body=_decode(answer.body), headers=answer.headers
--- a/src/gypsumsail/platform/context_stores.py
+++ b/src/gypsumsail/platform/context_stores.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import msgspec
 
 from gypsumsail.context_stores.const import LONG_POLL_MARGIN_SECONDS
 from gypsumsail.context_stores.store_view import StoreAnswer, StoreChange
 from gypsumsail.core.errors import TransportError
-from gypsumsail.core.ids import new_system_call_id
 from gypsumsail.gateway.models import ContextStore
 from gypsumsail.platform import names
 from gypsumsail.platform.client import JsonClient
@@ -31,8 +30,8 @@
 
     epoch: int
     next: int
+    events: list[tuple[int, str, str, str, int, str]]
     lost: bool = False
-    events: list[tuple[int, str, str, str, int, str]] = []
     clock_ms: float | None = None
 
 
@@ -45,15 +44,21 @@
 
     epoch: int
     next: int
-    held: list[tuple[str, str, int, str]] = []
+    held: list[tuple[str, str, int, str]]
     clock_ms: float | None = None
 
 
+_ResponseT = TypeVar("_ResponseT", _Contents, _Events)
+
+
 class PlatformContextStores:
-    """Makes calls to context stores over persistent connections."""
+    """Makes calls to context stores over persistent connections.
 
-    def __init__(self, vm: str) -> None:
-        self.vm = vm
+    A store repeats no request id, and a target of another service that has taken over
+    its address would run a call with one. The calls therefore carry none.
+    """
+
+    def __init__(self) -> None:
         self.clients: dict[str, JsonClient] = {}
 
     async def async_contents(self, store: ContextStore) -> StoreAnswer:
@@ -61,10 +66,12 @@
 
         They are returned as changes that add the parts.
         """
-        body = await self._async_get(
-            store, "list", names.CACHE_LIST_PATH, {}, {}, CONTEXT_STORE_TIMEOUT_SECONDS
+        response = await self._async_get(
+            store,
+            names.CACHE_LIST_PATH,
+            _Contents,
+            timeout=CONTEXT_STORE_TIMEOUT_SECONDS,
         )
-        response = _convert(body, _Contents)
         return StoreAnswer(
             life=response.epoch,
             next_number=response.next,
@@ -84,15 +91,14 @@
         ``since`` is the ``next_number`` of that answer, the number from which changes
         continue. A removed part is returned with 0 tokens.
         """
-        body = await self._async_get(
+        response = await self._async_get(
             store,
-            "events",
             names.CACHE_EVENTS_PATH,
-            {"since": str(since)},
-            {"Wait-Ms": str(int(wait * 1000))},
-            wait + LONG_POLL_MARGIN_SECONDS,
+            _Events,
+            timeout=wait + LONG_POLL_MARGIN_SECONDS,
+            query={"since": str(since)},
+            headers={"Wait-Ms": str(int(wait * 1000))},
         )
-        response = _convert(body, _Events)
         return StoreAnswer(
             life=response.epoch,
             next_number=response.next,
@@ -122,17 +128,21 @@
         TransportError
             The call failed, or the store refused it.
         """
-        answer = await self._client(store).async_call(
-            "POST",
-            names.CACHE_FREE_PATH,
-            timeout=CONTEXT_STORE_TIMEOUT_SECONDS,
-            request_id=new_system_call_id(self.vm, "free"),
-            body={
-                "parts": [list(part) for part in parts],
-                "epoch": life,
-                "until_ms": until_ms,
-            },
-        )
+        # On a new connection, no earlier answer can be taken for the one to this call.
+        client = JsonClient(store.address)
+        try:
+            answer = await client.async_call(
+                "POST",
+                names.CACHE_FREE_PATH,
+                timeout=CONTEXT_STORE_TIMEOUT_SECONDS,
+                body={
+                    "parts": [list(part) for part in parts],
+                    "epoch": life,
+                    "until_ms": until_ms,
+                },
+            )
+        finally:
+            client.close()
         if answer.status >= MIN_ERROR_STATUS:
             message = f"{names.CACHE_FREE_PATH}: status {answer.status}"
             raise TransportError(message, sent=True)
@@ -146,23 +156,24 @@
     async def _async_get(
         self,
         store: ContextStore,
-        call: str,
         path: str,
-        query: dict[str, str],
-        headers: dict[str, str],
+        kind: type[_ResponseT],
+        *,
         timeout: float,
-    ) -> Any:
-        answer = await self._client(store).async_call(
-            "GET",
-            path,
-            timeout=timeout,
-            query=query,
-            headers=headers,
-            request_id=new_system_call_id(self.vm, call),
-        )
-        if answer.status != 200:
-            raise TransportError(f"{path}: status {answer.status}", sent=True)
-        return answer.body
+        query: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> _ResponseT:
+        """Make a call; the connection is not used again if its answer is unusable."""
+        try:
+            answer = await self._client(store).async_call(
+                "GET", path, timeout=timeout, query=query, headers=headers
+            )
+            if answer.status != 200:
+                raise TransportError(f"{path}: status {answer.status}", sent=True)
+            return _convert(answer.body, kind)
+        except TransportError:
+            self.forget(store)
+            raise
 
     def _client(self, store: ContextStore) -> JsonClient:
         key = str(store.address)
@@ -171,7 +182,7 @@
         return self.clients[key]
 
 
-def _convert(body: Any, kind: type[Any]) -> Any:
+def _convert(body: Any, kind: type[_ResponseT]) -> _ResponseT:
     try:
         return msgspec.convert(body, kind)
     except msgspec.ValidationError as err:
--- a/src/gypsumsail/platform/engines.py
+++ b/src/gypsumsail/platform/engines.py
@@ -13,7 +13,7 @@
 from gypsumsail.gateway.models import TargetEntry
 from gypsumsail.gateway.notices import AnswerNotices
 from gypsumsail.platform import names
-from gypsumsail.platform.client import JsonAnswer, JsonClient
+from gypsumsail.platform.client import JsonAnswer, JsonClient, TargetCall
 from gypsumsail.platform.notices import parse_notices
 from gypsumsail.rollout.const import ORDER_TIMEOUT_SECONDS, REPORT_TIMEOUT_SECONDS
 from gypsumsail.rollout.port import EngineReport, LoadWeights, OrderAnswer
@@ -110,8 +110,9 @@
             path,
             timeout=timeout,
             body=body,
-            headers={"Gypsumsail-Target-Instance": target.name},
-            request_id=new_system_call_id(self.vm, call),
+            target_call=TargetCall(
+                instance=target.name, request_id=new_system_call_id(self.vm, call)
+            ),
         )
         notices = parse_notices(answer.status, answer.headers, dict(answer.headers))
         self.on_notices(target, notices, sent_at)
--- a/tests/context_stores/common.py
+++ b/tests/context_stores/common.py
@@ -72,6 +72,7 @@
         self.changes: list[StoreAnswer | TransportError] = []
         self.asked = 0
         self.freed: list[tuple[int, tuple[tuple[str, str], ...], int]] = []
+        self.forgotten = 0
 
     async def async_contents(self, store: ContextStore) -> StoreAnswer:
         """Return the contents."""
@@ -100,7 +101,8 @@
         self.freed.append((life, tuple(parts), until_ms))
 
     def forget(self, store: ContextStore) -> None:
-        """Do nothing."""
+        """Count the times that connections were closed."""
+        self.forgotten += 1
 
 
 class NoPeers:
--- a/tests/context_stores/test_context_stores.py
+++ b/tests/context_stores/test_context_stores.py
@@ -23,7 +23,7 @@
     encode_view,
     relayed_changes,
 )
-from gypsumsail.context_stores.store_view import StoreView
+from gypsumsail.context_stores.store_view import StoreAnswer, StoreView
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.target_table import TargetTable
 from tests.common import ManualClock
@@ -311,6 +311,41 @@
     context_stores.stop()
 
 
+@pytest.mark.parametrize(
+    ("found", "repeats"),
+    [
+        (answer(change("b"), next_number=6), False),
+        (answer(change("b"), next_number=5), True),
+        (answer(change("b"), next_number=4), True),
+        (answer(next_number=5), False),
+        (answer(next_number=4), True),
+        (answer(change("b"), next_number=3, life=8), False),
+    ],
+)
+def test_second_copy_of_an_earlier_answer_is_recognised(
+    found: StoreAnswer, repeats: bool
+) -> None:
+    known = StoreView(context_store())
+    known.load(answer(change("a"), next_number=5), 1_000.0)
+    assert known.repeats_earlier(found) is repeats
+
+
+async def test_repeated_changes_are_not_applied_again() -> None:
+    """The connection is closed too, or each later answer would be one late."""
+    stores = ScriptedStores()
+    stores.contents = answer(next_number=1)
+    stores.changes = [
+        answer(change("head", 2_500), next_number=2),
+        answer(change("head", 0), next_number=3),
+        answer(change("head", 2_500), next_number=2),
+    ]
+    _, _, context_stores = await polling_coordinator(stores)
+    assert stores.forgotten == 1
+    assert not context_stores.views[NEAR].parts
+    assert context_stores.views[NEAR].next_number == 3
+    context_stores.stop()
+
+
 async def test_fetches_pause_for_a_store_with_late_fetches() -> None:
     """Fetches from a slow store must pause, or prompts are computed again.
 
--- a/tests/platform/test_context_stores.py
+++ b/tests/platform/test_context_stores.py
@@ -36,7 +36,7 @@
     server = await asyncio.start_server(recorder.async_serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     store = context_store(Address(host=host, port=port))
-    stores = PlatformContextStores("v1")
+    stores = PlatformContextStores()
     try:
         await stores.async_free(store, 7, [("1", "a"), ("1/c", "b")], 51_000)
     finally:
--- a/tests/platform/test_reused_addresses.py
+++ b/tests/platform/test_reused_addresses.py
@@ -42,7 +42,7 @@
     target = PlainTarget()
     server = RawServer(target.async_handle)
     store = context_store(Address(host=HOST, port=await server.async_start(HOST)))
-    stores = PlatformContextStores("v1")
+    stores = PlatformContextStores()
     try:
         for _ in range(2):
             with pytest.raises(TransportError):
