Ask another server at the address of a context store less often

The target rejects these calls, but has callers of its own.

A server that answers with 400, 404 or 421 is no store; it is asked again after 2 s. A store that doesn't answer, or is full, is asked again after 0.3 s as before.

Evidence: tests with a plain target at the address; without the change the second request came after 0.3 s.

--- a/src/gypsumsail/context_stores/const.py
+++ b/src/gypsumsail/context_stores/const.py
@@ -10,6 +10,11 @@
 """Time beyond `LONG_POLL_SECONDS` after which the store is considered lost."""
 RETRY_DELAY_SECONDS: Final = 0.3
 """Delay after a request that a store did not answer."""
+OTHER_SERVER_DELAY_SECONDS: Final = 2.0
+"""Delay after a request that another server than the store answered.
+
+All VMs ask each store, and the other server has callers of its own to serve.
+"""
 POLLING_CHECK_SECONDS: Final = 0.6
 """Interval at which a VM that doesn't poll a store checks whether it has to.
 
--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -13,12 +13,14 @@
     LONG_POLL_SECONDS,
     MAX_PARTS_PER_CALL,
     MAX_POLLING_SHARE,
+    OTHER_SERVER_DELAY_SECONDS,
     POLLING_CHECK_SECONDS,
     POLLING_VMS_PER_ZONE,
     RETRY_DELAY_SECONDS,
     SLOW_STORE_PAUSE_SECONDS,
     VIEW_TIMEOUT_SECONDS,
 )
+from gypsumsail.context_stores.errors import OtherServerError
 from gypsumsail.context_stores.freeing import (
     VersionUse,
     oldest_needed_version,
@@ -60,6 +62,15 @@
 """Engines' links are assumed to be faster than those of any store."""
 
 
+def retry_delay(err: TransportError) -> float:
+    """Return the delay in seconds after a failed request to a store."""
+    match err:
+        case OtherServerError():
+            return OTHER_SERVER_DELAY_SECONDS
+        case _:
+            return RETRY_DELAY_SECONDS
+
+
 class ContextStoreCoordinator:
     """Views of all stores in the document in force.
 
@@ -151,7 +162,7 @@
             except TransportError as err:
                 self._log_loss(view, str(err))
                 view.reset()
-                await asyncio.sleep(RETRY_DELAY_SECONDS)
+                await asyncio.sleep(retry_delay(err))
             else:
                 self.loss_reasons.pop(view.store.address, None)
 
--- a/src/gypsumsail/context_stores/port.py
+++ b/src/gypsumsail/context_stores/port.py
@@ -10,7 +10,11 @@
 
 
 class ContextStores(Protocol):
-    """Requests to stores; all raise ``TransportError``."""
+    """Requests to stores; all raise ``TransportError``.
+
+    A request for contents or changes raises ``OtherServerError`` if the server at the
+    address is no context store.
+    """
 
     async def async_contents(self, store: ContextStore) -> StoreAnswer:
         """Return all complete parts that a store holds."""
--- a/src/gypsumsail/platform/context_stores.py
+++ b/src/gypsumsail/platform/context_stores.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from gypsumsail.context_stores.const import LONG_POLL_MARGIN_SECONDS
+from gypsumsail.context_stores.errors import OtherServerError
 from gypsumsail.context_stores.store_view import StoreAnswer, StoreChange
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import ContextStore
@@ -16,6 +17,8 @@
 
 CONTEXT_STORE_TIMEOUT_SECONDS: Final = 1.0
 MIN_ERROR_STATUS: Final = 400
+OTHER_SERVER_STATUSES: Final = frozenset({400, 404, 421})
+"""Statuses of servers that know no calls to context stores."""
 
 
 class _Events(msgspec.Struct, frozen=True):
@@ -168,6 +171,8 @@
             answer = await self._client(store).async_call(
                 "GET", path, timeout=timeout, query=query, headers=headers
             )
+            if answer.status in OTHER_SERVER_STATUSES:
+                raise OtherServerError(f"{path}: status {answer.status}", sent=True)
             if answer.status != 200:
                 raise TransportError(f"{path}: status {answer.status}", sent=True)
             return _convert(answer.body, kind)
--- a/tests/context_stores/test_context_stores.py
+++ b/tests/context_stores/test_context_stores.py
@@ -8,8 +8,13 @@
 
 import pytest
 
-from gypsumsail.context_stores.const import FETCH_TIMEOUT_SECONDS
+from gypsumsail.context_stores.const import (
+    FETCH_TIMEOUT_SECONDS,
+    OTHER_SERVER_DELAY_SECONDS,
+    RETRY_DELAY_SECONDS,
+)
 from gypsumsail.context_stores.coordinator import ContextStoreCoordinator
+from gypsumsail.context_stores.errors import OtherServerError
 from gypsumsail.context_stores.planner import (
     FetchSource,
     PartOptions,
@@ -346,6 +351,17 @@
     context_stores.stop()
 
 
+async def test_another_server_at_the_address_of_a_store_is_asked_less_often() -> None:
+    stores = ScriptedStores()
+    stores.changes = [OtherServerError("status 400", sent=True)]
+    _, _, context_stores = await polling_coordinator(stores)
+    await asyncio.sleep(2 * RETRY_DELAY_SECONDS)
+    assert stores.asked == 1
+    await asyncio.sleep(OTHER_SERVER_DELAY_SECONDS)
+    assert stores.asked == 2
+    context_stores.stop()
+
+
 async def test_fetches_pause_for_a_store_with_late_fetches() -> None:
     """Fetches from a slow store must pause, or prompts are computed again.
 
--- a/tests/platform/test_reused_addresses.py
+++ b/tests/platform/test_reused_addresses.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from gypsumsail.context_stores.errors import OtherServerError
 from gypsumsail.core.clock import SystemClock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import Address, ContextStore, TargetEntry
@@ -53,6 +54,18 @@
         await server.async_stop()
 
 
+@pytest.mark.parametrize("call", ["list", "events"])
+async def test_target_at_the_address_of_a_store_is_recognised(call: str) -> None:
+    server = RawServer(PlainTarget().async_handle)
+    store = context_store(Address(host=HOST, port=await server.async_start(HOST)))
+    stores = PlatformContextStores()
+    try:
+        with pytest.raises(OtherServerError):
+            await STORE_CALLS[call](stores, store)
+    finally:
+        await server.async_stop()
+
+
 @pytest.mark.parametrize("call", ENGINE_CALLS.values(), ids=ENGINE_CALLS.keys())
 async def test_target_at_the_address_of_an_engine_runs_no_report_or_order(
     call: EngineCall,
