Drop the fields that follow a chunked body

Seen: a caller's trailer fields were added to the headers of its request, after the framing and the number of Host headers had been checked. On the code before, with a real callers' port and target: - a request without an id ran under the id in its trailer; - "Connection: gypsumsail-request-id" in the trailer let the request reach the target without any id (answered 502); - a second Host reached the target, and the last one chose the route; - a key in the trailer authenticated the call; model, token count, prompt parts, Last-Event-Id and Resumes were taken as the caller's; - a deadline in the trailer replaced that of the head (answered 503); - at the port between VMs an answer carried a second Forward-Id. Besides, a proper request whose body was larger than the head limit was refused with 431 when a trailer followed, because the body's size was counted with it; and a trailer field or chunk extension that never ended was not limited in size.

Cause: `on_header` did not distinguish the two sections, and one counter served both the trailer section and the body.

Fields after the body are dropped now (RFC 9110, 6.5.1) and count toward the head limit by themselves. Malformed ones, and Content-Length or Transfer-Encoding after the body, are rejected by the parser as before.

Ruled out: a trailer does not reach the next request on the connection, and trailers of answers were dropped before (both tested).

--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -36,15 +36,21 @@
 
     Attributes
     ----------
+    has_head
+        Whether the head is complete; headers that follow are trailer fields.
     section_bytes
-        Bytes of the head, and then of the body, that were read so far.
+        Bytes of the head, and then of the trailer section, that were read so far.
+    body_bytes
+        Bytes of the body that were read so far.
     """
 
     started_at: float
     target: bytes = b""
     headers: HeaderPairs = field(default_factory=list)
     body: list[bytes] = field(default_factory=list)
+    has_head: bool = False
     section_bytes: int = 0
+    body_bytes: int = 0
 
 
 Handler = Callable[["HttpRequest", "Reply"], Awaitable[None]]
@@ -55,9 +61,10 @@
 
     Attributes
     ----------
-    bytes_in_request
-        Bytes received after the data in which the latest request began or ended;
-        limits a request line that never ends.
+    framing_bytes
+        Bytes received after the data in which the latest request began or ended, or
+        in which bytes of a body or the size of a chunk arrived last; limits lines
+        that never end.
     last_active_at
         Event loop time, in seconds, of the last received bytes or completed reply.
     write_resumed
@@ -74,7 +81,7 @@
         self.worker: asyncio.Task[None] | None = None
         self.is_closed = False
         self.is_discarding_input = False
-        self.bytes_in_request = 0
+        self.framing_bytes = 0
         self.last_active_at = self.loop.time()
         self.write_resumed: asyncio.Future[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -132,7 +139,7 @@
         if self.is_discarding_input:
             return
         self.last_active_at = self.loop.time()
-        self.bytes_in_request += len(data)
+        self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError as err:
@@ -145,8 +152,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse(400)
         else:
-            too_long = self.bytes_in_request > self.server.limits.head_bytes
-            if too_long and (self.partial is None or not self.partial.target):
+            if self.framing_bytes > self.server.limits.head_bytes:
                 self._refuse(431)
 
     def on_message_begin(self) -> None:
@@ -154,7 +160,7 @@
         if len(self.pending) >= MAX_PIPELINED_REQUESTS:
             raise RefusedError(400)
         self.partial = _PartialRequest(started_at=self.loop.time())
-        self.bytes_in_request = 0
+        self.framing_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
@@ -163,9 +169,10 @@
         self._check_head_size(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header; trailer fields are dropped (RFC 9110, 6.5.1)."""
         assert self.partial is not None
-        self.partial.headers.append((name, value))
+        if not self.partial.has_head:
+            self.partial.headers.append((name, value))
         self._check_head_size(len(name) + len(value) + 4)
 
     def _check_head_size(self, added: int) -> None:
@@ -177,7 +184,9 @@
     def on_headers_complete(self) -> None:
         """Check the framing before the body is read."""
         assert self.partial is not None
+        self.partial.has_head = True
         self.partial.section_bytes = 0
+        self.framing_bytes = 0
         length = check_framing(self.partial.headers)
         if length > self.server.limits.body_bytes:
             raise RefusedError(413)
@@ -191,16 +200,21 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         assert self.partial is not None
+        self.framing_bytes = 0
         self.partial.body.append(body)
-        self.partial.section_bytes += len(body)
-        if self.partial.section_bytes > self.server.limits.body_bytes:
+        self.partial.body_bytes += len(body)
+        if self.partial.body_bytes > self.server.limits.body_bytes:
             raise RefusedError(413)
 
+    def on_chunk_header(self) -> None:
+        """Note that the size of a chunk has arrived, with its extensions."""
+        self.framing_bytes = 0
+
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         assert self.partial is not None
         partial, self.partial = self.partial, None
-        self.bytes_in_request = 0
+        self.framing_bytes = 0
         self.pending.append(
             HttpRequest(
                 method=self.parser.get_method(),
--- /dev/null
+++ b/tests/platform/common.py
@@ -0,0 +1,260 @@
+"""Real callers' port and target around a gateway, for tests of the borders."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+import re
+from typing import Final
+
+from gypsumsail.core.errors import InvalidRequestError
+from gypsumsail.gateway.coordinator import Gateway
+from gypsumsail.gateway.models import Address
+from gypsumsail.platform.calls import PlatformReply, PlatformTargetCalls, parse_call
+from gypsumsail.transport.http_reply import Reply
+from gypsumsail.transport.http_request import HttpRequest, ServerLimits
+from gypsumsail.transport.http_server import HttpServer
+from tests.gateway.common import (
+    ScriptedTargets,
+    document,
+    gateway,
+    route,
+    target,
+)
+
+ID: Final = b"9c41d07be2a35f68"
+HEAD_LIMIT_BYTES: Final = 2_048
+BODY_LIMIT_BYTES: Final = 16_384
+LIMITS: Final = ServerLimits(
+    head_bytes=HEAD_LIMIT_BYTES,
+    body_bytes=BODY_LIMIT_BYTES,
+    request_seconds=1.0,
+    idle_seconds=1.0,
+)
+ANSWER_SECONDS: Final = 2.0
+
+_REQUEST_LINE: Final = re.compile(rb"([A-Z-]+) (/[\x21-\x7e]*) HTTP/1\.1")
+_FIELD: Final = re.compile(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t\x20-\x7e\x80-\xff]*)"
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StrictRequest:
+    """Request as a target reads it that accepts only what the standard allows."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+    def values(self, name: bytes) -> list[bytes]:
+        """Return the values of all headers with a lower-case name."""
+        return [value for key, value in self.headers if key.lower() == name]
+
+    @property
+    def request_id(self) -> bytes:
+        """Return the value of the only request id."""
+        [value] = self.values(b"gypsumsail-request-id")
+        return value
+
+
+class MalformedError(Exception):
+    """A target got bytes that are no request."""
+
+
+async def async_read_strictly(reader: asyncio.StreamReader) -> StrictRequest:
+    """Read one request whose body has at most one ``Content-Length``."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head[:-4].split(b"\r\n")
+    request_line = _REQUEST_LINE.fullmatch(first)
+    if request_line is None:
+        raise MalformedError(first)
+    headers = []
+    for line in lines:
+        match = _FIELD.fullmatch(line)
+        if match is None:
+            raise MalformedError(line)
+        headers.append((match[1], match[2].strip(b" \t")))
+    framing = {
+        name: [value for key, value in headers if key.lower() == name]
+        for name in (b"content-length", b"transfer-encoding", b"host")
+    }
+    lengths = framing[b"content-length"]
+    if framing[b"transfer-encoding"] or len(lengths) > 1 or len(framing[b"host"]) != 1:
+        raise MalformedError(head)
+    body = await reader.readexactly(int(lengths[0]) if lengths else 0)
+    return StrictRequest(
+        method=request_line[1],
+        target=request_line[2],
+        headers=tuple(headers),
+        body=body,
+    )
+
+
+class StrictTarget:
+    """Target that records what it reads, and answers with the request's body.
+
+    Attributes
+    ----------
+    malformed
+        Bytes that were no request, or that a connection ended in.
+    """
+
+    def __init__(self) -> None:
+        self.requests: list[StrictRequest] = []
+        self.malformed: list[bytes] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def async_stop(self) -> None:
+        """Wait until all connections have ended."""
+        await asyncio.gather(*self.tasks)
+
+    async def async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        with contextlib.suppress(ConnectionError):
+            while True:
+                try:
+                    request = await async_read_strictly(reader)
+                except asyncio.IncompleteReadError as err:
+                    if err.partial:
+                        self.malformed.append(err.partial)
+                    break
+                except (MalformedError, ValueError) as err:
+                    self.malformed.append(repr(err).encode())
+                    break
+                self.requests.append(request)
+                writer.write(self._answer(request))
+        writer.close()
+
+    @staticmethod
+    def _answer(request: StrictRequest) -> bytes:
+        lines = [b"HTTP/1.1 200 OK", b"Gypsumsail-Server-Stamp: s"]
+        lines += [
+            b"Gypsumsail-Request-Id: " + value
+            for value in request.values(b"gypsumsail-request-id")
+        ]
+        lines.append(b"Content-Length: %d" % len(request.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+class Border:
+    """Callers' port of a VM, with one target that is read strictly."""
+
+    def __init__(self) -> None:
+        self.target = StrictTarget()
+        self.refused: list[int] = []
+        self.gateway: Gateway | None = None
+        self.port = 0
+
+    async def _async_handle(self, request: HttpRequest, reply: Reply) -> None:
+        assert self.gateway is not None
+        try:
+            call = parse_call(request)
+        except InvalidRequestError as err:
+            reply.send(err.status, [], b"")
+            return
+        await self.gateway.async_handle(call, PlatformReply(reply, call.request_id))
+
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator[Border]:
+        """Run the target and the port."""
+        target_server = await asyncio.start_server(
+            self.target.async_serve, "127.0.0.1", 0
+        )
+        address = Address(
+            host="127.0.0.1", port=target_server.sockets[0].getsockname()[1]
+        )
+        routing = document(
+            route(is_public=True),
+            route("keyed", prefix="/k/"),
+            route("other", host="other.example", prefix="/", is_public=True),
+        )
+        vm = gateway(ScriptedTargets(), target(address=address), routing=routing)
+        calls = PlatformTargetCalls(vm.clock)
+        vm.calls = calls
+        self.gateway = vm
+        server = HttpServer(self._async_handle, LIMITS, vm.clock, self.refused.append)
+        await server.async_start("127.0.0.1", 0)
+        self.port = server.port
+        try:
+            yield self
+        finally:
+            await server.async_stop()
+            for pool in calls.pools.values():
+                pool.close()
+            target_server.close()
+            await self.target.async_stop()
+
+    async def async_send(
+        self,
+        *pieces: bytes,
+        wait: float = ANSWER_SECONDS,
+        answers: int = 1,
+        pause: float = 0.0,
+    ) -> bytes:
+        """Send bytes and return what comes until ``answers`` have come.
+
+        Parameters
+        ----------
+        wait
+            Time limit, in seconds.
+        pause
+            Time after each of the pieces, in seconds.
+        """
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        found = b""
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(wait):
+                for piece in pieces:
+                    writer.write(piece)
+                    await asyncio.sleep(pause)
+                while found.count(b"HTTP/1.1 ") < answers or not _is_whole(found):
+                    data = await reader.read(65_536)
+                    if not data:
+                        break
+                    found += data
+        writer.close()
+        return found
+
+
+def _is_whole(answers: bytes) -> bool:
+    """Return whether the last answer has come whole."""
+    head, end, body = answers[answers.rindex(b"HTTP/1.1 ") :].partition(b"\r\n\r\n")
+    length = re.search(rb"(?i)content-length: (\d+)", head)
+    return bool(end) and (length is None or len(body) >= int(length[1]))
+
+
+def head_lines(*lines: bytes, target_text: bytes = b"/a/x?q=1") -> list[bytes]:
+    """Return the lines of a proper head, with further ones."""
+    return [
+        b"POST " + target_text + b" HTTP/1.1",
+        b"Host: h.example",
+        b"Gypsumsail-Request-Id: " + ID,
+        *lines,
+    ]
+
+
+def encode_head(lines: list[bytes]) -> bytes:
+    """Return the bytes of a head."""
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def chunked_request(*trailer: bytes, head: list[bytes] | None = None) -> bytes:
+    """Return a request with the body ``body`` in a chunk, and trailer lines."""
+    lines = head_lines() if head is None else head
+    section = b"".join(line + b"\r\n" for line in trailer)
+    return (
+        encode_head([*lines, b"Transfer-Encoding: chunked"])
+        + b"4\r\nbody\r\n0\r\n"
+        + section
+        + b"\r\n"
+    )
