Reject requests of other HTTP versions than 1.0 and 1.1

Seen: requests in HTTP/0.9 (also a request line without a version) and HTTP/2.0 were served and sent to a target as HTTP/1.1; a chunked body in HTTP/1.0, where it can't be meant (RFC 9112, 6.1), was decoded and sent with a length.

Cause: the parser accepts these versions, and the framing check didn't look at them.

Evidence: 4 of the 7 new cases in tests/platform/test_caller_border.py failed on the code before (HTTP/2.0, HTTP/0.9, no version, HTTP/1.0 in chunks were answered 200); HTTP/1.2, HTTP/3.0 and ICE/1.0 were rejected before. All pass now.

--- a/src/gypsumsail/transport/http_request.py
+++ b/src/gypsumsail/transport/http_request.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 HeaderPairs = list[tuple[bytes, bytes]]
 
+CHUNKED_VERSION: Final = "1.1"
+"""Version of HTTP in which a body may be chunked."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerLimits:
@@ -58,18 +62,26 @@
         self.status = status
 
 
-def check_framing(headers: HeaderPairs) -> int:
+def check_framing(version: str, headers: HeaderPairs) -> int:
     """Return the content length, or 0 if there is none.
 
     Raises RefusedError for ambiguous framing, which could be used for request
-    smuggling, and unless there is exactly one Host header.
+    smuggling, for other versions than HTTP/1.0 and HTTP/1.1, and unless there is
+    exactly one Host header.
     """
+    if version not in (CHUNKED_VERSION, "1.0"):
+        raise RefusedError(400)
     lengths = [value for name, value in headers if name.lower() == b"content-length"]
-    codings = [value for name, value in headers if name.lower() == b"transfer-encoding"]
+    codings = [
+        value.strip().lower()
+        for name, value in headers
+        if name.lower() == b"transfer-encoding"
+    ]
     hosts = [value for name, value in headers if name.lower() == b"host"]
     if len(hosts) != 1 or len(lengths) > 1 or len(codings) > 1:
         raise RefusedError(400)
-    if codings and (lengths or codings[0].strip().lower() != b"chunked"):
+    is_chunked = codings == [b"chunked"] and version == CHUNKED_VERSION
+    if codings and (lengths or not is_chunked):
         raise RefusedError(400)
     if not lengths:
         return 0
--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -187,7 +187,8 @@
         self.partial.has_head = True
         self.partial.section_bytes = 0
         self.framing_bytes = 0
-        length = check_framing(self.partial.headers)
+        version = self.parser.get_http_version()
+        length = check_framing(version, self.partial.headers)
         if length > self.server.limits.body_bytes:
             raise RefusedError(413)
         expects = any(
--- /dev/null
+++ b/tests/platform/test_caller_border.py
@@ -0,0 +1,34 @@
+"""Tests that a target reads exactly the request that a caller sent, or nothing."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.platform.common import Border, encode_head, head_lines
+
+
+@pytest.mark.parametrize(
+    "version", [b"HTTP/2.0", b"HTTP/0.9", b"HTTP/1.2", b"HTTP/3.0", b"ICE/1.0", b""]
+)
+async def test_other_version_is_rejected(version: bytes) -> None:
+    first = b"GET /a/x " + version
+    async with Border().serving() as border:
+        found = await border.async_send(
+            encode_head([first.rstrip(), *head_lines()[1:]])
+        )
+    assert found.startswith(b"HTTP/1.1 400")
+    assert not border.target.requests
+
+
+async def test_chunked_body_of_the_older_version_is_rejected() -> None:
+    """An older sender cannot mean it (RFC 9112, 6.1)."""
+    lines = [
+        b"POST /a/x HTTP/1.0",
+        *head_lines()[1:],
+        b"Transfer-Encoding: chunked",
+        b"Connection: keep-alive",
+    ]
+    async with Border().serving() as border:
+        found = await border.async_send(encode_head(lines) + b"1\r\na\r\n0\r\n\r\n")
+    assert found.startswith(b"HTTP/1.1 400")
+    assert not border.target.requests
