Serve requests that offer another protocol

Seen: a proper request with "Connection: Upgrade" and "Upgrade: h2c", as some HTTP clients send on each new connection, got no answer: the connection was closed, also for the requests pipelined behind it. CONNECT got no answer either.

Cause: the parser reports such a request as complete before its body has been read, and then raises; the server took this for a malformed request and dropped what was pending.

A server may ignore the offer (RFC 9110, 7.8). The head is now read again without it, so that the body is read by its length. CONNECT is answered 400.

Ruled out: no request with a shortened body was sent, because the pending requests were dropped before they were handled.

--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -140,8 +140,13 @@
             return
         self.last_active_at = self.loop.time()
         self.framing_bytes += len(data)
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as err:
+            self._ignore_upgrade(data[err.args[0] :])
         except httptools.HttpParserCallbackError as err:
             cause = err.__context__
             if isinstance(cause, RefusedError):
@@ -149,12 +154,34 @@
                 return
             _LOGGER.error("Unexpected error while parsing a request", exc_info=err)
             self._refuse(400)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserError:
             self._refuse(400)
         else:
             if self.framing_bytes > self.server.limits.head_bytes:
                 self._refuse(431)
 
+    def _ignore_upgrade(self, rest: bytes) -> None:
+        """Go on in HTTP/1.1 when a request offers another protocol (RFC 9110, 7.8).
+
+        The parser treats the body of such a request as bytes of the other protocol, so
+        the head is read again without the offer. A tunnel is refused.
+        """
+        partial, self.partial = self.partial, None
+        assert partial is not None
+        method = self.parser.get_method()
+        if method == b"CONNECT":
+            self._refuse(400)
+            return
+        version = self.parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b\r\n" % (method, partial.target, version)]
+        lines += [
+            b"%b: %b\r\n" % (name, value)
+            for name, value in partial.headers
+            if name.lower() != b"upgrade"
+        ]
+        self.parser = httptools.HttpRequestParser(self)
+        self._parse(b"".join(lines) + b"\r\n" + rest)
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         if len(self.pending) >= MAX_PIPELINED_REQUESTS:
@@ -187,6 +214,8 @@
         self.partial.has_head = True
         self.partial.section_bytes = 0
         self.framing_bytes = 0
+        if self.parser.should_upgrade():
+            return
         version = self.parser.get_http_version()
         length = check_framing(version, self.partial.headers)
         if length > self.server.limits.body_bytes:
@@ -214,6 +243,8 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         assert self.partial is not None
+        if self.parser.should_upgrade():
+            return
         partial, self.partial = self.partial, None
         self.framing_bytes = 0
         self.pending.append(
--- a/tests/platform/test_caller_border.py
+++ b/tests/platform/test_caller_border.py
@@ -32,3 +32,30 @@
         found = await border.async_send(encode_head(lines) + b"1\r\na\r\n0\r\n\r\n")
     assert found.startswith(b"HTTP/1.1 400")
     assert not border.target.requests
+
+
+@pytest.mark.parametrize("body", [b"", b"body"])
+async def test_offer_of_another_protocol_is_ignored(body: bytes) -> None:
+    """A server may go on in HTTP/1.1 (RFC 9110, 7.8)."""
+    lines = head_lines(
+        b"Connection: Upgrade, HTTP2-Settings",
+        b"Upgrade: h2c",
+        b"HTTP2-Settings: AAMAAABk",
+        b"Content-Length: %d" % len(body),
+    )
+    following = encode_head(head_lines(b"Content-Length: 4")) + b"next"
+    async with Border().serving() as border:
+        found = await border.async_send(
+            encode_head(lines) + body + following, answers=2
+        )
+    assert found.count(b"HTTP/1.1 200") == 2
+    assert [item.body for item in border.target.requests] == [body, b"next"]
+    assert not border.target.requests[0].values(b"upgrade")
+
+
+async def test_tunnel_is_refused() -> None:
+    lines = [b"CONNECT h.example:80 HTTP/1.1", *head_lines()[1:]]
+    async with Border().serving() as border:
+        found = await border.async_send(encode_head(lines))
+    assert found.startswith(b"HTTP/1.1 400")
+    assert not border.target.requests
