Serve a request that closes the connection despite bytes after it

Seen: a caller that sent "Connection: close" and further bytes in the same packet got no answer: the request was dropped before it was sent to a target.

Cause: the parser rejects bytes after such a request, and the server then dropped the pending requests. These bytes belong to no request and are discarded now.

Evidence: test_bytes_after_a_request_that_closes_do_not_drop_it failed on the code before (no bytes came), and passes now.

--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -155,7 +155,9 @@
             _LOGGER.error("Unexpected error while parsing a request", exc_info=err)
             self._refuse(400)
         except httptools.HttpParserError:
-            self._refuse(400)
+            # The parser rejects what follows a request that closes the connection.
+            if not self.is_discarding_input:
+                self._refuse(400)
         else:
             if self.framing_bytes > self.server.limits.head_bytes:
                 self._refuse(431)
@@ -257,6 +259,8 @@
                 received_at=self.server.clock.monotonic(),
             )
         )
+        if not self.pending[-1].keep_alive:
+            self.is_discarding_input = True
         if self.worker is None:
             self.worker = self.loop.create_task(self._async_process_requests())
 
--- a/tests/platform/test_caller_border.py
+++ b/tests/platform/test_caller_border.py
@@ -59,3 +59,11 @@
         found = await border.async_send(encode_head(lines))
     assert found.startswith(b"HTTP/1.1 400")
     assert not border.target.requests
+
+
+async def test_bytes_after_a_request_that_closes_do_not_drop_it() -> None:
+    data = encode_head(head_lines(b"Content-Length: 4", b"Connection: close")) + b"body"
+    async with Border().serving() as border:
+        found = await border.async_send(data + b"\r\nGET /b HTTP/1.1\r\n")
+    assert found.startswith(b"HTTP/1.1 200")
+    assert [item.body for item in border.target.requests] == [b"body"]
