--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -36,15 +36,21 @@
 
     Attributes
     ----------
+    has_head
+        Whether the head is complete; headers that follow are trailer fields.
     section_bytes
-        Bytes of the head, and then of the body, that were read so far.
+        Bytes of the head, and then of the trailer section, that were read so far.
+    body_bytes
+        Bytes of the body that were read so far.
     """
 
     started_at: float
     target: bytes = b""
     headers: HeaderPairs = field(default_factory=list)
     body: list[bytes] = field(default_factory=list)
+    has_head: bool = False
     section_bytes: int = 0
+    body_bytes: int = 0
 
 
 Handler = Callable[["HttpRequest", "Reply"], Awaitable[None]]
@@ -55,9 +61,10 @@
 
     Attributes
     ----------
-    bytes_in_request
-        Bytes received after the data in which the latest request began or ended;
-        limits a request line that never ends.
+    framing_bytes
+        Bytes received after the data in which the latest request began or ended, or
+        in which bytes of a body or the size of a chunk arrived last; limits lines
+        that never end.
     last_active_at
         Event loop time, in seconds, of the last received bytes or completed reply.
     write_resumed
@@ -74,7 +81,7 @@
         self.worker: asyncio.Task[None] | None = None
         self.is_closed = False
         self.is_discarding_input = False
-        self.bytes_in_request = 0
+        self.framing_bytes = 0
         self.last_active_at = self.loop.time()
         self.write_resumed: asyncio.Future[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -132,9 +139,14 @@
         if self.is_discarding_input:
             return
         self.last_active_at = self.loop.time()
-        self.bytes_in_request += len(data)
+        self.framing_bytes += len(data)
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as err:
+            self._ignore_upgrade(data[err.args[0] :])
         except httptools.HttpParserCallbackError as err:
             cause = err.__context__
             if isinstance(cause, RefusedError):
@@ -142,19 +154,42 @@
                 return
             _LOGGER.error("Unexpected error while parsing a request", exc_info=err)
             self._refuse(400)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._refuse(400)
+        except httptools.HttpParserError:
+            # The parser rejects what follows a request that closes the connection.
+            if not self.is_discarding_input:
+                self._refuse(400)
         else:
-            too_long = self.bytes_in_request > self.server.limits.head_bytes
-            if too_long and (self.partial is None or not self.partial.target):
+            if self.framing_bytes > self.server.limits.head_bytes:
                 self._refuse(431)
 
+    def _ignore_upgrade(self, rest: bytes) -> None:
+        """Go on in HTTP/1.1 when a request offers another protocol (RFC 9110, 7.8).
+
+        The parser treats the body of such a request as bytes of the other protocol, so
+        the head is read again without the offer. A tunnel is refused.
+        """
+        partial, self.partial = self.partial, None
+        assert partial is not None
+        method = self.parser.get_method()
+        if method == b"CONNECT":
+            self._refuse(400)
+            return
+        version = self.parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b\r\n" % (method, partial.target, version)]
+        lines += [
+            b"%b: %b\r\n" % (name, value)
+            for name, value in partial.headers
+            if name.lower() != b"upgrade"
+        ]
+        self.parser = httptools.HttpRequestParser(self)
+        self._parse(b"".join(lines) + b"\r\n" + rest)
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         if len(self.pending) >= MAX_PIPELINED_REQUESTS:
             raise RefusedError(400)
         self.partial = _PartialRequest(started_at=self.loop.time())
-        self.bytes_in_request = 0
+        self.framing_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
@@ -163,9 +198,10 @@
         self._check_head_size(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header; trailer fields are dropped (RFC 9110, 6.5.1)."""
         assert self.partial is not None
-        self.partial.headers.append((name, value))
+        if not self.partial.has_head:
+            self.partial.headers.append((name, value))
         self._check_head_size(len(name) + len(value) + 4)
 
     def _check_head_size(self, added: int) -> None:
@@ -177,8 +213,13 @@
     def on_headers_complete(self) -> None:
         """Check the framing before the body is read."""
         assert self.partial is not None
+        self.partial.has_head = True
         self.partial.section_bytes = 0
-        length = check_framing(self.partial.headers)
+        self.framing_bytes = 0
+        if self.parser.should_upgrade():
+            return
+        version = self.parser.get_http_version()
+        length = check_framing(version, self.partial.headers)
         if length > self.server.limits.body_bytes:
             raise RefusedError(413)
         expects = any(
@@ -191,16 +232,23 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         assert self.partial is not None
+        self.framing_bytes = 0
         self.partial.body.append(body)
-        self.partial.section_bytes += len(body)
-        if self.partial.section_bytes > self.server.limits.body_bytes:
+        self.partial.body_bytes += len(body)
+        if self.partial.body_bytes > self.server.limits.body_bytes:
             raise RefusedError(413)
 
+    def on_chunk_header(self) -> None:
+        """Note that the size of a chunk has arrived, with its extensions."""
+        self.framing_bytes = 0
+
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         assert self.partial is not None
+        if self.parser.should_upgrade():
+            return
         partial, self.partial = self.partial, None
-        self.bytes_in_request = 0
+        self.framing_bytes = 0
         self.pending.append(
             HttpRequest(
                 method=self.parser.get_method(),
@@ -211,6 +259,8 @@
                 received_at=self.server.clock.monotonic(),
             )
         )
+        if not self.pending[-1].keep_alive:
+            self.is_discarding_input = True
         if self.worker is None:
             self.worker = self.loop.create_task(self._async_process_requests())
 
--- /dev/null
+++ b/tests/platform/test_caller_border.py
@@ -0,0 +1,69 @@
+"""Tests that a target reads exactly the request that a caller sent, or nothing."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.platform.common import Border, encode_head, head_lines
+
+
+@pytest.mark.parametrize(
+    "version", [b"HTTP/2.0", b"HTTP/0.9", b"HTTP/1.2", b"HTTP/3.0", b"ICE/1.0", b""]
+)
+async def test_other_version_is_rejected(version: bytes) -> None:
+    first = b"GET /a/x " + version
+    async with Border().serving() as border:
+        found = await border.async_send(
+            encode_head([first.rstrip(), *head_lines()[1:]])
+        )
+    assert found.startswith(b"HTTP/1.1 400")
+    assert not border.target.requests
+
+
+async def test_chunked_body_of_the_older_version_is_rejected() -> None:
+    """An older sender cannot mean it (RFC 9112, 6.1)."""
+    lines = [
+        b"POST /a/x HTTP/1.0",
+        *head_lines()[1:],
+        b"Transfer-Encoding: chunked",
+        b"Connection: keep-alive",
+    ]
+    async with Border().serving() as border:
+        found = await border.async_send(encode_head(lines) + b"1\r\na\r\n0\r\n\r\n")
+    assert found.startswith(b"HTTP/1.1 400")
+    assert not border.target.requests
+
+
+@pytest.mark.parametrize("body", [b"", b"body"])
+async def test_offer_of_another_protocol_is_ignored(body: bytes) -> None:
+    """A server may go on in HTTP/1.1 (RFC 9110, 7.8)."""
+    lines = head_lines(
+        b"Connection: Upgrade, HTTP2-Settings",
+        b"Upgrade: h2c",
+        b"HTTP2-Settings: AAMAAABk",
+        b"Content-Length: %d" % len(body),
+    )
+    following = encode_head(head_lines(b"Content-Length: 4")) + b"next"
+    async with Border().serving() as border:
+        found = await border.async_send(
+            encode_head(lines) + body + following, answers=2
+        )
+    assert found.count(b"HTTP/1.1 200") == 2
+    assert [item.body for item in border.target.requests] == [body, b"next"]
+    assert not border.target.requests[0].values(b"upgrade")
+
+
+async def test_tunnel_is_refused() -> None:
+    lines = [b"CONNECT h.example:80 HTTP/1.1", *head_lines()[1:]]
+    async with Border().serving() as border:
+        found = await border.async_send(encode_head(lines))
+    assert found.startswith(b"HTTP/1.1 400")
+    assert not border.target.requests
+
+
+async def test_bytes_after_a_request_that_closes_do_not_drop_it() -> None:
+    data = encode_head(head_lines(b"Content-Length: 4", b"Connection: close")) + b"body"
+    async with Border().serving() as border:
+        found = await border.async_send(data + b"\r\nGET /b HTTP/1.1\r\n")
+    assert found.startswith(b"HTTP/1.1 200")
+    assert [item.body for item in border.target.requests] == [b"body"]
