Don't take an answer without an id for the answer to a later call

What callers could see: a target wrote an earlier refusal once more on a kept connection, without the request's id. The call that was sent there next was answered 503 "not run" although it ran (503, 429, 400 with the statement), it ran at a second target although it must run once (421 of another instance), its caller got 502 or the text of an error that belonged to another call (408, 500), and the target was paused or removed.

Cause: ExchangeConnection accepted an answer without the id if its status is 400 or more, on any exchange. Targets repeat the id in their answers; only on the first exchange of a connection does the position alone identify an answer.

Now such an answer is skipped on every later exchange, as one with another id is, and the true answer behind it is delivered. If none comes, the call ends as one that may have run. A skipped answer without a length has no end, so the exchange fails at once. A connection whose first answer lacked the id isn't used again, so a target that leaves the id out of its errors costs a connection each time, not a wrong answer.

--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -47,6 +47,10 @@
         and headers after the body.
     idle_until
         Event loop time, in seconds, after which the idle connection is not reused.
+    exchange_count
+        Number of requests that were sent over the connection.
+    repeats_ids
+        Whether the server has repeated the id of a request over the connection.
     """
 
     def __init__(self) -> None:
@@ -58,6 +62,7 @@
         self.waiter: asyncio.Future[None] | None = None
         self.idle_until = 0.0
         self.exchange_count = 0
+        self.repeats_ids = False
         self._reset()
 
     def _reset(self) -> None:
@@ -72,6 +77,7 @@
         self.is_complete = False
         self.is_paused = False
         self.is_unrelated = False
+        self.is_unidentified = False
         self.request_id_header: RequestIdHeader | None = None
         self.may_lack_id = False
 
@@ -81,6 +87,7 @@
         return (
             (self.is_complete or not self.exchange_count)
             and not self.is_closed
+            and not self.is_unidentified
             and self.error is None
             and self.transport is not None
             and not self.transport.is_closing()
@@ -102,7 +109,8 @@
         request_id_header
             Name and value of the header that identifies the request in its response.
             Responses with another value are skipped, and so are responses without the
-            header unless their status is 400 or higher.
+            header. They count only if their status is 400 or higher and the connection
+            has carried no request before, whose response they could be.
         may_lack_id
             Whether a response without the header counts, whatever its status.
         """
@@ -228,14 +236,16 @@
         if status // 100 == 1:
             self.headers.clear()
             return
+        has_framing = status in (204, 304) or any(
+            name in FRAMING for name, _ in self.headers
+        )
         self.is_unrelated = not self._matches_request(status)
         if self.is_unrelated:
+            if not has_framing:
+                self._fail("a response to another request has no end")
             return
         self.status = status
-        self.has_framing = status in (204, 304) or any(
-            name in (b"content-length", b"transfer-encoding")
-            for name, _ in self.headers
-        )
+        self.has_framing = has_framing
         self.has_head = True
 
     def _matches_request(self, status: int) -> bool:
@@ -243,9 +253,14 @@
             return True
         name, expected = self.request_id_header
         found = [value for key, value in self.headers if key == name]
-        if not found:
-            return self.may_lack_id or status >= FIRST_ERROR_STATUS
-        return found == [expected]
+        if found:
+            self.repeats_ids = True
+            return found == [expected]
+        if self.may_lack_id:
+            return True
+        is_first = self.exchange_count == 1 and not self.repeats_ids
+        self.is_unidentified = is_first and status >= FIRST_ERROR_STATUS
+        return self.is_unidentified
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body; pause reading when the buffer is too large."""
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -34,7 +34,7 @@
 )
 from gypsumsail.gateway.notices import NO_NOTICES, AnswerNotices
 from gypsumsail.gateway.placer import FleetView
-from gypsumsail.gateway.port import AnswerHead, SendTerms
+from gypsumsail.gateway.port import AnswerHead, SendTerms, TargetClient
 from gypsumsail.gateway.retry_budget import RetryLimit
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.telemetry import GatewayTelemetry
@@ -399,7 +399,7 @@
 
 
 def gateway(
-    calls: ScriptedTargets,
+    calls: TargetClient,
     *entries: TargetEntry,
     routing: RoutingDocument | None = None,
 ) -> Gateway:
--- /dev/null
+++ b/tests/platform/scripted_targets.py
@@ -0,0 +1,120 @@
+"""Targets on real sockets with scripted answers, and a gateway before them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from gypsumsail.core.clock import SystemClock
+from gypsumsail.gateway.coordinator import Gateway
+from gypsumsail.gateway.models import Address, Call, RoutingDocument, TargetEntry
+from gypsumsail.platform.calls import PlatformTargetCalls
+from stand_ins.raw_http import RawRequest, RawServer, reset_connection
+from tests.gateway.common import RecordedReply, call, gateway
+
+HOST: Final = "127.0.0.1"
+ID: Final = b"@ID@"
+"""Stands for the id of the request in a scripted answer."""
+CLOSE: Final = "close"
+RESET: Final = "reset"
+PAUSE_SECONDS: Final = 0.03
+
+Step = bytes | str
+"""Bytes to send after a pause, or ``CLOSE`` or ``RESET``."""
+
+
+@dataclass(slots=True)
+class ScriptedServer:
+    """Target that answers the n-th request with the n-th script.
+
+    Attributes
+    ----------
+    ids, resumed_after
+        Id and last event id of each request.
+    connections
+        Number of connections that have carried a request.
+    """
+
+    scripts: list[list[Step]]
+    ids: list[str] = field(default_factory=list)
+    resumed_after: list[str] = field(default_factory=list)
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    @property
+    def connections(self) -> int:
+        """Return the number of connections that have carried a request."""
+        return len(self.writers)
+
+    async def async_handle(
+        self, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Play the next script; return whether the connection stays open."""
+        self.writers.add(writer)
+        request_id = request.headers["gypsumsail-request-id"]
+        self.ids.append(request_id)
+        self.resumed_after.append(request.headers.get("last-event-id", ""))
+        for step in self.scripts.pop(0):
+            if step == RESET:
+                reset_connection(writer)
+                return False
+            if step == CLOSE:
+                return False
+            assert isinstance(step, bytes)
+            writer.write(step.replace(ID, request_id.encode()))
+            await writer.drain()
+            await asyncio.sleep(PAUSE_SECONDS)
+        return True
+
+
+@asynccontextmanager
+async def served(*servers: ScriptedServer) -> AsyncIterator[list[Address]]:
+    """Start servers and return their addresses."""
+    raws = [RawServer(server.async_handle) for server in servers]
+    try:
+        yield [Address(host=HOST, port=await raw.async_start(HOST)) for raw in raws]
+    finally:
+        for raw in raws:
+            await raw.async_stop()
+
+
+def gateway_before(*entries: TargetEntry, routing: RoutingDocument) -> Gateway:
+    """Return a gateway that sends calls over real connections."""
+    calls = PlatformTargetCalls(SystemClock())
+    gw = gateway(calls, *entries, routing=routing)
+    calls.clock = gw.clock
+    return gw
+
+
+def call_now(
+    gw: Gateway, request_id: str = "id-1", path: str = "/a/x", **changes: Any
+) -> Call:
+    """Return a call that arrives now and bears its id on the wire."""
+    headers = ((b"Gypsumsail-Request-Id", request_id.encode()),)
+    now = gw.clock.monotonic()
+    return call(path, now=now, request_id=request_id, headers=headers, **changes)
+
+
+async def serve(
+    gw: Gateway, request_id: str = "id-1", path: str = "/a/x", **changes: Any
+) -> RecordedReply:
+    """Return the reply to a call that arrives now."""
+    reply = RecordedReply()
+    its_call = call_now(gw, request_id, path, **changes)
+    async with asyncio.timeout(6.0):
+        await gw.async_handle(its_call, reply)
+    return reply
+
+
+def answer(status: int, body: bytes = b"", *lines: bytes, has_id: bool = True) -> bytes:
+    """Return an answer with a length."""
+    head = [b"HTTP/1.1 %d S" % status, b"Content-Length: %d" % len(body), *lines]
+    if has_id:
+        head.append(b"Gypsumsail-Request-Id: " + ID)
+    return b"\r\n".join(head) + b"\r\n\r\n" + body
+
+
+SIGNED: Final = b"Gypsumsail-Server-Stamp: s"
+NOT_RUN: Final = b"Gypsumsail-Not-Run: 1"
--- /dev/null
+++ b/tests/platform/test_repeated_refusals.py
@@ -0,0 +1,108 @@
+"""Tests of targets that write an earlier refusal once more on a kept connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gypsumsail.gateway.models import CallKind
+from tests.gateway.common import document, route, target
+from tests.platform.scripted_targets import (
+    NOT_RUN,
+    SIGNED,
+    ScriptedServer,
+    Step,
+    answer,
+    gateway_before,
+    serve,
+    served,
+)
+
+OWN = answer(200, b"own", SIGNED)
+ONCE = document(route(kind=CallKind.ONCE, max_targets=1, timeout=1.5))
+REFUSALS = {
+    "503": answer(503, b"", NOT_RUN, has_id=False),
+    "503 with a pause": answer(503, b"", NOT_RUN, b"Retry-After: 9", has_id=False),
+    "429": answer(429, b"full", NOT_RUN, has_id=False),
+    "421": answer(421, b"", b"Gypsumsail-Instance-Id: other", has_id=False),
+    "408": answer(408, b"", has_id=False),
+    "400": answer(400, b"bad", NOT_RUN, has_id=False),
+    "500": answer(500, b"error", has_id=False),
+}
+"""Refusals and errors that bear no request id."""
+
+
+@pytest.mark.parametrize("refusal", REFUSALS.values(), ids=list(REFUSALS))
+@pytest.mark.parametrize("is_true_answer_ready", [True, False])
+async def test_refusal_without_id_is_not_the_answer_to_a_later_call(
+    refusal: bytes, is_true_answer_ready: bool
+) -> None:
+    """It would be answered "not run", or run at a second target, though it runs."""
+    late: list[Step] = [refusal + OWN] if is_true_answer_ready else [refusal, OWN]
+    first = ScriptedServer([[OWN], late])
+    second = ScriptedServer([[OWN]])
+    async with served(first, second) as addresses:
+        gw = gateway_before(target("t1", address=addresses[0]), routing=ONCE)
+        await serve(gw)
+        gw.view.targets.update(target("t2", address=addresses[1]), gw.clock.monotonic())
+        gw.view.targets.states["t2"].paused_until = gw.clock.monotonic() + 0.02
+        reply = await serve(gw, "id-2")
+    assert (reply.status, reply.body) == (200, b"own")
+    assert (first.ids, second.ids) == (["id-1", "id-2"], [])
+    assert first.connections == 1
+
+
+@pytest.mark.parametrize("refusal", REFUSALS.values(), ids=list(REFUSALS))
+async def test_refusal_without_id_says_nothing_of_a_call_that_is_running(
+    refusal: bytes,
+) -> None:
+    """The true answer never comes: the call may have run."""
+    server = ScriptedServer([[OWN], [refusal, b""]])
+    async with served(server) as addresses:
+        gw = gateway_before(target("t1", address=addresses[0]), routing=ONCE)
+        await serve(gw)
+        reply = await serve(gw, "id-2")
+    assert reply.status == 504
+    assert "t1" in gw.view.targets.states
+    assert gw.view.targets.states["t1"].pause.allows(gw.clock.monotonic())
+
+
+async def test_refusal_without_id_on_a_new_connection_is_the_answer() -> None:
+    server = ScriptedServer([[REFUSALS["503"]]])
+    async with served(server) as addresses:
+        gw = gateway_before(target("t1", address=addresses[0]), routing=ONCE)
+        reply = await serve(gw)
+    assert reply.status == 503
+
+
+async def test_refusal_without_id_or_length_breaks_the_exchange_at_once() -> None:
+    """Nothing behind it can be read."""
+    endless = b"HTTP/1.1 503 S\r\nGypsumsail-Not-Run: 1\r\n\r\n"
+    server = ScriptedServer([[OWN], [endless, b""]])
+    async with served(server) as addresses:
+        gw = gateway_before(target("t1", address=addresses[0]), routing=ONCE)
+        await serve(gw)
+        async with asyncio.timeout(0.5):
+            reply = await serve(gw, "id-2")
+    assert reply.status == 502
+
+
+async def test_refusal_behind_the_true_answer_is_not_taken() -> None:
+    server = ScriptedServer([[OWN + REFUSALS["503"]], [OWN], [OWN]])
+    async with served(server) as addresses:
+        gw = gateway_before(target("t1", address=addresses[0]), routing=ONCE)
+        for number in range(3):
+            assert (await serve(gw, f"id-{number}")).status == 200
+    assert server.connections == 2
+
+
+async def test_refusal_on_an_idle_connection_is_not_taken() -> None:
+    server = ScriptedServer([[OWN, REFUSALS["503"]], [OWN]])
+    async with served(server) as addresses:
+        gw = gateway_before(target("t1", address=addresses[0]), routing=ONCE)
+        await serve(gw)
+        await asyncio.sleep(0.1)
+        reply = await serve(gw, "id-2")
+    assert reply.status == 200
+    assert server.connections == 2
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -66,6 +66,17 @@
             await ask(pool_of(server))
 
 
+async def test_connection_whose_response_has_no_id_is_not_reused() -> None:
+    """An error without an id could come once more, in place of a later response."""
+    nameless = b"HTTP/1.1 500 S\r\nContent-Length: 2\r\n\r\nno"
+    async with raw_server([nameless, answer(b"next")]) as server:
+        pool = pool_of(server)
+        assert (await ask(pool))[1] == b"no"
+        assert (await ask(pool))[1] == b"next"
+        assert server.connections == 2
+        pool.close()
+
+
 async def test_connection_with_surplus_bytes_is_not_reused() -> None:
     double = answer(b"own") + answer(b"again")
     async with raw_server([double, answer(b"next")]) as server:
