Don't send a request over a connection that has refused its id before

What callers could see: a caller that is refused and sends the same request with the same id again was told "not run" a second time, or the request went to a second target, though the target was running it. The target had written its first refusal once more: the id alone does not tell it from the new answer.

Cause: the second request went over the same kept connection. A connection now remembers the ids that it answered with an error, and the pool leaves it out for a request with one of them. It keeps 256 ids at most; then it is closed.

Within one call this could not happen: a job is not sent to the same life of a target twice, and forwarded calls bear an id of their own for each send.

Evidence: test_refusal_of_an_earlier_call_with_the_same_id_is_not_taken failed on the code before (503 in place of 200, both cases). Connections that were refused still carry other calls: test_connection_that_was_refused_carries_other_calls.

--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -299,7 +299,8 @@
             Nothing was sent.
         """
         pool = self._pool(target)
-        connection = await pool.async_acquire()
+        request_id = call.request_id.encode()
+        connection = await pool.async_acquire(request_id)
         elapsed = self.clock.monotonic() - now
         if elapsed >= terms.time_left:
             pool.release(connection)
@@ -307,7 +308,7 @@
         request = encode_request(call, target, terms)
         # The connection skips responses with another request ID, such as a late second
         # answer to an earlier call.
-        connection.send(request, (names.REQUEST_ID_HEADER, call.request_id.encode()))
+        connection.send(request, (names.REQUEST_ID_HEADER, request_id))
         return TargetExchange(pool, connection, self.clock)
 
     async def async_check(self, target: TargetEntry) -> None:
--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -26,6 +26,8 @@
 Servers announce their keep-alive timeout only with a response.
 """
 FIRST_ERROR_STATUS: Final = 400
+MAX_ERROR_IDS: Final = 256
+"""Answers with an error after which a connection is not reused."""
 FRAMING: Final = frozenset({b"content-length", b"transfer-encoding"})
 
 RequestIdHeader = tuple[bytes, bytes]
@@ -51,6 +53,8 @@
         Number of requests that were sent over the connection.
     repeats_ids
         Whether the server has repeated the id of a request over the connection.
+    error_ids
+        Ids of the requests that were answered with an error over the connection.
     """
 
     def __init__(self) -> None:
@@ -63,6 +67,7 @@
         self.idle_until = 0.0
         self.exchange_count = 0
         self.repeats_ids = False
+        self.error_ids: set[bytes] = set()
         self._reset()
 
     def _reset(self) -> None:
@@ -88,6 +93,7 @@
             (self.is_complete or not self.exchange_count)
             and not self.is_closed
             and not self.is_unidentified
+            and len(self.error_ids) < MAX_ERROR_IDS
             and self.error is None
             and self.transport is not None
             and not self.transport.is_closing()
@@ -244,6 +250,8 @@
             if not has_framing:
                 self._fail("a response to another request has no end")
             return
+        if status >= FIRST_ERROR_STATUS and self.request_id_header is not None:
+            self.error_ids.add(self.request_id_header[1])
         self.status = status
         self.has_framing = has_framing
         self.has_head = True
@@ -314,14 +322,27 @@
             self.idle.pop().abort()
 
     @callback
-    def take_idle(self) -> ExchangeConnection | None:
-        """Return the most recently used idle connection, or ``None``."""
-        while self.idle:
+    def take_idle(self, request_id: bytes | None = None) -> ExchangeConnection | None:
+        """Return the most recently used idle connection, or ``None``.
+
+        Parameters
+        ----------
+        request_id
+            Id of the request; a connection is left out that has carried an error in
+            answer to a request with this id, which could come once more.
+        """
+        left_out = []
+        taken = None
+        while self.idle and taken is None:
             found = self.idle.pop()
-            if found.is_reusable and found.loop.time() < found.idle_until:
-                return found
-            found.abort()
-        return None
+            if not found.is_reusable or found.loop.time() >= found.idle_until:
+                found.abort()
+            elif request_id in found.error_ids:
+                left_out.append(found)
+            else:
+                taken = found
+        self.idle.extend(reversed(left_out))
+        return taken
 
     async def async_connect(self) -> ExchangeConnection:
         """Open a connection; raises TransportError with ``sent`` false."""
@@ -343,9 +364,11 @@
         # Connections that have carried an exchange are taken before this one.
         self.idle.appendleft(connection)
 
-    async def async_acquire(self) -> ExchangeConnection:
-        """Return an idle connection, or open a new one."""
-        return self.take_idle() or await self.async_connect()
+    async def async_acquire(
+        self, request_id: bytes | None = None
+    ) -> ExchangeConnection:
+        """Return an idle connection, or open a new one; see ``take_idle``."""
+        return self.take_idle(request_id) or await self.async_connect()
 
     @callback
     def release(self, connection: ExchangeConnection) -> None:
--- a/tests/platform/scripted_targets.py
+++ b/tests/platform/scripted_targets.py
@@ -36,9 +36,14 @@
         Id and last event id of each request.
     connections
         Number of connections that have carried a request.
+    repeats
+        Whether it writes the last bytes of a connection once more before the next
+        answer there.
     """
 
     scripts: list[list[Step]]
+    repeats: bool = False
+    last_sent: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
     ids: list[str] = field(default_factory=list)
     resumed_after: list[str] = field(default_factory=list)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -53,9 +58,11 @@
     ) -> bool:
         """Play the next script; return whether the connection stays open."""
         self.writers.add(writer)
-        request_id = request.headers["gypsumsail-request-id"]
+        request_id = request.headers.get("gypsumsail-request-id", "")
         self.ids.append(request_id)
         self.resumed_after.append(request.headers.get("last-event-id", ""))
+        if self.repeats:
+            writer.write(self.last_sent.get(writer, b""))
         for step in self.scripts.pop(0):
             if step == RESET:
                 reset_connection(writer)
@@ -63,7 +70,8 @@
             if step == CLOSE:
                 return False
             assert isinstance(step, bytes)
-            writer.write(step.replace(ID, request_id.encode()))
+            data = self.last_sent[writer] = step.replace(ID, request_id.encode())
+            writer.write(data)
             await writer.drain()
             await asyncio.sleep(PAUSE_SECONDS)
         return True
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -106,3 +106,32 @@
         reply = await serve(gw, "id-2")
     assert reply.status == 200
     assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    "refusal",
+    [answer(503, b"", NOT_RUN), answer(421, b"", b"Gypsumsail-Instance-Id: other")],
+)
+async def test_refusal_of_an_earlier_call_with_the_same_id_is_not_taken(
+    refusal: bytes,
+) -> None:
+    """The caller obeys the refusal and sends the request again as it was."""
+    server = ScriptedServer([[refusal], [OWN]], repeats=True)
+    async with served(server) as addresses:
+        entry = target("t1", address=addresses[0])
+        gw = gateway_before(entry, routing=ONCE)
+        assert (await serve(gw)).status == 503
+        gw.view.targets.update(entry, gw.clock.monotonic())
+        reply = await serve(gw)
+    assert (reply.status, reply.body) == (200, b"own")
+    assert server.connections == 2
+
+
+async def test_connection_that_was_refused_carries_other_calls() -> None:
+    refusal = answer(503, b"", NOT_RUN)
+    server = ScriptedServer([[refusal], [OWN], [OWN]])
+    async with served(server) as addresses:
+        gw = gateway_before(target("t1", address=addresses[0]), routing=ONCE)
+        statuses = [(await serve(gw, f"id-{number}")).status for number in range(3)]
+    assert statuses == [503, 200, 200]
+    assert server.connections == 1
