Don't take a late refusal without an id for the answer to an order

What could be seen: an engine that repeats ids wrote an earlier refusal of an order once more, without an id, and the next order on the connection counted as refused though the engine had taken it (or as taken though it was refused).

Cause: short calls accept answers without an id, for servers that repeat none. Once a server has repeated an id over a connection, its later answers there must bear one. A server that never repeats ids can still not be checked: its answers count as before.

Evidence: test_refusal_of_an_order_without_id_is_not_the_answer_to_the_next failed on the code before (BUSY in place of TAKEN).

--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -118,7 +118,8 @@
             header. They count only if their status is 400 or higher and the connection
             has carried no request before, whose response they could be.
         may_lack_id
-            Whether a response without the header counts, whatever its status.
+            Whether a response without the header counts, whatever its status, unless
+            the server has repeated an id over the connection.
         """
         if self.transport is None or self.is_closed or self.transport.is_closing():
             raise TransportError("connection is closed", sent=False)
@@ -265,7 +266,7 @@
             self.repeats_ids = True
             return found == [expected]
         if self.may_lack_id:
-            return True
+            return not self.repeats_ids
         is_first = self.exchange_count == 1 and not self.repeats_ids
         self.is_unidentified = is_first and status >= FIRST_ERROR_STATUS
         return self.is_unidentified
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from gypsumsail.core.clock import SystemClock
 from gypsumsail.gateway.models import CallKind
-from tests.gateway.common import document, route, target
+from gypsumsail.platform.engines import PlatformEngines
+from gypsumsail.rollout.port import LoadWeights, OrderAnswer
+from tests.gateway.common import MODEL, document, engine, route, target
 from tests.platform.scripted_targets import (
     NOT_RUN,
     SIGNED,
@@ -135,3 +138,16 @@
         statuses = [(await serve(gw, f"id-{number}")).status for number in range(3)]
     assert statuses == [503, 200, 200]
     assert server.connections == 1
+
+
+async def test_refusal_of_an_order_without_id_is_not_the_answer_to_the_next() -> None:
+    """The engine repeats the id in its other answers."""
+    busy = answer(409, b"{}", has_id=False)
+    server = ScriptedServer([[answer(200, b"{}")], [busy + answer(202, b"{}")]])
+    order = LoadWeights(model=MODEL, version=2, holder="v1", fence=1, orders_taken=0)
+    async with served(server) as addresses:
+        entry = engine("e1", address=addresses[0])
+        engines = PlatformEngines(SystemClock())
+        await engines.async_report(entry)
+        assert await engines.async_order(entry, order) is OrderAnswer.TAKEN
+        engines.forget(entry)
