--- a/src/gypsumsail/forwarding/client.py
+++ b/src/gypsumsail/forwarding/client.py
@@ -39,9 +39,18 @@
         self.connection = connection
 
     async def async_head(self) -> ForwardHead:
-        """Return the head of the answer; raises ``TransportError``."""
+        """Return the head of the answer.
+
+        Raises
+        ------
+        TransportError
+            No answer came, or one that does not bear the id of the call. All answers
+            of a helper that has read the call bear it.
+        """
         await self.connection.async_wait_for_head()
         headers = dict(self.connection.headers)
+        if FORWARD_ID_HEADER not in headers:
+            raise TransportError("the answer of the VM bears no id", sent=True)
         refusal = headers.get(REFUSAL_HEADER)
         return ForwardHead(
             status=self.connection.status,
