--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -26,6 +26,8 @@
 Servers announce their keep-alive timeout only with a response.
 """
 FIRST_ERROR_STATUS: Final = 400
+MAX_ERROR_IDS: Final = 256
+"""Answers with an error after which a connection is not reused."""
 FRAMING: Final = frozenset({b"content-length", b"transfer-encoding"})
 
 RequestIdHeader = tuple[bytes, bytes]
@@ -47,6 +49,12 @@
         and headers after the body.
     idle_until
         Event loop time, in seconds, after which the idle connection is not reused.
+    exchange_count
+        Number of requests that were sent over the connection.
+    repeats_ids
+        Whether the server has repeated the id of a request over the connection.
+    error_ids
+        Ids of the requests that were answered with an error over the connection.
     """
 
     def __init__(self) -> None:
@@ -58,6 +66,8 @@
         self.waiter: asyncio.Future[None] | None = None
         self.idle_until = 0.0
         self.exchange_count = 0
+        self.repeats_ids = False
+        self.error_ids: set[bytes] = set()
         self._reset()
 
     def _reset(self) -> None:
@@ -72,6 +82,7 @@
         self.is_complete = False
         self.is_paused = False
         self.is_unrelated = False
+        self.is_unidentified = False
         self.request_id_header: RequestIdHeader | None = None
         self.may_lack_id = False
 
@@ -81,6 +92,8 @@
         return (
             (self.is_complete or not self.exchange_count)
             and not self.is_closed
+            and not self.is_unidentified
+            and len(self.error_ids) < MAX_ERROR_IDS
             and self.error is None
             and self.transport is not None
             and not self.transport.is_closing()
@@ -102,9 +115,11 @@
         request_id_header
             Name and value of the header that identifies the request in its response.
             Responses with another value are skipped, and so are responses without the
-            header unless their status is 400 or higher.
+            header. They count only if their status is 400 or higher and the connection
+            has carried no request before, whose response they could be.
         may_lack_id
-            Whether a response without the header counts, whatever its status.
+            Whether a response without the header counts, whatever its status, unless
+            the server has repeated an id over the connection.
         """
         if self.transport is None or self.is_closed or self.transport.is_closing():
             raise TransportError("connection is closed", sent=False)
@@ -228,14 +243,18 @@
         if status // 100 == 1:
             self.headers.clear()
             return
+        has_framing = status in (204, 304) or any(
+            name in FRAMING for name, _ in self.headers
+        )
         self.is_unrelated = not self._matches_request(status)
         if self.is_unrelated:
+            if not has_framing:
+                self._fail("a response to another request has no end")
             return
+        if status >= FIRST_ERROR_STATUS and self.request_id_header is not None:
+            self.error_ids.add(self.request_id_header[1])
         self.status = status
-        self.has_framing = status in (204, 304) or any(
-            name in (b"content-length", b"transfer-encoding")
-            for name, _ in self.headers
-        )
+        self.has_framing = has_framing
         self.has_head = True
 
     def _matches_request(self, status: int) -> bool:
@@ -243,9 +262,14 @@
             return True
         name, expected = self.request_id_header
         found = [value for key, value in self.headers if key == name]
-        if not found:
-            return self.may_lack_id or status >= FIRST_ERROR_STATUS
-        return found == [expected]
+        if found:
+            self.repeats_ids = True
+            return found == [expected]
+        if self.may_lack_id:
+            return not self.repeats_ids
+        is_first = self.exchange_count == 1 and not self.repeats_ids
+        self.is_unidentified = is_first and status >= FIRST_ERROR_STATUS
+        return self.is_unidentified
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body; pause reading when the buffer is too large."""
@@ -299,14 +323,27 @@
             self.idle.pop().abort()
 
     @callback
-    def take_idle(self) -> ExchangeConnection | None:
-        """Return the most recently used idle connection, or ``None``."""
-        while self.idle:
+    def take_idle(self, request_id: bytes | None = None) -> ExchangeConnection | None:
+        """Return the most recently used idle connection, or ``None``.
+
+        Parameters
+        ----------
+        request_id
+            Id of the request; a connection is left out that has carried an error in
+            answer to a request with this id, which could come once more.
+        """
+        left_out = []
+        taken = None
+        while self.idle and taken is None:
             found = self.idle.pop()
-            if found.is_reusable and found.loop.time() < found.idle_until:
-                return found
-            found.abort()
-        return None
+            if not found.is_reusable or found.loop.time() >= found.idle_until:
+                found.abort()
+            elif request_id in found.error_ids:
+                left_out.append(found)
+            else:
+                taken = found
+        self.idle.extend(reversed(left_out))
+        return taken
 
     async def async_connect(self) -> ExchangeConnection:
         """Open a connection; raises TransportError with ``sent`` false."""
@@ -328,9 +365,11 @@
         # Connections that have carried an exchange are taken before this one.
         self.idle.appendleft(connection)
 
-    async def async_acquire(self) -> ExchangeConnection:
-        """Return an idle connection, or open a new one."""
-        return self.take_idle() or await self.async_connect()
+    async def async_acquire(
+        self, request_id: bytes | None = None
+    ) -> ExchangeConnection:
+        """Return an idle connection, or open a new one; see ``take_idle``."""
+        return self.take_idle(request_id) or await self.async_connect()
 
     @callback
     def release(self, connection: ExchangeConnection) -> None:
