Name no only build before the first document is known

What callers could see: text of two builds in one stream, after all VMs were killed at once. A VM that had listed the targets but had no document yet took the time for which streams are taken up for 0 s, so the builds that it saw at that moment counted as those of every stream. It refused its own calls, but answered the question of another VM that already had the document, and the stream went on at the new build although the old one, whose engines had just left, had begun it.

Cause: return_seconds began at 0. Now it is unknown before the first document, and nothing is named.

Evidence: test_vm_without_a_document_names_no_only_build failed before ('v1' is not None), and so did test_vms_that_have_all_just_started_name_no_build (a VM asked for the build answers 'v2').

--- a/src/gypsumsail/gateway/stream_builds.py
+++ b/src/gypsumsail/gateway/stream_builds.py
@@ -60,14 +60,15 @@
     Attributes
     ----------
     return_seconds
-        Longest time after its begin at which a stream may be taken up. It never falls,
-        because streams that began under an earlier document are still taken up.
+        Longest time after its begin at which a stream may be taken up; ``None`` before
+        the first document. It never falls, because streams that began under an earlier
+        document are still taken up.
     observed_since
         Time since which this VM has looked at the listed targets without a gap.
     """
 
     def __init__(self, now: float) -> None:
-        self.return_seconds = 0.0
+        self.return_seconds: float | None = None
         self.observed_since = now
         self.noted_at = float("-inf")
         self.records: OrderedDict[str, _Record] = OrderedDict()
@@ -75,7 +76,14 @@
 
     def note_return(self, seconds: float) -> None:
         """Note a timeout of a route, or the deadline of a caller, for streams."""
-        self.return_seconds = max(self.return_seconds, min(seconds, MAX_RETURN_SECONDS))
+        self.return_seconds = max(
+            self.return_seconds or 0.0, min(seconds, MAX_RETURN_SECONDS)
+        )
+
+    def _longest_return(self) -> float:
+        if self.return_seconds is None:
+            return MAX_RETURN_SECONDS
+        return self.return_seconds
 
     def note_targets(self, entries: Iterable[TargetEntry], now: float) -> None:
         """Note the builds of all listed targets, if it is time."""
@@ -108,7 +116,7 @@
         return {
             build
             for build, at in found.listed_at.items()
-            if now - at <= self.return_seconds + NOTE_INTERVAL_SECONDS
+            if now - at <= self._longest_return() + NOTE_INTERVAL_SECONDS
         }
 
     def is_mixed(self, service: str, now: float) -> bool:
@@ -120,7 +128,7 @@
 
         It is ``None`` if there were several, or if this VM may have missed some.
         """
-        if now - self.observed_since < self.return_seconds:
+        if now - self.observed_since < self._longest_return():
             return None
         builds = self.builds(service, now)
         return next(iter(builds)) if len(builds) == 1 else None
@@ -141,7 +149,7 @@
             return
         self._note(begin.service, begin.build, now)
         self.records[begin.stream] = _Record(
-            begin=begin, is_own=is_own, expires_at=now + self.return_seconds
+            begin=begin, is_own=is_own, expires_at=now + self._longest_return()
         )
         if len(self.records) > MAX_STREAMS:
             self.records.popitem(last=False)
--- a/tests/gateway/test_stream_builds.py
+++ b/tests/gateway/test_stream_builds.py
@@ -115,3 +115,12 @@
     assert len(found.records) == MAX_STREAMS
     found.note_targets([V1], 1.0 + RETURN_SECONDS + 1.0)
     assert not found.records
+
+
+def test_vm_without_a_document_names_no_only_build() -> None:
+    """It doesn't know for how long streams are taken up."""
+    found = StreamBuilds(0.0)
+    note(found, V1, since=0.0, until=RETURN_SECONDS)
+    assert found.sole_build(ENGINES, RETURN_SECONDS) is None
+    found.note_return(RETURN_SECONDS)
+    assert found.sole_build(ENGINES, RETURN_SECONDS) == "v1"
--- a/tests/gossip/test_stream_exchange.py
+++ b/tests/gossip/test_stream_exchange.py
@@ -97,6 +97,18 @@
     assert await started.gossip.streams.async_ask("s7", ENGINES) == "v1"
 
 
+async def test_vms_that_have_all_just_started_name_no_build() -> None:
+    """The old build's engines have left, and only one VM has a document so far."""
+    net = Net(ManualClock())
+    members = [Member(net, f"v{number}") for number in range(1, 4)]
+    members[0].stream_builds.note_return(3.0)
+    pass_time(net, 1.0, V2)
+    for member in members:
+        member.stream_builds.note_targets([V2], net.clock.now)
+    assert members[0].stream_builds.sole_build(ENGINES, net.clock.now) is None
+    assert await members[0].gossip.streams.async_ask("s1", ENGINES) is None
+
+
 async def test_vm_whose_view_is_old_does_not_name_the_only_build() -> None:
     _, members = fleet(2, V1)
     members[1].gossip.streams.is_view_current = lambda now: False
--- a/tests/process/test_mixed_builds.py
+++ b/tests/process/test_mixed_builds.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from enum import Enum, auto
 import signal
 
+import pytest
+
 from soak.callers import CallResult, Resumption, call
 from soak.const import API_KEY
 from soak.run import Soak
@@ -16,6 +19,8 @@
 STREAM_SECONDS = 3.0
 ENGINE_RESTART_SECONDS = 0.7
 VM_KILL_SECONDS = 2.5
+OLD_BUILD_LINGER_SECONDS = 0.3
+OUTAGE_SECONDS = 1.0
 MAX_MIXED_STREAMS = 2
 MIN_RESUMED_STREAMS = 12
 MIN_RESUMED_SHARE = 0.5
@@ -112,6 +117,76 @@
         return [began_as for began_as, found in builds.items() if len(found) > 1]
 
 
+class Outage(Enum):
+    """What happens while all VMs are down."""
+
+    NONE = auto()
+    OLD_BUILD_LEAVES = auto()
+    STORE_IS_AWAY = auto()
+    STORE_IS_RESTORED = auto()
+
+
+class AllKilledRun(MixedBuildsRun):
+    """Callers that take up streams after all VMs were killed at once.
+
+    Attributes
+    ----------
+    tries_after_kill
+        Number of calls since the first kill that take up a stream.
+    """
+
+    def __init__(self, seed: int, outage: Outage) -> None:
+        super().__init__(seed, vms=5, seconds=SECONDS)
+        self.outage = outage
+        self.tries_after_kill = 0
+        engines = [target for target in self.targets if target.is_engine]
+        self.old_engines, self.new_engines = engines[:2], engines[2:]
+
+    async def async_run_with_kills(self) -> None:
+        """Kill all VMs twice while callers send streams and take them up."""
+        try:
+            await self._start()
+            end = asyncio.get_running_loop().time() + self.seconds
+            senders = [
+                asyncio.create_task(self._async_send_streams(end))
+                for _ in range(CALLERS)
+            ]
+            await asyncio.sleep(STREAM_SECONDS)
+            tries_before = len(self.next_tries)
+            await self._async_kill_all()
+            await asyncio.sleep(STREAM_SECONDS)
+            await self._async_kill_all()
+            await asyncio.gather(*senders)
+            self.tries_after_kill = len(self.next_tries) - tries_before
+        finally:
+            await self._stop()
+
+    async def _async_kill_all(self) -> None:
+        """Kill all VMs at once and start them again during an outage."""
+        copy = self.store.copy()
+        if self.outage is not Outage.NONE:
+            for engine in self.old_engines:
+                await self.store.delete("servers", engine.name)
+            await asyncio.sleep(OLD_BUILD_LINGER_SECONDS)
+        await asyncio.gather(*(vm.async_kill() for vm in self.vms))
+        match self.outage:
+            case Outage.STORE_IS_AWAY:
+                self.store.fault = "busy"
+            case Outage.STORE_IS_RESTORED:
+                for engine in self.new_engines:
+                    copy.objects["servers"].pop(engine.name)
+                await self.store.restore(copy)
+        await asyncio.gather(*(vm.async_start() for vm in self.vms))
+        await asyncio.sleep(OUTAGE_SECONDS)
+        self.store.fault = ""
+        if self.outage is Outage.STORE_IS_RESTORED:
+            for engine in self.new_engines:
+                await engine.register(engine.registered_address)
+        await asyncio.sleep(STREAM_SECONDS)
+        for engine in self.old_engines:
+            await engine.register(engine.registered_address)
+
+
 def _has_begun(result: CallResult) -> bool:
     """Return whether an event came, or the end of a stream without further events."""
     return result.status == 200 or b"\n\n" in result.body
@@ -126,3 +201,14 @@
     new_share = sum(map(_has_begun, run.first_tries)) / len(run.first_tries)
     resumed_share = sum(map(_has_begun, run.next_tries)) / len(run.next_tries)
     assert resumed_share >= MIN_RESUMED_SHARE * new_share
+
+
+@pytest.mark.parametrize("outage", Outage)
+async def test_no_stream_is_joined_after_all_vms_were_killed_at_once(
+    outage: Outage,
+) -> None:
+    """Two builds serve, or the old one's engines leave just before."""
+    run = AllKilledRun(35, outage)
+    await run.async_run_with_kills()
+    assert run.tries_after_kill >= MIN_RESUMED_STREAMS
+    assert run.mixed_streams() == []
