Observe builds only from the first listing of the targets

What callers could see: text of two builds in one stream. A VM that started while it reached neither the store nor its peers counted the seconds without any target as seconds in which it had seen all builds. Once it listed the targets it named the only build too early, although engines of another one had left a moment before and other VMs had begun streams there.

Cause: observed_since was the time of the first look, whether or not the targets had been listed.

Evidence: test_vm_that_lists_no_targets_yet_observes_none failed before: 'v2' was named 4 s after the first listing, where streams are taken up for 5 s.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -128,6 +128,8 @@
     on_target_news
         Called with a target that says that it leaves or names another limit, and the
         current time.
+    knows_targets
+        Returns whether the targets were listed since the start.
     """
 
     def __init__(
@@ -156,6 +158,7 @@
         view.build_of = self.stream_builds.build_of
         self.liveness = LivenessChecks(calls, view.targets, clock)
         self.liveness.on_checked = telemetry.target_checked
+        self.knows_targets: Callable[[], bool] = lambda: True
         self.random = random.Random()
         self.last_number = 0
         self.detached_tasks: set[asyncio.Task[None]] = set()
@@ -188,7 +191,9 @@
         """Run the periodic liveness checks and note the builds of the targets."""
         self.liveness.tick(now)
         states = self.view.targets.states.values()
-        self.stream_builds.note_targets((state.entry for state in states), now)
+        self.stream_builds.note_targets(
+            (state.entry for state in states), now, are_listed=self.knows_targets()
+        )
 
     @callback
     def dispatch(self) -> None:
--- a/src/gypsumsail/gateway/stream_builds.py
+++ b/src/gypsumsail/gateway/stream_builds.py
@@ -65,12 +65,15 @@
         document are still taken up.
     observed_since
         Time since which this VM has looked at the listed targets without a gap.
+    are_listed
+        Whether the targets had been listed at the latest look.
     """
 
     def __init__(self, now: float) -> None:
         self.return_seconds: float | None = None
         self.observed_since = now
         self.noted_at = float("-inf")
+        self.are_listed = False
         self.records: OrderedDict[str, _Record] = OrderedDict()
         self.services: dict[str, _ServiceBuilds] = {}
 
@@ -85,13 +88,22 @@
             return MAX_RETURN_SECONDS
         return self.return_seconds
 
-    def note_targets(self, entries: Iterable[TargetEntry], now: float) -> None:
-        """Note the builds of all listed targets, if it is time."""
+    def note_targets(
+        self, entries: Iterable[TargetEntry], now: float, *, are_listed: bool = True
+    ) -> None:
+        """Note the builds of all listed targets, if it is time.
+
+        Parameters
+        ----------
+        are_listed
+            Whether this VM has listed the targets since its start.
+        """
         gap = now - self.noted_at
         if 0 <= gap < NOTE_INTERVAL_SECONDS:
             return
-        if gap > MAX_NOTE_GAP_SECONDS:
+        if gap > MAX_NOTE_GAP_SECONDS or not self.are_listed:
             self.observed_since = now
+        self.are_listed = are_listed
         self.noted_at = now
         for entry in entries:
             self._note(entry.service, entry.build, now)
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -130,6 +130,7 @@
             lambda: self.signalled_at is not None,
         )
         self.catalog = self._make_catalog()
+        self.gateway.knows_targets = lambda: self.catalog.knows_targets
         self.gossip = self._make_gossip()
         self.rollout = self._make_rollout()
         self.catch_up = CatchUp(
--- a/tests/gateway/test_stream_builds.py
+++ b/tests/gateway/test_stream_builds.py
@@ -124,3 +124,13 @@
     assert found.sole_build(ENGINES, RETURN_SECONDS) is None
     found.note_return(RETURN_SECONDS)
     assert found.sole_build(ENGINES, RETURN_SECONDS) == "v1"
+
+
+def test_vm_that_lists_no_targets_yet_observes_none() -> None:
+    found = StreamBuilds(0.0)
+    found.note_return(RETURN_SECONDS)
+    for step in range(20):
+        found.note_targets([], step * NOTE_INTERVAL_SECONDS, are_listed=False)
+    listed_at = 20 * NOTE_INTERVAL_SECONDS
+    note(found, V2, since=listed_at, until=listed_at + RETURN_SECONDS - 1.0)
+    assert found.sole_build(ENGINES, listed_at + RETURN_SECONDS - 1.0) is None
