Keep blocked parts of prompts in the store when all VMs end

What callers saw: after a kill of all VMs at once, engines crashed again on a part of prompts that had been blocked, until it had been in three more crashes; calls next to it failed with them.

Cause: what is blocked was known to running VMs only. Now two VMs of each zone write it into an object of their own in the platform's store when it changes, at most every 10 s and never while nothing is blocked, and a VM reads these objects once at its start.

--- a/src/gypsumsail/gateway/part_suspects.py
+++ b/src/gypsumsail/gateway/part_suspects.py
@@ -37,6 +37,10 @@
 MAX_REFUTED_PER_PART: Final = 32
 REPLY_SECONDS: Final = 2.0
 """Time from which a VM that still reports a refuted crash is told so."""
+MAX_KEPT_PARTS: Final = 16
+"""Blocked parts that outlive all VMs, those with the most crashes."""
+MAX_KEPT_CRASHES_PER_PART: Final = 6
+"""Crashes of each of these parts, the latest ones."""
 MAX_UNSENT: Final = 400
 """Updates that wait to be sent; those of parts with the fewest crashes are dropped."""
 
@@ -302,3 +306,19 @@
             if record.crashes() >= MIN_CRASHES_TO_STOP_RETRIES
             for (target, life), order in record.orders.items()
         ]
+
+    def updates_to_keep(self) -> list[PartCrash]:
+        """Return what VMs need that start after all others have ended, in fixed order.
+
+        These are the latest crashes of the gravest blocked parts.
+        """
+        gravest = sorted(
+            self.blocked, key=lambda part: (-self.records[part].crashes(), part)
+        )
+        return [
+            PartCrash(part=part, target=target, life=life, order=order)
+            for part in sorted(gravest[:MAX_KEPT_PARTS])
+            for (target, life), order in sorted(
+                self.records[part].orders.items(), key=lambda item: (-item[1], item[0])
+            )[:MAX_KEPT_CRASHES_PER_PART]
+        ]
--- a/src/gypsumsail/vm/ports.py
+++ b/src/gypsumsail/vm/ports.py
@@ -39,6 +39,8 @@
         Client of the context stores.
     vms_kind
         Object kind under which the VMs register.
+    kept_state_kind
+        Object kind of the state that outlives all VMs; one object for each VM.
     list_vms
         Lists the objects of that kind; the result may be some seconds old.
     ready_path
@@ -61,6 +63,7 @@
     orders: EngineOrders
     stores: ContextStores
     vms_kind: str
+    kept_state_kind: str
     list_vms: Callable[[], Awaitable[Listing]]
     ready_path: bytes
     read_call: Callable[[HttpRequest], Call]
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -61,6 +61,7 @@
     TICK_SECONDS,
 )
 from gypsumsail.vm.control import ControlApi
+from gypsumsail.vm.kept_state import KeptStateCoordinator
 from gypsumsail.vm.metrics import VmMetrics
 from gypsumsail.vm.peer_clients import PeerClients
 from gypsumsail.vm.ports import VmPorts
@@ -139,6 +140,16 @@
         self.vm_registration = VmRegistration(
             settings, ports, self.peers, clock, self.log
         )
+        self.kept_state = KeptStateCoordinator(
+            settings.vm,
+            ports.kept_state_kind,
+            ports.object_api,
+            ports.eras,
+            self.peers,
+            self.gateway.part_suspects,
+            clock,
+            self.log,
+        )
         self.metrics = VmMetrics(self.registry)
         self.control_api = ControlApi(self)
         self.caller_server = HttpServer(
@@ -354,6 +365,7 @@
             self.catch_up.async_run,
             self.context_stores.async_run,
             self.vm_registration.async_run,
+            self.kept_state.async_run,
             self._async_watch_settings,
         ]
         self.tasks = [
--- a/tests/gateway/part_crash_model.py
+++ b/tests/gateway/part_crash_model.py
@@ -5,20 +5,27 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 import heapq
 from itertools import count
 import random
 
-from gypsumsail.gateway.part_suspects import PartSuspects, PartUpdate
+from gypsumsail.gateway.part_suspects import (
+    PartCrash,
+    PartSuspects,
+    PartUpdate,
+    TargetLife,
+)
 
 FIRST_TOKEN_SECONDS = (0.03, 0.2)
 ANSWER_SECONDS = (0.3, 2.0)
 DOWN_SECONDS = 3.0
 HEADS = 4
 ATTACHMENTS = 200
+STORE_DELAY_SECONDS = (0.25, 0.75)
+"""Shortest and longest time until a VM has written what it blocks."""
 TOUCH_SECONDS = 3.0
 """Time from which rules count calls after the fifth crash."""
 
@@ -55,6 +62,8 @@
         Parts on which engines crash, by name, with the calls that come per second.
     crashes, bad_sends
         Times of the crashes on each bad part, and of the sends of calls with it.
+    kept
+        What VMs have written into the store, by their index.
     sound, begun
         Times of arrival of all sound calls, and of those that began at once.
     """
@@ -69,6 +78,7 @@
     now: float = 0.0
     crashes: dict[str, list[float]] = field(default_factory=dict)
     bad_sends: dict[str, list[float]] = field(default_factory=dict)
+    kept: dict[int, list[PartCrash]] = field(default_factory=dict)
     sound: list[float] = field(default_factory=list)
     begun: list[float] = field(default_factory=list)
 
@@ -82,16 +92,38 @@
         self.healed_parts: set[str] = set()
 
     def start_vms(self) -> None:
-        """Start all VMs, or replace them by VMs that know nothing.
+        """Start all VMs, or replace them by VMs that know only what was kept.
 
         The calls of the replaced ones end.
         """
         self.started_at = self.now or float("-inf")
+        kept = [update for updates in self.kept.values() for update in updates]
         for engine in self.targets:
             engine.calls.clear()
         self.fleet = [PartSuspects() for _ in range(self.vms)]
         for index, vm in enumerate(self.fleet):
             vm.may_try = partial(_may_try, index)
+            vm.on_blocked = partial(self._on_blocked, index, vm)
+            vm.on_released = partial(self._on_released, index, vm)
+            for update in kept:
+                vm.apply(update, self.now)
+
+    def _on_blocked(
+        self, index: int, vm: PartSuspects, part: str, crashes: Iterable[TargetLife]
+    ) -> None:
+        self._keep_later(index, vm)
+
+    def _on_released(self, index: int, vm: PartSuspects, part: str) -> None:
+        self._keep_later(index, vm)
+
+    def _keep_later(self, index: int, vm: PartSuspects) -> None:
+        """Let a VM write what it blocks, unless it is replaced before."""
+
+        def write() -> None:
+            if vm in self.fleet:
+                self.kept[index] = vm.updates_to_keep()
+
+        self.at(self.random.uniform(*STORE_DELAY_SECONDS), write)
 
     def at(self, delay: float, action: Callable[[], None]) -> None:
         """Do something after a delay."""
--- a/tests/process/test_crashing_part.py
+++ b/tests/process/test_crashing_part.py
@@ -4,7 +4,9 @@
 
 import asyncio
 from collections.abc import Iterable
+from time import monotonic
 
+from gypsumsail.gateway.part_suspects import MIN_CRASHES
 from soak.callers import CallResult, call
 from soak.const import API_KEY
 from soak.run import Soak
@@ -17,6 +19,9 @@
 CONTACT_SECONDS = 3.0
 LAST_CRASH = 5
 MAX_LATE_ARRIVALS = 3
+SECONDS_UNTIL_BLOCKED = 10.0
+# Time after the start of the VMs from which no call with the part may be sent.
+READ_SECONDS = 1.0
 MIN_SERVED_SHARE = 0.5
 
 
@@ -27,8 +32,12 @@
     ----------
     bad_results
         Results of the calls with the part.
+    ready_at
+        Time at which all VMs were ready after they were killed.
     """
 
+    ready_at = 0.0
+
     def __init__(self, seed: int, vms: int, seconds: float) -> None:
         super().__init__(seed, vms, seconds)
         self.bad_results: list[CallResult] = []
@@ -47,6 +56,20 @@
         finally:
             await self._stop()
 
+    async def async_run_with_kill_of_all(self) -> None:
+        """Kill all VMs at once while calls with the part come."""
+        try:
+            await self._start()
+            bad = asyncio.create_task(self._async_send_bad_calls())
+            await asyncio.sleep(SECONDS_UNTIL_BLOCKED)
+            await asyncio.gather(*(vm.async_kill() for vm in self.vms))
+            await asyncio.gather(*(vm.async_start() for vm in self.vms))
+            await asyncio.gather(*(self._wait_until_ready(vm) for vm in self.vms))
+            self.ready_at = monotonic()
+            await bad
+        finally:
+            await self._stop()
+
     async def _async_send_bad_calls(self) -> None:
         end = asyncio.get_running_loop().time() + self.seconds - FIRST_BAD_CALL_SECONDS
         calls = []
@@ -86,3 +109,12 @@
     streams = [result for result in run.results if result.kind == "stream"]
     served = [result for result in streams if result.status == 200]
     assert len(served) >= MIN_SERVED_SHARE * len(streams)
+
+
+async def test_part_stays_blocked_when_all_vms_are_killed_at_once() -> None:
+    run = CrashingPartRun(12, vms=5, seconds=SECONDS + FIRST_BAD_CALL_SECONDS)
+    await run.async_run_with_kill_of_all()
+    assert len(run.crashes()) >= MIN_CRASHES
+    counted_from = run.ready_at + READ_SECONDS
+    assert not [at for at in run.bad_arrivals() if at > counted_from]
+    assert run.bad_results[-1].status == 503
