Block an answered request whose failures are followed by the end of the target's life

Callers could see: a request that was answered once and then crashes target after target, with new weights for example, was never refused at that VM, and each crash broke the other calls of its batch off. Cause: "Count no crash against a request that targets have answered" took one answer as proof that no later failure is a crash. A lost link and a crash look the same at the moment of the failure. Other VMs are told only of failures that count. Why it works: a link that is reset ends no life, and what crashes its targets ends one each time. Weighed: (1) refute a failure by later contact with the same life: a target that restarts under its name serves calls before its new life is listed, so that real crashes would be refuted; (2) let only answers of the last minutes count: a reset link under a rare request would block it again; (3) orders of crashes as for parts of prompts: the reports of older builds lack them, and the times of send and failure say the same for the VM's own calls. Existing tests: the calls of record and record_local in test_policies, test_gossip and test_zone_reports pass the time that these functions now need; what they assert is unchanged.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -41,6 +41,7 @@
     HeaderPairs,
     Route,
     RoutingDocument,
+    TargetEntry,
 )
 from gypsumsail.gateway.notices import AnswerNotices
 from gypsumsail.gateway.outcomes import (
@@ -148,6 +149,8 @@
         self.queues: dict[str, ServiceQueue] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.crash_suspects = CrashSuspectTracker()
+        view.targets.on_life_listed = self._record_life_listed
+        view.targets.on_life_ended = self._record_life_ended
         self.part_suspects = PartSuspects()
         self.part_suspects.on_blocked = telemetry.part_blocked
         self.part_suspects.on_released = telemetry.part_released
@@ -534,10 +537,32 @@
     @callback
     def record_broken_call(self, job: Job, state: TargetState) -> None:
         """Record that a target failed while it ran the job."""
+        now = self.clock.monotonic()
+        in_flight_call = (
+            state.in_flight.get(job.assignment.in_flight_id)
+            if job.assignment is not None
+            else None
+        )
         self.crash_suspects.record_local(
-            job.fingerprint, state.entry.name, state.entry.life
+            job.fingerprint,
+            state.entry.name,
+            state.entry.life,
+            sent_at=in_flight_call.placed_at if in_flight_call is not None else now,
+            now=now,
         )
 
+    @callback
+    def _record_life_listed(self, entry: TargetEntry) -> None:
+        self.crash_suspects.record_listed(entry.name, entry.life)
+
+    @callback
+    def _record_life_ended(self, state: TargetState) -> None:
+        """Record the end of a target's life; one that was announced is no crash."""
+        if not state.is_leaving:
+            self.crash_suspects.record_end(
+                state.entry.name, state.entry.life, self.clock.monotonic()
+            )
+
     @callback
     def remove_replaced_target(self, state: TargetState) -> None:
         """Remove a target at whose address another target answers."""
--- a/src/gypsumsail/gateway/target_table.py
+++ b/src/gypsumsail/gateway/target_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from gypsumsail.gateway.averages import GenerationTime, PrefillRate
@@ -40,6 +41,10 @@
         Names and lives of the latest targets that said that they leave, listed or not.
     call_limits
         Limits by name and life of the target, listed or not.
+    on_life_listed
+        Called with each life of a target that is new in the table.
+    on_life_ended
+        Called with a target that is removed, or replaced by another life.
     """
 
     def __init__(self) -> None:
@@ -48,6 +53,8 @@
         self.states: dict[str, TargetState] = {}
         self.rates: dict[str, PrefillRate] = {}
         self.generation_times: dict[str, GenerationTime] = {}
+        self.on_life_listed: Callable[[TargetEntry], None] = lambda entry: None
+        self.on_life_ended: Callable[[TargetState], None] = lambda state: None
 
     def of_service(self, service: str) -> list[TargetState]:
         """Return the targets of a service."""
@@ -84,12 +91,15 @@
         """Apply an entry of the platform's list; return whether the state changed."""
         state = self.states.get(entry.name)
         if state is None or _is_other_life(state.entry, entry):
+            if state is not None and state.entry.life != entry.life:
+                self.on_life_ended(state)
             # JobPlacer sets the capacity of the cache, which depends on the service.
             state = TargetState(entry=entry, cache=PartCache(0), progress_at=now)
             state.weight_versions.update(entry.weight_versions)
             state.has_said_leaving = (entry.name, entry.life) in self.said_leaving
             state.limit = self.call_limit(entry.name, entry.life)
             self.states[entry.name] = state
+            self.on_life_listed(entry)
             return True
         before = (state.entry.phase, dict(state.weight_versions))
         state.entry = entry
@@ -127,7 +137,9 @@
 
     def remove(self, name: str) -> None:
         """Remove a target."""
-        self.states.pop(name, None)
+        state = self.states.pop(name, None)
+        if state is not None:
+            self.on_life_ended(state)
 
 
 def _is_other_life(before: TargetEntry, after: TargetEntry) -> bool:
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -452,7 +452,7 @@
         for update in updates:
             match update:
                 case CrashReport(fingerprint=fingerprint, target=target, life=life):
-                    self.crash_suspects.record(fingerprint, target, life)
+                    self.crash_suspects.record_reported(fingerprint, target, life, now)
                 case PartCrash() | PartAnswered():
                     self.part_suspects.apply(update, now)
                 case LoadingTarget(target=target, life=life):
--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/test_liveness.py
@@ -210,3 +210,41 @@
         for name in names:
             gw.view.targets.update(target(name, life=life), now)
     assert reply.status == 503
+
+
+async def test_planned_ends_after_reset_links_do_not_block_an_answered_request() -> (
+    None
+):
+    """Each target says that it leaves after its link was reset, and is then gone."""
+    lost = TransportError("the connection was lost", sent=True)
+    failures = [ScriptedExchange(head_error=lost) for _ in range(8)]
+    calls = ScriptedTargets(ScriptedExchange(), *failures, ScriptedExchange())
+    routing = document(route(max_targets=1))
+    gw = gateway(calls, target("t1", life=1), routing=routing)
+    await gw.async_handle(call(), RecordedReply())
+    for life in range(2, 10):
+        await gw.async_handle(call(), RecordedReply())
+        gw.view.targets.record_leaving("t1", life - 1)
+        gw.view.targets.remove("t1")
+        gw.view.targets.update(target("t1", life=life), gw.clock.monotonic())
+    reply = RecordedReply()
+    await gw.async_handle(call(), reply)
+    assert reply.status == 200
+
+
+async def test_answered_request_is_blocked_when_the_crashed_targets_are_gone() -> None:
+    lost = TransportError("the connection was lost", sent=True)
+    failures = [ScriptedExchange(head_error=lost) for _ in range(8)]
+    calls = ScriptedTargets(ScriptedExchange(), *failures)
+    routing = document(route(max_targets=1))
+    gw = gateway(calls, *(target(f"t{n}") for n in range(1, 9)), routing=routing)
+    await gw.async_handle(call(), RecordedReply())
+    for _ in range(3):
+        reply = RecordedReply()
+        await gw.async_handle(call(), reply)
+        assert reply.status == 502
+        gw.view.targets.remove(calls.sent[-1].target.name)
+    reply = RecordedReply()
+    await gw.async_handle(call(), reply)
+    assert reply.status == 503
+    assert len(calls.sent) == 4
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -178,9 +178,9 @@
 def test_only_request_that_crashes_several_lives_is_blocked() -> None:
     tracker = CrashSuspectTracker()
     for _ in range(3):
-        tracker.record_local("f", "t1", 1)
+        tracker.record_local("f", "t1", 1, sent_at=9.0, now=10.0)
     assert not tracker.is_blocked("f")
-    tracker.record("f", "t1", 2)
-    tracker.record("f", "t2", 1)
+    tracker.record_reported("f", "t1", 2, 10.0)
+    tracker.record_reported("f", "t2", 1, 10.0)
     assert tracker.is_blocked("f")
     assert tracker.take_unsent(8) == [("f", "t1", 1)]
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -194,11 +194,36 @@
 def test_crash_reports_are_shared() -> None:
     net, one, other = make_pair()
     for life in range(3):
-        one.crash_suspects.record_local("f", "e1", life)
+        one.crash_suspects.record_local(
+            "f", "e1", life, sent_at=net.clock.now, now=net.clock.now
+        )
     net.tick(0.5)
     assert other.crash_suspects.is_blocked("f")
 
 
+@pytest.mark.parametrize("is_told_first", [True, False])
+def test_crashes_of_an_answered_request_are_shared_once_the_lives_have_ended(
+    is_told_first: bool,
+) -> None:
+    net, one, other = make_pair()
+    for member in (one, other):
+        member.crash_suspects.record_answered("f")
+    for life in range(3):
+        failed_at = net.clock.now
+        one.crash_suspects.record_local(
+            "f", "e1", life, sent_at=failed_at - 0.1, now=failed_at
+        )
+        net.tick(1.5)
+        assert len(other.crash_suspects.failures.get("f", ())) == life
+        members = (one, other) if is_told_first else (other, one)
+        for member in members:
+            member.crash_suspects.record_end("e1", life, net.clock.now)
+            net.tick(1.5)
+        assert one.crash_suspects.crashes("f") == life + 1
+        assert other.crash_suspects.crashes("f") == life + 1
+    assert other.crash_suspects.is_blocked("f")
+
+
 def test_vm_behind_in_revisions_catches_up_from_the_announcing_vm() -> None:
     net, one, other = make_pair()
     other.reads_store = False
--- a/tests/gossip/test_zone_reports.py
+++ b/tests/gossip/test_zone_reports.py
@@ -212,7 +212,9 @@
             confirmed.add(vm)
         )
     for life in range(3):
-        members[0].crash_suspects.record_local("f", "e1", life)
+        members[0].crash_suspects.record_local(
+            "f", "e1", life, sent_at=net.clock.now, now=net.clock.now
+        )
     members[0].gossip.announce_removal(engine("e1"))
     net.tick(1.0)
     assert all(member.crash_suspects.is_blocked("f") for member in members)
