--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -147,7 +147,7 @@
     order = LoadWeights(model=MODEL, version=2, holder="v1", fence=1, orders_taken=0)
     async with served(server) as addresses:
         entry = engine("e1", address=addresses[0])
-        engines = PlatformEngines(SystemClock())
+        engines = PlatformEngines(SystemClock(), "v1")
         await engines.async_report(entry)
         assert await engines.async_order(entry, order) is OrderAnswer.TAKEN
         engines.forget(entry)
