--- a/tests/platform/test_reused_addresses.py
+++ b/tests/platform/test_reused_addresses.py
@@ -9,14 +9,19 @@
 from gypsumsail.context_stores.errors import OtherServerError
 from gypsumsail.core.clock import SystemClock
 from gypsumsail.core.errors import TransportError
+from gypsumsail.forwarding.client import HelperClient
+from gypsumsail.gateway.forwarding import ForwardTerms
 from gypsumsail.gateway.models import Address, ContextStore, TargetEntry
+from gypsumsail.gateway.port import SendTerms
+from gypsumsail.platform.calls import PlatformTargetCalls, parse_call
 from gypsumsail.platform.context_stores import PlatformContextStores
 from gypsumsail.platform.engines import PlatformEngines
 from gypsumsail.rollout.port import LoadWeights
+from gypsumsail.transport.http_request import HttpRequest
 from stand_ins.raw_http import RawServer
 from tests.context_stores.common import context_store
-from tests.gateway.common import MODEL, engine
-from tests.platform.common import PlainTarget
+from tests.gateway.common import MODEL, call, engine
+from tests.platform.common import INSTANCE, PlainTarget
 
 HOST = "127.0.0.1"
 ORDER = LoadWeights(model=MODEL, version=2, holder="v1", fence=1, orders_taken=0)
@@ -36,9 +41,9 @@
 
 
 # UNASKED: a plain service ran the calls that were meant for a store that was gone.
-@pytest.mark.parametrize("call", STORE_CALLS.values(), ids=STORE_CALLS.keys())
+@pytest.mark.parametrize("store_call", STORE_CALLS.values(), ids=STORE_CALLS.keys())
 async def test_target_at_the_address_of_a_store_runs_no_store_call(
-    call: StoreCall,
+    store_call: StoreCall,
 ) -> None:
     target = PlainTarget()
     server = RawServer(target.async_handle)
@@ -47,28 +52,28 @@
     try:
         for _ in range(2):
             with pytest.raises(TransportError):
-                await call(stores, store)
+                await store_call(stores, store)
         assert (target.received, target.runs) == (2, [])
     finally:
         stores.forget(store)
         await server.async_stop()
 
 
-@pytest.mark.parametrize("call", ["list", "events"])
-async def test_target_at_the_address_of_a_store_is_recognised(call: str) -> None:
+@pytest.mark.parametrize("name", ["list", "events"])
+async def test_target_at_the_address_of_a_store_is_recognised(name: str) -> None:
     server = RawServer(PlainTarget().async_handle)
     store = context_store(Address(host=HOST, port=await server.async_start(HOST)))
     stores = PlatformContextStores()
     try:
         with pytest.raises(OtherServerError):
-            await STORE_CALLS[call](stores, store)
+            await STORE_CALLS[name](stores, store)
     finally:
         await server.async_stop()
 
 
-@pytest.mark.parametrize("call", ENGINE_CALLS.values(), ids=ENGINE_CALLS.keys())
+@pytest.mark.parametrize("engine_call", ENGINE_CALLS.values(), ids=ENGINE_CALLS.keys())
 async def test_target_at_the_address_of_an_engine_runs_no_report_or_order(
-    call: EngineCall,
+    engine_call: EngineCall,
 ) -> None:
     target = PlainTarget()
     server = RawServer(target.async_handle)
@@ -78,10 +83,62 @@
     try:
         for _ in range(2):
             try:
-                await call(engines, entry)
+                await engine_call(engines, entry)
             except TransportError:
                 continue
         assert (target.received, target.runs) == (2, [])
     finally:
         engines.forget(entry)
         await server.async_stop()
+
+
+async def test_target_at_the_address_of_another_does_not_run_its_calls() -> None:
+    target = PlainTarget()
+    server = RawServer(target.async_handle)
+    address = Address(host=HOST, port=await server.async_start(HOST))
+    entry = engine(address=address)
+    calls = PlatformTargetCalls(SystemClock())
+    request = parse_call(
+        HttpRequest(
+            method=b"GET",
+            target=b"/a/x",
+            headers=[
+                (b"Host", b"h.example"),
+                (b"Gypsumsail-Request-Id", b"9c41d07be2a35f68"),
+                (b"Gypsumsail-Target-Instance", INSTANCE.encode()),
+            ],
+            body=b"",
+            keep_alive=True,
+            received_at=0.0,
+        )
+    )
+    terms = SendTerms(time_left=2.0, customer="a", priority=5)
+    try:
+        now = calls.clock.monotonic()
+        exchange = await calls.async_send(entry, request, terms, now)
+        head = await exchange.async_head()
+        exchange.finish()
+        assert (head.is_wrong_target, head.says_not_run) == (True, True)
+        assert (target.received, target.runs) == (1, [])
+    finally:
+        calls.forget(entry)
+        await server.async_stop()
+
+
+async def test_target_at_the_address_of_a_vm_does_not_run_forwarded_calls() -> None:
+    target = PlainTarget()
+    server = RawServer(target.async_handle)
+    client = HelperClient("v1", await server.async_start(HOST))
+    forwarded = call(request_id="9c41d07be2a35f68")
+    terms = ForwardTerms(
+        service="portal", document_revision=1, max_targets=1, time_left=2.0
+    )
+    try:
+        exchange = await client.async_forward(HOST, forwarded, terms)
+        with pytest.raises(TransportError):
+            await exchange.async_head()
+        exchange.finish()
+        assert (target.received, target.runs) == (1, [])
+    finally:
+        client.close()
+        await server.async_stop()
