Don't ask a store without pause whose answers seem to be repeated

A context store whose changes don't raise the number from which the next ones continue was taken for one that repeats an answer: the connection was closed and the same changes were asked for again at once, 1,362 connections in 1.2 s from one VM. One copy of the contents cost the whole view.

Cause: a repeated answer ended the poll as if nothing had happened, without delay and without an end.

An answer that belongs to an earlier call is now an error of its own. The first answer on a new connection can't be one: after the first, the same changes are asked for again and the contents are kept; after two in a row the contents are dropped and listed again after the usual delay. A VM that another one begins to relay a store to ignores the answer that was on its way, whose numbers are not the relay's.

--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -20,7 +20,7 @@
     SLOW_STORE_PAUSE_SECONDS,
     VIEW_TIMEOUT_SECONDS,
 )
-from gypsumsail.context_stores.errors import OtherServerError
+from gypsumsail.context_stores.errors import MisplacedAnswerError, OtherServerError
 from gypsumsail.context_stores.freeing import (
     VersionUse,
     oldest_needed_version,
@@ -64,11 +64,9 @@
 
 def retry_delay(err: TransportError) -> float:
     """Return the delay in seconds after a failed request to a store."""
-    match err:
-        case OtherServerError():
-            return OTHER_SERVER_DELAY_SECONDS
-        case _:
-            return RETRY_DELAY_SECONDS
+    if isinstance(err, OtherServerError):
+        return OTHER_SERVER_DELAY_SECONDS
+    return RETRY_DELAY_SECONDS
 
 
 class ContextStoreCoordinator:
@@ -159,15 +157,41 @@
                 continue
             try:
                 await self._async_poll(view)
+            except MisplacedAnswerError as err:
+                if not self._may_ask_again(view, err):
+                    self._drop(view, str(err))
+                    await asyncio.sleep(RETRY_DELAY_SECONDS)
             except TransportError as err:
-                self._log_loss(view, str(err))
-                view.reset()
+                self._drop(view, str(err))
                 await asyncio.sleep(retry_delay(err))
             else:
+                view.misplaced_answers = 0
                 self.loss_reasons.pop(view.store.address, None)
 
+    def _may_ask_again(self, view: StoreView, err: MisplacedAnswerError) -> bool:
+        """Return whether to keep the contents and ask for the same changes again.
+
+        The first answer on a new connection can't belong to an earlier call, so that
+        another such answer shows that the store's numbers are not understood.
+        """
+        self.stores.forget(view.store)
+        view.misplaced_answers += 1
+        self.log.write(
+            "store of context repeated an answer",
+            store=view.store.name,
+            address=str(view.store.address),
+            since=view.next_number,
+            reason=str(err),
+        )
+        return view.misplaced_answers == 1
+
+    def _drop(self, view: StoreView, reason: str) -> None:
+        """Forget the contents of a store that does not answer as expected."""
+        self._log_loss(view, reason)
+        view.reset()
+
     def _log_loss(self, view: StoreView, reason: str) -> None:
-        """Log that a store does not answer as expected; once for each reason."""
+        """Log why a store is not followed; once for each reason in a row."""
         if self.loss_reasons.get(view.store.address) == reason:
             return
         self.loss_reasons[view.store.address] = reason
@@ -249,16 +273,13 @@
             view.store, view.next_number, LONG_POLL_SECONDS
         )
         now = self.clock.monotonic()
+        if view.relay_vm:
+            # Another VM has begun to relay the store, with numbers of its own.
+            return
         if view.repeats_earlier(answer):
-            # The answer to this request would be taken for that to the next one.
-            self.stores.forget(view.store)
-            self.log.write(
-                "store of context repeated an answer",
-                store=view.store.name,
-                since=view.next_number,
-                next=answer.next_number,
+            raise MisplacedAnswerError(
+                f"{answer.next_number} is not after {view.next_number}", sent=True
             )
-            return
         if not view.apply_changes(answer, now):
             self.log.write("store of context restarted", store=view.store.name)
             return
--- a/src/gypsumsail/context_stores/port.py
+++ b/src/gypsumsail/context_stores/port.py
@@ -13,7 +13,8 @@
     """Requests to stores; all raise ``TransportError``.
 
     A request for contents or changes raises ``OtherServerError`` if the server at the
-    address is no context store.
+    address is not a context store, and ``MisplacedAnswerError`` if the answer belongs
+    to another request.
     """
 
     async def async_contents(self, store: ContextStore) -> StoreAnswer:
--- a/src/gypsumsail/context_stores/store_view.py
+++ b/src/gypsumsail/context_stores/store_view.py
@@ -99,6 +99,8 @@
         Time until which nothing is fetched from the store because fetches were late.
     relay_vm
         VM that relays the store's changes; empty if this VM polls the store.
+    misplaced_answers
+        Number of answers in a row that belong to earlier calls.
     """
 
     store: ContextStore
@@ -110,6 +112,7 @@
     clock_offset_ms: float | None = None
     relay_vm: str = ""
     slow_until: float = 0.0
+    misplaced_answers: int = 0
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the contents are known and recent enough to fetch parts."""
--- a/src/gypsumsail/platform/client.py
+++ b/src/gypsumsail/platform/client.py
@@ -91,6 +91,7 @@
             No complete answer arrived, or it is not valid JSON.
         """
         all_headers = dict(headers or {})
+        assert names.REQUEST_ID_HEADER.decode() not in map(str.lower, all_headers)
         request_id = None
         if target_call is not None:
             all_headers[names.TARGET_NAME_HEADER.decode()] = target_call.instance
--- a/src/gypsumsail/platform/context_stores.py
+++ b/src/gypsumsail/platform/context_stores.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from gypsumsail.context_stores.const import LONG_POLL_MARGIN_SECONDS
-from gypsumsail.context_stores.errors import OtherServerError
+from gypsumsail.context_stores.errors import MisplacedAnswerError, OtherServerError
 from gypsumsail.context_stores.store_view import StoreAnswer, StoreChange
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import ContextStore
@@ -191,7 +191,7 @@
     try:
         return msgspec.convert(body, kind)
     except msgspec.ValidationError as err:
-        raise TransportError(
+        raise MisplacedAnswerError(
             f"can't decode the answer of a context store: {err}", sent=True
         ) from err
 
--- a/tests/context_stores/common.py
+++ b/tests/context_stores/common.py
@@ -6,11 +6,13 @@
 from collections.abc import Mapping, Sequence
 
 from gypsumsail.context_stores.coordinator import ContextStoreCoordinator
+from gypsumsail.context_stores.port import ContextStores
 from gypsumsail.context_stores.store_view import (
     StoreAnswer,
     StoreChange,
     StoreView,
 )
+from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import Address, ContextStore, Customer, PromptPart
@@ -116,7 +118,7 @@
 
 
 def coordinator(
-    targets: TargetTable, clock: ManualClock, stores: ScriptedStores | None = None
+    targets: TargetTable, clock: Clock, stores: ContextStores | None = None
 ) -> ContextStoreCoordinator:
     """Return a coordinator that doesn't poll any store yet."""
     return ContextStoreCoordinator(
--- a/tests/platform/common.py
+++ b/tests/platform/common.py
@@ -7,6 +7,7 @@
 import contextlib
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+import json
 import re
 from typing import Final
 
@@ -293,3 +294,72 @@
             self.runs.append(request)
             writer.write(encode_response(404, b"no such page"))
         return True
+
+
+class RepeatingContextStore:
+    """A context store that sends copies of earlier answers, and repeats no ids.
+
+    Attributes
+    ----------
+    events
+        Changes: number, ``+`` or ``-``, scope, part, tokens and model.
+    copy_interval
+        Number of answers of which one comes after a copy of the one before it on the
+        connection; 0 for no copies.
+    has_growing_numbers
+        Whether changes raise the number from which the next ones continue.
+    lists, connections
+        Number of calls for the contents, and of connections.
+    """
+
+    def __init__(self, copy_interval: int = 0) -> None:
+        self.events: list[tuple[int, str, str, str, int, str]] = []
+        self.copy_interval = copy_interval
+        self.has_growing_numbers = True
+        self.lists = 0
+        self.answers = 0
+        self.sent: dict[asyncio.StreamWriter, bytes] = {}
+
+    @property
+    def connections(self) -> int:
+        """Return the number of connections that were answered."""
+        return len(self.sent)
+
+    def change(self, part: str, tokens: int) -> None:
+        """Add a part, or remove it if it has no tokens."""
+        sign = "+" if tokens else "-"
+        number = len(self.events) + 1
+        self.events.append((number, sign, "1", part, tokens, "m"))
+
+    async def async_handle(
+        self, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer one call; keep the connection."""
+        if request.path.endswith("list"):
+            self.lists += 1
+            body = self._contents()
+        else:
+            body = await self._async_changes(int(request.query["since"]))
+        answer = encode_response(200, json.dumps(body).encode())
+        self.answers += 1
+        if self.copy_interval and self.answers % self.copy_interval == 0:
+            writer.write(self.sent.get(writer, b""))
+            await writer.drain()
+            # The copy arrives alone, when only the answer can tell that it is late.
+            await asyncio.sleep(0.02)
+        writer.write(answer)
+        self.sent[writer] = answer
+        return True
+
+    def _contents(self) -> dict[str, object]:
+        held = {event[3]: event[4] for event in self.events}
+        parts = [("1", part, tokens, "m") for part, tokens in held.items() if tokens]
+        return {"epoch": 7, "next": len(self.events), "held": parts}
+
+    async def _async_changes(self, since: int) -> dict[str, object]:
+        for _ in range(40):
+            if len(self.events) > since:
+                break
+            await asyncio.sleep(0.02)
+        last = len(self.events) if self.has_growing_numbers else since
+        return {"epoch": 7, "next": last, "lost": False, "events": self.events[since:]}
