Take no notice of another target for one of the target that it replaced

A target that had taken over the address rejects a call with 421, and may say in the same answer that it leaves, or name a limit. These were recorded for the listed target and told to the other VMs.

Evidence: test_notice_of_another_target_at_the_address_is_not_the_targets (calls) and both cases of test_target_at_the_address_of_an_engine_runs_no_report_or_order (reports and orders) failed before.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -483,6 +483,8 @@
         sent_at
             Time at which the call was sent.
         """
+        if head.is_from_another(state.entry.name):
+            return
         state.reported = head.load or state.reported
         self.record_notices(state, head.notices, sent_at, job.call.request_id)
 
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -210,9 +210,8 @@
         self, exchange: Exchange, head: AnswerHead
     ) -> SendOutcome:
         await exchange.async_read_all(MAX_ANSWER_BYTES)
-        addressed = self.state.entry.name
         # Unless another target's name is given, the mismatch is in the weight version.
-        is_wrong = head.is_wrong_target and head.target_name not in ("", addressed)
+        is_wrong = head.is_from_another(self.state.entry.name)
         self.job.may_have_run = self.may_have_run_before
         if is_wrong:
             self.job.targets_used -= 1
--- a/src/gypsumsail/gateway/port.py
+++ b/src/gypsumsail/gateway/port.py
@@ -99,6 +99,10 @@
     is_framed: bool = True
     notices: AnswerNotices = NO_NOTICES
 
+    def is_from_another(self, addressed: str) -> bool:
+        """Return whether another target than the addressed one answered."""
+        return self.is_wrong_target and self.target_name not in ("", addressed)
+
 
 class Exchange(Protocol):
     """A call that was sent to a target, and its answer."""
--- a/src/gypsumsail/platform/engines.py
+++ b/src/gypsumsail/platform/engines.py
@@ -114,8 +114,11 @@
                 instance=target.name, request_id=new_system_call_id(self.vm, call)
             ),
         )
-        notices = parse_notices(answer.status, answer.headers, dict(answer.headers))
-        self.on_notices(target, notices, sent_at)
+        headers = dict(answer.headers)
+        answered_by = headers.get(names.INSTANCE_ID_HEADER, target.name.encode())
+        if answered_by == target.name.encode():
+            notices = parse_notices(answer.status, answer.headers, headers)
+            self.on_notices(target, notices, sent_at)
         return answer
 
     def forget(self, target: TargetEntry) -> None:
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -133,6 +133,20 @@
     assert not gw.view.targets.states["t1"].is_leaving
 
 
+async def test_notice_of_another_target_at_the_address_is_not_the_targets() -> None:
+    foreign = ScriptedExchange(
+        status=421,
+        says_not_run=True,
+        is_wrong_target=True,
+        target_name="other",
+        notices=AnswerNotices(is_leaving=True),
+    )
+    gw = gateway(ScriptedTargets(foreign), target())
+    state = gw.view.targets.states["t1"]
+    await gw.async_handle(call(), RecordedReply())
+    assert not state.is_leaving
+
+
 async def test_paused_target_gets_no_call_and_its_callers_are_refused_at_once() -> None:
     pause = AnswerNotices(pause=NamedPause(seconds=30.0))
     rejected = ScriptedExchange(status=503, says_not_run=True, notices=pause)
--- a/tests/platform/common.py
+++ b/tests/platform/common.py
@@ -285,7 +285,7 @@
     ) -> bool:
         """Answer one request; keep the connection."""
         self.received += 1
-        not_run = {"Gypsumsail-Not-Run": "1"}
+        not_run = {"Gypsumsail-Not-Run": "1", "Gypsumsail-Instance-Id": INSTANCE}
         if "gypsumsail-request-id" not in request.headers:
             writer.write(encode_response(400, b"", not_run))
         elif request.headers.get("gypsumsail-target-instance", INSTANCE) != INSTANCE:
--- a/tests/platform/test_reused_addresses.py
+++ b/tests/platform/test_reused_addresses.py
@@ -80,6 +80,8 @@
     address = Address(host=HOST, port=await server.async_start(HOST))
     entry = engine(address=address)
     engines = PlatformEngines(SystemClock(), "v1")
+    noticed: list[TargetEntry] = []
+    engines.on_notices = lambda target, notices, sent_at: noticed.append(target)
     try:
         for _ in range(2):
             try:
@@ -87,6 +89,7 @@
             except TransportError:
                 continue
         assert (target.received, target.runs) == (2, [])
+        assert not noticed
     finally:
         engines.forget(entry)
         await server.async_stop()
