Don't forward the error of the next target into a stream that has begun

What callers could see: a resumable stream broke off at one target; the next one answered 301, 304, 400 or 404, and its whole head and body were written into the middle of the stream; or it answered 204 or 206, and the stream ended as if it were complete. A caller that takes up a stream itself was given an empty 204 as the end of its stream.

Cause: statuses below 500 that are no stream were forwarded as the final answer, and all statuses below 300 counted as a stream, whether the stream had begun or not. Only status 200 can go on with a stream; anything else is now a failed send, after which another target is tried or the connection is closed.

--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -34,6 +34,8 @@
     from gypsumsail.gateway.coordinator import Gateway
 
 FIRST_ERROR_STATUS = 500
+STREAM_STATUS = 200
+"""The only status with which a target goes on with a stream."""
 
 
 class JobSend:
@@ -140,11 +142,22 @@
             return Broken(reason=f"status {head.status} without a not-run statement")
         if head.status < 300 and not head.is_signed:
             return Broken(reason="the answer lacks the signature of the target")
+        if self._must_go_on(head) and head.status != STREAM_STATUS:
+            self.state.record_failure(self.clock.monotonic())
+            return Broken(reason=f"status {head.status} in place of more events")
         is_stream = self.job.route.kind is CallKind.STREAM and head.status < 300
         if is_stream:
             return await self._async_stream(exchange, head)
         return await self._async_whole_answer(exchange, head)
 
+    def _must_go_on(self, head: AnswerHead) -> bool:
+        """Return whether only more events of the caller's stream can be forwarded.
+
+        A caller that takes up a stream may also be given an error.
+        """
+        is_success = head.status < 300
+        return self.reply.has_begun or (is_success and bool(self.job.resume_after))
+
     async def _async_head(self, exchange: Exchange) -> AnswerHead | None:
         """Return the head; ``None`` if another target should be tried instead."""
         check_at = self.sent_at + self._check_interval()
--- a/tests/platform/scripted_targets.py
+++ b/tests/platform/scripted_targets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -22,8 +22,11 @@
 RESET: Final = "reset"
 PAUSE_SECONDS: Final = 0.03
 
-Step = bytes | str
-"""Bytes to send after a pause, or ``CLOSE`` or ``RESET``."""
+Step = bytes | str | Callable[[int], bytes]
+"""Bytes to send before a pause, ``CLOSE`` or ``RESET``.
+
+A function returns the bytes for the last event that the caller has.
+"""
 
 
 @dataclass(slots=True)
@@ -69,7 +72,9 @@
                 return False
             if step == CLOSE:
                 return False
-            assert isinstance(step, bytes)
+            assert not isinstance(step, str)
+            if callable(step):
+                step = step(int(self.resumed_after[-1] or 0))
             data = self.last_sent[writer] = step.replace(ID, request_id.encode())
             writer.write(data)
             await writer.drain()
