Don't take an answer without events for the end of a stream that goes on

What callers could see: a stream broke off, the next target answered 200 without a length and closed the connection before any event (as it does when it fails), and the stream ended as if it were complete. The same happened with an empty answer of any form after the first target had broken off within an event, so that at least this event was missing.

Cause: the check that an answer has events looked at whether the reply had begun, which it had by the first target. It now looks at the events of this answer. An answer without events still ends a stream if it has a length or chunks and no event was cut: then the caller has all events already.

--- a/src/gypsumsail/gateway/events.py
+++ b/src/gypsumsail/gateway/events.py
@@ -19,10 +19,13 @@
         Id of the last complete event; empty before the first one.
     rest
         Bytes of the event that is not complete yet.
+    has_bytes
+        Whether any bytes have been added.
     """
 
     last_id: str = ""
     rest: bytearray = field(default_factory=bytearray)
+    has_bytes: bool = False
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events that they complete.
@@ -33,6 +36,7 @@
             An event exceeds ``MAX_EVENT_BYTES``.
         """
         self.rest += data
+        self.has_bytes = True
         end = self.rest.rfind(b"\n\n")
         if end < 0:
             if len(self.rest) > MAX_EVENT_BYTES:
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -61,6 +61,9 @@
         Weight version that generated the earlier part of the answer.
     resume_after
         Id of the last event that the caller has received of a stream.
+    is_event_cut
+        Whether the last target from which any of the stream came broke off within an
+        event.
     placed_at, first_at
         Time of the first placement, and of the first event or plain answer.
     work_seconds
@@ -90,6 +93,7 @@
     may_have_run: bool = False
     weight_version: int | None = None
     resume_after: str = ""
+    is_event_cut: bool = False
     placed_at: float = 0.0
     first_at: float = 0.0
     work_seconds: float = 0.0
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -254,20 +254,16 @@
 
     async def _async_stream(self, exchange: Exchange, head: AnswerHead) -> SendOutcome:
         splitter = EventSplitter()
-        while data := await exchange.async_read():
-            events = splitter.feed(data)
-            if not events:
-                continue
-            self._record_progress(head)
-            if not self.reply.has_begun:
-                self.reply.begin(head.status, head.headers)
-            self.reply.write(events)
-            if splitter.last_id:
-                self.job.resume_after = splitter.last_id
-            await self.reply.async_drain()
-        # A caller that takes up a stream may have its last event already.
-        may_be_empty = bool(self.job.resume_after) and head.is_framed
-        if splitter.has_partial or not (self.reply.has_begun or may_be_empty):
+        try:
+            has_events = await self._async_forward_events(exchange, head, splitter)
+        finally:
+            if splitter.has_bytes:
+                self.job.is_event_cut = splitter.has_partial
+        # The caller may have the last event of the stream already.
+        may_be_empty = (
+            bool(self.job.resume_after) and head.is_framed and not self.job.is_event_cut
+        )
+        if splitter.has_partial or not (has_events or may_be_empty):
             if not head.is_framed:
                 self._record_crash()
             return Broken(reason="the stream ended before an event was complete")
@@ -280,6 +276,25 @@
         self.reply.end()
         return Delivered(status=head.status)
 
+    async def _async_forward_events(
+        self, exchange: Exchange, head: AnswerHead, splitter: EventSplitter
+    ) -> bool:
+        """Forward events until the answer ends; return whether there were any."""
+        has_events = False
+        while data := await exchange.async_read():
+            events = splitter.feed(data)
+            if not events:
+                continue
+            has_events = True
+            self._record_progress(head)
+            if not self.reply.has_begun:
+                self.reply.begin(head.status, head.headers)
+            self.reply.write(events)
+            if splitter.last_id:
+                self.job.resume_after = splitter.last_id
+            await self.reply.async_drain()
+        return has_events
+
     def _record_crash(self) -> None:
         if not self.has_begun:
             self.gateway.record_unanswered_crash(self.state, self.crash_orders)
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -100,6 +100,7 @@
     "206": [answer(206, events(3), SIGNED)],
     "200 unsigned": [answer(200, events(3))],
     "200 without id": [answer(200, events(3), SIGNED, has_id=False)],
+    "200 without length or body": [UNFRAMED, CLOSE],
     "200 cut": [counted(events(3))[:-3], CLOSE],
     "no answer": [CLOSE],
     "reset": [RESET],
@@ -164,6 +165,15 @@
     assert len(server.ids) == 3
 
 
+async def test_end_without_the_event_that_was_cut_is_no_end() -> None:
+    """The first target had begun another event, so the stream has one."""
+    reply, _, _ = await serve_stream(
+        BREAKS["reset within an event"], [counted(b"")], max_targets=2
+    )
+    assert reply.body == events(1, 2)
+    assert reply.is_aborted
+
+
 async def test_end_of_a_stream_whose_events_have_all_come_completes_it() -> None:
     """The first target broke off between its last event and the end."""
     whole: list[Step] = [CHUNKED + chunk(events(1)), RESET]
