Forward only well-formed events with increasing ids

What callers could see: a target wrote an error's text, page or whole head where the next event of its stream was due, or the next target answered 200 with one, or began the stream anew instead of behind the last event. All of it was forwarded in the middle of the stream; with an end behind it, the stream looked complete.

Events are now checked before they are forwarded: each has a field of the standard (or is a comment), each line is a field or a comment, and an id that is a number is higher than the one before, also across targets. The events before an invalid one are forwarded; then the send failed, and another target is tried after the last of them, or the connection is closed. An invalid event is not counted as a crash of the target.

The ids need not follow each other without a gap, so an event that is missing at its target is not noticed.

--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -14,7 +14,7 @@
     STALL_SECONDS,
     TIMEOUT_MARGIN_SECONDS,
 )
-from gypsumsail.gateway.events import EventSplitter
+from gypsumsail.gateway.events import EventSplitter, InvalidEventError
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import CallKind
 from gypsumsail.gateway.outcomes import (
@@ -253,9 +253,12 @@
         return Delivered(status=head.status)
 
     async def _async_stream(self, exchange: Exchange, head: AnswerHead) -> SendOutcome:
-        splitter = EventSplitter()
+        splitter = EventSplitter(last_id=self.job.resume_after)
         try:
             has_events = await self._async_forward_events(exchange, head, splitter)
+        except InvalidEventError as err:
+            self.state.record_failure(self.clock.monotonic())
+            return Broken(reason=str(err))
         finally:
             if splitter.has_bytes:
                 self.job.is_event_cut = splitter.has_partial
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -6,7 +6,11 @@
 
 from gypsumsail.core.errors import RunState, TransportError
 from gypsumsail.gateway.crash_suspects import CrashSuspectTracker
-from gypsumsail.gateway.events import MAX_EVENT_BYTES, EventSplitter
+from gypsumsail.gateway.events import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    InvalidEventError,
+)
 from gypsumsail.gateway.models import PromptPart
 from gypsumsail.gateway.outcomes import (
     BreakOff,
@@ -132,6 +136,44 @@
     assert not splitter.has_partial
 
 
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"error\n\n",
+        b"error: no memory\n\n",
+        b'{"error": "no memory"}\n\n',
+        b"HTTP/1.1 500 S\r\nContent-Length: 5\r\n\r\nerror\n\n",
+        b"id: 2\ndaHTTP/1.1 500 S\n\n",
+        b"id: 2\ndata: xHTTP/1.1 500 S\r\nA: b\r\n\r\nid: 3\n\n",
+        b"id: 2\nerror\n\n",
+        b"id: 1\n\n",
+        b"id: 0\n\n",
+    ],
+)
+def test_events_before_an_invalid_one_are_returned_first(bad: bytes) -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\n\n" + bad) == b"id: 1\n\n"
+    assert splitter.last_id == "1"
+    assert splitter.has_partial
+    with pytest.raises(InvalidEventError):
+        splitter.feed(b"id: 3\n\n")
+
+
+def test_events_of_all_valid_forms_are_returned() -> None:
+    valid = (
+        b"id: 1\ndata: x\ndata\n\n: comment\n\n\ndata: [DONE]\n\nevent: end\n\n"
+        b"x-version: 2\nid:4\ndata: {\n\nid: a\n\nid: 1" + b"0" * 5_000 + b"\n\n"
+    )
+    assert EventSplitter().feed(valid) == valid
+    assert EventSplitter().feed(b"id: 1\n\n\n") == b"id: 1\n\n\n"
+
+
+def test_first_event_of_a_stream_that_goes_on_is_compared_with_the_last() -> None:
+    with pytest.raises(InvalidEventError):
+        EventSplitter(last_id="9").feed(b"id: 1\n\n")
+    assert EventSplitter(last_id="9").feed(b"id: 10\n\n")
+
+
 def test_event_above_size_limit_is_rejected() -> None:
     splitter = EventSplitter()
     splitter.feed(b"x" * MAX_EVENT_BYTES)
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -71,6 +71,11 @@
     "no length, reset": [UNFRAMED + events(1, 2), RESET],
     "length, end between events": [counted(events(1))[: -len(events(3))], CLOSE],
     "another answer among chunks": begun(ERROR_HEAD),
+    "error's text in a chunk": begun(chunk(b"error: no memory\n\n"), RESET),
+    "error's page in a chunk": begun(chunk(b"<html>\n<p>error</p>\n\n"), RESET),
+    "error's head in a chunk": begun(chunk(ERROR_HEAD + b"\n\n"), b"0\r\n\r\n"),
+    "error's head, no length": [UNFRAMED + events(1, 2) + ERROR_HEAD + b"\n\n", CLOSE],
+    "event out of order": begun(chunk(event(1)), RESET),
 }
 """Streams that break off after the second event."""
 ERRORS: dict[str, list[Step]] = {
@@ -100,6 +105,11 @@
     "206": [answer(206, events(3), SIGNED)],
     "200 unsigned": [answer(200, events(3))],
     "200 without id": [answer(200, events(3), SIGNED, has_id=False)],
+    "200 with a text": [counted(b"error: no memory\n\n")],
+    "200 with a page": [counted(b"<html>\n<p>error</p>\n\n")],
+    "200 with JSON": [counted(b'{"error": "no memory"}\n\n')],
+    "200 with another answer": [counted(ERROR_HEAD + b"\n\n")],
+    "200 from the first event": [counted(events(1))],
     "200 without length or body": [UNFRAMED, CLOSE],
     "200 cut": [counted(events(3))[:-3], CLOSE],
     "no answer": [CLOSE],
