Never write a second head into a reply

What callers could see: whatever code replied a second time, its head and body were written behind the first, also into the middle of a stream.

Cause: Reply.send and Reply.begin did not look at the phase of the reply.

--- a/src/gypsumsail/transport/http_reply.py
+++ b/src/gypsumsail/transport/http_reply.py
@@ -38,9 +38,15 @@
     ABORTED = auto()
 
 
+class ReplyBegunError(RuntimeError):
+    """A reply was to be sent although it has begun; nothing was written for it."""
+
+
 class Reply:
     """Writes the reply to one request.
 
+    A handler that begins it twice fails, so that the connection is aborted.
+
     Attributes
     ----------
     phase
@@ -62,6 +68,7 @@
     @callback
     def send(self, status: int, headers: HeaderPairs, body: bytes) -> None:
         """Send a complete reply, with a content length if its status allows a body."""
+        self._check_not_begun()
         head = self._head(status, headers)
         if not 100 <= status < 200 and status not in (204, 304):
             head += b"content-length: %d\r\n" % len(body)
@@ -72,6 +79,7 @@
     @callback
     def begin(self, status: int, headers: HeaderPairs) -> None:
         """Send the head of a chunked reply, whose length is not known in advance."""
+        self._check_not_begun()
         self.is_chunked = True
         self.phase = ReplyPhase.HEAD_SENT
         head = self._head(status, headers)
@@ -99,6 +107,10 @@
         """Wait until the write buffer has room, if the caller reads slowly."""
         await self.connection.async_drain()
 
+    def _check_not_begun(self) -> None:
+        if self.phase is not ReplyPhase.NOT_STARTED:
+            raise ReplyBegunError(f"the reply is in the phase {self.phase.name}")
+
     def _head(self, status: int, headers: HeaderPairs) -> bytes:
         if self.connection.is_draining:
             self.is_closing = True
