--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -83,6 +83,34 @@
     assert not reply.is_complete
 
 
+@pytest.mark.parametrize(
+    "error",
+    [
+        ScriptedExchange(status=404, body=[b"nothing here\n\n"]),
+        ScriptedExchange(status=500, body=[b"error\n\n"]),
+        ScriptedExchange(status=503, says_not_run=True),
+        ScriptedExchange(status=204, body=[]),
+        ScriptedExchange(body=[b"error: no memory\n\n"]),
+        ScriptedExchange(body=[], is_framed=False),
+    ],
+)
+async def test_error_at_the_helper_stays_out_of_a_stream_that_has_begun(
+    pair: ForwardingPair, error: ScriptedExchange
+) -> None:
+    """The helper's first target breaks off, and its next one answers with an error."""
+    for vm in (pair.helper, pair.cut):
+        for name in ("e1", "e2"):
+            vm.view.targets.update(engine(name), vm.clock.monotonic())
+    pair.keep_cut(pair.cut)
+    begun = ScriptedExchange(body=[b"id: 1\n\n", LOST])
+    pair.targets.answers = [begun, error]
+    reply = await serve(pair, "/s/x")
+    assert len(pair.targets.sent) == 2
+    assert reply.body == b"id: 1\n\n"
+    assert reply.is_aborted
+    assert not reply.is_complete
+
+
 async def test_stream_that_has_begun_is_not_forwarded_when_links_are_cut(
     pair: ForwardingPair,
 ) -> None:
