--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -14,7 +14,7 @@
     STALL_SECONDS,
     TIMEOUT_MARGIN_SECONDS,
 )
-from gypsumsail.gateway.events import EventSplitter
+from gypsumsail.gateway.events import EventSplitter, InvalidEventError
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import CallKind
 from gypsumsail.gateway.outcomes import (
@@ -34,6 +34,8 @@
     from gypsumsail.gateway.coordinator import Gateway
 
 FIRST_ERROR_STATUS = 500
+STREAM_STATUS = 200
+"""The only status with which a target goes on with a stream."""
 
 
 class JobSend:
@@ -140,11 +142,22 @@
             return Broken(reason=f"status {head.status} without a not-run statement")
         if head.status < 300 and not head.is_signed:
             return Broken(reason="the answer lacks the signature of the target")
+        if self._must_go_on(head) and head.status != STREAM_STATUS:
+            self.state.record_failure(self.clock.monotonic())
+            return Broken(reason=f"status {head.status} in place of more events")
         is_stream = self.job.route.kind is CallKind.STREAM and head.status < 300
         if is_stream:
             return await self._async_stream(exchange, head)
         return await self._async_whole_answer(exchange, head)
 
+    def _must_go_on(self, head: AnswerHead) -> bool:
+        """Return whether only more events of the caller's stream can be forwarded.
+
+        A caller that takes up a stream may also be given an error.
+        """
+        is_success = head.status < 300
+        return self.reply.has_begun or (is_success and bool(self.job.resume_after))
+
     async def _async_head(self, exchange: Exchange) -> AnswerHead | None:
         """Return the head; ``None`` if another target should be tried instead."""
         check_at = self.sent_at + self._check_interval()
@@ -239,21 +252,20 @@
         return Delivered(status=head.status)
 
     async def _async_stream(self, exchange: Exchange, head: AnswerHead) -> SendOutcome:
-        splitter = EventSplitter()
-        while data := await exchange.async_read():
-            events = splitter.feed(data)
-            if not events:
-                continue
-            self._record_progress(head)
-            if not self.reply.has_begun:
-                self.reply.begin(head.status, head.headers)
-            self.reply.write(events)
-            if splitter.last_id:
-                self.job.resume_after = splitter.last_id
-            await self.reply.async_drain()
-        # A caller that takes up a stream may have its last event already.
-        may_be_empty = bool(self.job.resume_after) and head.is_framed
-        if splitter.has_partial or not (self.reply.has_begun or may_be_empty):
+        splitter = EventSplitter(last_id=self.job.resume_after)
+        try:
+            has_events = await self._async_forward_events(exchange, head, splitter)
+        except InvalidEventError as err:
+            self.state.record_failure(self.clock.monotonic())
+            return Broken(reason=str(err))
+        finally:
+            if splitter.has_bytes:
+                self.job.is_event_cut = splitter.has_partial
+        # The caller may have the last event of the stream already.
+        may_be_empty = (
+            bool(self.job.resume_after) and head.is_framed and not self.job.is_event_cut
+        )
+        if splitter.has_partial or not (has_events or may_be_empty):
             if not head.is_framed:
                 self._record_crash()
             return Broken(reason="the stream ended before an event was complete")
@@ -266,6 +278,25 @@
         self.reply.end()
         return Delivered(status=head.status)
 
+    async def _async_forward_events(
+        self, exchange: Exchange, head: AnswerHead, splitter: EventSplitter
+    ) -> bool:
+        """Forward events until the answer ends; return whether there were any."""
+        has_events = False
+        while data := await exchange.async_read():
+            events = splitter.feed(data)
+            if not events:
+                continue
+            has_events = True
+            self._record_progress(head)
+            if not self.reply.has_begun:
+                self.reply.begin(head.status, head.headers)
+            self.reply.write(events)
+            if splitter.last_id:
+                self.job.resume_after = splitter.last_id
+            await self.reply.async_drain()
+        return has_events
+
     def _record_crash(self) -> None:
         if not self.has_begun:
             self.gateway.record_unanswered_crash(self.state, self.crash_orders)
