Forward headers of the request that a Connection header names

Seen: with "Connection: gypsumsail-request-id" (or host) the call reached the target without its id (or host): a strict target ended the connection, the caller got 502. With gypsumsail-model, -token-count, -prompt-prefix, -length-hint, resumes or content-type in that header the target ran the request without what the caller had sent.

Cause: `parse_call` removed every header that the Connection header names. That is right for headers of one connection only; a sender must not name others (RFC 9110, 7.6.1). Headers that make the request what it is are now kept.

Evidence: the 8 cases of test_connection_header_strips_no_header_of_the_request failed on the code before, and pass now; a header X-Hop named there is still removed.

--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -98,12 +98,14 @@
 
 
 def _connection_options(request: HttpRequest) -> set[bytes]:
-    return {
+    """Return the headers that the caller sent for this connection only."""
+    options = {
         item.strip().lower()
         for name, value in request.headers
         if name.lower() == b"connection"
         for item in value.split(b",")
     }
+    return options - names.END_TO_END_HEADERS
 
 
 def _split_request_target(request_target: bytes) -> tuple[bytes, str]:
--- a/src/gypsumsail/platform/names.py
+++ b/src/gypsumsail/platform/names.py
@@ -37,6 +37,26 @@
 """Number of the store's restores from an older copy, in all of its answers."""
 WEIGHT_VERSIONS_HEADER: Final = b"gypsumsail-weight-versions"
 
+LENGTH_HINT_HEADER: Final = b"gypsumsail-length-hint"
+
+END_TO_END_HEADERS: Final = frozenset(
+    {
+        REQUEST_ID_HEADER,
+        MODEL_HEADER,
+        TOKEN_COUNT_HEADER,
+        PROMPT_PARTS_HEADER,
+        LENGTH_HINT_HEADER,
+        RESUMES_HEADER,
+        b"host",
+        b"content-type",
+    }
+)
+"""Headers that reach the target even if a caller's ``Connection`` header names them.
+
+A sender must not name headers of the request there (RFC 9110, 7.6.1), and without these
+the target would run another request.
+"""
+
 CONNECTION_HEADERS: Final = frozenset(
     {
         b"connection",
--- a/tests/platform/test_caller_border.py
+++ b/tests/platform/test_caller_border.py
@@ -6,6 +6,41 @@
 
 from tests.platform.common import Border, encode_head, head_lines
 
+KEPT_NAMES = [
+    b"Gypsumsail-Request-Id",
+    b"Gypsumsail-Model",
+    b"Gypsumsail-Token-Count",
+    b"Gypsumsail-Prompt-Prefix",
+    b"Gypsumsail-Length-Hint",
+    b"Host",
+    b"Content-Type",
+    b"Resumes",
+]
+"""Headers that a target must get as the caller sent them."""
+
+
+@pytest.mark.parametrize("name", KEPT_NAMES)
+async def test_connection_header_strips_no_header_of_the_request(name: bytes) -> None:
+    lines = [
+        *head_lines(
+            b"Gypsumsail-Model: m0",
+            b"Gypsumsail-Token-Count: 4,2",
+            b"Gypsumsail-Prompt-Prefix: 5c1e:4",
+            b"Gypsumsail-Length-Hint: 2",
+            b"Content-Type: text/plain",
+            b"Resumes: 1",
+            b"X-Hop: 1",
+            b"Content-Length: 4",
+        ),
+        b"Connection: keep-alive, X-Hop, " + name,
+    ]
+    async with Border().serving() as border:
+        found = await border.async_send(encode_head(lines) + b"body")
+    assert found.startswith(b"HTTP/1.1 200")
+    [request] = border.target.requests
+    assert len(request.values(name.lower())) == 1
+    assert not request.values(b"x-hop")
+
 
 @pytest.mark.parametrize(
     "version", [b"HTTP/2.0", b"HTTP/0.9", b"HTTP/1.2", b"HTTP/3.0", b"ICE/1.0", b""]
