Match answers to ids of any bytes

Seen: a call whose id holds bytes above 127 ran, but its answer was skipped as one to another call, and the caller got 502 after the deadline, with another id in the answer. An id that begins or ends with the byte 0x85 or 0xa0 likewise.

Cause: the id was decoded as Latin-1, stripped of what is whitespace in Unicode, and encoded as UTF-8 for the comparison and for the answer. It is now encoded as it was decoded, and only spaces and tabs are removed around it. Last-Event-Id had the same fault.

--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -43,6 +43,8 @@
         b"authorization",
     }
 )
+OPTIONAL_WHITESPACE: Final = b" \t"
+"""Whitespace around a header value that is no part of it (RFC 9110, 5.5)."""
 NO_STORE_MARK: Final = b"-"
 """Stands for a part of the prompt for which no store is used."""
 
@@ -66,7 +68,7 @@
                 raise InvalidRequestError(
                     f"header {key.decode()} occurs more than once"
                 )
-            header_values[key] = value.decode("latin-1").strip()
+            header_values[key] = value.strip(OPTIONAL_WHITESPACE).decode("latin-1")
         if key == b"host":
             host = value.decode("latin-1").strip()
         if (
@@ -173,7 +175,8 @@
     if terms.customer:
         lines.append(b"Gypsumsail-Tenant: %b" % terms.customer.encode())
     if terms.resume_after:
-        lines.append(b"Last-Event-Id: %b" % terms.resume_after.encode())
+        event_id = terms.resume_after.encode("latin-1", "replace")
+        lines.append(b"Last-Event-Id: %b" % event_id)
     if call.prompt is not None:
         lines += _encode_prompt_headers(terms)
     if call.body or call.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -309,7 +312,8 @@
         request = encode_request(call, target, terms)
         # The connection skips responses with another request ID, such as a late second
         # answer to an earlier call.
-        connection.send(request, (names.REQUEST_ID_HEADER, call.request_id.encode()))
+        request_id = call.request_id.encode("latin-1")
+        connection.send(request, (names.REQUEST_ID_HEADER, request_id))
         return TargetExchange(pool, connection, self.clock)
 
     async def async_check(self, target: TargetEntry) -> None:
@@ -387,5 +391,5 @@
         if self.request_id and not any(
             key == names.REQUEST_ID_HEADER for key, _ in pairs
         ):
-            pairs.append((names.REQUEST_ID_HEADER, self.request_id.encode()))
+            pairs.append((names.REQUEST_ID_HEADER, self.request_id.encode("latin-1")))
         return pairs
--- a/tests/platform/test_caller_border.py
+++ b/tests/platform/test_caller_border.py
@@ -42,6 +42,58 @@
     assert not request.values(b"x-hop")
 
 
+@pytest.mark.parametrize(
+    "request_id",
+    [
+        b"\xe9t\xe9",
+        b"a\xa0",
+        b"\x85a",
+        b"a, b",
+        b"a b\tc",
+        b'a;b="c"',
+        b"i" * 1_000,
+        b"\xc3\xa9",
+    ],
+)
+async def test_id_of_any_bytes_reaches_the_target_and_its_answer_the_caller(
+    request_id: bytes,
+) -> None:
+    lines = [
+        b"GET /a/x HTTP/1.1",
+        b"Host: h.example",
+        b"Gypsumsail-Request-Id: " + request_id,
+        b"Gypsumsail-Deadline-Ms: 900",
+    ]
+    async with Border().serving() as border:
+        found = await border.async_send(encode_head(lines))
+    assert [item.request_id for item in border.target.requests] == [request_id]
+    assert found.startswith(b"HTTP/1.1 200")
+    assert found.lower().count(b"gypsumsail-request-id: " + request_id.lower()) == 1
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        None,
+        b"Gypsumsail-Request-Id:",
+        b"Gypsumsail-Request-Id: \t ",
+        b"Gypsumsail-Request-Id: a\r\ngypsumsail-request-id: b",
+        b"Gypsumsail-Request-Id: a\r\nGYPSUMSAIL-REQUEST-ID: a",
+        b"Gypsumsail-Request-Id : a",
+        b"Gypsumsail-Request-Id: a\r\n b",
+        b"Gypsumsail_Request_Id: a",
+    ],
+)
+async def test_request_without_one_id_reaches_no_target(line: bytes | None) -> None:
+    lines = [b"GET /a/x HTTP/1.1", b"Host: h.example"]
+    if line is not None:
+        lines.append(line)
+    async with Border().serving() as border:
+        found = await border.async_send(encode_head(lines))
+    assert found.startswith(b"HTTP/1.1 400")
+    assert not border.target.requests
+
+
 @pytest.mark.parametrize(
     "version", [b"HTTP/2.0", b"HTTP/0.9", b"HTTP/1.2", b"HTTP/3.0", b"ICE/1.0", b""]
 )
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -170,6 +170,19 @@
         assert lines.count(line) == 1, line
 
 
+def test_last_event_id_of_any_bytes_is_encoded_as_it_came() -> None:
+    headers = [
+        (name, b"\xe9\xa0" if name == b"Last-Event-Id" else value)
+        for name, value in HEADERS
+    ]
+    call = parse_call(request(headers))
+    terms = SendTerms(
+        time_left=1, customer="a", priority=1, resume_after=call.resume_after
+    )
+    sent = encode_request(call, engine(), terms)
+    assert b"\r\nLast-Event-Id: \xe9\xa0\r\n" in sent
+
+
 def test_answer_head_is_parsed() -> None:
     async def read() -> AnswerHead:
         connection = ExchangeConnection()
