Forward the path of an absolute request target byte for byte

Seen: the target of "POST http://HOST/x?" ran "/x", without the empty query. A call whose absolute target names another host than its Host header took the route of the target, but carried the Host header to the target of that route; when it was forwarded, the other VM took the route of the Host header and answered 404. A target with a bracket in its host, such as "http://[/a", was answered 500.

Cause: the target was taken apart and put together again by a function for URLs, which loses empty parts and raises for some hosts; and the host of the target, which replaces that of the header (RFC 9112, 3.2.2), was not kept with the headers.

The target is now split once, by bytes, and the Host header replaced.

Evidence: 5 of the 13 new cases in tests/platform/test_caller_border.py and test_absolute_target_chooses_the_same_route_at_the_helper failed on the code before, and pass now.

--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final
-from urllib.parse import urlsplit
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
@@ -47,6 +47,10 @@
 """Whitespace around a header value that is no part of it (RFC 9110, 5.5)."""
 NO_STORE_MARK: Final = b"-"
 """Stands for a part of the prompt for which no store is used."""
+_ABSOLUTE_TARGET: Final = re.compile(
+    rb"(?i:https?)://([^/?#@\[\]]+|\[[0-9A-Fa-f:.]+\](?::[0-9]*)?)([/?#].*|)"
+)
+"""Authority without user information, and the rest of an absolute request target."""
 
 
 def parse_call(request: HttpRequest) -> Call:
@@ -61,7 +65,11 @@
     connection_options = _connection_options(request)
     forwarded = []
     host = ""
-    for name, value in request.headers:
+    request_target, authority = _split_request_target(request.target)
+    received = tuple(request.headers)
+    if authority:
+        received = _replace_host(received, authority)
+    for name, value in received:
         key = name.lower()
         if key in SINGLE_VALUE_HEADERS:
             if key in header_values:
@@ -77,13 +85,11 @@
             and key not in connection_options
         ):
             forwarded.append((name, value))
-    request_target, absolute_host = _split_request_target(request.target)
-    host = (absolute_host or host).lower()
     return Call(
         request_id=header_values.get(names.REQUEST_ID_HEADER, ""),
         method=request.method,
         target=request_target,
-        host=host.partition(":")[0],
+        host=host.lower().partition(":")[0],
         path=request_target.partition(b"?")[0].decode("latin-1"),
         headers=tuple(forwarded),
         body=request.body,
@@ -95,7 +101,7 @@
         prompt=_parse_prompt(header_values),
         resume_after=header_values.get(names.LAST_EVENT_ID_HEADER, ""),
         resumes=header_values.get(names.RESUMES_HEADER, ""),
-        received_headers=tuple(request.headers),
+        received_headers=received,
     )
 
 
@@ -110,18 +116,24 @@
     return options - names.END_TO_END_HEADERS
 
 
-def _split_request_target(request_target: bytes) -> tuple[bytes, str]:
-    """Return the path with the query, and the host of an absolute request target."""
+def _split_request_target(request_target: bytes) -> tuple[bytes, bytes]:
+    """Return the path with the query, and the authority of an absolute target."""
     if request_target.startswith(b"/"):
-        return request_target, ""
-    parts = urlsplit(request_target.decode("latin-1"))
-    if parts.scheme not in ("http", "https") or not parts.netloc:
+        return request_target, b""
+    match = _ABSOLUTE_TARGET.fullmatch(request_target)
+    if match is None:
         raise InvalidRequestError(
             "the request target is neither a path nor an absolute HTTP URL"
         )
-    path = parts.path or "/"
-    query = f"?{parts.query}" if parts.query else ""
-    return f"{path}{query}".encode("latin-1"), parts.netloc
+    authority, rest = match.groups()
+    return rest if rest.startswith(b"/") else b"/" + rest, authority
+
+
+def _replace_host(headers: HeaderPairs, host: bytes) -> HeaderPairs:
+    """Return the headers with the host of an absolute target (RFC 9112, 3.2.2)."""
+    return tuple(
+        (name, host if name.lower() == b"host" else value) for name, value in headers
+    )
 
 
 def _parse_api_key(authorization: str) -> str:
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -11,7 +11,13 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.job import Job
 from gypsumsail.gateway.targets import TargetState
-from tests.forwarding.common import ForwardingPair, async_wait_until, routes
+from gypsumsail.platform.calls import parse_call
+from tests.forwarding.common import (
+    ForwardingPair,
+    async_wait_until,
+    caller_request,
+    routes,
+)
 from tests.gateway.common import (
     RecordedReply,
     ScriptedExchange,
@@ -262,3 +268,17 @@
     reply = await serve(pair)
     assert reply.status == 200
     assert not pair.targets.sent
+
+
+async def test_absolute_target_chooses_the_same_route_at_the_helper(
+    pair: ForwardingPair,
+) -> None:
+    """The host of the target counts, not that of the Host header."""
+    pair.targets.answers = [ScriptedExchange()]
+    request = caller_request("http://h.example/a/x")
+    request.headers[0] = (b"Host", b"other.example")
+    request.received_at = pair.cut.clock.monotonic()
+    reply = RecordedReply()
+    await pair.cut.async_handle(parse_call(request), reply)
+    assert reply.status == 200
+    assert pair.targets.sent[0].call.target == b"/a/x"
--- a/tests/platform/test_caller_border.py
+++ b/tests/platform/test_caller_border.py
@@ -94,6 +94,57 @@
     assert not border.target.requests
 
 
+@pytest.mark.parametrize(
+    ("sent", "expected"),
+    [
+        (b"http://h.example/a/x", b"/a/x"),
+        (b"HTTP://h.example/a/x?", b"/a/x?"),
+        (b"http://h.example/a/x??b=//c", b"/a/x??b=//c"),
+        (b"http://h.example:80/a/x;p=1?q", b"/a/x;p=1?q"),
+        (b"http://h.example/a//x/../y", b"/a//x/../y"),
+        (b"http://h.example/a/%2e%0d%0a", b"/a/%2e%0d%0a"),
+    ],
+)
+async def test_absolute_target_reaches_the_target_byte_for_byte(
+    sent: bytes, expected: bytes
+) -> None:
+    data = encode_head(head_lines(b"Content-Length: 0", target_text=sent))
+    async with Border().serving() as border:
+        await border.async_send(data)
+    assert [item.target for item in border.target.requests] == [expected]
+
+
+async def test_absolute_target_replaces_the_host() -> None:
+    """The route is chosen by the target's host, which is the only one then."""
+    data = encode_head(
+        head_lines(b"Content-Length: 0", target_text=b"http://other.example/b?c")
+    )
+    async with Border().serving() as border:
+        await border.async_send(data)
+    [request] = border.target.requests
+    assert request.values(b"host") == [b"other.example"]
+    assert request.target == b"/b?c"
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"*",
+        b"ftp://h.example/a/x",
+        b"http:///a/x",
+        b"http://[/a/x",
+        b"http://[::1/a/x",
+        b"http://h.example[/a/x",
+    ],
+)
+async def test_other_form_of_target_is_rejected(sent: bytes) -> None:
+    data = encode_head(head_lines(b"Content-Length: 0", target_text=sent))
+    async with Border().serving() as border:
+        found = await border.async_send(data)
+    assert found.startswith(b"HTTP/1.1 400")
+    assert not border.target.requests
+
+
 @pytest.mark.parametrize(
     "version", [b"HTTP/2.0", b"HTTP/0.9", b"HTTP/1.2", b"HTTP/3.0", b"ICE/1.0", b""]
 )
