Drop headers that servers may take for one of the system's

Seen: a caller's Gypsumsail_Tenant, Kv_From, Transfer_Encoding or the like was sent to the target. Servers that read an underscore in a name as a hyphen, as CGI does, take it for the header that only the system may set, or for a second framing.

Cause: callers' headers were compared with the system's names as they were spelled. No target of the platform is known to read names in that way, so this is hardening.

Evidence: the 7 cases of test_name_with_underscores_stands_for_no_other_header failed on the code before, and pass now; other names with underscores are forwarded as before. That bodies of GET, DELETE, POST, PUT and OPTIONS have one framing was so before (10 cases).

--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -83,6 +83,7 @@
             key not in names.CONNECTION_HEADERS
             and key not in names.STRIPPED_REQUEST_HEADERS
             and key not in connection_options
+            and not _resembles_known_header(key)
         ):
             forwarded.append((name, value))
     return Call(
@@ -105,6 +106,11 @@
     )
 
 
+def _resembles_known_header(key: bytes) -> bool:
+    """Return whether a server that reads ``_`` as ``-`` takes a name for another."""
+    return b"_" in key and key.replace(b"_", b"-") in names.KNOWN_REQUEST_HEADERS
+
+
 def _connection_options(request: HttpRequest) -> set[bytes]:
     """Return the headers that the caller sent for this connection only."""
     options = {
--- a/src/gypsumsail/platform/names.py
+++ b/src/gypsumsail/platform/names.py
@@ -99,6 +99,10 @@
 last four are reserved by the platform, and the gateway does not use them.
 """
 
+KNOWN_REQUEST_HEADERS: Final = (
+    CONNECTION_HEADERS | STRIPPED_REQUEST_HEADERS | END_TO_END_HEADERS
+)
+
 READY_PATH: Final = b"/v1/readyz"
 OBJECTS_PATH: Final = "/v1/objects"
 REPORT_PATH: Final = "/v1/report"
--- a/tests/platform/test_caller_border.py
+++ b/tests/platform/test_caller_border.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.platform.common import Border, encode_head, head_lines
+from tests.platform.common import ID, Border, encode_head, head_lines
 
 KEPT_NAMES = [
     b"Gypsumsail-Request-Id",
@@ -199,9 +199,54 @@
     assert not border.target.requests
 
 
+@pytest.mark.parametrize(
+    "name",
+    [
+        b"Gypsumsail_Tenant",
+        b"Gypsumsail_Target-Instance",
+        b"Kv_From",
+        b"Content_Length",
+        b"Transfer_Encoding",
+        b"Gypsumsail_Request_Id",
+        b"Gypsumsail_Model",
+    ],
+)
+async def test_name_with_underscores_stands_for_no_other_header(name: bytes) -> None:
+    """Some servers read an underscore in a name as a hyphen."""
+    lines = head_lines(b"Content-Length: 4", name + b": 1")
+    async with Border().serving() as border:
+        await border.async_send(encode_head(lines) + b"body")
+    [request] = border.target.requests
+    assert not request.values(name.lower())
+    assert request.request_id == ID
+
+
+@pytest.mark.parametrize("method", [b"GET", b"DELETE", b"POST", b"PUT", b"OPTIONS"])
+@pytest.mark.parametrize("body", [b"", b"\r\n\r\nGET /b HTTP/1.1\r\n\r\n"])
+async def test_body_of_each_method_has_one_framing(method: bytes, body: bytes) -> None:
+    lines = [
+        method + b" /a/x HTTP/1.1",
+        *head_lines()[1:],
+        b"Content-Length: %d" % len(body),
+    ]
+    async with Border().serving() as border:
+        found = await border.async_send(encode_head(lines) + body)
+    assert found.startswith(b"HTTP/1.1 200")
+    [request] = border.target.requests
+    assert (request.method, request.body) == (method, body)
+    assert not border.target.malformed
+
+
 async def test_bytes_after_a_request_that_closes_do_not_drop_it() -> None:
     data = encode_head(head_lines(b"Content-Length: 4", b"Connection: close")) + b"body"
     async with Border().serving() as border:
         found = await border.async_send(data + b"\r\nGET /b HTTP/1.1\r\n")
     assert found.startswith(b"HTTP/1.1 200")
     assert [item.body for item in border.target.requests] == [b"body"]
+
+
+async def test_other_name_with_underscores_is_forwarded() -> None:
+    lines = head_lines(b"Content-Length: 0", b"X_Trace_Id: 1")
+    async with Border().serving() as border:
+        await border.async_send(encode_head(lines))
+    assert border.target.requests[0].values(b"x_trace_id") == [b"1"]
