Don't wait for the body of an answer to HEAD

Seen: a HEAD call whose target stated the length of a body, which the answer to HEAD must not carry, got no answer before its deadline, and held up what was pipelined behind it. A chunked reply to HEAD carried its chunks, which the caller would read as the next answer.

Cause: the parser of answers doesn't know the method and waits for the body; chunks were written whatever the method. The reply states no length, since that of the body that GET would bring isn't known.

--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -265,14 +265,26 @@
 
 
 class TargetExchange:
-    """A call to a target over a pooled connection."""
+    """A call to a target over a pooled connection.
+
+    Attributes
+    ----------
+    has_body
+        Whether the answer has a body; that to HEAD has none, whatever its length says.
+    """
 
     def __init__(
-        self, pool: ExchangePool, connection: ExchangeConnection, clock: Clock
+        self,
+        pool: ExchangePool,
+        connection: ExchangeConnection,
+        clock: Clock,
+        *,
+        has_body: bool = True,
     ) -> None:
         self.pool = pool
         self.connection = connection
         self.clock = clock
+        self.has_body = has_body
 
     async def async_head(self) -> AnswerHead:
         """Wait for the status and headers of the answer."""
@@ -281,10 +293,14 @@
 
     async def async_read(self) -> bytes:
         """Return the next bytes of the body; empty at its end."""
+        if not self.has_body:
+            return b""
         return await self.connection.async_read()
 
     async def async_read_all(self, limit: int) -> bytes:
         """Return the complete body of at most ``limit`` bytes."""
+        if not self.has_body:
+            return b""
         return await self.connection.async_read_all(limit)
 
     @callback
@@ -332,7 +348,8 @@
         # answer to an earlier call.
         request_id = call.request_id.encode("latin-1")
         connection.send(request, (names.REQUEST_ID_HEADER, request_id))
-        return TargetExchange(pool, connection, self.clock)
+        has_body = call.method != b"HEAD"
+        return TargetExchange(pool, connection, self.clock, has_body=has_body)
 
     async def async_check(self, target: TargetEntry) -> None:
         """Check that a target accepts connections.
--- a/src/gypsumsail/transport/http_reply.py
+++ b/src/gypsumsail/transport/http_reply.py
@@ -45,6 +45,8 @@
     ----------
     phase
         Progress of the reply; the connection is closed after an incomplete reply.
+    has_body
+        Whether a body is sent; the reply to HEAD has none.
     is_closing
         Whether the connection is closed after this reply.
     common_headers
@@ -55,6 +57,7 @@
         self.connection = connection
         self.request = request
         self.phase = ReplyPhase.NOT_STARTED
+        self.has_body = request.method != b"HEAD"
         self.is_chunked = False
         self.is_closing = not request.keep_alive
         self.common_headers: HeaderPairs = []
@@ -63,11 +66,11 @@
     def send(self, status: int, headers: HeaderPairs, body: bytes) -> None:
         """Send a complete reply, with a content length if its status allows a body."""
         head = self._head(status, headers)
-        if not 100 <= status < 200 and status not in (204, 304):
+        is_counted = self.has_body and status // 100 != 1 and status not in (204, 304)
+        if is_counted:
             head += b"content-length: %d\r\n" % len(body)
-        has_body = self.request.method != b"HEAD"
         self.phase = ReplyPhase.COMPLETE
-        self.connection.write(head + b"\r\n" + (body if has_body else b""))
+        self.connection.write(head + b"\r\n" + (body if self.has_body else b""))
 
     @callback
     def begin(self, status: int, headers: HeaderPairs) -> None:
@@ -80,14 +83,15 @@
     @callback
     def write(self, data: bytes) -> None:
         """Send a chunk of the body."""
-        if data:
+        if data and self.has_body:
             self.connection.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     @callback
     def end(self) -> None:
         """Send the final chunk, which completes the body."""
         self.phase = ReplyPhase.COMPLETE
-        self.connection.write(b"0\r\n\r\n")
+        if self.has_body:
+            self.connection.write(b"0\r\n\r\n")
 
     @callback
     def abort(self) -> None:
--- a/tests/platform/common.py
+++ b/tests/platform/common.py
@@ -98,6 +98,8 @@
 class StrictTarget:
     """Target that records what it reads, and answers with the request's body.
 
+    It answers HEAD with the length of a body that it doesn't send.
+
     Attributes
     ----------
     malformed
@@ -142,7 +144,8 @@
             b"Gypsumsail-Request-Id: " + value
             for value in request.values(b"gypsumsail-request-id")
         ]
-        lines.append(b"Content-Length: %d" % len(request.body))
+        length = 4 if request.method == b"HEAD" else len(request.body)
+        lines.append(b"Content-Length: %d" % length)
         return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
 
 
--- a/tests/platform/test_caller_border.py
+++ b/tests/platform/test_caller_border.py
@@ -250,3 +250,16 @@
     async with Border().serving() as border:
         await border.async_send(encode_head(lines))
     assert border.target.requests[0].values(b"x_trace_id") == [b"1"]
+
+
+async def test_answer_to_head_has_no_body() -> None:
+    head = encode_head([b"HEAD /a/x HTTP/1.1", *head_lines()[1:]])
+    following = encode_head(head_lines(b"Content-Length: 4")) + b"next"
+    async with Border().serving() as border:
+        found = await border.async_send(head + following, answers=2)
+    assert [item.method for item in border.target.requests] == [b"HEAD", b"POST"]
+    first, second = found.split(b"HTTP/1.1 ")[1:]
+    assert first.startswith(b"200")
+    assert first.endswith(b"\r\n\r\n")
+    assert b"content-length" not in first
+    assert second.endswith(b"\r\n\r\nnext")
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -199,6 +199,20 @@
     assert b"0\r\n\r\n" not in found
 
 
+async def test_chunked_reply_to_head_has_no_body() -> None:
+    async def stream(request: HttpRequest, reply: Reply) -> None:
+        reply.begin(200, [])
+        reply.write(b"part")
+        reply.end()
+
+    server = HttpServer(stream, LIMITS, SystemClock())
+    await server.async_start("127.0.0.1", 0)
+    found = await send_and_receive(server, request(b"", method="HEAD"), wait=0.3)
+    await server.async_stop()
+    assert found.endswith(b"\r\n\r\n")
+    assert found.count(b"\r\n\r\n") == 1
+
+
 async def test_handler_exception_results_in_status_500() -> None:
     async def failing(request: HttpRequest, reply: Reply) -> None:
         raise ValueError("unforeseen")
