Check the headers of forwarded calls as those of callers

Seen: at the port between VMs a call with two Host headers, or with both a length and a transfer encoding, was served (200) or routed by the last host (404). At the callers' port such a request is rejected.

Cause: the framing check is a part of the callers' port, and only the bytes of headers were checked between VMs. A VM forwards only what has passed its own port, so no caller could use this without access to the control port.

Evidence: the 4 cases of test_headers_that_callers_may_not_send_are_rejected_between_vms failed on the code before, and pass now.

--- a/src/gypsumsail/forwarding/endpoint.py
+++ b/src/gypsumsail/forwarding/endpoint.py
@@ -20,7 +20,12 @@
 from gypsumsail.gateway.models import Call
 from gypsumsail.gateway.port import CallerReply
 from gypsumsail.transport.http_reply import Reply
-from gypsumsail.transport.http_request import HttpRequest
+from gypsumsail.transport.http_request import (
+    CHUNKED_VERSION,
+    HttpRequest,
+    RefusedError,
+    check_framing,
+)
 
 
 class ForwardEndpoint:
@@ -55,7 +60,7 @@
         try:
             message = decode_forward(request.body)
             call = self._call(message, request.received_at)
-        except (ValueInvalidError, InvalidRequestError) as err:
+        except (ValueInvalidError, InvalidRequestError, RefusedError) as err:
             self.gateway.telemetry.forward_invalid(str(err))
             reply.send(400, [], b"")
             return
@@ -73,7 +78,11 @@
             self.in_progress -= 1
 
     def _call(self, message: ForwardMessage, received_at: float) -> Call:
-        """Read the caller's request as if it had come to this VM."""
+        """Read the caller's request as if it had come to this VM.
+
+        Raises RefusedError for headers that the port for callers rejects.
+        """
+        check_framing(CHUNKED_VERSION, list(message.headers))
         call = self.read_call(
             HttpRequest(
                 method=message.method,
--- a/src/gypsumsail/transport/http_request.py
+++ b/src/gypsumsail/transport/http_request.py
@@ -58,7 +58,7 @@
     """A request is rejected while it is being read."""
 
     def __init__(self, status: int) -> None:
-        super().__init__(status)
+        super().__init__(f"the request is refused with status {status}")
         self.status = status
 
 
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gypsumsail.core.errors import TransportError
+from gypsumsail.gateway.forwarding import ForwardTerms
 from gypsumsail.gateway.job import Job
 from gypsumsail.gateway.targets import TargetState
 from gypsumsail.platform.calls import parse_call
@@ -19,6 +20,7 @@
     routes,
 )
 from tests.gateway.common import (
+    PORTAL,
     RecordedReply,
     ScriptedExchange,
     ScriptedTargets,
@@ -282,3 +284,29 @@
     await pair.cut.async_handle(parse_call(request), reply)
     assert reply.status == 200
     assert pair.targets.sent[0].call.target == b"/a/x"
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [(b"Host", b"other.example")],
+        [(b"hOST", b"h.example")],
+        [(b"Content-Length", b"4"), (b"Transfer-Encoding", b"chunked")],
+        [(b"Content-Length", b"4"), (b"Content-Length", b"4")],
+    ],
+)
+async def test_headers_that_callers_may_not_send_are_rejected_between_vms(
+    pair: ForwardingPair, headers: list[tuple[bytes, bytes]]
+) -> None:
+    pair.targets.answers = [ScriptedExchange()]
+    call = pair.call()
+    call = replace(call, received_headers=(*call.received_headers, *headers))
+    terms = ForwardTerms(
+        service=PORTAL, document_revision=1, max_targets=1, time_left=2.0, build=""
+    )
+    assert pair.client is not None
+    exchange = await pair.client.async_forward("127.0.0.1", call, terms)
+    head = await exchange.async_head()
+    exchange.finish()
+    assert head.status == 400
+    assert not pair.targets.sent
