--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final
-from urllib.parse import urlsplit
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
@@ -43,8 +43,14 @@
         b"authorization",
     }
 )
+OPTIONAL_WHITESPACE: Final = b" \t"
+"""Whitespace around a header value that is no part of it (RFC 9110, 5.5)."""
 NO_STORE_MARK: Final = b"-"
 """Stands for a part of the prompt for which no store is used."""
+_ABSOLUTE_TARGET: Final = re.compile(
+    rb"(?i:https?)://([^/?#@\[\]]+|\[[0-9A-Fa-f:.]+\](?::[0-9]*)?)([/?#].*|)"
+)
+"""Authority without user information, and the rest of an absolute request target."""
 
 
 def parse_call(request: HttpRequest) -> Call:
@@ -59,29 +65,32 @@
     connection_options = _connection_options(request)
     forwarded = []
     host = ""
-    for name, value in request.headers:
+    request_target, authority = _split_request_target(request.target)
+    received = tuple(request.headers)
+    if authority:
+        received = _replace_host(received, authority)
+    for name, value in received:
         key = name.lower()
         if key in SINGLE_VALUE_HEADERS:
             if key in header_values:
                 raise InvalidRequestError(
                     f"header {key.decode()} occurs more than once"
                 )
-            header_values[key] = value.decode("latin-1").strip()
+            header_values[key] = value.strip(OPTIONAL_WHITESPACE).decode("latin-1")
         if key == b"host":
             host = value.decode("latin-1").strip()
         if (
             key not in names.CONNECTION_HEADERS
             and key not in names.STRIPPED_REQUEST_HEADERS
             and key not in connection_options
+            and not _resembles_known_header(key)
         ):
             forwarded.append((name, value))
-    request_target, absolute_host = _split_request_target(request.target)
-    host = (absolute_host or host).lower()
     return Call(
         request_id=header_values.get(names.REQUEST_ID_HEADER, ""),
         method=request.method,
         target=request_target,
-        host=host.partition(":")[0],
+        host=host.lower().partition(":")[0],
         path=request_target.partition(b"?")[0].decode("latin-1"),
         headers=tuple(forwarded),
         body=request.body,
@@ -93,31 +102,44 @@
         prompt=_parse_prompt(header_values),
         resume_after=header_values.get(names.LAST_EVENT_ID_HEADER, ""),
         resumes=header_values.get(names.RESUMES_HEADER, ""),
-        received_headers=tuple(request.headers),
+        received_headers=received,
     )
 
 
+def _resembles_known_header(key: bytes) -> bool:
+    """Return whether a server that reads ``_`` as ``-`` takes a name for another."""
+    return b"_" in key and key.replace(b"_", b"-") in names.KNOWN_REQUEST_HEADERS
+
+
 def _connection_options(request: HttpRequest) -> set[bytes]:
-    return {
+    """Return the headers that the caller sent for this connection only."""
+    options = {
         item.strip().lower()
         for name, value in request.headers
         if name.lower() == b"connection"
         for item in value.split(b",")
     }
+    return options - names.END_TO_END_HEADERS
 
 
-def _split_request_target(request_target: bytes) -> tuple[bytes, str]:
-    """Return the path with the query, and the host of an absolute request target."""
+def _split_request_target(request_target: bytes) -> tuple[bytes, bytes]:
+    """Return the path with the query, and the authority of an absolute target."""
     if request_target.startswith(b"/"):
-        return request_target, ""
-    parts = urlsplit(request_target.decode("latin-1"))
-    if parts.scheme not in ("http", "https") or not parts.netloc:
+        return request_target, b""
+    match = _ABSOLUTE_TARGET.fullmatch(request_target)
+    if match is None:
         raise InvalidRequestError(
             "the request target is neither a path nor an absolute HTTP URL"
         )
-    path = parts.path or "/"
-    query = f"?{parts.query}" if parts.query else ""
-    return f"{path}{query}".encode("latin-1"), parts.netloc
+    authority, rest = match.groups()
+    return rest if rest.startswith(b"/") else b"/" + rest, authority
+
+
+def _replace_host(headers: HeaderPairs, host: bytes) -> HeaderPairs:
+    """Return the headers with the host of an absolute target (RFC 9112, 3.2.2)."""
+    return tuple(
+        (name, host if name.lower() == b"host" else value) for name, value in headers
+    )
 
 
 def _parse_api_key(authorization: str) -> str:
@@ -171,7 +193,8 @@
     if terms.customer:
         lines.append(b"Gypsumsail-Tenant: %b" % terms.customer.encode())
     if terms.resume_after:
-        lines.append(b"Last-Event-Id: %b" % terms.resume_after.encode())
+        event_id = terms.resume_after.encode("latin-1", "replace")
+        lines.append(b"Last-Event-Id: %b" % event_id)
     if call.prompt is not None:
         lines += _encode_prompt_headers(terms)
     if call.body or call.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -242,14 +265,26 @@
 
 
 class TargetExchange:
-    """A call to a target over a pooled connection."""
+    """A call to a target over a pooled connection.
+
+    Attributes
+    ----------
+    has_body
+        Whether the answer has a body; that to HEAD has none, whatever its length says.
+    """
 
     def __init__(
-        self, pool: ExchangePool, connection: ExchangeConnection, clock: Clock
+        self,
+        pool: ExchangePool,
+        connection: ExchangeConnection,
+        clock: Clock,
+        *,
+        has_body: bool = True,
     ) -> None:
         self.pool = pool
         self.connection = connection
         self.clock = clock
+        self.has_body = has_body
 
     async def async_head(self) -> AnswerHead:
         """Wait for the status and headers of the answer."""
@@ -258,10 +293,14 @@
 
     async def async_read(self) -> bytes:
         """Return the next bytes of the body; empty at its end."""
+        if not self.has_body:
+            return b""
         return await self.connection.async_read()
 
     async def async_read_all(self, limit: int) -> bytes:
         """Return the complete body of at most ``limit`` bytes."""
+        if not self.has_body:
+            return b""
         return await self.connection.async_read_all(limit)
 
     @callback
@@ -299,7 +338,7 @@
             Nothing was sent.
         """
         pool = self._pool(target)
-        request_id = call.request_id.encode()
+        request_id = call.request_id.encode("latin-1")
         connection = await pool.async_acquire(request_id)
         elapsed = self.clock.monotonic() - now
         if elapsed >= terms.time_left:
@@ -309,7 +348,8 @@
         # The connection skips responses with another request ID, such as a late second
         # answer to an earlier call.
         connection.send(request, (names.REQUEST_ID_HEADER, request_id))
-        return TargetExchange(pool, connection, self.clock)
+        has_body = call.method != b"HEAD"
+        return TargetExchange(pool, connection, self.clock, has_body=has_body)
 
     async def async_check(self, target: TargetEntry) -> None:
         """Check that a target accepts connections.
@@ -386,5 +426,5 @@
         if self.request_id and not any(
             key == names.REQUEST_ID_HEADER for key, _ in pairs
         ):
-            pairs.append((names.REQUEST_ID_HEADER, self.request_id.encode()))
+            pairs.append((names.REQUEST_ID_HEADER, self.request_id.encode("latin-1")))
         return pairs
--- a/src/gypsumsail/platform/names.py
+++ b/src/gypsumsail/platform/names.py
@@ -37,6 +37,26 @@
 """Number of the store's restores from an older copy, in all of its answers."""
 WEIGHT_VERSIONS_HEADER: Final = b"gypsumsail-weight-versions"
 
+LENGTH_HINT_HEADER: Final = b"gypsumsail-length-hint"
+
+END_TO_END_HEADERS: Final = frozenset(
+    {
+        REQUEST_ID_HEADER,
+        MODEL_HEADER,
+        TOKEN_COUNT_HEADER,
+        PROMPT_PARTS_HEADER,
+        LENGTH_HINT_HEADER,
+        RESUMES_HEADER,
+        b"host",
+        b"content-type",
+    }
+)
+"""Headers that reach the target even if a caller's ``Connection`` header names them.
+
+A sender must not name headers of the request there (RFC 9110, 7.6.1), and without these
+the target would run another request.
+"""
+
 CONNECTION_HEADERS: Final = frozenset(
     {
         b"connection",
@@ -79,6 +99,10 @@
 last four are reserved by the platform, and the gateway does not use them.
 """
 
+KNOWN_REQUEST_HEADERS: Final = (
+    CONNECTION_HEADERS | STRIPPED_REQUEST_HEADERS | END_TO_END_HEADERS
+)
+
 READY_PATH: Final = b"/v1/readyz"
 OBJECTS_PATH: Final = "/v1/objects"
 REPORT_PATH: Final = "/v1/report"
