Report runs in the soak that no caller asked for, and use addresses again

Change: targets record the method, path and body hash of each run; the soak compares each start of a run with what was sent (UNASKED); a second run of a call that may not be repeated is named TWICE. A context store joins the stand-ins, which engines save parts to. Existing checks: the text "ran N times" of the soak begins with TWICE now. The revoked key is checked once it has left the document instead of from version 2 on, as versions now also change for the store's address; until now both were the same.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,7 +7,13 @@
 import random
 import time
 
-from stand_ins.v1_platform import SERVER_STAMP, ExecutionLog, event_content
+from stand_ins.v1_platform import (
+    SERVER_STAMP,
+    Execution,
+    ExecutionLog,
+    RequestContent,
+    event_content,
+)
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 PATHS_BY_KIND = {"safe": "/safe/", "once": "/once/", "stream": "/stream/"}
@@ -153,9 +159,9 @@
     """Return the request of a call."""
     part = part or f"b{number % 5}"
     request_id = f"{number:016x}"
-    body = b"" if kind == "safe" else f"body of {number}".encode()
+    body = request_body(kind, number)
     lines = [
-        f"{'GET' if kind == 'safe' else 'POST'} {PATHS_BY_KIND[kind]}x HTTP/1.1",
+        f"{request_method(kind)} {request_target(kind)} HTTP/1.1",
         "Host: soak.example",
         f"Gypsumsail-Request-Id: {request_id}",
         f"Gypsumsail-Deadline-Ms: {int(deadline * 1000)}",
@@ -176,6 +182,21 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def request_method(kind: str) -> str:
+    """Return the method of a call."""
+    return "GET" if kind == "safe" else "POST"
+
+
+def request_target(kind: str) -> str:
+    """Return the path of a call."""
+    return f"{PATHS_BY_KIND[kind]}x"
+
+
+def request_body(kind: str, number: int) -> bytes:
+    """Return the body of a call."""
+    return b"" if kind == "safe" else f"body of {number}".encode()
+
+
 async def _read(reader: asyncio.StreamReader, result: CallResult) -> None:
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     status_line, *lines = head.strip().split("\r\n")
@@ -213,12 +234,34 @@
     if result.status in NOT_RUN_STATUSES and result.kind != "safe" and executions:
         problems.append(f"status {result.status} although it ran")
     if result.kind == "once" and len(executions) > 1:
-        problems.append(f"ran {len(executions)} times")
+        problems.append(f"TWICE: ran {len(executions)} times")
     if any(execution.tenant != "a" for execution in executions):
         problems.append("ran for another customer")
     return [f"{result.kind} {result.request_id}: {problem}" for problem in problems]
 
 
+def unasked_finding(kind: str | None, request_id: str, execution: Execution) -> str:
+    """Return how an execution differs from what was sent; empty if it doesn't.
+
+    Parameters
+    ----------
+    kind
+        Kind of the call that was sent with this id; ``None`` if none was.
+    """
+    method, target, _ = execution.content
+    ran = f"UNASKED: {execution.target} ran {method} {target} with id {request_id}"
+    if kind is None:
+        return f"{ran}, which no caller sent"
+    sent = RequestContent.of(
+        request_method(kind),
+        request_target(kind),
+        request_body(kind, int(request_id, 16)),
+    )
+    if execution.content != sent:
+        return f"{ran}, its caller sent {sent.method} {sent.target} or another body"
+    return ""
+
+
 def expected_body(kind: str, request_id: str, number: int) -> bytes:
     """Return the complete answer to a request."""
     if kind == "stream":
@@ -226,7 +269,7 @@
             f"id: {event}\ndata: {event_content(request_id, event)}\n\n"
             for event in range(1, 9)
         ).encode()
-    body = b"" if kind == "safe" else f"body of {number}".encode()
+    body = request_body(kind, number)
     return event_content(request_id, 0).encode() + body
 
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -33,5 +33,7 @@
 MAX_CALLS_IN_PAUSE: Final = 2
 MAX_CUT_SECONDS: Final = 3.0
 """Longest cut of VMs from all targets."""
+MAX_REUSE_SECONDS: Final = 3.0
+"""Longest time in which an address passes from one process to another."""
 MAX_DISTURBANCE_SECONDS: Final = 3.0
 """Longest freeze or cut, with the time to recover from it."""
--- a/soak/links.py
+++ b/soak/links.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
 from enum import StrEnum
 import json
 import socket
@@ -114,7 +113,7 @@
         Address at which the VM finds a target, by the address in the target's entry.
     """
 
-    def __init__(self, store: V1ObjectStore, addresses: Mapping[str, str]) -> None:
+    def __init__(self, store: V1ObjectStore, addresses: dict[str, str]) -> None:
         self.store = store
         self.addresses = addresses
         self.server = RawServer(self.async_handle)
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,15 @@
 import socket
 from time import monotonic
 
-from soak.callers import CallResult, KeptCaller, call, check_result, pick_kind
+from soak.addresses import REUSES
+from soak.callers import (
+    CallResult,
+    KeptCaller,
+    call,
+    check_result,
+    pick_kind,
+    unasked_finding,
+)
 from soak.const import (
     API_KEY,
     CALLS_PER_SECOND,
@@ -18,6 +26,7 @@
     MAX_DISTURBANCE_SECONDS,
     MAX_PAUSE_SECONDS,
     MAX_READY_POLLS,
+    MAX_REUSE_SECONDS,
     RESTORE_SHARE,
     REVOKED_API_KEY,
     SETTLE_SECONDS,
@@ -26,8 +35,11 @@
 from soak.links import Link, LinkCut, StoreView
 from soak.proxy import Impairment, Proxy
 from soak.vms import Vm
+from stand_ins.v1_context_store import V1ContextStore
 from stand_ins.v1_platform import (
+    Execution,
     ExecutionLog,
+    RequestContent,
     StoreCopy,
     Target,
     V1ObjectStore,
@@ -57,8 +69,10 @@
     histories: list[str] = field(default_factory=list)
 
 
-def routing_document(version: int, keys: list[str]) -> dict[str, object]:
-    """Return the routing document."""
+def routing_document(
+    version: int, keys: list[str], context_store: str = ""
+) -> dict[str, object]:
+    """Return the routing document, with a context store if an address is given."""
 
     def route(name: str, kind: str, service: str, attempts: int) -> dict[str, object]:
         return {
@@ -76,6 +90,17 @@
         }
 
     engine = {"slots": 16, "kv_tokens": 40_000, "models": [{"name": "m0"}]}
+    stores = [
+        {
+            "name": "kept",
+            "kv_store_addr": context_store,
+            "zone": "z1",
+            "kv_tokens": 100_000,
+            "link_mbps": 1000,
+            "max_inflight": 50,
+            "managed": True,
+        }
+    ]
     return {
         "version": version,
         "routes": [
@@ -91,6 +116,7 @@
                 "max_conns": 100,
                 "engine": engine,
             },
+            *(stores if context_store else []),
         ],
         "limits": {},
         "tenants": [{"name": "a", "api_keys": keys}],
@@ -108,6 +134,14 @@
         Whether each VM has a link of its own to each target.
     links
         Links of each VM to the targets, by their names.
+    context_store
+        Store of kept context, which changes during the run.
+    sent_kinds
+        Kind of each call that was sent, by its request id.
+    unasked
+        Target and content of executions that no caller asked for.
+    ended_names
+        Targets that ended for good, which no restored store may list.
     """
 
     uses_kept_connections = True
@@ -119,6 +153,7 @@
         self.notice_random = random.Random(f"notices {seed}")
         self.pause_random = random.Random(f"pauses {seed}")
         self.link_random = random.Random(f"links {seed}")
+        self.address_random = random.Random(f"addresses {seed}")
         self.random = random.Random(seed)
         self.seconds = seconds
         self.report = Report(seed)
@@ -131,6 +166,11 @@
             ),
             *(Target(f"e{n}", self.store, self.execution_log, "llm") for n in range(4)),
         ]
+        self.context_store = V1ContextStore("kept")
+        self.context_stores: dict[str, V1ContextStore] = {}
+        self.last_name = 100
+        self.ended_names: list[str] = []
+        self.unasked: set[tuple[str, RequestContent]] = set()
         port = find_base_port()
         self.vms = [
             Vm(f"v{number}", f"127.0.0.{10 + number}", f"z{number % 2}", port)
@@ -138,13 +178,14 @@
         ]
         self.proxies: dict[str, Proxy] = {}
         self.links: dict[str, dict[str, Link]] = {}
-        self.views: list[StoreView] = []
+        self.views: dict[str, StoreView] = {}
         self.document_version = 1
         self.document_keys: list[str] = []
         self.weight_version = 1
         self.call_number = seed * 1_000_000
         self.results: list[CallResult] = []
         self.vm_by_request_id: dict[str, str] = {}
+        self.sent_kinds: dict[str, str] = {}
         self.started_at = monotonic()
         # Times of faults on the network of a VM or target.
         self.network_faults: list[tuple[float, str]] = []
@@ -152,6 +193,7 @@
 
     async def async_run(self) -> Report:
         """Run the seed with faults, then check that all calls are served again."""
+        self.execution_log.on_start = self._check_start
         try:
             await self._start()
             faults = asyncio.create_task(self._inject_faults())
@@ -159,12 +201,14 @@
             notices = asyncio.create_task(self._let_targets_say())
             pauses = asyncio.create_task(self._let_targets_pause())
             cuts = asyncio.create_task(self._cut_vms())
+            reuses = asyncio.create_task(self._reuse_addresses())
             await self._send_load(self.seconds)
             await faults
             await restores
             await notices
             await pauses
             await cuts
+            await reuses
             await self._end_faults()
             await self._check_service()
         finally:
@@ -173,6 +217,7 @@
 
     async def async_run_without_faults(self) -> Report:
         """Run the calls of the seed without faults."""
+        self.execution_log.on_start = self._check_start
         try:
             await self._start()
             await self._send_load(self.seconds)
@@ -195,13 +240,10 @@
 
     async def _start(self) -> None:
         store_port = await self.store.server.async_start("127.0.0.1")
-        for target in self.targets:
-            await target.async_start("127.0.0.1")
-            proxy = Proxy("127.0.0.1", target.port)
-            self.proxies[target.name] = proxy
-            proxy_port = await proxy.async_start("127.0.0.1")
-            target.registered_address = f"127.0.0.1:{proxy_port}"
-            await target.register(target.registered_address)
+        await self.async_start_context_store()
+        for target in list(self.targets):
+            self.targets.remove(target)
+            await self.async_add_target(target)
         await self.async_put_document([API_KEY, REVOKED_API_KEY])
         await self.store.put("versions", "m0", {"model": "m0", "version": 1})
         seeds = [vm.host for vm in self.vms[:3]]
@@ -217,23 +259,54 @@
 
     async def _start_links(self, vm: Vm) -> int:
         """Give a VM links of its own; return the port of its view of the store."""
-        links = self.links[vm.name] = {}
-        addresses = {}
+        self.links[vm.name] = {}
+        view = self.views[vm.name] = StoreView(self.store, {})
         for target in self.targets:
-            # The fault of the target's own proxy concerns all VMs.
-            host, _, port = target.registered_address.rpartition(":")
-            link = links[target.name] = Link(host, int(port))
-            await link.async_start(host)
-            addresses[target.registered_address] = link.address
-        view = StoreView(self.store, addresses)
-        self.views.append(view)
+            await self._link(vm.name, target)
         return await view.server.async_start("127.0.0.1")
 
+    async def _link(self, vm: str, target: Target) -> None:
+        # The fault of the target's own proxy concerns all VMs.
+        host, _, port = target.registered_address.rpartition(":")
+        link = self.links[vm][target.name] = Link(host, int(port))
+        await link.async_start(host)
+        self.views[vm].addresses[target.registered_address] = link.address
+
+    async def async_add_target(self, target: Target) -> None:
+        """Start a target with a proxy, and list it."""
+        await target.async_start("127.0.0.1")
+        target.context_stores = self.context_stores
+        proxy = self.proxies[target.name] = Proxy("127.0.0.1", target.port)
+        proxy_port = await proxy.async_start("127.0.0.1")
+        target.registered_address = f"127.0.0.1:{proxy_port}"
+        for vm in self.links:
+            await self._link(vm, target)
+        self.targets.append(target)
+        await target.register(target.registered_address)
+
+    async def async_start_context_store(self) -> None:
+        """Start a context store, which the next document names."""
+        self.context_store = V1ContextStore("kept")
+        await self.context_store.async_start("127.0.0.1")
+        self.context_stores[self.context_store.address] = self.context_store
+
+    async def async_put_next_document(self) -> None:
+        """Write a new version of the routing document with the same keys."""
+        self.document_version += 1
+        await self.async_put_document(self.document_keys)
+
+    def new_name(self, prefix: str) -> str:
+        """Return a name that no target has had."""
+        self.last_name += 1
+        return f"{prefix}{self.last_name}"
+
     async def async_put_document(self, keys: list[str]) -> None:
         """Write the routing document with the customer's keys."""
         self.document_keys = keys
         await self.store.put(
-            "config", "main", routing_document(self.document_version, keys)
+            "config",
+            "main",
+            routing_document(self.document_version, keys, self.context_store.address),
         )
 
     async def _wait_until_ready(self, vm: Vm) -> None:
@@ -281,7 +354,8 @@
         rng = random.Random(f"{vm.name} {self.report.seed}")
         while asyncio.get_running_loop().time() < until:
             number = self._next_number(vm)
-            result = await caller.async_call(pick_kind(rng), number, API_KEY)
+            kind = self._record_kind(number, pick_kind(rng))
+            result = await caller.async_call(kind, number, API_KEY)
             self.results.append(result)
             await asyncio.sleep(0.2 if result.status == 0 else 0.02)
         caller.close()
@@ -292,6 +366,24 @@
         self.vm_by_request_id[f"{self.call_number:016x}"] = vm.name
         return self.call_number
 
+    def _record_kind(self, number: int, kind: str) -> str:
+        self.sent_kinds[f"{number:016x}"] = kind
+        return kind
+
+    def _check_start(self, request_id: str, execution: Execution) -> None:
+        """Check at the start of an execution that a caller asked for it.
+
+        Of the same content at the same target, only the first one is a finding.
+        """
+        finding = unasked_finding(
+            self.sent_kinds.get(request_id), request_id, execution
+        )
+        key = (execution.target, execution.content)
+        if finding and key not in self.unasked:
+            self.unasked.add(key)
+            seconds = monotonic() - self.started_at
+            self.record_finding(f"{finding} ({seconds:.2f} s)")
+
     def _start_call(self, key: str) -> None:
         vm = self.random.choice(self.vms)
         number = self._next_number(vm)
@@ -300,7 +392,7 @@
         task.add_done_callback(self.calls.discard)
 
     async def _send_call(self, vm: Vm, number: int, key: str) -> None:
-        kind = pick_kind(self.random)
+        kind = self._record_kind(number, pick_kind(self.random))
         self.results.append(await call(vm.host, vm.front_port, kind, number, key))
 
     async def _inject_faults(self) -> None:
@@ -348,6 +440,20 @@
             self.report.faults.append(f"cut {len(vms)} VMs, {how}")
             await cut_links(self, vms, how, rng.uniform(0.3, MAX_CUT_SECONDS))
 
+    async def _reuse_addresses(self) -> None:
+        """Let plain targets take over addresses, one after another or at once."""
+        rng = self.address_random
+        end = asyncio.get_running_loop().time() + self.seconds - MAX_REUSE_SECONDS
+        running: set[asyncio.Task[None]] = set()
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 2.5))
+            reuse = rng.choice(REUSES)
+            if asyncio.get_running_loop().time() > end:
+                break
+            self.report.faults.append(reuse.__name__)
+            running.add(asyncio.create_task(reuse(self)))
+        await asyncio.gather(*running)
+
     async def _restore_store(self) -> None:
         """Restore the store from an older copy in half of the seeds."""
         copied_after = self.restore_random.uniform(0.2, 0.5) * self.seconds
@@ -369,6 +475,8 @@
         await self.store.put(
             "versions", "m0", {"model": "m0", "version": self.weight_version}
         )
+        for name in self.ended_names:
+            await self.store.delete("servers", name)
         for target in self.targets:
             await target.register(target.registered_address)
 
@@ -401,14 +509,15 @@
             self.report.findings.append(
                 f"after the faults {served} of {FINAL_CALLS} calls were served"
             )
-        if self.document_version > 1:
+        if REVOKED_API_KEY not in self.document_keys:
             await self._check_revoked_key()
 
     async def _check_revoked_key(self) -> None:
         for vm in self.vms:
             self.call_number += 1
+            kind = self._record_kind(self.call_number, "safe")
             result = await call(
-                vm.host, vm.front_port, "safe", self.call_number, REVOKED_API_KEY
+                vm.host, vm.front_port, kind, self.call_number, REVOKED_API_KEY
             )
             if result.status != 401:
                 self.report.findings.append(
@@ -423,10 +532,11 @@
         for links in self.links.values():
             for link in links.values():
                 link.stop()
-        for view in self.views:
+        for view in self.views.values():
             await view.server.async_stop()
         for target in self.targets:
             await target.server.async_stop()
+        await self.context_store.server.async_stop()
         await self.store.server.async_stop()
 
     def record_finding(self, finding: str) -> None:
--- a/stand_ins/raw_http.py
+++ b/stand_ins/raw_http.py
@@ -12,9 +12,16 @@
 
 @dataclass(slots=True)
 class RawRequest:
-    """One request; header names are in lower case."""
+    """One request; header names are in lower case.
+
+    Attributes
+    ----------
+    target
+        Path with the query, as sent.
+    """
 
     method: str
+    target: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
@@ -37,7 +44,7 @@
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     path, _, text = target.partition("?")
     query = dict(item.split("=", 1) for item in text.split("&") if "=" in item)
-    return RawRequest(method, path, query, headers, body)
+    return RawRequest(method, target, path, query, headers, body)
 
 
 def encode_response(
