Log over which connection a call was sent, and the answers that were skipped

An incident with earlier or foreign answers could not be read from the logs: nothing named the connection, and skipped answers left no trace. `send failed`, `answered` and `ended without its caller` now have the local port of the connection to the target and the number of the call on it; each skipped answer is counted, and the first three of a call are logged with target, status, the id that they bear and the id of the call.

The short calls (reports, orders) and the calls between VMs don't report skipped answers.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -156,6 +156,7 @@
         view.build_of = self.stream_builds.build_of
         self.liveness = LivenessChecks(calls, view.targets, clock)
         self.liveness.on_checked = telemetry.target_checked
+        calls.on_skipped = telemetry.answer_skipped
         self.random = random.Random()
         self.last_number = 0
         self.detached_tasks: set[asyncio.Task[None]] = set()
--- a/src/gypsumsail/gateway/forwarding.py
+++ b/src/gypsumsail/gateway/forwarding.py
@@ -207,6 +207,7 @@
         except TransportError as err:
             self.helpers.record_failure(self.host, self.clock.monotonic())
             return NotSent(reason=str(err))
+        job.connection = None
         job.may_have_run = True
         job.targets_used += self.allowed_targets
         try:
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from gypsumsail.gateway.models import Address, Call, Customer, Route
+from gypsumsail.gateway.port import ConnectionUse
 from gypsumsail.gateway.queue_policy import QueuedCall
 from gypsumsail.gateway.targets import TargetState
 
@@ -76,6 +77,9 @@
         Whether another VM has forwarded the call; it is not forwarded again.
     helpers_tried
         Hosts of the VMs to which this one has tried to forward the call.
+    connection
+        Connection over which the call was sent last; ``None`` if it was not sent to a
+        target.
     """
 
     number: int
@@ -101,6 +105,7 @@
     build: str | None = None
     is_forwarded: bool = False
     helpers_tried: set[str] = field(default_factory=set)
+    connection: ConnectionUse | None = None
 
     def answer_needed_by(self) -> float:
         """Return the time by which the caller needs the first event or the answer.
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -85,6 +85,7 @@
     async def _async_exchange(self) -> SendOutcome:
         now = self.clock.monotonic()
         terms = self._terms(now)
+        self.job.connection = None
         try:
             exchange = await self.gateway.calls.async_send(
                 self.state.entry, self.job.call, terms, now
@@ -94,6 +95,7 @@
             self.state.mark_unreachable(now)
             self.gateway.liveness.check_links(now)
             return NotSent(reason=str(err))
+        self.job.connection = exchange.use
         self.job.may_have_run = True
         self.job.targets_used += 1
         try:
--- a/src/gypsumsail/gateway/port.py
+++ b/src/gypsumsail/gateway/port.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -100,9 +101,50 @@
     notices: AnswerNotices = NO_NOTICES
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConnectionUse:
+    """Which use of which connection a call to a target is.
+
+    Attributes
+    ----------
+    port
+        Local port of the connection.
+    number
+        Number of the call on the connection, from 1.
+    """
+
+    port: int
+    number: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SkippedAnswer:
+    """Answer that came for a call and does not bear its id.
+
+    Attributes
+    ----------
+    request_id
+        Id that it bears; ``None`` without one.
+    expected_id
+        Id of the call.
+    number
+        Number of skipped answers to the call so far, from 1.
+    """
+
+    status: int
+    request_id: str | None
+    expected_id: str
+    use: ConnectionUse
+    number: int
+
+
 class Exchange(Protocol):
     """A call that was sent to a target, and its answer."""
 
+    @property
+    def use(self) -> ConnectionUse | None:
+        """Return the connection of the call, if it is known."""
+
     async def async_head(self) -> AnswerHead:
         """Return the head of the answer; raises ``TransportError``."""
 
@@ -126,7 +168,15 @@
 
 
 class TargetClient(Protocol):
-    """Client that sends calls to targets."""
+    """Client that sends calls to targets.
+
+    Attributes
+    ----------
+    on_skipped
+        Called with a target and an answer of it that was not taken.
+    """
+
+    on_skipped: Callable[[TargetEntry, SkippedAnswer], None]
 
     async def async_send(
         self, target: TargetEntry, call: Call, terms: SendTerms, now: float
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -20,6 +20,7 @@
     TargetError,
 )
 from gypsumsail.gateway.part_suspects import TargetLife
+from gypsumsail.gateway.port import SkippedAnswer
 from gypsumsail.gateway.target_pause import InvalidPause, PauseStatement
 from gypsumsail.gateway.target_table import Reachability
 from gypsumsail.gateway.targets import TargetState
@@ -28,6 +29,8 @@
 
 MAX_LOGGED_TEXT: Final = 40
 """Characters of a header's value that are logged."""
+MAX_LOGGED_SKIPS: Final = 3
+"""Skipped answers that are logged for one call; all are counted."""
 
 
 def _milliseconds(seconds: float) -> int:
@@ -87,6 +90,12 @@
             "Notices of targets by service: leaving, pause or changed limit.",
             ("service", "notice"),
         )
+        self.skipped = registry.counter(
+            "gypsumsail_gateway_skipped_answers_total",
+            "Answers of targets that did not bear the id of the call, by service and "
+            "by whether they bore another id or none.",
+            ("service", "id"),
+        )
         self.taken_up = registry.counter(
             "gypsumsail_gateway_streams_taken_up_total",
             "Streams that callers take up, by service and by who knew the build that "
@@ -172,6 +181,7 @@
             life=assignment.state.entry.life,
             after_ms=_milliseconds(now - job.call.received_at),
             targets_used=job.targets_used,
+            **_connection_fields(job),
             **_outcome_fields(outcome),
             **(_broken_fields(job, crashes) if isinstance(outcome, Broken) else {}),
         )
@@ -257,6 +267,7 @@
             total_ms=_milliseconds(now - job.call.received_at),
             late=first > job.due_at,
             targets_used=job.targets_used,
+            **_connection_fields(job),
         )
 
     @callback
@@ -313,9 +324,30 @@
             "ended without its caller",
             request=job.call.request_id,
             after_ms=_milliseconds(now - job.call.received_at),
+            **_connection_fields(job),
             **_outcome_fields(outcome),
         )
 
+    @callback
+    def answer_skipped(self, target: TargetEntry, skipped: SkippedAnswer) -> None:
+        """Count an answer that does not bear the id of the call, and log the first."""
+        has_id = "none" if skipped.request_id is None else "other"
+        self.skipped.labels(target.service, has_id).increment()
+        if skipped.number > MAX_LOGGED_SKIPS:
+            return
+        found = skipped.request_id
+        self.log.write(
+            "answer skipped",
+            request=skipped.expected_id,
+            target=target.name,
+            life=target.life,
+            status=skipped.status,
+            found=None if found is None else found[:MAX_LOGGED_TEXT],
+            connection=skipped.use.port,
+            use=skipped.use.number,
+            number=skipped.number,
+        )
+
     @callback
     def document_in_force(self, document: RoutingDocument, source: str) -> None:
         """Log a new routing document."""
@@ -487,6 +519,15 @@
         return self.document.version if self.document is not None else None
 
 
+def _connection_fields(job: Job) -> dict[str, int | None]:
+    """Return over which connection a call was sent last, and as which use of it."""
+    found = job.connection
+    return {
+        "connection": found.port if found is not None else None,
+        "use": found.number if found is not None else None,
+    }
+
+
 def _outcome_fields(outcome: SendOutcome) -> dict[str, Any]:
     fields: dict[str, Any] = {"outcome": type(outcome).__name__}
     if isinstance(outcome, TargetError):
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 from urllib.parse import urlsplit
 
@@ -18,11 +19,15 @@
     PromptPart,
     TargetEntry,
 )
-from gypsumsail.gateway.port import AnswerHead, SendTerms
+from gypsumsail.gateway.port import AnswerHead, ConnectionUse, SendTerms, SkippedAnswer
 from gypsumsail.gateway.targets import TargetReportedLoad
 from gypsumsail.platform import names
 from gypsumsail.platform.notices import parse_notices
-from gypsumsail.transport.exchange import ExchangeConnection, ExchangePool
+from gypsumsail.transport.exchange import (
+    ExchangeConnection,
+    ExchangePool,
+    SkippedResponse,
+)
 from gypsumsail.transport.http_reply import Reply, ReplyPhase
 from gypsumsail.transport.http_request import HttpRequest
 
@@ -250,6 +255,7 @@
         self.pool = pool
         self.connection = connection
         self.clock = clock
+        self.use = _connection_use(connection)
 
     async def async_head(self) -> AnswerHead:
         """Wait for the status and headers of the answer."""
@@ -275,11 +281,24 @@
         self.connection.abort()
 
 
+def _connection_use(connection: ExchangeConnection) -> ConnectionUse:
+    return ConnectionUse(port=connection.local_port, number=connection.exchange_count)
+
+
 class PlatformTargetCalls:
-    """Sends calls to targets over one connection pool for each target instance."""
+    """Sends calls to targets over one connection pool for each target instance.
+
+    Attributes
+    ----------
+    on_skipped
+        Called with a target and an answer of it that was not taken.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
+        self.on_skipped: Callable[[TargetEntry, SkippedAnswer], None] = (
+            lambda target, skipped: None
+        )
         self.pools: dict[tuple[str, int], ExchangePool] = {}
 
     async def async_send(
@@ -309,6 +328,20 @@
         # The connection skips responses with another request ID, such as a late second
         # answer to an earlier call.
         connection.send(request, (names.REQUEST_ID_HEADER, request_id))
+        use = _connection_use(connection)
+
+        def report_skipped(skipped: SkippedResponse) -> None:
+            found = skipped.request_id
+            answer = SkippedAnswer(
+                status=skipped.status,
+                request_id=None if found is None else found.decode("latin-1"),
+                expected_id=call.request_id,
+                use=use,
+                number=skipped.number,
+            )
+            self.on_skipped(target, answer)
+
+        connection.on_skipped = report_skipped
         return TargetExchange(pool, connection, self.clock)
 
     async def async_check(self, target: TargetEntry) -> None:
--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -8,6 +8,8 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final, cast
 
 import httptools
@@ -33,6 +35,23 @@
 RequestIdHeader = tuple[bytes, bytes]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SkippedResponse:
+    """Response that was skipped because it does not bear the id of the request.
+
+    Attributes
+    ----------
+    request_id
+        Id that it bears, several joined by commas; ``None`` without one.
+    number
+        Number of responses that were skipped for the request so far, from 1.
+    """
+
+    status: int
+    request_id: bytes | None
+    number: int
+
+
 class ExchangeConnection(asyncio.Protocol):
     """Connection that sends a request, reads its response, and is then reused.
 
@@ -55,6 +74,8 @@
         Whether the server has repeated the id of a request over the connection.
     error_ids
         Ids of the requests that were answered with an error over the connection.
+    on_skipped
+        Called with each response that is skipped.
     """
 
     def __init__(self) -> None:
@@ -68,6 +89,7 @@
         self.exchange_count = 0
         self.repeats_ids = False
         self.error_ids: set[bytes] = set()
+        self.on_skipped: Callable[[SkippedResponse], None] = _ignore_skipped
         self._reset()
 
     def _reset(self) -> None:
@@ -83,9 +105,18 @@
         self.is_paused = False
         self.is_unrelated = False
         self.is_unidentified = False
+        self.skipped_count = 0
         self.request_id_header: RequestIdHeader | None = None
         self.may_lack_id = False
 
+    @property
+    def local_port(self) -> int:
+        """Return the local port; 0 if the connection was not made."""
+        if self.transport is None:
+            return 0
+        address = self.transport.get_extra_info("sockname")
+        return int(address[1]) if address else 0
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection can be used for another request."""
@@ -248,6 +279,7 @@
         )
         self.is_unrelated = not self._matches_request(status)
         if self.is_unrelated:
+            self._report_skipped(status)
             if not has_framing:
                 self._fail("a response to another request has no end")
             return
@@ -271,6 +303,20 @@
         self.is_unidentified = is_first and status >= FIRST_ERROR_STATUS
         return self.is_unidentified
 
+    def _report_skipped(self, status: int) -> None:
+        assert self.request_id_header is not None
+        found = [
+            value for key, value in self.headers if key == self.request_id_header[0]
+        ]
+        self.skipped_count += 1
+        self.on_skipped(
+            SkippedResponse(
+                status=status,
+                request_id=b", ".join(found) if found else None,
+                number=self.skipped_count,
+            )
+        )
+
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body; pause reading when the buffer is too large."""
         if self.is_unrelated:
@@ -307,6 +353,10 @@
         return IDLE_LIMIT_SECONDS
 
 
+def _ignore_skipped(skipped: SkippedResponse) -> None:
+    """Stand in where nobody is told."""
+
+
 class ExchangePool:
     """Pool of idle connections to one address."""
 
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -34,7 +34,13 @@
 )
 from gypsumsail.gateway.notices import NO_NOTICES, AnswerNotices
 from gypsumsail.gateway.placer import FleetView
-from gypsumsail.gateway.port import AnswerHead, SendTerms, TargetClient
+from gypsumsail.gateway.port import (
+    AnswerHead,
+    ConnectionUse,
+    SendTerms,
+    SkippedAnswer,
+    TargetClient,
+)
 from gypsumsail.gateway.retry_budget import RetryLimit
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.telemetry import GatewayTelemetry
@@ -220,6 +226,7 @@
     head_error: TransportError | None = None
     is_aborted: bool = False
     is_finished: bool = False
+    use: ConnectionUse | None = None
 
     async def async_head(self) -> AnswerHead:
         """Return the head."""
@@ -287,6 +294,9 @@
         self.is_connectable = False
         self.connectable: set[str] = set()
         self.checked: list[str] = []
+        self.on_skipped: Callable[[TargetEntry, SkippedAnswer], None] = (
+            lambda target, skipped: None
+        )
 
     async def async_check(self, target: TargetEntry) -> None:
         """Accept the connection if ``is_connectable`` or ``connectable`` says so."""
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
 import pytest
 
@@ -10,8 +11,17 @@
 from gypsumsail.gateway.models import CallKind
 from gypsumsail.platform.engines import PlatformEngines
 from gypsumsail.rollout.port import LoadWeights, OrderAnswer
-from tests.gateway.common import MODEL, document, engine, route, target
+from tests.gateway.common import (
+    MODEL,
+    RecordedLines,
+    document,
+    engine,
+    route,
+    target,
+)
 from tests.platform.scripted_targets import (
+    CLOSE,
+    ID,
     NOT_RUN,
     SIGNED,
     ScriptedServer,
@@ -151,3 +161,43 @@
         await engines.async_report(entry)
         assert await engines.async_order(entry, order) is OrderAnswer.TAKEN
         engines.forget(entry)
+
+
+async def test_skipped_answers_are_counted_and_the_first_ones_logged() -> None:
+    late = REFUSALS["503"] * 4 + OWN.replace(ID, b"id-9")
+    server = ScriptedServer([[OWN], [late + OWN]])
+    lines = RecordedLines()
+    async with served(server) as addresses:
+        gw = gateway_before(target("t1", address=addresses[0]), routing=ONCE)
+        gw.telemetry.log.logger.addHandler(lines)
+        gw.telemetry.log.logger.setLevel(logging.INFO)
+        await serve(gw)
+        assert (await serve(gw, "id-2")).status == 200
+        gw.telemetry.log.logger.removeHandler(lines)
+    skipped = lines.of("answer skipped")
+    assert [line["number"] for line in skipped] == [1, 2, 3]
+    first, second = lines.of("answered")
+    assert (first["use"], second["use"]) == (1, 2)
+    assert first["connection"] == second["connection"] == skipped[0]["connection"]
+    assert skipped[0]["request"] == "id-2"
+    assert (skipped[0]["target"], skipped[0]["use"]) == ("t1", 2)
+    assert (skipped[0]["status"], skipped[0]["found"]) == (503, None)
+    counts = gw.telemetry.registry.exposition()
+    name = "gypsumsail_gateway_skipped_answers_total"
+    assert f'{name}{{service="portal",id="none"}} 4' in counts
+    assert f'{name}{{service="portal",id="other"}} 1' in counts
+
+
+async def test_failed_send_names_its_connection_and_the_use_of_it() -> None:
+    server = ScriptedServer([[OWN], [CLOSE]])
+    lines = RecordedLines()
+    async with served(server) as addresses:
+        gw = gateway_before(target("t1", address=addresses[0]), routing=ONCE)
+        gw.telemetry.log.logger.addHandler(lines)
+        gw.telemetry.log.logger.setLevel(logging.INFO)
+        await serve(gw)
+        assert (await serve(gw, "id-2")).status == 502
+        gw.telemetry.log.logger.removeHandler(lines)
+    [failed] = lines.of("send failed")
+    assert failed["use"] == 2
+    assert failed["connection"] == lines.of("answered")[0]["connection"] > 0
