Play both reports of wrong answers against real VMs

Stand-ins write an earlier refusal once more before each answer, and answer calls that go on with a broken stream with errors. The soak's callers now report bytes that are no answer in the protocol as such, in all runs.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -45,6 +45,8 @@
         Time until the answer was complete or the call failed.
     began_at
         Monotonic time at which the call was sent, in seconds.
+    is_malformed
+        Whether bytes came that are no answer in the protocol.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     body: bytes = b""
     seconds: float = 0.0
     began_at: float = 0.0
+    is_malformed: bool = False
 
 
 async def call(
@@ -124,8 +127,9 @@
                 await self._async_exchange(
                     encode_call(kind, number, key, deadline, part, resumption), result
                 )
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError) as err:
             result.status = 0
+            result.is_malformed = isinstance(err, ValueError)
             self.close()
         result.seconds = time.monotonic() - started_at
         return result
@@ -210,6 +214,8 @@
             problems.append("a success without the complete answer to this request")
         if not executions:
             problems.append("a success although no target ran it")
+    if result.is_malformed:
+        problems.append("bytes that are no answer")
     if result.status in NOT_RUN_STATUSES and result.kind != "safe" and executions:
         problems.append(f"status {result.status} although it ran")
     if result.kind == "once" and len(executions) > 1:
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -16,6 +16,7 @@
 import time
 from typing import Any, NamedTuple
 from urllib.parse import unquote
+from weakref import WeakKeyDictionary
 
 from stand_ins.raw_http import RawRequest, RawServer, encode_response, reset_connection
 
@@ -300,8 +301,11 @@
         before the answer), ``cut`` (it is reset in the middle of a stream), ``busy``
         (refused with status 503 and not run), ``double`` (a plain target sends a
         second answer), ``late double`` (it sends it later, when the connection may be
-        in use again), ``slow`` (an answer or an event comes late) or ``drip`` (an
-        engine sends a byte of an event from time to time, and never a whole one).
+        in use again), ``slow`` (an answer or an event comes late), ``drip`` (an
+        engine sends a byte of an event from time to time, and never a whole one),
+        ``refused again`` (it refuses one call on each connection, and writes this
+        refusal once more, without an id, before each later answer there) or ``cut and
+        error`` (as ``cut``; calls that go on with a stream often get an error).
     started_at_ms
         Start time in Unix milliseconds, which identifies the incarnation.
     version
@@ -372,6 +376,9 @@
         self.crashes: list[float] = []
         self.crashing_arrivals: list[float] = []
         self.restarts: set[asyncio.Task[None]] = set()
+        self.refusals: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
+            WeakKeyDictionary()
+        )
 
     @property
     def is_engine(self) -> bool:
@@ -526,6 +533,8 @@
                 response_headers["Retry-After"] = self.retry_after
             writer.write(encode_response(503, b"", response_headers))
             return True
+        if self.fault == "refused again" and self._refuses_again(writer, request_id):
+            return True
         execution = self.execution_log.record_start(
             request_id, self.name, request.headers.get("gypsumsail-tenant", "")
         )
@@ -556,6 +565,38 @@
         execution.is_complete = True
         return self.fault != "double"
 
+    def _refuses_again(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
+        """Refuse the first call on a connection; repeat that refusal before others."""
+        found = self.refusals.get(writer)
+        if found is not None:
+            writer.write(found)
+            return False
+        headers = {"Gypsumsail-Not-Run": "1"}
+        self.refusals[writer] = encode_response(503, b"", headers)
+        headers["Gypsumsail-Request-Id"] = request_id
+        writer.write(encode_response(503, b"", headers))
+        return True
+
+    def _writes_error(
+        self, response_headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer a call that goes on with a stream with an error, but not always."""
+        errors = [
+            (404, b"nothing here\n\n"),
+            (500, b"error\n\n"),
+            (204, b""),
+            (200, b"error: no memory\n\n"),
+        ]
+        index = self.random.randrange(2 * len(errors))
+        if index >= len(errors):
+            return False
+        status, body = errors[index]
+        answer = encode_response(status, body, response_headers)
+        if status == 204:
+            answer = answer.replace(b"Content-Length: 0\r\n", b"")
+        writer.write(answer)
+        return True
+
     async def _drip(self, writer: asyncio.StreamWriter) -> None:
         """Send bytes of an event that never ends, until the connection is closed."""
         while not writer.transport.is_closing():
@@ -572,6 +613,10 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         response_headers["Gypsumsail-Weight-Versions"] = str(self.version)
+        first_event = int(request.headers.get("last-event-id", "0")) + 1
+        may_write_error = self.fault == "cut and error" and first_event > 1
+        if may_write_error and self._writes_error(response_headers, writer):
+            return
         lines = [f"{name}: {value}" for name, value in response_headers.items()]
         head = ["HTTP/1.1 200 S", "Transfer-Encoding: chunked", *lines]
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
@@ -579,14 +624,16 @@
             await asyncio.sleep(CRASH_DELAY_SECONDS)
             self._crash()
             raise ConnectionError
-        first_event = int(request.headers.get("last-event-id", "0")) + 1
         began_as = request.headers.get("resumes", request_id)
         if self.fault == "drip":
             await self._drip(writer)
         # A complete answer has events 1 to 8; the fault ``cut`` ends it in event 5.
+        is_cut = self.fault == "cut" or (
+            self.fault == "cut and error" and first_event == 1
+        )
         for event in range(first_event, 9):
             text = f"id: {event}\ndata: {event_content(began_as, event)}\n\n".encode()
-            if self.fault == "cut" and event == 5:
+            if is_cut and event == 5:
                 writer.write(b"%x\r\n%b" % (len(text), text[:7]))
                 reset_connection(writer)
                 raise ConnectionError
--- a/tests/process/test_operator_reports.py
+++ b/tests/process/test_operator_reports.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 import signal
 
-from soak.callers import CallResult, KeptCaller, call, pick_kind
+from soak.callers import CallResult, KeptCaller, call, expected_body, pick_kind
 from soak.const import API_KEY, REVOKED_API_KEY
 from soak.run import Soak
 from soak.vms import Vm
@@ -69,6 +69,38 @@
     assert {result.status for result in results} == {200}
 
 
+async def test_earlier_refusal_written_once_more_makes_no_false_not_run() -> None:
+    """It bears no id, and comes before the answer to each later call."""
+    run = KeptConnectionsRun(9, vms=2, seconds=6.0)
+    for target in run.targets:
+        target.fault = "refused again"
+    results = await run.async_run_with(lambda: asyncio.sleep(0))
+    assert not run._complete_report().findings
+    assert len(results) > 100
+    assert {result.status for result in results} <= {200, 503}
+    served = [result for result in results if result.status == 200]
+    assert len(served) > 0.8 * len(results)
+
+
+async def test_error_of_the_next_target_is_not_found_in_a_broken_stream() -> None:
+    """All streams break off; their next engine often answers with an error."""
+    run = KeptConnectionsRun(10, vms=2, seconds=6.0)
+    for target in run.targets:
+        if target.is_engine:
+            target.fault = "cut and error"
+    results = await run.async_run_with(lambda: asyncio.sleep(0))
+    assert not run._complete_report().findings
+    streams = [result for result in results if result.kind == "stream"]
+    assert any(result.status == 200 for result in streams)
+    broken = [result for result in streams if result.status == 0]
+    assert broken
+    for result in broken:
+        number = int(result.request_id, 16)
+        whole = expected_body("stream", result.request_id, number)
+        assert whole.startswith(result.body)
+        assert result.body.endswith(b"\n\n")
+
+
 async def test_planned_stop_under_load_cuts_off_no_call() -> None:
     """Callers send on open connections until the stopping VM closes them."""
     run = KeptConnectionsRun(2, vms=3, seconds=9.0)
