--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -162,6 +162,7 @@
         self.liveness = LivenessChecks(calls, view.targets, clock)
         self.liveness.on_checked = telemetry.target_checked
         self.knows_targets: Callable[[], bool] = lambda: True
+        calls.on_skipped = telemetry.answer_skipped
         self.random = random.Random()
         self.last_number = 0
         self.detached_tasks: set[asyncio.Task[None]] = set()
