Take streams up soon after all VMs were killed at once

Cause: only a VM that has looked at the targets for that long can say that one build served. Now one VM of the fleet writes into the store which builds it has observed and up to which position of the store. A started VM reads it once, and all changes of the targets since from the store's history, which together name each build that was listed, whether or not it is still listed and whether or not a VM had written it. Without the whole history, after a restore, or with longer timeouts it refuses as before. Each record of a target is noted as it is read, since it may be gone at the next look.

Ruled out: times of builds, as VMs' clocks step; a write before a build is first used, which a VM without the store could not make.

--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -81,6 +81,8 @@
         without an outage.
     on_removal_seen
         Called when this VM sees a removal while the store has no outage for it.
+    on_target_read
+        Called with each record of a target, also if the target is gone by then.
     restored_targets
         Removed targets that are listed again because the store was restored.
     """
@@ -132,6 +134,7 @@
             maxlen=MAX_CONFIRMED_REMOVALS
         )
         self.on_removal_seen: Callable[[TargetEntry], None] = lambda entry: None
+        self.on_target_read: Callable[[TargetEntry], None] = lambda entry: None
 
     @property
     def knows_targets(self) -> bool:
@@ -253,6 +256,7 @@
                 if name in self.targets.states:
                     self._handle_removal(name, now)
                 continue
+            self.on_target_read(entry)
             if not changes.is_restored:
                 self._add_target(entry, now)
             elif not self.restored_targets.hold_back(entry, now):
--- a/src/gypsumsail/gateway/stream_builds.py
+++ b/src/gypsumsail/gateway/stream_builds.py
@@ -40,6 +40,22 @@
     build: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObservedBuilds:
+    """Builds of all targets that were listed in some seconds until a time.
+
+    Attributes
+    ----------
+    services
+        Pairs of a service and a build, in fixed order.
+    seconds
+        Length of that time.
+    """
+
+    services: tuple[tuple[str, str], ...]
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Record:
     begin: StreamBegin
@@ -106,9 +122,13 @@
         self.are_listed = are_listed
         self.noted_at = now
         for entry in entries:
-            self._note(entry.service, entry.build, now)
+            self.note_entry(entry, now)
         self._forget_expired(now)
 
+    def note_entry(self, entry: TargetEntry, now: float) -> None:
+        """Note the build of a target that is listed, or was until now."""
+        self._note(entry.service, entry.build, now)
+
     def _note(self, service: str, build: str, now: float) -> None:
         builds = self.services.setdefault(service, _ServiceBuilds())
         builds.listed_at[build] = now
@@ -145,6 +165,34 @@
         builds = self.builds(service, now)
         return next(iter(builds)) if len(builds) == 1 else None
 
+    def observed(
+        self, entries: Iterable[TargetEntry], now: float
+    ) -> ObservedBuilds | None:
+        """Return the builds that may have begun a stream which is still taken up.
+
+        It is ``None`` if this VM may have missed some.
+
+        Parameters
+        ----------
+        entries
+            All targets that are listed now.
+        """
+        seconds = self.return_seconds
+        if seconds is None or now - self.observed_since < seconds:
+            return None
+        found = {(entry.service, entry.build) for entry in entries}
+        for service in self.services:
+            found.update((service, build) for build in self.builds(service, now))
+        return ObservedBuilds(services=tuple(sorted(found)), seconds=seconds)
+
+    def inherit(self, builds: ObservedBuilds, now: float) -> None:
+        """Count the time that other VMs observed until now as observed by this one."""
+        for service, build in builds.services:
+            self._note(service, build, now)
+        self.noted_at = now
+        self.are_listed = True
+        self.observed_since = min(self.observed_since, now - builds.seconds)
+
     def build_of(self, entry: TargetEntry, now: float) -> str:
         """Return the build of a target.
 
--- a/src/gypsumsail/vm/kept_state.py
+++ b/src/gypsumsail/vm/kept_state.py
@@ -20,10 +20,12 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.part_suspects import PartCrash, PartSuspects
+from gypsumsail.gateway.stream_builds import ObservedBuilds
 from gypsumsail.gossip.peers import PeerTable
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.object_api.eras import EraTracker
 from gypsumsail.object_api.port import MUST_NOT_EXIST, ConflictError, ObjectApi
+from gypsumsail.vm.build_history import BuildHistory, KeptBuilds
 
 KEPT_STATE_DUTY: Final = "kept state"
 """Name of the duty to write."""
@@ -39,6 +41,7 @@
 """Age from which the state of a VM is ignored, as that VM has probably ended."""
 
 _CRASH = cbor.RowReader(str, str, int, int)
+_BUILD = cbor.RowReader(str, str)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -49,15 +52,23 @@
     ----------
     blocked
         Crashes of the parts of prompts that are blocked.
+    builds
+        Builds of targets; ``None`` where this VM doesn't know all.
     """
 
     blocked: tuple[PartCrash, ...] = ()
+    builds: KeptBuilds | None = None
 
 
 def encode_state(state: KeptState, wall: float) -> bytes:
     """Encode the state of a VM that is written at a wall-clock time, in seconds."""
     rows = [[item.part, item.target, item.life, item.order] for item in state.blocked]
-    return cbor2.dumps({"at": int(wall * MILLISECONDS_PER_SECOND), "blocked": rows})
+    fields = {"at": int(wall * MILLISECONDS_PER_SECOND), "blocked": rows}
+    if (builds := state.builds) is not None:
+        observed = builds.observed
+        services = [list(pair) for pair in observed.services]
+        fields["builds"] = [builds.position, float(observed.seconds), services]
+    return cbor2.dumps(fields)
 
 
 def decode_state(value: bytes) -> tuple[KeptState, float]:
@@ -78,7 +89,19 @@
         PartCrash(part=part, target=target, life=life, order=order)
         for part, target, life, order in _CRASH.read_all(fields.get("blocked", []))
     )
-    return KeptState(blocked=blocked), written_at
+    builds = _decode_builds(fields["builds"]) if "builds" in fields else None
+    return KeptState(blocked=blocked, builds=builds), written_at
+
+
+def _decode_builds(value: object) -> KeptBuilds:
+    position, seconds, services = cbor.read_list(value, 3)
+    return KeptBuilds(
+        observed=ObservedBuilds(
+            services=tuple((row[0], row[1]) for row in _BUILD.read_all(services)),
+            seconds=cbor.read_seconds(seconds),
+        ),
+        position=cbor.read_unsigned(position),
+    )
 
 
 class KeptStateCoordinator:
@@ -93,6 +116,8 @@
     written_era
         Era of the store in which it was read or written. A store that is restored from
         an older copy may have lost it.
+    kept_builds
+        Builds that all VMs had kept, each with the version of its object.
     next_write_at
         Time before which nothing is written.
     """
@@ -105,6 +130,7 @@
         eras: EraTracker,
         peers: PeerTable,
         part_suspects: PartSuspects,
+        build_history: BuildHistory,
         clock: Clock,
         log: DecisionLog,
     ) -> None:
@@ -114,9 +140,11 @@
         self.eras = eras
         self.peers = peers
         self.part_suspects = part_suspects
+        self.build_history = build_history
         self.clock = clock
         self.log = log
         self.has_read = False
+        self.kept_builds: list[tuple[KeptBuilds, int]] = []
         self.written: KeptState | None = KeptState()
         self.version = MUST_NOT_EXIST
         self.written_era: int | None = None
@@ -131,6 +159,7 @@
             except TransportError as err:
                 self.log.write("kept state not read", reason=str(err))
                 await asyncio.sleep(READ_RETRY_SECONDS)
+        await self.build_history.async_inherit(self.kept_builds, self.eras.current)
         while True:
             # The jitter spreads the writes of VMs that learn of the same crash.
             await asyncio.sleep(CHECK_SECONDS * self.random.uniform(0.5, 1.5))
@@ -146,6 +175,7 @@
         """
         listing = await self.api.async_list(self.kind)
         blocked: list[PartCrash] = []
+        self.kept_builds.clear()
         for found in listing.objects:
             try:
                 state, written_at = decode_state(found.value or b"")
@@ -156,6 +186,8 @@
                 self.written, self.version = state, found.version
             if self.clock.wall() - written_at < MAX_STATE_AGE_SECONDS:
                 blocked += state.blocked
+            if state.builds is not None:
+                self.kept_builds.append((state.builds, found.version))
         self.written_era = self.eras.current
         self.has_read = True
         self._apply(blocked)
@@ -169,7 +201,12 @@
     async def async_write_if_due(self) -> None:
         """Write the state of this VM if it has changed and this VM has the duty."""
         now = self.clock.monotonic()
-        state = KeptState(blocked=tuple(self.part_suspects.updates_to_keep()))
+        state = KeptState(
+            blocked=tuple(self.part_suspects.updates_to_keep()),
+            # Older builds stay right, as the history since then is read as well.
+            builds=self.build_history.to_keep(now)
+            or (self.written.builds if self.written is not None else None),
+        )
         if now < self.next_write_at or not self._must_write(state, now):
             return
         self.next_write_at = now + MIN_WRITE_INTERVAL_SECONDS
@@ -190,9 +227,28 @@
 
     def _must_write(self, state: KeptState, now: float) -> bool:
         is_lost = self.written_era != self.eras.current and state != KeptState()
-        if state == self.written and not is_lost:
+        if not is_lost and self._is_written(state):
             return False
+        if state.builds is not None:
+            return True
         # What a VM wrote before it lost the duty must not outlive a change either.
         return self.version != MUST_NOT_EXIST or self.peers.is_assigned(
             KEPT_STATE_DUTY, KEPT_STATE_WRITERS_PER_ZONE, now
         )
+
+    def _is_written(self, state: KeptState) -> bool:
+        """Return whether the object of this VM holds all of a state.
+
+        Changes of the store since are left to its history, but not for longer than
+        that is kept. Those by the write itself are none.
+        """
+        written = self.written
+        if written is None or written.blocked != state.blocked:
+            return False
+        if state.builds is None:
+            return True
+        return (
+            written.builds is not None
+            and written.builds.observed == state.builds.observed
+            and state.builds.position <= self.version
+        )
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -47,6 +47,7 @@
 from gypsumsail.transport.http_reply import Reply
 from gypsumsail.transport.http_request import HttpRequest, ServerLimits
 from gypsumsail.transport.http_server import HttpServer
+from gypsumsail.vm.build_history import BuildHistory
 from gypsumsail.vm.catch_up import CatchUp
 from gypsumsail.vm.const import (
     LEASE_MARGIN_SECONDS,
@@ -132,6 +133,7 @@
         )
         self.catalog = self._make_catalog()
         self.gateway.knows_targets = lambda: self.catalog.knows_targets
+        self.catalog.on_target_read = self._on_target_read
         self.gossip = self._make_gossip()
         self.rollout = self._make_rollout()
         self.catch_up = CatchUp(
@@ -140,6 +142,16 @@
         self.vm_registration = VmRegistration(
             settings, ports, self.peers, clock, self.log
         )
+        self.build_history = BuildHistory(
+            self.catalog,
+            ports.object_api,
+            ports.decoder,
+            self.gateway.stream_builds,
+            self.peers,
+            clock,
+            self.log,
+        )
+        self.build_history.is_view_current = self._is_view_current
         self.kept_state = KeptStateCoordinator(
             settings.vm,
             ports.kept_state_kind,
@@ -147,6 +159,7 @@
             ports.eras,
             self.peers,
             self.gateway.part_suspects,
+            self.build_history,
             clock,
             self.log,
         )
@@ -497,6 +510,10 @@
             server.limits = control_limits
         self.gateway.dispatch()
 
+    @callback
+    def _on_target_read(self, entry: TargetEntry) -> None:
+        self.gateway.stream_builds.note_entry(entry, self.clock.monotonic())
+
     @callback
     def _on_target_removed(self, entry: TargetEntry) -> None:
         self.ports.on_target_removed(entry)
--- a/tests/process/test_mixed_builds.py
+++ b/tests/process/test_mixed_builds.py
@@ -5,6 +5,7 @@
 import asyncio
 from enum import Enum, auto
 import signal
+from time import monotonic
 
 import pytest
 
@@ -21,6 +22,12 @@
 VM_KILL_SECONDS = 2.5
 OLD_BUILD_LINGER_SECONDS = 0.3
 OUTAGE_SECONDS = 1.0
+ONE_BUILD_SECONDS = 14.0
+OBSERVED_SECONDS = 8.0
+# Time after all VMs are ready until which streams of the VMs before go on.
+SOON_SECONDS = 1.0
+MIN_SOON_STREAMS = 8
+MIN_SOON_SHARE = 0.95
 MAX_MIXED_STREAMS = 2
 MIN_RESUMED_STREAMS = 12
 MIN_RESUMED_SHARE = 0.5
@@ -33,12 +40,15 @@
     ----------
     first_tries, next_tries
         Results of the calls that begin a stream, and of those that take one up.
+    tries_by_stream
+        The latter by the request that began the stream.
     """
 
     def __init__(self, seed: int, vms: int, seconds: float) -> None:
         super().__init__(seed, vms, seconds)
         self.first_tries: list[CallResult] = []
         self.next_tries: list[CallResult] = []
+        self.tries_by_stream: dict[str, list[CallResult]] = {}
         engines = (target for target in self.targets if target.is_engine)
         for engine, build in zip(engines, BUILDS, strict=True):
             engine.build = build
@@ -95,6 +105,8 @@
             )
             tries = self.first_tries if resumption is None else self.next_tries
             tries.append(result)
+            if resumption is not None:
+                self.tries_by_stream.setdefault(resumption.began_as, []).append(result)
             if result.status == 200:
                 return
             events = result.body.count(b"\n\n")
@@ -135,8 +147,8 @@
         Number of calls since the first kill that take up a stream.
     """
 
-    def __init__(self, seed: int, outage: Outage) -> None:
-        super().__init__(seed, vms=5, seconds=SECONDS)
+    def __init__(self, seed: int, outage: Outage, seconds: float = SECONDS) -> None:
+        super().__init__(seed, vms=5, seconds=seconds)
         self.outage = outage
         self.tries_after_kill = 0
         engines = [target for target in self.targets if target.is_engine]
@@ -212,3 +224,67 @@
     await run.async_run_with_kills()
     assert run.tries_after_kill >= MIN_RESUMED_STREAMS
     assert run.mixed_streams() == []
+
+
+class OneBuildRun(AllKilledRun):
+    """One build serves, and all VMs are killed once they could know that.
+
+    Attributes
+    ----------
+    killed_at, ready_at
+        Times at which all VMs were killed and were ready again.
+    """
+
+    killed_at = 0.0
+    ready_at = 0.0
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, Outage.NONE, seconds=ONE_BUILD_SECONDS)
+        for engine in (*self.old_engines, *self.new_engines):
+            engine.build = "v1"
+
+    async def async_run_with_kill(self) -> None:
+        """Kill all VMs, and let callers take up their streams soon after."""
+        try:
+            await self._start()
+            end = asyncio.get_running_loop().time() + self.seconds
+            senders = [
+                asyncio.create_task(self._async_send_streams(end))
+                for _ in range(CALLERS)
+            ]
+            await asyncio.sleep(OBSERVED_SECONDS)
+            self.killed_at = monotonic()
+            await asyncio.gather(*(vm.async_kill() for vm in self.vms))
+            await asyncio.gather(*(vm.async_start() for vm in self.vms))
+            await asyncio.gather(*(self._wait_until_ready(vm) for vm in self.vms))
+            self.ready_at = monotonic()
+            await asyncio.gather(*senders)
+        finally:
+            await self._stop()
+
+    def streams_of_killed_vms(self) -> list[list[CallResult]]:
+        """Return the tries since the kill, by stream, until soon after it.
+
+        Streams whose callers gave up before all VMs were ready are left out.
+        """
+        end = self.ready_at + SOON_SECONDS
+        found = [
+            [item for item in tries if self.killed_at < item.began_at <= end]
+            for tries in self.tries_by_stream.values()
+        ]
+        return [
+            tries
+            for tries in found
+            if tries
+            and (any(map(_has_begun, tries)) or tries[-1].began_at > self.ready_at)
+        ]
+
+
+async def test_streams_go_on_soon_after_all_vms_were_killed_at_once() -> None:
+    """No running VM has seen that only one build served; the store tells it."""
+    run = OneBuildRun(36)
+    await run.async_run_with_kill()
+    streams = run.streams_of_killed_vms()
+    assert len(streams) >= MIN_SOON_STREAMS
+    served = sum(any(map(_has_begun, tries)) for tries in streams)
+    assert served >= MIN_SOON_SHARE * len(streams)
--- a/tests/vm/test_kept_state.py
+++ b/tests/vm/test_kept_state.py
@@ -21,8 +21,7 @@
     encode_state,
 )
 from tests.common import ManualClock
-from tests.documents.common import FakeObjectApi
-from tests.vm.common import KIND, KeepingVm
+from tests.vm.common import KIND, HistoryStore, KeepingVm
 
 MAX_STATE_BYTES = 6_000
 KEY = f"{KIND}/v1"
@@ -30,7 +29,7 @@
 
 
 async def test_vm_that_starts_after_all_others_ended_knows_blocked_parts() -> None:
-    api, clock = FakeObjectApi(), ManualClock()
+    api, clock = HistoryStore(), ManualClock()
     ended = KeepingVm(api, "v1", clock)
     await ended.kept_state.async_read()
     ended.block("bad")
@@ -41,7 +40,7 @@
 
 
 async def test_part_that_was_released_is_not_blocked_after_a_start() -> None:
-    api, clock = FakeObjectApi(), ManualClock()
+    api, clock = HistoryStore(), ManualClock()
     ended = KeepingVm(api, "v1", clock)
     ended.block("bad")
     await ended.async_write()
@@ -53,37 +52,38 @@
 
 
 async def test_nothing_is_written_without_a_change() -> None:
-    api, clock = FakeObjectApi(), ManualClock()
+    api, clock = HistoryStore(), ManualClock()
     vm = KeepingVm(api, "v1", clock)
     await vm.kept_state.async_read()
     for _ in range(10):
         await vm.async_write()
-    assert not api.log
+    assert api.writes == 0
     vm.block("bad")
     for _ in range(10):
         await vm.async_write()
-    assert len(api.log) == 1
+    assert api.writes == 1
     restarted = KeepingVm(api, "v1", clock)
     await restarted.kept_state.async_read()
     await restarted.async_write()
-    assert len(api.log) == 1
+    assert api.writes == 1
 
 
 async def test_changes_in_quick_succession_are_written_a_few_times() -> None:
-    api, clock = FakeObjectApi(), ManualClock()
+    api, clock = HistoryStore(), ManualClock()
     vm = KeepingVm(api, "v1", clock)
     for number in range(60):
         vm.block(f"bad{number}")
         await vm.async_write(seconds=1.0)
-    assert len(api.log) <= 60.0 / MIN_WRITE_INTERVAL_SECONDS
+    assert api.writes <= 60.0 / MIN_WRITE_INTERVAL_SECONDS
 
 
 async def test_write_whose_answer_was_lost_is_made_again() -> None:
-    api, clock = FakeObjectApi(lose_answers=1.0), ManualClock()
+    api, clock = HistoryStore(), ManualClock()
+    api.loses_answers = True
     vm = KeepingVm(api, "v1", clock)
     vm.block("bad1")
     await vm.async_write()
-    api.lose_answers = 0.0
+    api.loses_answers = False
     vm.block("bad2")
     await vm.async_write()
     await vm.async_write()
@@ -92,12 +92,12 @@
 
 
 async def test_state_that_a_restored_store_lost_is_written_again() -> None:
-    api, clock = FakeObjectApi(), ManualClock()
+    api, clock = HistoryStore(), ManualClock()
     vm = KeepingVm(api, "v1", clock)
     await vm.kept_state.async_read()
     vm.block("bad")
     await vm.async_write()
-    api.delete(KEY)
+    api.remove(KEY)
     vm.eras.observe(2, clock.now)
     await vm.async_write()
     await vm.async_write()
@@ -105,7 +105,7 @@
 
 
 async def test_state_of_a_vm_that_ended_long_ago_is_ignored() -> None:
-    api, clock = FakeObjectApi(), ManualClock()
+    api, clock = HistoryStore(), ManualClock()
     ended = KeepingVm(api, "v1", clock)
     ended.block("bad")
     await ended.async_write()
@@ -116,16 +116,17 @@
 
 
 async def test_malformed_state_of_a_vm_hides_no_other() -> None:
-    api, clock = FakeObjectApi(), ManualClock()
-    api.put(f"{KIND}/v0", b"\xff", if_version=0)
-    api.put(KEY, encode_state(STATE, clock.now), if_version=0)
+    api, clock = HistoryStore(), ManualClock()
+    api.write(f"{KIND}/v0", b"\xff")
+    api.write(KEY, encode_state(STATE, clock.now))
     started = KeepingVm(api, "v2", clock)
     await started.kept_state.async_read()
     assert started.suspects.orders(["bad"], clock.now) == {"bad": 2}
 
 
 async def test_store_that_is_away_is_reported() -> None:
-    api, clock = FakeObjectApi(down=True), ManualClock()
+    api, clock = HistoryStore(), ManualClock()
+    api.is_down = True
     vm = KeepingVm(api, "v1", clock)
     with pytest.raises(TransportError):
         await vm.kept_state.async_read()
