Let a watcher of the targets keep the builds

The one VM that should write the builds was selected by its name alone, and only VMs that watch the targets may write: where it was no watcher, nothing was written.

Now it is the first watcher of the targets in one zone, so the duty always falls to a VM that reads them.

--- a/src/gypsumsail/vm/build_history.py
+++ b/src/gypsumsail/vm/build_history.py
@@ -84,11 +84,10 @@
     def to_keep(self, now: float) -> KeptBuilds | None:
         """Return what to write; ``None`` without the duty or after a gap."""
         kind = self.catalog.kinds.targets
-        has_duty = next(iter(rank(BUILD_HISTORY_DUTY, self.peers.names(now)))) == (
-            self.peers.vm
-        )
         if not (
-            has_duty and self.catalog.reads_store(kind) and self.is_view_current(now)
+            self._has_duty(now)
+            and self.catalog.reads_store(kind)
+            and self.is_view_current(now)
         ):
             return None
         states = self.catalog.targets.states.values()
@@ -97,6 +96,17 @@
             return None
         return KeptBuilds(observed=observed, position=self.catalog.revision(kind))
 
+    def _has_duty(self, now: float) -> bool:
+        """Return whether this VM, and no other, keeps the builds.
+
+        It is the first watcher of the targets in one of the zones.
+        """
+        zones = {self.peers.zone, *(peer.zone for peer in self.peers.alive(now))}
+        zone = next(iter(rank(BUILD_HISTORY_DUTY, zones)))
+        return zone == self.peers.zone and self.peers.is_assigned(
+            self.catalog.kinds.targets, 1, now
+        )
+
     async def async_inherit(
         self, found: Iterable[tuple[KeptBuilds, int]], era: int
     ) -> None:
--- a/tests/vm/common.py
+++ b/tests/vm/common.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from gypsumsail.catalog.watchers import watchers_per_zone
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.part_suspects import MIN_CRASHES, PartSuspects
 from gypsumsail.gateway.stream_builds import NOTE_INTERVAL_SECONDS, StreamBuilds
@@ -27,6 +30,7 @@
 )
 from tests.common import ManualClock
 from tests.gateway.common import ENGINES, decision_log
+from tests.gossip.common import message
 
 KIND = "kept"
 RETURN_SECONDS = 5.0
@@ -127,7 +131,9 @@
 class KeepingVm:
     """A VM of a fleet whose other VMs it doesn't hear."""
 
-    def __init__(self, api: HistoryStore, vm: str, clock: ManualClock) -> None:
+    def __init__(
+        self, api: HistoryStore, vm: str, clock: ManualClock, zone: str = "z1"
+    ) -> None:
         self.api = api
         self.clock = clock
         self.eras = EraTracker()
@@ -137,7 +143,7 @@
         self.catalog.coordinator.on_target_read = lambda entry: self.builds.note_entry(
             entry, clock.now
         )
-        peers = PeerTable(vm, f"10.0.0.{vm[1:]}", "z1")
+        peers = self.peers = PeerTable(vm, f"10.0.0.{vm[1:]}", zone)
         log = decision_log(clock)
         self.kept_state = KeptStateCoordinator(
             vm,
@@ -171,6 +177,20 @@
             self.kept_state.kept_builds, self.eras.current
         )
 
+    def watch_like_a_vm_of_a_fleet(self) -> None:
+        """Read the targets from the store only with the duty to watch them."""
+        watch = self.catalog.coordinator.watches[KINDS.targets]
+        watch.is_watcher = lambda kind: self.peers.is_assigned(
+            kind, watchers_per_zone(3, is_large=False), self.clock.now
+        )
+
+    def hear(self, vms: Iterable[KeepingVm]) -> None:
+        """Hear of the other VMs."""
+        for other in vms:
+            peers = other.peers
+            heard = message(peers.vm, host=peers.host, zone=peers.zone)
+            self.peers.record_message(heard, self.clock.now)
+
     async def async_observe(self, seconds: float) -> None:
         """Observe the targets for some time."""
         for _ in range(round(seconds / NOTE_INTERVAL_SECONDS)):
--- a/tests/vm/test_build_history.py
+++ b/tests/vm/test_build_history.py
@@ -194,3 +194,23 @@
         api.add_target(f"e{number}", f"v{number}")
     await fleet_of_one(api, clock)
     assert api.writes == 0
+
+
+async def test_one_watcher_of_the_fleet_keeps_builds() -> None:
+    """Whatever the names, as long as it is a VM that reads the targets itself."""
+    for fleet in range(10):
+        names = [f"v{number}" for number in range(10 * fleet + 1, 10 * fleet + 11)]
+        api, clock = HistoryStore(), ManualClock()
+        api.add_target("e1", "v1")
+        vms = [
+            KeepingVm(api, name, clock, zone=f"z{max(index - 7, 0)}")
+            for index, name in enumerate(names)
+        ]
+        for vm in vms:
+            await vm.async_start()
+            vm.watch_like_a_vm_of_a_fleet()
+            vm.builds.observed_since = clock.now - OBSERVED_SECONDS
+        for vm in vms:
+            vm.hear(vms)
+            await vm.kept_state.async_write_if_due()
+        assert api.writes == 1
