--- /dev/null
+++ b/tests/fuzzing.py
@@ -0,0 +1,24 @@
+"""Settings of tests that draw their input."""
+
+from __future__ import annotations
+
+import os
+from typing import Final
+
+from hypothesis import HealthCheck, settings
+
+EXAMPLES_VARIABLE: Final = "GYPSUMSAIL_FUZZ_EXAMPLES"
+"""Number of examples of a long run by hand, whose input is drawn anew each time."""
+
+
+def fuzz_settings(examples: int) -> settings:
+    """Return settings for a number of examples, the same in each run of the CI."""
+    found = os.environ.get(EXAMPLES_VARIABLE)
+    return settings(
+        max_examples=int(found) if found else examples,
+        derandomize=found is None,
+        database=None,
+        deadline=None,
+        print_blob=True,
+        suppress_health_check=list(HealthCheck),
+    )
--- a/tests/platform/common.py
+++ b/tests/platform/common.py
@@ -220,7 +220,7 @@
                 for piece in pieces:
                     writer.write(piece)
                     await asyncio.sleep(pause)
-                while found.count(b"HTTP/1.1 ") < answers or not _is_whole(found):
+                while not _is_whole(found, answers):
                     data = await reader.read(65_536)
                     if not data:
                         break
@@ -229,9 +229,12 @@
         return found
 
 
-def _is_whole(answers: bytes) -> bool:
-    """Return whether the last answer has come whole."""
-    head, end, body = answers[answers.rindex(b"HTTP/1.1 ") :].partition(b"\r\n\r\n")
+def _is_whole(data: bytes, answers: int) -> bool:
+    """Return whether a number of answers has come, interim ones not counted."""
+    starts = [match.start() for match in re.finditer(rb"HTTP/1\.1 [2-5]", data)]
+    if len(starts) < answers:
+        return False
+    head, end, body = data[starts[-1] :].partition(b"\r\n\r\n")
     length = re.search(rb"(?i)content-length: (\d+)", head)
     return bool(end) and (length is None or len(body) >= int(length[1]))
 
