Name the method that handles a misplaced answer by what it does

Read-through: _may_ask_again read like a question, but it closes the connection, counts and logs. Renamed, its summary says so; no other line changes.

Checked: format, lint and types of the package, and 63 tests of tests/context_stores and of repeating, late and reused stores.

--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -162,7 +162,7 @@
             try:
                 await self._async_poll(view)
             except MisplacedAnswerError as err:
-                if not self._may_ask_again(view, err):
+                if not self._handle_misplaced_answer(view, err):
                     self._drop(view, str(err))
                     await asyncio.sleep(RETRY_DELAY_SECONDS)
             except TransportError as err:
@@ -182,8 +182,10 @@
             for state in self.targets.states.values()
         )
 
-    def _may_ask_again(self, view: StoreView, err: MisplacedAnswerError) -> bool:
-        """Return whether to keep the contents and ask for the same changes again.
+    def _handle_misplaced_answer(
+        self, view: StoreView, err: MisplacedAnswerError
+    ) -> bool:
+        """Close the connection; return whether to keep the contents and ask again.
 
         The first answer on a new connection can't belong to an earlier call, so that
         another such answer shows that the store's numbers are not understood.
