--- a/review/harness.py
+++ b/review/harness.py
@@ -336,17 +336,22 @@
                 Machine(name, host, ZONES[number % 3], ports, directory)
             )
 
-    async def async_start(self, document: dict[str, Any]) -> None:
-        """Start the store, then all VMs, and wait until they are ready."""
+    async def async_start_store(self, document: dict[str, Any]) -> None:
+        """Start the store and write the settings of all VMs."""
         port = await self.store.server.async_start(STORE_HOST)
         await self.store.put("config", "main", document)
         hosts = [machine.host for machine in self.machines]
         for machine in self.machines:
             machine.write_settings(f"{STORE_HOST}:{port}", hosts[:3])
+
+    async def async_start(self, document: dict[str, Any]) -> None:
+        """Start the store, then all VMs, and wait until they are ready."""
+        await self.async_start_store(document)
+        for machine in self.machines:
             machine.start()
         for machine in self.machines:
             await self.async_wait_ready(machine)
-        self.record.write(f"{len(hosts)} machines are ready")
+        self.record.write(f"{len(self.machines)} machines are ready")
 
     async def async_wait_ready(self, machine: Machine) -> None:
         """Ask the readiness address until the answer is 200."""
