Log who reads the store, how old copies are, and which VMs fall silent

Added: lines 'reading started' and 'reading stopped' with the age of the copy, 'VMs silent' and 'VMs heard', and the gauge gypsumsail_copy_age_seconds by kind. No decision changes.

--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, replace
+from math import isfinite
 from typing import Any, Protocol
 
 from gypsumsail.catalog.const import MAX_CONFIRMED_REMOVALS, WATCH_SECONDS
@@ -18,6 +19,7 @@
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import GypsumsailError
+from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import RoutingDocument, TargetEntry, TargetPhase
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.telemetry import GatewayTelemetry
@@ -127,6 +129,8 @@
             )
             for kind in kinds.all()
         }
+        for watch in self.watches.values():
+            watch.on_reading = self._on_reading
         self.source = "store"
         self.source_outage = StoreOutage.NONE
         self.recovered_at = clock.monotonic()
@@ -157,6 +161,13 @@
         """Return whether this VM reads a kind from the store instead of its peers."""
         return self.watches[kind].reads_store
 
+    def copy_age(self, kind: str, now: float) -> float:
+        """Return the seconds since the store is known to have confirmed the copy.
+
+        It is infinite before the first answer.
+        """
+        return self.watches[kind].age(now)
+
     def revision(self, kind: str) -> int:
         """Return the store revision that the copy of a kind reflects."""
         return self.watches[kind].state.revision
@@ -373,6 +384,14 @@
             "object left out", key=obj.key, revision=obj.version, reason=str(err)
         )
 
+    def _on_reading(self, kind: str, is_reading: bool) -> None:
+        age = self.copy_age(kind, self.clock.monotonic())
+        self.telemetry.log.write(
+            "reading started" if is_reading else "reading stopped",
+            kind=kind,
+            copy_age_ms=round(age * MILLISECONDS_PER_SECOND) if isfinite(age) else None,
+        )
+
     def _on_availability(self, is_up: bool, reason: str) -> None:
         # Each kind is logged separately. `watch_seconds` is the configured wait of a
         # watch, not the length of the outage.
--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -36,6 +36,10 @@
         Returns whether this VM is assigned to watch a kind.
     on_availability
         Called with whether the store is available, and the reason of an outage.
+    on_reading
+        Called with the kind when this VM starts or stops to read it from the store.
+    confirmed_at
+        Time at which the store is known to have had no change that the copy lacks.
     """
 
     def __init__(
@@ -58,6 +62,9 @@
         self.on_changes = on_changes
         self.on_availability = on_availability
         self.is_watcher = is_watcher
+        self.on_reading: Callable[[str, bool], None] = lambda kind, is_reading: None
+        self.confirmed_at = float("-inf")
+        self.is_reading = False
 
     @property
     def reads_store(self) -> bool:
@@ -72,7 +79,11 @@
         """Follow the kind until the task is cancelled."""
         pause = RETRY_SECONDS
         while True:
-            if not self.reads_store:
+            reads_store = self.reads_store
+            if reads_store != self.is_reading:
+                self.is_reading = reads_store
+                self.on_reading(self.kind, reads_store)
+            if not reads_store:
                 await async_sleep_aligned(WATCHER_CHECK_SECONDS)
                 continue
             try:
@@ -99,8 +110,10 @@
                 self.on_changes(self.kind, changes)
 
     async def _async_step(self) -> Changes:
+        started_at = self.clock.monotonic()
         if self.must_list:
             listing = await self.api.async_list(self.kind)
+            self._record_confirmation(started_at)
             self.must_list = False
             self.has_just_listed = True
             changes = self.state.replace(listing)
@@ -109,7 +122,6 @@
                 reason = "the store was restored from an older copy"
                 self.on_availability(False, reason)
             return changes
-        started_at = self.clock.monotonic()
         # A short wait shows sooner whether a failing store has recovered.
         wait = OUTAGE_WATCH_SECONDS if self.health.is_failing else WATCH_SECONDS
         listing = await self.api.async_watch(
@@ -121,4 +133,14 @@
             # The store was unavailable for a while, so records may have expired
             # although their targets are alive.
             self.health.record_failure()
+        # The answer with changes may have waited on its way.
+        waited = 0.0 if listing.objects else wait
+        self._record_confirmation(min(started_at + waited, now))
         return self.state.apply(listing)
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the store is known to have confirmed the copy."""
+        return now - self.confirmed_at
+
+    def _record_confirmation(self, at: float) -> None:
+        self.confirmed_at = max(self.confirmed_at, at)
--- a/src/gypsumsail/vm/const.py
+++ b/src/gypsumsail/vm/const.py
@@ -46,5 +46,7 @@
 
 It hears of the other VMs in that time.
 """
+MAX_VMS_PER_LINE: Final = 12
+"""Maximum number of VMs that one line of the log names."""
 MAX_NAMINGS_TOLD: Final = 4
 """Latest versions of each model whose naming times a started VM is told."""
--- a/src/gypsumsail/vm/metrics.py
+++ b/src/gypsumsail/vm/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from gypsumsail.core.callback import callback
@@ -41,6 +42,11 @@
         self.document = registry.gauge(
             "gypsumsail_routing_document", "Version of the routing document in force."
         )
+        self.copy_age = registry.gauge(
+            "gypsumsail_copy_age_seconds",
+            "Seconds since the store is known to have confirmed the copy of a kind.",
+            ("kind",),
+        )
         self.dropped = registry.counter(
             "gypsumsail_log_lines_dropped_total", "Log lines that were dropped."
         )
@@ -71,6 +77,10 @@
         self.peers.labels().set(vm.peers.count(now))
         if vm.gateway.document is not None:
             self.document.labels().set(vm.gateway.document.version)
+        for kind in vm.catalog.kinds.all():
+            age = vm.catalog.copy_age(kind, now)
+            if isfinite(age):
+                self.copy_age.labels(kind).set(age)
         self.dropped.labels().set_total(vm.writer.dropped + vm.log.total_dropped)
         use = read_process_usage()
         self.cpu.labels().set_total(use.cpu_seconds)
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -69,6 +69,7 @@
 from gypsumsail.vm.readiness import Readiness
 from gypsumsail.vm.settings import VmSettings
 from gypsumsail.vm.shutdown import accepts_requests, may_exit
+from gypsumsail.vm.silence_log import SilenceLog
 from gypsumsail.vm.vm_list import VmRegistration
 
 _LOGGER = logging.getLogger(__name__)
@@ -163,6 +164,7 @@
             clock,
             self.log,
         )
+        self.silence_log = SilenceLog(self.peers, self.log)
         self.metrics = VmMetrics(self.registry)
         self.control_api = ControlApi(self)
         self.caller_server = HttpServer(
@@ -424,6 +426,7 @@
             self.catalog.tick(now)
             self.gateway.tick(now)
             self.gossip.tick(now)
+            self.silence_log.tick(now)
             self.writer.flush()
             if not accepts_requests(self.signalled_at, now):
                 self.caller_server.stop_accepting()
--- a/tests/catalog/test_kind_watch.py
+++ b/tests/catalog/test_kind_watch.py
@@ -77,3 +77,26 @@
     assert health.record_answer(103.0)
     assert health.outage(104.0) is StoreOutage.LATELY
     assert health.outage(110.0) is StoreOutage.NONE
+
+
+async def test_copy_is_confirmed_by_listings_and_watches() -> None:
+    api = ScriptedApi(listing(5), listing(9, stored("k/b", 8, 1)), listing(12))
+    clock = SystemClock()
+    reading: list[bool] = []
+    watch = KindWatch(
+        api,
+        "k",
+        StoreHealth(clock.monotonic()),
+        clock,
+        lambda kind, found: None,
+        lambda is_up, reason: None,
+        lambda kind: True,
+    )
+    watch.on_reading = lambda kind, is_reading: reading.append(is_reading)
+    assert watch.age(clock.monotonic()) == float("inf")
+    task = asyncio.create_task(watch.async_run())
+    async with asyncio.timeout(5.0):
+        await api.is_exhausted.wait()
+    task.cancel()
+    assert watch.age(clock.monotonic()) < 1.0
+    assert reading == [True]
