--- a/tests/process/test_config_in_force.py
+++ b/tests/process/test_config_in_force.py
@@ -92,7 +92,4 @@
         )
         for vm in watchers:
             vm.send_signal(signal.SIGCONT)
-    for vm in run.vms:
-        print(vm.name, [l for l in vm.log.read_text().splitlines() if "document in force" in l])
-    print(found, [w.name for w in watchers])
     assert 404 not in found, dict(zip([vm.name for vm in calm], found, strict=True))
