Read the store when a copy may be too old, whoever was to tell of changes

Callers saw: an added route refused with 404, or handled by an older version, more than config_ms after the change was acknowledged (CONFIG).

Cause: a VM that isn't a watcher heard of changes from others only, and asked the store itself once it had heard nothing for 3.0 s, a constant that no deployment states. No VM knew how old its copy might be. If those that read for a zone stood still, could not read or could not be heard, a change was late by the rest of the 3.0 s, a check and a call.

Change: each copy has an age, counted from when the store last confirmed it. VMs that read the store tell their zone the revision and the age of each reading. A VM whose copy is older than 0.55 of the bound in the settings reads the store itself until it is confirmed again. The same for the leaving of targets and for weights, each by its own bound.

--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -18,6 +18,16 @@
 """
 MAX_WATCHERS_PER_ZONE: Final = 3
 """Number of VMs per zone that watch a kind, at most."""
+MAX_AGE_SHARE: Final = 0.55
+"""Share of the bound on changes after which a VM reads the store itself.
+
+The rest is for noticing it and for the call.
+"""
+MAX_CONFIRMATION_SHARE: Final = 0.25
+"""Share of that bound that a watch waits at most if other VMs rely on its answers.
+
+A VM then misses two of them before its copy is too old.
+"""
 WATCHER_CHECK_SECONDS: Final = 0.2
 """Interval at which a VM checks whether it has to watch a kind."""
 RETRY_SECONDS: Final = 0.25
--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 from gypsumsail.catalog.const import MAX_CONFIRMED_REMOVALS, WATCH_SECONDS
+from gypsumsail.catalog.freshness import ChangeBounds, CopyConfirmation
 from gypsumsail.catalog.kind_state import Changes
 from gypsumsail.catalog.kind_watch import KindWatch
 from gypsumsail.catalog.naming_time import NamingTime
@@ -101,6 +102,7 @@
         on_document: Callable[[RoutingDocument], None],
         on_target_removed: Callable[[TargetEntry], None],
         is_watcher: Callable[[str], bool],
+        bounds: ChangeBounds,
     ) -> None:
         self.kinds = kinds
         self.decoder = decoder
@@ -126,8 +128,9 @@
                 self._on_changes,
                 self._on_availability,
                 is_watcher,
+                bound,
             )
-            for kind in kinds.all()
+            for kind, bound in self._bounds_by_kind(bounds).items()
         }
         for watch in self.watches.values():
             watch.on_reading = self._on_reading
@@ -140,6 +143,25 @@
         self.on_removal_seen: Callable[[TargetEntry], None] = lambda entry: None
         self.on_target_read: Callable[[TargetEntry], None] = lambda entry: None
 
+    def _bounds_by_kind(self, bounds: ChangeBounds) -> dict[str, float]:
+        return {
+            self.kinds.documents: bounds.document,
+            self.kinds.targets: bounds.leaving,
+            self.kinds.weights: bounds.weights,
+        }
+
+    @callback
+    def set_bounds(self, bounds: ChangeBounds) -> None:
+        """Apply other bounds on the time in which changes must be in force."""
+        for kind, bound in self._bounds_by_kind(bounds).items():
+            self.watches[kind].bound = bound
+
+    @callback
+    def set_relied_on(self, is_relied_on: Callable[[str], bool]) -> None:
+        """Set what returns whether other VMs depend on what this one reads."""
+        for watch in self.watches.values():
+            watch.is_relied_on = is_relied_on
+
     @property
     def knows_targets(self) -> bool:
         """Return whether the targets were listed at least once."""
@@ -161,6 +183,26 @@
         """Return whether this VM reads a kind from the store instead of its peers."""
         return self.watches[kind].reads_store
 
+    def own_readings(self, now: float) -> list[CopyConfirmation]:
+        """Return what this VM itself has last read, if others rely on it."""
+        return [
+            CopyConfirmation(
+                kind=kind,
+                changed_revision=watch.state.last_changed_revision,
+                age=now - watch.read_at,
+            )
+            for kind, watch in self.watches.items()
+            if isfinite(watch.read_at) and watch.is_relied_on(kind)
+        ]
+
+    @callback
+    def confirm(self, confirmation: CopyConfirmation, now: float) -> bool:
+        """Apply what another VM has read; return whether that VM is not ahead."""
+        watch = self.watches.get(confirmation.kind)
+        return watch is None or watch.confirm(
+            confirmation.changed_revision, now - confirmation.age
+        )
+
     def copy_age(self, kind: str, now: float) -> float:
         """Return the seconds since the store is known to have confirmed the copy.
 
@@ -213,7 +255,10 @@
     @callback
     def tick(self, now: float) -> None:
         """Remove targets that were not listed again after an outage."""
-        self.naming_time.tick(now)
+        if self.naming_time.tick(now):
+            # Datagrams that waited for the end of a suspension seem new.
+            for watch in self.watches.values():
+                watch.doubt()
         health = self.store_health[self.kinds.targets]
         for name in self.pending_removals.pop_expired(health, now):
             self._remove_target(name, "not listed again after the store recovered")
--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -10,12 +10,13 @@
     OUTAGE_WATCH_SECONDS,
     RETRY_SECONDS,
     WATCH_OVERRUN_SECONDS,
-    WATCH_SECONDS,
     WATCHER_CHECK_SECONDS,
 )
+from gypsumsail.catalog.freshness import is_too_old, watch_seconds
 from gypsumsail.catalog.kind_state import Changes, KindState
 from gypsumsail.catalog.store_health import StoreHealth
 from gypsumsail.core.aligned_sleep import async_sleep_aligned
+from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.object_api.port import ObjectApi, WatchExpiredError
@@ -32,14 +33,19 @@
         Whether no watch has succeeded since the last listing.
     on_changes
         Called with the kind and its changes.
+    bound
+        Seconds in which a change of the kind must be in force.
     is_watcher
         Returns whether this VM is assigned to watch a kind.
+    is_relied_on
+        Returns whether other VMs depend on what this one reads of a kind.
     on_availability
         Called with whether the store is available, and the reason of an outage.
     on_reading
         Called with the kind when this VM starts or stops to read it from the store.
-    confirmed_at
-        Time at which the store is known to have had no change that the copy lacks.
+    confirmed_at, read_at
+        Time at which the store is known to have had no change that the copy lacks, by
+        this VM or others, and by this VM alone.
     """
 
     def __init__(
@@ -51,29 +57,37 @@
         on_changes: Callable[[str, Changes], None],
         on_availability: Callable[[bool, str], None],
         is_watcher: Callable[[str], bool],
+        bound: float,
     ) -> None:
         self.api = api
         self.kind = kind
         self.health = health
         self.clock = clock
         self.state = KindState()
+        self.bound = bound
         self.must_list = True
         self.has_just_listed = False
         self.on_changes = on_changes
         self.on_availability = on_availability
         self.is_watcher = is_watcher
         self.on_reading: Callable[[str, bool], None] = lambda kind, is_reading: None
+        self.is_relied_on: Callable[[str], bool] = lambda kind: False
         self.confirmed_at = float("-inf")
+        self.read_at = float("-inf")
         self.is_reading = False
 
     @property
     def reads_store(self) -> bool:
         """Return whether this VM reads the kind from the store.
 
-        It does so when it is a watcher, or while it has no copy yet. Otherwise it
-        receives the changes from its peers.
+        It does so when it is a watcher, while it has no copy yet, and when its copy
+        may be too old. Otherwise it receives the changes from its peers.
         """
-        return not self.state.revision or self.is_watcher(self.kind)
+        return (
+            not self.state.revision
+            or self.is_watcher(self.kind)
+            or is_too_old(self.age(self.clock.monotonic()), self.bound)
+        )
 
     async def async_run(self) -> None:
         """Follow the kind until the task is cancelled."""
@@ -123,7 +137,7 @@
                 self.on_availability(False, reason)
             return changes
         # A short wait shows sooner whether a failing store has recovered.
-        wait = OUTAGE_WATCH_SECONDS if self.health.is_failing else WATCH_SECONDS
+        wait = OUTAGE_WATCH_SECONDS if self.health.is_failing else self._wait()
         listing = await self.api.async_watch(
             self.kind, after_revision=self.state.revision, wait=wait
         )
@@ -138,9 +152,36 @@
         self._record_confirmation(min(started_at + waited, now))
         return self.state.apply(listing)
 
+    def _wait(self) -> float:
+        is_relied_on = self.is_relied_on(self.kind) or not self.is_watcher(self.kind)
+        return watch_seconds(self.bound, is_relied_on=is_relied_on)
+
+    @callback
+    def confirm(self, changed_revision: int, at: float) -> bool:
+        """Record that another VM has read the store; return whether it is not ahead.
+
+        Parameters
+        ----------
+        changed_revision
+            Revision of the newest change that the store had.
+        at
+            Time at which it had no newer one.
+        """
+        if changed_revision > self.state.revision:
+            return False
+        if self.state.revision:
+            self.confirmed_at = max(self.confirmed_at, at)
+        return True
+
+    @callback
+    def doubt(self) -> None:
+        """Forget when the copy was confirmed, so that the store is read again."""
+        self.confirmed_at = float("-inf")
+
     def age(self, now: float) -> float:
         """Return the seconds since the store is known to have confirmed the copy."""
         return now - self.confirmed_at
 
     def _record_confirmation(self, at: float) -> None:
+        self.read_at = max(self.read_at, at)
         self.confirmed_at = max(self.confirmed_at, at)
--- a/src/gypsumsail/catalog/naming_time.py
+++ b/src/gypsumsail/catalog/naming_time.py
@@ -31,11 +31,15 @@
     gap_ended_at: float = float("-inf")
     told: dict[tuple[str, int], float] = field(default_factory=dict)
 
-    def tick(self, now: float) -> None:
-        """Record that the main loop runs."""
-        if self.ticked_at is not None and now - self.ticked_at > CLOCK_GAP_SECONDS:
+    def tick(self, now: float) -> bool:
+        """Record that the main loop runs; return whether a gap has ended."""
+        has_gap = self.ticked_at is not None and (
+            now - self.ticked_at > CLOCK_GAP_SECONDS
+        )
+        if self.ticked_at is not None and has_gap:
             self.gap_started_at, self.gap_ended_at = self.ticked_at, now
         self.ticked_at = now
+        return has_gap
 
     def earliest(self, model: str, version: int, now: float) -> float:
         """Return the earliest time at which a version seen only now was named."""
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -8,6 +8,7 @@
 import random
 from typing import TypeVar
 
+from gypsumsail.catalog.freshness import CopyConfirmation
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
@@ -28,6 +29,8 @@
     MAX_UPDATES_PER_MESSAGE,
     UNCHANGED_INTERVAL_SECONDS,
 )
+from gypsumsail.gossip.copy_exchange import CopyExchange
+from gypsumsail.gossip.copy_messages import CopiesConfirmed
 from gypsumsail.gossip.crash_repeats import CrashRepeats
 from gypsumsail.gossip.endpoint import GossipEndpoint
 from gypsumsail.gossip.messages import (
@@ -86,6 +89,9 @@
         Returns whether this VM reads a kind from the platform's object store.
     on_context_store_update
         Called with the changes of a context store that another VM reports.
+    on_copy_confirmed
+        Called with what another VM has read from the store; returns whether that VM
+        has no change that this one lacks.
     on_removal_confirmed
         Called with the name and incarnation of a target whose removal another VM
         confirmed.
@@ -121,6 +127,11 @@
             self.handle_report,
             self.handle_notices,
             self.handle_stream_message,
+            self.handle_copies_confirmed,
+        )
+        self.copies = CopyExchange(peers, self._send_copies_confirmed)
+        self.on_copy_confirmed: Callable[[CopyConfirmation, float], bool] = (
+            lambda confirmation, now: True
         )
         self.streams = StreamExchange(
             peers, stream_builds, clock, self._send_stream_message
@@ -219,6 +230,7 @@
         self.reporter.tick(now)
         self.notices.tick(now)
         self.streams.tick(now)
+        self.copies.tick(now)
         self.crash_report_updates += [
             (update, 1) for update in self.crash_repeats.due(now)
         ]
@@ -267,6 +279,23 @@
         addresses = [(host, self.port) for host in hosts]
         self.endpoint.send_stream_message(message, addresses)
 
+    def _send_copies_confirmed(
+        self, message: CopiesConfirmed, hosts: list[str]
+    ) -> None:
+        addresses = [(host, self.port) for host in hosts]
+        self.endpoint.send_copies_confirmed(message, addresses)
+
+    @callback
+    def handle_copies_confirmed(self, message: CopiesConfirmed) -> None:
+        """Apply what another VM has read from the store."""
+        now = self.clock.monotonic()
+        confirmed = [
+            self.on_copy_confirmed(item, now) for item in message.confirmations
+        ]
+        peer = self.peers.peers.get(message.host)
+        if peer is not None and peer.ahead_since is None and not all(confirmed):
+            peer.ahead_since = now
+
     @callback
     def handle_stream_message(self, message: StreamMessage) -> None:
         """Apply a message on streams of another VM."""
--- a/src/gypsumsail/gossip/endpoint.py
+++ b/src/gypsumsail/gossip/endpoint.py
@@ -11,6 +11,12 @@
 from gypsumsail.core.callback import callback
 from gypsumsail.core.cbor import ValueInvalidError
 from gypsumsail.gossip.const import MAX_DATAGRAM_BYTES
+from gypsumsail.gossip.copy_messages import (
+    CopiesConfirmed,
+    encode_confirmed,
+    is_confirmed,
+    parse_confirmed,
+)
 from gypsumsail.gossip.messages import GossipMessage, encode, parse
 from gypsumsail.gossip.stream_messages import (
     StreamMessage,
@@ -49,11 +55,13 @@
         on_report: Callable[[ZoneReport], None],
         on_notices: Callable[[TargetNotices], None],
         on_stream_message: Callable[[StreamMessage], None],
+        on_copies_confirmed: Callable[[CopiesConfirmed], None],
     ) -> None:
         self.on_message = on_message
         self.on_report = on_report
         self.on_notices = on_notices
         self.on_stream_message = on_stream_message
+        self.on_copies_confirmed = on_copies_confirmed
         self.transport: asyncio.DatagramTransport | None = None
         self.invalid_datagrams = 0
         self.bytes_sent = 0
@@ -97,6 +105,14 @@
         if addresses:
             self._send(encode_stream_message(message), addresses)
 
+    @callback
+    def send_copies_confirmed(
+        self, message: CopiesConfirmed, addresses: list[tuple[str, int]]
+    ) -> None:
+        """Send readings of the store to several VMs."""
+        if addresses:
+            self._send(encode_confirmed(message), addresses)
+
     def _send(self, data: bytes, addresses: list[tuple[str, int]]) -> None:
         if self.transport is None:
             return
@@ -123,6 +139,9 @@
             if is_stream_message(value):
                 self.on_stream_message(parse_stream_message(value))
                 return
+            if is_confirmed(value):
+                self.on_copies_confirmed(parse_confirmed(value))
+                return
             message = parse(value)
         except ValueInvalidError as err:
             self.invalid_datagrams += 1
--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -37,11 +37,12 @@
 
 Builds that don't know the reports ignore an empty host. Two entries mean that the
 sender also reads notices of targets, three that it reads messages on streams as well,
-four that it takes forwarded calls.
+four that it takes forwarded calls, five that it reads confirmations of copies.
 """
 READS_NOTICES_COUNT: Final = 2
 READS_STREAMS_COUNT: Final = 3
 READS_FORWARDS_COUNT: Final = 4
+READS_COPIES_COUNT: Final = 5
 
 
 @dataclass(slots=True)
@@ -66,6 +67,8 @@
         Whether the VM understands messages on the builds that began streams.
     reads_forwards
         Whether the VM takes forwarded calls; builds before them do not.
+    reads_copies
+        Whether the VM reads confirmations of copies; builds before them do not.
     last_report_at
         Time of the last zone report; ``None`` if the VM has sent none.
     last_report
@@ -86,6 +89,7 @@
     reads_notices: bool = False
     reads_streams: bool = False
     reads_forwards: bool = False
+    reads_copies: bool = False
     last_report_at: float | None = None
     last_report: tuple[int, int] = (0, 0)
 
@@ -148,6 +152,7 @@
         peer.reads_notices = markers >= READS_NOTICES_COUNT
         peer.reads_streams = markers >= READS_STREAMS_COUNT
         peer.reads_forwards = markers >= READS_FORWARDS_COUNT
+        peer.reads_copies = markers >= READS_COPIES_COUNT
         if (
             peer.last_message_at is not None
             and peer.started_at_ms != message.started_at_ms
@@ -296,6 +301,17 @@
         """Return the hosts of the live VMs of this zone that read reports."""
         return [peer.host for peer in self._report_readers(now)]
 
+    def copy_reader_hosts(self) -> list[str]:
+        """Return the hosts of this zone's VMs that read confirmations of copies.
+
+        Silent ones are among them: they may hear this VM.
+        """
+        return [
+            peer.host
+            for peer in self.peers.values()
+            if peer.zone == self.zone and peer.reads_copies
+        ]
+
     def _report_readers(self, now: float) -> list[Peer]:
         return [
             peer
@@ -384,7 +400,7 @@
         """Return a random sample of the hosts of live VMs."""
         hosts = [peer.host for peer in self.alive(now)]
         sample = random.sample(hosts, min(len(hosts), MAX_HOSTS_PER_MESSAGE))
-        return (*[READS_REPORTS_MARKER] * READS_FORWARDS_COUNT, *sample)
+        return (*[READS_REPORTS_MARKER] * READS_COPIES_COUNT, *sample)
 
     def evict_silent(self, now: float) -> None:
         """Remove VMs that have been silent for longer than the retention time."""
--- a/src/gypsumsail/platform/settings.py
+++ b/src/gypsumsail/platform/settings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gypsumsail.catalog.freshness import ChangeBounds
 from gypsumsail.core.findings import Finding, SettingsInvalidError
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import Address
@@ -33,7 +34,10 @@
     grace_s
         Maximum time from the first stop signal to the exit of the process.
     drain_ms
-        Checked, but not used by the gateway.
+        Time limit, from when a target's entry says that it leaves or is gone, after
+        which it may get no call.
+    config_ms
+        Time limit in which a routing document must be in force.
     retry_ratio, retry_window_s, retry_slack
         Limit on retries, see ``RetryLimit``; the slack is a number of retries.
     lease_ms
@@ -45,6 +49,7 @@
 
     grace_s: float = 8.0
     drain_ms: float = 2000.0
+    config_ms: float = 2000.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 54.0
@@ -169,5 +174,10 @@
             slack=bounds.retry_slack,
         ),
         min_holder_gap_seconds=bounds.lease_ms / MILLISECONDS_PER_SECOND,
+        change_bounds=ChangeBounds(
+            document=bounds.config_ms / MILLISECONDS_PER_SECOND,
+            leaving=bounds.drain_ms / MILLISECONDS_PER_SECOND,
+            weights=bounds.version_ms / MILLISECONDS_PER_SECOND,
+        ),
         rollout_seconds=bounds.version_ms / MILLISECONDS_PER_SECOND,
     )
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -210,6 +210,7 @@
             self._on_document,
             self._on_target_removed,
             self._is_watcher,
+            self.settings.change_bounds,
         )
 
     def _make_gossip(self) -> GossipCoordinator:
@@ -241,6 +242,9 @@
         gossip.notices.on_weights_named = self.catalog.handle_naming_told
         gossip.notices.on_leaving = self.telemetry.target_leaving
         gossip.notices.on_limit = self.telemetry.target_limited
+        gossip.copies.own_readings = self.catalog.own_readings
+        self.catalog.set_relied_on(self._is_relied_on)
+        gossip.on_copy_confirmed = self.catalog.confirm
         gossip.on_removal_confirmed = self.catalog.confirm_removal
         self.catalog.on_removal_seen = gossip.announce_removal
         return gossip
@@ -340,10 +344,17 @@
 
     def _is_watcher(self, kind: str) -> bool:
         now = self.clock.monotonic()
-        count = watchers_per_zone(
+        return self.peers.is_assigned(kind, self._watcher_count(now), now)
+
+    def _is_relied_on(self, kind: str) -> bool:
+        """Return whether VMs of this zone rely on others that read a kind."""
+        now = self.clock.monotonic()
+        return len(self.peers.names_in_zone(now)) > self._watcher_count(now)
+
+    def _watcher_count(self, now: float) -> int:
+        return watchers_per_zone(
             len(self.peers.other_zones()) + 1, is_large=self.peers.is_large(now)
         )
-        return self.peers.is_assigned(kind, count, now)
 
     def _models_of(self, service: str) -> tuple[str, ...]:
         document = self.catalog.document
@@ -470,8 +481,8 @@
     def reload(self) -> None:
         """Reload the settings; invalid settings change nothing.
 
-        Only the retry limit, the rollout time, added seed hosts and the grace period
-        take effect without a restart.
+        Only the retry limit, the bounds on changes, the rollout time, added seed hosts
+        and the grace period take effect without a restart.
         """
         try:
             settings = self.ports.load_settings()
@@ -482,6 +493,7 @@
             return
         self.settings = settings
         self.gateway.settings = GatewaySettings(retry_limit=settings.retry_limit)
+        self.catalog.set_bounds(settings.change_bounds)
         self.gateway.view.rollout_seconds = settings.rollout_seconds
         self.context_stores.rollout_seconds = settings.rollout_seconds
         now = self.clock.monotonic()
--- a/src/gypsumsail/vm/settings.py
+++ b/src/gypsumsail/vm/settings.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from gypsumsail.catalog.freshness import ChangeBounds
 from gypsumsail.gateway.models import Address
 from gypsumsail.gateway.retry_budget import RetryLimit
 
@@ -25,6 +26,8 @@
         time in which the balancer may still send requests.
     min_holder_gap_seconds
         Minimum time between orders of two lease holders; the lease itself lasts longer.
+    change_bounds
+        Times in which changes at the platform's store must be in force.
     rollout_seconds
         Time after a weight version is named from which no call may use an older one.
     """
@@ -41,4 +44,5 @@
     grace_seconds: float
     retry_limit: RetryLimit
     min_holder_gap_seconds: float
+    change_bounds: ChangeBounds
     rollout_seconds: float
--- a/tests/catalog/common.py
+++ b/tests/catalog/common.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from gypsumsail.catalog.coordinator import CatalogCoordinator, Kinds
+from gypsumsail.catalog.freshness import ChangeBounds
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import RoutingDocument, TargetEntry
 from gypsumsail.gateway.target_table import TargetTable
@@ -124,6 +125,7 @@
         return await self._next(f"watch {after_revision}")
 
 
+BOUNDS = ChangeBounds(document=2.0, leaving=2.0, weights=12.0)
 LOST = TransportError("no answer", sent=True)
 
 
@@ -148,6 +150,7 @@
             self.documents.append,
             self.removed_targets.append,
             is_watcher,
+            BOUNDS,
         )
 
     def replace(self, kind: str, found: Listing) -> None:
--- /dev/null
+++ b/tests/catalog/test_freshness.py
@@ -0,0 +1,127 @@
+"""Tests of the age of copies, and of who reads the store because of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gypsumsail.catalog.freshness import CopyConfirmation, is_too_old, watch_seconds
+from gypsumsail.catalog.kind_watch import KindWatch
+from gypsumsail.catalog.store_health import StoreHealth
+from gypsumsail.core.clock import SystemClock
+from tests.catalog.common import (
+    KINDS,
+    Catalog,
+    ScriptedApi,
+    document_spec,
+    listing,
+    stored,
+)
+
+BOUNDS = [0.5, 2.0, 3.0, 4.0, 7.0]
+# Time to notice that a copy is too old, and for a call that the store answers slowly.
+READING_SECONDS = 0.2
+
+
+@pytest.mark.parametrize("bound", BOUNDS)
+def test_a_copy_is_read_again_while_the_bound_leaves_time_for_it(bound: float) -> None:
+    assert not is_too_old(bound * 0.5, bound)
+    assert is_too_old(bound - READING_SECONDS, bound)
+
+
+@pytest.mark.parametrize("bound", BOUNDS)
+def test_two_lost_confirmations_make_no_copy_too_old(bound: float) -> None:
+    assert not is_too_old(2 * watch_seconds(bound, is_relied_on=True), bound)
+
+
+def test_watch_on_which_nobody_relies_waits_longer() -> None:
+    assert watch_seconds(2.0, is_relied_on=False) > watch_seconds(
+        2.0, is_relied_on=True
+    )
+
+
+def confirmation(changed_revision: int, age: float = 0.0) -> CopyConfirmation:
+    """Return what another VM has read of the documents."""
+    return CopyConfirmation(
+        kind=KINDS.documents, changed_revision=changed_revision, age=age
+    )
+
+
+def reader() -> Catalog:
+    """Return a catalog that has listed the document and watches nothing."""
+    catalog = Catalog(is_watcher=lambda kind: False)
+    document = stored("config/main", 5, document_spec())
+    catalog.replace(KINDS.documents, listing(9, document))
+    catalog.coordinator.watches[KINDS.documents].confirmed_at = catalog.clock.now
+    return catalog
+
+
+def test_reader_reads_the_store_itself_once_nobody_confirms_its_copy() -> None:
+    catalog = reader()
+    assert not catalog.coordinator.reads_store(KINDS.documents)
+    catalog.clock.now += 1.9
+    assert catalog.coordinator.reads_store(KINDS.documents)
+
+
+def test_reader_relies_on_others_that_confirm_its_copy() -> None:
+    catalog = reader()
+    catalog.clock.now += 1.9
+    assert catalog.coordinator.confirm(confirmation(5, age=0.3), catalog.clock.now)
+    assert not catalog.coordinator.reads_store(KINDS.documents)
+    assert catalog.coordinator.copy_age(KINDS.documents, catalog.clock.now) == (
+        pytest.approx(0.3)
+    )
+
+
+def test_reader_that_knows_of_a_change_it_lacks_reads_the_store_itself() -> None:
+    """A peer can announce a change and then not be there to tell it."""
+    catalog = reader()
+    catalog.clock.now += 1.9
+    assert not catalog.coordinator.confirm(confirmation(10), catalog.clock.now)
+    assert catalog.coordinator.reads_store(KINDS.documents)
+
+
+def test_late_confirmation_does_not_make_a_copy_newer() -> None:
+    catalog = reader()
+    catalog.clock.now += 1.9
+    catalog.coordinator.confirm(confirmation(5, age=1.9), catalog.clock.now)
+    assert catalog.coordinator.reads_store(KINDS.documents)
+
+
+def test_after_a_suspension_confirmations_from_before_it_do_not_count() -> None:
+    catalog = reader()
+    catalog.coordinator.tick(catalog.clock.now)
+    catalog.clock.now += 1.5
+    catalog.coordinator.confirm(confirmation(5), catalog.clock.now)
+    catalog.coordinator.tick(catalog.clock.now)
+    assert catalog.coordinator.reads_store(KINDS.documents)
+
+
+def test_settings_change_the_bound() -> None:
+    catalog = reader()
+    catalog.clock.now += 1.9
+    watch = catalog.coordinator.watches[KINDS.documents]
+    watch.bound = 7.0
+    assert not catalog.coordinator.reads_store(KINDS.documents)
+
+
+async def test_reader_with_a_copy_that_is_too_old_gets_the_change_it_missed() -> None:
+    api = ScriptedApi(listing(5), listing(9, stored("k/a", 8, 1)))
+    clock = SystemClock()
+    changed = asyncio.Event()
+    watch = KindWatch(
+        api,
+        "k",
+        StoreHealth(clock.monotonic()),
+        clock,
+        lambda kind, found: changed.set(),
+        lambda is_up, reason: None,
+        lambda kind: False,
+        0.5,
+    )
+    task = asyncio.create_task(watch.async_run())
+    async with asyncio.timeout(5.0):
+        await changed.wait()
+    task.cancel()
+    assert api.calls[:2] == ["list", "watch 5"]
--- a/tests/catalog/test_kind_watch.py
+++ b/tests/catalog/test_kind_watch.py
@@ -13,7 +13,9 @@
 
 
 async def follow(
-    *answers: Listing | Exception, is_watcher: bool = True
+    *answers: Listing | Exception,
+    is_watcher: bool = True,
+    bound: float = float("inf"),
 ) -> tuple[ScriptedApi, list[Changes], list[bool]]:
     """Watch a kind until the scripted answers are used up."""
     api = ScriptedApi(*answers)
@@ -28,6 +30,7 @@
         lambda kind, found: changes.append(found),
         lambda is_up, reason: availability_reports.append(is_up),
         lambda kind: is_watcher,
+        bound,
     )
     task = asyncio.create_task(watch.async_run())
     async with asyncio.timeout(5.0):
@@ -91,6 +94,7 @@
         lambda kind, found: None,
         lambda is_up, reason: None,
         lambda kind: True,
+        float("inf"),
     )
     watch.on_reading = lambda kind, is_reading: reading.append(is_reading)
     assert watch.age(clock.monotonic()) == float("inf")
--- a/tests/gossip/common.py
+++ b/tests/gossip/common.py
@@ -10,6 +10,11 @@
 from gypsumsail.gateway.stream_builds import StreamBuilds
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gossip.coordinator import GossipCoordinator
+from gypsumsail.gossip.copy_messages import (
+    CopiesConfirmed,
+    encode_confirmed,
+    parse_confirmed,
+)
 from gypsumsail.gossip.endpoint import GossipEndpoint
 from gypsumsail.gossip.messages import ContextStoreUpdate, GossipMessage, decode, encode
 from gypsumsail.gossip.peers import Peer, PeerTable
@@ -71,6 +76,7 @@
             lambda report: None,
             lambda message: None,
             lambda message: None,
+            lambda message: None,
         )
         self.net = net
         self.zone = zone
@@ -107,6 +113,16 @@
                 received = parse_stream_message(cbor.load(data))
                 self.net.members[host].gossip.handle_stream_message(received)
 
+    def send_copies_confirmed(
+        self, message: CopiesConfirmed, addresses: list[tuple[str, int]]
+    ) -> None:
+        data = encode_confirmed(message)
+        for host, _ in addresses:
+            self.net.count_datagram(self.zone, host)
+            if host in self.net.members:
+                received = parse_confirmed(cbor.load(data))
+                self.net.members[host].gossip.handle_copies_confirmed(received)
+
 
 class Member:
     """One VM on the network."""
