Apply changes of the store in their order, whatever batches they come in

Cause: one answer of a watch was split into written and removed objects, and the removals were applied last. An entry that lapsed and was written again within one answer ended as removed, for good.

Change: one rule for watches, listings and the updates of peers, in KindState: changes apply in the order of their positions, and one that is older than what the copy has of its key, or than its removal, is skipped. Changes is one ordered sequence down to the targets and the pending removals. A confirmed removal no longer concerns a later entry of the same target.

--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -82,6 +82,8 @@
     confirmed_removals
         Names and incarnations of the latest targets whose removal was seen by a VM
         without an outage.
+    objects_left_out
+        Number of invalid objects.
     on_removal_seen
         Called when this VM sees a removal while the store has no outage for it.
     on_target_read
@@ -137,6 +139,7 @@
         self.source = "store"
         self.source_outage = StoreOutage.NONE
         self.recovered_at = clock.monotonic()
+        self.objects_left_out = 0
         self.confirmed_removals: deque[tuple[str, int]] = deque(
             maxlen=MAX_CONFIRMED_REMOVALS
         )
@@ -284,7 +287,7 @@
             self._apply_weights(changes)
 
     def _apply_documents(self, changes: Changes) -> None:
-        for obj in changes.written:
+        for obj in changes.objects:
             if obj.key != self.kinds.document_key or obj.value is None:
                 continue
             try:
@@ -303,10 +306,13 @@
 
     def _apply_targets(self, changes: Changes) -> None:
         now = self.clock.monotonic()
-        for obj in changes.written:
+        for obj in changes.objects:
             name = obj.key.partition("/")[2]
+            if obj.value is None:
+                self._handle_removal(name, now)
+                continue
             try:
-                entry = self.decoder.target(name, obj.value or b"")
+                entry = self.decoder.target(name, obj.value)
             except GypsumsailError as err:
                 self._log_invalid_object(obj, err)
                 if name in self.targets.states:
@@ -317,8 +323,6 @@
                 self._add_target(entry, now)
             elif not self.restored_targets.hold_back(entry, now):
                 self._add_target(self._with_known_phase(entry), now)
-        for key in changes.removed:
-            self._handle_removal(key.partition("/")[2], now)
 
     def _with_known_phase(self, entry: TargetEntry) -> TargetEntry:
         """Return the entry, leaving if its target is known to leave.
@@ -333,6 +337,9 @@
     def _add_target(self, entry: TargetEntry, now: float) -> None:
         self.pending_removals.cancel(entry.name)
         self.restored_targets.cancel(entry.name)
+        # They concern an earlier entry of the target.
+        while (entry.name, entry.life) in self.confirmed_removals:
+            self.confirmed_removals.remove((entry.name, entry.life))
         before = self.targets.states.get(entry.name)
         if before is not None and before.entry.life > entry.life:
             return
@@ -387,9 +394,11 @@
         self.on_target_removed(state.entry)
 
     def _apply_weights(self, changes: Changes) -> None:
-        for obj in changes.written:
+        for obj in changes.objects:
+            if obj.value is None:
+                continue
             try:
-                model, version = self.decoder.weights(obj.value or b"")
+                model, version = self.decoder.weights(obj.value)
             except GypsumsailError as err:
                 self._log_invalid_object(obj, err)
                 continue
@@ -425,6 +434,7 @@
             self.wanted_weights[model] = known.with_naming(version, named_at)
 
     def _log_invalid_object(self, obj: PlatformObject, err: GypsumsailError) -> None:
+        self.objects_left_out += 1
         self.telemetry.log.write(
             "object left out", key=obj.key, revision=obj.version, reason=str(err)
         )
--- a/src/gypsumsail/catalog/kind_state.py
+++ b/src/gypsumsail/catalog/kind_state.py
@@ -1,9 +1,14 @@
-"""Local copy of the objects of one kind, with its store revision."""
+"""Local copy of the objects of one kind, with its store revision.
+
+Watches, listings and the updates of peers change a copy by one rule: changes apply in
+the order of their positions in the store, whatever they are, and a change that is older
+than what the copy has of its key is skipped. The batches in which changes arrive then
+make no difference.
+"""
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from gypsumsail.object_api.eras import era_of
@@ -12,17 +17,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Changes:
-    """Objects that an update wrote, and keys that it removed.
+    """Changes of a copy by one update.
 
     Attributes
     ----------
+    objects
+        Written and removed objects in the order of their changes, of which one key may
+        have several; a removed object has no value.
     is_restored
         Whether the update is the first one since the store was restored from an older
         copy: objects may be older than before, and removals may be lost writes.
     """
 
-    written: tuple[PlatformObject, ...] = ()
-    removed: tuple[str, ...] = ()
+    objects: tuple[PlatformObject, ...] = ()
     is_restored: bool = False
 
 
@@ -76,34 +83,39 @@
         if listing.revision < self.revision or not listing.revision:
             return Changes()
         names = {obj.key for obj in listing.objects}
-        removed = tuple(key for key in self.objects if key not in names)
-        written = tuple(self._newer(listing.objects))
-        for key in removed:
-            self._remove(key, listing.revision)
+        removed = [
+            PlatformObject(key=key, version=listing.revision, value=None)
+            for key in self.objects
+            if key not in names
+        ]
+        applied = [obj for obj in removed if self._remove(obj, listing.revision)]
+        applied += [obj for obj in listing.objects if self._write(obj)]
         self.removals_since = self.removals_since or listing.revision
-        is_restored = self._is_restored(listing.revision)
-        self.revision = listing.revision
-        return Changes(written=written, removed=removed, is_restored=is_restored)
+        return self._advance(listing.revision, applied)
 
     def apply(self, listing: Listing) -> Changes:
-        """Apply the changes that a watch returned."""
-        written: list[PlatformObject] = []
-        removed: list[str] = []
-        for obj in listing.objects:
-            if obj.value is not None:
-                written += self._newer((obj,))
-                continue
-            known = self.objects.get(obj.key)
-            if known is None or known.version > max(obj.version, listing.revision):
-                continue
-            self._remove(obj.key, listing.revision)
-            removed.append(obj.key)
-        is_restored = self._is_restored(listing.revision)
-        self.revision = max(self.revision, listing.revision)
-        return Changes(
-            written=tuple(written), removed=tuple(removed), is_restored=is_restored
+        """Apply changes in the order in which a watch returned them.
+
+        The version of a removed object is that of its last write or of its removal.
+        """
+        return self._advance(
+            listing.revision,
+            [obj for obj in listing.objects if self._apply(obj, listing.revision)],
         )
 
+    def _apply(self, obj: PlatformObject, revision: int) -> bool:
+        if obj.value is None:
+            return self._remove(obj, revision)
+        if obj.version <= self.revision and obj.key not in self.objects:
+            # The copy reflects a later removal.
+            return False
+        return self._write(obj)
+
+    def _advance(self, revision: int, applied: list[PlatformObject]) -> Changes:
+        is_restored = self._is_restored(revision)
+        self.revision = max(self.revision, revision)
+        return Changes(objects=tuple(applied), is_restored=is_restored)
+
     def _is_restored(self, revision: int) -> bool:
         """Return whether a newer revision is from a later era than this copy."""
         return bool(self.revision) and era_of(revision) > era_of(self.revision)
@@ -123,18 +135,30 @@
         listing = Listing(objects=(*newer, *removed), revision=self.revision)
         return Update(listing=listing, is_complete=False)
 
-    def _remove(self, key: str, revision: int) -> None:
-        del self.objects[key]
+    def _remove(self, obj: PlatformObject, latest: int) -> bool:
+        """Remove an object; return whether the copy had it.
+
+        Parameters
+        ----------
+        latest
+            Latest revision that the removal can have.
+        """
+        known = self.objects.get(obj.key)
+        if known is None or known.version > obj.version:
+            return False
+        del self.objects[obj.key]
+        revision = max(latest, obj.version)
         self.last_changed_revision = max(self.last_changed_revision, revision)
-        self.removals.append((revision, key))
+        self.removals.append((revision, obj.key))
         while len(self.removals) > MAX_REMOVALS:
             self.removals_since = self.removals.popleft()[0]
-
-    def _newer(self, objects: Iterable[PlatformObject]) -> Iterable[PlatformObject]:
-        for item in objects:
-            known = self.objects.get(item.key)
-            if known is not None and known.version >= item.version:
-                continue
-            self.objects[item.key] = item
-            self.last_changed_revision = max(self.last_changed_revision, item.version)
-            yield item
+        return True
+
+    def _write(self, obj: PlatformObject) -> bool:
+        """Add an object or a newer version of it; return whether it is newer."""
+        known = self.objects.get(obj.key)
+        if known is not None and known.version >= obj.version:
+            return False
+        self.objects[obj.key] = obj
+        self.last_changed_revision = max(self.last_changed_revision, obj.version)
+        return True
--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -120,7 +120,7 @@
             pause = RETRY_SECONDS
             if self.health.record_answer(self.clock.monotonic()):
                 self.on_availability(True, "")
-            if changes.written or changes.removed:
+            if changes.objects:
                 self.on_changes(self.kind, changes)
 
     async def _async_step(self) -> Changes:
--- a/tests/catalog/test_kind_state.py
+++ b/tests/catalog/test_kind_state.py
@@ -14,7 +14,7 @@
     state = KindState()
     state.replace(listing(10, stored("k/a", 9, 1)))
     changes = state.replace(listing(8, stored("k/a", 5, 2)))
-    assert not changes.written
+    assert not changes.objects
     assert state.objects["k/a"].version == 9
 
 
@@ -22,15 +22,14 @@
     state = KindState()
     state.replace(listing(10, stored("k/a", 9, 1), stored("k/b", 8, 1)))
     changes = state.replace(listing(12, stored("k/a", 9, 1)))
-    assert changes.removed == ("k/b",)
-    assert not changes.written
+    assert [(obj.key, obj.value) for obj in changes.objects] == [("k/b", None)]
     assert state.last_changed_revision == 12
 
 
 def test_late_event_never_restores_an_older_version() -> None:
     state = KindState()
     state.replace(listing(10, stored("k/a", 9, "new")))
-    assert not state.apply(listing(11, stored("k/a", 7, "old"))).written
+    assert not state.apply(listing(11, stored("k/a", 7, "old"))).objects
 
 
 def test_object_created_again_after_its_removal() -> None:
--- a/tests/catalog/test_kind_watch.py
+++ b/tests/catalog/test_kind_watch.py
@@ -47,7 +47,7 @@
         listing(5, stored("k/a", 3, 1)), listing(9, stored("k/b", 8, 1)), listing(12)
     )
     assert api.calls == ["list", "watch 5", "watch 9", "watch 12"]
-    assert [len(found.written) for found in changes] == [1, 1]
+    assert [len(found.objects) for found in changes] == [1, 1]
 
 
 async def test_expired_watch_causes_a_new_listing() -> None:
@@ -57,7 +57,10 @@
         listing(9, stored("k/b", 8, 1)),
     )
     assert api.calls[:3] == ["list", "watch 5", "list"]
-    assert changes[1].removed == ("k/a",)
+    assert [(obj.key, obj.value is None) for obj in changes[1].objects] == [
+        ("k/a", True),
+        ("k/b", False),
+    ]
     assert not availability_reports
 
 
--- a/tests/catalog/test_restored_store.py
+++ b/tests/catalog/test_restored_store.py
@@ -141,7 +141,7 @@
         listing(position(2, 41)),
     )
     assert changes[1].is_restored
-    assert changes[1].removed == ("k/a",)
+    assert [(obj.key, obj.value) for obj in changes[1].objects] == [("k/a", None)]
     assert availability_reports == [False, True]
 
 
