Let no failing step of a task end the process

Cause behind the entry itself: the main loop and the receipt of datagrams had no guard, so that any error of one step ended all. Background tasks had one already; it moves to Supervisor.

Change: each step of the main loop and each datagram fails alone, with a log line (one in 5 s for each task) and gypsumsail_task_failures_total.

Evidence: tests/vm/test_supervision.py; without the guard the first error leaves the loop.

--- a/src/gypsumsail/gossip/endpoint.py
+++ b/src/gypsumsail/gossip/endpoint.py
@@ -46,7 +46,7 @@
     Attributes
     ----------
     invalid_datagrams
-        Number of datagrams that were not valid messages.
+        Number of datagrams that were not valid messages, or could not be applied.
     """
 
     def __init__(
@@ -127,27 +127,28 @@
         self.transport = cast("asyncio.DatagramTransport", transport)
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Decode a datagram; count and ignore invalid ones."""
+        """Decode and apply a datagram; count and ignore those that can't be."""
         try:
-            value = cbor.load(data)
-            if is_report(value):
-                self.on_report(parse_report(value))
-                return
-            if is_notices(value):
-                self.on_notices(parse_notices(value))
-                return
-            if is_stream_message(value):
-                self.on_stream_message(parse_stream_message(value))
-                return
-            if is_confirmed(value):
-                self.on_copies_confirmed(parse_confirmed(value))
-                return
-            message = parse(value)
+            self._handle(data)
         except ValueInvalidError as err:
             self.invalid_datagrams += 1
             _LOGGER.warning("Ignoring invalid datagram from %s: %s", addr, err)
-            return
-        self.on_message(message)
+        except Exception:
+            self.invalid_datagrams += 1
+            _LOGGER.exception("A datagram from %s could not be applied", addr)
+
+    def _handle(self, data: bytes) -> None:
+        value = cbor.load(data)
+        if is_report(value):
+            self.on_report(parse_report(value))
+        elif is_notices(value):
+            self.on_notices(parse_notices(value))
+        elif is_stream_message(value):
+            self.on_stream_message(parse_stream_message(value))
+        elif is_confirmed(value):
+            self.on_copies_confirmed(parse_confirmed(value))
+        else:
+            self.on_message(parse(value))
 
     def error_received(self, exc: Exception) -> None:
         """Ignore the error, which a host without a running VM causes."""
--- a/src/gypsumsail/vm/const.py
+++ b/src/gypsumsail/vm/const.py
@@ -8,6 +8,8 @@
 """Interval of the main loop."""
 TASK_RESTART_SECONDS: Final = 0.5
 """Pause before a background task restarts after an unexpected failure."""
+FAILURE_LOG_SECONDS: Final = 5.0
+"""Minimum pause between two lines on failing steps of one periodic task."""
 STORE_TIMEOUT_SECONDS: Final = 1.5
 """Timeout of a call to the platform's store."""
 PEER_TIMEOUT_SECONDS: Final = 1.0
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
-import logging
+from collections.abc import Callable, Coroutine
 import signal
 from typing import Any
 
@@ -58,7 +57,6 @@
     MAX_NAMINGS_TOLD,
     RETRY_AFTER_SECONDS,
     SETTINGS_POLL_SECONDS,
-    TASK_RESTART_SECONDS,
     TICK_SECONDS,
 )
 from gypsumsail.vm.control import ControlApi
@@ -70,10 +68,9 @@
 from gypsumsail.vm.settings import VmSettings
 from gypsumsail.vm.shutdown import accepts_requests, may_exit
 from gypsumsail.vm.silence_log import SilenceLog
+from gypsumsail.vm.supervision import Supervisor
 from gypsumsail.vm.vm_list import VmRegistration
 
-_LOGGER = logging.getLogger(__name__)
-
 
 class VmRuntime:
     """Components of one VM and the wiring between them.
@@ -101,6 +98,7 @@
         self.started_at = clock.monotonic()
         self.log = DecisionLog(clock)
         self.registry = MetricsRegistry()
+        self.supervisor = Supervisor(self.registry)
         self.telemetry = GatewayTelemetry(self.log, self.registry)
         self.targets = TargetTable()
         self.wanted_weights: dict[str, WantedWeights] = {}
@@ -395,7 +393,10 @@
             self._async_watch_settings,
         ]
         self.tasks = [
-            asyncio.create_task(self._async_supervise(item), name=item.__qualname__)
+            asyncio.create_task(
+                self.supervisor.async_run(item.__qualname__, item),
+                name=item.__qualname__,
+            )
             for item in work
         ]
 
@@ -421,23 +422,14 @@
         handle_signal(signal.SIGINT, self.stop)
         handle_signal(signal.SIGHUP, self.reload)
 
-    async def _async_supervise(self, work: Callable[[], Awaitable[None]]) -> None:
-        """Run a background task and restart it after an unexpected failure."""
-        while True:
-            try:
-                await work()
-            except Exception:
-                _LOGGER.exception("Background task failed; restarting it")
-            await asyncio.sleep(TASK_RESTART_SECONDS)
-
     async def _async_serve(self) -> None:
         while True:
             await async_sleep_aligned(TICK_SECONDS)
             now = self.clock.monotonic()
-            self.catalog.tick(now)
-            self.gateway.tick(now)
-            self.gossip.tick(now)
-            self.silence_log.tick(now)
+            self.supervisor.tick("catalog", self.catalog.tick, now)
+            self.supervisor.tick("gateway", self.gateway.tick, now)
+            self.supervisor.tick("gossip", self.gossip.tick, now)
+            self.supervisor.tick("silence log", self.silence_log.tick, now)
             self.writer.flush()
             if not accepts_requests(self.signalled_at, now):
                 self.caller_server.stop_accepting()
