Let an entry of the store that can't be used cost itself alone

An answer of the store was decoded as a whole: what the decoder did not take failed all of it, or was replaced by a lenient decoder and failed when it was encoded again. Addresses took names, odd digits and endless ones. Numbers that no datagram can hold and texts of any length went on to the other VMs.

Change: answers are split without decoding the values, and each entry is decoded alone (platform/store_answers.py). Names, numbers and addresses have limits where they come in (platform/text.py), hosts of VMs must be IP numbers. What can't be read is left out, logged once, and counted in gypsumsail_objects_left_out_total; a known target whose entry becomes unreadable is not used any more, as before. Short calls to engines repair texts so that they can be encoded again.

One test of repeated writes records the call that bodies go through now.

--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -61,6 +61,7 @@
     return VmPorts(
         object_api=api,
         eras=api.eras,
+        unreadable_entries=lambda: api.answers.left_out,
         kinds=Kinds(
             documents=names.ROUTING_DOCUMENT_KIND,
             document_key=names.ROUTING_DOCUMENT_KEY,
--- a/src/gypsumsail/platform/client.py
+++ b/src/gypsumsail/platform/client.py
@@ -13,7 +13,7 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import Address
 from gypsumsail.platform import names
-from gypsumsail.transport.bytes_client import BytesClient
+from gypsumsail.transport.bytes_client import BytesClient, BytesResponse
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -76,7 +76,38 @@
         headers: Mapping[str, str] | None = None,
         target_call: TargetCall | None = None,
     ) -> JsonAnswer:
-        """Make one call.
+        """Make one call, see ``async_call_bytes``; decode the body of the answer.
+
+        Raises
+        ------
+        TransportError
+            No complete answer arrived, or it is not valid JSON.
+        """
+        answer = await self.async_call_bytes(
+            method,
+            path,
+            timeout=timeout,
+            query=query,
+            body=body,
+            headers=headers,
+            target_call=target_call,
+        )
+        return JsonAnswer(
+            status=answer.status, body=_decode(answer.body), headers=answer.headers
+        )
+
+    async def async_call_bytes(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout: float,
+        query: Mapping[str, str] | None = None,
+        body: Any = None,
+        headers: Mapping[str, str] | None = None,
+        target_call: TargetCall | None = None,
+    ) -> BytesResponse:
+        """Make one call with a body of JSON; return the answer as it is.
 
         Parameters
         ----------
@@ -88,7 +119,7 @@
         Raises
         ------
         TransportError
-            No complete answer arrived, or it is not valid JSON.
+            No complete answer arrived.
         """
         all_headers = dict(headers or {})
         assert names.REQUEST_ID_HEADER.decode() not in map(str.lower, all_headers)
@@ -100,7 +131,7 @@
         if body is not None:
             all_headers["Content-Type"] = "application/json"
             data = msgspec.json.encode(body)
-        answer = await self.client.async_call(
+        return await self.client.async_call(
             method,
             path,
             timeout=timeout,
@@ -109,9 +140,6 @@
             headers=all_headers,
             request_id=request_id,
         )
-        return JsonAnswer(
-            status=answer.status, body=_decode(answer.body), headers=answer.headers
-        )
 
 
 def _decode(data: bytes) -> Any:
@@ -124,10 +152,11 @@
             "Answer is not valid JSON; parsing again with invalid UTF-8 replaced: %s",
             err,
         )
-    # A value from another writer may contain bytes that are not valid UTF-8. They
-    # are replaced, so that the rest of the answer remains usable.
+    # Bytes that are not valid UTF-8, and halves of surrogate pairs, are replaced, so
+    # that the rest of the answer remains usable and can be encoded again.
     text = data.decode("utf-8", "replace")
     try:
-        return json.loads(text, strict=False)
-    except (ValueError, RecursionError) as err:
+        repaired = json.dumps(json.loads(text, strict=False), ensure_ascii=False)
+        return msgspec.json.decode(repaired.encode("utf-8", "replace"))
+    except (ValueError, msgspec.MsgspecError, RecursionError) as err:
         raise TransportError("the answer is not valid JSON", sent=True) from err
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -21,7 +21,12 @@
     TargetPhase,
     WeightedService,
 )
-from gypsumsail.platform.settings import parse_address
+from gypsumsail.platform.text import (
+    Milliseconds,
+    Name,
+    Number,
+    parse_address,
+)
 
 BITS_PER_BYTE = 8
 # Callers of streams leave after the longest of these: some seconds, a multiple of the
@@ -110,7 +115,7 @@
 
 
 class _Document(msgspec.Struct, frozen=True):
-    version: int
+    version: Number
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
@@ -118,8 +123,8 @@
 
 
 class _LoadedModel(msgspec.Struct, frozen=True):
-    name: str
-    version: int = 0
+    name: Name
+    version: Number = 0
 
 
 class _Target(msgspec.Struct, frozen=True):
@@ -137,21 +142,21 @@
         Version of the target's software, not of its weights.
     """
 
-    service: str
-    addr: str
-    state: str
-    born: int = 0
-    zone: str = ""
-    slots: int = 1
-    cold_left_ms: float = 0.0
+    service: Name
+    addr: Name
+    state: Name
+    born: Number = 0
+    zone: Name = ""
+    slots: Number = 1
+    cold_left_ms: Milliseconds = 0.0
     models: list[_LoadedModel] = []
-    call_seq: int = 0
-    version: str = ""
+    call_seq: Number = 0
+    version: Name = ""
 
 
 class _Weights(msgspec.Struct, frozen=True):
-    model: str
-    version: int
+    model: Name
+    version: Number
 
 
 def decode_document(value: bytes, revision: int) -> RoutingDocument:
@@ -205,10 +210,8 @@
     """
     item = _decode(value, _Target)
     address = parse_address(item.addr)
-    if address is None or item.state not in ("ready", "draining") or item.born < 0:
-        raise EntryInvalidError(
-            f"target {name} has an invalid address, state or start time"
-        )
+    if address is None or item.state not in ("ready", "draining"):
+        raise EntryInvalidError(f"target {name} has an invalid address or state")
     is_draining = item.state == "draining"
     return TargetEntry(
         name=name,
@@ -234,7 +237,7 @@
 def _decode(value: bytes, kind: type[Any]) -> Any:
     try:
         return msgspec.json.decode(value, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+    except (msgspec.MsgspecError, ValueError, OverflowError, RecursionError) as err:
         raise EntryInvalidError(f"can't decode the value: {err}") from err
 
 
--- a/src/gypsumsail/platform/objects.py
+++ b/src/gypsumsail/platform/objects.py
@@ -4,22 +4,17 @@
 
 import asyncio
 import base64
-import binascii
-from collections.abc import Mapping
 import logging
 import secrets
 from typing import Any, Final
 from urllib.parse import quote
 
-import msgspec
-
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError, UnavailableError
 from gypsumsail.object_api.eras import (
     MAX_ERA,
     EraTracker,
     era_of,
-    position,
     revision_of,
 )
 from gypsumsail.object_api.port import (
@@ -29,8 +24,14 @@
     PlatformObject,
     WatchExpiredError,
 )
-from gypsumsail.platform.client import JsonAnswer, JsonClient
+from gypsumsail.platform.client import JsonClient
 from gypsumsail.platform.names import OBJECTS_PATH, STORE_ERA_HEADER
+from gypsumsail.platform.store_answers import (
+    OPAQUE_FIELD,
+    WRITE_ID_FIELD,
+    StoreAnswers,
+)
+from gypsumsail.transport.bytes_client import BytesResponse
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -38,10 +39,6 @@
 """How much longer than its ``wait`` a watch may take before it times out."""
 MAX_LIST_PAGES: Final = 100
 """Maximum number of pages that one listing reads; further objects are left out."""
-OPAQUE_FIELD: Final = "base64"
-"""Field of a spec that holds the gateway's own bytes in Base64."""
-WRITE_ID_FIELD: Final = "write"
-"""Field with a unique ID, which makes repeated writes of the same bytes differ."""
 
 
 class PlatformObjects:
@@ -58,6 +55,8 @@
     ----------
     eras
         Latest era of the store, from the answers.
+    answers
+        Reads the answers.
     """
 
     def __init__(self, client: JsonClient, timeout: float, clock: Clock) -> None:
@@ -65,6 +64,7 @@
         self.timeout = timeout
         self.clock = clock
         self.eras = EraTracker()
+        self.answers = StoreAnswers()
         self.writer_id = secrets.token_hex(4)
         self.write_count = 0
 
@@ -74,7 +74,10 @@
         if answer.status == 404:
             return None
         _raise_for_status(answer, "get")
-        return _parse_object(_key_kind(key), answer.body, self.eras.current)
+        return self._read_object(key, answer)
+
+    def _read_object(self, key: str, answer: BytesResponse) -> PlatformObject | None:
+        return self.answers.entry(_key_kind(key), answer.body, self.eras.current)
 
     async def async_list(self, prefix: str, *, allow_stale: bool = False) -> Listing:
         """Return the objects of a kind, up to `MAX_LIST_PAGES` pages.
@@ -100,21 +103,18 @@
                     "list: the store was restored meanwhile", sent=True
                 )
             era = self.eras.current
-            body = _require_mapping(answer.body)
-            items = body.get("items")
-            if not isinstance(items, list):
-                raise TransportError("list: the answer has no list of items", sent=True)
-            objects += [
-                item
-                for raw in items
-                if (item := _parse_object(kind, raw, era)) is not None
-            ]
+            page = self.answers.listing(kind, answer.body, era)
+            objects += page.objects
             # The revision of the first page is returned, so that a watch from it also
             # reports changes made while later pages were read.
-            revision = revision or position(era, _parse_revision(body))
-            if not body.get("has_more") or not items:
+            revision = revision or page.revision
+            if not page.has_more:
                 break
-            query = {**query, "after": _metadata_name(items[-1])}
+            if not page.last_name:
+                raise TransportError(
+                    "list: no name from which the next page continues", sent=True
+                )
+            query = {**query, "after": page.last_name}
         return Listing(objects=tuple(objects), revision=revision)
 
     async def async_put(self, key: str, value: bytes, *, if_version: int) -> int:
@@ -144,7 +144,7 @@
         if answer.status == 404:
             raise ConflictError(f"{key} does not exist", current=0)
         if answer.status == 409:
-            current = _parse_object(_key_kind(key), answer.body, self.eras.current)
+            current = self._read_object(key, answer)
             version = current.version if current is not None else 0
             raise ConflictError(
                 f"{key} has a different version (current: {version}, 0 if unknown)",
@@ -153,7 +153,7 @@
         _raise_for_status(answer, "put")
         if era and self.eras.current != era:
             raise ConflictError(f"{key}: the store was restored meanwhile", current=0)
-        written = _parse_object(_key_kind(key), answer.body, self.eras.current)
+        written = self._read_object(key, answer)
         if written is None:
             raise TransportError("put: the answer contains no valid object", sent=True)
         return written.version
@@ -179,7 +179,7 @@
             "wait_ms": str(int(wait * 1000)),
         }
         self._check_watch(after_revision)
-        answer = await self.client.async_call(
+        answer = await self.client.async_call_bytes(
             "GET",
             _object_path(kind),
             query=query,
@@ -191,15 +191,7 @@
         _raise_for_status(answer, "watch")
         era = self._observe_era(answer)
         self._check_watch(after_revision)
-        body = _require_mapping(answer.body)
-        events = body.get("events")
-        if not isinstance(events, list):
-            raise TransportError("watch: the answer has no list of events", sent=True)
-        changes = [
-            change for raw in events if (change := _parse_change(kind, raw, era))
-        ]
-        revision = position(era, _parse_revision(body))
-        return Listing(objects=tuple(changes), revision=revision)
+        return self.answers.watch(kind, answer.body, era).as_listing()
 
     def _check_condition(self, key: str, if_version: int) -> None:
         if if_version != MUST_NOT_EXIST and era_of(if_version) != self.eras.current:
@@ -211,7 +203,7 @@
             message = f"revision {after_revision} is from an earlier era of the store"
             raise WatchExpiredError(message)
 
-    def _observe_era(self, answer: JsonAnswer) -> int:
+    def _observe_era(self, answer: BytesResponse) -> int:
         return self.eras.observe(_parse_era(answer), self.clock.monotonic())
 
     async def _async_call(
@@ -221,7 +213,7 @@
         *,
         query: dict[str, str] | None = None,
         body: Any = None,
-    ) -> JsonAnswer:
+    ) -> BytesResponse:
         """Make one call.
 
         The time limit also covers connecting. Since it does not tell whether the
@@ -229,7 +221,7 @@
         """
         try:
             async with asyncio.timeout(self.timeout):
-                answer = await self.client.async_call(
+                answer = await self.client.async_call_bytes(
                     method, path, timeout=self.timeout, query=query, body=body
                 )
         except TimeoutError as err:
@@ -254,7 +246,7 @@
     return f"{path}/{quote(name, safe='')}" if name else path
 
 
-def _raise_for_status(answer: JsonAnswer, operation: str) -> None:
+def _raise_for_status(answer: BytesResponse, operation: str) -> None:
     # A call that the platform rejected for overload has had no effect.
     if answer.status in (429, 503):
         raise UnavailableError(f"{operation}: status {answer.status}", sent=False)
@@ -262,13 +254,7 @@
         raise TransportError(f"{operation}: status {answer.status}", sent=True)
 
 
-def _require_mapping(value: Any) -> Mapping[str, Any]:
-    if not isinstance(value, dict):
-        raise TransportError("the answer is not a JSON object", sent=True)
-    return value
-
-
-def _parse_era(answer: JsonAnswer) -> int | None:
+def _parse_era(answer: BytesResponse) -> int | None:
     """Return the era that an answer states; ``None`` if it is missing or invalid."""
     for name, value in answer.headers:
         if name != STORE_ERA_HEADER:
@@ -277,49 +263,3 @@
             return int(value)
         _LOGGER.warning("Era of the store is invalid and ignored: %r", value)
     return None
-
-
-def _parse_revision(body: Mapping[str, Any]) -> int:
-    revision = body.get("store_revision")
-    if not isinstance(revision, int):
-        raise TransportError("the answer has no valid store_revision", sent=True)
-    return revision
-
-
-def _metadata_name(raw: Any) -> str:
-    metadata = raw.get("metadata") if isinstance(raw, dict) else None
-    name = metadata.get("name") if isinstance(metadata, dict) else None
-    return name if isinstance(name, str) else ""
-
-
-def _parse_change(kind: str, raw: Any, era: int) -> PlatformObject | None:
-    if not isinstance(raw, dict):
-        return None
-    found = _parse_object(kind, raw.get("object"), era)
-    if found is None or not raw.get("deleted"):
-        return found
-    return PlatformObject(key=found.key, version=found.version, value=None)
-
-
-def _parse_object(kind: str, raw: Any, era: int) -> PlatformObject | None:
-    """Return the object, or ``None`` if it has no valid name or version (``rev``)."""
-    if not isinstance(raw, dict) or not (name := _metadata_name(raw)):
-        return None
-    version = raw["metadata"].get("rev")
-    if not isinstance(version, int):
-        return None
-    return PlatformObject(
-        key=f"{kind}/{name}",
-        version=position(era, version),
-        value=_decode_spec(raw.get("spec")),
-    )
-
-
-def _decode_spec(spec: Any) -> bytes:
-    """Return the gateway's own bytes, empty if undecodable, or the spec as JSON."""
-    if isinstance(spec, dict) and set(spec) == {OPAQUE_FIELD, WRITE_ID_FIELD}:
-        try:
-            return base64.b64decode(spec[OPAQUE_FIELD], validate=True)
-        except (binascii.Error, TypeError, ValueError):
-            return b""
-    return msgspec.json.encode(spec)
--- a/src/gypsumsail/platform/settings.py
+++ b/src/gypsumsail/platform/settings.py
@@ -13,6 +13,7 @@
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import Address
 from gypsumsail.gateway.retry_budget import RetryLimit
+from gypsumsail.platform.text import parse_address
 from gypsumsail.vm.settings import VmSettings
 
 
@@ -119,16 +120,6 @@
     return _settings(file, parsed)
 
 
-def parse_address(text: object) -> Address | None:
-    """Parse an address of the form IP:PORT; return ``None`` if it is malformed."""
-    if not isinstance(text, str):
-        return None
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        return None
-    return Address(host=host, port=int(port))
-
-
 def _finding(place: Path | str, field: str, message: str) -> Finding:
     """Return a finding about a field of the settings file at ``place``."""
     return Finding(place=str(place), path=field, message=message)
--- /dev/null
+++ b/src/gypsumsail/platform/text.py
@@ -0,0 +1,36 @@
+"""Checks of texts that others write, before the gateway uses them."""
+
+from __future__ import annotations
+
+from typing import Annotated, Final
+
+import msgspec
+
+from gypsumsail.core.ip import is_ip
+from gypsumsail.gateway.models import Address
+
+MAX_NAME_LENGTH: Final = 256
+"""Maximum length of a name; names are part of datagrams between VMs."""
+MAX_NUMBER: Final = 2**53
+"""Largest whole number that all codecs keep exactly."""
+MAX_MILLISECONDS: Final = 1e9
+"""Longest time that another writer may state."""
+
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_MILLISECONDS)]
+
+MAX_PORT: Final = 65_535
+MAX_PORT_DIGITS: Final = 5
+
+
+def parse_address(text: object) -> Address | None:
+    """Parse an address of the form IP:PORT; return ``None`` if it is malformed."""
+    if not isinstance(text, str):
+        return None
+    host, _, port = text.rpartition(":")
+    if not is_ip(host) or not port.isascii() or not port.isdigit():
+        return None
+    if len(port) > MAX_PORT_DIGITS or not 0 < int(port) <= MAX_PORT:
+        return None
+    return Address(host=host, port=int(port))
--- a/src/gypsumsail/vm/metrics.py
+++ b/src/gypsumsail/vm/metrics.py
@@ -47,6 +47,10 @@
             "Seconds since the store is known to have confirmed the copy of a kind.",
             ("kind",),
         )
+        self.left_out = registry.counter(
+            "gypsumsail_objects_left_out_total",
+            "Objects of the platform that could not be read or are invalid.",
+        )
         self.dropped = registry.counter(
             "gypsumsail_log_lines_dropped_total", "Log lines that were dropped."
         )
@@ -81,6 +85,9 @@
             age = vm.catalog.copy_age(kind, now)
             if isfinite(age):
                 self.copy_age.labels(kind).set(age)
+        self.left_out.labels().set_total(
+            vm.catalog.objects_left_out + vm.ports.unreadable_entries()
+        )
         self.dropped.labels().set_total(vm.writer.dropped + vm.log.total_dropped)
         use = read_process_usage()
         self.cpu.labels().set_total(use.cpu_seconds)
--- a/src/gypsumsail/vm/ports.py
+++ b/src/gypsumsail/vm/ports.py
@@ -27,6 +27,8 @@
         API of the platform's object store.
     eras
         Latest era of that store that this VM has seen.
+    unreadable_entries
+        Returns how many entries of the store's answers could not be read.
     kinds
         Object kinds that the catalog reads.
     decoder
@@ -57,6 +59,7 @@
 
     object_api: ObjectApi
     eras: EraTracker
+    unreadable_entries: Callable[[], int]
     kinds: Kinds
     decoder: Decoder
     calls: TargetClient
--- a/src/gypsumsail/vm/vm_list.py
+++ b/src/gypsumsail/vm/vm_list.py
@@ -10,6 +10,7 @@
 from gypsumsail.core import cbor
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
+from gypsumsail.core.ip import is_ip
 from gypsumsail.gossip.peers import PeerTable
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.object_api.port import MUST_NOT_EXIST, ConflictError, PlatformObject
@@ -113,6 +114,7 @@
         return None
     try:
         (host,) = cbor.read_list(cbor.load(found.value), 1)
-        return cbor.read_string(host)
+        host = cbor.read_string(host)
     except cbor.ValueInvalidError:
         return None
+    return host if is_ip(host) else None
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -147,9 +147,9 @@
     specs: list[Any] = []
 
     class RecordingClient(JsonClient):
-        async def async_call(self, *args: Any, **kwargs: Any) -> Any:
+        async def async_call_bytes(self, *args: Any, **kwargs: Any) -> Any:
             specs.append(kwargs["body"]["spec"])
-            return await super().async_call(*args, **kwargs)
+            return await super().async_call_bytes(*args, **kwargs)
 
     async with serve_objects(
         http_response(object_json("a", 7, 1)), http_response(object_json("a", 8, 1))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,7 +7,8 @@
 import pytest
 
 from gypsumsail.core.findings import SettingsInvalidError
-from gypsumsail.platform.settings import load_settings, parse_address
+from gypsumsail.platform.settings import load_settings
+from gypsumsail.platform.text import parse_address
 
 VALID_SETTINGS = """
 node = "front-1"
