Ask the store whether another build has joined before a stream goes on

Operators of other systems: during a release one machine was out of step for a few seconds, cut off or standing still, while engines of a new software version joined.

It could happen here. A VM took the only build that it knew for that of every stream as long as it had heard most of its zone within 1.5 s and no call to the store had failed: for 1.5 s after a cut, and after a suspension until the news was read. VMs that were asked said the same.

Change: before a VM takes the only build for that of a stream, for itself or for another VM, it reads the changes of the targets until now from the store (KindWatch.async_confirm); calls that arrive meanwhile share one reading. Without an answer in 0.5 s it does not trust its list, and asks other VMs, which do the same. An entry that can't be decoded no longer costs a started VM the whole history of builds.

--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -28,6 +28,10 @@
 
 A VM then misses two of them before its copy is too old.
 """
+CONFIRM_WAIT_SECONDS: Final = 0.001
+"""Wait of a watch that only returns the changes until now."""
+CONFIRM_TIMEOUT_SECONDS: Final = 0.5
+"""Maximum time of a call that confirms a copy."""
 WATCHER_CHECK_SECONDS: Final = 0.2
 """Interval at which a VM checks whether it has to watch a kind."""
 RETRY_SECONDS: Final = 0.25
--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -175,6 +175,12 @@
         health = self.store_health[self.kinds.targets]
         return self.knows_targets and health.outage(now) is StoreOutage.NONE
 
+    async def async_confirm_targets(self) -> bool:
+        """Return whether the list of targets is known to be complete as of now."""
+        if not self.is_target_list_current(self.clock.monotonic()):
+            return False
+        return await self.watches[self.kinds.targets].async_confirm()
+
     def last_changed_revisions(self) -> Mapping[str, int]:
         """Return the revision of the newest known change, by kind."""
         return {
--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -4,8 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
+import logging
 
 from gypsumsail.catalog.const import (
+    CONFIRM_TIMEOUT_SECONDS,
+    CONFIRM_WAIT_SECONDS,
     MAX_RETRY_SECONDS,
     OUTAGE_WATCH_SECONDS,
     RETRY_SECONDS,
@@ -21,6 +24,8 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.object_api.port import ObjectApi, WatchExpiredError
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class KindWatch:
     """Lists a kind once and then watches it for changes.
@@ -72,6 +77,7 @@
         self.is_watcher = is_watcher
         self.on_reading: Callable[[str, bool], None] = lambda kind, is_reading: None
         self.is_relied_on: Callable[[str], bool] = lambda kind: False
+        self.confirm_lock = asyncio.Lock()
         self.confirmed_at = float("-inf")
         self.read_at = float("-inf")
         self.is_reading = False
@@ -173,6 +179,31 @@
             self.confirmed_at = max(self.confirmed_at, at)
         return True
 
+    async def async_confirm(self) -> bool:
+        """Read the changes until now; return whether the copy has them all.
+
+        Callers that wait for each other share one call that began after theirs.
+        """
+        asked_at = self.clock.monotonic()
+        async with self.confirm_lock:
+            if self.read_at < asked_at and self.state.revision and not self.must_list:
+                try:
+                    async with asyncio.timeout(CONFIRM_TIMEOUT_SECONDS):
+                        await self._async_read_changes()
+                except (TransportError, WatchExpiredError, TimeoutError) as err:
+                    _LOGGER.debug("Copy of %s is not confirmed: %s", self.kind, err)
+        return self.read_at >= asked_at
+
+    async def _async_read_changes(self) -> None:
+        started_at = self.clock.monotonic()
+        listing = await self.api.async_watch(
+            self.kind, after_revision=self.state.revision, wait=CONFIRM_WAIT_SECONDS
+        )
+        self._record_confirmation(started_at)
+        changes = self.state.apply(listing)
+        if changes.objects:
+            self.on_changes(self.kind, changes)
+
     @callback
     def doubt(self) -> None:
         """Forget when the copy was confirmed, so that the store is read again."""
--- a/src/gypsumsail/gateway/stream_resumption.py
+++ b/src/gypsumsail/gateway/stream_resumption.py
@@ -23,8 +23,8 @@
         Called with a stream whose first event has come, before it is forwarded.
     ask_build
         Asks other VMs for the build that began a stream of a service.
-    is_view_current
-        Returns whether this VM has heard of all listed targets at a time.
+    confirm_targets
+        Returns whether the list of targets is known to be complete as of now.
     """
 
     def __init__(
@@ -35,7 +35,7 @@
         self.telemetry = telemetry
         self.on_began: Callable[[StreamBegin, float], None] = _tell_nobody
         self.ask_build: Callable[[str, str], Awaitable[str | None]] = _async_ask_nobody
-        self.is_view_current: Callable[[float], bool] = lambda now: True
+        self.confirm_targets: Callable[[], Awaitable[bool]] = async_confirm
 
     async def async_find_build(self, job: Job) -> str:
         """Return the build that began the stream which a caller takes up.
@@ -50,8 +50,10 @@
         stream = job.call.resumes
         build = self.builds.find(stream, now)
         source = "this VM"
-        if build is None and self.is_view_current(now):
-            build = self.builds.sole_build(job.service, now)
+        if build is None:
+            build = await async_sole_build(
+                self.builds, job.service, self.clock, self.confirm_targets
+            )
             source = "only build"
         if build is None:
             # Also without a name: another VM may have seen that only one build served.
@@ -82,6 +84,29 @@
             self.builds.note_return(job.call.deadline - job.call.received_at)
 
 
+async def async_sole_build(
+    builds: StreamBuilds,
+    service: str,
+    clock: Clock,
+    confirm_targets: Callable[[], Awaitable[bool]],
+) -> str | None:
+    """Return the build of all targets that may have begun a stream.
+
+    A VM that is cut off, or stood still, may have missed that targets of another build
+    joined a moment ago. Its list must therefore be confirmed after the question.
+    """
+    if builds.sole_build(service, clock.monotonic()) is None:
+        return None
+    if not await confirm_targets():
+        return None
+    return builds.sole_build(service, clock.monotonic())
+
+
+async def async_confirm() -> bool:
+    """Stand in where the targets are given."""
+    return True
+
+
 def _tell_nobody(begin: StreamBegin, now: float) -> None:
     """Stand in for the other VMs where there are none."""
 
--- a/src/gypsumsail/gossip/stream_exchange.py
+++ b/src/gypsumsail/gossip/stream_exchange.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -18,6 +18,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.rendezvous import rank
 from gypsumsail.gateway.stream_builds import StreamBegin, StreamBuilds
+from gypsumsail.gateway.stream_resumption import async_confirm, async_sole_build
 from gypsumsail.gossip.peers import PeerTable
 from gypsumsail.gossip.stream_messages import (
     BuildAnswer,
@@ -59,8 +60,10 @@
     ----------
     send
         Sends a message to hosts.
-    is_view_current
-        Returns whether this VM has heard of all listed targets at a time.
+    confirm_targets
+        Returns whether the list of targets is known to be complete as of now.
+    answering
+        Answers that wait for it.
     told_services
         Services of which this VM has told its streams since several builds serve.
     """
@@ -76,7 +79,8 @@
         self.builds = builds
         self.clock = clock
         self.send = send
-        self.is_view_current: Callable[[float], bool] = lambda now: True
+        self.confirm_targets: Callable[[], Awaitable[bool]] = async_confirm
+        self.answering: set[asyncio.Task[None]] = set()
         self.told_services: set[str] = set()
         self.questions: dict[int, _Question] = {}
         self.last_number = 0
@@ -170,22 +174,29 @@
                 for begin in begins:
                     self.builds.record(begin, now, is_own=False)
             case BuildQuestion():
-                self._answer(message, now)
+                self._start_answer(message, now)
             case BuildAnswer():
                 self._apply_answer(message)
 
-    def _answer(self, question: BuildQuestion, now: float) -> None:
-        build = self.known_build(question.stream, question.service, now)
+    def _start_answer(self, question: BuildQuestion, now: float) -> None:
+        build = self.builds.find(question.stream, now)
+        if build is not None:
+            self._send_answer(question, build)
+            return
+        task = asyncio.create_task(self._async_answer(question))
+        self.answering.add(task)
+        task.add_done_callback(self.answering.discard)
+
+    async def _async_answer(self, question: BuildQuestion) -> None:
+        build = await async_sole_build(
+            self.builds, question.service, self.clock, self.confirm_targets
+        )
+        self._send_answer(question, build)
+
+    def _send_answer(self, question: BuildQuestion, build: str | None) -> None:
         answer = BuildAnswer(host=self.peers.host, number=question.number, build=build)
         self.send(answer, [question.host])
 
-    def known_build(self, stream: str, service: str, now: float) -> str | None:
-        """Return the build that began a stream, as far as this VM itself knows."""
-        build = self.builds.find(stream, now)
-        if build is None and self.is_view_current(now):
-            build = self.builds.sole_build(service, now)
-        return build
-
     def _apply_answer(self, answer: BuildAnswer) -> None:
         question = self.questions.get(answer.number)
         if question is None or question.answer.done():
--- a/src/gypsumsail/vm/build_history.py
+++ b/src/gypsumsail/vm/build_history.py
@@ -165,15 +165,22 @@
             )
             for obj in listing.objects:
                 if obj.value is not None:
-                    name = obj.key.partition("/")[2]
-                    entry = self.decoder.target(name, obj.value)
-                    services.add((entry.service, entry.build))
+                    services.update(self._read_build(obj.key, obj.value))
             since = max(since, listing.revision)
             # A change since then reaches this VM as its own observation.
             if not listing.objects and since >= self.catalog.revision(kind):
                 return services
         raise IncompleteHistoryError("the history has not ended after several reads")
 
+    def _read_build(self, key: str, value: bytes) -> Iterable[tuple[str, str]]:
+        """Return service and build of a target; nothing if no VM can use it."""
+        try:
+            entry = self.decoder.target(key.partition("/")[2], value)
+        except GypsumsailError as err:
+            self.log.write("object left out", key=key, reason=str(err))
+            return ()
+        return ((entry.service, entry.build),)
+
 
 class IncompleteHistoryError(GypsumsailError):
     """The store didn't return the whole history."""
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -228,8 +228,8 @@
         resumption = self.gateway.resumption
         resumption.on_began = gossip.streams.tell
         resumption.ask_build = gossip.streams.async_ask
-        resumption.is_view_current = self._is_view_current
-        gossip.streams.is_view_current = self._is_view_current
+        resumption.confirm_targets = self.catalog.async_confirm_targets
+        gossip.streams.confirm_targets = self.catalog.async_confirm_targets
         self.gateway.on_first_token = self._on_first_token
         self.context_stores.on_store_update = gossip.publish_context_store_update
         self.gateway.view.peer_service_load = gossip.peer_service_load
--- a/tests/gossip/test_stream_exchange.py
+++ b/tests/gossip/test_stream_exchange.py
@@ -111,7 +111,11 @@
 
 async def test_vm_whose_view_is_old_does_not_name_the_only_build() -> None:
     _, members = fleet(2, V1)
-    members[1].gossip.streams.is_view_current = lambda now: False
+
+    async def async_deny() -> bool:
+        return False
+
+    members[1].gossip.streams.confirm_targets = async_deny
     assert await members[0].gossip.streams.async_ask("s7", ENGINES) is None
 
 
