Tell VMs that start or were cut off of requests that crash targets

Cause: a VM that has just started was told the blocked parts of prompts, the leaving targets and the limits, but not the requests that are blocked as a whole. Those were sent three times when they were new, and never again, so that a VM that was cut off missed them too.

Change: the crashes of blocked requests are told with those of parts, to VMs that have just started and again from time to time; just as many as another VM needs to block the request. VMs that start wait for what the others tell, as before.

Open: all VMs replaced at once still forget whole requests; only parts are kept in the store.

--- a/src/gypsumsail/gateway/crash_suspects.py
+++ b/src/gypsumsail/gateway/crash_suspects.py
@@ -28,6 +28,8 @@
 
 A target that leaves without announcing it serves on for longer after its removal.
 """
+MAX_TOLD_REQUESTS: Final = 100
+"""Maximum number of blocked requests that a started VM is told."""
 REPORT_AGE_SECONDS: Final = 1.0
 """Time for which a request that another VM reports is assumed to have been running."""
 
@@ -168,6 +170,25 @@
             self.crashed_lives.popitem(last=False)
         return True
 
+    def blocked_to_tell(self) -> list[tuple[str, str, int]]:
+        """Return the crashes of blocked requests, of the latest ones first.
+
+        There are just enough of each for another VM to block it as well.
+        """
+        found: list[tuple[str, str, int]] = []
+        for fingerprint in self._latest_blocked():
+            lives = self.crashed_lives.get(fingerprint) or self.failures[fingerprint]
+            found += [
+                (fingerprint, target, life)
+                for target, life in list(lives)[-MIN_CRASHED_LIVES:]
+            ]
+        return found
+
+    def _latest_blocked(self) -> list[str]:
+        suspects = [*self.crashed_lives, *self.failures]
+        blocked = [item for item in reversed(suspects) if self.is_blocked(item)]
+        return blocked[:MAX_TOLD_REQUESTS]
+
     def take_unsent(self, limit: int) -> list[tuple[str, str, int]]:
         """Remove and return up to ``limit`` records that peers have not been sent."""
         unsent, self.unsent = self.unsent[:limit], self.unsent[limit:]
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -31,7 +31,7 @@
 )
 from gypsumsail.gossip.copy_exchange import CopyExchange
 from gypsumsail.gossip.copy_messages import CopiesConfirmed
-from gypsumsail.gossip.crash_repeats import CrashRepeats
+from gypsumsail.gossip.crash_repeats import CrashRepeats, blocked_requests
 from gypsumsail.gossip.endpoint import GossipEndpoint
 from gypsumsail.gossip.messages import (
     CachedPrompt,
@@ -117,7 +117,9 @@
         self.targets = targets
         self.crash_suspects = crash_suspects
         self.part_suspects = part_suspects
-        self.crash_repeats = CrashRepeats(part_suspects, peers, clock.monotonic())
+        self.crash_repeats = CrashRepeats(
+            part_suspects, crash_suspects, peers, clock.monotonic()
+        )
         self.clock = clock
         self.last_changed_revisions = last_changed_revisions
         self.reads_store = reads_store
@@ -329,7 +331,10 @@
 
     def _tell_started(self, peer: Peer, now: float) -> None:
         """Tell a VM that has just started what it needs before its first call."""
-        updates = self.part_suspects.updates_to_repeat()
+        updates: list[CrashUpdate] = [
+            *self.part_suspects.updates_to_repeat(),
+            *blocked_requests(self.crash_suspects),
+        ]
         for first in range(0, len(updates), MAX_REPEATED_CRASHES):
             self.sequence_number += 1
             message = GossipMessage(
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -495,3 +495,53 @@
     net.members[other.peers.host] = cut_off
     net.tick(PART_REPEAT_MIN_SECONDS + 1.0)
     assert other.part_suspects.blocked == {"bad"}
+
+
+def block_request(member: Member) -> None:
+    """Let a member see a request crash as many targets as block it."""
+    for life in range(3):
+        member.crash_suspects.record_local("fp", "e1", life, sent_at=0.0, now=0.5)
+
+
+def test_started_vm_hears_of_blocked_requests_before_its_first_call() -> None:
+    net = Net(ManualClock())
+    one = Member(net, "v1")
+    Member(net, "v2")
+    block_request(one)
+    net.tick(5.0)
+    started = Member(net, "v3")
+    while not started.gossip.notices.has_heard:
+        net.tick(0.05)
+    assert started.crash_suspects.is_blocked("fp")
+
+
+def test_vm_that_was_cut_off_hears_of_blocked_requests_afterwards() -> None:
+    net = Net(ManualClock())
+    one, two = Member(net, "v1"), Member(net, "v2")
+    net.tick(1.0)
+    del net.members[two.peers.host]
+    block_request(one)
+    net.tick(5.0)
+    net.members[two.peers.host] = two
+    net.tick(5.0)
+    assert two.crash_suspects.is_blocked("fp")
+
+
+def test_vms_that_are_restarted_in_turn_all_know_a_blocked_request() -> None:
+    net = Net(ManualClock())
+    members = [Member(net, f"v{number}") for number in range(1, 4)]
+    block_request(members[0])
+    net.tick(2.0)
+    for number in range(1, 4):
+        net.clock.now += 1.0
+        started = Member(net, f"v{number}")
+        while not started.gossip.notices.has_heard:
+            net.tick(0.05)
+        assert started.crash_suspects.is_blocked("fp")
+
+
+def test_request_that_crashed_fewer_targets_is_not_told_as_blocked() -> None:
+    net = Net(ManualClock())
+    one = Member(net, "v1")
+    one.crash_suspects.record_local("fp", "e1", 1, sent_at=0.0, now=0.5)
+    assert not one.crash_suspects.blocked_to_tell()
