--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 
 import click
 
@@ -19,12 +20,25 @@
 @click.option(
     "--cut-vms/--no-cut-vms", default=True, help="Also cut VMs from all targets."
 )
-def main(first: int, seeds: int, vms: int, seconds: float, cut_vms: bool) -> None:
+@click.option(
+    "--earlier-build",
+    type=click.Path(exists=True, file_okay=False, resolve_path=True, path_type=Path),
+    help="Checkout of a build that runs first and is replaced VM by VM.",
+)
+def main(
+    first: int,
+    seeds: int,
+    vms: int,
+    seconds: float,
+    cut_vms: bool,
+    earlier_build: Path | None,
+) -> None:
     """Run each seed; the exit code is 1 if any seed has findings."""
     failed = False
     for seed in range(first, first + seeds):
         run = Soak(seed, vms, seconds)
         run.uses_own_links = cut_vms
+        run.earlier_build = earlier_build
         report = asyncio.run(run.async_run())
         click.echo(
             f"seed {seed}: {report.served} of {report.calls} calls served, "
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -39,7 +39,11 @@
 
 
 async def _terminate(soak: Soak) -> None:
-    vm = soak.pick_vm()
+    await terminate(soak, soak.pick_vm())
+
+
+async def terminate(soak: Soak, vm: Vm) -> None:
+    """Stop a VM in an orderly way and start it again."""
     vm.send_signal(signal.SIGCONT)
     vm.send_signal(signal.SIGTERM)
     with contextlib.suppress(TimeoutError):
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from pathlib import Path
 import random
 import signal
 import socket
@@ -31,10 +32,10 @@
     REVOKED_API_KEY,
     SETTLE_SECONDS,
 )
-from soak.faults import FAULTS, NOTICES, cut_links, long_pause
+from soak.faults import FAULTS, NOTICES, cut_links, long_pause, terminate
 from soak.links import Link, LinkCut, StoreView
 from soak.proxy import Impairment, Proxy
-from soak.vms import Vm
+from soak.vms import ROOT, Vm
 from stand_ins.v1_context_store import V1ContextStore
 from stand_ins.v1_platform import (
     Execution,
@@ -140,12 +141,16 @@
         Kind of each call that was sent, by its request id.
     unasked
         Target and content of executions that no caller asked for.
+    earlier_build
+        Checkout of the build that runs first, and which the present one replaces VM by
+        VM; ``None`` to run the present one only.
     ended_names
         Targets that ended for good, which no restored store may list.
     """
 
     uses_kept_connections = True
     uses_own_links = False
+    earlier_build: Path | None = None
 
     def __init__(self, seed: int, vms: int, seconds: float) -> None:
         # Generators of their own keep the other faults of a seed as they were.
@@ -202,6 +207,7 @@
             pauses = asyncio.create_task(self._let_targets_pause())
             cuts = asyncio.create_task(self._cut_vms())
             reuses = asyncio.create_task(self._reuse_addresses())
+            upgrade = asyncio.create_task(self._upgrade_vms())
             await self._send_load(self.seconds)
             await faults
             await restores
@@ -209,6 +215,7 @@
             await pauses
             await cuts
             await reuses
+            await upgrade
             await self._end_faults()
             await self._check_service()
         finally:
@@ -248,6 +255,7 @@
         await self.store.put("versions", "m0", {"model": "m0", "version": 1})
         seeds = [vm.host for vm in self.vms[:3]]
         for vm in self.vms:
+            vm.root = self.earlier_build or vm.root
             if self.uses_own_links:
                 store_port = await self._start_links(vm)
             proxy = Proxy("127.0.0.1", store_port)
@@ -454,6 +462,17 @@
             running.add(asyncio.create_task(reuse(self)))
         await asyncio.gather(*running)
 
+    async def _upgrade_vms(self) -> None:
+        """Replace the earlier build by the present one, VM by VM in random order."""
+        if self.earlier_build is None:
+            return
+        rng = random.Random(f"upgrade {self.report.seed}")
+        pause = self.seconds / (len(self.vms) + 1)
+        for vm in rng.sample(self.vms, len(self.vms)):
+            await asyncio.sleep(pause)
+            vm.root = ROOT
+            await terminate(self, vm)
+
     async def _restore_store(self) -> None:
         """Restore the store from an older copy in half of the seeds."""
         copied_after = self.restore_random.uniform(0.2, 0.5) * self.seconds
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -46,6 +46,8 @@
         Monotonic time of the last start, in seconds.
     history
         Monotonic time and name of each start and signal.
+    root
+        Checkout of the build that the next start runs.
     """
 
     def __init__(self, name: str, host: str, zone: str, base_port: int) -> None:
@@ -62,6 +64,7 @@
         self.started_at = 0.0
         self.history: list[tuple[float, str]] = []
         self.start_lock = asyncio.Lock()
+        self.root = ROOT
 
     def write_settings(self, store: str, seeds: list[str]) -> None:
         """Write the settings file; ``seeds`` are hosts of other VMs."""
@@ -93,10 +96,10 @@
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / "deploy" / "launch.py"),
+                str(self.root / "deploy" / "launch.py"),
                 "vm",
                 "run",
-                cwd=ROOT,
+                cwd=self.root,
                 env={
                     **os.environ,
                     "GYPSUMSAIL_CONFIG": str(self.directory / "boot.toml"),
@@ -105,7 +108,8 @@
                 stderr=log,
             )
         self.started_at = monotonic()
-        self.history.append((self.started_at, "start"))
+        build = "start" if self.root == ROOT else "start earlier build"
+        self.history.append((self.started_at, build))
         self.last_signal = None
 
     def has_logged_start(self) -> bool:
