Save nothing to a store while fetches by its earlier run may go on

Cause: a VM fetches from a store by a view of up to 1.5 s of age. A store that lost power and came back empty is noticed by one VM first, which lets engines save the same parts anew, while others still let engines fetch them by their older view.

Change: a VM lets nothing be saved to a run of a store that it has not known before until every view of an earlier run is too old and the fetches planned by it were discarded (1.5 s + 1.5 s). A view that is read again after a gap, of the same run, allows saves at once. A started VM waits as well.

Two tests of what is saved let the store run for long first; they check the same.

--- a/src/gypsumsail/context_stores/const.py
+++ b/src/gypsumsail/context_stores/const.py
@@ -37,6 +37,12 @@
 """Time after which a save that the store did not report is considered failed."""
 FETCH_TIMEOUT_SECONDS: Final = 1.5
 """Time after a job's expected start at which its engine discards unfinished fetches."""
+OLD_FETCHES_SECONDS: Final = VIEW_MAX_AGE_SECONDS + FETCH_TIMEOUT_SECONDS
+"""Time after which no fetch still reads what an earlier run of a store held.
+
+Other VMs may plan fetches by an earlier view until it is too old, and engines discard
+those that have not ended in time.
+"""
 SLOW_STORE_PAUSE_SECONDS: Final = 1.0
 """Time for which nothing is fetched from a store whose fetches were late."""
 UNUSED_VERSION_SECONDS: Final = 10.0
--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -448,7 +448,7 @@
                     free_tokens=view.free_tokens(),
                 )
                 for view in views
-                if view.is_fresh(now)
+                if view.can_save(now)
             ),
         )
 
--- a/src/gypsumsail/context_stores/store_view.py
+++ b/src/gypsumsail/context_stores/store_view.py
@@ -7,6 +7,7 @@
 
 from gypsumsail.context_stores.const import (
     MAX_FILL_SHARE,
+    OLD_FETCHES_SECONDS,
     SAVE_TIMEOUT_SECONDS,
     VIEW_MAX_AGE_SECONDS,
 )
@@ -95,6 +96,11 @@
         contents become unknown.
     life
         Run of the store; ``None`` while its contents are unknown.
+    known_life
+        Run of the store whose contents this VM has last known; ``None`` before that.
+    saves_from
+        Time from which parts may be saved to that run. Until then, a fetch that was
+        planned for an earlier run could read a part that is being written.
     slow_until
         Time until which nothing is fetched from the store because fetches were late.
     relay_vm
@@ -111,6 +117,8 @@
     answered_at: float = 0.0
     clock_offset_ms: float | None = None
     relay_vm: str = ""
+    known_life: int | None = None
+    saves_from: float = 0.0
     slow_until: float = 0.0
     misplaced_answers: int = 0
 
@@ -122,6 +130,10 @@
         """Return whether parts may be fetched from the store."""
         return self.is_fresh(now) and now >= self.slow_until
 
+    def can_save(self, now: float) -> bool:
+        """Return whether parts may be saved to the store."""
+        return self.is_fresh(now) and now >= self.saves_from
+
     def reset(self) -> None:
         """Drop the contents, which are unknown until the next `load`."""
         self.parts.clear()
@@ -136,6 +148,9 @@
         self.saving = saving
         self.relay_vm = relay_vm
         self.life = answer.life
+        if answer.life != self.known_life:
+            self.known_life = answer.life
+            self.saves_from = now + OLD_FETCHES_SECONDS
         self._apply(answer, now)
 
     def repeats_earlier(self, answer: StoreAnswer) -> bool:
--- a/tests/context_stores/common.py
+++ b/tests/context_stores/common.py
@@ -133,6 +133,12 @@
     )
 
 
+def let_stores_run_for_long(context_stores: ContextStoreCoordinator) -> None:
+    """Let no fetch remain that was planned for an earlier run of a store."""
+    for found in context_stores.views.values():
+        found.saves_from = 0.0
+
+
 def job_at(
     targets: TargetTable, name: str, clock: ManualClock
 ) -> tuple[Job, Assignment]:
--- a/tests/context_stores/test_context_stores.py
+++ b/tests/context_stores/test_context_stores.py
@@ -10,6 +10,7 @@
 
 from gypsumsail.context_stores.const import (
     FETCH_TIMEOUT_SECONDS,
+    OLD_FETCHES_SECONDS,
     OTHER_SERVER_DELAY_SECONDS,
     RETRY_DELAY_SECONDS,
 )
@@ -42,6 +43,7 @@
     context_store,
     coordinator,
     job_at,
+    let_stores_run_for_long,
     view,
 )
 from tests.gateway.common import document, engine
@@ -181,6 +183,30 @@
     assert not found.is_fresh(1_001.0)
 
 
+def test_restarted_store_is_not_filled_while_others_may_fetch_by_an_older_view() -> (
+    None
+):
+    found = StoreView(context_store())
+    found.load(answer(life=7), 1_000.0)
+    found.apply_changes(answer(life=7), 1_000.0 + OLD_FETCHES_SECONDS)
+    assert found.can_save(1_000.0 + OLD_FETCHES_SECONDS)
+    assert not found.apply_changes(answer(life=8), 1_010.0)
+    found.load(answer(life=8), 1_010.0)
+    assert found.is_fresh(1_010.0)
+    assert not found.can_save(1_010.0)
+    found.apply_changes(answer(life=8), 1_010.0 + OLD_FETCHES_SECONDS)
+    assert not found.can_save(1_010.0 + OLD_FETCHES_SECONDS - 0.1)
+    assert found.can_save(1_010.0 + OLD_FETCHES_SECONDS)
+
+
+def test_view_that_was_read_again_after_a_gap_allows_saves_at_once() -> None:
+    found = StoreView(context_store())
+    found.load(answer(life=7), 1_000.0)
+    assert not found.apply_changes(answer(life=7, has_gap=True), 1_010.0)
+    found.load(answer(life=7), 1_010.0)
+    assert found.can_save(1_010.0)
+
+
 def test_view_of_a_silent_store_is_not_fresh() -> None:
     found = view(change())
     assert found.is_fresh(1_001.0)
@@ -278,6 +304,7 @@
 
 async def test_a_new_document_is_saved_once() -> None:
     targets, clock, context_stores = await polling_coordinator(ScriptedStores())
+    let_stores_run_for_long(context_stores)
     job, assignment = job_at(targets, "e1", clock)
     first = context_stores.plan(job, assignment, clock.now)
     second = context_stores.plan(job, assignment, clock.now)
--- a/tests/context_stores/test_freeing.py
+++ b/tests/context_stores/test_freeing.py
@@ -22,6 +22,7 @@
     context_store,
     coordinator,
     job_at,
+    let_stores_run_for_long,
 )
 from tests.gateway.common import MODEL, document, engine
 
@@ -111,6 +112,7 @@
 async def test_parts_of_old_weights_are_not_saved() -> None:
     clock, targets = ManualClock(), TargetTable()
     _, context_stores = await polled_store(targets, clock)
+    let_stores_run_for_long(context_stores)
     job, assignment = job_at(targets, "e1", clock)
     assert any(context_stores.plan(job, assignment, clock.now).save)
     context_stores.views[context_store().address].saving.clear()
