Count a copy as confirmed only from what is known of the store's answer

Found while reading the diff: an answer to a watch without changes that came before the end of the wait counted as confirming the time of its arrival. A store may cut a waiting watch, and the answer may be held up on its way; it now confirms the start of the call only.

--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -153,9 +153,9 @@
             # The store was unavailable for a while, so records may have expired
             # although their targets are alive.
             self.health.record_failure()
-        # The answer with changes may have waited on its way.
-        waited = 0.0 if listing.objects else wait
-        self._record_confirmation(min(started_at + waited, now))
+        # Only an answer that took the whole wait is known to be as late as its end.
+        is_late = not listing.objects and now - started_at >= wait
+        self._record_confirmation(started_at + wait if is_late else started_at)
         return self.state.apply(listing)
 
     def _wait(self) -> float:
--- a/tests/catalog/test_freshness.py
+++ b/tests/catalog/test_freshness.py
@@ -125,3 +125,26 @@
         await changed.wait()
     task.cancel()
     assert api.calls[:2] == ["list", "watch 5"]
+
+
+async def test_answer_that_came_before_the_end_of_the_wait_confirms_its_start_only() -> (
+    None
+):
+    """A store may cut a watch, and the answer may be held up on its way."""
+    api = ScriptedApi(listing(5), listing(5))
+    clock = SystemClock()
+    watch = KindWatch(
+        api,
+        "k",
+        StoreHealth(clock.monotonic()),
+        clock,
+        lambda kind, found: None,
+        lambda is_up, reason: None,
+        lambda kind: True,
+        2.0,
+    )
+    task = asyncio.create_task(watch.async_run())
+    async with asyncio.timeout(5.0):
+        await api.is_exhausted.wait()
+    task.cancel()
+    assert watch.confirmed_at <= clock.monotonic()
