--- a/tests/catalog/test_freshness.py
+++ b/tests/catalog/test_freshness.py
@@ -10,6 +10,7 @@
 from gypsumsail.catalog.kind_watch import KindWatch
 from gypsumsail.catalog.store_health import StoreHealth
 from gypsumsail.core.clock import SystemClock
+from gypsumsail.object_api.port import Listing
 from tests.catalog.common import (
     KINDS,
     Catalog,
@@ -22,6 +23,7 @@
 BOUNDS = [0.5, 2.0, 3.0, 4.0, 7.0]
 # Time to notice that a copy is too old, and for a call that the store answers slowly.
 READING_SECONDS = 0.2
+LATE_SECONDS = 0.2
 
 
 @pytest.mark.parametrize("bound", BOUNDS)
@@ -127,12 +129,22 @@
     assert api.calls[:2] == ["list", "watch 5"]
 
 
-async def test_answer_that_came_before_the_end_of_the_wait_confirms_its_start_only() -> (
-    None
-):
+async def test_answer_before_the_end_of_the_wait_confirms_its_start_only() -> None:
     """A store may cut a watch, and the answer may be held up on its way."""
-    api = ScriptedApi(listing(5), listing(5))
     clock = SystemClock()
+    watched_at: list[float] = []
+
+    class LateApi(ScriptedApi):
+        async def async_watch(
+            self, prefix: str, *, after_revision: int, wait: float
+        ) -> Listing:
+            watched_at.append(clock.monotonic())
+            await asyncio.sleep(LATE_SECONDS)
+            return await super().async_watch(
+                prefix, after_revision=after_revision, wait=wait
+            )
+
+    api = LateApi(listing(5), listing(5))
     watch = KindWatch(
         api,
         "k",
@@ -147,4 +159,5 @@
     async with asyncio.timeout(5.0):
         await api.is_exhausted.wait()
     task.cancel()
-    assert watch.confirmed_at <= clock.monotonic()
+    assert watched_at[0] - LATE_SECONDS / 2 < watch.confirmed_at
+    assert watch.confirmed_at < watched_at[0] + LATE_SECONDS / 2
