--- a/tests/catalog/common.py
+++ b/tests/catalog/common.py
@@ -9,6 +9,9 @@
 
 from gypsumsail.catalog.coordinator import CatalogCoordinator, Kinds
 from gypsumsail.catalog.freshness import ChangeBounds
+from gypsumsail.catalog.kind_watch import KindWatch
+from gypsumsail.catalog.store_health import StoreHealth
+from gypsumsail.core.clock import SystemClock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import RoutingDocument, TargetEntry
 from gypsumsail.gateway.target_table import TargetTable
@@ -129,6 +132,23 @@
 LOST = TransportError("no answer", sent=True)
 
 
+def kind_watch(
+    api: ScriptedApi, *, is_watcher: bool = True, bound: float = float("inf")
+) -> KindWatch:
+    """Return a watch of the kind ``k`` whose callbacks do nothing."""
+    clock = SystemClock()
+    return KindWatch(
+        api,
+        "k",
+        StoreHealth(clock.monotonic()),
+        clock,
+        lambda kind, found: None,
+        lambda is_up, reason: None,
+        lambda kind: is_watcher,
+        bound,
+    )
+
+
 class Catalog:
     """Catalog that records its callbacks."""
 
--- a/tests/catalog/test_freshness.py
+++ b/tests/catalog/test_freshness.py
@@ -7,8 +7,6 @@
 import pytest
 
 from gypsumsail.catalog.freshness import CopyConfirmation, is_too_old, watch_seconds
-from gypsumsail.catalog.kind_watch import KindWatch
-from gypsumsail.catalog.store_health import StoreHealth
 from gypsumsail.core.clock import SystemClock
 from gypsumsail.object_api.port import Listing
 from tests.catalog.common import (
@@ -16,6 +14,7 @@
     Catalog,
     ScriptedApi,
     document_spec,
+    kind_watch,
     listing,
     stored,
 )
@@ -110,18 +109,9 @@
 
 async def test_reader_with_a_copy_that_is_too_old_gets_the_change_it_missed() -> None:
     api = ScriptedApi(listing(5), listing(9, stored("k/a", 8, 1)))
-    clock = SystemClock()
     changed = asyncio.Event()
-    watch = KindWatch(
-        api,
-        "k",
-        StoreHealth(clock.monotonic()),
-        clock,
-        lambda kind, found: changed.set(),
-        lambda is_up, reason: None,
-        lambda kind: False,
-        0.5,
-    )
+    watch = kind_watch(api, is_watcher=False, bound=0.5)
+    watch.on_changes = lambda kind, found: changed.set()
     task = asyncio.create_task(watch.async_run())
     async with asyncio.timeout(5.0):
         await changed.wait()
@@ -145,16 +135,7 @@
             )
 
     api = LateApi(listing(5), listing(5))
-    watch = KindWatch(
-        api,
-        "k",
-        StoreHealth(clock.monotonic()),
-        clock,
-        lambda kind, found: None,
-        lambda is_up, reason: None,
-        lambda kind: True,
-        2.0,
-    )
+    watch = kind_watch(api, bound=2.0)
     task = asyncio.create_task(watch.async_run())
     async with asyncio.timeout(5.0):
         await api.is_exhausted.wait()
--- a/tests/catalog/test_kind_watch.py
+++ b/tests/catalog/test_kind_watch.py
@@ -5,33 +5,22 @@
 import asyncio
 
 from gypsumsail.catalog.kind_state import Changes
-from gypsumsail.catalog.kind_watch import KindWatch
 from gypsumsail.catalog.store_health import StoreHealth, StoreOutage
-from gypsumsail.core.clock import SystemClock
 from gypsumsail.object_api.port import Listing, WatchExpiredError
-from tests.catalog.common import LOST, ScriptedApi, listing, stored
+from tests.catalog.common import LOST, ScriptedApi, kind_watch, listing, stored
 
 
 async def follow(
     *answers: Listing | Exception,
     is_watcher: bool = True,
-    bound: float = float("inf"),
 ) -> tuple[ScriptedApi, list[Changes], list[bool]]:
     """Watch a kind until the scripted answers are used up."""
     api = ScriptedApi(*answers)
-    clock = SystemClock()
     changes: list[Changes] = []
     availability_reports: list[bool] = []
-    watch = KindWatch(
-        api,
-        "k",
-        StoreHealth(clock.monotonic()),
-        clock,
-        lambda kind, found: changes.append(found),
-        lambda is_up, reason: availability_reports.append(is_up),
-        lambda kind: is_watcher,
-        bound,
-    )
+    watch = kind_watch(api, is_watcher=is_watcher)
+    watch.on_changes = lambda kind, found: changes.append(found)
+    watch.on_availability = lambda is_up, reason: availability_reports.append(is_up)
     task = asyncio.create_task(watch.async_run())
     async with asyncio.timeout(5.0):
         if is_watcher:
@@ -87,23 +76,13 @@
 
 async def test_copy_is_confirmed_by_listings_and_watches() -> None:
     api = ScriptedApi(listing(5), listing(9, stored("k/b", 8, 1)), listing(12))
-    clock = SystemClock()
     reading: list[bool] = []
-    watch = KindWatch(
-        api,
-        "k",
-        StoreHealth(clock.monotonic()),
-        clock,
-        lambda kind, found: None,
-        lambda is_up, reason: None,
-        lambda kind: True,
-        float("inf"),
-    )
+    watch = kind_watch(api)
     watch.on_reading = lambda kind, is_reading: reading.append(is_reading)
-    assert watch.age(clock.monotonic()) == float("inf")
+    assert watch.age(watch.clock.monotonic()) == float("inf")
     task = asyncio.create_task(watch.async_run())
     async with asyncio.timeout(5.0):
         await api.is_exhausted.wait()
     task.cancel()
-    assert watch.age(clock.monotonic()) < 1.0
+    assert watch.age(watch.clock.monotonic()) < 1.0
     assert reading == [True]
