--- a/tests/catalog/test_order_of_changes.py
+++ b/tests/catalog/test_order_of_changes.py
@@ -12,6 +12,7 @@
 from gypsumsail.catalog.peer_updates import decode_peer_update, encode_peer_update
 from gypsumsail.object_api.port import Listing, PlatformObject
 from tests.catalog.common import KINDS, Catalog, listing, stored, target_spec
+from tests.fuzzing import fuzz_settings
 
 KIND = KINDS.targets
 NAMES = ("a", "b", "c")
@@ -148,6 +149,7 @@
 
 
 @pytest.mark.parametrize("names_deletion", [True, False])
+@fuzz_settings(200)
 @given(steps=st.lists(STEPS, min_size=1, max_size=40), deliveries=DELIVERIES)
 def test_any_batches_give_the_state_of_one_event_at_a_time(
     names_deletion: bool, steps: list[tuple[str, str]], deliveries: list[str]
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -15,6 +15,7 @@
 from gypsumsail.platform.store_answers import StoreAnswers
 from gypsumsail.platform.text import MAX_NAME_LENGTH
 from tests.catalog.common import KINDS, Catalog, target_spec
+from tests.fuzzing import fuzz_settings
 from tests.platform.test_objects import http_response, serve_objects
 
 KIND = KINDS.targets
@@ -177,6 +178,7 @@
 )
 
 
+@fuzz_settings(200)
 @given(TARGET_FIELDS, st.booleans())
 def test_any_entry_is_read_or_left_out_alone(
     changes: dict[str, object], is_ascii: bool
@@ -187,6 +189,7 @@
     assert listed(data) >= {"a", "b"}
 
 
+@fuzz_settings(200)
 @given(st.binary(max_size=60))
 def test_any_bytes_in_an_answer_are_an_error_at_most(data: bytes) -> None:
     answers = StoreAnswers()
@@ -200,6 +203,7 @@
             item.key.encode()
 
 
+@fuzz_settings(200)
 @given(st.binary(max_size=60) | JSON_VALUES.map(lambda x: json.dumps(x).encode()))
 def test_decoders_reject_any_value_by_one_error(value: bytes) -> None:
     decoder = PlatformDecoder()
