Report a settings file that the parser can't read as such

A settings file with a number of over 4,300 digits raised ValueError, one with deep nesting RecursionError: a reload failed without its log line, the task that follows the file ended each second, and a start ended with a traceback. Numbers that compare with nothing were taken: with a grace period of nan a VM that still had calls never ended by itself.

Both are findings now, as malformed text is. Nothing of the file is applied, as for other findings.

--- a/src/gypsumsail/platform/settings.py
+++ b/src/gypsumsail/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import isfinite
 from pathlib import Path
 import tomllib
 from typing import Any
@@ -94,7 +95,8 @@
     """
     try:
         raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as err:
+    except (OSError, ValueError, RecursionError) as err:
+        # Besides malformed text, the parser rejects long numbers and deep nesting.
         finding = Finding(place=str(path), message=f"can't be read: {err}")
         raise SettingsInvalidError([finding]) from err
     findings: list[Finding] = []
@@ -115,6 +117,11 @@
             findings.append(_finding(path, field, "must have the form IP:PORT"))
         else:
             parsed[field] = address
+    findings += [
+        _finding(path, f"bounds.{field}", "must be a finite number, and not negative")
+        for field, value in msgspec.structs.asdict(file.bounds).items()
+        if not isfinite(value) or value < 0
+    ]
     if findings:
         raise SettingsInvalidError(findings)
     return _settings(file, parsed)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -77,6 +77,25 @@
         load(tmp_path, text)
 
 
+@pytest.mark.parametrize("value", ["9" * 5_000, "[" * 100_000])
+def test_value_that_the_parser_rejects_ends_no_task_of_a_running_vm(
+    tmp_path: Path, value: str
+) -> None:
+    """DRAIN's cause elsewhere: such a file raised an error that no caller expects."""
+    with pytest.raises(SettingsInvalidError):
+        load(tmp_path, VALID_SETTINGS + f"extra = {value}\n")
+
+
+@pytest.mark.parametrize("value", ["nan", "inf", "-inf", "-1"])
+def test_bounds_that_no_time_can_be_compared_with_are_rejected(
+    tmp_path: Path, value: str
+) -> None:
+    """A VM with a grace period of nan never ended by itself, and was killed."""
+    with pytest.raises(SettingsInvalidError) as caught:
+        load(tmp_path, VALID_SETTINGS.replace("grace_s = 9", f"grace_s = {value}"))
+    assert [finding.path for finding in caught.value.findings] == ["bounds.grace_s"]
+
+
 def test_missing_file_is_rejected(tmp_path: Path) -> None:
     with pytest.raises(SettingsInvalidError):
         load_settings(tmp_path / "none.toml")
