End fetches of kept KV cache before their store may be filled anew

- A fetch was discarded 1.5 s after the expected start of its call, however late that was, instead of 1.5 s after its plan.
A call that was expected to wait for 4 s at its engine could read from the store for 5.5 s.
- In large fleets, a view that another VM had sent was taken to be as new as its arrival.
It may be 1.5 s old.

Each view now notes, on the clock that engines and stores share, until when what it says can be fetched, from the store's own time in its answer. No fetch that uses the view gets a later end.

Evidence: two tests by the plan of a call; both failed before. Left, by reading: a save that was planned before the store's end and is written after its return can be read by a VM whose view is not too old yet.

--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -367,9 +367,11 @@
         for part, address in zip(prompt.parts, save, strict=True):
             if address is not None:
                 self.views[address].mark_saving(scope, (part,), now)
-        until = self._fetch_deadline_ms(now + assignment.answer_delay)
         fetch = plan_fetch(options)
         assignment.fetched_from = frozenset(address for address in fetch if address)
+        until = self._fetch_deadline_ms(
+            now + assignment.answer_delay, assignment.fetched_from
+        )
         return ContextTransfer(
             fetch=fetch,
             save=save,
@@ -412,17 +414,24 @@
                     expected_ms=round(assignment.answer_delay * 1000),
                 )
 
-    def _fetch_deadline_ms(self, start_at: float) -> int | None:
+    def _fetch_deadline_ms(
+        self, start_at: float, sources: frozenset[Address]
+    ) -> int | None:
         """Return the time after which the engine discards fetches of a job.
 
         The time is by the clock of the engines, as known from any store that reports
-        it; ``None`` if no store does.
+        it; ``None`` if no store does. However late the job starts, nothing is read from
+        a store that may run anew and be filled again by then.
         """
-        for view in self.views.values():
-            clock_ms = view.clock_ms(start_at + FETCH_TIMEOUT_SECONDS)
-            if clock_ms is not None:
-                return clock_ms
-        return None
+        views = self.views.values()
+        clocks_ms = (view.clock_ms(start_at + FETCH_TIMEOUT_SECONDS) for view in views)
+        until_ms = next((found for found in clocks_ms if found is not None), None)
+        ends_ms = [
+            view.fetches_end_ms for view in views if view.store.address in sources
+        ]
+        return min(
+            (found for found in (until_ms, *ends_ms) if found is not None), default=None
+        )
 
     def _part_options(
         self,
--- a/src/gypsumsail/context_stores/relay.py
+++ b/src/gypsumsail/context_stores/relay.py
@@ -6,7 +6,7 @@
 
 import cbor2
 
-from gypsumsail.context_stores.const import MAX_CHANGES_PER_UPDATE
+from gypsumsail.context_stores.const import MAX_CHANGES_PER_UPDATE, VIEW_MAX_AGE_SECONDS
 from gypsumsail.context_stores.store_view import (
     RelayedChanges,
     StoreAnswer,
@@ -14,6 +14,7 @@
     StoreView,
 )
 from gypsumsail.core import cbor
+from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gossip.messages import ContextStoreUpdate
 
 VIEW_PATH = "/peer/stores/"
@@ -90,6 +91,7 @@
         has_gap=False,
         changes=tuple(map(_change, cbor.read_list(parts))),
         clock_ms=cbor.read_unsigned(clock_ms) or None,
+        max_age_ms=round(VIEW_MAX_AGE_SECONDS * MILLISECONDS_PER_SECOND),
     )
 
 
--- a/src/gypsumsail/context_stores/store_view.py
+++ b/src/gypsumsail/context_stores/store_view.py
@@ -11,6 +11,7 @@
     SAVE_TIMEOUT_SECONDS,
     VIEW_MAX_AGE_SECONDS,
 )
+from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import ContextStore, PromptPart
 
 PartKey = tuple[str, str]
@@ -53,6 +54,9 @@
     clock_ms
         Time in milliseconds on the clock that engines and stores share; ``None`` if the
         store doesn't report it.
+    max_age_ms
+        Longest time since the store was known to run, at ``clock_ms``; another VM's
+        view may have this age.
     """
 
     life: int
@@ -60,6 +64,7 @@
     has_gap: bool
     changes: tuple[StoreChange, ...]
     clock_ms: int | None
+    max_age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -103,6 +108,9 @@
         planned for an earlier run could read a part that is being written.
     slow_until
         Time until which nothing is fetched from the store because fetches were late.
+    fetches_end_ms
+        Time on the clock of the engines by which fetches planned from the contents must
+        have ended, as the store may run anew and be filled again; ``None`` if unknown.
     relay_vm
         VM that relays the store's changes; empty if this VM polls the store.
     misplaced_answers
@@ -116,6 +124,7 @@
     next_number: int = 0
     answered_at: float = 0.0
     clock_offset_ms: float | None = None
+    fetches_end_ms: int | None = None
     relay_vm: str = ""
     known_life: int | None = None
     saves_from: float = 0.0
@@ -196,7 +205,7 @@
         """Return the time on the clock of the engines in ms; ``None`` if unknown."""
         if self.clock_offset_ms is None:
             return None
-        return int(now * 1000 + self.clock_offset_ms)
+        return int(now * MILLISECONDS_PER_SECOND + self.clock_offset_ms)
 
     def _apply(self, answer: StoreAnswer, now: float) -> None:
         for change in answer.changes:
@@ -209,7 +218,10 @@
         self.next_number = answer.next_number
         self.answered_at = now
         if answer.clock_ms is not None:
-            self.clock_offset_ms = answer.clock_ms - now * 1000
+            self.clock_offset_ms = answer.clock_ms - now * MILLISECONDS_PER_SECOND
+            known_ms = answer.clock_ms - answer.max_age_ms
+            old_fetches_ms = round(OLD_FETCHES_SECONDS * MILLISECONDS_PER_SECOND)
+            self.fetches_end_ms = known_ms + old_fetches_ms
 
     def holds(self, scope: str, part: PromptPart) -> bool:
         """Return whether the store has a complete part."""
--- a/tests/context_stores/test_context_stores.py
+++ b/tests/context_stores/test_context_stores.py
@@ -13,6 +13,7 @@
     OLD_FETCHES_SECONDS,
     OTHER_SERVER_DELAY_SECONDS,
     RETRY_DELAY_SECONDS,
+    VIEW_MAX_AGE_SECONDS,
 )
 from gypsumsail.context_stores.coordinator import ContextStoreCoordinator
 from gypsumsail.context_stores.errors import OtherServerError
@@ -302,6 +303,37 @@
     context_stores.stop()
 
 
+async def test_call_that_waits_at_its_engine_fetches_nothing_from_the_next_run() -> (
+    None
+):
+    """MIXED: it fetched from a store that ran anew and was being filled again."""
+    stores = ScriptedStores()
+    stores.contents = answer(change("head", 2_500), change("attachment", 5_000))
+    targets, clock, context_stores = await polling_coordinator(stores)
+    job, assignment = job_at(targets, "e1", clock)
+    assignment.answer_delay = 4.0
+    transfer = context_stores.plan(job, assignment, clock.now + 0.5)
+    assert transfer.fetch == (NEAR, NEAR, None)
+    assert transfer.fetch_until_ms == 50_000 + OLD_FETCHES_SECONDS * 1_000
+    context_stores.stop()
+
+
+async def test_view_of_another_vm_counts_as_old_as_that_vm_lets_it_become() -> None:
+    """MIXED: its age was counted from its arrival, so that fetches ended too late."""
+    polled = view(change("head", 2_500), change("attachment", 5_000))
+    sent_at = 1_000.0 + VIEW_MAX_AGE_SECONDS - 0.01
+    assert polled.is_fresh(sent_at)
+    targets, clock, context_stores = await polling_coordinator(ScriptedStores())
+    received = decode_view(encode_view(polled, 4, sent_at))
+    context_stores.views[NEAR].load(received, clock.now, "v2")
+    job, assignment = job_at(targets, "e1", clock)
+    assignment.answer_delay = 4.0
+    transfer = context_stores.plan(job, assignment, clock.now)
+    assert transfer.fetch == (NEAR, NEAR, None)
+    assert transfer.fetch_until_ms <= 50_000 + OLD_FETCHES_SECONDS * 1_000
+    context_stores.stop()
+
+
 async def test_a_new_document_is_saved_once() -> None:
     targets, clock, context_stores = await polling_coordinator(ScriptedStores())
     let_stores_run_for_long(context_stores)
