Take an answer without a length as complete only if its target still runs

Cause: such an answer ends with its connection. The kernel closes the connections of a killed process in the same way (FIN, no reset, unless input is unread), so that the end of a process was taken for the end of the answer.

Change: after the close of an answer without a length, the target is asked on a new connection whether it still runs: an engine for its life (its report), a plain target for its health, named as the instance, so that any other one says so. Otherwise the answer counts as broken: a stream that may be resumed and a repeatable call go to another target, others fail.

Why it works: what closed the connection without being asked to end its answer is gone, or another life, when it is asked next. Left: a running target that closes an answer early without a reset.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -59,6 +59,8 @@
 It is meant to allow for one repeated SYN packet within a zone, which requires an
 initial retransmission timeout below this value.
 """
+LIFE_CHECK_SECONDS: Final = 1.0
+"""Time limit for a target to show that it still runs, after it closed a connection."""
 MIN_BLOCK_SECONDS: Final = 0.5
 """First pause in sending calls to a target after a failed connection attempt."""
 MAX_BLOCK_SECONDS: Final = 4.0
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -41,6 +41,7 @@
     HeaderPairs,
     Route,
     RoutingDocument,
+    Service,
     TargetEntry,
 )
 from gypsumsail.gateway.notices import AnswerNotices
@@ -383,6 +384,12 @@
         budget = self.budgets[job.service]
         return budget.take(self.settings.retry_limit, self.view.vms(), now)
 
+    def service(self, job: Job) -> Service:
+        """Return the service of a job, also if the document lacks it by now."""
+        placer = self.queues[job.service].placer
+        assert isinstance(placer, JobPlacer)
+        return placer.service
+
     @callback
     def may_retry(self, job: Job) -> bool:
         """Return whether the retry budget allows another send of a job."""
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -29,6 +29,7 @@
     TimedOut,
 )
 from gypsumsail.gateway.port import AnswerHead, CallerReply, Exchange, SendTerms
+from gypsumsail.gateway.target_lives import async_still_runs
 
 if TYPE_CHECKING:
     from gypsumsail.gateway.coordinator import Gateway
@@ -36,6 +37,7 @@
 FIRST_ERROR_STATUS = 500
 STREAM_STATUS = 200
 """The only status with which a target goes on with a stream."""
+UNPROVEN_END = "the answer has no length, and the target does not run any more"
 
 
 class JobSend:
@@ -243,6 +245,8 @@
         self, exchange: Exchange, head: AnswerHead
     ) -> SendOutcome:
         body = await exchange.async_read_all(MAX_ANSWER_BYTES)
+        if not await self._async_is_whole(head):
+            return Broken(reason=UNPROVEN_END)
         now = self.clock.monotonic()
         if head.status >= FIRST_ERROR_STATUS:
             self.state.record_failure(now)
@@ -271,6 +275,8 @@
             if not head.is_framed:
                 self._record_crash()
             return Broken(reason="the stream ended before an event was complete")
+        if not await self._async_is_whole(head):
+            return Broken(reason=UNPROVEN_END)
         if not self.reply.has_begun:
             self.reply.begin(head.status, head.headers)
         now = self.clock.monotonic()
@@ -280,6 +286,21 @@
         self.reply.end()
         return Delivered(status=head.status)
 
+    async def _async_is_whole(self, head: AnswerHead) -> bool:
+        """Return whether an answer that has ended is known to be complete.
+
+        Without a length it ends with its connection, which a target that ends closes as
+        well: it must still run then.
+        """
+        if head.is_framed:
+            return True
+        service = self.gateway.service(self.job)
+        if await async_still_runs(self.gateway.calls, self.state.entry, service):
+            return True
+        self.state.record_failure(self.clock.monotonic())
+        self._record_crash()
+        return False
+
     async def _async_forward_events(
         self, exchange: Exchange, head: AnswerHead, splitter: EventSplitter
     ) -> bool:
--- a/src/gypsumsail/gateway/port.py
+++ b/src/gypsumsail/gateway/port.py
@@ -190,6 +190,18 @@
     async def async_check(self, target: TargetEntry) -> None:
         """Open a connection and pool it for a call; raises ``TransportError``."""
 
+    async def async_life(self, target: TargetEntry, health_path: str) -> int | None:
+        """Return the life that a target states over a new connection, if any.
+
+        Raises ``TransportError`` if it does not answer, or another target does.
+
+        Parameters
+        ----------
+        health_path
+            Path that a plain target answers without running a call; empty for an
+            engine.
+        """
+
     def forget(self, target: TargetEntry) -> None:
         """Close idle connections to a target that was removed."""
 
--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -51,7 +51,7 @@
     api = PlatformObjects(
         JsonClient(settings.object_store), STORE_TIMEOUT_SECONDS, clock
     )
-    calls = PlatformTargetCalls(clock)
+    calls = PlatformTargetCalls(clock, settings.vm)
     engines = PlatformEngines(clock, settings.vm)
 
     def close_idle_connections(target: TargetEntry) -> None:
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -19,9 +19,15 @@
     PromptPart,
     TargetEntry,
 )
-from gypsumsail.gateway.port import AnswerHead, ConnectionUse, SendTerms, SkippedAnswer
+from gypsumsail.gateway.port import (
+    AnswerHead,
+    ConnectionUse,
+    SendTerms,
+    SkippedAnswer,
+)
 from gypsumsail.gateway.targets import TargetReportedLoad
 from gypsumsail.platform import names
+from gypsumsail.platform.lives import TargetLives
 from gypsumsail.platform.notices import parse_notices
 from gypsumsail.transport.exchange import (
     ExchangeConnection,
@@ -333,8 +339,9 @@
         Called with a target and an answer of it that was not taken.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, vm: str = "") -> None:
         self.clock = clock
+        self.lives = TargetLives(vm)
         self.on_skipped: Callable[[TargetEntry, SkippedAnswer], None] = (
             lambda target, skipped: None
         )
@@ -384,6 +391,26 @@
         has_body = call.method != b"HEAD"
         return TargetExchange(pool, connection, self.clock, has_body=has_body)
 
+    async def async_life(self, target: TargetEntry, health_path: str) -> int | None:
+        """Return the life that a target states over a new connection, if any.
+
+        The connection stays in the pool for a later call.
+
+        Raises
+        ------
+        TransportError
+            No connection could be opened, no answer came, or another target answered.
+        """
+        pool = self._pool(target)
+        connection = await pool.async_connect()
+        try:
+            if not health_path:
+                return await self.lives.async_ask(connection, target)
+            await self.lives.async_check_health(connection, target, health_path)
+            return None
+        finally:
+            pool.release(connection)
+
     async def async_check(self, target: TargetEntry) -> None:
         """Check that a target accepts connections.
 
--- a/src/gypsumsail/platform/client.py
+++ b/src/gypsumsail/platform/client.py
@@ -93,7 +93,7 @@
             target_call=target_call,
         )
         return JsonAnswer(
-            status=answer.status, body=_decode(answer.body), headers=answer.headers
+            status=answer.status, body=decode_json(answer.body), headers=answer.headers
         )
 
     async def async_call_bytes(
@@ -142,7 +142,8 @@
         )
 
 
-def _decode(data: bytes) -> Any:
+def decode_json(data: bytes) -> Any:
+    """Decode the body of an answer, leniently; raise TransportError."""
     if not data:
         return None
     try:
--- a/src/gypsumsail/platform/engines.py
+++ b/src/gypsumsail/platform/engines.py
@@ -92,7 +92,7 @@
         )
         if answer.status != 200:
             raise TransportError(f"report: status {answer.status}", sent=True)
-        return _parse_report(answer.body)
+        return parse_report(answer.body)
 
     async def _async_call(
         self,
@@ -134,7 +134,8 @@
         return self.clients[key]
 
 
-def _parse_report(body: Any) -> EngineReport:
+def parse_report(body: Any) -> EngineReport:
+    """Parse the report of an engine; raise TransportError if it is none."""
     try:
         report = msgspec.convert(body, _Report)
     except msgspec.ValidationError as err:
--- a/src/gypsumsail/transport/bytes_client.py
+++ b/src/gypsumsail/transport/bytes_client.py
@@ -9,7 +9,11 @@
 from urllib.parse import urlencode
 
 from gypsumsail.core.errors import TransportError
-from gypsumsail.transport.exchange import ExchangePool, RequestIdHeader
+from gypsumsail.transport.exchange import (
+    ExchangeConnection,
+    ExchangePool,
+    RequestIdHeader,
+)
 
 SHORT_CALL_CONNECT_TIMEOUT_SECONDS: Final = 0.5
 SHORT_CALL_MAX_BODY_BYTES: Final = 32 * 1024 * 1024
@@ -63,40 +67,63 @@
             No complete response arrived; ``sent`` tells whether the call may have
             taken effect.
         """
-        request_headers = dict(headers or {})
-        if request_id is not None:
-            name, value = request_id
-            request_headers[name.decode()] = value.decode()
-        request = self._encode(method, path, query, body, request_headers)
+        target = f"{path}?{urlencode(query)}" if query else path
+        request = encode_short_call(
+            method, target, self.authority, headers or {}, request_id, body
+        )
         is_sent = False
         try:
             async with asyncio.timeout(timeout):
                 connection = await self.pool.async_acquire()
                 try:
-                    connection.send(request, request_id, may_lack_id=True)
                     is_sent = True
-                    await connection.async_wait_for_head()
-                    data = await connection.async_read_all(SHORT_CALL_MAX_BODY_BYTES)
+                    return await async_call_over(connection, request, request_id)
                 finally:
                     self.pool.release(connection)
         except TimeoutError as err:
             message = f"{method} {path}: no response within {timeout:g} s"
             raise TransportError(message, sent=is_sent) from err
-        return BytesResponse(
-            status=connection.status, body=data, headers=tuple(connection.headers)
-        )
 
-    def _encode(
-        self,
-        method: str,
-        path: str,
-        query: Mapping[str, str] | None,
-        body: bytes | None,
-        headers: Mapping[str, str],
-    ) -> bytes:
-        target = f"{path}?{urlencode(query)}" if query else path
-        lines = [f"{method} {target} HTTP/1.1", f"Host: {self.authority}"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        if body is not None or method in ("POST", "PUT"):
-            lines.append(f"Content-Length: {len(body or b'')}")
-        return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
+
+async def async_call_over(
+    connection: ExchangeConnection,
+    request: bytes,
+    request_id: RequestIdHeader | None = None,
+) -> BytesResponse:
+    """Make one short call over a connection and return its response.
+
+    Parameters
+    ----------
+    request_id
+        See ``BytesClient.async_call``.
+
+    Raises
+    ------
+    TransportError
+        No complete response arrived.
+    """
+    connection.send(request, request_id, may_lack_id=True)
+    await connection.async_wait_for_head()
+    data = await connection.async_read_all(SHORT_CALL_MAX_BODY_BYTES)
+    return BytesResponse(
+        status=connection.status, body=data, headers=tuple(connection.headers)
+    )
+
+
+def encode_short_call(
+    method: str,
+    target: str,
+    authority: str,
+    headers: Mapping[str, str],
+    request_id: RequestIdHeader | None = None,
+    body: bytes | None = None,
+) -> bytes:
+    """Encode the request of a short call."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {authority}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if request_id is not None:
+        name, value = request_id
+        lines.append(f"{name.decode()}: {value.decode()}")
+    if body is not None or method in ("POST", "PUT"):
+        lines.append(f"Content-Length: {len(body or b'')}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
--- a/tests/platform/scripted_targets.py
+++ b/tests/platform/scripted_targets.py
@@ -12,7 +12,12 @@
 from gypsumsail.gateway.coordinator import Gateway
 from gypsumsail.gateway.models import Address, Call, RoutingDocument, TargetEntry
 from gypsumsail.platform.calls import PlatformTargetCalls
-from stand_ins.raw_http import RawRequest, RawServer, reset_connection
+from stand_ins.raw_http import (
+    RawRequest,
+    RawServer,
+    encode_response,
+    reset_connection,
+)
 from tests.gateway.common import RecordedReply, call, gateway
 
 HOST: Final = "127.0.0.1"
@@ -20,12 +25,18 @@
 """Stands for the id of the request in a scripted answer."""
 CLOSE: Final = "close"
 RESET: Final = "reset"
+END: Final = "end"
 PAUSE_SECONDS: Final = 0.03
+LIFE_CALL: Final = "system-life-"
+"""Begin of the ids of calls that ask a target for its life."""
+HEALTH_PATH: Final = "/healthz"
 
 Step = bytes | str | Callable[[int], bytes]
-"""Bytes to send before a pause, ``CLOSE`` or ``RESET``.
+"""Bytes to send before a pause, ``CLOSE``, ``RESET`` or ``END``.
 
-A function returns the bytes for the last event that the caller has.
+With ``END`` the target closes the connection, as a process that is killed, and answers
+at that address no more. A function returns the bytes for the last event that the caller
+has.
 """
 
 
@@ -42,10 +53,19 @@
     repeats
         Whether it writes the last bytes of a connection once more before the next
         answer there.
+    life
+        Life that it states when it is asked for it; other reports are scripted.
+    ended
+        Addresses at which it has ended.
+    checks
+        Paths of these calls and of the health checks.
     """
 
     scripts: list[list[Step]]
     repeats: bool = False
+    life: int = 1
+    ended: set[object] = field(default_factory=set)
+    checks: list[str] = field(default_factory=list)
     last_sent: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
     ids: list[str] = field(default_factory=list)
     resumed_after: list[str] = field(default_factory=list)
@@ -60,8 +80,16 @@
         self, request: RawRequest, writer: asyncio.StreamWriter
     ) -> bool:
         """Play the next script; return whether the connection stays open."""
+        if writer.get_extra_info("sockname") in self.ended:
+            return False
+        if request.path == HEALTH_PATH or self._id(request).startswith(LIFE_CALL):
+            self.checks.append(request.path)
+            body = b'{"born": %d}' % self.life
+            head = {"Gypsumsail-Request-Id": self._id(request)}
+            writer.write(encode_response(200, body, head))
+            return True
         self.writers.add(writer)
-        request_id = request.headers.get("gypsumsail-request-id", "")
+        request_id = self._id(request)
         self.ids.append(request_id)
         self.resumed_after.append(request.headers.get("last-event-id", ""))
         if self.repeats:
@@ -70,6 +98,9 @@
             if step == RESET:
                 reset_connection(writer)
                 return False
+            if step == END:
+                self.ended.add(writer.get_extra_info("sockname"))
+                return False
             if step == CLOSE:
                 return False
             assert not isinstance(step, str)
@@ -81,6 +112,10 @@
             await asyncio.sleep(PAUSE_SECONDS)
         return True
 
+    @staticmethod
+    def _id(request: RawRequest) -> str:
+        return request.headers.get("gypsumsail-request-id", "")
+
 
 @asynccontextmanager
 async def served(*servers: ScriptedServer) -> AsyncIterator[list[Address]]:
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -13,6 +13,7 @@
 )
 from tests.platform.scripted_targets import (
     CLOSE,
+    END,
     ID,
     NOT_RUN,
     RESET,
@@ -69,6 +70,8 @@
     "last chunk within an event": begun(chunk(PART) + b"0\r\n\r\n"),
     "no length, end within an event": [UNFRAMED + events(1, 2) + PART, CLOSE],
     "no length, reset": [UNFRAMED + events(1, 2), RESET],
+    # Real targets that are killed close their connections; they don't reset them.
+    "no length, end of the target": [UNFRAMED + events(1, 2), END],
     "length, end between events": [counted(events(1))[: -len(events(3))], CLOSE],
     "another answer among chunks": begun(ERROR_HEAD),
     "error's text in a chunk": begun(chunk(b"error: no memory\n\n"), RESET),
