Let callers of the soak take streams up while engines change their build

The soak's callers never took a stream up, its engines never changed build, had a length in each answer and reset connections where a kernel closes them; so neither way to ORDER could show.

- Engines restart under their names with the next build, their entry written at once or up to 0.4 s later; they are replaced by others; they send streams without a length; a restart closes connections or resets them.
- Each event says who wrote it, and is not counted once its connection is closing: the old count took events that no caller got for those of the next build.
- Callers take broken streams up, named or not; soak/streams.py checks ORDER by what they got: numbers, end, builds and content.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,11 @@
 @click.option(
     "--cut-vms/--no-cut-vms", default=True, help="Also cut VMs from all targets."
 )
+@click.option(
+    "--take-up/--no-take-up",
+    default=True,
+    help="Also let callers take up streams, while engines change their build.",
+)
 @click.option(
     "--earlier-build",
     type=click.Path(exists=True, file_okay=False, resolve_path=True, path_type=Path),
@@ -31,6 +36,7 @@
     vms: int,
     seconds: float,
     cut_vms: bool,
+    take_up: bool,
     earlier_build: Path | None,
 ) -> None:
     """Run each seed; the exit code is 1 if any seed has findings."""
@@ -38,6 +44,7 @@
     for seed in range(first, first + seeds):
         run = Soak(seed, vms, seconds)
         run.uses_own_links = cut_vms
+        run.takes_up_streams = take_up
         run.earlier_build = earlier_build
         report = asyncio.run(run.async_run())
         click.echo(
--- a/soak/addresses.py
+++ b/soak/addresses.py
@@ -72,6 +72,7 @@
     held = hold_port(old.host, old.port)
     engine = Target(soak.new_name("e"), soak.store, soak.execution_log, "llm")
     engine.version = soak.weight_version
+    engine.build = old.build
     await soak.async_add_target(engine)
     if is_removed_first:
         await soak.store.delete("servers", old.name)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 import time
 
 from stand_ins.v1_platform import (
+    LAST_EVENT,
     SERVER_STAMP,
     Execution,
     ExecutionLog,
@@ -26,7 +27,7 @@
     Attributes
     ----------
     began_as
-        Id of the request that brought the first event.
+        Id of the request that brought the first event; empty if it is not named.
     last_event
         Id of the last event that the caller has.
     """
@@ -179,10 +180,9 @@
             f"Gypsumsail-Prompt-Prefix: aa:100,{part}:100,{request_id}:100",
         ]
     if resumption is not None:
-        lines += [
-            f"Resumes: {resumption.began_as}",
-            f"Last-Event-Id: {resumption.last_event}",
-        ]
+        lines.append(f"Last-Event-Id: {resumption.last_event}")
+        if resumption.began_as:
+            lines.append(f"Resumes: {resumption.began_as}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
@@ -231,7 +231,9 @@
     if result.status == 200:
         if result.headers.get("gypsumsail-server-stamp") != SERVER_STAMP:
             problems.append("a success without the target's stamp")
-        if result.body != expected_body(result.kind, result.request_id, number):
+        if split_writers(result.body)[0] != expected_body(
+            result.kind, result.request_id, number
+        ):
             problems.append("a success without the complete answer to this request")
         if not executions:
             problems.append("a success although no target ran it")
@@ -268,12 +270,19 @@
     return ""
 
 
+def split_writers(body: bytes) -> tuple[bytes, list[str]]:
+    """Return a stream without the lines that name who wrote an event, and these."""
+    lines = body.split(b"\n")
+    writers = [line[2:].decode() for line in lines if line.startswith(b": ")]
+    return b"\n".join(line for line in lines if not line.startswith(b": ")), writers
+
+
 def expected_body(kind: str, request_id: str, number: int) -> bytes:
     """Return the complete answer to a request."""
     if kind == "stream":
         return "".join(
             f"id: {event}\ndata: {event_content(request_id, event)}\n\n"
-            for event in range(1, 9)
+            for event in range(1, LAST_EVENT + 1)
         ).encode()
     body = request_body(kind, number)
     return event_content(request_id, 0).encode() + body
--- a/soak/const.py
+++ b/soak/const.py
@@ -35,5 +35,9 @@
 """Longest cut of VMs from all targets."""
 MAX_REUSE_SECONDS: Final = 3.0
 """Longest time in which an address passes from one process to another."""
+STREAM_CALLERS: Final = 8
+"""Callers that take up streams, in runs with such callers."""
+MAX_RELEASE_SECONDS: Final = 4.0
+"""Time from which no release of engines begins before the end of the load."""
 MAX_DISTURBANCE_SECONDS: Final = 3.0
 """Longest freeze or cut, with the time to recover from it."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,14 +27,17 @@
     MAX_DISTURBANCE_SECONDS,
     MAX_PAUSE_SECONDS,
     MAX_READY_POLLS,
+    MAX_RELEASE_SECONDS,
     MAX_REUSE_SECONDS,
     RESTORE_SHARE,
     REVOKED_API_KEY,
     SETTLE_SECONDS,
+    STREAM_CALLERS,
 )
 from soak.faults import FAULTS, NOTICES, cut_links, long_pause, terminate
 from soak.links import Link, LinkCut, StoreView
 from soak.proxy import Impairment, Proxy
+from soak.streams import FIRST_BUILD, RELEASES, TakenStream, async_take_stream
 from soak.vms import ROOT, Vm
 from stand_ins.v1_context_store import V1ContextStore
 from stand_ins.v1_platform import (
@@ -133,6 +136,10 @@
         Whether one caller for each VM uses its connection until the VM closes it.
     uses_own_links
         Whether each VM has a link of its own to each target.
+    takes_up_streams
+        Whether some callers take up streams, while engines change their build.
+    streams
+        Streams of these callers.
     links
         Links of each VM to the targets, by their names.
     context_store
@@ -150,6 +157,7 @@
 
     uses_kept_connections = True
     uses_own_links = False
+    takes_up_streams = False
     earlier_build: Path | None = None
 
     def __init__(self, seed: int, vms: int, seconds: float) -> None:
@@ -189,6 +197,7 @@
         self.weight_version = 1
         self.call_number = seed * 1_000_000
         self.results: list[CallResult] = []
+        self.streams: list[TakenStream] = []
         self.vm_by_request_id: dict[str, str] = {}
         self.sent_kinds: dict[str, str] = {}
         self.started_at = monotonic()
@@ -208,7 +217,14 @@
             cuts = asyncio.create_task(self._cut_vms())
             reuses = asyncio.create_task(self._reuse_addresses())
             upgrade = asyncio.create_task(self._upgrade_vms())
+            streams = [
+                asyncio.create_task(self._take_up_streams(number))
+                for number in range(STREAM_CALLERS if self.takes_up_streams else 0)
+            ]
+            releases = asyncio.create_task(self._release_engines())
             await self._send_load(self.seconds)
+            await releases
+            await asyncio.gather(*streams)
             await faults
             await restores
             await notices
@@ -237,6 +253,8 @@
         self.report.served = sum(result.status == 200 for result in self.results)
         for result in self.results:
             self.report.findings += check_result(result, self.execution_log)
+        for stream in self.streams:
+            self.report.findings += stream.findings()
         self.report.logs = [str(vm.log) for vm in self.vms]
         self.report.histories = [self._history(vm) for vm in self.vms]
         return self.report
@@ -249,6 +267,8 @@
         store_port = await self.store.server.async_start("127.0.0.1")
         await self.async_start_context_store()
         for target in list(self.targets):
+            if self.takes_up_streams and target.is_engine:
+                target.build = FIRST_BUILD
             self.targets.remove(target)
             await self.async_add_target(target)
         await self.async_put_document([API_KEY, REVOKED_API_KEY])
@@ -361,20 +381,21 @@
         caller = KeptCaller(vm.host, vm.front_port)
         rng = random.Random(f"{vm.name} {self.report.seed}")
         while asyncio.get_running_loop().time() < until:
-            number = self._next_number(vm)
-            kind = self._record_kind(number, pick_kind(rng))
+            number = self.next_number(vm)
+            kind = self.record_kind(number, pick_kind(rng))
             result = await caller.async_call(kind, number, API_KEY)
             self.results.append(result)
             await asyncio.sleep(0.2 if result.status == 0 else 0.02)
         caller.close()
 
-    def _next_number(self, vm: Vm) -> int:
+    def next_number(self, vm: Vm) -> int:
         """Return the number of the next call, which is sent to a VM."""
         self.call_number += 1
         self.vm_by_request_id[f"{self.call_number:016x}"] = vm.name
         return self.call_number
 
-    def _record_kind(self, number: int, kind: str) -> str:
+    def record_kind(self, number: int, kind: str) -> str:
+        """Record and return the kind of a call."""
         self.sent_kinds[f"{number:016x}"] = kind
         return kind
 
@@ -394,13 +415,13 @@
 
     def _start_call(self, key: str) -> None:
         vm = self.random.choice(self.vms)
-        number = self._next_number(vm)
+        number = self.next_number(vm)
         task = asyncio.create_task(self._send_call(vm, number, key))
         self.calls.add(task)
         task.add_done_callback(self.calls.discard)
 
     async def _send_call(self, vm: Vm, number: int, key: str) -> None:
-        kind = self._record_kind(number, pick_kind(self.random))
+        kind = self.record_kind(number, pick_kind(self.random))
         self.results.append(await call(vm.host, vm.front_port, kind, number, key))
 
     async def _inject_faults(self) -> None:
@@ -473,6 +494,26 @@
             vm.root = ROOT
             await terminate(self, vm)
 
+    async def _take_up_streams(self, number: int) -> None:
+        """Send streams one after the other, and take up those that break."""
+        rng = random.Random(f"streams {number} {self.report.seed}")
+        end = asyncio.get_running_loop().time() + self.seconds
+        while asyncio.get_running_loop().time() < end:
+            self.streams.append(await async_take_stream(self, rng))
+            await asyncio.sleep(rng.uniform(0.0, 0.1))
+
+    async def _release_engines(self) -> None:
+        """Let engines change their build, or the form of their answers."""
+        if not self.takes_up_streams:
+            return
+        rng = random.Random(f"releases {self.report.seed}")
+        end = asyncio.get_running_loop().time() + self.seconds - MAX_RELEASE_SECONDS
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+            release = rng.choice(RELEASES)
+            self.report.faults.append(release.__name__.removeprefix("_"))
+            await release(self, rng)
+
     async def _restore_store(self) -> None:
         """Restore the store from an older copy in half of the seeds."""
         copied_after = self.restore_random.uniform(0.2, 0.5) * self.seconds
@@ -534,7 +575,7 @@
     async def _check_revoked_key(self) -> None:
         for vm in self.vms:
             self.call_number += 1
-            kind = self._record_kind(self.call_number, "safe")
+            kind = self.record_kind(self.call_number, "safe")
             result = await call(
                 vm.host, vm.front_port, kind, self.call_number, REVOKED_API_KEY
             )
@@ -575,6 +616,11 @@
         since = start - MAX_DISTURBANCE_SECONDS
         return any(since <= at <= end for at, _ in (*steps, *faults))
 
+    def pick_running_vm(self, rng: random.Random) -> Vm:
+        """Return a random VM that was not killed last, if there is one."""
+        running = [vm for vm in self.vms if vm.last_signal is not signal.SIGKILL]
+        return rng.choice(running or self.vms)
+
     def pick_vm(self) -> Vm:
         """Return a random VM."""
         return self.random.choice(self.vms)
--- a/stand_ins/raw_http.py
+++ b/stand_ins/raw_http.py
@@ -98,6 +98,14 @@
         for writer in list(self.writers):
             reset_connection(writer)
 
+    def close_connections(self) -> None:
+        """Close all connections without a reset, as the kernel does for a process.
+
+        What was written before still arrives.
+        """
+        for writer in list(self.writers):
+            writer.transport.close()
+
     def stop_resetting(self) -> None:
         """Serve new connections again."""
         self.resets_connections = False
