Go on with a stream only where the target proves its life

What callers would see (ORDER): a stream whose events come from engines of two builds, after engines restarted under their names with another build.

Cause: the build that a stream needs, and the build of the target at which it goes on, were those of the entries last read. A restarted engine's entry comes a moment later; the retry goes out some ms after the break, and the instance that it names is the same. For the same reason a stream that began in that moment counted as one of the former build.

Change: a connection leads to one process. Before a stream that may be resumed is sent to a target whose entry names a life, the target states its life over that connection (its report), once for each connection. A stream goes on only where it is the life of the entry; one that began at another life has a build of its own, and goes on nowhere else.

Four tests over real sockets; the two of another life failed before. Left: an entry whose version changes though its target lives on.

--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -29,7 +29,7 @@
     TimedOut,
 )
 from gypsumsail.gateway.port import AnswerHead, CallerReply, Exchange, SendTerms
-from gypsumsail.gateway.target_lives import async_still_runs
+from gypsumsail.gateway.target_lives import async_still_runs, life_proof
 
 if TYPE_CHECKING:
     from gypsumsail.gateway.coordinator import Gateway
@@ -125,6 +125,7 @@
             weight_version=self.assignment.weight_version,
             resume_after=self.job.resume_after,
             transfer=self.gateway.plan_transfer(self.job, self.assignment, now),
+            life_proof=life_proof(self.job, self.state.entry),
         )
 
     async def _async_answer(self, exchange: Exchange) -> SendOutcome:
@@ -311,7 +312,7 @@
             if not events:
                 continue
             has_events = True
-            self._record_progress(head)
+            self._record_progress(head, exchange.life)
             if not self.reply.has_begun:
                 self.reply.begin(head.status, head.headers)
             self.reply.write(events)
@@ -329,10 +330,10 @@
             self.has_begun = True
             self.gateway.part_suspects.record_answer(self.job.shared_parts, now)
 
-    def _record_progress(self, head: AnswerHead) -> None:
+    def _record_progress(self, head: AnswerHead, life: int | None) -> None:
         now = self.clock.monotonic()
         self._record_begin(now)
-        self.gateway.resumption.stream_began(self.job, self.state, now)
+        self.gateway.resumption.stream_began(self.job, self.state, life, now)
         if not self.job.first_at:
             self.job.first_at = now
         in_flight_call = self.state.in_flight.get(self.assignment.in_flight_id)
--- a/src/gypsumsail/gateway/port.py
+++ b/src/gypsumsail/gateway/port.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Protocol
 
 from gypsumsail.gateway.models import Address, Call, HeaderPairs, TargetEntry
@@ -36,6 +37,24 @@
 NO_TRANSFER = ContextTransfer()
 
 
+class LifeProof(Enum):
+    """What is asked of a target, before a call, about the process that will run it.
+
+    Attributes
+    ----------
+    NONE
+        Nothing.
+    STATED
+        Its life, over the connection of the call; the call is sent whatever it is.
+    SAME
+        The same; the call is sent only if it is the life of the target's entry.
+    """
+
+    NONE = auto()
+    STATED = auto()
+    SAME = auto()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SendTerms:
     """Parameters that accompany a call to a target.
@@ -61,6 +80,7 @@
     weight_version: int | None = None
     resume_after: str = ""
     transfer: ContextTransfer = NO_TRANSFER
+    life_proof: LifeProof = LifeProof.NONE
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -149,6 +169,10 @@
     def use(self) -> ConnectionUse | None:
         """Return the connection of the call, if it is known."""
 
+    @property
+    def life(self) -> int | None:
+        """Return the life that the target has stated over the connection, if any."""
+
     async def async_head(self) -> AnswerHead:
         """Return the head of the answer; raises ``TransportError``."""
 
--- a/src/gypsumsail/gateway/stream_resumption.py
+++ b/src/gypsumsail/gateway/stream_resumption.py
@@ -8,8 +8,10 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import StreamUnknownError
 from gypsumsail.gateway.job import Job
-from gypsumsail.gateway.models import CallKind
+from gypsumsail.gateway.models import CallKind, TargetEntry
+from gypsumsail.gateway.port import LifeProof
 from gypsumsail.gateway.stream_builds import StreamBegin, StreamBuilds
+from gypsumsail.gateway.target_lives import life_proof
 from gypsumsail.gateway.targets import TargetState
 from gypsumsail.gateway.telemetry import GatewayTelemetry
 
@@ -65,11 +67,19 @@
         return build
 
     @callback
-    def stream_began(self, job: Job, state: TargetState, now: float) -> None:
-        """Record which build began a stream, before its first event is forwarded."""
+    def stream_began(
+        self, job: Job, state: TargetState, life: int | None, now: float
+    ) -> None:
+        """Record which build began a stream, before its first event is forwarded.
+
+        Parameters
+        ----------
+        life
+            Life that the target has stated over the connection of the stream.
+        """
         if job.build is not None or job.route.kind is not CallKind.STREAM:
             return
-        job.build = self.builds.build_of(state.entry, now)
+        job.build = self._build(job, state.entry, life, now)
         if not job.route.is_resumable:
             return
         self._note_deadline(job)
@@ -79,6 +89,16 @@
         self.builds.record(begin, now, is_own=True)
         self.on_began(begin, now)
 
+    def _build(self, job: Job, entry: TargetEntry, life: int | None, now: float) -> str:
+        """Return the build that began a stream.
+
+        That of the entry counts only for the life of the entry. Another life has a
+        build of its own, so that no other target goes on with its streams.
+        """
+        if life_proof(job, entry) is LifeProof.NONE or life == entry.life:
+            return self.builds.build_of(entry, now)
+        return f"{entry.name}/{life or job.call.request_id}"
+
     def _note_deadline(self, job: Job) -> None:
         if job.call.deadline is not None:
             self.builds.note_return(job.call.deadline - job.call.received_at)
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 import re
 from typing import Final
 
@@ -22,6 +24,7 @@
 from gypsumsail.gateway.port import (
     AnswerHead,
     ConnectionUse,
+    LifeProof,
     SendTerms,
     SkippedAnswer,
 )
@@ -282,6 +285,8 @@
     ----------
     has_body
         Whether the answer has a body; that to HEAD has none, whatever its length says.
+    life
+        Life that the target has stated over the connection; ``None`` if it has not.
     """
 
     def __init__(
@@ -291,11 +296,13 @@
         clock: Clock,
         *,
         has_body: bool = True,
+        life: int | None = None,
     ) -> None:
         self.pool = pool
         self.connection = connection
         self.clock = clock
         self.has_body = has_body
+        self.life = life
         self.use = _connection_use(connection)
 
     async def async_head(self) -> AnswerHead:
@@ -360,12 +367,14 @@
         Raises
         ------
         TransportError
-            No connection could be opened, or the time limit passed while connecting.
-            Nothing was sent.
+            No connection could be opened, the target did not state the life that the
+            terms ask for, or the time limit passed while connecting. Nothing was sent.
         """
         pool = self._pool(target)
         request_id = call.request_id.encode("latin-1")
-        connection = await pool.async_acquire(request_id)
+        connection, life = await self._async_connection(
+            pool, target, request_id, terms.life_proof
+        )
         elapsed = self.clock.monotonic() - now
         if elapsed >= terms.time_left:
             pool.release(connection)
@@ -389,7 +398,52 @@
 
         connection.on_skipped = report_skipped
         has_body = call.method != b"HEAD"
-        return TargetExchange(pool, connection, self.clock, has_body=has_body)
+        return TargetExchange(
+            pool, connection, self.clock, has_body=has_body, life=life
+        )
+
+    async def _async_connection(
+        self,
+        pool: ExchangePool,
+        target: TargetEntry,
+        request_id: bytes,
+        proof: LifeProof,
+    ) -> tuple[ExchangeConnection, int | None]:
+        """Return a connection for a call, and the life stated over it if asked for."""
+        kept = pool.take_idle(request_id)
+        if kept is not None:
+            with suppress(TransportError):
+                return kept, await self._async_prove(kept, target, proof)
+            # The target may have closed the kept connection meanwhile.
+        connection = await pool.async_connect()
+        return connection, await self._async_prove(connection, target, proof)
+
+    async def _async_prove(
+        self, connection: ExchangeConnection, target: TargetEntry, proof: LifeProof
+    ) -> int | None:
+        """Have the target state its life; close the connection if it does not.
+
+        Raises TransportError with ``sent`` false.
+        """
+        if proof is LifeProof.NONE:
+            return None
+        is_proven = False
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                life = await self.lives.async_ask(connection, target)
+            is_proven = connection.is_reusable and (
+                proof is LifeProof.STATED or life == target.life
+            )
+        except (TimeoutError, TransportError) as err:
+            message = f"the target did not state its life: {err or 'no answer'}"
+            raise TransportError(message, sent=False) from err
+        finally:
+            if not is_proven:
+                connection.abort()
+        if not is_proven:
+            message = f"life {life} of the target answers, {target.life} is listed"
+            raise TransportError(message, sent=False)
+        return life
 
     async def async_life(self, target: TargetEntry, health_path: str) -> int | None:
         """Return the life that a target states over a new connection, if any.
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -227,6 +227,7 @@
     is_aborted: bool = False
     is_finished: bool = False
     use: ConnectionUse | None = None
+    life: int | None = 1
 
     async def async_head(self) -> AnswerHead:
         """Return the head."""
--- a/tests/platform/test_target_lives.py
+++ b/tests/platform/test_target_lives.py
@@ -20,6 +20,7 @@
     END,
     HEALTH_PATH,
     ID,
+    RESET,
     SIGNED,
     ScriptedServer,
     Step,
@@ -33,6 +34,7 @@
 EVENTS: Final = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 REST: Final = b"id: 3\ndata: c\n\n"
 UNFRAMED: Final = HEAD + b"\r\n\r\n"
+BROKEN: Final[list[Step]] = [HEAD + b"\r\nContent-Length: 99\r\n\r\n" + EVENTS, RESET]
 
 
 def gone_on() -> list[Step]:
@@ -117,3 +119,42 @@
     assert reply.body == EVENTS + REST
     assert reply.is_complete
     assert other.resumed_after == ["2"]
+
+
+async def test_stream_does_not_go_on_at_an_engine_of_another_build() -> None:
+    """ORDER: it has restarted, and its entry names the build of its earlier life."""
+    first = ScriptedServer([list(BROKEN)])
+    restarted = ScriptedServer([gone_on()], life=2)
+    entries = [engine("e1", build="v1"), engine("e2", build="v1")]
+    (reply,) = await serve_streams(entries, [first, restarted])
+    assert reply.body == EVENTS
+    assert reply.is_aborted
+    assert not restarted.ids
+
+
+async def test_stream_of_an_engine_that_restarted_before_it_stays_there() -> None:
+    """ORDER: such a stream counted as one of the build that the entry names."""
+    restarted = ScriptedServer([list(BROKEN)], life=2)
+    other = ScriptedServer([gone_on()])
+    entries = [engine("e1", build="v1"), engine("e2", build="v1")]
+    (reply,) = await serve_streams(entries, [restarted, other])
+    assert reply.body == EVENTS
+    assert reply.is_aborted
+    assert not other.ids
+
+
+async def test_engine_is_asked_for_its_life_once_on_each_connection() -> None:
+    whole: list[list[Step]] = [[answer(200, EVENTS, SIGNED)] for _ in range(3)]
+    server = ScriptedServer(whole)
+    replies = await serve_streams([engine("e1")], [server], count=3)
+    assert all(reply.is_complete for reply in replies)
+    assert server.connections == 1
+    assert len(server.checks) == 1
+
+
+async def test_engine_that_is_listed_without_a_life_is_not_asked() -> None:
+    """Each life of such a target has a name of its own."""
+    server = ScriptedServer([[answer(200, EVENTS, SIGNED)]])
+    (reply,) = await serve_streams([engine("e1", life=0)], [server])
+    assert reply.is_complete
+    assert not server.checks
