Write the bytes of all answers before a planned stop ends

Cause: a connection counted as idle once its answer was handed to the transport, while most of it waited to be written. The process exited when no connection was busy, and aborted them all. It also aborted connections on which the last answer had just been written, whose callers are given a second to read it before a close that could reset them.

Change: an answer counts until its last byte is written and, where the connection is closed, until the caller has closed it or that second is over; so do the answers to forwarded calls. The wait goes on while bytes are unsent.

Why it works: what is waited for is what still has to reach a caller, not what the handler still does.

--- a/soak/vms.py
+++ b/soak/vms.py
@@ -12,6 +12,7 @@
 from time import monotonic
 
 ROOT = Path(__file__).resolve().parent.parent
+GRACE_SECONDS = 4.0
 SETTINGS_TEMPLATE = """
 node = "{name}"
 ip = "{host}"
@@ -23,7 +24,7 @@
 ready = "{host}:{ready}"
 control = "{host}:{control}"
 [bounds]
-grace_s = 4
+grace_s = {grace}
 version_ms = 12000
 [infra]
 addr = "{store}"
@@ -48,6 +49,10 @@
         Monotonic time and name of each start and signal.
     root
         Checkout of the build that the next start runs.
+    store
+        Address of the platform's store in the settings.
+    grace_seconds
+        Time from a stop signal to the end of the process, by its settings.
     """
 
     def __init__(self, name: str, host: str, zone: str, base_port: int) -> None:
@@ -65,11 +70,15 @@
         self.history: list[tuple[float, str]] = []
         self.start_lock = asyncio.Lock()
         self.root = ROOT
+        self.grace_seconds = GRACE_SECONDS
+        self.store = ""
 
     def write_settings(self, store: str, seeds: list[str]) -> None:
         """Write the settings file; ``seeds`` are hosts of other VMs."""
+        self.store = store
         text = SETTINGS_TEMPLATE.format(
             name=self.name,
+            grace=self.grace_seconds,
             host=self.host,
             zone=self.zone,
             gossip=self.base_port + 3,
--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -69,6 +69,8 @@
         Event loop time, in seconds, of the last received bytes or completed reply.
     write_resumed
         Completes when the write buffer has room again; ``None`` while it has room.
+    is_lingering
+        Whether the connection is being closed and waits for its caller to close it.
     """
 
     def __init__(self, server: HttpServer) -> None:
@@ -85,6 +87,7 @@
         self.last_active_at = self.loop.time()
         self.write_resumed: asyncio.Future[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.is_lingering = False
 
     @property
     def is_draining(self) -> bool:
@@ -96,6 +99,15 @@
         """Return whether no request is being read or answered."""
         return self.partial is None and self.worker is None and not self.pending
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether bytes of an answer wait to be written."""
+        return (
+            self.transport is not None
+            and not self.is_closed
+            and self.transport.get_write_buffer_size() > 0
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start to check its time limits."""
         self.transport = cast("asyncio.Transport", transport)
@@ -287,11 +299,12 @@
 
     def _finish(self, reply: Reply) -> None:
         if reply.phase is ReplyPhase.COMPLETE:
-            self._close_gracefully()
+            self.close_gracefully()
         else:
             self.abort()
 
-    def _close_gracefully(self) -> None:
+    @callback
+    def close_gracefully(self) -> None:
         """Close the write side now, and the connection ``CLOSE_LINGER_SECONDS`` later.
 
         Closing with unread input would reset the connection, and the caller could lose
@@ -300,9 +313,17 @@
         self.is_discarding_input = True
         if self.transport is None or self.is_closed:
             return
+        self.is_lingering = True
         if self.transport.can_write_eof():
             self.transport.write_eof()
-        self.loop.call_later(CLOSE_LINGER_SECONDS, self.close)
+        self.loop.call_later(CLOSE_LINGER_SECONDS, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Close the connection; its caller gets more time while bytes are unsent."""
+        if self.has_unsent_bytes:
+            self.loop.call_later(CLOSE_LINGER_SECONDS, self._end_linger)
+        else:
+            self.close()
 
     @callback
     def close(self) -> None:
@@ -327,7 +348,7 @@
             % (status, reason)
         )
         self.server.on_refused(status)
-        self._close_gracefully()
+        self.close_gracefully()
 
     @callback
     def write(self, data: bytes) -> None:
@@ -401,8 +422,22 @@
 
     @property
     def busy_connections(self) -> int:
-        """Return the number of connections that are reading or answering a request."""
-        return sum(not connection.is_idle for connection in self.connections)
+        """Return the number of connections on which a request is read or answered.
+
+        An answer counts until its last byte is written, and until its caller has had
+        time to read it where the connection is closed.
+        """
+        return sum(
+            not connection.is_idle
+            or connection.has_unsent_bytes
+            or connection.is_lingering
+            for connection in self.connections
+        )
+
+    @property
+    def unsent_connections(self) -> int:
+        """Return the number of connections that have bytes to write."""
+        return sum(connection.has_unsent_bytes for connection in self.connections)
 
     @callback
     def drain(self) -> None:
@@ -415,7 +450,11 @@
         if self.server is not None:
             self.server.close()
         for connection in list(self.connections):
-            if connection.is_idle:
+            if not connection.is_idle or connection.is_lingering:
+                continue
+            if connection.has_unsent_bytes:
+                connection.close_gracefully()
+            else:
                 connection.close()
 
     async def async_stop(self) -> None:
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -435,12 +435,18 @@
                 self.caller_server.stop_accepting()
             if self.signalled_at is not None and may_exit(
                 self.signalled_at,
-                self.caller_server.busy_connections + self.forward_endpoint.in_progress,
+                self._busy_connections(),
                 self.settings.grace_seconds,
                 now,
             ):
                 return
 
+    def _busy_connections(self) -> int:
+        """Return the number of connections that still have to get an answer."""
+        unsent = sum(server.unsent_connections for server in self.control_servers)
+        in_progress = self.forward_endpoint.in_progress
+        return self.caller_server.busy_connections + in_progress + unsent
+
     async def _async_stop(self) -> None:
         self.log.write("stop", busy_connections=self.caller_server.busy_connections)
         for task in self.tasks:
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -382,6 +382,10 @@
         Whether the target has ended for good and lists itself no more.
     context_stores
         Context stores that an engine may save parts to, by address.
+    slow_answer_seconds
+        Time for an answer of a plain target with the fault ``slow``.
+    answer_padding
+        Bytes that a plain target adds to each answer.
     is_unframed
         Whether an engine's streams have no length and end with their connection.
     """
@@ -420,6 +424,8 @@
         self.has_ended = False
         self.context_stores: dict[str, V1ContextStore] = {}
         self.is_unframed = False
+        self.slow_answer_seconds = SLOW_ANSWER_SECONDS
+        self.answer_padding = b""
         self.refusals: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
             WeakKeyDictionary()
         )
@@ -610,7 +616,7 @@
             await asyncio.sleep(20)
             return False
         if self.fault == "slow" and not self.is_engine:
-            await asyncio.sleep(SLOW_ANSWER_SECONDS)
+            await asyncio.sleep(self.slow_answer_seconds)
         if self.fault == "reset":
             reset_connection(writer)
             return False
@@ -621,6 +627,7 @@
             execution.is_complete = True
             return not self.is_unframed
         body = event_content(request_id, 0).encode() + request.body
+        body += self.answer_padding
         writer.write(encode_response(200, body, response_headers))
         if self.fault == "late double":
             copy = encode_response(200, body, response_headers)
