Don't move the exit of a planned stop by a reload of the settings

What callers would see (LOST): calls cut by SIGKILL at a planned stop, after the settings were changed to a longer grace period meanwhile.

Cause: the exit was computed from the settings of the moment, and a reload replaces them while the VM stops. Whoever sent SIGTERM counts the grace period from then, by the settings of then.

Change: the time of the exit is set at the stop signal.

Evidence: test_reload_during_a_planned_stop_does_not_move_the_exit, a real VM with a grace period of 2 s and a call that hangs: after a reload to 30 s it outlived the 2 s before, and exits within them now.

--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from math import inf
 import signal
 from typing import Any
 
@@ -66,7 +67,7 @@
 from gypsumsail.vm.ports import VmPorts
 from gypsumsail.vm.readiness import Readiness
 from gypsumsail.vm.settings import VmSettings
-from gypsumsail.vm.shutdown import accepts_requests, may_exit
+from gypsumsail.vm.shutdown import accepts_requests, latest_exit, may_exit
 from gypsumsail.vm.silence_log import SilenceLog
 from gypsumsail.vm.supervision import Supervisor
 from gypsumsail.vm.vm_list import VmRegistration
@@ -79,6 +80,8 @@
     ----------
     signalled_at
         Time of the stop signal; ``None`` before the signal.
+    exits_at
+        Time at which the process exits at the latest; infinite before the signal.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         self.writer = writer
         self.metrics_port = metrics_port
         self.signalled_at: float | None = None
+        self.exits_at = inf
         self.started_at = clock.monotonic()
         self.log = DecisionLog(clock)
         self.registry = MetricsRegistry()
@@ -434,10 +438,7 @@
             if not accepts_requests(self.signalled_at, now):
                 self.caller_server.stop_accepting()
             if self.signalled_at is not None and may_exit(
-                self.signalled_at,
-                self._busy_connections(),
-                self.settings.grace_seconds,
-                now,
+                self.signalled_at, self._busy_connections(), self.exits_at, now
             ):
                 return
 
@@ -465,11 +466,13 @@
     def stop(self) -> None:
         """Start the shutdown: become unready.
 
-        Requests are still accepted for ``BALANCER_NOTICE_SECONDS``.
+        Requests are still accepted for ``BALANCER_NOTICE_SECONDS``. A later reload
+        doesn't move the exit.
         """
         if self.signalled_at is not None:
             return
         self.signalled_at = self.clock.monotonic()
+        self.exits_at = latest_exit(self.signalled_at, self.settings.grace_seconds)
         self.log.write(
             "stop signal", busy_connections=self.caller_server.busy_connections
         )
--- a/src/gypsumsail/vm/shutdown.py
+++ b/src/gypsumsail/vm/shutdown.py
@@ -14,15 +14,27 @@
     return signalled_at is None or now - signalled_at < BALANCER_NOTICE_SECONDS
 
 
+def latest_exit(signalled_at: float, grace_seconds: float) -> float:
+    """Return the time at which the process exits at the latest.
+
+    It exits before the platform would kill it.
+    """
+    return signalled_at + max(grace_seconds - EXIT_MARGIN_SECONDS, 0.0)
+
+
 def may_exit(
-    signalled_at: float, busy_connections: int, grace_seconds: float, now: float
+    signalled_at: float, busy_connections: int, exits_at: float, now: float
 ) -> bool:
     """Return whether the process may exit now.
 
     The process waits for its accepted requests, and until the balancer has noticed
-    that the VM is no longer ready. It exits before the platform would kill it.
+    that the VM is no longer ready.
+
+    Parameters
+    ----------
+    exits_at
+        See ``latest_exit``.
     """
-    waited = now - signalled_at
-    if waited >= grace_seconds - EXIT_MARGIN_SECONDS:
+    if now >= exits_at:
         return True
-    return waited >= BALANCER_NOTICE_SECONDS and not busy_connections
+    return now - signalled_at >= BALANCER_NOTICE_SECONDS and not busy_connections
--- a/tests/process/test_planned_stop.py
+++ b/tests/process/test_planned_stop.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import socket
+from time import monotonic
 
 from soak.callers import CallResult, KeptCaller, call, encode_call
 from soak.const import API_KEY
@@ -133,3 +134,27 @@
     finally:
         await run._stop()
     assert min(sizes) > LARGE_ANSWER_BYTES
+
+
+async def test_reload_during_a_planned_stop_does_not_move_the_exit() -> None:
+    """LOST: the platform would have ended the process with calls in progress."""
+    run = PlannedStopRun(53, grace_seconds=2.0)
+    for target in run.plain:
+        target.fault = "mute"
+    try:
+        await run._start()
+        vm = run.vms[0]
+        hanging = asyncio.create_task(run._async_call(None))
+        await asyncio.sleep(0.2)
+        vm.send_signal(signal.SIGTERM)
+        stopped_at = monotonic()
+        await asyncio.sleep(0.2)
+        vm.grace_seconds = 30.0
+        vm.write_settings(vm.store, [vm.host])
+        vm.send_signal(signal.SIGHUP)
+        async with asyncio.timeout(6.0):
+            assert await vm.async_wait() == 0
+        assert monotonic() - stopped_at < 2.0
+        await hanging
+    finally:
+        await run._stop()
--- a/tests/vm/test_shutdown.py
+++ b/tests/vm/test_shutdown.py
@@ -5,9 +5,9 @@
 import pytest
 
 from gypsumsail.vm.readiness import Readiness
-from gypsumsail.vm.shutdown import accepts_requests, may_exit
+from gypsumsail.vm.shutdown import accepts_requests, latest_exit, may_exit
 
-GRACE = 8.0
+EXIT = latest_exit(0.0, 8.0)
 
 
 def test_vm_is_ready_with_a_document_and_targets() -> None:
@@ -41,11 +41,11 @@
         step / 10 for step in range(100) if not accepts_requests(0.0, step / 10)
     )
     assert first_refused_at <= 3.0
-    assert not may_exit(0.0, 1, GRACE, GRACE - 0.5)
+    assert not may_exit(0.0, 1, EXIT, 7.5)
 
 
 def test_process_exits_once_idle_or_at_the_end_of_the_grace_period() -> None:
-    assert not may_exit(0.0, 0, GRACE, 1.0)
-    assert may_exit(0.0, 0, GRACE, 3.0)
-    assert not may_exit(0.0, 1, GRACE, 3.0)
-    assert may_exit(0.0, 1, GRACE, 7.7)
+    assert not may_exit(0.0, 0, EXIT, 1.0)
+    assert may_exit(0.0, 0, EXIT, 3.0)
+    assert not may_exit(0.0, 1, EXIT, 3.0)
+    assert may_exit(0.0, 1, EXIT, 7.7)
