Send on no call that can't be answered before a planned stop ends

What callers saw (LOST, reported by operators): in a planned stop, calls that came late in the grace period were sent on and cut at its end without an answer, among them calls that may not be repeated.

Cause: a VM took every call for a fixed 2.6 s after the signal, whatever its grace period and the time that the answer takes. What waited for a target was placed until the exit.

Change: each route notes the time of its latest 100 answers. From the signal on a call is placed only if the longest of them, or the caller's deadline, ends before the exit; otherwise it is refused at once, 503 with a short Retry-After, as another VM can serve it. That holds for calls that arrive, wait, or would be sent again, and for those that are forwarded. A route without an answer yet is expected to take until the call's deadline.

Evidence: test_planned_stop.py, two real VMs, calls that may not be repeated each 0.06 s from the signal on. Each refused call was served by the other VM. Left: an answer that takes longer than the 100 before it.

--- a/src/gypsumsail/gateway/averages.py
+++ b/src/gypsumsail/gateway/averages.py
@@ -1,8 +1,9 @@
-"""Moving averages of what the targets of a service need for a call."""
+"""What the targets of a service need for a call, by their latest answers."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
 from gypsumsail.gateway.const import (
     DURATION_SMOOTHING,
@@ -10,6 +11,7 @@
     INITIAL_PREFILL_TOKENS_PER_SECOND,
     MIN_PREFILL_SAMPLE_TOKENS,
     PREFILL_RATE_SMOOTHING,
+    REMEMBERED_ANSWERS,
 )
 
 
@@ -42,3 +44,21 @@
     def observe(self, seconds: float) -> None:
         """Add a sample: the seconds from a send to the end of its stream."""
         self.seconds += DURATION_SMOOTHING * (seconds - self.seconds)
+
+
+@dataclass(slots=True)
+class AnswerTime:
+    """Seconds that targets took for the latest answers of a route."""
+
+    seconds: deque[float] = field(
+        default_factory=lambda: deque(maxlen=REMEMBERED_ANSWERS)
+    )
+
+    def observe(self, seconds: float) -> None:
+        """Add a sample: the seconds from a send to the end of its answer."""
+        self.seconds.append(seconds)
+
+    @property
+    def longest(self) -> float | None:
+        """Return the longest of these times; ``None`` before the first answer."""
+        return max(self.seconds, default=None)
--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -112,6 +112,12 @@
 """Retry delay where no target is listed; one may be listed within a few heartbeats."""
 INITIAL_GENERATION_SECONDS: Final = 0.5
 """Time for which a generation occupies an engine, assumed until one is measured."""
+REMEMBERED_ANSWERS: Final = 100
+"""Latest answers of a route from which the time of the next one is expected."""
+STOP_MARGIN_SECONDS: Final = 0.2
+"""Time by which an answer is expected before the exit of a VM that stops."""
+STOP_RETRY_SECONDS: Final = 0.1
+"""Retry delay of a call that a VM refuses because it stops; others can serve it."""
 QUEUE_INTERVAL_SECONDS: Final = 0.02
 """Interval at which queued calls are dispatched."""
 MAX_QUEUE_LENGTH: Final = 2_000
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -252,7 +252,7 @@
         if head.status >= FIRST_ERROR_STATUS:
             self.state.record_failure(now)
             return TargetError(status=head.status, headers=head.headers, body=body)
-        self.state.record_success(now, now - self.sent_at)
+        self._record_answer(now)
         self._record_begin(now)
         self.job.first_at = now
         self.reply.send(head.status, head.headers, body)
@@ -281,7 +281,7 @@
         if not self.reply.has_begun:
             self.reply.begin(head.status, head.headers)
         now = self.clock.monotonic()
-        self.state.record_success(now, now - self.sent_at)
+        self._record_answer(now)
         generation_time = self.gateway.view.targets.generation_time(self.job.route.name)
         generation_time.observe(now - self.sent_at)
         self.reply.end()
@@ -321,6 +321,11 @@
             await self.reply.async_drain()
         return has_events
 
+    def _record_answer(self, now: float) -> None:
+        seconds = now - self.sent_at
+        self.state.record_success(now, seconds)
+        self.gateway.view.targets.answer_time(self.job.route.name).observe(seconds)
+
     def _record_crash(self) -> None:
         if not self.has_begun:
             self.gateway.record_unanswered_crash(self.state, self.crash_orders)
--- a/src/gypsumsail/gateway/placement.py
+++ b/src/gypsumsail/gateway/placement.py
@@ -126,6 +126,11 @@
     """No listed target may serve the call, now or later."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopsTooSoon:
+    """The VM exits before the call is expected to be answered."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Forward:
     """Another VM, by its host, serves the call."""
@@ -133,7 +138,7 @@
     host: str
 
 
-Placement = Placed | Forward | Wait | Unplaceable
+Placement = Placed | Forward | Wait | Unplaceable | StopsTooSoon
 
 
 def answer_delay(candidate: Candidate, demand: Demand) -> float:
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
+from math import inf
 import random
 
 from gypsumsail.gateway.arrivals import ArrivalRate, PeerServiceLoad
@@ -13,6 +14,7 @@
     DURATION_SMOOTHING,
     INITIAL_CALL_SECONDS,
     STALL_SECONDS,
+    STOP_MARGIN_SECONDS,
     USABLE_MEMORY_SHARE,
 )
 from gypsumsail.gateway.job import Assignment, Job
@@ -24,6 +26,7 @@
     Forward,
     Placed,
     Placement,
+    StopsTooSoon,
     Unplaceable,
     Wait,
     place,
@@ -69,6 +72,8 @@
         Returns the seconds between the load reports of another VM.
     build_of
         Returns the build of a target at a time, with which those of streams compare.
+    exits_at
+        Time at which this VM exits; infinite until it is told to stop.
     choose_helper
         Returns the host of another VM that may serve a call of a service; ``None`` if
         there is none. Its arguments are the service, the hosts that were tried and
@@ -91,6 +96,7 @@
     choose_helper: Callable[[str, set[str], float], str | None] = (
         lambda service, tried, now: None
     )
+    exits_at: float = inf
 
 
 class _FetchableByScope(dict[str, int]):
@@ -151,9 +157,11 @@
 
     def place(self, number: int, now: float) -> Placement:
         """Choose a target for a job and count the job there at once."""
+        job = self.jobs[number]
+        if self.answered_by(job, now) > self.view.exits_at:
+            return StopsTooSoon()
         if not self.view.knows_notices(now):
             return Wait()
-        job = self.jobs[number]
         if self.should_forward(job, now):
             host = self.view.choose_helper(self.service.name, job.helpers_tried, now)
             if host is not None:
@@ -185,6 +193,13 @@
             job.assignment = self.begin(job, state, placed.answer_delay, now)
         return placed
 
+    def answered_by(self, job: Job, now: float) -> float:
+        """Return the time by which a job that is sent now has its final answer."""
+        longest = self.view.targets.answer_time(job.route.name).longest
+        if longest is None:
+            return job.deadline
+        return min(now + longest + STOP_MARGIN_SECONDS, job.deadline)
+
     def should_forward(self, job: Job, now: float) -> bool:
         """Return whether another VM should serve a job, as no target can be reached.
 
--- a/src/gypsumsail/gateway/service_queue.py
+++ b/src/gypsumsail/gateway/service_queue.py
@@ -9,8 +9,18 @@
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import NoTargetError
-from gypsumsail.gateway.const import MAX_QUEUE_LENGTH, QUEUE_INTERVAL_SECONDS
-from gypsumsail.gateway.placement import Forward, Placed, Placement, Unplaceable
+from gypsumsail.gateway.const import (
+    MAX_QUEUE_LENGTH,
+    QUEUE_INTERVAL_SECONDS,
+    STOP_RETRY_SECONDS,
+)
+from gypsumsail.gateway.placement import (
+    Forward,
+    Placed,
+    Placement,
+    StopsTooSoon,
+    Unplaceable,
+)
 from gypsumsail.gateway.queue_policy import (
     Capacity,
     QueuedCall,
@@ -67,6 +77,8 @@
                 raise NoTargetError(
                     "no target is eligible", retry_after=self.expected_wait(now)
                 )
+            if isinstance(placed, StopsTooSoon):
+                raise _stops_too_soon()
         if len(self.entries) >= MAX_QUEUE_LENGTH:
             raise NoTargetError(
                 "the queue is full", retry_after=self.expected_wait(now)
@@ -111,6 +123,9 @@
             case Unplaceable():
                 self._shed(call.number, self.expected_wait(now))
                 return True
+            case StopsTooSoon():
+                self.entries.pop(call.number).future.set_exception(_stops_too_soon())
+                return True
             case _:
                 return False
 
@@ -135,3 +150,10 @@
         """Return the seconds until all queued calls are expected to be placed."""
         waiting = [entry.waiting for entry in self.entries.values()]
         return expected_wait(waiting, self.placer.capacity(now))
+
+
+def _stops_too_soon() -> NoTargetError:
+    return NoTargetError(
+        "the VM exits before the call is expected to be answered",
+        retry_after=STOP_RETRY_SECONDS,
+    )
--- a/src/gypsumsail/gateway/target_table.py
+++ b/src/gypsumsail/gateway/target_table.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from gypsumsail.gateway.averages import GenerationTime, PrefillRate
+from gypsumsail.gateway.averages import AnswerTime, GenerationTime, PrefillRate
 from gypsumsail.gateway.call_limit import CallLimit
 from gypsumsail.gateway.const import MAX_REMEMBERED_LEAVING, MAX_REMEMBERED_LIMITS
 from gypsumsail.gateway.models import TargetEntry
@@ -53,6 +53,7 @@
         self.states: dict[str, TargetState] = {}
         self.rates: dict[str, PrefillRate] = {}
         self.generation_times: dict[str, GenerationTime] = {}
+        self.answer_times: dict[str, AnswerTime] = {}
         self.on_life_listed: Callable[[TargetEntry], None] = lambda entry: None
         self.on_life_ended: Callable[[TargetState], None] = lambda state: None
 
@@ -87,6 +88,10 @@
         """Return the average time that a generation of a route occupies an engine."""
         return self.generation_times.setdefault(route, GenerationTime())
 
+    def answer_time(self, route: str) -> AnswerTime:
+        """Return the time that targets take for the answers of a route."""
+        return self.answer_times.setdefault(route, AnswerTime())
+
     def update(self, entry: TargetEntry, now: float) -> bool:
         """Apply an entry of the platform's list; return whether the state changed."""
         state = self.states.get(entry.name)
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -466,13 +466,15 @@
     def stop(self) -> None:
         """Start the shutdown: become unready.
 
-        Requests are still accepted for ``BALANCER_NOTICE_SECONDS``. A later reload
-        doesn't move the exit.
+        Requests are still accepted for ``BALANCER_NOTICE_SECONDS``, if they are
+        expected to be answered before the exit. A later reload doesn't move the exit.
         """
         if self.signalled_at is not None:
             return
         self.signalled_at = self.clock.monotonic()
         self.exits_at = latest_exit(self.signalled_at, self.settings.grace_seconds)
+        self.gateway.view.exits_at = self.exits_at
+        self.gateway.dispatch()
         self.log.write(
             "stop signal", busy_connections=self.caller_server.busy_connections
         )
--- a/tests/process/test_planned_stop.py
+++ b/tests/process/test_planned_stop.py
@@ -7,6 +7,8 @@
 import socket
 from time import monotonic
 
+import pytest
+
 from soak.callers import CallResult, KeptCaller, call, encode_call
 from soak.const import API_KEY
 from soak.run import Soak
@@ -92,6 +94,22 @@
         ]
 
 
+@pytest.mark.parametrize(
+    ("grace_seconds", "answer_seconds"),
+    [(4.0, 0.3), (4.0, 1.6), (4.0, 2.2), (2.0, 0.9), (3.0, 1.6)],
+)
+async def test_planned_stop_cuts_no_call_that_was_taken_late(
+    grace_seconds: float, answer_seconds: float
+) -> None:
+    """LOST: calls were sent on whose answers could not come before the exit."""
+    run = PlannedStopRun(51, grace_seconds)
+    assert await run.async_run_stop(answer_seconds) == 0
+    assert run.cut_calls() == []
+    assert not run._complete_report().findings
+    assert any(result.status == 200 for result in run.results)
+    assert all(result.status == 200 for result in run.retried)
+
+
 async def _async_read_slowly(host: str, port: int, request: bytes) -> int:
     """Send a request; return the number of bytes that arrive until the end."""
     loop = asyncio.get_running_loop()
