Refuse what a stopping entry could cut off at the limit of its shutdown

The report of LOST in a planned stop, on the product's own interface: an entry that stops took every request on connections that were still open, until the limit of its shutdown (`--drain-seconds`), and cut off what ran then. A caller that goes on using its connection keeps it busy until that limit.

Change: once the balancer has noticed the stop (5 s), a request is taken only if its deadline is before the limit. Others get 503, `stopping`, `not run` and a short Retry-After, as another entry can serve them.

Evidence: a process test with a frozen service, in which a request with a deadline after the limit was taken before and is refused now, and one of the decision. Left: requests of the first 5 s that outlast the limit, as docs/operations/shutdown.md says.

--- a/src/gypsumsail/core/errors.py
+++ b/src/gypsumsail/core/errors.py
@@ -144,6 +144,13 @@
     status: ClassVar[int] = 503
 
 
+class StoppingError(RequestError):
+    """The process stops before the request is sure to be answered."""
+
+    code: ClassVar[str] = "stopping"
+    status: ClassVar[int] = 503
+
+
 class StreamUnknownError(RequestError):
     """It is not known which build of the targets began the stream."""
 
--- a/src/gypsumsail/entry/app.py
+++ b/src/gypsumsail/entry/app.py
@@ -76,6 +76,7 @@
     clock = runtime.clock
     drain = Drain(DrainSettings(limit_seconds=runtime.settings.drain_seconds))
     actions = drain.signal(now=clock.monotonic(), running=runtime.running())
+    runtime.caller_api.accepts = drain.accepts
     runtime.shared.recorder.record(Event(kind=EventKind.ENTRY_DRAINING))
     while True:
         for action in actions:
--- a/src/gypsumsail/entry/caller_api.py
+++ b/src/gypsumsail/entry/caller_api.py
@@ -6,17 +6,19 @@
 from dataclasses import dataclass
 import logging
 import random
+from typing import Protocol
 
 from gypsumsail.core.errors import (
     DeadlineError,
     RequestError,
     RunState,
+    StoppingError,
     TargetLostError,
 )
 from gypsumsail.core.ids import new_id
 from gypsumsail.entry.answers import add_retry_jitter, async_send_error
 from gypsumsail.entry.call import Call, CallFactory
-from gypsumsail.entry.const import DEADLINE_GRACE_SECONDS
+from gypsumsail.entry.const import DEADLINE_GRACE_SECONDS, STOPPING_RETRY_SECONDS
 from gypsumsail.entry.head import (
     CallerGoneError,
     Receive,
@@ -51,6 +53,18 @@
     rng: random.Random
 
 
+class AcceptRequest(Protocol):
+    """Function that returns whether a request is taken."""
+
+    def __call__(self, *, deadline_at: float, now: float) -> bool:
+        """Return whether a request with a deadline that arrives now is taken."""
+
+
+def accept_always(*, deadline_at: float, now: float) -> bool:
+    """Take all requests, as an entry does that does not stop."""
+    return True
+
+
 class CallerApi:
     """Serves the requests of callers.
 
@@ -58,6 +72,8 @@
     ----------
     active
         Jobs in flight by request id; a graceful shutdown waits for them.
+    accepts
+        Returns whether a request with a deadline is taken, see ``Drain.accepts``.
     """
 
     def __init__(self, deps: CallerApiDependencies) -> None:
@@ -65,6 +81,7 @@
         self.clock = deps.relay.clock
         self.recorder = deps.relay.recorder
         self.active: dict[str, Job] = {}
+        self.accepts: AcceptRequest = accept_always
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
@@ -94,7 +111,13 @@
         route_matches = validator.route_matches(head)
         body = await async_read_body(scope, receive, self.deps.body_limit)
         now = self.clock.monotonic()
-        return validator.make_job(request_id, head, route_matches, body, now)
+        job = validator.make_job(request_id, head, route_matches, body, now)
+        if not self.accepts(deadline_at=job.deadline_at, now=now):
+            raise StoppingError(
+                "the entry stops before the deadline of the request",
+                retry_after=STOPPING_RETRY_SECONDS,
+            )
+        return job
 
     async def _async_serve(self, job: Job, receive: Receive, send: Send) -> None:
         call = self.deps.factory.make(job, send)
--- a/src/gypsumsail/entry/const.py
+++ b/src/gypsumsail/entry/const.py
@@ -23,6 +23,8 @@
 
 BODY_READ_TIMEOUT_SECONDS: Final = 30.0
 
+STOPPING_RETRY_SECONDS: Final = 0.1
+"""Retry delay of a request that a stopping entry refuses; others can serve it."""
 DEADLINE_GRACE_SECONDS: Final = 600.0
 """Time after its deadline at which a job is cancelled in any case.
 
--- a/src/gypsumsail/membership/drain.py
+++ b/src/gypsumsail/membership/drain.py
@@ -111,6 +111,23 @@
         """Whether the balancer should send new requests here."""
         return self.phase is DrainPhase.READY
 
+    def accepts(self, *, deadline_at: float, now: float) -> bool:
+        """Return whether a request that arrives now is taken.
+
+        The balancer's requests are. Later ones come on connections that are still
+        open, and must have ended before the entry stops in any case.
+
+        Parameters
+        ----------
+        deadline_at
+            Monotonic seconds at which the request ends at the latest.
+        """
+        if self.phase is DrainPhase.READY:
+            return True
+        if now - self.started_at < self.settings.balancer_notice_seconds:
+            return True
+        return deadline_at <= self.started_at + self.settings.limit_seconds
+
     def signal(
         self, *, now: float, running: tuple[RunningRequest, ...]
     ) -> tuple[DrainAction, ...]:
--- a/tests/membership/test_drain.py
+++ b/tests/membership/test_drain.py
@@ -73,3 +73,15 @@
     assert drain.tick(now=60.0, running=_running(1)) == (
         Stop(reason=StopReason.LIMIT, seconds=60.0, cut=_running(1)),
     )
+
+
+def test_request_that_can_outlast_the_limit_is_refused_once_the_balancer_knows() -> (
+    None
+):
+    """LOST: requests on open connections were taken until the limit, and cut there."""
+    drain = Drain(SETTINGS)
+    assert drain.accepts(deadline_at=1_000.0, now=0.0)
+    drain.signal(now=100.0, running=())
+    assert drain.accepts(deadline_at=1_000.0, now=104.9)
+    assert drain.accepts(deadline_at=160.0, now=105.0)
+    assert not drain.accepts(deadline_at=160.1, now=105.0)
--- a/tests/process/common.py
+++ b/tests/process/common.py
@@ -164,12 +164,18 @@
 
 
 async def async_send_plain_call(
-    deployment: Deployment, entry: Vm, body: str, key: str = ""
+    deployment: Deployment,
+    entry: Vm,
+    body: str,
+    key: str = "",
+    deadline_seconds: int = 0,
 ) -> PlainAnswer:
     """Send a call that must not be repeated to the plain service."""
     headers = authorization()
     if key:
         headers["Idempotency-Key"] = key
+    if deadline_seconds:
+        headers["X-Deadline"] = str(deadline_seconds)
     url = entry.url + SMALL_LAYOUT.plain_service.path
     try:
         response = await deployment.client.post(url, content=body, headers=headers)
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -17,11 +17,13 @@
     LONG_ANSWER_TOKENS,
     assert_correct,
     async_complete,
+    async_count_runs,
     async_restart,
     async_send_plain_call,
     async_wait_until,
     entry_of,
     make_call,
+    plain_service_process,
     process_of,
     prompt_with_long_answer,
 )
@@ -32,7 +34,9 @@
 SIGNAL_INTERVAL_SECONDS = 0.002
 
 
-async def async_wait_streams_running(deployment: Deployment, entry: Vm) -> None:
+async def async_wait_streams_running(
+    deployment: Deployment, entry: Vm, count: int = STREAM_COUNT
+) -> None:
     """Wait until an entry reports all streams as running requests."""
 
     async def are_running() -> bool:
@@ -40,7 +44,7 @@
             f"{entry.url}/operator/status",
             headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
         )
-        return bool(response.json()["requests"] == STREAM_COUNT)
+        return bool(response.json()["requests"] == count)
 
     await async_wait_until(are_running)
 
@@ -93,6 +97,40 @@
     await async_restart(deployment, entry)
 
 
+async def test_stopping_entry_refuses_a_request_that_could_be_cut_off(
+    deployment: Deployment,
+) -> None:
+    """LOST: it was taken on a connection that was still open, and cut at the limit."""
+    entry = entry_of(deployment, 0)
+    plain = plain_service_process(deployment)
+    plain.freeze()
+    try:
+        running = asyncio.create_task(
+            async_send_plain_call(deployment, entry, "in progress", deadline_seconds=20)
+        )
+        await async_wait_streams_running(deployment, entry, 1)
+        process_of(entry).send_signal(signal.SIGTERM)
+        await async_wait_not_ready(deployment, entry)
+        await asyncio.sleep(BALANCER_NOTICE_SECONDS)
+        refused = await async_send_plain_call(
+            deployment, entry, "sent too late", deadline_seconds=60
+        )
+    finally:
+        plain.thaw()
+    served = await async_send_plain_call(
+        deployment, entry, "sent with little time", deadline_seconds=10
+    )
+
+    assert (refused.status, refused.code) == (503, "stopping")
+    assert refused.run_state == "not run"
+    assert refused.retry_after
+    assert await async_count_runs(deployment, "sent too late") == 0
+    assert (await running).status == 200
+    assert served.status == 200
+    assert await process_of(entry).process.wait() == 0
+    await async_restart(deployment, entry)
+
+
 async def test_second_signal_exits_immediately_and_logs_aborted_streams(
     deployment: Deployment,
 ) -> None:
