Refuse streams to callers that speak HTTP/1.0

What callers would see (ORDER): the sizes of chunks within the body, and a stream that broke off looked like one that is complete.

Cause: a stream is sent in chunks whoever asks for it. HTTP/1.0 has none (RFC 9112, 7.1), and a close in their place proves no end.

Change: a call of a route with streams is refused with 505 before it is sent to a target, if its caller speaks HTTP/1.0. Calls with a length in their answer are served as before.

Evidence: a test over real sockets; the stream's case failed before.

--- a/src/gypsumsail/core/errors.py
+++ b/src/gypsumsail/core/errors.py
@@ -78,6 +78,13 @@
     status: ClassVar[int] = 400
 
 
+class HttpVersionError(RequestError):
+    """The caller's version of HTTP has no answers in chunks, which a stream needs."""
+
+    code: ClassVar[str] = "http_version"
+    status: ClassVar[int] = 505
+
+
 class BodyTooLargeError(RequestError):
     """The request body is larger than the limit."""
 
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -12,6 +12,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import (
     CrashSuspectError,
+    HttpVersionError,
     InvalidRequestError,
     NoTargetError,
     RequestError,
@@ -92,6 +93,7 @@
 NO_RETRY_ERRORS: Final = (
     UnauthorizedError,
     UnknownServiceError,
+    HttpVersionError,
     CrashSuspectError,
     StreamUnknownError,
 )
@@ -249,6 +251,8 @@
             raise InvalidRequestError("the request id is missing")
         route = find_route(document, call.host, call.path)
         customer = find_customer(document, route, call.api_key)
+        if route.kind is CallKind.STREAM and not call.reads_chunks:
+            raise HttpVersionError("a stream can't be sent to a caller of HTTP/1.0")
         service = pick_service(route, self.random.random())
         if terms is not None and route.allows(terms.service):
             service = terms.service
--- a/src/gypsumsail/gateway/models.py
+++ b/src/gypsumsail/gateway/models.py
@@ -318,6 +318,9 @@
         Id of the request that brought the first event of that stream.
     received_headers
         All headers as the caller sent them.
+    reads_chunks
+        Whether the caller can read an answer in chunks, and so tell a stream that broke
+        off from a complete one.
     """
 
     request_id: str
@@ -334,3 +337,4 @@
     resume_after: str = ""
     resumes: str = ""
     received_headers: HeaderPairs = ()
+    reads_chunks: bool = True
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -38,7 +38,7 @@
     SkippedResponse,
 )
 from gypsumsail.transport.http_reply import Reply, ReplyPhase
-from gypsumsail.transport.http_request import HttpRequest
+from gypsumsail.transport.http_request import CHUNKED_VERSION, HttpRequest
 
 MAX_PRIORITY: Final = 9
 """Largest value of the priority header; larger priorities are reduced to it."""
@@ -117,6 +117,7 @@
         resume_after=header_values.get(names.LAST_EVENT_ID_HEADER, ""),
         resumes=header_values.get(names.RESUMES_HEADER, ""),
         received_headers=received,
+        reads_chunks=request.version == CHUNKED_VERSION,
     )
 
 
--- a/src/gypsumsail/transport/http_reply.py
+++ b/src/gypsumsail/transport/http_reply.py
@@ -26,6 +26,7 @@
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
 }
 
 
--- a/src/gypsumsail/transport/http_request.py
+++ b/src/gypsumsail/transport/http_request.py
@@ -44,6 +44,8 @@
     received_at
         Monotonic time of the server's clock at which the request was complete, in
         seconds.
+    version
+        Version of HTTP that the caller speaks.
     """
 
     method: bytes
@@ -52,6 +54,7 @@
     body: bytes
     keep_alive: bool
     received_at: float
+    version: str = CHUNKED_VERSION
 
 
 class RefusedError(Exception):
--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -269,6 +269,7 @@
                 body=b"".join(partial.body),
                 keep_alive=self.parser.should_keep_alive(),
                 received_at=self.server.clock.monotonic(),
+                version=self.parser.get_http_version(),
             )
         )
         if not self.pending[-1].keep_alive:
--- a/tests/platform/common.py
+++ b/tests/platform/common.py
@@ -13,7 +13,7 @@
 
 from gypsumsail.core.errors import InvalidRequestError
 from gypsumsail.gateway.coordinator import Gateway
-from gypsumsail.gateway.models import Address
+from gypsumsail.gateway.models import Address, CallKind
 from gypsumsail.platform.calls import PlatformReply, PlatformTargetCalls, parse_call
 from gypsumsail.transport.http_reply import Reply
 from gypsumsail.transport.http_request import HttpRequest, ServerLimits
@@ -183,6 +183,7 @@
             route(is_public=True),
             route("keyed", prefix="/k/"),
             route("other", host="other.example", prefix="/", is_public=True),
+            route("stream", prefix="/s/", kind=CallKind.STREAM, is_public=True),
         )
         vm = gateway(ScriptedTargets(), target(address=address), routing=routing)
         calls = PlatformTargetCalls(vm.clock)
--- a/tests/platform/test_caller_border.py
+++ b/tests/platform/test_caller_border.py
@@ -263,3 +263,15 @@
     assert first.endswith(b"\r\n\r\n")
     assert b"content-length" not in first
     assert second.endswith(b"\r\n\r\nnext")
+
+
+@pytest.mark.parametrize(("path", "status"), [(b"/s/x", b"505"), (b"/a/x", b"200")])
+async def test_stream_is_not_sent_to_a_caller_that_reads_no_chunks(
+    path: bytes, status: bytes
+) -> None:
+    """ORDER: HTTP/1.0 has no chunks, so a broken stream looked like a complete one."""
+    head = encode_head(head_lines(target_text=path)).replace(b"HTTP/1.1", b"HTTP/1.0")
+    async with Border().serving() as border:
+        found = await border.async_send(head)
+    assert found.startswith(b"HTTP/1.1 " + status)
+    assert len(border.target.requests) == (status == b"200")
