--- a/tests/catalog/test_order_of_changes.py
+++ b/tests/catalog/test_order_of_changes.py
@@ -92,7 +92,7 @@
 
 
 def test_target_that_is_removed_and_created_in_one_answer_is_used() -> None:
-    """An outage of the store ends with such answers: entries lapse and come back."""
+    """VERSION (review/1): entries that lapsed in an outage were dropped for good."""
     catalog = Catalog()
     catalog.replace(KIND, listing(5, stored("servers/a", 5, target_spec())))
     removed = PlatformObject(key="servers/a", version=5, value=None)
--- a/tests/context_stores/test_context_stores.py
+++ b/tests/context_stores/test_context_stores.py
@@ -187,6 +187,7 @@
 def test_restarted_store_is_not_filled_while_others_may_fetch_by_an_older_view() -> (
     None
 ):
+    """MIXED (review/3): engines fetched parts that others were saving anew."""
     found = StoreView(context_store())
     found.load(answer(life=7), 1_000.0)
     found.apply_changes(answer(life=7), 1_000.0 + OLD_FETCHES_SECONDS)
