Share no more parts of a customer from when it becomes isolated

Cause: the scope of shared parts names the weights only. The isolated customer gets a scope of its own from then on, and what it had shared stays in that of all others.

Change: where customers are isolated, the scope of the others also names the set of these, so that it changes with the set. Without any it is as before. All VMs derive it from the document alone. When the set grows, what all others had shared is computed again once.

Evidence: a test by the scopes of calls under three documents; it failed before (the scope stayed the same). Left: parts of an earlier set take room in the stores until their weights are replaced.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -183,6 +183,7 @@
     def set_document(self, document: RoutingDocument) -> None:
         """Apply a routing document; queues of removed services are kept."""
         self.document = document
+        self.view.sharing_group = document.sharing_group
         self.stream_builds.note_return(_longest_stream(document))
         for name, service in document.services.items():
             queue = self.queues.get(name)
--- a/src/gypsumsail/gateway/models.py
+++ b/src/gypsumsail/gateway/models.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from functools import cached_property
 
+import xxhash
+
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
 
 
@@ -216,6 +218,19 @@
     limits: CallerLimits
     customers_by_key: Mapping[str, Customer] | None
 
+    @cached_property
+    def sharing_group(self) -> str:
+        """Return a name of the customers that share prompt parts; empty if all do.
+
+        It changes with the customers whose parts are isolated: what a customer shared
+        before belongs to the earlier group.
+        """
+        customers = (self.customers_by_key or {}).values()
+        isolated = sorted({found.name for found in customers if found.is_isolated})
+        if not isolated:
+            return ""
+        return xxhash.xxh3_64_hexdigest("\0".join(isolated).encode())
+
     @cached_property
     def routes_by_host(self) -> Mapping[str, tuple[Route, ...]]:
         """Return the routes of each host, sorted from the longest prefix."""
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -74,6 +74,8 @@
         Returns the build of a target at a time, with which those of streams compare.
     exits_at
         Time at which this VM exits; infinite until it is told to stop.
+    sharing_group
+        Name of the customers that share prompt parts, see ``RoutingDocument``.
     choose_helper
         Returns the host of another VM that may serve a call of a service; ``None`` if
         there is none. Its arguments are the service, the hosts that were tried and
@@ -97,6 +99,7 @@
         lambda service, tried, now: None
     )
     exits_at: float = inf
+    sharing_group: str = ""
 
 
 class _FetchableByScope(dict[str, int]):
@@ -349,7 +352,8 @@
 
     def _scope(self, job: Job, state: TargetState) -> str:
         isolated = job.customer.name if job.customer.is_isolated else ""
-        return cache_scope(isolated, self._version(job, state))
+        version = self._version(job, state)
+        return cache_scope(isolated, version, self.view.sharing_group)
 
     def _fetchable_parts(self, job: Job, now: float) -> _FetchableByScope:
         """Return the lookup of fetchable leading parts, cached by scope."""
--- a/src/gypsumsail/gateway/weights.py
+++ b/src/gypsumsail/gateway/weights.py
@@ -81,15 +81,19 @@
     return WeightFit.AVOIDED if age > OLD_WEIGHTS_AVOID_SECONDS else WeightFit.PREFERRED
 
 
-def cache_scope(customer: str, version: int) -> str:
+def cache_scope(customer: str, version: int, sharing_group: str = "") -> str:
     """Return the scope under which cached prompt parts are looked up.
 
     Parameters
     ----------
     customer
         Name of a customer whose parts are isolated; empty for all others.
+    sharing_group
+        Name of the customers that share parts, see ``RoutingDocument``.
     """
-    return f"{version}/{customer}" if customer else str(version)
+    if customer:
+        return f"{version}/{customer}"
+    return f"{version}//{sharing_group}" if sharing_group else str(version)
 
 
 def version_of(scope: str) -> int | None:
--- a/tests/context_stores/test_freeing.py
+++ b/tests/context_stores/test_freeing.py
@@ -36,6 +36,7 @@
 def test_version_is_parsed_from_a_cache_scope() -> None:
     assert version_of(cache_scope("", 3)) == 3
     assert version_of(cache_scope("7/a", 3)) == 3
+    assert version_of(cache_scope("", 3, "7a")) == 3
     assert version_of("9c41d07be2a35f68x") is None
 
 
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -13,7 +13,7 @@
 from gypsumsail.gateway.call_limit import NamedLimit
 from gypsumsail.gateway.const import ENGINE_PRIORITY
 from gypsumsail.gateway.coordinator import Gateway, GatewaySettings
-from gypsumsail.gateway.models import CallKind
+from gypsumsail.gateway.models import CallKind, Customer
 from gypsumsail.gateway.notices import AnswerNotices
 from gypsumsail.gateway.part_suspects import MIN_CRASHES
 from gypsumsail.gateway.retry_budget import RetryLimit
@@ -21,6 +21,7 @@
 from gypsumsail.gateway.target_pause import NamedPause
 from tests.gateway.common import (
     ENGINES,
+    KEY,
     MODEL,
     PORTAL,
     RecordedLines,
@@ -471,6 +472,21 @@
     assert calls.sent[0].terms.cache_scope == "1/a"
 
 
+async def test_customer_that_becomes_isolated_leaves_no_part_to_the_others() -> None:
+    """WALL: what it had shared before stayed in the scope of all others."""
+    calls = ScriptedTargets(stream(), stream(), stream())
+    shared = {KEY: Customer(name="a"), "key-of-b": Customer(name="b")}
+    isolated = {**shared, KEY: Customer(name="a", is_isolated=True)}
+    gw = gateway(calls, engine())
+    for customers in (shared, isolated, shared):
+        gw.set_document(document(stream_route(), customers_by_key=customers))
+        b_call = call("/s/x", prompt=prompt(), api_key="key-of-b")
+        await gw.async_handle(b_call, RecordedReply())
+    before, meanwhile, after = [sent.terms.cache_scope for sent in calls.sent]
+    assert meanwhile != before
+    assert after == before == "1"
+
+
 async def test_each_service_has_a_queue() -> None:
     gw = gateway(ScriptedTargets())
     assert set(gw.queues) == {PORTAL, ENGINES}
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -194,8 +194,14 @@
 
 
 def test_scopes_separate_versions_and_isolated_customers() -> None:
-    scopes = {cache_scope("", 1), cache_scope("", 2), cache_scope("a", 1)}
-    assert len(scopes) == 3
+    scopes = {
+        cache_scope("", 1),
+        cache_scope("", 2),
+        cache_scope("a", 1),
+        cache_scope("", 1, "a"),
+        cache_scope("", 1, "b"),
+    }
+    assert len(scopes) == 5
 
 
 def test_version_named_in_a_rollout_does_not_extend_the_time_of_older_weights() -> None:
