Count a stand-in's notice from the answer that told a VM of it

Its trace: r102 was mute, and the stand-in counted from the headers of an answer that it never sent; all VMs knew 2 ms after the first answer that came.

The time is now noted where an answer is written, and not on a connection that is closing. The bound is the same.

--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -525,7 +525,7 @@
         is_meant = self._is_meant(request)
         if self.is_engine and is_meant and request.path == "/v1/report":
             report = json.dumps(self._report()).encode()
-            writer.write(encode_response(200, report, self._notices()))
+            self._write(writer, encode_response(200, report, self._notices()))
             return True
         if self.is_engine and is_meant and request.path == "/v1/order":
             return await self._order(request, writer)
@@ -547,26 +547,37 @@
 
     def _notices(self) -> dict[str, str]:
         """Return the headers that all answers have."""
-        now = time.monotonic()
         notices = {}
         if self.limit:
-            self.limited_at = self.limited_at or now
             notices["Server-Limit"] = self.limit
         if self.is_leaving:
-            self.left_at = self.left_at or now
             notices["Server-Leaving"] = "1"
         return notices
 
+    def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Write an answer, or its head; note when a VM was first told of a notice.
+
+        An answer that is never written tells nobody.
+        """
+        if writer.transport.is_closing():
+            return
+        now = time.monotonic()
+        if b"\r\nServer-Limit: " in data:
+            self.limited_at = self.limited_at or now
+        if b"\r\nServer-Leaving: " in data:
+            self.left_at = self.left_at or now
+        writer.write(data)
+
     async def _order(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
         order = json.loads(request.body)
         if order.get("expect", self.order_count) != self.order_count:
-            writer.write(encode_response(409, b"", self._notices()))
+            self._write(writer, encode_response(409, b"", self._notices()))
             return True
         self.order_count += 1
         self.fences.append(order["fence"])
         await asyncio.sleep(0.2)
         self.version = order["version"]
-        writer.write(encode_response(202, b"", self._notices()))
+        self._write(writer, encode_response(202, b"", self._notices()))
         return True
 
     async def _run(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
@@ -581,11 +592,11 @@
             **self._notices(),
         }
         if not self._is_meant(request):
-            writer.write(encode_response(421, b"", response_headers))
+            self._write(writer, encode_response(421, b"", response_headers))
             return True
         if not request_id:
             response_headers["Gypsumsail-Not-Run"] = "1"
-            writer.write(encode_response(400, b"", response_headers))
+            self._write(writer, encode_response(400, b"", response_headers))
             return True
         expected = request.headers.get("gypsumsail-expect-version")
         if self.is_engine and expected not in (None, str(self.version)):
@@ -593,7 +604,7 @@
                 **response_headers,
                 "Gypsumsail-Weight-Versions": str(self.version),
             }
-            writer.write(encode_response(421, b"", mismatch_headers))
+            self._write(writer, encode_response(421, b"", mismatch_headers))
             return True
         if self.fault == "busy":
             response_headers["Gypsumsail-Not-Run"] = "1"
@@ -601,7 +612,7 @@
                 pause = PauseAnswer(time.monotonic(), request_id, self.retry_after)
                 self.pauses.append(pause)
                 response_headers["Retry-After"] = self.retry_after
-            writer.write(encode_response(503, b"", response_headers))
+            self._write(writer, encode_response(503, b"", response_headers))
             return True
         if self.fault == "refused again" and self._refuses_again(writer, request_id):
             return True
@@ -628,14 +639,16 @@
             return not self.is_unframed
         body = event_content(request_id, 0).encode() + request.body
         body += self.answer_padding
-        writer.write(encode_response(200, body, response_headers))
+        self._write(writer, encode_response(200, body, response_headers))
         if self.fault == "late double":
             copy = encode_response(200, body, response_headers)
             asyncio.get_running_loop().call_later(
                 self.random.uniform(0.0, 0.1), writer.write, copy
             )
         if self.fault == "double":
-            writer.write(encode_response(200, b"another answer", {**response_headers}))
+            self._write(
+                writer, encode_response(200, b"another answer", {**response_headers})
+            )
         execution.is_complete = True
         return self.fault != "double"
 
@@ -658,7 +671,7 @@
         headers = {"Gypsumsail-Not-Run": "1"}
         self.refusals[writer] = encode_response(503, b"", headers)
         headers["Gypsumsail-Request-Id"] = request_id
-        writer.write(encode_response(503, b"", headers))
+        self._write(writer, encode_response(503, b"", headers))
         return True
 
     def _writes_error(
@@ -678,7 +691,7 @@
         answer = encode_response(status, body, response_headers)
         if status == 204:
             answer = answer.replace(b"Content-Length: 0\r\n", b"")
-        writer.write(answer)
+        self._write(writer, answer)
         return True
 
     async def _drip(self, writer: asyncio.StreamWriter) -> None:
@@ -704,7 +717,8 @@
         lines = [f"{name}: {value}" for name, value in response_headers.items()]
         if not self.is_unframed:
             lines.append("Transfer-Encoding: chunked")
-        writer.write("\r\n".join(["HTTP/1.1 200 S", *lines, "", ""]).encode())
+        head = "\r\n".join(["HTTP/1.1 200 S", *lines, "", ""])
+        self._write(writer, head.encode())
         wrote = f": {self.name} {self.started_at_ms} {self.build}\n"
         build = self.build
         if self._has_crashing_part(request):
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -42,3 +42,12 @@
     run.uses_own_links = True
     report = await run.async_run()
     assert not report.findings, (report.faults, report.logs)
+
+
+@pytest.mark.parametrize("seed", [7, 9001])
+async def test_guarantees_hold_while_engines_change_their_build(seed: int) -> None:
+    run = Soak(seed, vms=3, seconds=8.0)
+    run.takes_up_streams = True
+    report = await run.async_run()
+    assert not report.findings, (report.faults, report.logs)
+    assert len(run.streams) > 50
