Treat an unproven end of an answer as other breaks of its connection

Found in the reading of the diff: a target that was gone when its answer without a length had ended was recorded as failed, but not against the request that may crash targets (BUDGET), as a reset is. It now takes the same way as one. An answer to HEAD, which has no body, needs no length.

--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -246,8 +246,7 @@
         self, exchange: Exchange, head: AnswerHead
     ) -> SendOutcome:
         body = await exchange.async_read_all(MAX_ANSWER_BYTES)
-        if not await self._async_is_whole(head):
-            return Broken(reason=UNPROVEN_END)
+        await self._async_check_end(head)
         now = self.clock.monotonic()
         if head.status >= FIRST_ERROR_STATUS:
             self.state.record_failure(now)
@@ -276,8 +275,7 @@
             if not head.is_framed:
                 self._record_crash()
             return Broken(reason="the stream ended before an event was complete")
-        if not await self._async_is_whole(head):
-            return Broken(reason=UNPROVEN_END)
+        await self._async_check_end(head)
         if not self.reply.has_begun:
             self.reply.begin(head.status, head.headers)
         now = self.clock.monotonic()
@@ -287,20 +285,17 @@
         self.reply.end()
         return Delivered(status=head.status)
 
-    async def _async_is_whole(self, head: AnswerHead) -> bool:
-        """Return whether an answer that has ended is known to be complete.
+    async def _async_check_end(self, head: AnswerHead) -> None:
+        """Check that an answer that has ended is complete; raises TransportError.
 
         Without a length it ends with its connection, which a target that ends closes as
         well: it must still run then.
         """
         if head.is_framed:
-            return True
+            return
         service = self.gateway.service(self.job)
-        if await async_still_runs(self.gateway.calls, self.state.entry, service):
-            return True
-        self.state.record_failure(self.clock.monotonic())
-        self._record_crash()
-        return False
+        if not await async_still_runs(self.gateway.calls, self.state.entry, service):
+            raise TransportError(UNPROVEN_END, sent=True)
 
     async def _async_forward_events(
         self, exchange: Exchange, head: AnswerHead, splitter: EventSplitter
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 import re
 from typing import Final
 
@@ -306,7 +307,8 @@
     async def async_head(self) -> AnswerHead:
         """Wait for the status and headers of the answer."""
         await self.connection.async_wait_for_head()
-        return parse_answer_head(self.connection, self.clock.monotonic())
+        head = parse_answer_head(self.connection, self.clock.monotonic())
+        return head if self.has_body else replace(head, is_framed=True)
 
     async def async_read(self) -> bytes:
         """Return the next bytes of the body; empty at its end."""
