--- a/soak/streams.py
+++ b/soak/streams.py
@@ -57,12 +57,13 @@
         began = events[0][0].request_id if self.is_named else ""
         return Resumption(began_as=began, last_event=events[-1][1])
 
+    def writers(self) -> set[str]:
+        """Return name, life and build of the engines that wrote the events."""
+        return {found for item in self.tries for found in split_writers(item.body)[1]}
+
     def builds(self) -> set[str]:
         """Return the builds of the engines that wrote the events."""
-        writers = [
-            found for item in self.tries for found in split_writers(item.body)[1]
-        ]
-        return {found.split(" ", 2)[2] for found in writers}
+        return {found.split(" ", 2)[2] for found in self.writers()}
 
     def findings(self) -> list[str]:
         """Return how the stream breaks the rule ORDER."""
