Compare the times of answers with the exit only while a VM stops

Each placement looked through the latest 100 answer times, also of calls that wait and are looked at every 20 ms, although nothing is to be compared before the stop signal. No change of behaviour.

--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
-from math import inf
+from math import inf, isfinite
 import random
 
 from gypsumsail.gateway.arrivals import ArrivalRate, PeerServiceLoad
@@ -161,7 +161,9 @@
     def place(self, number: int, now: float) -> Placement:
         """Choose a target for a job and count the job there at once."""
         job = self.jobs[number]
-        if self.answered_by(job, now) > self.view.exits_at:
+        if isfinite(self.view.exits_at) and (
+            self.answered_by(job, now) > self.view.exits_at
+        ):
             return StopsTooSoon()
         if not self.view.knows_notices(now):
             return Wait()
