Ask a plain target without a health path nothing that it could run

Found in the reading of the diff: a plain target of a service without a health path would have got the question for an engine's life, which has an id, and could have run it as a request (UNASKED). The health check and the question for a life are two methods now; without a health path, a connection is all that is asked for.

--- a/src/gypsumsail/gateway/port.py
+++ b/src/gypsumsail/gateway/port.py
@@ -214,16 +214,16 @@
     async def async_check(self, target: TargetEntry) -> None:
         """Open a connection and pool it for a call; raises ``TransportError``."""
 
-    async def async_life(self, target: TargetEntry, health_path: str) -> int | None:
-        """Return the life that a target states over a new connection, if any.
+    async def async_life(self, target: TargetEntry) -> int | None:
+        """Return the life that an engine states over a new connection, if any.
 
         Raises ``TransportError`` if it does not answer, or another target does.
+        """
 
-        Parameters
-        ----------
-        health_path
-            Path that a plain target answers without running a call; empty for an
-            engine.
+    async def async_check_health(self, target: TargetEntry, path: str) -> None:
+        """Check that a plain target answers at a path without running a call.
+
+        Raises ``TransportError`` if it does not answer, or another target does.
         """
 
     def forget(self, target: TargetEntry) -> None:
--- a/src/gypsumsail/gateway/target_lives.py
+++ b/src/gypsumsail/gateway/target_lives.py
@@ -33,19 +33,29 @@
 async def async_still_runs(
     calls: TargetClient, entry: TargetEntry, service: Service
 ) -> bool:
-    """Return whether a target still runs the life of its entry, by its own word.
-
-    A plain target that accepts a connection and stays silent counts as running: the
-    check waits for a slot there, as calls do.
-    """
-    is_plain = service.engine is None
+    """Return whether a target still runs the life of its entry, by its own word."""
     try:
         async with asyncio.timeout(LIFE_CHECK_SECONDS):
-            life = await calls.async_life(
-                entry, service.health_path if is_plain else ""
-            )
+            if service.engine is None:
+                await _async_check_plain(calls, entry, service)
+                return True
+            life = await calls.async_life(entry)
     except TimeoutError:
-        return is_plain
+        # The health check of a plain target waits for a slot, as its calls do.
+        return service.engine is None
     except TransportError:
         return False
-    return is_plain or not entry.life or life == entry.life
+    return not entry.life or life == entry.life
+
+
+async def _async_check_plain(
+    calls: TargetClient, entry: TargetEntry, service: Service
+) -> None:
+    """Check that a plain target answers; raises ``TransportError``.
+
+    Only its health path is known to run no call.
+    """
+    if service.health_path:
+        await calls.async_check_health(entry, service.health_path)
+    else:
+        await calls.async_check(entry)
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -406,8 +406,8 @@
             life=self.lives.by_connection.get(connection),
         )
 
-    async def async_life(self, target: TargetEntry, health_path: str) -> int | None:
-        """Return the life that a target states over a new connection, if any.
+    async def async_life(self, target: TargetEntry) -> int | None:
+        """Return the life that an engine states over a new connection, if any.
 
         The connection stays in the pool for a later call.
 
@@ -419,10 +419,16 @@
         pool = self._pool(target)
         connection = await pool.async_connect()
         try:
-            if not health_path:
-                return await self.lives.async_ask(connection, target)
-            await self.lives.async_check_health(connection, target, health_path)
-            return None
+            return await self.lives.async_ask(connection, target)
+        finally:
+            pool.release(connection)
+
+    async def async_check_health(self, target: TargetEntry, path: str) -> None:
+        """Check that a plain target answers; see ``async_life``."""
+        pool = self._pool(target)
+        connection = await pool.async_connect()
+        try:
+            await self.lives.async_check_health(connection, target, path)
         finally:
             pool.release(connection)
 
--- a/src/gypsumsail/platform/lives.py
+++ b/src/gypsumsail/platform/lives.py
@@ -115,7 +115,7 @@
         return life
 
     async def async_check_health(
-        self, connection: ExchangeConnection, target: TargetEntry, health_path: str
+        self, connection: ExchangeConnection, target: TargetEntry, path: str
     ) -> None:
         """Check that a plain target answers, whatever it says of its health.
 
@@ -126,7 +126,7 @@
         TransportError
             No whole answer came, or another target answered.
         """
-        await self._async_call(connection, target, health_path, None)
+        await self._async_call(connection, target, path, None)
 
     async def _async_call(
         self,
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -293,7 +293,6 @@
         self.answers = list(answers)
         self.sent: list[Sent] = []
         self.is_connectable = False
-        self.has_ended = False
         self.connectable: set[str] = set()
         self.checked: list[str] = []
         self.on_skipped: Callable[[TargetEntry, SkippedAnswer], None] = (
@@ -306,12 +305,13 @@
         if not self.is_connectable and target.name not in self.connectable:
             raise TransportError("connect: TimeoutError", sent=False)
 
-    async def async_life(self, target: TargetEntry, health_path: str) -> int | None:
-        """Return the life of the entry, unless ``has_ended`` says otherwise."""
-        if self.has_ended:
-            raise TransportError("connect: ConnectionRefusedError", sent=False)
+    async def async_life(self, target: TargetEntry) -> int | None:
+        """Return the life of the entry."""
         return target.life
 
+    async def async_check_health(self, target: TargetEntry, path: str) -> None:
+        """Answer the check."""
+
     async def async_send(
         self, target: TargetEntry, call: Call, terms: SendTerms, now: float
     ) -> ScriptedExchange:
--- a/tests/platform/test_target_lives.py
+++ b/tests/platform/test_target_lives.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Final
 
 import pytest
 
 from gypsumsail.gateway.models import CallKind, TargetEntry
 from tests.gateway.common import (
+    PORTAL,
     RecordedReply,
     document,
     engine,
@@ -97,6 +99,20 @@
     assert server.checks == [HEALTH_PATH]
 
 
+async def test_plain_target_without_a_health_path_is_asked_nothing() -> None:
+    """UNASKED: it would run any other request that it is sent."""
+    server = ScriptedServer([[UNFRAMED + b"whole", CLOSE]])
+    async with served(server) as addresses:
+        routing = document(route(kind=CallKind.ONCE, timeout=3.0))
+        service = replace(routing.services[PORTAL], health_path="")
+        routing = replace(routing, services={**routing.services, PORTAL: service})
+        gw = gateway_before(target("t1", address=addresses[0]), routing=routing)
+        reply = await serve(gw)
+    assert (reply.status, reply.body) == (200, b"whole")
+    assert len(server.ids) == 1
+    assert not server.checks
+
+
 async def test_stream_without_length_of_a_running_engine_is_complete() -> None:
     first, other = ScriptedServer([[UNFRAMED + EVENTS, CLOSE]]), ScriptedServer([])
     (reply,) = await serve_streams([engine("e1"), engine("e2")], [first, other])
