--- a/soak/links.py
+++ b/soak/links.py
@@ -76,11 +76,13 @@
 
     async def async_heal(self) -> None:
         """Forward again; connections that were opened before a hang are reset."""
+        held, self.placeholder = self.placeholder, None
         self._close_placeholder()
         if self.proxy.impairment is Impairment.SILENT:
             self.proxy.reset_all()
         self.proxy.impairment = Impairment.NONE
-        await self.proxy.async_start(self.host, self.port)
+        if held is not None:
+            await self.proxy.async_start_on(held)
 
     def stop(self) -> None:
         """End all connections."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from enum import StrEnum
+import socket
 
 from stand_ins.raw_http import reset_connection
 
@@ -52,6 +53,10 @@
         assert isinstance(port, int)
         return port
 
+    async def async_start_on(self, held: socket.socket) -> None:
+        """Start listening on a bound socket, whose port no other process can take."""
+        self.server = await asyncio.start_server(self._serve_connection, sock=held)
+
     def reset_all(self) -> None:
         """Reset all connections."""
         for writer in list(self.writers):
