Log when and over which connection the bytes of an order leave

`order written` says when, over which connection and with which time left of the lease; `order unanswered` says whether any byte left.

--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -22,12 +22,12 @@
 )
 from gypsumsail.gateway.port import (
     AnswerHead,
-    ConnectionUse,
     SendTerms,
     SkippedAnswer,
 )
 from gypsumsail.gateway.targets import TargetReportedLoad
 from gypsumsail.platform import names
+from gypsumsail.platform.connection_use import connection_use
 from gypsumsail.platform.lives import TargetLives
 from gypsumsail.platform.notices import parse_notices
 from gypsumsail.transport.exchange import (
@@ -302,7 +302,7 @@
         self.clock = clock
         self.has_body = has_body
         self.life = life
-        self.use = _connection_use(connection)
+        self.use = connection_use(connection)
 
     async def async_head(self) -> AnswerHead:
         """Wait for the status and headers of the answer."""
@@ -333,10 +333,6 @@
         self.connection.abort()
 
 
-def _connection_use(connection: ExchangeConnection) -> ConnectionUse:
-    return ConnectionUse(port=connection.local_port, number=connection.exchange_count)
-
-
 class PlatformTargetCalls:
     """Sends calls to targets over one connection pool for each target instance.
 
@@ -383,7 +379,7 @@
         # The connection skips responses with another request ID, such as a late second
         # answer to an earlier call.
         connection.send(request, (names.REQUEST_ID_HEADER, request_id))
-        use = _connection_use(connection)
+        use = connection_use(connection)
 
         def report_skipped(skipped: SkippedResponse) -> None:
             found = skipped.request_id
--- a/src/gypsumsail/platform/client.py
+++ b/src/gypsumsail/platform/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 import json
 import logging
@@ -14,6 +14,7 @@
 from gypsumsail.gateway.models import Address
 from gypsumsail.platform import names
 from gypsumsail.transport.bytes_client import BytesClient, BytesResponse
+from gypsumsail.transport.exchange import ExchangeConnection
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -75,6 +76,7 @@
         body: Any = None,
         headers: Mapping[str, str] | None = None,
         target_call: TargetCall | None = None,
+        on_written: Callable[[ExchangeConnection], None] | None = None,
     ) -> JsonAnswer:
         """Make one call, see ``async_call_bytes``; decode the body of the answer.
 
@@ -91,6 +93,7 @@
             body=body,
             headers=headers,
             target_call=target_call,
+            on_written=on_written,
         )
         return JsonAnswer(
             status=answer.status, body=decode_json(answer.body), headers=answer.headers
@@ -106,6 +109,7 @@
         body: Any = None,
         headers: Mapping[str, str] | None = None,
         target_call: TargetCall | None = None,
+        on_written: Callable[[ExchangeConnection], None] | None = None,
     ) -> BytesResponse:
         """Make one call with a body of JSON; return the answer as it is.
 
@@ -115,6 +119,8 @@
             Time limit of the call in seconds.
         target_call
             Target that the call is meant for; ``None`` for a call to another server.
+        on_written
+            Called with the connection once the call is written to it.
 
         Raises
         ------
@@ -139,6 +145,7 @@
             body=data,
             headers=all_headers,
             request_id=request_id,
+            on_written=on_written,
         )
 
 
--- a/src/gypsumsail/platform/engines.py
+++ b/src/gypsumsail/platform/engines.py
@@ -12,11 +12,14 @@
 from gypsumsail.core.ids import new_system_call_id
 from gypsumsail.gateway.models import TargetEntry
 from gypsumsail.gateway.notices import AnswerNotices
+from gypsumsail.gateway.port import ConnectionUse
 from gypsumsail.platform import names
 from gypsumsail.platform.client import JsonAnswer, JsonClient, TargetCall
+from gypsumsail.platform.connection_use import connection_use
 from gypsumsail.platform.notices import parse_notices
 from gypsumsail.rollout.const import ORDER_TIMEOUT_SECONDS, REPORT_TIMEOUT_SECONDS
 from gypsumsail.rollout.port import EngineReport, LoadWeights, OrderAnswer
+from gypsumsail.transport.exchange import ExchangeConnection
 
 ORDER_ANSWERS_BY_STATUS = {
     200: OrderAnswer.ALREADY_SO,
@@ -47,6 +50,8 @@
     ----------
     on_notices
         Called with an engine, the notices of an answer and the time of the call.
+    on_order_written
+        Called with an engine and the connection to which an order has been written.
     """
 
     def __init__(self, clock: Clock, vm: str) -> None:
@@ -56,6 +61,9 @@
         self.on_notices: Callable[[TargetEntry, AnswerNotices, float], None] = (
             lambda target, notices, sent_at: None
         )
+        self.on_order_written: Callable[[TargetEntry, ConnectionUse], None] = (
+            lambda target, use: None
+        )
 
     async def async_order(self, target: TargetEntry, order: LoadWeights) -> OrderAnswer:
         """Send an order to load weights.
@@ -78,6 +86,9 @@
                 "fence": order.fence,
                 "expect": order.orders_taken,
             },
+            on_written=lambda connection: self.on_order_written(
+                target, connection_use(connection)
+            ),
         )
         return ORDER_ANSWERS_BY_STATUS.get(answer.status, OrderAnswer.REFUSED)
 
@@ -103,6 +114,7 @@
         timeout: float,
         call: str,
         body: Any = None,
+        on_written: Callable[[ExchangeConnection], None] | None = None,
     ) -> JsonAnswer:
         sent_at = self.clock.monotonic()
         answer = await self._client(target).async_call(
@@ -113,6 +125,7 @@
             target_call=TargetCall(
                 instance=target.name, request_id=new_system_call_id(self.vm, call)
             ),
+            on_written=on_written,
         )
         headers = dict(answer.headers)
         answered_by = headers.get(names.INSTANCE_ID_HEADER, target.name.encode())
--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -10,6 +10,8 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.rendezvous import rank
+from gypsumsail.gateway.models import TargetEntry
+from gypsumsail.gateway.port import ConnectionUse
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.targets import TargetState
 from gypsumsail.gateway.weights import WantedWeights
@@ -95,6 +97,7 @@
         self.outdated_count = 0
         self.had_lease = False
         self.lease_polled_at = 0.0
+        self.engines.on_order_written = self._log_written_order
         self.on_order_announced: Callable[[TargetState], None] = lambda state: None
         self.on_weights_loaded: Callable[[TargetState, str, int], None] = (
             lambda state, model, version: None
@@ -230,7 +233,12 @@
         try:
             await self._async_order(state, want)
         except TransportError as err:
-            self.log.write("order unanswered", target=state.entry.name, reason=str(err))
+            self.log.write(
+                "order unanswered",
+                target=state.entry.name,
+                sent=err.sent,
+                reason=str(err),
+            )
             later = self.clock.monotonic() + ORDER_RETRY_DELAY_SECONDS
             self.retry_at[self._engine_key(state)] = later
 
@@ -280,6 +288,17 @@
                 )
         await self._async_wait_until_loaded(state, want)
 
+    def _log_written_order(self, target: TargetEntry, use: ConnectionUse) -> None:
+        held = self.lease_manager.held
+        now = self.clock.monotonic()
+        self.log.write(
+            "order written",
+            target=target.name,
+            connection=use.port,
+            use=use.number,
+            lease_left_ms=round((held.order_until - now) * 1000) if held else None,
+        )
+
     async def _async_wait_until_loaded(
         self, state: TargetState, want: WantedWeights
     ) -> None:
--- a/src/gypsumsail/rollout/port.py
+++ b/src/gypsumsail/rollout/port.py
@@ -9,6 +9,7 @@
 
 from gypsumsail.gateway.models import TargetEntry
 from gypsumsail.gateway.notices import AnswerNotices
+from gypsumsail.gateway.port import ConnectionUse
 
 
 class OrderAnswer(Enum):
@@ -86,9 +87,12 @@
     ----------
     on_notices
         Called with an engine, the notices of an answer and the time of the call.
+    on_order_written
+        Called with an engine and the connection to which an order has been written.
     """
 
     on_notices: Callable[[TargetEntry, AnswerNotices, float], None]
+    on_order_written: Callable[[TargetEntry, ConnectionUse], None]
 
     async def async_order(self, target: TargetEntry, order: LoadWeights) -> OrderAnswer:
         """Send an order."""
--- a/src/gypsumsail/transport/bytes_client.py
+++ b/src/gypsumsail/transport/bytes_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Final
 from urllib.parse import urlencode
@@ -52,6 +52,7 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         request_id: RequestIdHeader | None = None,
+        on_written: Callable[[ExchangeConnection], None] | None = None,
     ) -> BytesResponse:
         """Make one call and return its response, whatever its status.
 
@@ -60,6 +61,8 @@
         request_id
             Header with an id that the server repeats, its name in lower case. A
             response with another id is skipped: it is a second copy of an earlier one.
+        on_written
+            Called with the connection once the request is written to it.
 
         Raises
         ------
@@ -77,7 +80,9 @@
                 connection = await self.pool.async_acquire()
                 try:
                     is_sent = True
-                    return await async_call_over(connection, request, request_id)
+                    return await async_call_over(
+                        connection, request, request_id, on_written
+                    )
                 finally:
                     self.pool.release(connection)
         except TimeoutError as err:
@@ -89,12 +94,13 @@
     connection: ExchangeConnection,
     request: bytes,
     request_id: RequestIdHeader | None = None,
+    on_written: Callable[[ExchangeConnection], None] | None = None,
 ) -> BytesResponse:
     """Make one short call over a connection and return its response.
 
     Parameters
     ----------
-    request_id
+    request_id, on_written
         See ``BytesClient.async_call``.
 
     Raises
@@ -103,6 +109,8 @@
         No complete response arrived.
     """
     connection.send(request, request_id, may_lack_id=True)
+    if on_written is not None:
+        on_written(connection)
     await connection.async_wait_for_head()
     data = await connection.async_read_all(SHORT_CALL_MAX_BODY_BYTES)
     return BytesResponse(
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -11,6 +11,7 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import TargetEntry
 from gypsumsail.gateway.notices import AnswerNotices
+from gypsumsail.gateway.port import ConnectionUse
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.weights import WantedWeights
 from gypsumsail.object_api.port import ConflictError, PlatformObject
@@ -113,6 +114,9 @@
         self.on_notices: Callable[[TargetEntry, AnswerNotices, float], None] = (
             lambda target, notices, sent_at: None
         )
+        self.on_order_written: Callable[[TargetEntry, ConnectionUse], None] = (
+            lambda target, use: None
+        )
 
     def is_busy(self, name: str) -> bool:
         """Return whether an engine is loading."""
