Show that calls that were given up arrive after a cut

A listener whose kernel takes no data stands for a server behind a cut (TCP_DEFER_ACCEPT and a full queue of accepted connections; no root). The sender's kernel sends the call again and again, also after `abort()` has closed the connection, after a kill and while the process is stopped; the server reads it whole once it takes data again.

--- /dev/null
+++ b/tests/held_bytes.py
@@ -0,0 +1,95 @@
+"""Listener whose kernel takes no bytes of a connection until it is released."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+import socket
+from typing import Final
+
+DEFER_ACCEPT_SECONDS: Final = 60
+READ_SECONDS: Final = 1.0
+"""Time for the first bytes of a connection that was accepted."""
+MAX_HEAD_BYTES: Final = 65_536
+
+
+class HoldingListener:
+    """Listener that stands for a server behind a link that is cut.
+
+    Connections can be opened, but their first bytes are neither acknowledged nor lost:
+    the sender's kernel sends them again and again, as through a cut, and they arrive
+    if it still does so after ``release``.
+
+    The kernel drops the first data of a connection while the queue of accepted
+    connections is full. With ``TCP_DEFER_ACCEPT``, a connection enters the queue only
+    with its first data, so that connections can be opened before the queue is full.
+
+    Attributes
+    ----------
+    port
+        Port of the address on 127.0.0.1.
+    """
+
+    def __init__(self) -> None:
+        self.socket = socket.socket()
+        self.socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_ACCEPT_SECONDS
+        )
+        self.socket.bind(("127.0.0.1", 0))
+        self.socket.listen(0)
+        self.socket.setblocking(False)
+        self.port: int = self.socket.getsockname()[1]
+        self.filler: socket.socket | None = None
+
+    def hold(self) -> None:
+        """Take no more data, and let no more connections be opened."""
+        self.filler = socket.create_connection(("127.0.0.1", self.port))
+        self.filler.send(b"x")
+
+    async def async_release(self) -> None:
+        """Take data again."""
+        loop = asyncio.get_running_loop()
+        accepted, _ = await loop.sock_accept(self.socket)
+        accepted.close()
+        assert self.filler is not None
+        self.filler.close()
+
+    async def async_read_arrivals(self, seconds: float) -> list[bytes]:
+        """Return the first bytes of each connection that brings any within a time."""
+        loop = asyncio.get_running_loop()
+        arrivals = []
+        try:
+            async with asyncio.timeout(seconds):
+                while True:
+                    accepted, _ = await loop.sock_accept(self.socket)
+                    with accepted:
+                        arrivals.append(await self._async_read(accepted))
+        except TimeoutError:
+            return arrivals
+
+    @staticmethod
+    async def _async_read(accepted: socket.socket) -> bytes:
+        accepted.setblocking(False)
+        async with asyncio.timeout(READ_SECONDS):
+            loop = asyncio.get_running_loop()
+            try:
+                return await loop.sock_recv(accepted, MAX_HEAD_BYTES)
+            except ConnectionError:
+                return b""
+
+    def close(self) -> None:
+        """Close the listener."""
+        if self.filler is not None:
+            self.filler.close()
+        self.socket.close()
+
+
+@asynccontextmanager
+async def holding_listener() -> AsyncIterator[HoldingListener]:
+    """Yield a listener that is closed at the end."""
+    listener = HoldingListener()
+    try:
+        yield listener
+    finally:
+        listener.close()
--- /dev/null
+++ b/tests/transport/test_given_up_calls.py
@@ -0,0 +1,89 @@
+"""Tests that a call that was given up does not reach its server later."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+import signal
+import sys
+from typing import Final
+
+import pytest
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.transport.bytes_client import BytesClient
+from tests.held_bytes import HoldingListener, holding_listener
+
+CALL_SECONDS: Final = 0.4
+# The kernel sends again after 0.2, 0.6, 1.4 and 3.0 s.
+ARRIVAL_SECONDS: Final = 4.0
+
+CALLER: Final = """
+import asyncio, sys
+from gypsumsail.transport.bytes_client import BytesClient
+
+async def main():
+    client = BytesClient("127.0.0.1", int(sys.argv[1]))
+    await client.pool.async_add_idle()
+    print("connected", flush=True)
+    await asyncio.to_thread(sys.stdin.readline)
+    call = client.async_call("POST", "/order", timeout=0.4, body=b"{}")
+    task = asyncio.create_task(call)
+    await asyncio.sleep(0.1)
+    print("sent", flush=True)
+    await asyncio.gather(task, return_exceptions=True)
+    await asyncio.sleep(60)
+
+asyncio.run(main())
+"""
+
+
+async def async_give_up(listener: HoldingListener) -> None:
+    """Make a call whose bytes are held up until it is given up."""
+    client = BytesClient("127.0.0.1", listener.port)
+    await client.pool.async_add_idle()
+    listener.hold()
+    with pytest.raises(TransportError) as caught:
+        await client.async_call("POST", "/order", timeout=CALL_SECONDS, body=b"{}")
+    assert caught.value.sent
+
+
+async def test_call_that_was_given_up_does_not_arrive_after_a_cut() -> None:
+    """The kernel used to go on sending it after the connection was closed (ONE)."""
+    async with holding_listener() as listener:
+        await async_give_up(listener)
+        await listener.async_release()
+        assert await listener.async_read_arrivals(ARRIVAL_SECONDS) == []
+
+
+@pytest.mark.parametrize("end", [signal.SIGKILL, signal.SIGSTOP])
+async def test_call_of_a_process_that_ended_does_not_arrive_after_a_cut(
+    end: signal.Signals,
+) -> None:
+    """No code of a process that is killed or paused can reset its connections (ONE)."""
+    async with holding_listener() as listener:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            CALLER,
+            str(listener.port),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            env={"PYTHONPATH": "src"},
+        )
+        assert process.stdin is not None
+        assert process.stdout is not None
+        try:
+            async with asyncio.timeout(20.0):
+                assert await process.stdout.readline() == b"connected\n"
+                listener.hold()
+                process.stdin.write(b"\n")
+                assert await process.stdout.readline() == b"sent\n"
+            process.send_signal(end)
+            await asyncio.sleep(2 * CALL_SECONDS)
+            await listener.async_release()
+            assert await listener.async_read_arrivals(ARRIVAL_SECONDS) == []
+        finally:
+            with suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
