Keep the kernel from sending calls that were given up

Operators saw an engine take an order of a VM whose lease another VM had taken over. A call that is given up is closed with `abort()`, but the kernel goes on sending what isn't acknowledged, for minutes and at growing intervals: after a cut it arrives, seconds later. The same holds for the calls of a process that was killed or stands still.

Each connection is now set to be reset when it is closed, by whatever end, and each request sets the time after which the kernel gives up (TCP_USER_TIMEOUT, the time limit of the call). Both are needed: without the first a kill leaves the bytes for the rest of that time, without the second a paused process leaves them for ever.

--- a/src/gypsumsail/forwarding/client.py
+++ b/src/gypsumsail/forwarding/client.py
@@ -125,7 +125,9 @@
             b"Content-Length: %d" % len(body),
         ]
         request = b"\r\n".join(head) + b"\r\n\r\n" + body
-        connection.send(request, (FORWARD_ID_HEADER, forward_id))
+        connection.send(
+            request, (FORWARD_ID_HEADER, forward_id), limit_seconds=terms.time_left
+        )
         return HelperExchange(pool, connection)
 
     @callback
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -378,7 +378,11 @@
         request = encode_request(call, target, terms)
         # The connection skips responses with another request ID, such as a late second
         # answer to an earlier call.
-        connection.send(request, (names.REQUEST_ID_HEADER, request_id))
+        connection.send(
+            request,
+            (names.REQUEST_ID_HEADER, request_id),
+            limit_seconds=terms.time_left - elapsed,
+        )
         use = connection_use(connection)
 
         def report_skipped(skipped: SkippedResponse) -> None:
--- a/src/gypsumsail/platform/lives.py
+++ b/src/gypsumsail/platform/lives.py
@@ -139,7 +139,9 @@
         request = encode_short_call(
             "GET", path, str(target.address), headers, request_id
         )
-        answer = await async_call_over(connection, request, request_id)
+        answer = await async_call_over(
+            connection, request, request_id, limit_seconds=CONNECT_SECONDS
+        )
         answered_by = dict(answer.headers).get(names.INSTANCE_ID_HEADER)
         if answer.status == 421 or answered_by not in (None, target.name.encode()):
             raise TransportError("another target answers at the address", sent=False)
--- a/src/gypsumsail/transport/bytes_client.py
+++ b/src/gypsumsail/transport/bytes_client.py
@@ -81,7 +81,11 @@
                 try:
                     is_sent = True
                     return await async_call_over(
-                        connection, request, request_id, on_written
+                        connection,
+                        request,
+                        request_id,
+                        limit_seconds=timeout,
+                        on_written=on_written,
                     )
                 finally:
                     self.pool.release(connection)
@@ -94,6 +98,8 @@
     connection: ExchangeConnection,
     request: bytes,
     request_id: RequestIdHeader | None = None,
+    *,
+    limit_seconds: float,
     on_written: Callable[[ExchangeConnection], None] | None = None,
 ) -> BytesResponse:
     """Make one short call over a connection and return its response.
@@ -102,13 +108,15 @@
     ----------
     request_id, on_written
         See ``BytesClient.async_call``.
+    limit_seconds
+        See ``ExchangeConnection.send``.
 
     Raises
     ------
     TransportError
         No complete response arrived.
     """
-    connection.send(request, request_id, may_lack_id=True)
+    connection.send(request, request_id, may_lack_id=True, limit_seconds=limit_seconds)
     if on_written is not None:
         on_written(connection)
     await connection.async_wait_for_head()
--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -18,6 +18,7 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.transport.const import HEADER_LIMIT_BYTES, MAX_UNREAD_BODY_BYTES
 from gypsumsail.transport.errors import BrokenStreamError
+from gypsumsail.transport.socket_options import limit_sending, reset_on_close
 
 KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 IDLE_LIMIT_SECONDS: Final = 30.0
@@ -68,6 +69,8 @@
         and headers after the body.
     idle_until
         Event loop time, in seconds, after which the idle connection is not reused.
+    send_limit_seconds
+        Limit that was set with the last request; see ``send``.
     exchange_count
         Number of requests that were sent over the connection.
     repeats_ids
@@ -86,6 +89,7 @@
         self.is_in_use = False
         self.waiter: asyncio.Future[None] | None = None
         self.idle_until = 0.0
+        self.send_limit_seconds: float | None = None
         self.exchange_count = 0
         self.repeats_ids = False
         self.error_ids: set[bytes] = set()
@@ -138,11 +142,15 @@
         request_id_header: RequestIdHeader | None = None,
         *,
         may_lack_id: bool = False,
+        limit_seconds: float,
     ) -> None:
         """Send a request; raises TransportError if the connection is closed.
 
         Parameters
         ----------
+        limit_seconds
+            Time after which the kernel gives up sending what the server has not
+            acknowledged; the connection then ends with an error.
         request_id_header
             Name and value of the header that identifies the request in its response.
             Responses with another value are skipped, and so are responses without the
@@ -159,6 +167,9 @@
         self.may_lack_id = may_lack_id
         self.is_in_use = True
         self.exchange_count += 1
+        if limit_seconds != self.send_limit_seconds:
+            self.send_limit_seconds = limit_seconds
+            limit_sending(self.transport, limit_seconds)
         self.transport.write(request)
 
     @callback
@@ -221,6 +232,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self.transport = cast("asyncio.Transport", transport)
+        reset_on_close(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the response.
--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -41,6 +41,10 @@
     def __getattr__(self, name: str) -> Any:
         return lambda *args: None
 
+    def get_extra_info(self, name: str) -> Any:
+        """Return a socket that takes any option."""
+        return self
+
     def is_closing(self) -> bool:
         """Return that the connection is open."""
         return False
@@ -50,7 +54,11 @@
     """Return a connection that got some bytes and was then closed in order."""
     connection = ExchangeConnection()
     connection.connection_made(_Transport())  # type: ignore[arg-type]
-    connection.send(b"GET / HTTP/1.1\r\n\r\n", (b"gypsumsail-request-id", b"id-1"))
+    connection.send(
+        b"GET / HTTP/1.1\r\n\r\n",
+        (b"gypsumsail-request-id", b"id-1"),
+        limit_seconds=2.0,
+    )
     if data:
         connection.data_received(data)
     connection.connection_lost(None)
--- a/tests/transport/test_endless_bytes.py
+++ b/tests/transport/test_endless_bytes.py
@@ -102,7 +102,7 @@
         pool = ExchangePool("127.0.0.1", port, 0.5)
         connection = await pool.async_acquire()
         async with asyncio.timeout(CLOSE_SECONDS):
-            connection.send(REQUEST, (b"x-id", b"mine"))
+            connection.send(REQUEST, (b"x-id", b"mine"), limit_seconds=CLOSE_SECONDS)
             with pytest.raises(TransportError):
                 await async_read_exchange(connection)
             pool.release(connection)
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -37,7 +37,7 @@
     connection = await pool.async_acquire()
     try:
         async with asyncio.timeout(2.0):
-            connection.send(REQUEST, REQUEST_ID_HEADER)
+            connection.send(REQUEST, REQUEST_ID_HEADER, limit_seconds=2.0)
             await connection.async_wait_for_head()
             return connection, await connection.async_read_all(1_000)
     finally:
