Count the time limit of an order in the lease, and check it as its bytes leave

A VM checked the lease, then opened a connection or waited for the event loop, and wrote the order later; the kernel sends it for up to 0.8 s more. The margin between two holders was 0.3 s, a constant of its own, so that the last order of one and the first of the next could be nearer than the minimum gap: 2.2 s of 3.0 in the worst case, by the sum of the limits.

The end of the right to order now goes with the order (`not_after`) and is checked when the request is written, on an open connection.

--- a/src/gypsumsail/platform/client.py
+++ b/src/gypsumsail/platform/client.py
@@ -6,10 +6,12 @@
 from dataclasses import dataclass
 import json
 import logging
+import math
 from typing import Any
 
 import msgspec
 
+from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import Address
 from gypsumsail.platform import names
@@ -59,8 +61,8 @@
 class JsonClient:
     """Makes calls to one address over persistent connections."""
 
-    def __init__(self, address: Address) -> None:
-        self.client = BytesClient(address.host, address.port)
+    def __init__(self, address: Address, clock: Clock | None = None) -> None:
+        self.client = BytesClient(address.host, address.port, clock)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -76,6 +78,7 @@
         body: Any = None,
         headers: Mapping[str, str] | None = None,
         target_call: TargetCall | None = None,
+        not_after: float = math.inf,
         on_written: Callable[[ExchangeConnection], None] | None = None,
     ) -> JsonAnswer:
         """Make one call, see ``async_call_bytes``; decode the body of the answer.
@@ -93,6 +96,7 @@
             body=body,
             headers=headers,
             target_call=target_call,
+            not_after=not_after,
             on_written=on_written,
         )
         return JsonAnswer(
@@ -109,6 +113,7 @@
         body: Any = None,
         headers: Mapping[str, str] | None = None,
         target_call: TargetCall | None = None,
+        not_after: float = math.inf,
         on_written: Callable[[ExchangeConnection], None] | None = None,
     ) -> BytesResponse:
         """Make one call with a body of JSON; return the answer as it is.
@@ -119,8 +124,8 @@
             Time limit of the call in seconds.
         target_call
             Target that the call is meant for; ``None`` for a call to another server.
-        on_written
-            Called with the connection once the call is written to it.
+        not_after, on_written
+            See ``BytesClient.async_call``.
 
         Raises
         ------
@@ -145,6 +150,7 @@
             body=data,
             headers=all_headers,
             request_id=request_id,
+            not_after=not_after,
             on_written=on_written,
         )
 
--- a/src/gypsumsail/platform/engines.py
+++ b/src/gypsumsail/platform/engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 from typing import Any
 
 import msgspec
@@ -86,6 +87,7 @@
                 "fence": order.fence,
                 "expect": order.orders_taken,
             },
+            not_after=order.not_after,
             on_written=lambda connection: self.on_order_written(
                 target, connection_use(connection)
             ),
@@ -114,6 +116,7 @@
         timeout: float,
         call: str,
         body: Any = None,
+        not_after: float = math.inf,
         on_written: Callable[[ExchangeConnection], None] | None = None,
     ) -> JsonAnswer:
         sent_at = self.clock.monotonic()
@@ -125,6 +128,7 @@
             target_call=TargetCall(
                 instance=target.name, request_id=new_system_call_id(self.vm, call)
             ),
+            not_after=not_after,
             on_written=on_written,
         )
         headers = dict(answer.headers)
@@ -143,7 +147,7 @@
     def _client(self, target: TargetEntry) -> JsonClient:
         key = (target.name, target.life)
         if key not in self.clients:
-            self.clients[key] = JsonClient(target.address)
+            self.clients[key] = JsonClient(target.address, self.clock)
         return self.clients[key]
 
 
--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -264,6 +264,7 @@
                 holder=self.lease_manager.holder,
                 fence=held.fence,
                 orders_taken=report.orders_taken,
+                not_after=held.order_until,
             )
             self.log.write(
                 "order",
--- a/src/gypsumsail/rollout/port.py
+++ b/src/gypsumsail/rollout/port.py
@@ -48,6 +48,8 @@
         Number of orders that the engine had accepted at its last report. The engine
         rejects the order if its count has changed, so that a delayed or repeated order
         has no effect.
+    not_after
+        Monotonic time from which the order may no longer be written.
     """
 
     model: str
@@ -55,6 +57,7 @@
     holder: str
     fence: int
     orders_taken: int
+    not_after: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gypsumsail/transport/bytes_client.py
+++ b/src/gypsumsail/transport/bytes_client.py
@@ -5,9 +5,11 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+import math
 from typing import Final
 from urllib.parse import urlencode
 
+from gypsumsail.core.clock import Clock, SystemClock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.transport.exchange import (
     ExchangeConnection,
@@ -34,7 +36,8 @@
     Connecting has a shorter time limit than in ``HttpClient``.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, clock: Clock | None = None) -> None:
+        self.clock = clock or SystemClock()
         self.authority = f"{host}:{port}"
         self.pool = ExchangePool(host, port, SHORT_CALL_CONNECT_TIMEOUT_SECONDS)
 
@@ -52,12 +55,18 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         request_id: RequestIdHeader | None = None,
+        not_after: float = math.inf,
         on_written: Callable[[ExchangeConnection], None] | None = None,
     ) -> BytesResponse:
         """Make one call and return its response, whatever its status.
 
         Parameters
         ----------
+        timeout
+            Time limit in seconds. The kernel sends the request for this time at most
+            after it was written.
+        not_after
+            Monotonic time from which the request may no longer be written.
         request_id
             Header with an id that the server repeats, its name in lower case. A
             response with another id is skipped: it is a second copy of an earlier one.
@@ -79,6 +88,9 @@
             async with asyncio.timeout(timeout):
                 connection = await self.pool.async_acquire()
                 try:
+                    if self.clock.monotonic() >= not_after:
+                        message = f"{method} {path}: too late to be sent"
+                        raise TransportError(message, sent=False)
                     is_sent = True
                     return await async_call_over(
                         connection,
--- a/src/gypsumsail/vm/const.py
+++ b/src/gypsumsail/vm/const.py
@@ -35,12 +35,6 @@
 """Value of ``retry-after`` in responses of a VM that is about to exit."""
 EXIT_MARGIN_SECONDS: Final = 0.4
 """Margin by which the process exits before the grace period ends."""
-LEASE_VALIDITY_SECONDS: Final = 1.3
-"""Time after a confirmed renewal during which the holder may send orders."""
-LEASE_MARGIN_SECONDS: Final = 0.3
-"""Margin on the minimum time between two holders, for clock skew and late orders."""
-LEASE_RENEW_SECONDS: Final = 0.4
-"""Interval at which the holder renews its lease."""
 LEASE_NAME: Final = "weights"
 """Name of the lease that permits orders to engines."""
 LIMIT_RING_DELAY_SECONDS: Final = 2.0
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -41,19 +41,16 @@
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.logs.line_writer import LineWriter
 from gypsumsail.metrics.registry import MetricsRegistry
-from gypsumsail.orders.lease import LeaseTiming
 from gypsumsail.orders.lease_manager import LeaseManager
 from gypsumsail.rollout.coordinator import RolloutCoordinator
+from gypsumsail.rollout.lease_timing import rollout_lease_timing
 from gypsumsail.transport.http_reply import Reply
 from gypsumsail.transport.http_request import HttpRequest, ServerLimits
 from gypsumsail.transport.http_server import HttpServer
 from gypsumsail.vm.build_history import BuildHistory
 from gypsumsail.vm.catch_up import CatchUp
 from gypsumsail.vm.const import (
-    LEASE_MARGIN_SECONDS,
     LEASE_NAME,
-    LEASE_RENEW_SECONDS,
-    LEASE_VALIDITY_SECONDS,
     LIMIT_RING_DELAY_SECONDS,
     MAX_NAMINGS_TOLD,
     RETRY_AFTER_SECONDS,
@@ -252,19 +249,13 @@
         return gossip
 
     def _make_rollout(self) -> RolloutCoordinator:
-        gap_seconds = self.settings.min_holder_gap_seconds
-        timing = LeaseTiming(
-            seconds=gap_seconds + LEASE_VALIDITY_SECONDS + LEASE_MARGIN_SECONDS,
-            order_margin=gap_seconds + LEASE_MARGIN_SECONDS,
-            renew_after=LEASE_RENEW_SECONDS,
-        )
         holder = f"{self.settings.vm}@{self.settings.host}"
         lease_manager = LeaseManager(
             self.ports.object_api,
             self.clock,
             LEASE_NAME,
             holder,
-            timing,
+            rollout_lease_timing(self.settings.min_holder_gap_seconds),
             self.ports.eras,
         )
         rollout = RolloutCoordinator(
--- a/tests/platform/test_late_answers.py
+++ b/tests/platform/test_late_answers.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 import json
+import math
 
 import pytest
 
@@ -25,7 +26,9 @@
 from tests.gateway.common import MODEL, engine
 
 HOST = "127.0.0.1"
-ORDER = LoadWeights(model=MODEL, version=2, holder="v1", fence=1, orders_taken=0)
+ORDER = LoadWeights(
+    model=MODEL, version=2, holder="v1", fence=1, orders_taken=0, not_after=math.inf
+)
 
 
 class RepeatingServer:
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 
 import pytest
 
@@ -154,7 +155,9 @@
     """The engine repeats the id in its other answers."""
     busy = answer(409, b"{}", has_id=False)
     server = ScriptedServer([[answer(200, b"{}")], [busy + answer(202, b"{}")]])
-    order = LoadWeights(model=MODEL, version=2, holder="v1", fence=1, orders_taken=0)
+    order = LoadWeights(
+        model=MODEL, version=2, holder="v1", fence=1, orders_taken=0, not_after=math.inf
+    )
     async with served(server) as addresses:
         entry = engine("e1", address=addresses[0])
         engines = PlatformEngines(SystemClock(), "v1")
--- a/tests/platform/test_reused_addresses.py
+++ b/tests/platform/test_reused_addresses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+import math
 
 import pytest
 
@@ -24,7 +25,9 @@
 from tests.platform.common import INSTANCE, PlainTarget
 
 HOST = "127.0.0.1"
-ORDER = LoadWeights(model=MODEL, version=2, holder="v1", fence=1, orders_taken=0)
+ORDER = LoadWeights(
+    model=MODEL, version=2, holder="v1", fence=1, orders_taken=0, not_after=math.inf
+)
 
 StoreCall = Callable[[PlatformContextStores, ContextStore], Awaitable[object]]
 EngineCall = Callable[[PlatformEngines, TargetEntry], Awaitable[object]]
--- a/tests/transport/test_given_up_calls.py
+++ b/tests/transport/test_given_up_calls.py
@@ -12,7 +12,10 @@
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.transport.bytes_client import BytesClient
+from gypsumsail.transport.exchange import ExchangeConnection
+from tests.common import ManualClock
 from tests.held_bytes import HoldingListener, holding_listener
+from tests.raw_server import raw_server
 
 CALL_SECONDS: Final = 0.4
 # The kernel sends again after 0.2, 0.6, 1.4 and 3.0 s.
@@ -56,6 +59,28 @@
         assert await listener.async_read_arrivals(ARRIVAL_SECONDS) == []
 
 
+async def test_call_is_not_written_after_its_last_moment() -> None:
+    """The lease may end while a connection is opened for an order (ONE)."""
+    clock = ManualClock()
+    async with raw_server([b"HTTP/1.1 200 S\r\nContent-Length: 0\r\n\r\n"]) as server:
+        client = BytesClient("127.0.0.1", int(server.url.rpartition(":")[2]), clock)
+        last = clock.now + 1.0
+        answer = await client.async_call("GET", "/", timeout=2.0, not_after=last)
+        assert answer.status == 200
+        connect = client.pool.async_acquire
+
+        async def connect_slowly() -> ExchangeConnection:
+            clock.now = last
+            return await connect()
+
+        client.pool.async_acquire = connect_slowly  # type: ignore[method-assign,assignment]
+        with pytest.raises(TransportError) as caught:
+            await client.async_call("GET", "/", timeout=2.0, not_after=last)
+        assert not caught.value.sent
+        assert server.requests == 1
+        client.close()
+
+
 @pytest.mark.parametrize("end", [signal.SIGKILL, signal.SIGSTOP])
 async def test_call_of_a_process_that_ended_does_not_arrive_after_a_cut(
     end: signal.Signals,
