Give up orders whose time limit passed while the VM was suspended

A suspended VM's timers and its kernel stand still. After it wakes, an order that was in flight through a cut would be sent for the rest of its time limit, although its lease has ended.

test_order_is_given_up_when_its_time_passed_in_a_suspension: the order stays in flight without the new tick (there was none before).

--- a/src/gypsumsail/rollout/const.py
+++ b/src/gypsumsail/rollout/const.py
@@ -20,6 +20,8 @@
 """
 ORDER_TIMEOUT_SECONDS: Final = 0.8
 """Timeout of an order, and the time for which the kernel sends it."""
+ORDER_TIMEOUT_MARGIN_SECONDS: Final = 0.1
+"""Time for the timer of that timeout to fire; later, the VM was suspended."""
 REPORT_TIMEOUT_SECONDS: Final = 0.5
 """Timeout of a request for an engine's report."""
 FIRST_REPORT_DELAY_SECONDS: Final = 1.3
--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from gypsumsail.core.aligned_sleep import async_sleep_aligned
+from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.rendezvous import rank
@@ -26,6 +27,8 @@
     LEASE_POLL_SECONDS,
     LOAD_TIMEOUT_SECONDS,
     ORDER_RETRY_DELAY_SECONDS,
+    ORDER_TIMEOUT_MARGIN_SECONDS,
+    ORDER_TIMEOUT_SECONDS,
     REPORT_INTERVAL_SECONDS,
     STEP_SECONDS,
 )
@@ -37,11 +40,19 @@
 
 @dataclass(slots=True, kw_only=True)
 class PendingOrder:
-    """An order in progress."""
+    """An order in progress.
+
+    Attributes
+    ----------
+    unanswered_until
+        Time at which the order is given up; ``None`` if it isn't sent yet or was
+        answered.
+    """
 
     state: TargetState
     begun_at: float
     task: asyncio.Task[None] | None = None
+    unanswered_until: float | None = None
 
 
 class RolloutCoordinator:
@@ -113,6 +124,23 @@
                 is_busy = False
             await async_sleep_aligned(STEP_SECONDS if is_busy else IDLE_STEP_SECONDS)
 
+    @callback
+    def tick(self, now: float) -> None:
+        """Give up orders whose time limit passed while the VM was suspended.
+
+        Timers stand still meanwhile, and the kernel would go on sending.
+        """
+        for key, order in list(self.pending_orders.items()):
+            if order.unanswered_until is None or now < order.unanswered_until:
+                continue
+            if order.task is None or order.task.done():
+                continue
+            order.task.cancel()
+            del self.pending_orders[key]
+            self._note_unanswered(
+                order.state, sent=True, reason="the VM was suspended", now=now
+            )
+
     async def _async_step(self) -> bool:
         """Perform one step; return whether a rollout is in progress."""
         now = self.clock.monotonic()
@@ -233,14 +261,17 @@
         try:
             await self._async_order(state, want)
         except TransportError as err:
-            self.log.write(
-                "order unanswered",
-                target=state.entry.name,
-                sent=err.sent,
-                reason=str(err),
+            self._note_unanswered(
+                state, sent=err.sent, reason=str(err), now=self.clock.monotonic()
             )
-            later = self.clock.monotonic() + ORDER_RETRY_DELAY_SECONDS
-            self.retry_at[self._engine_key(state)] = later
+
+    def _note_unanswered(
+        self, state: TargetState, *, sent: bool, reason: str, now: float
+    ) -> None:
+        self.log.write(
+            "order unanswered", target=state.entry.name, sent=sent, reason=reason
+        )
+        self.retry_at[self._engine_key(state)] = now + ORDER_RETRY_DELAY_SECONDS
 
     async def _async_order(self, state: TargetState, want: WantedWeights) -> None:
         report = await self.engines.async_report(state.entry)
@@ -276,7 +307,12 @@
                 lease_left_ms=round((held.order_until - now) * 1000),
                 orders_taken=report.orders_taken,
             )
+            pending = self.pending_orders[self._engine_key(state)]
+            pending.unanswered_until = (
+                now + ORDER_TIMEOUT_SECONDS + ORDER_TIMEOUT_MARGIN_SECONDS
+            )
             answer = await self.engines.async_order(state.entry, order)
+            pending.unanswered_until = None
             self.log.write(
                 "order answered", target=state.entry.name, answer=answer.name
             )
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -424,6 +424,7 @@
             self.supervisor.tick("catalog", self.catalog.tick, now)
             self.supervisor.tick("gateway", self.gateway.tick, now)
             self.supervisor.tick("gossip", self.gossip.tick, now)
+            self.supervisor.tick("rollout", self.rollout.tick, now)
             self.supervisor.tick("silence log", self.silence_log.tick, now)
             self.writer.flush()
             if not accepts_requests(self.signalled_at, now):
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -293,6 +293,59 @@
     assert {order.holder for _, order, _ in engines.orders} == set(names)
 
 
+class SuspendedClock(SystemClock):
+    """Clock that counts the time of a suspension, in which timers stand still."""
+
+    suspended_seconds = 0.0
+
+    def monotonic(self) -> float:
+        """Return the seconds since boot."""
+        return super().monotonic() + self.suspended_seconds
+
+
+class SilentEngines(LoadingEngines):
+    """Engines that never answer an order.
+
+    Attributes
+    ----------
+    is_ordered, is_given_up
+        Set once an order came, and once it was given up.
+    """
+
+    def __init__(self, names: list[str]) -> None:
+        super().__init__(names)
+        self.is_ordered = asyncio.Event()
+        self.is_given_up = asyncio.Event()
+
+    async def async_order(self, target: TargetEntry, order: LoadWeights) -> OrderAnswer:
+        """Record an order and never answer it."""
+        self.orders.append((target.name, order, asyncio.get_running_loop().time()))
+        self.is_ordered.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.is_given_up.set()
+        raise AssertionError
+
+
+async def test_order_is_given_up_when_its_time_passed_in_a_suspension() -> None:
+    """Its timer stood still, and the kernel would go on sending it (ONE)."""
+    engines = SilentEngines(["e1"])
+    coordinator = rollout("v1", SharedObjects(), engines, lambda: ["v1"])
+    clock = coordinator.clock = SuspendedClock()
+    task = asyncio.create_task(coordinator.async_run())
+    async with asyncio.timeout(5.0):
+        await engines.is_ordered.wait()
+    coordinator.tick(clock.monotonic())
+    await asyncio.sleep(0.01)
+    assert not engines.is_given_up.is_set()
+    clock.suspended_seconds = 5.0
+    coordinator.tick(clock.monotonic())
+    async with asyncio.timeout(0.1):
+        await engines.is_given_up.wait()
+    task.cancel()
+
+
 async def test_renewed_lease_is_not_taken_over() -> None:
     shared = SharedObjects()
     clock = SystemClock()
