--- a/tests/platform/common.py
+++ b/tests/platform/common.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 import json
+import logging
 import re
 from typing import Final
 
@@ -20,6 +21,7 @@
 from gypsumsail.transport.http_server import HttpServer
 from stand_ins.raw_http import RawRequest, encode_response
 from tests.gateway.common import (
+    RecordedLines,
     ScriptedTargets,
     document,
     gateway,
@@ -153,9 +155,16 @@
 
 
 class Border:
-    """Callers' port of a VM, with one target that is read strictly."""
+    """Callers' port of a VM, with one target that is read strictly.
+
+    Attributes
+    ----------
+    lines
+        What the gateway has logged.
+    """
 
     def __init__(self) -> None:
+        self.lines = RecordedLines()
         self.target = StrictTarget()
         self.refused: list[int] = []
         self.gateway: Gateway | None = None
@@ -189,12 +198,15 @@
         calls = PlatformTargetCalls(vm.clock)
         vm.calls = calls
         self.gateway = vm
+        vm.telemetry.log.logger.addHandler(self.lines)
+        vm.telemetry.log.logger.setLevel(logging.INFO)
         server = HttpServer(self._async_handle, LIMITS, vm.clock, self.refused.append)
         await server.async_start("127.0.0.1", 0)
         self.port = server.port
         try:
             yield self
         finally:
+            vm.telemetry.log.logger.removeHandler(self.lines)
             await server.async_stop()
             for pool in calls.pools.values():
                 pool.close()
--- a/tests/platform/test_caller_border_fuzz.py
+++ b/tests/platform/test_caller_border_fuzz.py
@@ -75,7 +75,8 @@
     async def run() -> None:
         async with Border().serving() as border:
             found = await border.async_send(*cut(data, cuts), answers=len(requests))
-        assert found.count(b"HTTP/1.1 200 OK") == len(requests), found
+        served = found.count(b"HTTP/1.1 200 OK")
+        assert served == len(requests), (found, border.lines.of("send failed"))
         assert len(border.target.requests) == len(requests)
         check(border, data)
 
