Leave the end of a call in a cut to this VM, not to the kernel

The kernel's limit on sending was the time left of a call, 0.08 s less than the VM waits for its answer. Where a kernel counts from the first byte, a call that is held up in a cut would end as a lost connection, which counts as a crash of its target; three of those block a request. The limit is now a second longer than the call for calls of callers, and for short calls 0.2 s are taken off, so that an order is sent for 0.8 s by either way of counting.

--- a/src/gypsumsail/forwarding/client.py
+++ b/src/gypsumsail/forwarding/client.py
@@ -14,6 +14,7 @@
     REFUSAL_HEADER,
 )
 from gypsumsail.forwarding.messages import encode_forward
+from gypsumsail.gateway.const import SEND_LIMIT_MARGIN_SECONDS
 from gypsumsail.gateway.forwarding import ForwardHead, ForwardRefusal, ForwardTerms
 from gypsumsail.gateway.models import Call
 from gypsumsail.transport.exchange import ExchangeConnection, ExchangePool
@@ -126,7 +127,9 @@
         ]
         request = b"\r\n".join(head) + b"\r\n\r\n" + body
         connection.send(
-            request, (FORWARD_ID_HEADER, forward_id), limit_seconds=terms.time_left
+            request,
+            (FORWARD_ID_HEADER, forward_id),
+            limit_seconds=terms.time_left + SEND_LIMIT_MARGIN_SECONDS,
         )
         return HelperExchange(pool, connection)
 
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -11,7 +11,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import InvalidRequestError, TransportError
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
-from gypsumsail.gateway.const import CONNECT_SECONDS
+from gypsumsail.gateway.const import CONNECT_SECONDS, SEND_LIMIT_MARGIN_SECONDS
 from gypsumsail.gateway.models import (
     Address,
     Call,
@@ -381,7 +381,7 @@
         connection.send(
             request,
             (names.REQUEST_ID_HEADER, request_id),
-            limit_seconds=terms.time_left - elapsed,
+            limit_seconds=terms.time_left - elapsed + SEND_LIMIT_MARGIN_SECONDS,
         )
         use = connection_use(connection)
 
--- a/src/gypsumsail/transport/socket_options.py
+++ b/src/gypsumsail/transport/socket_options.py
@@ -12,6 +12,9 @@
 
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER``: discard unsent bytes, and reset the connection."""
+FIRST_RETRANSMISSION_SECONDS: Final = 0.2
+"""Time to the first retransmission, from which the kernel counts its limit."""
+MIN_LIMIT_SECONDS: Final = 0.1
 
 
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
@@ -29,8 +32,9 @@
 
     It does so also while the process is paused.
     """
+    limit = max(seconds - FIRST_RETRANSMISSION_SECONDS, MIN_LIMIT_SECONDS)
     transport.get_extra_info("socket").setsockopt(
         socket.IPPROTO_TCP,
         socket.TCP_USER_TIMEOUT,
-        max(1, math.ceil(seconds * MILLISECONDS_PER_SECOND)),
+        math.ceil(limit * MILLISECONDS_PER_SECOND),
     )
