Count in the lease by how much the kernel gives up an order too late

TCP_USER_TIMEOUT counts from the first retransmission, after a loss probe, and the last retransmission is not cut short: measured on loopback (Linux 6.18, arm64), a limit of 0.6 s and one of 0.8 s both send for the last time 0.85 to 0.86 s after the first byte, and the connection ends up to 0.45 s after the limit. That matters for a holder that stands still; a running one resets the connection itself. Taking 0.2 s off each limit, as before, would have ended short calls on lossy links too early where a kernel counts from the first byte; it is undone.

--- a/src/gypsumsail/rollout/lease_timing.py
+++ b/src/gypsumsail/rollout/lease_timing.py
@@ -9,15 +9,18 @@
     LEASE_VALIDITY_SECONDS,
     ORDER_TIMEOUT_SECONDS,
 )
+from gypsumsail.transport.socket_options import KERNEL_DELAY_SECONDS
 
 
 def rollout_lease_timing(min_holder_gap_seconds: float) -> LeaseTiming:
     """Return the times of the lease.
 
-    An order that leaves at the last moment arrives up to its time limit later. The
-    first order of the next holder must come ``min_holder_gap_seconds`` after that.
+    An order that leaves at the last moment arrives up to its time limit later, or, if
+    its sender stands still, when the kernel last sends it. The first order of the next
+    holder must come ``min_holder_gap_seconds`` after that.
     """
-    order_margin = ORDER_TIMEOUT_SECONDS + LEASE_MARGIN_SECONDS + min_holder_gap_seconds
+    last_arrival = ORDER_TIMEOUT_SECONDS + KERNEL_DELAY_SECONDS
+    order_margin = last_arrival + LEASE_MARGIN_SECONDS + min_holder_gap_seconds
     return LeaseTiming(
         seconds=LEASE_VALIDITY_SECONDS + order_margin,
         order_margin=order_margin,
--- a/src/gypsumsail/transport/socket_options.py
+++ b/src/gypsumsail/transport/socket_options.py
@@ -12,9 +12,11 @@
 
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER``: discard unsent bytes, and reset the connection."""
-FIRST_RETRANSMISSION_SECONDS: Final = 0.2
-"""Time to the first retransmission, from which the kernel counts its limit."""
-MIN_LIMIT_SECONDS: Final = 0.1
+KERNEL_DELAY_SECONDS: Final = 0.45
+"""Time to the first retransmission, from which the kernel counts its limit.
+
+A probe precedes it. It is longer on links with a round trip above some milliseconds.
+"""
 
 
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
@@ -30,11 +32,11 @@
 def limit_sending(transport: asyncio.BaseTransport, seconds: float) -> None:
     """Let the kernel end a connection whose bytes stay unacknowledged for a time.
 
-    It does so also while the process is paused.
+    It does so also while the process is paused, but up to ``KERNEL_DELAY_SECONDS``
+    later.
     """
-    limit = max(seconds - FIRST_RETRANSMISSION_SECONDS, MIN_LIMIT_SECONDS)
     transport.get_extra_info("socket").setsockopt(
         socket.IPPROTO_TCP,
         socket.TCP_USER_TIMEOUT,
-        math.ceil(limit * MILLISECONDS_PER_SECOND),
+        max(1, math.ceil(seconds * MILLISECONDS_PER_SECOND)),
     )
