Let waiting VMs know when the rollout lease expires

A VM that could take it over began to read it only once it had seen no progress for 0.7 or 1.4 s, and then every 0.8 s, so that it saw the last renewal late and its expiry later still.

The VMs that may take over now read the lease from the begin of a rollout, and again at the moment at which it expires. test_next_holder_orders_soon_after_the_lease_has_expired failed before, and passes. Two VMs read one object every 0.8 s during a rollout.

--- a/src/gypsumsail/orders/lease_manager.py
+++ b/src/gypsumsail/orders/lease_manager.py
@@ -84,6 +84,28 @@
         if isinstance(step, WriteLease):
             await self._async_write(step)
 
+    async def async_observe(self) -> None:
+        """Read the lease of another VM, so that it is known when it expires.
+
+        Raises
+        ------
+        TransportError
+            The lease could not be read.
+        OrdersCorruptError
+            The stored lease can't be decoded.
+        """
+        if self.held is None:
+            await self._async_read()
+
+    def expires_at(self) -> float:
+        """Return when the lease expires if it stays as last read.
+
+        The time is monotonic, and in the past if the lease is held, free or unknown.
+        """
+        if self.held is not None or self.view is None or self.view.record is None:
+            return float("-inf")
+        return self.view.since + self.view.record.seconds
+
     def _era_fences(self) -> EraFences:
         return EraFences(
             floor=fence_floor(self.eras.current),
--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -26,6 +26,7 @@
     IDLE_STEP_SECONDS,
     LEASE_POLL_SECONDS,
     LOAD_TIMEOUT_SECONDS,
+    MAX_ROLLOUT_VMS,
     ORDER_RETRY_DELAY_SECONDS,
     ORDER_TIMEOUT_MARGIN_SECONDS,
     ORDER_TIMEOUT_SECONDS,
@@ -156,7 +157,11 @@
         # A VM that is cut off lets its lease expire, for one that reaches the engines.
         if all(state.is_unreachable(now) for state, _ in outdated):
             return True
-        if not self._may_take_over(now) or not self._may_poll_lease(now):
+        if not self._may_poll_lease(now):
+            return True
+        if not self._may_take_over(now):
+            if self._position() < MAX_ROLLOUT_VMS:
+                await self.lease_manager.async_observe()
             return True
         # The argument is the highest fencing token that engines have reported. It is 0,
         # because this coordinator reads no fencing tokens from engines.
@@ -194,15 +199,22 @@
             self.lease_manager.held, now
         ):
             return True
-        position = list(rank(RENDEZVOUS_KEY, self.vms())).index(self.vm)
         assert self.last_progress_at is not None
-        return may_take_over(position, now - self.last_progress_at)
+        return may_take_over(self._position(), now - self.last_progress_at)
+
+    def _position(self) -> int:
+        """Return the rank of this VM among those that may roll out."""
+        return list(rank(RENDEZVOUS_KEY, self.vms())).index(self.vm)
 
     def _may_poll_lease(self, now: float) -> bool:
-        """Return whether to read the lease now; its holder always does."""
+        """Return whether to read the lease now; its holder always does.
+
+        Others read it at intervals, and as soon as it expires.
+        """
         if self.lease_manager.held is not None:
             return True
-        if now - self.lease_polled_at < LEASE_POLL_SECONDS:
+        has_expired = self.lease_polled_at < self.lease_manager.expires_at() <= now
+        if not has_expired and now - self.lease_polled_at < LEASE_POLL_SECONDS:
             return False
         self.lease_polled_at = now
         return True
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -17,6 +17,7 @@
 from gypsumsail.object_api.port import ConflictError, PlatformObject
 from gypsumsail.orders.lease import LeaseTiming
 from gypsumsail.orders.lease_manager import LeaseManager
+from gypsumsail.rollout.const import ANNOUNCEMENT_DELAY_SECONDS, LEASE_POLL_SECONDS
 from gypsumsail.rollout.coordinator import RolloutCoordinator
 from gypsumsail.rollout.planner import (
     EngineStatus,
@@ -27,6 +28,8 @@
 from gypsumsail.rollout.port import EngineReport, LoadWeights, OrderAnswer
 from tests.gateway.common import MODEL, decision_log, engine
 
+SLACK_SECONDS = 0.4
+"""Time for steps of the rollout, on a busy machine."""
 LEASE_TIMING = LeaseTiming(seconds=1.0, order_margin=0.6, renew_after=0.1)
 
 
@@ -154,6 +157,31 @@
         )
 
 
+class SilentEngines(LoadingEngines):
+    """Engines that never answer an order.
+
+    Attributes
+    ----------
+    is_ordered, is_given_up
+        Set once an order came, and once it was given up.
+    """
+
+    def __init__(self, names: list[str]) -> None:
+        super().__init__(names)
+        self.is_ordered = asyncio.Event()
+        self.is_given_up = asyncio.Event()
+
+    async def async_order(self, target: TargetEntry, order: LoadWeights) -> OrderAnswer:
+        """Record an order and never answer it."""
+        self.orders.append((target.name, order, asyncio.get_running_loop().time()))
+        self.is_ordered.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.is_given_up.set()
+        raise AssertionError
+
+
 def rollout(
     vm: str,
     shared: SharedObjects,
@@ -273,6 +301,28 @@
     assert fences[other] > fences[first]
 
 
+async def test_next_holder_orders_soon_after_the_lease_has_expired() -> None:
+    """It used to read the lease only once the rollout had stood still for a while."""
+    shared = SharedObjects()
+    engines = SilentEngines([f"e{number}" for number in range(5)])
+    names = ["v1", "v2"]
+    vms = [rollout(vm, shared, engines, lambda: names) for vm in names]
+    tasks = [asyncio.create_task(vm.async_run()) for vm in vms]
+    async with asyncio.timeout(10.0):
+        await engines.is_ordered.wait()
+        first = engines.orders[0][1].holder
+        cut_at = engines.orders[0][2]
+        shared.unreachable_vms.add(first)
+        engines.is_ordered.clear()
+        while engines.orders[-1][1].holder == first:
+            await engines.is_ordered.wait()
+            engines.is_ordered.clear()
+    for task in tasks:
+        task.cancel()
+    allowed = LEASE_TIMING.seconds + LEASE_POLL_SECONDS + ANNOUNCEMENT_DELAY_SECONDS
+    assert engines.orders[-1][2] - cut_at <= allowed + SLACK_SECONDS
+
+
 async def test_vm_that_reaches_no_engine_leaves_the_lease_to_another() -> None:
     """Its orders reach nobody, and it used to renew the lease all the while."""
     shared = SharedObjects()
@@ -303,31 +353,6 @@
         return super().monotonic() + self.suspended_seconds
 
 
-class SilentEngines(LoadingEngines):
-    """Engines that never answer an order.
-
-    Attributes
-    ----------
-    is_ordered, is_given_up
-        Set once an order came, and once it was given up.
-    """
-
-    def __init__(self, names: list[str]) -> None:
-        super().__init__(names)
-        self.is_ordered = asyncio.Event()
-        self.is_given_up = asyncio.Event()
-
-    async def async_order(self, target: TargetEntry, order: LoadWeights) -> OrderAnswer:
-        """Record an order and never answer it."""
-        self.orders.append((target.name, order, asyncio.get_running_loop().time()))
-        self.is_ordered.set()
-        try:
-            await asyncio.Event().wait()
-        finally:
-            self.is_given_up.set()
-        raise AssertionError
-
-
 async def test_order_is_given_up_when_its_time_passed_in_a_suspension() -> None:
     """Its timer stood still, and the kernel would go on sending it (ONE)."""
     engines = SilentEngines(["e1"])
