Keep the kernel from sending given-up requests of stream connections

Polls and requests for tokens go over StreamConnection, which was closed with `abort()` like the connections of callers' requests: the kernel went on sending what an engine or store had not acknowledged, so that an engine could begin a request seconds after its deadline, beside the second try.

The connection is now reset when it is closed, also by the end of the process, and each request sets the time after which the kernel gives up, with the same two functions as ExchangeConnection.

tests/transport/test_given_up_own_calls.py failed before (4 of 4: poll and stream given up, stream of a killed and of a paused process) and passes; tests/transport and tests/targets pass (141).

--- a/src/gypsumsail/targets/stream.py
+++ b/src/gypsumsail/targets/stream.py
@@ -56,7 +56,7 @@
         )
         is_complete = False
         try:
-            connection.send(self._encode(request))
+            connection.send(self._encode(request), limit_seconds=request.deadline)
             await connection.async_wait_for_head()
             await _async_check_head(connection)
             parser = EventParser(request.attempt_id, first_token=request.first_token)
--- a/src/gypsumsail/transport/connection.py
+++ b/src/gypsumsail/transport/connection.py
@@ -10,6 +10,7 @@
 from gypsumsail.core.callback import callback
 from gypsumsail.transport.const import HEADER_LIMIT_BYTES, MAX_UNREAD_BODY_BYTES
 from gypsumsail.transport.errors import BrokenStreamError
+from gypsumsail.transport.socket_options import limit_sending, reset_on_close
 
 
 class StreamConnection(asyncio.Protocol):
@@ -62,13 +63,21 @@
         )
 
     @callback
-    def send(self, request: bytes) -> None:
-        """Send a request."""
+    def send(self, request: bytes, *, limit_seconds: float) -> None:
+        """Send a request.
+
+        Parameters
+        ----------
+        limit_seconds
+            Time after which the kernel gives up sending what the server has not
+            acknowledged; the connection then ends with an error.
+        """
         self._reset()
         self.is_used = True
         if self.transport is None or self.is_closed:
             self._set_error("connection is closed")
             return
+        limit_sending(self.transport, limit_seconds)
         self.transport.write(request)
 
     @callback
@@ -122,6 +131,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self.transport = cast("asyncio.Transport", transport)
+        reset_on_close(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail a response that is incomplete."""
--- a/src/gypsumsail/transport/polling.py
+++ b/src/gypsumsail/transport/polling.py
@@ -58,7 +58,7 @@
         )
         is_complete = False
         try:
-            connection.send(f"{head}\r\n\r\n".encode())
+            connection.send(f"{head}\r\n\r\n".encode(), limit_seconds=timeout)
             await connection.async_wait_for_head()
             body = await self._async_body(connection)
             is_complete = True
--- a/tests/transport/test_endless_bytes.py
+++ b/tests/transport/test_endless_bytes.py
@@ -119,7 +119,7 @@
             StreamConnection, "127.0.0.1", port
         )
         async with asyncio.timeout(CLOSE_SECONDS):
-            connection.send(REQUEST)
+            connection.send(REQUEST, limit_seconds=CLOSE_SECONDS)
             with pytest.raises(TransportError):
                 await async_read_stream(connection)
             await server.is_closed.wait()
--- /dev/null
+++ b/tests/transport/test_given_up_own_calls.py
@@ -0,0 +1,123 @@
+"""Tests that calls of the clients for own protocols don't arrive after their end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+import signal
+import sys
+from typing import Any, Final
+
+import pytest
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.targets.stream import EngineStreams
+from gypsumsail.transport.connection import StreamConnection
+from gypsumsail.transport.polling import PollingClient
+from gypsumsail.transport.pool import StreamConnectionPool
+from tests.held_bytes import holding_listener
+from tests.targets.common import engine_request
+
+CALL_SECONDS: Final = 0.4
+# The kernel sends again after 0.2, 0.6, 1.4 and 3.0 s.
+ARRIVAL_SECONDS: Final = 4.0
+
+CALLER: Final = """
+import asyncio, sys
+from tests.transport import test_given_up_own_calls as calls
+
+def wait():
+    print("connected", flush=True)
+    sys.stdin.readline()
+
+async def main():
+    url = f"http://127.0.0.1:{sys.argv[2]}"
+    call = asyncio.create_task(calls.CALLS[sys.argv[1]](url, wait))
+    await asyncio.sleep(0.1)
+    print("sent", flush=True)
+    await asyncio.gather(call, return_exceptions=True)
+    await asyncio.sleep(60)
+
+asyncio.run(main())
+"""
+
+
+def call_when_connected(pool: StreamConnectionPool, on_connected: Any) -> None:
+    """Have a pool call a function when a connection is open."""
+    acquire = pool.async_acquire
+
+    async def async_acquire() -> StreamConnection:
+        connection = await acquire()
+        on_connected()
+        return connection
+
+    pool.async_acquire = async_acquire  # type: ignore[method-assign]
+
+
+async def async_poll(url: str, on_connected: Callable[[], None]) -> None:
+    """Make a call of the client for polling."""
+    client = PollingClient(url)
+    call_when_connected(client.pool, on_connected)
+    await client.async_get("/load", timeout=CALL_SECONDS)
+
+
+async def async_stream(url: str, on_connected: Callable[[], None]) -> None:
+    """Send a request for tokens to an engine."""
+    streams = EngineStreams(url)
+    call_when_connected(streams.pool, on_connected)
+    async for _ in streams.stream(engine_request(deadline=CALL_SECONDS)):
+        pass
+
+
+CALLS: Final = {"poll": async_poll, "stream": async_stream}
+"""Calls that are given up after `CALL_SECONDS`."""
+
+
+@pytest.mark.parametrize("kind", CALLS)
+async def test_own_call_that_was_given_up_does_not_arrive_after_a_cut(
+    kind: str,
+) -> None:
+    """The kernel used to go on sending it after the connection was closed."""
+    async with holding_listener() as listener:
+        url = f"http://127.0.0.1:{listener.port}"
+        with pytest.raises(TransportError) as caught:
+            await CALLS[kind](url, listener.hold)
+        assert caught.value.sent
+        await listener.async_release()
+        assert await listener.async_read_arrivals(ARRIVAL_SECONDS) == []
+
+
+@pytest.mark.parametrize("kind", ["stream"])
+@pytest.mark.parametrize("end", [signal.SIGKILL, signal.SIGSTOP])
+async def test_own_call_of_a_process_that_ended_does_not_arrive_after_a_cut(
+    kind: str, end: signal.Signals
+) -> None:
+    """No code of a process that is killed or paused can reset its connections."""
+    async with holding_listener() as listener:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            CALLER,
+            kind,
+            str(listener.port),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            env={"PYTHONPATH": "src:."},
+        )
+        assert process.stdin is not None
+        assert process.stdout is not None
+        try:
+            async with asyncio.timeout(20.0):
+                assert await process.stdout.readline() == b"connected\n"
+                listener.hold()
+                process.stdin.write(b"\n")
+                assert await process.stdout.readline() == b"sent\n"
+            process.send_signal(end)
+            await asyncio.sleep(2 * CALL_SECONDS)
+            await listener.async_release()
+            assert await listener.async_read_arrivals(ARRIVAL_SECONDS) == []
+        finally:
+            with suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
