Keep the kernel from sending given-up calls made over httpx

Desired states of engines, exports, holds, frees and moves in stores, writes to the platform's objects and calls to plain services go over HttpClient. A call that was given up was closed without a reset, so that the kernel sent it after a cut: a plain request that isn't repeatable could run after its deadline, and a free or a desired state seconds after its sender had lost its duty.

Calls that end sooner are covered by the reset; only a process that stands still leaves bytes for that long.

--- a/src/gypsumsail/object_api/http.py
+++ b/src/gypsumsail/object_api/http.py
@@ -45,7 +45,9 @@
     """
 
     def __init__(self, base_url: str, *, timeout: float = CALL_TIMEOUT_SECONDS):
-        self.client = HttpClient(base_url, max_response_bytes=MAX_LISTING_BYTES)
+        self.client = HttpClient(
+            base_url, max_response_bytes=MAX_LISTING_BYTES, send_limit_seconds=timeout
+        )
         self.timeout = timeout
 
     async def async_close(self) -> None:
--- a/src/gypsumsail/stores/http.py
+++ b/src/gypsumsail/stores/http.py
@@ -27,7 +27,7 @@
     """HTTP client of one store VM; implements the protocol ``Store``."""
 
     def __init__(self, base_url: str, *, timeout: float = CALL_TIMEOUT_SECONDS):
-        self.client = HttpClient(base_url)
+        self.client = HttpClient(base_url, send_limit_seconds=timeout)
         self.polling_client = PollingClient(base_url)
         self.timeout = timeout
 
--- a/src/gypsumsail/targets/http.py
+++ b/src/gypsumsail/targets/http.py
@@ -49,7 +49,7 @@
     """HTTP client for one model engine; implements the ``EngineClient`` protocol."""
 
     def __init__(self, base_url: str, *, timeout: float = CALL_TIMEOUT_SECONDS):
-        self.client = HttpClient(base_url)
+        self.client = HttpClient(base_url, send_limit_seconds=timeout)
         self.polling_client = PollingClient(base_url)
         self.streams = EngineStreams(base_url)
         self.timeout = timeout
--- a/src/gypsumsail/transport/client.py
+++ b/src/gypsumsail/transport/client.py
@@ -16,11 +16,13 @@
 
 from gypsumsail.core.errors import TransportError, UnavailableError
 from gypsumsail.transport.const import (
+    CALL_TIMEOUT_SECONDS,
     CONNECT_TIMEOUT_SECONDS,
     IDLE_CONNECTION_SECONDS,
     IDLE_CONNECTIONS_PER_CLIENT,
     MAX_RESPONSE_BODY_BYTES,
 )
+from gypsumsail.transport.socket_options import sending_options
 
 _NOT_SENT: Final = (
     httpx.ConnectError,
@@ -49,10 +51,20 @@
 
     No call is sent twice: redirects are not followed and failed calls are not
     retried. Proxy settings of the environment are ignored.
+
+    Parameters
+    ----------
+    send_limit_seconds
+        Time after which the kernel gives up sending what the server has not
+        acknowledged, if a call has not ended by then.
     """
 
     def __init__(
-        self, base_url: str, *, max_response_bytes: int = MAX_RESPONSE_BODY_BYTES
+        self,
+        base_url: str,
+        *,
+        max_response_bytes: int = MAX_RESPONSE_BODY_BYTES,
+        send_limit_seconds: float = CALL_TIMEOUT_SECONDS,
     ):
         logging.getLogger("httpx").setLevel(logging.WARNING)
         logging.getLogger("httpcore").setLevel(logging.WARNING)
@@ -69,6 +81,7 @@
                 verify=_tls_context(httpx.URL(base_url).scheme),
                 limits=limits,
                 retries=0,
+                socket_options=sending_options(send_limit_seconds),
             ),
             follow_redirects=False,
             trust_env=False,
--- a/src/gypsumsail/transport/socket_options.py
+++ b/src/gypsumsail/transport/socket_options.py
@@ -18,6 +18,17 @@
 A probe precedes it. It is longer on links with a round trip above some milliseconds.
 """
 
+SocketOption = tuple[int, int, int] | tuple[int, int, bytes]
+"""Level, name and value of an option."""
+
+
+def sending_options(limit_seconds: float) -> list[SocketOption]:
+    """Return the options of `reset_on_close` and `limit_sending` for a new socket."""
+    return [
+        (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _whole_ms(limit_seconds)),
+    ]
+
 
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
     """Let a connection be reset when it is closed, also by the end of the process.
@@ -36,7 +47,10 @@
     later.
     """
     transport.get_extra_info("socket").setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        max(1, math.ceil(seconds * MILLISECONDS_PER_SECOND)),
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _whole_ms(seconds)
     )
+
+
+def _whole_ms(seconds: float) -> int:
+    # 0 would mean no limit.
+    return max(1, math.ceil(seconds * MILLISECONDS_PER_SECOND))
--- a/tests/transport/test_given_up_own_calls.py
+++ b/tests/transport/test_given_up_own_calls.py
@@ -9,10 +9,12 @@
 import sys
 from typing import Any, Final
 
+import httpx
 import pytest
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.targets.stream import EngineStreams
+from gypsumsail.transport.client import HttpClient
 from gypsumsail.transport.connection import StreamConnection
 from gypsumsail.transport.polling import PollingClient
 from gypsumsail.transport.pool import StreamConnectionPool
@@ -27,13 +29,17 @@
 import asyncio, sys
 from tests.transport import test_given_up_own_calls as calls
 
-def wait():
-    print("connected", flush=True)
-    sys.stdin.readline()
-
 async def main():
+    is_connected = asyncio.Event()
+
+    def wait():
+        print("connected", flush=True)
+        sys.stdin.readline()
+        is_connected.set()
+
     url = f"http://127.0.0.1:{sys.argv[2]}"
     call = asyncio.create_task(calls.CALLS[sys.argv[1]](url, wait))
+    await is_connected.wait()
     await asyncio.sleep(0.1)
     print("sent", flush=True)
     await asyncio.gather(call, return_exceptions=True)
@@ -70,7 +76,22 @@
         pass
 
 
-CALLS: Final = {"poll": async_poll, "stream": async_stream}
+async def async_post(url: str, on_connected: Callable[[], None]) -> None:
+    """Make a call of the client for all methods."""
+    client = HttpClient(url, send_limit_seconds=CALL_SECONDS)
+
+    async def async_trace(event: str, info: Any) -> None:
+        if event == "connection.connect_tcp.complete":
+            on_connected()
+
+    async def async_add_trace(request: httpx.Request) -> None:
+        request.extensions["trace"] = async_trace
+
+    client.client.event_hooks = {"request": [async_add_trace], "response": []}
+    await client.async_call("POST", "/state", timeout=CALL_SECONDS, body=b"{}")
+
+
+CALLS: Final = {"poll": async_poll, "stream": async_stream, "post": async_post}
 """Calls that are given up after `CALL_SECONDS`."""
 
 
@@ -88,7 +109,7 @@
         assert await listener.async_read_arrivals(ARRIVAL_SECONDS) == []
 
 
-@pytest.mark.parametrize("kind", ["stream"])
+@pytest.mark.parametrize("kind", ["stream", "post"])
 @pytest.mark.parametrize("end", [signal.SIGKILL, signal.SIGSTOP])
 async def test_own_call_of_a_process_that_ended_does_not_arrive_after_a_cut(
     kind: str, end: signal.Signals
