Hand receivers no more time than a call has left

The time spent on connecting is now taken off where the bytes are written; a call without time left is not sent. Own engines' streams also end at their deadline instead of that much later.

--- a/src/gypsumsail/forwarding/client.py
+++ b/src/gypsumsail/forwarding/client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from dataclasses import replace
 from typing import Final
 
 from gypsumsail.core.callback import callback
@@ -105,10 +107,15 @@
     ) -> HelperExchange:
         """Send a call.
 
+        Parameters
+        ----------
+        terms
+            The message states their ``time_left`` less the time spent on connecting.
+
         Raises
         ------
         TransportError
-            No connection could be opened. Nothing was sent.
+            No connection could be opened in the time left. Nothing was sent.
         """
         if self.port is None:
             raise TransportError("no control port is configured", sent=False)
@@ -116,8 +123,14 @@
         if pool is None:
             pool = ExchangePool(host, self.port, HELPER_CONNECT_SECONDS)
             self.pools[host] = pool
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         connection = await pool.async_acquire()
-        body = encode_forward(self.vm, call, terms)
+        time_left = terms.time_left - (loop.time() - started_at)
+        if time_left <= 0:
+            pool.release(connection)
+            raise TransportError("the time limit passed while connecting", sent=False)
+        body = encode_forward(self.vm, call, replace(terms, time_left=time_left))
         forward_id = new_id().encode()
         head = [
             b"POST %b HTTP/1.1" % FORWARD_PATH.encode(),
@@ -129,7 +142,7 @@
         connection.send(
             request,
             (FORWARD_ID_HEADER, forward_id),
-            limit_seconds=terms.time_left + SEND_LIMIT_MARGIN_SECONDS,
+            limit_seconds=time_left + SEND_LIMIT_MARGIN_SECONDS,
         )
         return HelperExchange(pool, connection)
 
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -371,17 +371,17 @@
         connection = await self.lives.async_connection(
             pool, target, request_id, terms.life_proof
         )
-        elapsed = self.clock.monotonic() - now
-        if elapsed >= terms.time_left:
+        time_left = terms.time_left - (self.clock.monotonic() - now)
+        if time_left <= 0:
             pool.release(connection)
             raise TransportError("the time limit passed while connecting", sent=False)
-        request = encode_request(call, target, terms)
+        request = encode_request(call, target, replace(terms, time_left=time_left))
         # The connection skips responses with another request ID, such as a late second
         # answer to an earlier call.
         connection.send(
             request,
             (names.REQUEST_ID_HEADER, request_id),
-            limit_seconds=terms.time_left - elapsed + SEND_LIMIT_MARGIN_SECONDS,
+            limit_seconds=time_left + SEND_LIMIT_MARGIN_SECONDS,
         )
         use = connection_use(connection)
 
--- a/src/gypsumsail/targets/stream.py
+++ b/src/gypsumsail/targets/stream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from dataclasses import replace
 import json
 from typing import Final
 
@@ -50,13 +51,20 @@
         TransportError
             The engine could not be reached, or the answer was interrupted.
         """
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         connection = await self.pool.async_acquire()
-        timer = asyncio.get_running_loop().call_later(
-            max(0.0, request.deadline), connection.fail, "deadline exceeded"
-        )
+        time_left = request.deadline - (loop.time() - started_at)
+        if time_left <= 0:
+            self.pool.release(connection, is_complete=False)
+            raise TransportError("the deadline passed while connecting", sent=False)
+        timer = loop.call_later(time_left, connection.fail, "deadline exceeded")
         is_complete = False
         try:
-            connection.send(self._encode(request), limit_seconds=request.deadline)
+            connection.send(
+                self._encode(replace(request, deadline=time_left)),
+                limit_seconds=time_left,
+            )
             await connection.async_wait_for_head()
             await _async_check_head(connection)
             parser = EventParser(request.attempt_id, first_token=request.first_token)
