Let a living VM be heard after a late datagram of its earlier life

A VM that had not heard the earlier life of another (it had started later, or had dropped it after 120 s) took a late datagram of that life for a restart, and rejected all messages of the living one as those of a former start: it counted as dead, with its share of limits and duties taken over, until it was dropped from the table 120 s later.

A former start is accepted again once its successor has been silent for the time after which a VM isn't alive. A late datagram then costs that time at most, and while the living VM is heard, those of former starts are left out as before.

tests/gossip/test_late_datagrams.py: the first test failed before (a message of the living VM 3 s later was rejected) and passes, the second passes on both; tests/gossip and tests/membership pass (214).

--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -141,7 +141,7 @@
             return None
         self.add(message.host, now)
         peer = self.peers[message.host]
-        if not self._is_newer(peer, message):
+        if not self._is_newer(peer, message, now):
             return None
         if not peer.is_alive(now):
             self.alive_checked_at = float("-inf")
@@ -158,6 +158,7 @@
             and peer.started_at_ms != message.started_at_ms
         ):
             peer.previous_starts.add(peer.started_at_ms)
+            peer.previous_starts.discard(message.started_at_ms)
         peer.started_at_ms, peer.sequence_number = (
             message.started_at_ms,
             message.sequence_number,
@@ -182,11 +183,13 @@
         return peer
 
     @staticmethod
-    def _is_newer(peer: Peer, message: GossipMessage) -> bool:
+    def _is_newer(peer: Peer, message: GossipMessage, now: float) -> bool:
         if peer.last_message_at is None:
             return True
         if message.started_at_ms != peer.started_at_ms:
-            return message.started_at_ms not in peer.previous_starts
+            # The current start may be that of a late message of an ended VM.
+            is_former = message.started_at_ms in peer.previous_starts
+            return not is_former or not peer.is_alive(now)
         return message.sequence_number > peer.sequence_number
 
     def alive(self, now: float) -> list[Peer]:
