Keep the margin of the kernel's limit with the other limits of transports

Streams of own engines need none: their timer ends them at the deadline itself, before the kernel can.

--- a/src/gypsumsail/forwarding/client.py
+++ b/src/gypsumsail/forwarding/client.py
@@ -16,9 +16,9 @@
     REFUSAL_HEADER,
 )
 from gypsumsail.forwarding.messages import encode_forward
-from gypsumsail.gateway.const import SEND_LIMIT_MARGIN_SECONDS
 from gypsumsail.gateway.forwarding import ForwardHead, ForwardRefusal, ForwardTerms
 from gypsumsail.gateway.models import Call
+from gypsumsail.transport.const import SEND_LIMIT_MARGIN_SECONDS
 from gypsumsail.transport.exchange import ExchangeConnection, ExchangePool
 
 HOP_HEADERS: Final = frozenset(
--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -106,12 +106,6 @@
 """Further time in which a helper's answer to a call at its deadline may arrive."""
 TIMEOUT_MARGIN_SECONDS: Final = 0.08
 """Time after a call's deadline in which the target's own timeout answer may arrive."""
-SEND_LIMIT_MARGIN_SECONDS: Final = 1.0
-"""Time after a call's deadline for which the kernel may still send it.
-
-This VM gives the call up earlier. If the kernel were first, a call that is held up in a
-cut would look like one that crashed its target.
-"""
 MIN_SERVICE_SECONDS: Final = 0.05
 """Time to the deadline below which a call can't be served any more."""
 NO_TARGET_RETRY_SECONDS: Final = 1.0
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -11,7 +11,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import InvalidRequestError, TransportError
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
-from gypsumsail.gateway.const import CONNECT_SECONDS, SEND_LIMIT_MARGIN_SECONDS
+from gypsumsail.gateway.const import CONNECT_SECONDS
 from gypsumsail.gateway.models import (
     Address,
     Call,
@@ -30,6 +30,7 @@
 from gypsumsail.platform.connection_use import connection_use
 from gypsumsail.platform.lives import TargetLives
 from gypsumsail.platform.notices import parse_notices
+from gypsumsail.transport.const import SEND_LIMIT_MARGIN_SECONDS
 from gypsumsail.transport.exchange import (
     ExchangeConnection,
     ExchangePool,
