--- a/src/gypsumsail/forwarding/endpoint.py
+++ b/src/gypsumsail/forwarding/endpoint.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -57,6 +58,7 @@
     async def async_handle(self, request: HttpRequest, reply: Reply) -> None:
         """Serve one forwarded call, or say at once why not."""
         reply.common_headers += _answer_headers(request)
+        await _async_notice_end()
         try:
             message = decode_forward(request.body)
             call = self._call(message, request.received_at)
@@ -103,6 +105,16 @@
         return forward_refusal(self.gateway, message.terms, self.clock.monotonic())
 
 
+async def _async_notice_end() -> None:
+    """Let the end of the connection, if it has arrived as well, cancel the call.
+
+    The call and the end are read in one run of the event loop each; the next one
+    reports the end.
+    """
+    for _ in range(2):
+        await asyncio.sleep(0)
+
+
 def _answer_headers(request: HttpRequest) -> list[tuple[bytes, bytes]]:
     """Return the headers of all answers; the id is that of the forwarded call."""
     found = [
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -13,6 +13,7 @@
 from gypsumsail.gateway.job import Job
 from gypsumsail.gateway.targets import TargetState
 from gypsumsail.platform.calls import parse_call
+from gypsumsail.transport.exchange import ExchangePool
 from tests.forwarding.common import (
     ForwardingPair,
     async_wait_until,
@@ -338,3 +339,23 @@
     exchange.finish()
     assert head.status == 400
     assert not pair.targets.sent
+
+
+async def test_call_that_was_given_up_while_the_helper_stood_still_is_not_served(
+    pair: ForwardingPair,
+) -> None:
+    """It was read before the end of its connection, and sent to a target (GONE)."""
+    pair.targets.answers = [ScriptedExchange(hangs=True)]
+    assert pair.client is not None
+    pool = ExchangePool("127.0.0.1", pair.server.port, 1.0)
+    pair.client.pools["127.0.0.1"] = pool
+    await pool.async_add_idle()
+    await asyncio.sleep(0.05)
+    terms = ForwardTerms(
+        service="portal", document_revision=0, max_targets=1, time_left=3.0
+    )
+    exchange = await pair.client.async_forward("127.0.0.1", pair.call(), terms)
+    # The helper's event loop runs only after both have arrived.
+    exchange.finish()
+    await async_wait_until(lambda: not pair.server.connections)
+    assert not pair.targets.sent
