End links between entries whose peer acknowledges nothing

A link that was cut stayed open for as long as the kernel sent again, up to a quarter of an hour, and was used for new messages all the while. What had been given up was delivered when the cut ended, and, since the kernel sends again at growing intervals, requests over the link timed out for long after that.

The kernel now gives up after 5 s without an acknowledgement, longer than the time limits of requests but for those to the archive; the link ends, and the next message opens another one. A link that is closed still ends in order.

--- a/src/gypsumsail/peers/const.py
+++ b/src/gypsumsail/peers/const.py
@@ -38,3 +38,9 @@
 """Idle time after which a link is closed."""
 IDLE_CHECK_SECONDS: Final = 15.0
 CLOSE_TIMEOUT_SECONDS: Final = 1.0
+SEND_LIMIT_SECONDS: Final = 5.0
+"""Time after which a link ends whose peer has not acknowledged what was sent.
+
+It is longer than the time limits of requests, but for those to the archive, so that
+what was given up does not arrive long after.
+"""
--- a/src/gypsumsail/peers/dialing.py
+++ b/src/gypsumsail/peers/dialing.py
@@ -16,6 +16,7 @@
     CONNECT_TIMEOUT_SECONDS,
     MAX_FRAME_BYTES,
     MAX_HANDSHAKE_BYTES,
+    SEND_LIMIT_SECONDS,
 )
 from gypsumsail.peers.diagnostics import PeerCounters
 from gypsumsail.peers.errors import HandshakeError
@@ -25,6 +26,7 @@
     async_accept_handshake,
     async_initiate_handshake,
 )
+from gypsumsail.transport.socket_options import limit_sending
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,8 +89,10 @@
     """Raise the frame size limit and return the authenticated connection.
 
     The limit stays small until then, so that an unauthenticated peer cannot fill
-    the memory.
+    the memory. From then on the kernel gives up a link that is cut, so that another
+    one is opened once the peer is reached again.
     """
+    limit_sending(connection.transport, SEND_LIMIT_SECONDS)
     connection.protocol.max_message_size = MAX_FRAME_BYTES
     return AuthenticatedConnection(connection=connection, handshake=handshake)
 
