Let targets read long bodies late without being blamed for a crash

An engine may answer before it has read a long body and read on later. With the kernel's limit on calls of callers, its connection was ended as soon as the window had been closed for the limit of a later, shorter call: that call was answered as lost, and counted as a crash of the engine.

Calls of callers and forwarded calls have no such limit any more. A VM that runs resets the connection when it gives a call up, and a killed one's are reset as well; one that stands still through a cut may deliver one call late, with the deadline that it bears. Orders, reports and short calls keep theirs. This replaces the margin on the limit.

--- a/src/gypsumsail/forwarding/client.py
+++ b/src/gypsumsail/forwarding/client.py
@@ -18,7 +18,6 @@
 from gypsumsail.forwarding.messages import encode_forward
 from gypsumsail.gateway.forwarding import ForwardHead, ForwardRefusal, ForwardTerms
 from gypsumsail.gateway.models import Call
-from gypsumsail.transport.const import SEND_LIMIT_MARGIN_SECONDS
 from gypsumsail.transport.exchange import ExchangeConnection, ExchangePool
 
 HOP_HEADERS: Final = frozenset(
@@ -142,7 +141,7 @@
         connection.send(
             request,
             (FORWARD_ID_HEADER, forward_id),
-            limit_seconds=time_left + SEND_LIMIT_MARGIN_SECONDS,
+            limit_seconds=None,
         )
         return HelperExchange(pool, connection)
 
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -30,7 +30,6 @@
 from gypsumsail.platform.connection_use import connection_use
 from gypsumsail.platform.lives import TargetLives
 from gypsumsail.platform.notices import parse_notices
-from gypsumsail.transport.const import SEND_LIMIT_MARGIN_SECONDS
 from gypsumsail.transport.exchange import (
     ExchangeConnection,
     ExchangePool,
@@ -382,7 +381,7 @@
         connection.send(
             request,
             (names.REQUEST_ID_HEADER, request_id),
-            limit_seconds=time_left + SEND_LIMIT_MARGIN_SECONDS,
+            limit_seconds=None,
         )
         use = connection_use(connection)
 
--- a/src/gypsumsail/transport/const.py
+++ b/src/gypsumsail/transport/const.py
@@ -18,9 +18,3 @@
 EVENT_POLL_MARGIN_SECONDS: Final = 2.0
 CALL_TIMEOUT_SECONDS: Final = 5.0
 EXPORT_TIMEOUT_SECONDS: Final = 60.0
-SEND_LIMIT_MARGIN_SECONDS: Final = 1.0
-"""Time after a call's deadline for which the kernel may still send it.
-
-This VM gives the call up earlier. If the kernel were first, a call that is held up in a
-cut would look like one that crashed its target.
-"""
--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -142,7 +142,7 @@
         request_id_header: RequestIdHeader | None = None,
         *,
         may_lack_id: bool = False,
-        limit_seconds: float,
+        limit_seconds: float | None,
     ) -> None:
         """Send a request; raises TransportError if the connection is closed.
 
@@ -150,7 +150,8 @@
         ----------
         limit_seconds
             Time after which the kernel gives up sending what the server has not
-            acknowledged; the connection then ends with an error.
+            acknowledged; the connection then ends with an error. ``None`` for calls
+            with long bodies, which a sound server may read late.
         request_id_header
             Name and value of the header that identifies the request in its response.
             Responses with another value are skipped, and so are responses without the
--- a/src/gypsumsail/transport/socket_options.py
+++ b/src/gypsumsail/transport/socket_options.py
@@ -12,6 +12,8 @@
 
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER``: discard unsent bytes, and reset the connection."""
+NO_LIMIT: Final = 0
+"""Value of ``TCP_USER_TIMEOUT`` with which the kernel sends on for minutes."""
 KERNEL_DELAY_SECONDS: Final = 0.45
 """Time to the first retransmission, from which the kernel counts its limit.
 
@@ -40,17 +42,18 @@
     )
 
 
-def limit_sending(transport: asyncio.BaseTransport, seconds: float) -> None:
+def limit_sending(transport: asyncio.BaseTransport, seconds: float | None) -> None:
     """Let the kernel end a connection whose bytes stay unacknowledged for a time.
 
     It does so also while the process is paused, but up to ``KERNEL_DELAY_SECONDS``
-    later.
+    later. ``None`` stands for no limit.
     """
     transport.get_extra_info("socket").setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _whole_ms(seconds)
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        NO_LIMIT if seconds is None else _whole_ms(seconds),
     )
 
 
 def _whole_ms(seconds: float) -> int:
-    # 0 would mean no limit.
-    return max(1, math.ceil(seconds * MILLISECONDS_PER_SECOND))
+    return max(NO_LIMIT + 1, math.ceil(seconds * MILLISECONDS_PER_SECOND))
