Shorten the hand-over of a rollout where the sum of limits allows it

The holder now has to renew within 1.0 s instead of 1.3, the margin for clock skew and links is 0.2 s now that the kernel's delay is counted by itself, and waiting VMs read the lease every 0.4 s. An order that is given up by the tick says that its time limit passed.

--- a/src/gypsumsail/rollout/const.py
+++ b/src/gypsumsail/rollout/const.py
@@ -36,11 +36,11 @@
 """Time without progress, per rank of a VM, before the VM takes over the rollout."""
 MAX_ROLLOUT_VMS: Final = 3
 """Number of VMs, in order of rank, that may take over the rollout."""
-LEASE_VALIDITY_SECONDS: Final = 1.3
+LEASE_VALIDITY_SECONDS: Final = 1.0
 """Time after a confirmed renewal during which the holder may send orders."""
-LEASE_MARGIN_SECONDS: Final = 0.3
+LEASE_MARGIN_SECONDS: Final = 0.2
 """Margin on the minimum time between two holders, for clock skew and link delays."""
 LEASE_RENEW_SECONDS: Final = 0.4
 """Interval at which the holder renews its lease."""
-LEASE_POLL_SECONDS: Final = 0.8
+LEASE_POLL_SECONDS: Final = 0.4
 """Interval at which a VM that waits for another VM's lease reads the lease."""
--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -139,7 +139,7 @@
             order.task.cancel()
             del self.pending_orders[key]
             self._note_unanswered(
-                order.state, sent=True, reason="the VM was suspended", now=now
+                order.state, sent=True, reason="its time limit passed", now=now
             )
 
     async def _async_step(self) -> bool:
