--- a/tests/held_bytes.py
+++ b/tests/held_bytes.py
@@ -9,6 +9,8 @@
 from typing import Final
 
 DEFER_ACCEPT_SECONDS: Final = 60
+FILL_SECONDS: Final = 1.0
+"""Time limit for the connection that fills the queue."""
 READ_SECONDS: Final = 1.0
 """Time for the first bytes of a connection that was accepted."""
 MAX_HEAD_BYTES: Final = 65_536
@@ -44,7 +46,9 @@
 
     def hold(self) -> None:
         """Take no more data, and let no more connections be opened."""
-        self.filler = socket.create_connection(("127.0.0.1", self.port))
+        self.filler = socket.create_connection(
+            ("127.0.0.1", self.port), timeout=FILL_SECONDS
+        )
         self.filler.send(b"x")
 
     async def async_release(self) -> None:
@@ -58,25 +62,27 @@
     async def async_read_arrivals(self, seconds: float) -> list[bytes]:
         """Return the first bytes of each connection that brings any within a time."""
         loop = asyncio.get_running_loop()
-        arrivals = []
+        arrivals: list[bytes] = []
         try:
             async with asyncio.timeout(seconds):
                 while True:
                     accepted, _ = await loop.sock_accept(self.socket)
                     with accepted:
-                        arrivals.append(await self._async_read(accepted))
+                        if data := await self._async_read(accepted):
+                            arrivals.append(data)
         except TimeoutError:
             return arrivals
 
     @staticmethod
     async def _async_read(accepted: socket.socket) -> bytes:
+        """Return the first bytes of a connection; none if it brings none."""
         accepted.setblocking(False)
-        async with asyncio.timeout(READ_SECONDS):
-            loop = asyncio.get_running_loop()
-            try:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(READ_SECONDS):
                 return await loop.sock_recv(accepted, MAX_HEAD_BYTES)
-            except ConnectionError:
-                return b""
+        except (ConnectionError, TimeoutError):
+            return b""
 
     def close(self) -> None:
         """Close the listener."""
