Ask an engine right before an order, over the connection that carries it

An order was written 0.2 s after the report that had shown the link open, on a kept connection, so that a cut that began in between left it in the kernel.

The engine is now asked once more at the end of the announcement's delay, and the order follows over the same connection: a cut has to begin within a round trip to hold it up. If the engine has begun to load meanwhile, by an order of a former holder, it gets no second one. One more report for each order.

test_no_order_is_sent_into_a_cut_that_began_since_its_announcement failed before (the order was sent) and passes.

--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -34,7 +34,12 @@
     STEP_SECONDS,
 )
 from gypsumsail.rollout.planner import EngineStatus, may_take_over, next_engines
-from gypsumsail.rollout.port import EngineOrders, LoadWeights, OrderAnswer
+from gypsumsail.rollout.port import (
+    EngineOrders,
+    EngineReport,
+    LoadWeights,
+    OrderAnswer,
+)
 
 RENDEZVOUS_KEY = "rollout"
 
@@ -273,8 +278,13 @@
         try:
             await self._async_order(state, want)
         except TransportError as err:
+            pending = self.pending_orders.get(self._engine_key(state))
+            is_ordered = pending is not None and pending.unanswered_until is not None
             self._note_unanswered(
-                state, sent=err.sent, reason=str(err), now=self.clock.monotonic()
+                state,
+                sent=is_ordered and err.sent,
+                reason=str(err),
+                now=self.clock.monotonic(),
             )
 
     def _note_unanswered(
@@ -285,58 +295,79 @@
         )
         self.retry_at[self._engine_key(state)] = now + ORDER_RETRY_DELAY_SECONDS
 
-    async def _async_order(self, state: TargetState, want: WantedWeights) -> None:
+    async def _async_report(self, state: TargetState) -> EngineReport:
         report = await self.engines.async_report(state.entry)
         if report.life not in (0, state.entry.life):
             raise TransportError(
                 "the engine reports another start time than listed", sent=False
             )
+        return report
+
+    async def _async_order(self, state: TargetState, want: WantedWeights) -> None:
+        report = await self._async_report(state)
         if self._finish_if_loaded(state, want, report.weight_versions):
             return
         if not report.is_busy:
             self.on_order_announced(state)
             state.expect_weight_loading(self.clock.monotonic())
             await asyncio.sleep(ANNOUNCEMENT_DELAY_SECONDS)
-            held = self.lease_manager.held
-            now = self.clock.monotonic()
-            if held is None or not may_order(held, now) or state.pause.is_active(now):
-                return
-            order = LoadWeights(
-                model=want.model,
-                version=want.version,
-                holder=self.lease_manager.holder,
-                fence=held.fence,
-                orders_taken=report.orders_taken,
-                not_after=held.order_until,
-            )
-            self.log.write(
-                "order",
-                target=state.entry.name,
-                life=state.entry.life,
-                model=want.model,
-                version=want.version,
-                fence=held.fence,
-                lease_left_ms=round((held.order_until - now) * 1000),
-                orders_taken=report.orders_taken,
-            )
-            pending = self.pending_orders[self._engine_key(state)]
-            pending.unanswered_until = (
-                now + ORDER_TIMEOUT_SECONDS + ORDER_TIMEOUT_MARGIN_SECONDS
-            )
-            answer = await self.engines.async_order(state.entry, order)
-            pending.unanswered_until = None
-            self.log.write(
-                "order answered", target=state.entry.name, answer=answer.name
-            )
-            if answer is OrderAnswer.ALREADY_SO:
-                self._finish_if_loaded(state, want, {want.model: want.version})
-                return
-            if answer is not OrderAnswer.TAKEN:
-                raise TransportError(
-                    f"the engine did not accept the order: {answer.name}", sent=True
-                )
+            # An order into a link that was cut meanwhile would stay in the kernel. The
+            # connection of this report carries the order.
+            report = await self._async_report(state)
+        if self._finish_if_loaded(state, want, report.weight_versions):
+            return
+        if not report.is_busy and not await self._async_send_order(state, want, report):
+            return
         await self._async_wait_until_loaded(state, want)
 
+    async def _async_send_order(
+        self, state: TargetState, want: WantedWeights, report: EngineReport
+    ) -> bool:
+        """Order an engine to load the weights; return whether it loads them.
+
+        Raises
+        ------
+        TransportError
+            The engine did not answer, or did not accept the order.
+        """
+        held = self.lease_manager.held
+        now = self.clock.monotonic()
+        if held is None or not may_order(held, now) or state.pause.is_active(now):
+            return False
+        order = LoadWeights(
+            model=want.model,
+            version=want.version,
+            holder=self.lease_manager.holder,
+            fence=held.fence,
+            orders_taken=report.orders_taken,
+            not_after=held.order_until,
+        )
+        self.log.write(
+            "order",
+            target=state.entry.name,
+            life=state.entry.life,
+            model=want.model,
+            version=want.version,
+            fence=held.fence,
+            lease_left_ms=round((held.order_until - now) * 1000),
+            orders_taken=report.orders_taken,
+        )
+        pending = self.pending_orders[self._engine_key(state)]
+        pending.unanswered_until = (
+            now + ORDER_TIMEOUT_SECONDS + ORDER_TIMEOUT_MARGIN_SECONDS
+        )
+        answer = await self.engines.async_order(state.entry, order)
+        pending.unanswered_until = None
+        self.log.write("order answered", target=state.entry.name, answer=answer.name)
+        if answer is OrderAnswer.ALREADY_SO:
+            self._finish_if_loaded(state, want, {want.model: want.version})
+            return False
+        if answer is not OrderAnswer.TAKEN:
+            raise TransportError(
+                f"the engine did not accept the order: {answer.name}", sent=True
+            )
+        return True
+
     def _log_written_order(self, target: TargetEntry, use: ConnectionUse) -> None:
         held = self.lease_manager.held
         now = self.clock.monotonic()
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import logging
 
 import pytest
 
@@ -26,7 +27,7 @@
     next_engines,
 )
 from gypsumsail.rollout.port import EngineReport, LoadWeights, OrderAnswer
-from tests.gateway.common import MODEL, decision_log, engine
+from tests.gateway.common import MODEL, RecordedLines, decision_log, engine
 
 SLACK_SECONDS = 0.4
 """Time for steps of the rollout, on a busy machine."""
@@ -382,3 +383,37 @@
         await asyncio.sleep(0.12)
     assert holder.held is not None
     assert waiter.held is None
+
+
+class CutEngines(LoadingEngines):
+    """Engines whose link is cut after their first report."""
+
+    def __init__(self, names: list[str]) -> None:
+        super().__init__(names)
+        self.reports = 0
+        self.is_cut = asyncio.Event()
+
+    async def async_report(self, target: TargetEntry) -> EngineReport:
+        """Return the state of the engine once."""
+        self.reports += 1
+        if self.reports > 1:
+            self.is_cut.set()
+            raise TransportError("report: no response within 0.5 s", sent=True)
+        return await super().async_report(target)
+
+
+async def test_no_order_is_sent_into_a_cut_that_began_since_its_announcement() -> None:
+    """Its bytes would stay in the kernel, and arrive after the cut (ONE)."""
+    engines = CutEngines(["e1"])
+    coordinator = rollout("v1", SharedObjects(), engines, lambda: ["v1"])
+    lines = RecordedLines()
+    coordinator.log.logger.addHandler(lines)
+    coordinator.log.logger.setLevel(logging.INFO)
+    task = asyncio.create_task(coordinator.async_run())
+    async with asyncio.timeout(5.0):
+        await engines.is_cut.wait()
+    await asyncio.sleep(0.1)
+    task.cancel()
+    coordinator.log.logger.removeHandler(lines)
+    assert engines.orders == []
+    assert [line["sent"] for line in lines.of("order unanswered")] == [False]
