Limit answers to short calls by their kind, and what they take in memory

Cause: each short call (reports, orders, health checks, lists and events of context stores, the object API) took a body of up to 32 MiB, from each server at once. Decoding multiplied it: a list of empty lists takes 64 bytes for each 3, and an answer that is not valid JSON was decoded twice, with Python's own decoder in between. Headers of answers were limited by their bytes only; a header of 6 bytes takes about 130.

Change: a limit for each kind of call, `max_body_bytes`. Answers of context stores are decoded into their types at once. Odd UTF-8 and half surrogate pairs are replaced in the text; the lenient decoder takes up to 256 KiB. An answer of the object API with more than 500,000 commas is not decoded. A watch whose answer is too large is replaced by a listing, because it would be answered with the same again. Headers count with 192 bytes each towards their limit of 64 KiB.

--- a/src/gypsumsail/platform/client.py
+++ b/src/gypsumsail/platform/client.py
@@ -7,7 +7,8 @@
 import json
 import logging
 import math
-from typing import Any
+import re
+from typing import Any, Final, TypeVar
 
 import msgspec
 
@@ -15,11 +16,28 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import Address
 from gypsumsail.platform import names
-from gypsumsail.transport.bytes_client import BytesClient, BytesResponse
+from gypsumsail.transport.bytes_client import (
+    SHORT_CALL_MAX_BODY_BYTES,
+    BytesClient,
+    BytesResponse,
+)
 from gypsumsail.transport.exchange import ExchangeConnection
 
 _LOGGER = logging.getLogger(__name__)
 
+MAX_LENIENT_BYTES: Final = 256 * 1024
+"""Maximum size of an answer that is decoded by the lenient decoder of Python.
+
+It takes several tens of bytes of memory for each byte of the answer.
+"""
+_ESCAPE: Final = re.compile(
+    r"\\(?:u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}"
+    r"|(?P<half>u[dD][89a-fA-F][0-9a-fA-F]{2})|.)",
+    re.DOTALL,
+)
+"""Escape in a string of JSON: a surrogate pair, half of one, or any other."""
+_BodyT = TypeVar("_BodyT")
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JsonAnswer:
@@ -80,6 +98,7 @@
         target_call: TargetCall | None = None,
         not_after: float = math.inf,
         on_written: Callable[[ExchangeConnection], None] | None = None,
+        max_body_bytes: int = SHORT_CALL_MAX_BODY_BYTES,
     ) -> JsonAnswer:
         """Make one call, see ``async_call_bytes``; decode the body of the answer.
 
@@ -98,6 +117,7 @@
             target_call=target_call,
             not_after=not_after,
             on_written=on_written,
+            max_body_bytes=max_body_bytes,
         )
         return JsonAnswer(
             status=answer.status, body=decode_json(answer.body), headers=answer.headers
@@ -115,6 +135,7 @@
         target_call: TargetCall | None = None,
         not_after: float = math.inf,
         on_written: Callable[[ExchangeConnection], None] | None = None,
+        max_body_bytes: int = SHORT_CALL_MAX_BODY_BYTES,
     ) -> BytesResponse:
         """Make one call with a body of JSON; return the answer as it is.
 
@@ -124,7 +145,7 @@
             Time limit of the call in seconds.
         target_call
             Target that the call is meant for; ``None`` for a call to another server.
-        not_after, on_written
+        not_after, on_written, max_body_bytes
             See ``BytesClient.async_call``.
 
         Raises
@@ -152,15 +173,26 @@
             request_id=request_id,
             not_after=not_after,
             on_written=on_written,
+            max_body_bytes=max_body_bytes,
         )
 
 
-def decode_json(data: bytes) -> Any:
-    """Decode the body of an answer, leniently; raise TransportError."""
+def decode_json(data: bytes, kind: type[_BodyT] | Any = Any) -> _BodyT | Any:
+    """Decode the body of an answer, leniently.
+
+    Raises
+    ------
+    TransportError
+        The answer is not valid JSON.
+    msgspec.ValidationError
+        The answer is not of the given kind.
+    """
     if not data:
-        return None
+        return msgspec.convert(None, kind)
     try:
-        return msgspec.json.decode(data)
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.ValidationError:
+        raise
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
         _LOGGER.warning(
             "Answer is not valid JSON; parsing again with invalid UTF-8 replaced: %s",
@@ -169,8 +201,22 @@
     # Bytes that are not valid UTF-8, and halves of surrogate pairs, are replaced, so
     # that the rest of the answer remains usable and can be encoded again.
     text = data.decode("utf-8", "replace")
+    try:
+        return msgspec.json.decode(_ESCAPE.sub(_whole_character, text), type=kind)
+    except msgspec.ValidationError:
+        raise
+    except (msgspec.MsgspecError, RecursionError) as err:
+        if len(data) > MAX_LENIENT_BYTES:
+            raise TransportError("the answer is not valid JSON", sent=True) from err
     try:
         repaired = json.dumps(json.loads(text, strict=False), ensure_ascii=False)
-        return msgspec.json.decode(repaired.encode("utf-8", "replace"))
+        return msgspec.json.decode(repaired.encode("utf-8", "replace"), type=kind)
+    except msgspec.ValidationError:
+        raise
     except (ValueError, msgspec.MsgspecError, RecursionError) as err:
         raise TransportError("the answer is not valid JSON", sent=True) from err
+
+
+def _whole_character(escape: re.Match[str]) -> str:
+    """Replace half of a surrogate pair."""
+    return "?" if escape["half"] else escape[0]
--- a/src/gypsumsail/platform/context_stores.py
+++ b/src/gypsumsail/platform/context_stores.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Any, Final, TypeVar
+from typing import Final, TypeVar
 
 import msgspec
 
@@ -13,9 +13,13 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.models import ContextStore
 from gypsumsail.platform import names
-from gypsumsail.platform.client import JsonClient
+from gypsumsail.platform.client import JsonClient, decode_json
 
 CONTEXT_STORE_TIMEOUT_SECONDS: Final = 1.0
+CACHE_LIST_MAX_BYTES: Final = 4 * 1024 * 1024
+"""Maximum size of a list: 50,000 parts of 80 bytes."""
+CACHE_EVENTS_MAX_BYTES: Final = 1024 * 1024
+"""Maximum size of an answer with events: 10,000 events of 100 bytes."""
 MIN_ERROR_STATUS: Final = 400
 OTHER_SERVER_STATUSES: Final = frozenset({400, 404, 421})
 """Statuses of servers that know no calls to context stores."""
@@ -74,6 +78,7 @@
             names.CACHE_LIST_PATH,
             _Contents,
             timeout=CONTEXT_STORE_TIMEOUT_SECONDS,
+            max_body_bytes=CACHE_LIST_MAX_BYTES,
         )
         return StoreAnswer(
             life=response.epoch,
@@ -99,6 +104,7 @@
             names.CACHE_EVENTS_PATH,
             _Events,
             timeout=wait + LONG_POLL_MARGIN_SECONDS,
+            max_body_bytes=CACHE_EVENTS_MAX_BYTES,
             query={"since": str(since)},
             headers={"Wait-Ms": str(int(wait * 1000))},
         )
@@ -163,13 +169,19 @@
         kind: type[_ResponseT],
         *,
         timeout: float,
+        max_body_bytes: int,
         query: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
     ) -> _ResponseT:
         """Make a call; the connection is not used again if its answer is unusable."""
         try:
-            answer = await self._client(store).async_call(
-                "GET", path, timeout=timeout, query=query, headers=headers
+            answer = await self._client(store).async_call_bytes(
+                "GET",
+                path,
+                timeout=timeout,
+                query=query,
+                headers=headers,
+                max_body_bytes=max_body_bytes,
             )
             if answer.status in OTHER_SERVER_STATUSES:
                 raise OtherServerError(f"{path}: status {answer.status}", sent=True)
@@ -187,9 +199,9 @@
         return self.clients[key]
 
 
-def _convert(body: Any, kind: type[_ResponseT]) -> _ResponseT:
+def _convert(body: bytes, kind: type[_ResponseT]) -> _ResponseT:
     try:
-        return msgspec.convert(body, kind)
+        return decode_json(body, kind)
     except msgspec.ValidationError as err:
         raise MisplacedAnswerError(
             f"can't decode the answer of a context store: {err}", sent=True
--- a/src/gypsumsail/platform/engines.py
+++ b/src/gypsumsail/platform/engines.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 import math
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 
@@ -22,6 +22,9 @@
 from gypsumsail.rollout.port import EngineReport, LoadWeights, OrderAnswer
 from gypsumsail.transport.exchange import ExchangeConnection
 
+ENGINE_ANSWER_MAX_BYTES: Final = 128 * 1024
+"""Maximum size of a report, an answer to an order or one to a health check."""
+
 ORDER_ANSWERS_BY_STATUS = {
     200: OrderAnswer.ALREADY_SO,
     202: OrderAnswer.TAKEN,
@@ -130,6 +133,7 @@
             ),
             not_after=not_after,
             on_written=on_written,
+            max_body_bytes=ENGINE_ANSWER_MAX_BYTES,
         )
         headers = dict(answer.headers)
         answered_by = headers.get(names.INSTANCE_ID_HEADER, target.name.encode())
--- a/src/gypsumsail/platform/lives.py
+++ b/src/gypsumsail/platform/lives.py
@@ -17,7 +17,7 @@
 from gypsumsail.gateway.port import LifeProof
 from gypsumsail.platform import names
 from gypsumsail.platform.client import decode_json
-from gypsumsail.platform.engines import parse_report
+from gypsumsail.platform.engines import ENGINE_ANSWER_MAX_BYTES, parse_report
 from gypsumsail.transport.bytes_client import (
     BytesResponse,
     async_call_over,
@@ -140,7 +140,11 @@
             "GET", path, str(target.address), headers, request_id
         )
         answer = await async_call_over(
-            connection, request, request_id, limit_seconds=CONNECT_SECONDS
+            connection,
+            request,
+            request_id,
+            limit_seconds=CONNECT_SECONDS,
+            max_body_bytes=ENGINE_ANSWER_MAX_BYTES,
         )
         answered_by = dict(answer.headers).get(names.INSTANCE_ID_HEADER)
         if answer.status == 421 or answered_by not in (None, target.name.encode()):
--- a/src/gypsumsail/platform/objects.py
+++ b/src/gypsumsail/platform/objects.py
@@ -32,11 +32,18 @@
     StoreAnswers,
 )
 from gypsumsail.transport.bytes_client import BytesResponse
+from gypsumsail.transport.errors import ResponseTooLargeError
 
 _LOGGER = logging.getLogger(__name__)
 
 WATCH_TIMEOUT_MARGIN_SECONDS: Final = 0.7
 """How much longer than its ``wait`` a watch may take before it times out."""
+OBJECT_ANSWER_MAX_BYTES: Final = 4 * 1024 * 1024
+"""Maximum size of an answer.
+
+An object has up to 1 MiB, and a page of a listing about 1 MB. An answer to a watch may
+hold many changes; one that is larger is replaced by a listing.
+"""
 MAX_LIST_PAGES: Final = 100
 """Maximum number of pages that one listing reads; further objects are left out."""
 
@@ -179,12 +186,17 @@
             "wait_ms": str(int(wait * 1000)),
         }
         self._check_watch(after_revision)
-        answer = await self.client.async_call_bytes(
-            "GET",
-            _object_path(kind),
-            query=query,
-            timeout=wait + WATCH_TIMEOUT_MARGIN_SECONDS,
-        )
+        try:
+            answer = await self.client.async_call_bytes(
+                "GET",
+                _object_path(kind),
+                query=query,
+                timeout=wait + WATCH_TIMEOUT_MARGIN_SECONDS,
+                max_body_bytes=OBJECT_ANSWER_MAX_BYTES,
+            )
+        except ResponseTooLargeError as err:
+            # The same watch would be answered with the same changes, and more.
+            raise WatchExpiredError("watch: the answer is too large") from err
         if answer.status == 410:
             self._observe_era(answer)
             raise WatchExpiredError(f"revision {after_revision} is no longer available")
@@ -222,7 +234,12 @@
         try:
             async with asyncio.timeout(self.timeout):
                 answer = await self.client.async_call_bytes(
-                    method, path, timeout=self.timeout, query=query, body=body
+                    method,
+                    path,
+                    timeout=self.timeout,
+                    query=query,
+                    body=body,
+                    max_body_bytes=OBJECT_ANSWER_MAX_BYTES,
                 )
         except TimeoutError as err:
             raise TransportError(
--- a/src/gypsumsail/platform/store_answers.py
+++ b/src/gypsumsail/platform/store_answers.py
@@ -27,6 +27,11 @@
 
 MAX_REMEMBERED_ENTRIES: Final = 1_000
 """Maximum number of unreadable entries that are remembered, so as to log them once."""
+MAX_PAGE_COMMAS: Final = 500_000
+"""Maximum number of commas of an answer, which bounds the number of its entries.
+
+Each entry takes about 50 bytes of memory before it is checked.
+"""
 MAX_LOGGED_BYTES: Final = 80
 """Number of bytes of an unreadable entry that are logged."""
 OPAQUE_FIELD: Final = "base64"
@@ -181,6 +186,8 @@
 
 
 def _page(data: bytes) -> _Page:
+    if data.count(b",") > MAX_PAGE_COMMAS:
+        raise TransportError("the answer of the store has too many parts", sent=True)
     try:
         page: _Page = _decode_members(data, _Page)
     except _DECODE_ERRORS as err:
--- a/src/gypsumsail/transport/bytes_client.py
+++ b/src/gypsumsail/transport/bytes_client.py
@@ -18,7 +18,8 @@
 )
 
 SHORT_CALL_CONNECT_TIMEOUT_SECONDS: Final = 0.5
-SHORT_CALL_MAX_BODY_BYTES: Final = 32 * 1024 * 1024
+SHORT_CALL_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+"""Maximum size of a response whose call names no lower limit."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,6 +58,7 @@
         request_id: RequestIdHeader | None = None,
         not_after: float = math.inf,
         on_written: Callable[[ExchangeConnection], None] | None = None,
+        max_body_bytes: int = SHORT_CALL_MAX_BODY_BYTES,
     ) -> BytesResponse:
         """Make one call and return its response, whatever its status.
 
@@ -72,6 +74,8 @@
             response with another id is skipped: it is a second copy of an earlier one.
         on_written
             Called with the connection once the request is written to it.
+        max_body_bytes
+            Maximum size of the body of the response.
 
         Raises
         ------
@@ -98,6 +102,7 @@
                         request_id,
                         limit_seconds=timeout,
                         on_written=on_written,
+                        max_body_bytes=max_body_bytes,
                     )
                 finally:
                     self.pool.release(connection)
@@ -113,12 +118,13 @@
     *,
     limit_seconds: float,
     on_written: Callable[[ExchangeConnection], None] | None = None,
+    max_body_bytes: int = SHORT_CALL_MAX_BODY_BYTES,
 ) -> BytesResponse:
     """Make one short call over a connection and return its response.
 
     Parameters
     ----------
-    request_id, on_written
+    request_id, on_written, max_body_bytes
         See ``BytesClient.async_call``.
     limit_seconds
         See ``ExchangeConnection.send``.
@@ -132,7 +138,7 @@
     if on_written is not None:
         on_written(connection)
     await connection.async_wait_for_head()
-    data = await connection.async_read_all(SHORT_CALL_MAX_BODY_BYTES)
+    data = await connection.async_read_all(max_body_bytes)
     return BytesResponse(
         status=connection.status, body=data, headers=tuple(connection.headers)
     )
--- a/src/gypsumsail/transport/errors.py
+++ b/src/gypsumsail/transport/errors.py
@@ -14,3 +14,9 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(message, sent=True)
+
+
+class ResponseTooLargeError(BrokenStreamError):
+    """The body of a response is larger than its call allows."""
+
+    code: ClassVar[str] = "response_too_large"
--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -17,7 +17,7 @@
 from gypsumsail.core.callback import callback
 from gypsumsail.core.errors import TransportError
 from gypsumsail.transport.const import HEADER_LIMIT_BYTES, MAX_UNREAD_BODY_BYTES
-from gypsumsail.transport.errors import BrokenStreamError
+from gypsumsail.transport.errors import BrokenStreamError, ResponseTooLargeError
 from gypsumsail.transport.socket_options import limit_sending, reset_on_close
 
 KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
@@ -29,6 +29,8 @@
 Servers announce their keep-alive timeout only with a response.
 """
 FIRST_ERROR_STATUS: Final = 400
+HEADER_OVERHEAD_BYTES: Final = 192
+"""Memory of a stored header besides its characters, approximately."""
 MAX_ERROR_IDS: Final = 256
 """Answers with an error after which a connection is not reused."""
 FRAMING: Final = frozenset({b"content-length", b"transfer-encoding"})
@@ -67,6 +69,8 @@
     framing_bytes
         Bytes that have arrived since the last ones of a body: heads, sizes of chunks
         and headers after the body.
+    header_bytes
+        Memory that the headers of the response take, approximately.
     idle_until
         Event loop time, in seconds, after which the idle connection is not reused.
     send_limit_seconds
@@ -103,6 +107,7 @@
         self.chunks: list[bytes] = []
         self.unread_bytes = 0
         self.framing_bytes = 0
+        self.header_bytes = 0
         self.has_head = False
         self.has_framing = False
         self.is_complete = False
@@ -200,13 +205,16 @@
         return data
 
     async def async_read_all(self, limit: int) -> bytes:
-        """Return the whole body; raises BrokenStreamError if it exceeds the limit."""
+        """Return the whole body; raises ResponseTooLargeError above the limit."""
         parts = []
         size = 0
         while data := await self.async_read():
             size += len(data)
             if size > limit:
-                raise BrokenStreamError(f"response body is larger than {limit} bytes")
+                self._fail(f"response body is larger than {limit} bytes")
+                raise ResponseTooLargeError(
+                    f"response body is larger than {limit} bytes"
+                )
             parts.append(data)
         return b"".join(parts)
 
@@ -278,6 +286,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; those after the body are ignored."""
+        self.header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        if self.header_bytes > HEADER_LIMIT_BYTES:
+            self._fail("the headers of the response are too large")
+            raise BrokenStreamError("the headers of the response are too large")
         if not self.has_head:
             self.headers.append((name.lower(), value))
 
@@ -285,7 +297,7 @@
         """Store the status; an interim (1xx) response is skipped."""
         status = self.parser.get_status_code()
         if status // 100 == 1:
-            self.headers.clear()
+            self._drop_headers()
             return
         has_framing = status in (204, 304) or any(
             name in FRAMING for name, _ in self.headers
@@ -302,6 +314,10 @@
         self.has_framing = has_framing
         self.has_head = True
 
+    def _drop_headers(self) -> None:
+        self.headers.clear()
+        self.header_bytes = 0
+
     def _matches_request(self, status: int) -> bool:
         if self.request_id_header is None:
             return True
@@ -346,7 +362,7 @@
         """Mark the response as complete and set the expiry of the idle connection."""
         if self.is_unrelated:
             self.is_unrelated = False
-            self.headers.clear()
+            self._drop_headers()
             return
         if not self.has_head or not self.has_framing:
             return
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -15,7 +15,8 @@
 from gypsumsail.object_api.eras import position
 from gypsumsail.object_api.port import ConflictError, WatchExpiredError
 from gypsumsail.platform.client import JsonClient
-from gypsumsail.platform.objects import PlatformObjects
+from gypsumsail.platform.objects import OBJECT_ANSWER_MAX_BYTES, PlatformObjects
+from gypsumsail.platform.store_answers import MAX_PAGE_COMMAS
 from tests.common import ManualClock
 from tests.raw_server import raw_server
 
@@ -254,3 +255,19 @@
     ) as objects:
         await objects.async_list("k")
         assert (await objects.async_list("k")).revision == position(3, 9)
+
+
+async def test_watch_with_too_many_changes_is_replaced_by_a_listing() -> None:
+    changes = [{"object": object_json("a", 10, "x" * OBJECT_ANSWER_MAX_BYTES)}]
+    body = {"events": changes, "store_revision": 12}
+    async with serve_objects(http_response(body)) as objects:
+        with pytest.raises(WatchExpiredError):
+            await objects.async_watch("k", after_revision=9, wait=0.4)
+
+
+async def test_listing_with_countless_entries_is_not_decoded() -> None:
+    entries = b"1," * MAX_PAGE_COMMAS
+    body = b'{"store_revision":1,"items":[' + entries + b"1]}"
+    async with serve_objects(http_response(body)) as objects:
+        with pytest.raises(TransportError, match="too many parts"):
+            await objects.async_list("k")
--- a/tests/transport/test_endless_bytes.py
+++ b/tests/transport/test_endless_bytes.py
@@ -9,7 +9,9 @@
 import pytest
 
 from gypsumsail.core.errors import TransportError
+from gypsumsail.transport.bytes_client import BytesClient
 from gypsumsail.transport.connection import StreamConnection
+from gypsumsail.transport.errors import ResponseTooLargeError
 from gypsumsail.transport.exchange import ExchangeConnection, ExchangePool
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -124,3 +126,37 @@
                 await async_read_stream(connection)
             await server.is_closed.wait()
         assert server.sent_bytes <= MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize("name", ENDLESS_ANSWERS)
+async def test_short_call_ends_at_its_own_limit(name: str) -> None:
+    async with endless_server(*ENDLESS_ANSWERS[name]) as (server, port):
+        client = BytesClient("127.0.0.1", port)
+        with pytest.raises(TransportError):
+            await client.async_call(
+                "GET",
+                "/a",
+                timeout=CLOSE_SECONDS,
+                request_id=(b"x-id", b"mine"),
+                max_body_bytes=BODY_LIMIT_BYTES // 16,
+            )
+        await server.is_closed.wait()
+        assert server.sent_bytes <= MAX_SENT_BYTES
+
+
+async def test_body_that_is_too_large_has_an_error_of_its_own() -> None:
+    async with endless_server(*ENDLESS_ANSWERS["body in chunks"]) as (_, port):
+        client = BytesClient("127.0.0.1", port)
+        with pytest.raises(ResponseTooLargeError):
+            await client.async_call(
+                "GET", "/a", timeout=CLOSE_SECONDS, max_body_bytes=1_000
+            )
+
+
+async def test_many_short_headers_are_bounded_by_the_memory_that_they_take() -> None:
+    async with endless_server(*ENDLESS["headers"]) as (_, port):
+        connection = await ExchangePool("127.0.0.1", port, 0.5).async_connect()
+        connection.send(REQUEST, limit_seconds=CLOSE_SECONDS)
+        with pytest.raises(TransportError, match="headers"):
+            await connection.async_wait_for_head()
+        assert len(connection.headers) < 1_000
