Limit what all connections of a VM buffer together

Cause: each connection had a limit of its own, and nothing limited their sum. An answer to a caller who reads slowly could keep 256 KiB unsent, up to 256 KiB as it was being written, and up to 512 KiB unread from the engine; an event without an end 1 MiB. What was written to callers at once, up to the largest answer, had no limit but the callers' number.

Change: `BufferBudget`, 16 MiB for all connections of a process, of both directions. Above it, the largest answer of the peer that buffers most is cut off. The newest would be wrong: a calm answer that begins while a faulty engine holds the limit would be lost. The largest alone would be wrong too: an engine with many buffers below those of the store would have the store's listings cut off. Buffers below 4 KiB are not counted, so that common answers and events cost little and are never cut off. Readers take up to 64 KiB at once, streams keep no copy while a caller reads, the write buffer's limit is 64 KiB, that of an event 64 KiB. An unframed answer that was cut off does not count as complete when its connection ends. What is cut off is logged (`answer cut off`) and counted (`gypsumsail_answers_cut_off_total`).

--- a/src/gypsumsail/gateway/events.py
+++ b/src/gypsumsail/gateway/events.py
@@ -8,7 +8,7 @@
 
 from gypsumsail.core.errors import TransportError
 
-MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES: Final = 64 * 1024
 MAX_ID_DIGITS: Final = 18
 """Longest id that is compared as a number."""
 EVENT_FIELDS: Final = frozenset({b"data", b"event", b"id", b"retry"})
--- a/src/gypsumsail/gateway/forwarding.py
+++ b/src/gypsumsail/gateway/forwarding.py
@@ -268,6 +268,8 @@
         while data := await exchange.async_read():
             self.job.first_at = self.job.first_at or self.clock.monotonic()
             self.reply.write(data)
+            # They aren't kept while a slow caller reads.
+            del data
             await self.reply.async_drain()
         self.reply.end()
         return Delivered(status=head.status)
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -313,6 +313,8 @@
             self.reply.write(events)
             if splitter.last_id:
                 self.job.resume_after = splitter.last_id
+            # They aren't kept while a slow caller reads.
+            del data, events
             await self.reply.async_drain()
         return has_events
 
--- a/src/gypsumsail/transport/exchange.py
+++ b/src/gypsumsail/transport/exchange.py
@@ -16,6 +16,11 @@
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.errors import TransportError
+from gypsumsail.transport.buffer_budget import (
+    MIN_COUNTED_BYTES,
+    BufferBudget,
+    process_buffers,
+)
 from gypsumsail.transport.const import HEADER_LIMIT_BYTES, MAX_UNREAD_BODY_BYTES
 from gypsumsail.transport.errors import BrokenStreamError, ResponseTooLargeError
 from gypsumsail.transport.socket_options import limit_sending, reset_on_close
@@ -31,6 +36,10 @@
 FIRST_ERROR_STATUS: Final = 400
 HEADER_OVERHEAD_BYTES: Final = 192
 """Memory of a stored header besides its characters, approximately."""
+CHUNK_OVERHEAD_BYTES: Final = 48
+"""Memory of a stored part of a body besides its bytes, approximately."""
+MAX_READ_BYTES: Final = 64 * 1024
+"""Maximum number of bytes that a reader takes at once, and which aren't counted."""
 MAX_ERROR_IDS: Final = 256
 """Answers with an error after which a connection is not reused."""
 FRAMING: Final = frozenset({b"content-length", b"transfer-encoding"})
@@ -60,6 +69,8 @@
 
     Attributes
     ----------
+    peer
+        Address of the server, to which the budget attributes what is buffered.
     status
         Status of the response; 0 until its head has arrived.
     headers
@@ -85,7 +96,9 @@
         Called with each response that is skipped.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, peer: str = "", budget: BufferBudget = process_buffers) -> None:
+        self.peer = peer
+        self.budget = budget
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.error: TransportError | None = None
@@ -105,7 +118,9 @@
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
+        self.collected: list[bytes] = []
         self.unread_bytes = 0
+        self.collected_bytes = 0
         self.framing_bytes = 0
         self.header_bytes = 0
         self.has_head = False
@@ -182,6 +197,7 @@
     def abort(self) -> None:
         """Close the connection immediately, without flushing buffered data."""
         self.is_in_use = False
+        self.budget.forget(self)
         if self.transport is not None:
             self.transport.abort()
 
@@ -191,7 +207,7 @@
             await self._async_wait()
 
     async def async_read(self) -> bytes:
-        """Return all buffered body bytes; empty at the end of the response."""
+        """Return up to ``MAX_READ_BYTES`` of the body; empty at its end."""
         while not self.chunks:
             if self.is_complete:
                 return b""
@@ -199,6 +215,13 @@
         data = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
         self.chunks = []
         self.unread_bytes = 0
+        if len(data) > MAX_READ_BYTES:
+            self.chunks = [data[MAX_READ_BYTES:]]
+            self.unread_bytes = len(data) - MAX_READ_BYTES
+            data = data[:MAX_READ_BYTES]
+        self._update_budget()
+        if self.chunks:
+            return data
         if self.is_paused and self.transport is not None:
             self.is_paused = False
             self.transport.resume_reading()
@@ -206,17 +229,42 @@
 
     async def async_read_all(self, limit: int) -> bytes:
         """Return the whole body; raises ResponseTooLargeError above the limit."""
-        parts = []
-        size = 0
-        while data := await self.async_read():
-            size += len(data)
-            if size > limit:
-                self._fail(f"response body is larger than {limit} bytes")
-                raise ResponseTooLargeError(
-                    f"response body is larger than {limit} bytes"
-                )
-            parts.append(data)
-        return b"".join(parts)
+        try:
+            while data := await self.async_read():
+                self.collected.append(data)
+                self.collected_bytes += len(data)
+                if self.collected_bytes > limit:
+                    message = f"response body is larger than {limit} bytes"
+                    self._cut_off("body", message)
+                    raise ResponseTooLargeError(message)
+            return b"".join(self.collected)
+        finally:
+            self._drop_buffers()
+            self._update_budget()
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes of the body that are kept, unread or collected."""
+        return self.unread_bytes + self.collected_bytes
+
+    @callback
+    def cut_off(self, reason: str) -> None:
+        """Drop the response and close the connection."""
+        self._drop_buffers()
+        self._fail(f"the response was cut off: {reason}", is_final=True)
+
+    def _drop_buffers(self) -> None:
+        self.chunks = []
+        self.collected = []
+        self.unread_bytes = self.collected_bytes = 0
+
+    def _cut_off(self, reason: str, message: str) -> None:
+        self.budget.report(self, reason)
+        self._fail(message)
+
+    def _update_budget(self) -> None:
+        if self.buffered_bytes >= MIN_COUNTED_BYTES or self in self.budget.sizes:
+            self.budget.update(self)
 
     async def _async_wait(self) -> None:
         if self.error is not None:
@@ -231,8 +279,10 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
 
-    def _fail(self, reason: str) -> None:
-        if self.error is None and not self.is_complete:
+    def _fail(self, reason: str, *, is_final: bool = False) -> None:
+        """End the exchange; a response that is complete stays so unless final."""
+        if self.error is None and (is_final or not self.is_complete):
+            self.is_complete = False
             self.error = BrokenStreamError(reason)
         self._wake()
         if self.transport is not None:
@@ -250,7 +300,7 @@
         server closed the connection without an error.
         """
         self.is_closed = True
-        if self.is_complete or not self.is_in_use:
+        if self.is_complete or not self.is_in_use or self.error is not None:
             return
         if exc is None and self.has_head and not self.has_framing:
             self.is_complete = True
@@ -266,10 +316,11 @@
         self.framing_bytes += len(data)
         # Approximate limit: the last bytes may also contain the start of the body.
         if self.framing_bytes > HEADER_LIMIT_BYTES + MAX_UNREAD_BODY_BYTES:
-            self._fail(
+            self._cut_off(
+                "framing",
                 "the response has too many bytes outside its body"
                 if self.has_head
-                else "response head is too large"
+                else "response head is too large",
             )
             return
         try:
@@ -277,6 +328,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail("malformed HTTP response")
             return
+        self._update_budget()
         self._wake()
 
     def on_message_begin(self) -> None:
@@ -288,7 +340,7 @@
         """Store a header; those after the body are ignored."""
         self.header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         if self.header_bytes > HEADER_LIMIT_BYTES:
-            self._fail("the headers of the response are too large")
+            self._cut_off("headers", "the headers of the response are too large")
             raise BrokenStreamError("the headers of the response are too large")
         if not self.has_head:
             self.headers.append((name.lower(), value))
@@ -352,7 +404,7 @@
             return
         self.framing_bytes = 0
         self.chunks.append(body)
-        self.unread_bytes += len(body)
+        self.unread_bytes += len(body) + CHUNK_OVERHEAD_BYTES
         too_much = self.unread_bytes > MAX_UNREAD_BODY_BYTES
         if too_much and not self.is_paused and self.transport is not None:
             self.is_paused = True
@@ -430,7 +482,9 @@
         try:
             async with asyncio.timeout(self.connect_timeout):
                 _, connection = await loop.create_connection(
-                    ExchangeConnection, self.host, self.port
+                    lambda: ExchangeConnection(f"{self.host}:{self.port}"),
+                    self.host,
+                    self.port,
                 )
         except (OSError, TimeoutError) as err:
             message = f"connect: {type(err).__name__}"
--- a/src/gypsumsail/transport/http_server.py
+++ b/src/gypsumsail/transport/http_server.py
@@ -14,6 +14,7 @@
 from gypsumsail.core.aligned_sleep import aligned_delay
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
+from gypsumsail.transport.buffer_budget import BufferBudget, process_buffers
 from gypsumsail.transport.http_reply import REASON_PHRASES, Reply, ReplyPhase
 from gypsumsail.transport.http_request import (
     HeaderPairs,
@@ -24,7 +25,7 @@
 )
 
 MAX_PIPELINED_REQUESTS: Final = 16
-WRITE_BUFFER_HIGH_WATER_BYTES: Final = 256 * 1024
+WRITE_BUFFER_HIGH_WATER_BYTES: Final = 64 * 1024
 CLOSE_LINGER_SECONDS: Final = 1.0
 
 _LOGGER = logging.getLogger(__name__)
@@ -65,6 +66,8 @@
         Bytes received after the data in which the latest request began or ended, or
         in which bytes of a body or the size of a chunk arrived last; limits lines
         that never end.
+    peer
+        Address of the caller.
     last_active_at
         Event loop time, in seconds, of the last received bytes or completed reply.
     write_resumed
@@ -73,8 +76,12 @@
         Whether the connection is being closed and waits for its caller to close it.
     """
 
-    def __init__(self, server: HttpServer) -> None:
+    def __init__(
+        self, server: HttpServer, budget: BufferBudget = process_buffers
+    ) -> None:
         self.server = server
+        self.budget = budget
+        self.peer = ""
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
@@ -111,6 +118,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start to check its time limits."""
         self.transport = cast("asyncio.Transport", transport)
+        host, port, *_ = transport.get_extra_info("peername") or ("", 0)
+        self.peer = f"{host}:{port}"
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_WATER_BYTES)
         self.server.connections.add(self)
         self._check_timeouts()
@@ -118,6 +127,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running request and drop the pending ones."""
         self.is_closed = True
+        self.budget.forget(self)
         self.server.connections.discard(self)
         if self.timer is not None:
             self.timer.cancel()
@@ -132,14 +142,16 @@
         return False
 
     def pause_writing(self) -> None:
-        """Make ``async_drain`` wait."""
+        """Make ``async_drain`` wait, and count what the caller has not read."""
         self.write_resumed = self.loop.create_future()
+        self.budget.update(self)
 
     def resume_writing(self) -> None:
         """Make ``async_drain`` return."""
         if self.write_resumed is not None and not self.write_resumed.done():
             self.write_resumed.set_result(None)
         self.write_resumed = None
+        self.budget.forget(self)
 
     async def async_drain(self) -> None:
         """Wait until the write buffer is below its high-water mark."""
@@ -356,6 +368,21 @@
         """Write data to the caller."""
         if self.transport is not None and not self.is_closed:
             self.transport.write(data)
+            if self.write_resumed is not None:
+                self.budget.update(self)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes that the caller has not taken yet."""
+        if self.transport is None or self.is_closed:
+            return 0
+        return self.transport.get_write_buffer_size()
+
+    @callback
+    def cut_off(self, reason: str) -> None:
+        """Close the connection to a caller that reads too slowly."""
+        _LOGGER.debug("Connection of a caller is closed: %s", reason)
+        self.abort()
 
     @callback
     def abort(self) -> None:
--- a/src/gypsumsail/vm/metrics.py
+++ b/src/gypsumsail/vm/metrics.py
@@ -16,7 +16,8 @@
 class VmMetrics:
     """Metrics of the state of a VM, updated when they are scraped.
 
-    The counter of refused requests is updated immediately instead.
+    The counters of refused requests and of answers that were cut off are updated
+    immediately instead.
     """
 
     def __init__(self, registry: MetricsRegistry) -> None:
@@ -25,6 +26,11 @@
             "Requests that were refused while they were read, by status.",
             ("status",),
         )
+        self.cut_off = registry.counter(
+            "gypsumsail_answers_cut_off_total",
+            "Answers that were cut off because of their size, by the limit.",
+            ("limit",),
+        )
         self.waiting = registry.gauge(
             "gypsumsail_waiting_calls", "Calls that wait for a target.", ("service",)
         )
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -44,6 +44,7 @@
 from gypsumsail.orders.lease_manager import LeaseManager
 from gypsumsail.rollout.coordinator import RolloutCoordinator
 from gypsumsail.rollout.lease_timing import rollout_lease_timing
+from gypsumsail.transport.buffer_budget import CutOffAnswer, process_buffers
 from gypsumsail.transport.http_reply import Reply
 from gypsumsail.transport.http_request import HttpRequest, ServerLimits
 from gypsumsail.transport.http_server import HttpServer
@@ -165,6 +166,7 @@
         )
         self.silence_log = SilenceLog(self.peers, self.log)
         self.metrics = VmMetrics(self.registry)
+        process_buffers.on_cut_off = self._record_cut_off
         self.control_api = ControlApi(self)
         self.caller_server = HttpServer(
             self._async_handle_request, ServerLimits(), clock, self.metrics.refused
@@ -172,6 +174,12 @@
         self.control_servers: list[HttpServer] = []
         self.tasks: list[asyncio.Task[None]] = []
 
+    def _record_cut_off(self, answer: CutOffAnswer) -> None:
+        self.metrics.cut_off.labels(answer.reason).increment()
+        self.log.write(
+            "answer cut off", peer=answer.peer, limit=answer.reason, bytes=answer.size
+        )
+
     def _make_gateway(self) -> Gateway:
         view = FleetView(
             zone=self.settings.zone,
--- a/tests/process/test_endless_bytes.py
+++ b/tests/process/test_endless_bytes.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 import re
+import socket
 
 import pytest
 
@@ -26,6 +27,7 @@
 SILENT_SECONDS = 30.0
 SLOW_CALLERS = 200
 SLOW_CALLERS_PER_SECOND = 50.0
+CALLER_WINDOW_BYTES = 8_192
 MIN_SERVED_SHARE = 0.9
 CALM_KINDS = ("safe", "once")
 
@@ -141,6 +143,40 @@
         repeated=b"a",
         is_chunked=True,
     ),
+    "events to slow callers": Fault(
+        paths=("/stream/",),
+        at=ENGINES,
+        repeated=EVENT,
+        is_chunked=True,
+        body_bytes=5_000_000,
+        slow_callers="stream",
+    ),
+    "events without end of many streams": Fault(
+        paths=("/stream/",),
+        at=ENGINES,
+        first=b"data: ",
+        repeated=b"a",
+        is_chunked=True,
+        body_bytes=1_000_000,
+        slow_callers="stream",
+    ),
+    "large answers to slow callers": Fault(
+        paths=("/safe/",),
+        at=frozenset({"plain"}),
+        repeated=b"a",
+        last=b"a",
+        is_chunked=True,
+        body_bytes=3_900_000,
+        slow_callers="safe",
+    ),
+    "answers without end to many callers": Fault(
+        paths=("/safe/",),
+        at=frozenset({"plain"}),
+        repeated=b"a",
+        is_chunked=True,
+        body_bytes=15_000_000,
+        slow_callers="safe",
+    ),
     "entries of the object store": Fault(
         at=frozenset({"objects"}),
         first=b'{"store_revision":1,"items":[1',
@@ -286,9 +322,12 @@
         kind = self.fault.slow_callers
         await asyncio.sleep(number / SLOW_CALLERS_PER_SECOND)
         vm = self.vms[0]
-        reader, writer = await asyncio.open_connection(
-            vm.host, vm.front_port, limit=1024
-        )
+        # With a small window, the kernel keeps little of the answer.
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CALLER_WINDOW_BYTES)
+        client.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(client, (vm.host, vm.front_port))
+        reader, writer = await asyncio.open_connection(sock=client, limit=1024)
         self.record_kind(10_000_000 + number, kind)
         writer.write(encode_call(kind, 10_000_000 + number, API_KEY, 60.0))
         try:
--- a/tests/transport/test_endless_bytes.py
+++ b/tests/transport/test_endless_bytes.py
@@ -4,15 +4,24 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 
 import pytest
 
+from gypsumsail.core.clock import SystemClock
 from gypsumsail.core.errors import TransportError
+from gypsumsail.transport.buffer_budget import (
+    MIN_COUNTED_BYTES,
+    BufferBudget,
+    CutOffAnswer,
+)
 from gypsumsail.transport.bytes_client import BytesClient
 from gypsumsail.transport.connection import StreamConnection
 from gypsumsail.transport.errors import ResponseTooLargeError
 from gypsumsail.transport.exchange import ExchangeConnection, ExchangePool
+from gypsumsail.transport.http_reply import Reply
+from gypsumsail.transport.http_request import HttpRequest, ServerLimits
+from gypsumsail.transport.http_server import CallerConnection, HttpServer
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 ID = b"X-Id: mine\r\n"
@@ -160,3 +169,118 @@
         with pytest.raises(TransportError, match="headers"):
             await connection.async_wait_for_head()
         assert len(connection.headers) < 1_000
+
+
+class Owner:
+    """Connection with a buffer of a given size."""
+
+    def __init__(self, peer: str, buffered_bytes: int = 0) -> None:
+        self.peer = peer
+        self.buffered_bytes = buffered_bytes
+        self.reason = ""
+
+    def cut_off(self, reason: str) -> None:
+        self.reason = reason
+        self.buffered_bytes = 0
+
+
+def test_peer_that_buffers_most_loses_its_largest_answer() -> None:
+    budget = BufferBudget(100_000)
+    reports: list[CutOffAnswer] = []
+    budget.on_cut_off = reports.append
+    large = Owner("calm", 40_000)
+    faulty = [Owner("faulty", size) for size in (20_000, 30_000, 20_000)]
+    for owner in [large, *faulty]:
+        budget.update(owner)
+    assert [owner.reason for owner in faulty] == ["", "buffers full", ""]
+    assert not large.reason
+    assert [(report.peer, report.size) for report in reports] == [("faulty", 30_000)]
+    assert budget.total == 80_000
+
+
+def test_buffers_are_measured_again_before_an_answer_is_cut_off() -> None:
+    budget = BufferBudget(100_000)
+    first, second = Owner("a", 90_000), Owner("b", 20_000)
+    budget.update(first)
+    first.buffered_bytes = 10_000
+    budget.update(second)
+    assert not first.reason
+    assert not second.reason
+    assert budget.total == 30_000
+
+
+def test_small_buffers_are_never_cut_off() -> None:
+    budget = BufferBudget(100_000)
+    small = [Owner("calm", MIN_COUNTED_BYTES - 1) for _ in range(100)]
+    for owner in [*small, Owner("faulty", 200_000)]:
+        budget.update(owner)
+    assert not any(owner.reason for owner in small)
+    assert not budget.sizes
+
+
+@pytest.mark.parametrize("name", ["body without length", "body in chunks"])
+async def test_answers_without_end_end_at_the_limit_of_all_buffers(name: str) -> None:
+    budget = BufferBudget(BODY_LIMIT_BYTES)
+    loop = asyncio.get_running_loop()
+    async with AsyncExitStack() as servers:
+        connections = []
+        for _ in range(8):
+            _, port = await servers.enter_async_context(
+                endless_server(*ENDLESS_ANSWERS[name])
+            )
+            _, connection = await loop.create_connection(
+                lambda: ExchangeConnection("faulty", budget), "127.0.0.1", port
+            )
+            connection.send(REQUEST, (b"x-id", b"mine"), limit_seconds=CLOSE_SECONDS)
+            connections.append(connection)
+
+        async def read(connection: ExchangeConnection) -> None:
+            await connection.async_wait_for_head()
+            await connection.async_read_all(MAX_SENT_BYTES)
+
+        async with asyncio.timeout(CLOSE_SECONDS):
+            # The last one is left alone with the limit, and may be read to its end.
+            results = await asyncio.gather(
+                *map(read, connections[1:]), return_exceptions=True
+            )
+        assert sum(isinstance(found, TransportError) for found in results) >= 6
+        assert budget.total <= BODY_LIMIT_BYTES
+        for connection in connections:
+            connection.abort()
+        assert not budget.sizes
+        assert not budget.total
+
+
+async def test_connections_of_callers_who_do_not_read_are_closed_at_the_limit() -> None:
+    budget = BufferBudget(BODY_LIMIT_BYTES)
+    is_cut_off = asyncio.Event()
+    budget.on_cut_off = lambda answer: is_cut_off.set()
+
+    async def answer(request: HttpRequest, reply: Reply) -> None:
+        reply.send(
+            200, [], b"a" * (1 if request.target == b"/calm" else MAX_SENT_BYTES)
+        )
+
+    server = HttpServer(answer, ServerLimits(), SystemClock())
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(
+        lambda: CallerConnection(server, budget), "127.0.0.1", 0
+    )
+    port = listener.sockets[0].getsockname()[1]
+    writers = []
+    for _ in range(4):
+        _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+        writers.append(writer)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET /calm HTTP/1.1\r\nHost: h\r\n\r\n")
+    async with asyncio.timeout(CLOSE_SECONDS):
+        assert (await reader.readuntil(b"\r\n")).endswith(b"200 OK\r\n")
+        await is_cut_off.wait()
+    assert budget.total <= BODY_LIMIT_BYTES
+    for found in [*writers, writer]:
+        found.close()
+    await server.async_stop()
+    listener.close()
+    await asyncio.sleep(0.1)
+    assert not budget.sizes
