Let the limit of all buffers follow the memory of the VM

16 MiB for any VM would cut off sound answers: four callers who read answers of 12 MiB slowly during a planned stop lost two of them (test_planned_stop_writes_long_answers_to_their_end, which failed). The limit of 16 MiB for one answer of a plain target is back, and all buffers together may take a quarter of what the VM's settings leave beside 64 MiB: 15 MB of 128 MB, 58 of 300, 64 MiB at most and where the memory isn't known.

tests/process/test_endless_bytes.py (16 faults, a VM of 128 MB), test_planned_stop.py and tests/transport/test_endless_bytes.py pass.

--- a/soak/vms.py
+++ b/soak/vms.py
@@ -13,6 +13,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 GRACE_SECONDS = 4.0
+MEMORY_MB = 300
 SETTINGS_TEMPLATE = """
 node = "{name}"
 ip = "{host}"
@@ -26,6 +27,8 @@
 [bounds]
 grace_s = {grace}
 version_ms = 12000
+[limits]
+ram_mb = {memory}
 [infra]
 addr = "{store}"
 """
@@ -53,6 +56,8 @@
         Address of the platform's store in the settings.
     grace_seconds
         Time from a stop signal to the end of the process, by its settings.
+    memory_mb
+        Memory of the VM by its settings; nothing enforces it.
     """
 
     def __init__(self, name: str, host: str, zone: str, base_port: int) -> None:
@@ -71,6 +76,7 @@
         self.start_lock = asyncio.Lock()
         self.root = ROOT
         self.grace_seconds = GRACE_SECONDS
+        self.memory_mb = MEMORY_MB
         self.store = ""
 
     def write_settings(self, store: str, seeds: list[str]) -> None:
@@ -86,6 +92,7 @@
             ready=self.base_port + 1,
             control=self.base_port + 2,
             store=store,
+            memory=self.memory_mb,
             seeds=", ".join(f'"{host}:{self.base_port + 2}"' for host in seeds),
         )
         (self.directory / "boot.toml").write_text(text, encoding="utf-8")
--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -183,5 +183,5 @@
 
 MIN_CACHED_PART_TOKENS: Final = 16
 """Tokens of the smallest prompt part that an engine caches: one block."""
-MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 """Largest answer of a plain target."""
--- a/src/gypsumsail/platform/settings.py
+++ b/src/gypsumsail/platform/settings.py
@@ -11,7 +11,7 @@
 
 from gypsumsail.catalog.freshness import ChangeBounds
 from gypsumsail.core.findings import Finding, SettingsInvalidError
-from gypsumsail.core.units import MILLISECONDS_PER_SECOND
+from gypsumsail.core.units import BYTES_PER_MEGABYTE, MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import Address
 from gypsumsail.gateway.retry_budget import RetryLimit
 from gypsumsail.platform.text import parse_address
@@ -70,7 +70,7 @@
 
 
 class _SettingsFile(msgspec.Struct, frozen=True):
-    """The settings file; ``first_start`` and ``limits`` are checked, but not used."""
+    """The settings file; ``first_start`` is checked, but not used."""
 
     node: str
     ip: str
@@ -178,4 +178,5 @@
             weights=bounds.version_ms / MILLISECONDS_PER_SECOND,
         ),
         rollout_seconds=bounds.version_ms / MILLISECONDS_PER_SECOND,
+        memory_bytes=int(file.limits.ram_mb * BYTES_PER_MEGABYTE),
     )
--- a/src/gypsumsail/transport/buffer_budget.py
+++ b/src/gypsumsail/transport/buffer_budget.py
@@ -8,8 +8,12 @@
 
 from gypsumsail.core.callback import callback
 
-MAX_BUFFERED_BYTES: Final = 16 * 1024 * 1024
+MAX_BUFFERED_BYTES: Final = 64 * 1024 * 1024
 """Maximum number of bytes that all connections buffer together."""
+BASE_MEMORY_BYTES: Final = 64 * 1024 * 1024
+"""Memory of a process besides these buffers."""
+MEMORY_PER_BUFFERED_BYTE: Final = 4
+"""Memory that a buffered byte may take, with its copies as it is passed on."""
 MIN_COUNTED_BYTES: Final = 4 * 1024
 """Size from which the buffer of a connection is counted."""
 BUFFERS_FULL: Final = "buffers full"
@@ -51,6 +55,20 @@
         """Close the connection and drop its buffer."""
 
 
+def buffer_limit(memory_bytes: int) -> int:
+    """Return the maximum number of buffered bytes.
+
+    Parameters
+    ----------
+    memory_bytes
+        Memory of the VM; 0 if it is unknown.
+    """
+    if not memory_bytes:
+        return MAX_BUFFERED_BYTES
+    free = max(memory_bytes - BASE_MEMORY_BYTES, BASE_MEMORY_BYTES // 4)
+    return min(free // MEMORY_PER_BUFFERED_BYTE, MAX_BUFFERED_BYTES)
+
+
 class BufferBudget:
     """Cuts off the largest answers when all buffers together are too large.
 
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -44,7 +44,11 @@
 from gypsumsail.orders.lease_manager import LeaseManager
 from gypsumsail.rollout.coordinator import RolloutCoordinator
 from gypsumsail.rollout.lease_timing import rollout_lease_timing
-from gypsumsail.transport.buffer_budget import CutOffAnswer, process_buffers
+from gypsumsail.transport.buffer_budget import (
+    CutOffAnswer,
+    buffer_limit,
+    process_buffers,
+)
 from gypsumsail.transport.http_reply import Reply
 from gypsumsail.transport.http_request import HttpRequest, ServerLimits
 from gypsumsail.transport.http_server import HttpServer
@@ -166,6 +170,7 @@
         )
         self.silence_log = SilenceLog(self.peers, self.log)
         self.metrics = VmMetrics(self.registry)
+        process_buffers.limit_bytes = buffer_limit(settings.memory_bytes)
         process_buffers.on_cut_off = self._record_cut_off
         self.control_api = ControlApi(self)
         self.caller_server = HttpServer(
--- a/src/gypsumsail/vm/settings.py
+++ b/src/gypsumsail/vm/settings.py
@@ -30,6 +30,8 @@
         Times in which changes at the platform's store must be in force.
     rollout_seconds
         Time after a weight version is named from which no call may use an older one.
+    memory_bytes
+        Memory of the VM; 0 if it is unknown.
     """
 
     vm: str
@@ -46,3 +48,4 @@
     min_holder_gap_seconds: float
     change_bounds: ChangeBounds
     rollout_seconds: float
+    memory_bytes: int = 0
--- a/tests/process/test_endless_bytes.py
+++ b/tests/process/test_endless_bytes.py
@@ -199,6 +199,7 @@
 
     def __init__(self, seed: int, fault: Fault) -> None:
         super().__init__(seed, vms=1, seconds=SECONDS)
+        self.vms[0].memory_mb = VM_MEMORY_BYTES // 1_000_000
         self.fault = fault
         self.more_stores: list[V1ContextStore] = []
         self.is_faulty = False
--- a/tests/transport/test_endless_bytes.py
+++ b/tests/transport/test_endless_bytes.py
@@ -14,6 +14,7 @@
     MIN_COUNTED_BYTES,
     BufferBudget,
     CutOffAnswer,
+    buffer_limit,
 )
 from gypsumsail.transport.bytes_client import BytesClient
 from gypsumsail.transport.connection import StreamConnection
@@ -284,3 +285,15 @@
     listener.close()
     await asyncio.sleep(0.1)
     assert not budget.sizes
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "least_mb", "most_mb"),
+    [(0, 64, 68), (16, 2, 8), (128, 12, 17), (300, 48, 68), (4000, 48, 68)],
+)
+def test_limit_of_all_buffers_follows_the_memory_of_the_vm(
+    memory_mb: int, least_mb: int, most_mb: int
+) -> None:
+    """A VM with more memory delivers several large answers to slow callers at once."""
+    limit = buffer_limit(memory_mb * 1_000_000)
+    assert least_mb * 1_000_000 <= limit <= most_mb * 1_000_000
