Let the soak hold up data through a cut

A link cut with HOLD keeps the data of both directions and forwards them at the first retransmission after the cut (0.2, 0.6, 1.4, 3.0, 6.2 or 12.6 s after they were sent), also if the sender has closed the connection. Data of a connection that was reset are lost. TCP_USER_TIMEOUT can't be imitated, as the proxy's kernel acknowledges at once; data of a VM that stood still meanwhile are lost instead, and tests/transport/test_given_up_calls.py covers that case on the kernel.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,7 +23,7 @@
 )
 from soak.links import LinkCut
 from soak.pauses import pause_finding, pause_seconds
-from soak.proxy import Impairment
+from soak.proxy import RANDOM_IMPAIRMENTS, Impairment
 
 if TYPE_CHECKING:
     from soak.run import Soak
@@ -85,7 +85,7 @@
     name = soak.random.choice(sorted(soak.proxies))
     proxy = soak.proxies[name]
     soak.record_network_fault(name)
-    proxy.impairment = soak.random.choice(list(Impairment))
+    proxy.impairment = soak.random.choice(RANDOM_IMPAIRMENTS)
     await asyncio.sleep(soak.random.uniform(0.3, 2.5))
     proxy.impairment = Impairment.NONE
 
--- a/soak/links.py
+++ b/soak/links.py
@@ -30,11 +30,18 @@
         Open connections are reset, and new ones are refused.
     NO_NEW
         Open connections live on, and new ones are refused.
+    HOLD
+        As ``HANG``, but what was sent meanwhile arrives some time after the cut; see
+        ``Impairment.HOLD``.
     """
 
     HANG = "hang"
     REFUSE = "refuse"
     NO_NEW = "no_new"
+    HOLD = "hold"
+
+
+RANDOM_CUTS = [LinkCut.HANG, LinkCut.REFUSE, LinkCut.NO_NEW]
 
 
 class Link:
@@ -69,6 +76,9 @@
             case LinkCut.HANG:
                 self.proxy.impairment = Impairment.SILENT
                 self._listen_without_answer(placeholder)
+            case LinkCut.HOLD:
+                self.proxy.impairment = Impairment.HOLD
+                self._listen_without_answer(placeholder)
             case LinkCut.REFUSE:
                 self.proxy.reset_all()
             case LinkCut.NO_NEW:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+from collections.abc import Callable
 from enum import StrEnum
 import socket
+from time import monotonic
 
 from stand_ins.raw_http import reset_connection
 
+RETRANSMISSION_SECONDS = (0.2, 0.6, 1.4, 3.0, 6.2, 12.6)
+"""Times after the first one at which a kernel sends unacknowledged bytes again."""
+
 
 class Impairment(StrEnum):
     """Network fault that a proxy simulates.
@@ -21,6 +25,10 @@
         Drop the data of both directions, or only of the responses.
     REFUSE
         Reset new connections.
+    HOLD
+        Hold the data of both directions until the kernel of their sender would have
+        sent them again after the fault. They also arrive if their sender has closed the
+        connection meanwhile, but are lost if it was reset.
     """
 
     NONE = "none"
@@ -28,15 +36,26 @@
     SILENT = "silent"
     ONE_WAY = "one_way"
     REFUSE = "refuse"
+    HOLD = "hold"
+
+
+RANDOM_IMPAIRMENTS = [found for found in Impairment if found is not Impairment.HOLD]
 
 
 class Proxy:
     """Forwards connections to one address.
 
+    This machine's kernel acknowledges all data at once, so ``TCP_USER_TIMEOUT`` of the
+    sender has no effect on data that is held. Where it matters, for a sender that is
+    stopped, data is lost instead.
+
     Attributes
     ----------
     impairment
         Simulated fault; may be changed at any time.
+    was_stopped_since
+        Returns whether the clients' process stood still at any time since a monotonic
+        time; held data is then lost.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -45,6 +64,7 @@
         self.impairment = Impairment.NONE
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.was_stopped_since: Callable[[float], bool] = lambda at: False
 
     async def async_start(self, host: str, port: int = 0) -> int:
         """Start listening, on a free port if none is given; return the port."""
@@ -99,8 +119,19 @@
         *,
         is_response: bool,
     ) -> None:
-        with contextlib.suppress(ConnectionError):
+        held = bytearray()
+        release: asyncio.Task[None] | None = None
+        try:
             while data := await reader.read(65_536):
+                if release is not None and not release.done():
+                    held += data
+                    continue
+                if self.impairment is Impairment.HOLD:
+                    held += data
+                    release = asyncio.create_task(
+                        self._async_release(held, writer, is_response=is_response)
+                    )
+                    continue
                 if self.impairment is Impairment.DELAY:
                     await asyncio.sleep(0.3)
                 dropped = self.impairment is Impairment.SILENT or (
@@ -110,4 +141,24 @@
                     continue
                 writer.write(data)
                 await writer.drain()
+            if release is not None:
+                await release
+        except ConnectionError:
+            if release is not None:
+                release.cancel()
         writer.close()
+
+    async def _async_release(
+        self, held: bytearray, writer: asyncio.StreamWriter, *, is_response: bool
+    ) -> None:
+        """Forward held data at the first retransmission after the fault."""
+        since = monotonic()
+        for seconds in RETRANSMISSION_SECONDS:
+            await asyncio.sleep(since + seconds - monotonic())
+            if self.impairment is not Impairment.HOLD:
+                break
+        if not is_response and self.was_stopped_since(since):
+            reset_connection(writer)
+        elif not writer.transport.is_closing():
+            writer.write(bytes(held))
+        held.clear()
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,7 +35,7 @@
     STREAM_CALLERS,
 )
 from soak.faults import FAULTS, NOTICES, cut_links, long_pause, terminate
-from soak.links import Link, LinkCut, StoreView
+from soak.links import RANDOM_CUTS, Link, StoreView
 from soak.proxy import Impairment, Proxy
 from soak.streams import FIRST_BUILD, RELEASES, TakenStream, async_take_stream
 from soak.vms import ROOT, Vm
@@ -297,6 +297,8 @@
         # The fault of the target's own proxy concerns all VMs.
         host, _, port = target.registered_address.rpartition(":")
         link = self.links[vm][target.name] = Link(host, int(port))
+        sender = next(item for item in self.vms if item.name == vm)
+        link.proxy.was_stopped_since = sender.was_stopped_since
         await link.async_start(host)
         self.views[vm].addresses[target.registered_address] = link.address
 
@@ -465,7 +467,7 @@
         while asyncio.get_running_loop().time() < end:
             await asyncio.sleep(rng.uniform(0.5, 3.0))
             vms = rng.sample(self.vms, rng.randint(1, len(self.vms)))
-            how = rng.choice(list(LinkCut))
+            how = rng.choice(RANDOM_CUTS)
             self.report.faults.append(f"cut {len(vms)} VMs, {how}")
             await cut_links(self, vms, how, rng.uniform(0.3, MAX_CUT_SECONDS))
 
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -158,6 +158,14 @@
             self.last_signal = signal_number
             self.history.append((monotonic(), signal_number.name))
 
+    def was_stopped_since(self, at: float) -> bool:
+        """Return whether a process stood still at any time since a monotonic time."""
+        is_stopped = self.last_signal is signal.SIGSTOP
+        stop = signal.SIGSTOP.name
+        return is_stopped or any(
+            step == stop and when >= at for when, step in self.history
+        )
+
     async def async_wait(self) -> int:
         """Wait for the end of the process; return its exit code."""
         assert self.process is not None
