Check in the soak that orders keep to one holder of the lease

Nothing in the soak looked at who orders engines to load weights, and cuts at random moments almost never meet the 0.1 to 0.2 s in which an order is on its way.

Engines now keep each order with its VM, holder, fence and time, and a check of the rule runs over them: no lower fence after a higher one, no fence of two holders, no turns within 3 s, at one engine and over all; orders within 0.3 s of a thaw or a healed link don't count. The soak names weights and cuts the VM that orders them, from the platform too, as the bytes of the order leave or up to 0.15 s later, for 4 to 9 s; the VM runs on, is killed or stands still meanwhile. --no-random-faults leaves out all other faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,16 @@
     default=True,
     help="Also let callers take up streams, while engines change their build.",
 )
+@click.option(
+    "--hold-orders/--no-hold-orders",
+    default=True,
+    help="Also cut VMs as they send orders, if VMs are cut.",
+)
+@click.option(
+    "--random-faults/--no-random-faults",
+    default=True,
+    help="Without random faults, only cuts of VMs as they send orders remain.",
+)
 @click.option(
     "--earlier-build",
     type=click.Path(exists=True, file_okay=False, resolve_path=True, path_type=Path),
@@ -37,6 +47,8 @@
     seconds: float,
     cut_vms: bool,
     take_up: bool,
+    hold_orders: bool,
+    random_faults: bool,
     earlier_build: Path | None,
 ) -> None:
     """Run each seed; the exit code is 1 if any seed has findings."""
@@ -45,11 +57,14 @@
         run = Soak(seed, vms, seconds)
         run.uses_own_links = cut_vms
         run.takes_up_streams = take_up
+        run.holds_orders = cut_vms and hold_orders
+        run.has_random_faults = random_faults
         run.earlier_build = earlier_build
         report = asyncio.run(run.async_run())
         click.echo(
             f"seed {seed}: {report.served} of {report.calls} calls served, "
-            f"{len(report.faults)} faults, {len(report.findings)} findings"
+            f"{len(report.faults)} faults, {report.orders} orders with "
+            f"{report.holders} fences, {len(report.findings)} findings"
         )
         for finding in report.findings[:10]:
             click.echo(f"  {finding}")
--- a/soak/const.py
+++ b/soak/const.py
@@ -41,3 +41,17 @@
 """Time from which no release of engines begins before the end of the load."""
 MAX_DISTURBANCE_SECONDS: Final = 3.0
 """Longest freeze or cut, with the time to recover from it."""
+MIN_HOLDER_GAP_SECONDS: Final = 3.0
+"""Least time between the orders of two holders, by the VMs' settings (``lease_ms``)."""
+FREEZE_SLACK_SECONDS: Final = 0.3
+"""Time after a freeze or a cut in which orders that it held up don't count."""
+MIN_HOLD_SECONDS: Final = 4.0
+MAX_HOLD_SECONDS: Final = 9.0
+"""Longest cut that holds up orders."""
+MAX_DOWN_SECONDS: Final = 3.0
+"""Longest time after a cut in which a VM that was killed stays down."""
+MAX_ORDER_WAIT_SECONDS: Final = 10.0
+"""Longest time from the naming of weights to an order that is held up.
+
+A VM that has just started orders nothing for the time of a lease.
+"""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -88,6 +88,7 @@
     proxy.impairment = soak.random.choice(RANDOM_IMPAIRMENTS)
     await asyncio.sleep(soak.random.uniform(0.3, 2.5))
     proxy.impairment = Impairment.NONE
+    soak.record_heal(name)
 
 
 async def _reset(soak: Soak) -> None:
@@ -186,8 +187,13 @@
 
 
 async def cut_links(soak: Soak, vms: list[Vm], how: LinkCut, seconds: float) -> None:
-    """Cut VMs from all targets for a time."""
-    links = [link for vm in vms for link in soak.links[vm.name].values()]
+    """Cut VMs from all targets for a time; links that are cut already stay so."""
+    links = [
+        link
+        for vm in vms
+        for link in soak.links[vm.name].values()
+        if link.placeholder is None
+    ]
     for vm in vms:
         soak.record_network_fault(f"links of {vm.name}")
     for link in links:
@@ -195,6 +201,8 @@
     await asyncio.sleep(seconds)
     for link in links:
         await link.async_heal()
+    for vm in vms:
+        soak.record_heal(vm.name)
 
 
 async def _foreign(soak: Soak) -> None:
@@ -208,7 +216,7 @@
     await soak.async_put_document([API_KEY])
 
 
-async def _weights(soak: Soak) -> None:
+async def name_weights(soak: Soak) -> None:
     """Request a new weight version of the model."""
     soak.weight_version += 1
     spec = {"model": "m0", "version": soak.weight_version}
@@ -229,7 +237,7 @@
     _leave,
     _foreign,
     _document,
-    _weights,
+    name_weights,
 ]
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -53,6 +53,8 @@
     ----------
     impairment
         Simulated fault; may be changed at any time.
+    on_data
+        Called with the data that a client has sent, before it is forwarded.
     was_stopped_since
         Returns whether the clients' process stood still at any time since a monotonic
         time; held data is then lost.
@@ -64,6 +66,7 @@
         self.impairment = Impairment.NONE
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.on_data: Callable[[bytes], None] = lambda data: None
         self.was_stopped_since: Callable[[float], bool] = lambda at: False
 
     async def async_start(self, host: str, port: int = 0) -> int:
@@ -123,6 +126,8 @@
         release: asyncio.Task[None] | None = None
         try:
             while data := await reader.read(65_536):
+                if not is_response:
+                    self.on_data(data)
                 if release is not None and not release.done():
                     held += data
                     continue
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 import random
 import signal
 import socket
 from time import monotonic
+from typing import Any
 
 from soak.addresses import REUSES
 from soak.callers import (
@@ -25,6 +28,7 @@
     FINAL_CALLS,
     MAX_CUT_SECONDS,
     MAX_DISTURBANCE_SECONDS,
+    MAX_HOLD_SECONDS,
     MAX_PAUSE_SECONDS,
     MAX_READY_POLLS,
     MAX_RELEASE_SECONDS,
@@ -36,6 +40,7 @@
 )
 from soak.faults import FAULTS, NOTICES, cut_links, long_pause, terminate
 from soak.links import RANDOM_CUTS, Link, StoreView
+from soak.orders import cut_at_order, is_excused, order_findings
 from soak.proxy import Impairment, Proxy
 from soak.streams import FIRST_BUILD, RELEASES, TakenStream, async_take_stream
 from soak.vms import ROOT, Vm
@@ -56,6 +61,10 @@
 
     Attributes
     ----------
+    orders
+        Orders that have reached engines.
+    holders
+        Fencing numbers in these orders.
     findings
         Violated guarantees.
     logs
@@ -67,6 +76,8 @@
     seed: int
     calls: int = 0
     served: int = 0
+    orders: int = 0
+    holders: int = 0
     faults: list[str] = field(default_factory=list)
     findings: list[str] = field(default_factory=list)
     logs: list[str] = field(default_factory=list)
@@ -138,6 +149,13 @@
         Whether each VM has a link of its own to each target.
     takes_up_streams
         Whether some callers take up streams, while engines change their build.
+    holds_orders
+        Whether VMs are cut as they send orders, which arrive after the cut unless they
+        were taken back; needs links of their own.
+    has_random_faults
+        Whether there are faults beside the cuts as VMs send orders.
+    heals
+        Time and name of each VM or target whose links are cut no more.
     streams
         Streams of these callers.
     links
@@ -158,6 +176,8 @@
     uses_kept_connections = True
     uses_own_links = False
     takes_up_streams = False
+    holds_orders = False
+    has_random_faults = True
     earlier_build: Path | None = None
 
     def __init__(self, seed: int, vms: int, seconds: float) -> None:
@@ -167,6 +187,7 @@
         self.pause_random = random.Random(f"pauses {seed}")
         self.link_random = random.Random(f"links {seed}")
         self.address_random = random.Random(f"addresses {seed}")
+        self.order_random = random.Random(f"orders {seed}")
         self.random = random.Random(seed)
         self.seconds = seconds
         self.report = Report(seed)
@@ -203,6 +224,7 @@
         self.started_at = monotonic()
         # Times of faults on the network of a VM or target.
         self.network_faults: list[tuple[float, str]] = []
+        self.heals: list[tuple[float, str]] = []
         self.calls: set[asyncio.Task[None]] = set()
 
     async def async_run(self) -> Report:
@@ -210,34 +232,32 @@
         self.execution_log.on_start = self._check_start
         try:
             await self._start()
-            faults = asyncio.create_task(self._inject_faults())
-            restores = asyncio.create_task(self._restore_store())
-            notices = asyncio.create_task(self._let_targets_say())
-            pauses = asyncio.create_task(self._let_targets_pause())
-            cuts = asyncio.create_task(self._cut_vms())
-            reuses = asyncio.create_task(self._reuse_addresses())
-            upgrade = asyncio.create_task(self._upgrade_vms())
-            streams = [
-                asyncio.create_task(self._take_up_streams(number))
-                for number in range(STREAM_CALLERS if self.takes_up_streams else 0)
-            ]
-            releases = asyncio.create_task(self._release_engines())
+            tasks = [asyncio.create_task(part) for part in self._background()]
             await self._send_load(self.seconds)
-            await releases
-            await asyncio.gather(*streams)
-            await faults
-            await restores
-            await notices
-            await pauses
-            await cuts
-            await reuses
-            await upgrade
+            await asyncio.gather(*tasks)
             await self._end_faults()
             await self._check_service()
         finally:
             await self._stop()
         return self._complete_report()
 
+    def _background(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what happens beside the load."""
+        parts = [self._cut_at_orders(), self._upgrade_vms()]
+        if self.has_random_faults:
+            parts += [
+                self._inject_faults(),
+                self._restore_store(),
+                self._let_targets_say(),
+                self._let_targets_pause(),
+                self._cut_vms(),
+                self._reuse_addresses(),
+                self._release_engines(),
+            ]
+        if self.takes_up_streams:
+            parts += [self._take_up_streams(number) for number in range(STREAM_CALLERS)]
+        return parts
+
     async def async_run_without_faults(self) -> Report:
         """Run the calls of the seed without faults."""
         self.execution_log.on_start = self._check_start
@@ -255,6 +275,13 @@
             self.report.findings += check_result(result, self.execution_log)
         for stream in self.streams:
             self.report.findings += stream.findings()
+        orders = self.execution_log.orders
+        self.report.orders = len(orders)
+        self.report.holders = len({order.fence for order in orders})
+        self.report.findings += [
+            f"{finding} (start at {self.started_at:.2f} s)"
+            for finding in order_findings(orders, partial(is_excused, self))
+        ]
         self.report.logs = [str(vm.log) for vm in self.vms]
         self.report.histories = [self._history(vm) for vm in self.vms]
         return self.report
@@ -471,6 +498,17 @@
             self.report.faults.append(f"cut {len(vms)} VMs, {how}")
             await cut_links(self, vms, how, rng.uniform(0.3, MAX_CUT_SECONDS))
 
+    async def _cut_at_orders(self) -> None:
+        """Cut VMs as they send orders, at random times."""
+        if not self.holds_orders:
+            return
+        rng = self.order_random
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.seconds - MAX_HOLD_SECONDS
+        while loop.time() < end:
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            await cut_at_order(self)
+
     async def _reuse_addresses(self) -> None:
         """Let plain targets take over addresses, one after another or at once."""
         rng = self.address_random
@@ -610,6 +648,10 @@
         """Record a fault on the network of a VM or target, or on a VM's links."""
         self.network_faults.append((monotonic(), name))
 
+    def record_heal(self, name: str) -> None:
+        """Record the end of a cut of a VM or target."""
+        self.heals.append((monotonic(), name))
+
     def is_disturbed(self, vm: str, target: str, start: float, end: float) -> bool:
         """Return whether a restart, freeze or cut excuses a VM in a time."""
         steps = [step for item in self.vms if item.name == vm for step in item.history]
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -284,12 +284,37 @@
     return LIMIT_FACTOR * limit * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
 
 
+class ArrivedOrder(NamedTuple):
+    """Order to load weights that has reached an engine.
+
+    Attributes
+    ----------
+    at
+        Monotonic time of the arrival, in seconds.
+    engine
+        Name of the engine, which took the order if ``is_taken``.
+    holder, fence
+        Holder of the lease and fencing number, as the order states them.
+    vm
+        VM that sent the order, by the id of the call; empty if it has none.
+    """
+
+    at: float
+    engine: str
+    holder: str
+    fence: int
+    vm: str
+    is_taken: bool
+
+
 @dataclass(slots=True)
 class ExecutionLog:
     """All executions at all targets by request id.
 
     Attributes
     ----------
+    orders
+        Orders to all engines, by their arrival.
     builds
         Builds of the engines that wrote events of each stream, by the id of the request
         that began it; events that were written after a restart don't count.
@@ -299,6 +324,7 @@
 
     executions: dict[str, list[Execution]] = field(default_factory=dict)
     builds: dict[str, set[str]] = field(default_factory=dict)
+    orders: list[ArrivedOrder] = field(default_factory=list)
 
     on_start: Callable[[str, Execution], None] = lambda request_id, execution: None
 
@@ -570,7 +596,18 @@
 
     async def _order(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
         order = json.loads(request.body)
-        if order.get("expect", self.order_count) != self.order_count:
+        is_taken = order.get("expect", self.order_count) == self.order_count
+        request_id = request.headers.get("gypsumsail-request-id", "")
+        arrived = ArrivedOrder(
+            at=time.monotonic(),
+            engine=self.name,
+            holder=order["holder"],
+            fence=order["fence"],
+            vm=request_id.removeprefix("system-order-").rpartition("-")[0],
+            is_taken=is_taken,
+        )
+        self.execution_log.orders.append(arrived)
+        if not is_taken:
             self._write(writer, encode_response(409, b"", self._notices()))
             return True
         self.order_count += 1
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -14,6 +14,12 @@
     11,  # A target at the address of a context store ran calls meant for the store.
 )
 
+# Seeds in which an order arrived after one of the next holder of the lease.
+ORDER_REGRESSIONS: tuple[int, ...] = (
+    41001,  # The kernel of a cut VM went on sending an order that was given up.
+    41003,  # The kernel of a VM that was killed in the cut did so.
+)
+
 
 async def async_run_soak(seed: int, seconds: float) -> Report:
     """Run a soak test with one seed and three VMs."""
@@ -51,3 +57,14 @@
     report = await run.async_run()
     assert not report.findings, (report.faults, report.logs)
     assert len(run.streams) > 50
+
+
+@pytest.mark.parametrize("seed", ORDER_REGRESSIONS)
+async def test_orders_keep_to_one_holder_through_cuts(seed: int) -> None:
+    run = Soak(seed, vms=4, seconds=10.0)
+    run.uses_own_links = True
+    run.holds_orders = True
+    run.has_random_faults = False
+    report = await run.async_run()
+    assert not report.findings, (report.faults, report.logs)
+    assert any(fault.startswith("hold ") for fault in report.faults)
