--- a/tests/held_bytes.py
+++ b/tests/held_bytes.py
@@ -9,8 +9,9 @@
 from typing import Final
 
 DEFER_ACCEPT_SECONDS: Final = 60
+BACKLOG: Final = 4
 FILL_SECONDS: Final = 1.0
-"""Time limit for the connection that fills the queue."""
+"""Time limit for each connection that fills the queue."""
 READ_SECONDS: Final = 1.0
 """Time for the first bytes of a connection that was accepted."""
 MAX_HEAD_BYTES: Final = 65_536
@@ -39,25 +40,27 @@
             socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_ACCEPT_SECONDS
         )
         self.socket.bind(("127.0.0.1", 0))
-        self.socket.listen(0)
+        self.socket.listen(BACKLOG)
         self.socket.setblocking(False)
         self.port: int = self.socket.getsockname()[1]
-        self.filler: socket.socket | None = None
+        self.fillers: list[socket.socket] = []
 
     def hold(self) -> None:
         """Take no more data, and let no more connections be opened."""
-        self.filler = socket.create_connection(
-            ("127.0.0.1", self.port), timeout=FILL_SECONDS
-        )
-        self.filler.send(b"x")
+        for _ in range(BACKLOG + 1):
+            filler = socket.create_connection(
+                ("127.0.0.1", self.port), timeout=FILL_SECONDS
+            )
+            filler.send(b"x")
+            self.fillers.append(filler)
 
     async def async_release(self) -> None:
         """Take data again."""
         loop = asyncio.get_running_loop()
-        accepted, _ = await loop.sock_accept(self.socket)
-        accepted.close()
-        assert self.filler is not None
-        self.filler.close()
+        while self.fillers:
+            accepted, _ = await loop.sock_accept(self.socket)
+            accepted.close()
+            self.fillers.pop().close()
 
     async def async_read_arrivals(self, seconds: float) -> list[bytes]:
         """Return the first bytes of each connection that brings any within a time."""
@@ -86,8 +89,8 @@
 
     def close(self) -> None:
         """Close the listener."""
-        if self.filler is not None:
-            self.filler.close()
+        for filler in self.fillers:
+            filler.close()
         self.socket.close()
 
 
