--- a/tests/held_bytes.py
+++ b/tests/held_bytes.py
@@ -1,11 +1,12 @@
-"""Listener whose kernel takes no bytes of a connection until it is released."""
+"""Listener whose kernel takes no bytes until it is released, and its callers."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 import socket
+import sys
 from typing import Final
 
 DEFER_ACCEPT_SECONDS: Final = 60
@@ -15,6 +16,8 @@
 READ_SECONDS: Final = 1.0
 """Time for the first bytes of a connection that was accepted."""
 MAX_HEAD_BYTES: Final = 65_536
+PROCESS_SECONDS: Final = 20.0
+"""Time for a process to start and to make its call."""
 
 
 class HoldingListener:
@@ -102,3 +105,40 @@
         yield listener
     finally:
         listener.close()
+
+
+@asynccontextmanager
+async def calling_process(
+    listener: HoldingListener, code: str, *arguments: str
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Run a process whose call the listener holds; it is killed at the end.
+
+    Parameters
+    ----------
+    code
+        Program that prints ``connected``, reads a line, makes its call and prints
+        ``sent``. Its last argument is the port.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        code,
+        *arguments,
+        str(listener.port),
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+        env={"PYTHONPATH": "src:."},
+    )
+    assert process.stdin is not None
+    assert process.stdout is not None
+    try:
+        async with asyncio.timeout(PROCESS_SECONDS):
+            assert await process.stdout.readline() == b"connected\n"
+            listener.hold()
+            process.stdin.write(b"\n")
+            assert await process.stdout.readline() == b"sent\n"
+        yield process
+    finally:
+        with suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
--- a/tests/transport/test_given_up_calls.py
+++ b/tests/transport/test_given_up_calls.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
 import signal
-import sys
 from typing import Final
 
 import pytest
@@ -15,7 +13,7 @@
 from gypsumsail.transport.exchange import ExchangeConnection, ExchangePool
 from gypsumsail.transport.socket_options import KERNEL_DELAY_SECONDS
 from tests.common import ManualClock
-from tests.held_bytes import HoldingListener, holding_listener
+from tests.held_bytes import HoldingListener, calling_process, holding_listener
 from tests.raw_server import raw_server
 
 CALL_SECONDS: Final = 0.4
@@ -101,29 +99,11 @@
     end: signal.Signals,
 ) -> None:
     """No code of a process that is killed or paused can reset its connections (ONE)."""
-    async with holding_listener() as listener:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-c",
-            CALLER,
-            str(listener.port),
-            stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-            env={"PYTHONPATH": "src"},
-        )
-        assert process.stdin is not None
-        assert process.stdout is not None
-        try:
-            async with asyncio.timeout(20.0):
-                assert await process.stdout.readline() == b"connected\n"
-                listener.hold()
-                process.stdin.write(b"\n")
-                assert await process.stdout.readline() == b"sent\n"
-            process.send_signal(end)
-            await asyncio.sleep(CALL_SECONDS + KERNEL_DELAY_SECONDS)
-            await listener.async_release()
-            assert await listener.async_read_arrivals(ARRIVAL_SECONDS) == []
-        finally:
-            with suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
+    async with (
+        holding_listener() as listener,
+        calling_process(listener, CALLER) as process,
+    ):
+        process.send_signal(end)
+        await asyncio.sleep(CALL_SECONDS + KERNEL_DELAY_SECONDS)
+        await listener.async_release()
+        assert await listener.async_read_arrivals(ARRIVAL_SECONDS) == []
--- a/tests/transport/test_given_up_own_calls.py
+++ b/tests/transport/test_given_up_own_calls.py
@@ -4,9 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 import signal
-import sys
 from typing import Any, Final
 
 import httpx
@@ -18,7 +16,7 @@
 from gypsumsail.transport.connection import StreamConnection
 from gypsumsail.transport.polling import PollingClient
 from gypsumsail.transport.pool import StreamConnectionPool
-from tests.held_bytes import holding_listener
+from tests.held_bytes import calling_process, holding_listener
 from tests.targets.common import engine_request
 
 CALL_SECONDS: Final = 0.4
@@ -115,30 +113,11 @@
     kind: str, end: signal.Signals
 ) -> None:
     """No code of a process that is killed or paused can reset its connections."""
-    async with holding_listener() as listener:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-c",
-            CALLER,
-            kind,
-            str(listener.port),
-            stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-            env={"PYTHONPATH": "src:."},
-        )
-        assert process.stdin is not None
-        assert process.stdout is not None
-        try:
-            async with asyncio.timeout(20.0):
-                assert await process.stdout.readline() == b"connected\n"
-                listener.hold()
-                process.stdin.write(b"\n")
-                assert await process.stdout.readline() == b"sent\n"
-            process.send_signal(end)
-            await asyncio.sleep(2 * CALL_SECONDS)
-            await listener.async_release()
-            assert await listener.async_read_arrivals(ARRIVAL_SECONDS) == []
-        finally:
-            with suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
+    async with (
+        holding_listener() as listener,
+        calling_process(listener, CALLER, kind) as process,
+    ):
+        process.send_signal(end)
+        await asyncio.sleep(2 * CALL_SECONDS)
+        await listener.async_release()
+        assert await listener.async_read_arrivals(ARRIVAL_SECONDS) == []
