Name what the tick of a rollout and its margins are for

Read as a newcomer would: the tick gives up any order beyond its limit, not only after a suspension; the lease's margin no longer covers late orders; an attribute of the coordinator that nothing used is gone. No behaviour has changed: lint and types are clean, tests/rollout, tests/vm and the tests of orders pass.

--- a/src/gypsumsail/rollout/const.py
+++ b/src/gypsumsail/rollout/const.py
@@ -21,7 +21,10 @@
 ORDER_TIMEOUT_SECONDS: Final = 0.8
 """Timeout of an order, and the time for which the kernel sends it."""
 ORDER_TIMEOUT_MARGIN_SECONDS: Final = 0.1
-"""Time for the timer of that timeout to fire; later, the VM was suspended."""
+"""Delay of that timeout's timer above which it counts as having stood still.
+
+Timers stand still while the VM is suspended.
+"""
 REPORT_TIMEOUT_SECONDS: Final = 0.5
 """Timeout of a request for an engine's report."""
 FIRST_REPORT_DELAY_SECONDS: Final = 1.3
@@ -39,7 +42,11 @@
 LEASE_VALIDITY_SECONDS: Final = 1.0
 """Time after a confirmed renewal during which the holder may send orders."""
 LEASE_MARGIN_SECONDS: Final = 0.2
-"""Margin on the minimum time between two holders, for clock skew and link delays."""
+"""Margin on the minimum time between two holders, for clock skew and link delays.
+
+The time in which an order may still arrive is counted by itself, see
+``lease_timing.py``.
+"""
 LEASE_RENEW_SECONDS: Final = 0.4
 """Interval at which the holder renews its lease."""
 LEASE_POLL_SECONDS: Final = 0.4
--- a/src/gypsumsail/rollout/coordinator.py
+++ b/src/gypsumsail/rollout/coordinator.py
@@ -77,8 +77,6 @@
     last_progress_at
         Time at which the number of outdated engines last changed; ``None`` if no engine
         is outdated.
-    orders_taken
-        Currently unused.
     on_order_announced
         Called before an order is sent, to tell the other VMs to send the engine no
         calls.
@@ -109,7 +107,6 @@
         self.models_of = models_of
         self.pending_orders: dict[tuple[str, int], PendingOrder] = {}
         self.retry_at: dict[tuple[str, int], float] = {}
-        self.orders_taken: dict[tuple[str, int], int] = {}
         self.last_progress_at: float | None = None
         self.outdated_count = 0
         self.had_lease = False
@@ -132,9 +129,10 @@
 
     @callback
     def tick(self, now: float) -> None:
-        """Give up orders whose time limit passed while the VM was suspended.
+        """Give up orders that are unanswered beyond their time limit.
 
-        Timers stand still meanwhile, and the kernel would go on sending.
+        Their timers stand still while the VM is suspended, and the kernel would go on
+        sending them.
         """
         for key, order in list(self.pending_orders.items()):
             if order.unanswered_until is None or now < order.unanswered_until:
