Split the fleet view and detached calls from large gateway modules

Change: FleetView moves to gateway/fleet_view.py, the calls that finish without their callers to gateway/detached_calls.py. No behaviour changes.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -17,15 +17,15 @@
     NoTargetError,
     RequestError,
     StreamUnknownError,
-    TransportError,
     UnauthorizedError,
     UnknownServiceError,
 )
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.call_limit import InvalidLimit
-from gypsumsail.gateway.const import MAX_ANSWER_BYTES, REPORTED_LOAD_MAX_AGE_SECONDS
 from gypsumsail.gateway.crash_suspects import CrashSuspectTracker
+from gypsumsail.gateway.detached_calls import DetachedCalls
 from gypsumsail.gateway.fingerprints import fingerprint, shared_parts
+from gypsumsail.gateway.fleet_view import FleetView
 from gypsumsail.gateway.forwarding import (
     ForwardClient,
     ForwardSend,
@@ -48,7 +48,6 @@
 from gypsumsail.gateway.notices import AnswerNotices
 from gypsumsail.gateway.outcomes import (
     BreakOff,
-    Broken,
     Delivered,
     Fail,
     FinalAnswer,
@@ -62,13 +61,12 @@
 )
 from gypsumsail.gateway.part_suspects import PartSuspects
 from gypsumsail.gateway.placement import Forward, Placed
-from gypsumsail.gateway.placer import FleetView, JobPlacer
+from gypsumsail.gateway.placer import JobPlacer
 from gypsumsail.gateway.port import (
     NO_TRANSFER,
     AnswerHead,
     CallerReply,
     ContextTransfer,
-    Exchange,
     TargetClient,
 )
 from gypsumsail.gateway.retry_after import retry_after
@@ -118,8 +116,8 @@
         Routing document in force; ``None`` until one is loaded.
     jobs
         Calls that are being served, by number.
-    detached_tasks
-        Tasks of calls that run to their end after their caller disconnected.
+    detached
+        Calls that run to their end after their caller disconnected.
     transfer_planner
         Function that returns the prompt parts that an engine fetches and saves for a
         job.
@@ -168,7 +166,7 @@
         calls.on_skipped = telemetry.answer_skipped
         self.random = random.Random()
         self.last_number = 0
-        self.detached_tasks: set[asyncio.Task[None]] = set()
+        self.detached = DetachedCalls(clock, telemetry, self.record_head)
         self.transfer_planner: (
             Callable[[Job, Assignment, float], ContextTransfer] | None
         ) = None
@@ -603,32 +601,6 @@
         now = self.clock.monotonic()
         state.handle_version_mismatch(prompt.model, stated, version, now)
 
-    @callback
-    def finish_detached(self, exchange: Exchange, send: JobSend) -> None:
-        """Finish a non-repeatable call in the background after its caller has left."""
-        task = asyncio.get_running_loop().create_task(
-            self._async_finish_detached(exchange, send)
-        )
-        self.detached_tasks.add(task)
-        task.add_done_callback(self.detached_tasks.discard)
-
-    async def _async_finish_detached(self, exchange: Exchange, send: JobSend) -> None:
-        job = send.job
-        # The value of this constant also serves as the margin after the deadline.
-        left = job.deadline - self.clock.monotonic() + REPORTED_LOAD_MAX_AGE_SECONDS
-        outcome: SendOutcome
-        try:
-            async with asyncio.timeout(max(left, 0.0)):
-                head = await exchange.async_head()
-                self.record_head(send.state, head, send.sent_at, job)
-                await exchange.async_read_all(MAX_ANSWER_BYTES)
-            outcome = Delivered(status=head.status)
-        except (TransportError, TimeoutError) as err:
-            outcome = Broken(reason=type(err).__name__)
-        finally:
-            exchange.finish()
-        self.telemetry.detached_call_ended(job, outcome, self.clock.monotonic())
-
 
 def _blocked_part_error(part: str) -> CrashSuspectError:
     return CrashSuspectError(f"targets crash on part {part} of the prompt")
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -110,7 +110,7 @@
         except asyncio.CancelledError:
             if self.job.route.kind is CallKind.ONCE:
                 self.is_detached = True
-                self.gateway.finish_detached(exchange, self)
+                self.gateway.detached.finish(exchange, self)
             raise
         finally:
             if not self.is_detached:
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -26,11 +26,11 @@
 from gypsumsail.forwarding.endpoint import ForwardEndpoint
 from gypsumsail.forwarding.helpers import Helpers
 from gypsumsail.gateway.coordinator import Gateway, GatewaySettings
+from gypsumsail.gateway.fleet_view import FleetView
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.limit_slots import LimitSharing
 from gypsumsail.gateway.models import Address, RoutingDocument, TargetEntry
 from gypsumsail.gateway.notices import AnswerNotices
-from gypsumsail.gateway.placer import FleetView
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.telemetry import GatewayTelemetry
 from gypsumsail.gateway.weights import WantedWeights
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -13,6 +13,7 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.hash_ring import HashRing
 from gypsumsail.gateway.coordinator import Gateway, GatewaySettings
+from gypsumsail.gateway.fleet_view import FleetView
 from gypsumsail.gateway.job import Job
 from gypsumsail.gateway.limit_slots import LimitSharing
 from gypsumsail.gateway.models import (
@@ -33,7 +34,6 @@
     WeightedService,
 )
 from gypsumsail.gateway.notices import NO_NOTICES, AnswerNotices
-from gypsumsail.gateway.placer import FleetView
 from gypsumsail.gateway.port import (
     AnswerHead,
     ConnectionUse,
--- a/tests/gateway/load_model.py
+++ b/tests/gateway/load_model.py
@@ -14,10 +14,11 @@
 import random
 
 from gypsumsail.gateway.arrivals import PeerServiceLoad
+from gypsumsail.gateway.fleet_view import FleetView
 from gypsumsail.gateway.job import Job
 from gypsumsail.gateway.models import Customer, Prompt, PromptPart
 from gypsumsail.gateway.placement import Placed
-from gypsumsail.gateway.placer import FleetView, JobPlacer
+from gypsumsail.gateway.placer import JobPlacer
 from gypsumsail.gateway.queue_policy import (
     QueuedCall,
     calls_to_shed,
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -404,8 +404,8 @@
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
     assert not exchange.is_finished
-    assert len(gw.detached_tasks) == 1
-    for left in gw.detached_tasks:
+    assert len(gw.detached.tasks) == 1
+    for left in gw.detached.tasks:
         left.cancel()
 
 
