Divide engines between long and short prompts (trial)

Cause: short prompts with a short latency goal wait behind the prefills of long prompts. Change: placing/ divides the engines of each zone by the load of both kinds, without messages; placement prefers the engines of the call's kind.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -50,6 +50,8 @@
 """Delay that each running generation is assumed to add to a first token."""
 OTHER_ZONE_COST_SECONDS: Final = 0.003
 """Cost of a target in another availability zone."""
+LONG_PREFILLS_COST_SHARE: Final = 0.5
+"""Cost of an engine for long prompts to a short one, as a share of its latency goal."""
 COST_STEP_SECONDS: Final = 0.001
 """Differences of cost below it are no reason to prefer a plain target."""
 
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -160,6 +160,7 @@
         self.stream_builds = StreamBuilds(clock.monotonic())
         self.resumption = StreamResumption(self.stream_builds, clock, telemetry)
         view.build_of = self.stream_builds.build_of
+        view.on_division = telemetry.engines_divided
         self.liveness = LivenessChecks(calls, view.targets, clock)
         self.liveness.on_checked = telemetry.target_checked
         self.knows_targets: Callable[[], bool] = lambda: True
--- a/src/gypsumsail/gateway/fleet_view.py
+++ b/src/gypsumsail/gateway/fleet_view.py
@@ -11,6 +11,7 @@
 from gypsumsail.gateway.models import PromptPart, TargetEntry
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.weights import WantedWeights
+from gypsumsail.placing.pools import EnginePools
 
 CountFetchableParts = Callable[[str, str, Sequence[PromptPart], float], int]
 """Function of service, cache scope, prompt parts and time.
@@ -48,6 +49,9 @@
         Returns the seconds between the load reports of another VM.
     build_of
         Returns the build of a target at a time, with which those of streams compare.
+    on_division
+        Called with a service, its pools and the time when a division of its engines
+        between long and short prompts begins or ends.
     exits_at
         Time at which this VM exits; infinite until it is told to stop.
     sharing_group
@@ -74,5 +78,8 @@
     choose_helper: Callable[[str, set[str], float], str | None] = (
         lambda service, tried, now: None
     )
+    on_division: Callable[[str, EnginePools, float], None] = (
+        lambda service, pools, now: None
+    )
     exits_at: float = inf
     sharing_group: str = ""
--- a/src/gypsumsail/gateway/placement.py
+++ b/src/gypsumsail/gateway/placement.py
@@ -21,6 +21,7 @@
     FAILURE_COST_SECONDS,
     FETCH_COST_SECONDS_PER_TOKEN,
     FETCH_TOKENS_PER_SECOND,
+    LONG_PREFILLS_COST_SHARE,
     MAX_CALLS_PER_SLOT,
     MAX_CALLS_PER_SLOT_LATE,
     OLD_WEIGHTS_COST_SECONDS,
@@ -57,6 +58,10 @@
         Share of recent calls that the target failed, from 0 to 1.
     has_avoided_weights
         Whether the target has older weights and should be avoided.
+    is_reserved
+        Whether an engine is meant for short prompts, and the call has a long one.
+    has_long_prefills
+        Whether an engine is meant for long prompts, and the call has a short one.
     draw
         Random number, uniform from 0 to 1.
     """
@@ -74,6 +79,8 @@
     failure_share: float
     is_stalled: bool
     has_avoided_weights: bool
+    is_reserved: bool = False
+    has_long_prefills: bool = False
     draw: float = 0.0
 
 
@@ -167,6 +174,8 @@
         total += STALL_COST_SECONDS
     if candidate.has_avoided_weights:
         total += OLD_WEIGHTS_COST_SECONDS
+    if candidate.has_long_prefills:
+        total += demand.latency_goal_seconds * LONG_PREFILLS_COST_SHARE
     return total
 
 
@@ -177,6 +186,8 @@
         return candidate.calls < candidate.slots * share
     if not candidate.calls:
         return True
+    if candidate.is_reserved:
+        return False
     full = (
         candidate.tokens + demand.tokens > candidate.memory_tokens * USABLE_MEMORY_SHARE
     )
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -33,6 +33,9 @@
 from gypsumsail.gateway.queue_policy import Capacity
 from gypsumsail.gateway.targets import InFlightCall, TargetState
 from gypsumsail.gateway.weights import WeightFit, cache_scope, weight_fit
+from gypsumsail.placing.const import MIN_RATE_SAMPLES
+from gypsumsail.placing.pools import EnginePools, PoolEngine
+from gypsumsail.placing.prompt_mix import PromptWork
 
 
 class _FetchableByScope(dict[str, int]):
@@ -68,6 +71,7 @@
         self.jobs = jobs
         self.arrivals = ArrivalRate()
         self.usual_work = INITIAL_CALL_SECONDS
+        self.pools = EnginePools(service.name)
         self.random = random.Random()
 
     def work_seconds(self, job: Job, now: float) -> float:
@@ -107,6 +111,8 @@
         eligible = self._eligible(job, now)
         if not eligible:
             return Unplaceable()
+        if self.pools.is_due(now):
+            self._update_pools(now)
         usable = {
             state.entry.name: state for state in eligible if self._is_usable(state, now)
         }
@@ -172,6 +178,31 @@
         work = max(job.work_seconds, self.memory_seconds(job))
         self.arrivals.add(work, now)
         self.usual_work += DURATION_SMOOTHING * (work - self.usual_work)
+        self._record_prompt_work(job, now)
+
+    def _record_prompt_work(self, job: Job, now: float) -> None:
+        """Record the work of a prompt, once the speed of the engines is known."""
+        engine, prompt = self.service.engine, job.call.prompt
+        rate = self.view.targets.rate(self.service.name)
+        if engine is None or prompt is None or rate.samples < MIN_RATE_SAMPLES:
+            return
+        decode_seconds = self.view.targets.generation_time(job.route.name).seconds
+        calls = engine.memory_tokens * USABLE_MEMORY_SHARE / max(prompt.tokens, 1)
+        work = PromptWork(
+            latency_goal=job.route.latency_goal,
+            prefill_seconds=job.work_seconds,
+            decode_share_seconds=decode_seconds / max(min(calls, engine.slots), 1.0),
+        )
+        self.pools.record(job.route.name, work, now)
+
+    def _update_pools(self, now: float) -> None:
+        engines = (
+            PoolEngine(name=state.entry.name, zone=state.entry.zone)
+            for state in self._states()
+            if not state.is_leaving
+        )
+        if self.pools.update(engines, now):
+            self.view.on_division(self.service.name, self.pools, now)
 
     def offered_load(self, now: float) -> float:
         """Return the offered load of the calls at this VM, in erlangs."""
@@ -324,6 +355,7 @@
         engine = self.service.engine
         if engine is not None:
             state.cache.capacity_tokens = engine.memory_tokens
+        is_for_short = state.entry.name in self.pools.short_engines
         prefill_tokens, fetch_tokens = self._prefill_and_fetch_tokens(
             job, state, fetchable_by_scope
         )
@@ -341,6 +373,8 @@
             failure_share=state.failure_share(now),
             is_stalled=state.is_stalled(now),
             has_avoided_weights=self._weight_fit(job, state, now) is WeightFit.AVOIDED,
+            is_reserved=is_for_short and self.pools.is_long(job.route.name),
+            has_long_prefills=not is_for_short and self.pools.is_short(job.route.name),
             draw=self.random.random(),
         )
 
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -26,6 +26,7 @@
 from gypsumsail.gateway.targets import TargetState
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.metrics.registry import MetricsRegistry
+from gypsumsail.placing.pools import EnginePools
 
 MAX_LOGGED_TEXT: Final = 40
 """Characters of a header's value that are logged."""
@@ -489,6 +490,19 @@
             source=source,
         )
 
+    @callback
+    def engines_divided(self, service: str, pools: EnginePools, now: float) -> None:
+        """Log that engines are divided between long and short prompts, or no more."""
+        division = pools.division
+        self.log.write(
+            "engines divided" if division is not None else "engines not divided",
+            service=service,
+            long_routes=sorted(division.long_routes) if division else [],
+            short_routes=sorted(division.short_routes) if division else [],
+            short_share=round(division.short_share, 2) if division else None,
+            short_engines=len(pools.short_engines),
+        )
+
     @callback
     def part_blocked(self, part: str, crashes: Iterable[TargetLife]) -> None:
         """Log that calls with a part are refused, and the crashes that led to it."""
--- /dev/null
+++ b/src/gypsumsail/placing/const.py
@@ -0,0 +1,37 @@
+"""Constants of the division of engines by kinds of prompts."""
+
+from __future__ import annotations
+
+from typing import Final
+
+INTERFERING_PREFILLS: Final = 3.0
+"""Prefills of average length that a short prompt may find ahead of it at an engine.
+
+If they take longer than its latency goal, the prompts interfere.
+"""
+RELEASE_SHARE: Final = 0.7
+"""Share of that time below the goal at which an existing division ends."""
+MIN_RATE_SAMPLES: Final = 5
+"""Samples of the engines' prefill speed from which prompts are compared."""
+MIN_SAMPLES: Final = 5
+"""Calls of a route from which its averages are used."""
+SMOOTHING: Final = 0.1
+"""Smallest share of a new call in the averages of a route."""
+LOAD_DECAY_SECONDS: Final = 10.0
+"""Time in which the weight of a call in the load of its route falls to 1/e.
+
+A VM of a large fleet sees a few calls per second, whose shares vary by chance.
+"""
+MIN_LOAD: Final = 0.02
+"""Load of a route, in engines, below which it has no part in the division."""
+MIN_POOL_SHARE: Final = 0.1
+"""Smallest share of the engines of a zone that either kind gets."""
+SHORT_PROMPT_HEADROOM: Final = 1.5
+"""Engines for short prompts, as a multiple of those that their mean load occupies.
+
+Short prompts have short latency goals and don't queue.
+"""
+UPDATE_SECONDS: Final = 0.5
+"""Interval at which the division is calculated anew."""
+MIN_ENGINES_PER_ZONE: Final = 3
+"""Engines of a zone below which its engines are not divided."""
