--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -30,6 +30,7 @@
     SILENT_PEER_INTERVAL_SECONDS,
 )
 from gypsumsail.gossip.messages import GossipMessage
+from gypsumsail.gossip.zone_members import ZoneMembers
 from gypsumsail.gossip.zone_reports import ZoneReport
 
 READS_REPORTS_MARKER: Final = ""
@@ -116,6 +117,8 @@
         Whether there were too many VMs for the full rate when that was determined.
     current_ring, ring_checked_at
         Ring of all VMs, and the time at which its members were determined.
+    zone_members
+        Hosts of the VMs of this zone, silent ones included.
     """
 
     vm: str
@@ -129,6 +132,11 @@
     has_many_vms: bool = False
     current_ring: HashRing | None = None
     ring_checked_at: float = float("-inf")
+    zone_members: ZoneMembers = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the view of the zone."""
+        self.zone_members = ZoneMembers(self)
 
     def add(self, host: str, now: float) -> None:
         """Add a host that may run a VM of the gateway."""
--- a/src/gypsumsail/vm/vm_list.py
+++ b/src/gypsumsail/vm/vm_list.py
@@ -102,10 +102,10 @@
     async def _async_refresh_peers(self) -> None:
         listing = await self.ports.list_vms()
         now = self.clock.monotonic()
-        for found in listing.objects:
-            host = _host(found)
-            if host is not None:
-                self.peers.add(host, now)
+        hosts = {host for item in listing.objects if (host := _host(item)) is not None}
+        for host in hosts:
+            self.peers.add(host, now)
+        self.peers.zone_members.record_list(hosts, now)
         self.peers.evict_silent(now)
 
 
