Limit the calls to cold targets, and use the load factor of targets

Cause: VMs sent queued calls to engines as soon as a connection opened, before they had read that the engines are cold.

Change: the placer skips a target whose ColdState allows no call now; sends, retries and forwarded calls count when they are placed. The capacity of a queue counts cold targets at this VM's share, and again once they are warm, so that calls wait if that is soon. cold_s, cold_per_s, cold_left_ms, cold_over, cold_slack and Gypsumsail-Cold-Ms are decoded; invalid values mean cold.

An entry with an invalid cold_left_ms no longer loses its target.

--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -153,6 +153,13 @@
 """Largest random extension of a pause."""
 RETURN_INTERVAL_SECONDS: Final = 1.0
 """Interval of the calls to a target after its pause, until it answers one."""
+WARM_TOGETHER_SECONDS: Final = 1.0
+"""Time after the first cold target is warm in which others count as warm with it."""
+DEFAULT_TIMEOUT_SECONDS: Final = 60.0
+"""Timeout of a call whose route sets none.
+
+An earlier deadline of the caller still applies.
+"""
 MAX_REMEMBERED_LEAVING: Final = 1_024
 """Targets that said that they leave and are remembered when they are not listed."""
 MAX_REMEMBERED_LIMITS: Final = 2_048
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -8,6 +8,7 @@
 import random
 from typing import Final
 
+from gypsumsail.cold_targets.models import ColdStatement
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import (
@@ -22,6 +23,7 @@
 )
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.call_limit import InvalidLimit
+from gypsumsail.gateway.const import DEFAULT_TIMEOUT_SECONDS
 from gypsumsail.gateway.crash_suspects import CrashSuspectTracker
 from gypsumsail.gateway.detached_calls import DetachedCalls
 from gypsumsail.gateway.fingerprints import fingerprint, shared_parts
@@ -78,16 +80,11 @@
     pick_service,
 )
 from gypsumsail.gateway.service_queue import ServiceQueue
-from gypsumsail.gateway.stream_builds import StreamBuilds
+from gypsumsail.gateway.stream_builds import StreamBuilds, longest_stream
 from gypsumsail.gateway.stream_resumption import StreamResumption
 from gypsumsail.gateway.targets import InFlightCall, TargetState
 from gypsumsail.gateway.telemetry import GatewayTelemetry
 
-DEFAULT_TIMEOUT_SECONDS: Final = 60.0
-"""Timeout of a call whose route sets none.
-
-An earlier deadline of the caller still applies.
-"""
 NO_RETRY_ERRORS: Final = (
     UnauthorizedError,
     UnknownServiceError,
@@ -154,6 +151,8 @@
         self.crash_suspects = CrashSuspectTracker()
         view.targets.on_life_listed = self._record_life_listed
         view.targets.on_life_ended = self._record_life_ended
+        view.targets.on_cold = telemetry.target_cold
+        view.on_cold_held = telemetry.cold.call_held
         self.part_suspects = PartSuspects()
         self.part_suspects.on_blocked = telemetry.part_blocked
         self.part_suspects.on_released = telemetry.part_released
@@ -182,7 +181,8 @@
         """Apply a routing document; queues of removed services are kept."""
         self.document = document
         self.view.sharing_group = document.sharing_group
-        self.stream_builds.note_return(_longest_stream(document))
+        self.view.targets.set_cold_terms(document.services, self.clock.monotonic())
+        self.stream_builds.note_return(longest_stream(document))
         for name, service in document.services.items():
             queue = self.queues.get(name)
             if queue is None:
@@ -528,6 +528,8 @@
             self.telemetry.target_paused(state, notices.pause, seconds, request_id)
         if isinstance(notices.limit, InvalidLimit):
             self.telemetry.target_limit_invalid(state, notices.limit.text)
+        if notices.cold is not None:
+            self.record_cold(state, notices.cold, sent_at)
         wall_ms = round(self.clock.wall() * MILLISECONDS_PER_SECOND)
         if state.limit.record(notices.limit, sent_at, now, wall_ms):
             is_news = True
@@ -535,6 +537,14 @@
         if is_news:
             self.on_target_news(state, now)
 
+    @callback
+    def record_cold(
+        self, state: TargetState, cold: ColdStatement, sent_at: float
+    ) -> None:
+        """Apply the time for which a target says that it stays cold."""
+        if state.cold.record_header(cold, sent_at, self.clock.monotonic()):
+            self.telemetry.target_cold_invalid(state, cold)
+
     def _record_leaving(self, state: TargetState) -> bool:
         return self.view.targets.record_leaving(state.entry.name, state.entry.life)
 
@@ -604,15 +614,3 @@
 
 def _blocked_part_error(part: str) -> CrashSuspectError:
     return CrashSuspectError(f"targets crash on part {part} of the prompt")
-
-
-def _longest_stream(document: RoutingDocument) -> float:
-    """Return the longest time, in seconds, after which a stream is taken up."""
-    return max(
-        (
-            route.timeout or DEFAULT_TIMEOUT_SECONDS
-            for route in document.routes
-            if route.is_resumable
-        ),
-        default=0.0,
-    )
--- a/src/gypsumsail/gateway/detached_calls.py
+++ b/src/gypsumsail/gateway/detached_calls.py
@@ -66,6 +66,8 @@
                 await exchange.async_read_all(MAX_ANSWER_BYTES)
             outcome = Delivered(status=head.status)
         except (TransportError, TimeoutError) as err:
+            if isinstance(err, TransportError):
+                send.state.cold.lose_contact(self.clock.monotonic())
             outcome = Broken(reason=type(err).__name__)
         finally:
             exchange.finish()
--- a/src/gypsumsail/gateway/fleet_view.py
+++ b/src/gypsumsail/gateway/fleet_view.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import inf
 
+from gypsumsail.cold_targets.senders import ColdSharing
 from gypsumsail.gateway.arrivals import PeerServiceLoad
 from gypsumsail.gateway.limit_slots import LimitSharing
 from gypsumsail.gateway.models import PromptPart, TargetEntry
@@ -39,6 +40,10 @@
         Returns the number of VMs that place calls on the same targets.
     limit_sharing
         Division of the targets' limits among these VMs.
+    cold_sharing
+        Division of the rate of cold targets among the VMs of this zone.
+    on_cold_held
+        Called with the service of a call when it first waits for a cold target.
     peer_service_load
         Returns the load that the other VMs put on the targets of a service.
     knows_notices
@@ -65,6 +70,8 @@
     rollout_seconds: float
     vms: Callable[[], int]
     limit_sharing: LimitSharing
+    cold_sharing: ColdSharing = field(default_factory=ColdSharing)
+    on_cold_held: Callable[[str], None] = lambda service: None
     peer_service_load: Callable[[str, float], PeerServiceLoad] = lambda service, now: (
         PeerServiceLoad()
     )
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -77,6 +77,8 @@
         Whether another VM has forwarded the call; it is not forwarded again.
     helpers_tried
         Hosts of the VMs to which this one has tried to forward the call.
+    is_held
+        Whether the call has waited while a target was cold.
     connection
         Connection over which the call was sent last; ``None`` if it was not sent to a
         target.
@@ -105,6 +107,7 @@
     build: str | None = None
     is_forwarded: bool = False
     helpers_tried: set[str] = field(default_factory=set)
+    is_held: bool = False
     connection: ConnectionUse | None = None
 
     def answer_needed_by(self) -> float:
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -103,7 +103,7 @@
         try:
             return await self._async_answer(exchange)
         except TransportError as err:
-            self.state.record_failure(self.clock.monotonic())
+            self.state.record_break(self.clock.monotonic())
             self.gateway.record_broken_call(self.job, self.state)
             self._record_crash()
             return Broken(reason=str(err))
@@ -132,7 +132,7 @@
         head = await self._async_head(exchange)
         if head is None:
             exchange.abort()
-            self.state.record_failure(self.clock.monotonic())
+            self.state.record_break(self.clock.monotonic())
             return Broken(reason="abandoned: the target is silent or unreachable")
         self.gateway.record_head(self.state, head, self.sent_at, self.job)
         if head.says_not_run or head.is_wrong_target:
--- a/src/gypsumsail/gateway/liveness.py
+++ b/src/gypsumsail/gateway/liveness.py
@@ -50,11 +50,18 @@
 
     @callback
     def tick(self, now: float) -> None:
-        """Check targets whose block has expired, and those that other VMs report."""
+        """Check targets whose block has expired or that others report.
+
+        The same holds for targets that may have become cold, see ``ColdState``.
+        """
         for state in self.targets.states.values():
             if state.blocked_until > now:
                 continue
-            if state.needs_check or state.is_reported_unreachable(now):
+            if (
+                state.needs_check
+                or state.is_contact_check_due(now)
+                or state.is_reported_unreachable(now)
+            ):
                 self._check(state)
 
     @callback
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
-from functools import partial
+from collections.abc import Mapping, Sequence
 from math import isfinite
 import random
 
@@ -16,6 +15,7 @@
     STOP_MARGIN_SECONDS,
     USABLE_MEMORY_SHARE,
 )
+from gypsumsail.gateway.fetchable_parts import FetchableByScope
 from gypsumsail.gateway.fleet_view import FleetView
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import Service
@@ -31,23 +31,16 @@
     place,
 )
 from gypsumsail.gateway.queue_policy import Capacity
+from gypsumsail.gateway.target_shares import (
+    capacity_when_warm,
+    is_unrestricted,
+    own_workers,
+    seconds_until_allowed,
+)
 from gypsumsail.gateway.targets import InFlightCall, TargetState
 from gypsumsail.gateway.weights import WeightFit, cache_scope, weight_fit
 
 
-class _FetchableByScope(dict[str, int]):
-    """Number of leading parts of one prompt that can be fetched, by cache scope."""
-
-    def __init__(self, lookup: Callable[[str], int]) -> None:
-        super().__init__()
-        self.lookup = lookup
-
-    def __missing__(self, scope: str) -> int:
-        """Look up a scope on its first use."""
-        self[scope] = self.lookup(scope)
-        return self[scope]
-
-
 def _fastest_seconds(states: Sequence[TargetState]) -> float:
     """Return the average duration of a call at the fastest target."""
     return min((state.usual_seconds for state in states), default=0.0)
@@ -129,6 +122,10 @@
             state = usable[placed.name]
             state.count_call(now)
             job.assignment = self.begin(job, state, placed.answer_delay, now)
+        elif self.service.cold is not None and not job.is_held:
+            job.is_held = any(state.cold.is_cold(now) for state in eligible)
+            if job.is_held:
+                self.view.on_cold_held(self.service.name)
         return placed
 
     def answered_by(self, job: Job, now: float) -> float:
@@ -153,6 +150,8 @@
             return False
         if not state.pause.allows(now):
             return False
+        if not state.cold.allows(self.view.cold_sharing, now):
+            return False
         return state.is_within_limit(self.view.limit_sharing, now)
 
     def unseen_seconds(self, now: float) -> float:
@@ -195,15 +194,14 @@
             checks = (state.blocked_until - now for state in listed)
             seconds_until_check = max(min(checks, default=0.0), 0.0) + CONNECT_SECONDS
         peer_service_load = self.view.peer_service_load(self.service.name, now)
-        free = [state for state in states if state.limit.calls_per_second is None]
+        free = [state for state in states if is_unrestricted(state, now)]
         if self.service.engine is None:
             slots = sum(state.entry.slots for state in states)
             calls = sum(state.calls(now) for state in states)
             usual = min((state.usual_seconds for state in states), default=0.0)
             backlog = usual * calls / slots if slots else 0.0
-            backlog += min(
-                map(partial(self._seconds_until_allowed, now=now), states), default=0.0
-            )
+            waits = (seconds_until_allowed(state, self.view, now) for state in states)
+            backlog += min(waits, default=0.0)
             workers = sum(state.entry.slots for state in free)
         else:
             expected_wait = (self._engine_expected_wait(state, now) for state in states)
@@ -211,32 +209,23 @@
             workers = len(free)
         return Capacity(
             workers=workers,
-            own_workers=sum(self._limited_workers(state, now) for state in states),
+            own_workers=own_workers(
+                states, self.view, self.service, self.usual_work, now
+            ),
             backlog_seconds=backlog + seconds_until_check,
             peer_queued_work_seconds=peer_service_load.queued_work_seconds,
             offered_load=self.offered_load(now) + peer_service_load.offered_load,
+            when_warm=capacity_when_warm(
+                states, self.service, peer_service_load, self.offered_load(now), now
+            ),
         )
 
-    def _seconds_until_allowed(self, state: TargetState, now: float) -> float:
-        return state.seconds_until_allowed(self.view.limit_sharing, now)
-
-    def _limited_workers(self, state: TargetState, now: float) -> float:
-        """Return the workers to which this VM's share of a limit corresponds."""
-        limit = state.limit.calls_per_second
-        if limit is None:
-            return 0.0
-        ring = self.view.limit_sharing.ring(now)
-        vms = len(ring.members) if ring is not None else self.view.vms()
-        if self.service.engine is None:
-            return min(limit * state.usual_seconds, state.entry.slots) / vms
-        return min(limit * self.usual_work, 1.0) / vms
-
     def _engine_expected_wait(self, state: TargetState, now: float) -> float:
         """Return the seconds until an engine is expected to take one more call."""
         assert self.service.engine is not None
         free_at = max(state.paused_until, now)
         seconds = free_at - now + state.pending_prefill_tokens(now) / self._rate()
-        seconds = max(seconds, self._seconds_until_allowed(state, now))
+        seconds = max(seconds, seconds_until_allowed(state, self.view, now))
         calls, tokens = state.calls(now), state.tokens(now)
         if not calls:
             return seconds
@@ -290,17 +279,17 @@
         version = self._version(job, state)
         return cache_scope(isolated, version, self.view.sharing_group)
 
-    def _fetchable_parts(self, job: Job, now: float) -> _FetchableByScope:
+    def _fetchable_parts(self, job: Job, now: float) -> FetchableByScope:
         """Return the lookup of fetchable leading parts, cached by scope."""
         prompt = job.call.prompt
         parts = prompt.parts if prompt is not None else ()
         service = self.service.name
-        return _FetchableByScope(
+        return FetchableByScope(
             lambda scope: self.view.fetchable_parts(service, scope, parts, now)
         )
 
     def _prefill_and_fetch_tokens(
-        self, job: Job, state: TargetState, fetchable_by_scope: _FetchableByScope
+        self, job: Job, state: TargetState, fetchable_by_scope: FetchableByScope
     ) -> tuple[int, int]:
         """Return the prompt tokens that a target would prefill, and would fetch."""
         prompt = job.call.prompt
@@ -317,7 +306,7 @@
         self,
         job: Job,
         state: TargetState,
-        fetchable_by_scope: _FetchableByScope,
+        fetchable_by_scope: FetchableByScope,
         fastest_seconds: float,
         now: float,
     ) -> Candidate:
@@ -327,17 +316,18 @@
         prefill_tokens, fetch_tokens = self._prefill_and_fetch_tokens(
             job, state, fetchable_by_scope
         )
+        factor = state.work_factor(now)
         return Candidate(
             name=state.entry.name,
             is_in_own_zone=state.entry.zone == self.view.zone,
             slots=state.entry.slots,
             calls=state.calls(now),
             tokens=state.tokens(now),
-            pending_prefill_tokens=state.pending_prefill_tokens(now),
+            pending_prefill_tokens=round(state.pending_prefill_tokens(now) * factor),
             memory_tokens=engine.memory_tokens if engine is not None else 0,
-            own_prefill_tokens=prefill_tokens,
+            own_prefill_tokens=round(prefill_tokens * factor),
             fetch_tokens=fetch_tokens,
-            usual_seconds=state.expected_seconds(fastest_seconds, now),
+            usual_seconds=state.expected_seconds(fastest_seconds, now) * factor,
             failure_share=state.failure_share(now),
             is_stalled=state.is_stalled(now),
             has_avoided_weights=self._weight_fit(job, state, now) is WeightFit.AVOIDED,
--- a/src/gypsumsail/gateway/port.py
+++ b/src/gypsumsail/gateway/port.py
@@ -7,6 +7,7 @@
 from enum import Enum, auto
 from typing import Protocol
 
+from gypsumsail.cold_targets.models import ColdStatement
 from gypsumsail.gateway.models import Address, Call, HeaderPairs, TargetEntry
 from gypsumsail.gateway.notices import NO_NOTICES, AnswerNotices
 from gypsumsail.gateway.targets import TargetReportedLoad
@@ -202,9 +203,13 @@
     ----------
     on_skipped
         Called with a target and an answer of it that was not taken.
+    on_cold_stated
+        Called with a target that says in the answer to a check how long it stays cold,
+        and the time at which the check was sent.
     """
 
     on_skipped: Callable[[TargetEntry, SkippedAnswer], None]
+    on_cold_stated: Callable[[TargetEntry, ColdStatement, float], None]
 
     async def async_send(
         self, target: TargetEntry, call: Call, terms: SendTerms, now: float
--- a/src/gypsumsail/gateway/queue_policy.py
+++ b/src/gypsumsail/gateway/queue_policy.py
@@ -16,7 +16,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from gypsumsail.gateway.const import (
     LATE_WAIT_SHARE,
@@ -90,8 +90,11 @@
     offered_load
         Offered load of the calls that arrive at all VMs, in erlangs.
     own_workers
-        This VM's share, in workers, of targets with a limit. The calls of the other VMs
-        don't take from it.
+        This VM's share, in workers, of cold targets and those with a limit. The calls
+        of the other VMs don't take from it.
+    when_warm
+        Capacity once the first cold targets are warm, after its backlog; ``None`` if
+        no target is cold.
     """
 
     workers: float
@@ -99,11 +102,16 @@
     peer_queued_work_seconds: float
     offered_load: float = 0.0
     own_workers: float = 0.0
+    when_warm: Capacity | None = None
 
     def has_workers(self) -> bool:
-        """Return whether any target serves the queue."""
+        """Return whether any target serves the queue now."""
         return self.workers > 0 or self.own_workers > 0
 
+    def serves(self) -> bool:
+        """Return whether any target serves the queue, now or once it is warm."""
+        return self.has_workers() or self.when_warm is not None
+
     def workers_for(self, own_work_seconds: float) -> float:
         """Return the workers that serve the calls of this VM, if all VMs have calls.
 
@@ -142,7 +150,21 @@
 
     The calls of other VMs are assumed to be spread evenly between those of this VM. A
     call that will be late also waits for the calls that arrive before its turn.
+
+    While targets are cold, a call starts once they are warm if that is sooner.
     """
+    if capacity.when_warm is None:
+        return _expected_starts(ordered, capacity, now)
+    warm_starts = _expected_starts(ordered, capacity.when_warm, now)
+    if not capacity.has_workers():
+        return warm_starts
+    starts = _expected_starts(ordered, capacity, now)
+    return list(map(min, starts, warm_starts))
+
+
+def _expected_starts(
+    ordered: Sequence[QueuedCall], capacity: Capacity, now: float
+) -> list[float]:
     late_capacity_share = max(
         1.0 - capacity.offered_load / max(capacity.workers, 1.0),
         MIN_LATE_CAPACITY_SHARE,
@@ -168,6 +190,11 @@
 
 def expected_wait(ordered: Sequence[QueuedCall], capacity: Capacity) -> float:
     """Return the seconds until all queued calls are expected to be placed."""
+    if capacity.when_warm is not None:
+        warm_wait = expected_wait(ordered, capacity.when_warm)
+        if not capacity.has_workers():
+            return warm_wait
+        return min(warm_wait, expected_wait(ordered, replace(capacity, when_warm=None)))
     if not capacity.has_workers():
         return NO_TARGET_RETRY_SECONDS
     own = sum(map(occupied_seconds, ordered))
@@ -181,7 +208,7 @@
     ordered: Sequence[QueuedCall], capacity: Capacity, now: float
 ) -> list[ShedCall]:
     """Return the calls to refuse because they would be answered too late."""
-    if not capacity.has_workers():
+    if not capacity.serves():
         return [
             ShedCall(call=call, expected_wait=NO_TARGET_RETRY_SECONDS)
             for call in ordered
--- a/src/gypsumsail/gateway/stream_builds.py
+++ b/src/gypsumsail/gateway/stream_builds.py
@@ -13,7 +13,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from gypsumsail.gateway.models import TargetEntry
+from gypsumsail.gateway.const import DEFAULT_TIMEOUT_SECONDS
+from gypsumsail.gateway.models import RoutingDocument, TargetEntry
 
 NOTE_INTERVAL_SECONDS: Final = 0.5
 """Pause between looks at the builds of all listed targets."""
@@ -230,3 +231,15 @@
             and record.begin.service == service
             and record.expires_at > now
         ]
+
+
+def longest_stream(document: RoutingDocument) -> float:
+    """Return the longest time, in seconds, after which a stream is taken up."""
+    return max(
+        (
+            route.timeout or DEFAULT_TIMEOUT_SECONDS
+            for route in document.routes
+            if route.is_resumable
+        ),
+        default=0.0,
+    )
--- a/src/gypsumsail/gateway/target_table.py
+++ b/src/gypsumsail/gateway/target_table.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 
+from gypsumsail.cold_targets.cold_state import ColdState
+from gypsumsail.cold_targets.models import ColdTerms
 from gypsumsail.gateway.averages import AnswerTime, GenerationTime, PrefillRate
 from gypsumsail.gateway.call_limit import CallLimit
 from gypsumsail.gateway.const import MAX_REMEMBERED_LEAVING, MAX_REMEMBERED_LIMITS
-from gypsumsail.gateway.models import TargetEntry
+from gypsumsail.gateway.models import Service, TargetEntry
 from gypsumsail.gateway.part_cache import PartCache
 from gypsumsail.gateway.targets import TargetState
 
@@ -41,6 +44,12 @@
         Names and lives of the latest targets that said that they leave, listed or not.
     call_limits
         Limits by name and life of the target, listed or not.
+    cold_terms
+        Limits on cold targets by service, for services whose targets may be cold.
+    cold_states
+        Cold state of the latest life of each target, listed or not.
+    on_cold
+        Called with a target that turns cold, the remaining seconds and the source.
     on_life_listed
         Called with each life of a target that is new in the table.
     on_life_ended
@@ -50,6 +59,11 @@
     def __init__(self) -> None:
         self.said_leaving: dict[tuple[str, int], None] = {}
         self.call_limits: dict[tuple[str, int], CallLimit] = {}
+        self.cold_terms: dict[str, ColdTerms] = {}
+        self.cold_states: dict[str, ColdState] = {}
+        self.on_cold: Callable[[TargetEntry, float, str], None] = (
+            lambda entry, seconds, source: None
+        )
         self.states: dict[str, TargetState] = {}
         self.rates: dict[str, PrefillRate] = {}
         self.generation_times: dict[str, GenerationTime] = {}
@@ -104,14 +118,71 @@
             state.has_said_leaving = (entry.name, entry.life) in self.said_leaving
             state.limit = self.call_limit(entry.name, entry.life)
             self.states[entry.name] = state
+            state.cold = self._cold_state(state.cold, now)
+            state.cold.set_terms(self.cold_terms.get(entry.service), now)
+            state.cold.record_entry(entry.cold_seconds, now)
             self.on_life_listed(entry)
             return True
         before = (state.entry.phase, dict(state.weight_versions))
+        self._apply_cold(state, entry, now)
         state.entry = entry
         for model, version in entry.weight_versions.items():
             state.learn_version(model, version, now)
         return before != (entry.phase, state.weight_versions)
 
+    def _apply_cold(self, state: TargetState, entry: TargetEntry, now: float) -> None:
+        """Apply the cold time of a further entry of a life."""
+        if (
+            state.cold.terms is not None
+            and entry.cold_seconds
+            and not state.entry.cold_seconds
+        ):
+            # The memory of an engine that becomes cold again is empty.
+            state.cache.clear()
+        if entry.service != state.entry.service:
+            state.cold.set_terms(self.cold_terms.get(entry.service), now)
+        state.cold.zone = entry.zone
+        state.cold.record_entry(entry.cold_seconds, now)
+
+    def _cold_state(self, cold: ColdState, now: float) -> ColdState:
+        """Return the cold state of a target that is new in the table.
+
+        A life that is listed again, perhaps at another address, keeps its state. The
+        time of the latest send holds for the next life as well.
+        """
+        before = self.cold_states.get(cold.name)
+        if before is not None and before.life == cold.life:
+            before.zone = cold.zone
+            return before
+        if before is not None:
+            cold.sent_at = before.sent_at
+        if len(self.cold_states) >= MAX_REMEMBERED_LIMITS:
+            self.cold_states = {name: state.cold for name, state in self.states.items()}
+        cold.on_cold = partial(self._report_cold, cold.name)
+        self.cold_states[cold.name] = cold
+        return cold
+
+    def _report_cold(self, name: str, seconds: float, source: str, now: float) -> None:
+        state = self.states.get(name)
+        if state is not None:
+            self.on_cold(state.entry, seconds, source)
+
+    def set_cold_terms(self, services: Mapping[str, Service], now: float) -> None:
+        """Apply what a routing document states about cold targets."""
+        self.cold_terms = {
+            service.name: service.cold
+            for service in services.values()
+            if service.cold is not None
+        }
+        for state in self.states.values():
+            state.cold.set_terms(self.cold_terms.get(state.entry.service), now)
+
+    def expect_cold_zone(self, zone: str, now: float) -> None:
+        """Record that the targets of a zone are cold, as at an evacuation's end."""
+        for cold in self.cold_states.values():
+            if cold.zone == zone:
+                cold.expect_cold(now)
+
     def call_limit(self, name: str, life: int) -> CallLimit:
         """Return the limit of a target, which need not be listed yet."""
         key = (name, life)
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from math import exp
 
+from gypsumsail.cold_targets.cold_state import ColdState
+from gypsumsail.cold_targets.const import MIN_CONTACT_CHECK_SECONDS
 from gypsumsail.gateway.call_limit import CallLimit
 from gypsumsail.gateway.const import (
     DURATION_DECAY_SECONDS,
@@ -93,11 +95,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetReportedLoad:
-    """Load that a target reported with an answer."""
+    """Load that a target reported with an answer.
+
+    Attributes
+    ----------
+    work_factor
+        How long work takes on the target's machine, as a multiple of the usual time;
+        ``None`` if the target states no valid one.
+    """
 
     running: int
     waiting: int
     at: float
+    work_factor: float | None = None
 
 
 @dataclass(slots=True)
@@ -147,6 +157,8 @@
         Times at which this VM may send a call while there is a limit.
     sends
         Times at which this VM has recently placed calls on the target.
+    cold
+        Whether the target is cold, and the sends to it while it is.
     """
 
     entry: TargetEntry
@@ -174,10 +186,13 @@
     limit: CallLimit = field(default_factory=CallLimit)
     limit_slots: LimitSlots = field(init=False)
     sends: deque[float] = field(default_factory=deque)
+    cold: ColdState = field(init=False)
 
     def __post_init__(self) -> None:
         """Set the attributes that depend on the entry."""
-        self.limit_slots = LimitSlots(self.entry.name)
+        entry = self.entry
+        self.limit_slots = LimitSlots(entry.name)
+        self.cold = ColdState(name=entry.name, life=entry.life, zone=entry.zone)
 
     @property
     def is_leaving(self) -> bool:
@@ -195,8 +210,9 @@
         return limit is None or self.limit_slots.allows(limit, sharing, now)
 
     def count_call(self, now: float) -> None:
-        """Count a call that is about to be sent against the limit of the target."""
+        """Count a call that is about to be sent against the limits of the target."""
         self.pause.count_call(now)
+        self.cold.count_call(now)
         if self.limit.calls_per_second is not None:
             self.limit_slots.take()
 
@@ -235,6 +251,7 @@
             Seconds within which the next progress is expected.
         """
         self.progress_at = now
+        self.cold.record_contact(now)
         in_flight_call = self.in_flight.get(in_flight_id)
         if in_flight_call is None:
             return
@@ -276,6 +293,15 @@
             return known
         return max(known, reported.running + reported.waiting)
 
+    def work_factor(self, now: float) -> float:
+        """Return how long work takes at the target, as a multiple of the usual time."""
+        reported = self.reported
+        if reported is None or reported.work_factor is None:
+            return 1.0
+        if now - reported.at >= REPORTED_LOAD_MAX_AGE_SECONDS:
+            return 1.0
+        return reported.work_factor
+
     def tokens(self, now: float) -> int:
         """Return the estimated memory of the calls at the target, in tokens."""
         own = sum(in_flight_call.tokens for in_flight_call in self.in_flight.values())
@@ -319,6 +345,7 @@
         self.needs_check = False
         self.block_seconds = 0.0
         self.progress_at = now
+        self.cold.record_contact(now)
         share = max(1.0 - self._duration_weight(now), DURATION_SMOOTHING)
         self.usual_seconds += share * (seconds - self.usual_seconds)
         self.answered_at = now
@@ -346,9 +373,28 @@
         """Record a call that the target failed or aborted."""
         self._add_result(now, 1.0)
 
+    def record_break(self, now: float) -> None:
+        """Record a call without a whole answer, after which the target may be cold."""
+        self.record_failure(now)
+        self.cold.lose_contact(now)
+
+    def is_contact_check_due(self, now: float) -> bool:
+        """Return whether a connection should show if a silent target is back.
+
+        A target of a service with cold targets may be cold after it stalled, or after
+        other VMs could not connect to it.
+        """
+        if self.cold.terms is None:
+            return False
+        if self.is_stalled_locally(now) or self.is_reported_unreachable(now):
+            self.cold.lose_contact(now)
+        if not self.cold.is_contact_lost:
+            return False
+        return now - self.connected_at >= MIN_CONTACT_CHECK_SECONDS
+
     def mark_unreachable(self, now: float) -> None:
         """Record a failed connection attempt and block the target for a while."""
-        self.record_failure(now)
+        self.record_break(now)
         doubled = max(self.block_seconds * 2, MIN_BLOCK_SECONDS)
         self.block_seconds = min(doubled, MAX_BLOCK_SECONDS)
         self.blocked_until = now + self.block_seconds
@@ -357,6 +403,7 @@
     def mark_reachable(self, now: float) -> None:
         """Record an opened connection and unblock the target."""
         self.connected_at = now
+        self.cold.record_contact(now)
         self.blocked_until = now
         self.block_seconds = 0.0
         self.needs_check = False
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -6,6 +6,8 @@
 from dataclasses import asdict
 from typing import Any, Final
 
+from gypsumsail.cold_targets.models import ColdStatement, InvalidCold
+from gypsumsail.cold_targets.telemetry import ColdTelemetry
 from gypsumsail.core.callback import callback
 from gypsumsail.core.errors import RequestError
 from gypsumsail.gateway.job import Assignment, Job
@@ -64,6 +66,7 @@
     def __init__(self, log: DecisionLog, registry: MetricsRegistry) -> None:
         self.log = log
         self.registry = registry
+        self.cold = ColdTelemetry(log, registry)
         self.document: RoutingDocument | None = None
         self.calls = registry.counter(
             "gypsumsail_gateway_calls_total",
@@ -358,6 +361,7 @@
             revision=document.revision,
             source=source,
             routes=len(document.routes),
+            **({"invalid": found} if (found := list(document.invalid_fields)) else {}),
         )
 
     @callback
@@ -467,6 +471,17 @@
             kept=state.limit.calls_per_second,
         )
 
+    @callback
+    def target_cold(self, entry: TargetEntry, seconds: float, source: str) -> None:
+        """Log that a target turned cold."""
+        self.cold.target_cold(entry.name, entry.life, entry.service, seconds, source)
+
+    @callback
+    def target_cold_invalid(self, state: TargetState, cold: ColdStatement) -> None:
+        """Log that an answer states a cold time that can't be read."""
+        if isinstance(cold, InvalidCold):
+            self.cold.header_invalid(state.entry.name, state.entry.life, cold.text)
+
     @callback
     def stream_taken_up(self, job: Job, build: str | None, source: str) -> None:
         """Log that a caller takes up a stream, and the build that began it.
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -7,6 +7,7 @@
 import re
 from typing import Final
 
+from gypsumsail.cold_targets.models import ColdStatement
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import InvalidRequestError, TransportError
@@ -42,6 +43,10 @@
 """Largest value of the priority header; larger priorities are reduced to it."""
 MAX_DEADLINE_MS: Final = 86_400_000
 """Largest deadline of a caller; larger ones are reduced to it."""
+MAX_COUNT_DIGITS: Final = 15
+"""Digits of a figure of the load header above which it is malformed."""
+MAX_WORK_PERCENT: Final = 100_000.0
+"""Largest time of work, in percent of the usual, that a target may state."""
 BEARER_PREFIX: Final = "bearer "
 SINGLE_VALUE_HEADERS: Final = frozenset(
     {
@@ -265,16 +270,38 @@
 
 
 def _parse_load(value: bytes | None, now: float) -> TargetReportedLoad | None:
-    """Parse the load header: running calls, waiting calls and optionally slots.
+    """Parse the load header.
 
-    Returns ``None`` if the header is missing or malformed.
+    It has running calls, waiting calls and optionally slots and the time that work
+    takes, in percent of the usual. Returns ``None`` if the header is missing or one of
+    its first three figures is malformed.
     """
     if value is None:
         return None
-    fields = value.split(b",")
-    if len(fields) < 2 or not all(field.strip().isdigit() for field in fields):
+    fields = [field.strip() for field in value.split(b",")]
+    if len(fields) < 2 or not all(map(_is_count, fields[:3])):
         return None
-    return TargetReportedLoad(running=int(fields[0]), waiting=int(fields[1]), at=now)
+    return TargetReportedLoad(
+        running=int(fields[0]),
+        waiting=int(fields[1]),
+        at=now,
+        work_factor=_parse_work_factor(fields[3]) if len(fields) > 3 else None,
+    )
+
+
+def _is_count(text: bytes) -> bool:
+    return text.isdigit() and len(text) <= MAX_COUNT_DIGITS
+
+
+def _parse_work_factor(text: bytes) -> float | None:
+    """Return the factor on the usual time of work; ``None`` if it is invalid."""
+    try:
+        percent = float(text)
+    except ValueError:
+        return None
+    if not 0 < percent <= MAX_WORK_PERCENT:
+        return None
+    return percent / 100
 
 
 class TargetExchange:
@@ -340,11 +367,20 @@
     ----------
     on_skipped
         Called with a target and an answer of it that was not taken.
+    on_cold_stated
+        Called with a target whose answer to a check states how long it stays cold, and
+        the time at which the check was sent.
     """
 
     def __init__(self, clock: Clock, vm: str = "") -> None:
         self.clock = clock
-        self.lives = TargetLives(vm)
+        self.lives = TargetLives(vm, clock)
+        self.lives.on_cold_stated = lambda target, cold, sent_at: self.on_cold_stated(
+            target, cold, sent_at
+        )
+        self.on_cold_stated: Callable[[TargetEntry, ColdStatement, float], None] = (
+            lambda target, cold, sent_at: None
+        )
         self.on_skipped: Callable[[TargetEntry, SkippedAnswer], None] = (
             lambda target, skipped: None
         )
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import msgspec
 
+from gypsumsail.cold_targets.const import (
+    DEFAULT_COLD_PER_SECOND,
+    DEFAULT_COLD_SECONDS,
+    MAX_COLD_PER_SECOND,
+    MAX_COLD_SECONDS,
+    MIN_COLD_PER_SECOND,
+)
+from gypsumsail.cold_targets.models import ColdTerms
 from gypsumsail.core.errors import GypsumsailError
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import (
@@ -22,12 +31,13 @@
     WeightedService,
 )
 from gypsumsail.platform.text import (
-    Milliseconds,
     Name,
     Number,
     parse_address,
 )
 
+ABSENT = msgspec.Raw(b"")
+"""Value of an absent field that is decoded separately."""
 BITS_PER_BYTE = 8
 # Callers of streams leave after the longest of these: some seconds, a multiple of the
 # route's latency goal, and a multiple of its longest pause that is still on time.
@@ -85,7 +95,15 @@
 
 
 class _Service(msgspec.Struct, frozen=True):
-    """A group of targets, or a context store if ``kv_store_addr`` is set."""
+    """A group of targets, or a context store if ``kv_store_addr`` is set.
+
+    Attributes
+    ----------
+    cold_s
+        Seconds for which a target is cold after it starts; 0 for never.
+    cold_per_s
+        Requests per second that a cold target tolerates.
+    """
 
     name: str
     health_path: str = ""
@@ -98,6 +116,8 @@
     first_ms: float = 0.0
     max_inflight: int = 1
     managed: bool = False
+    cold_s: msgspec.Raw = ABSENT
+    cold_per_s: msgspec.Raw = ABSENT
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -135,7 +155,8 @@
     born
         Start time in Unix milliseconds, which changes with each restart.
     cold_left_ms
-        Remaining time for which the target is still slow after its start.
+        Time for which the target stays cold, as of when the object was written. It
+        is decoded separately, so that an invalid value does not cost the target.
     call_seq
         Number of orders to load weights that the target has accepted.
     version
@@ -148,7 +169,7 @@
     born: Number = 0
     zone: Name = ""
     slots: Number = 1
-    cold_left_ms: Milliseconds = 0.0
+    cold_left_ms: msgspec.Raw = ABSENT
     models: list[_LoadedModel] = []
     call_seq: Number = 0
     version: Name = ""
@@ -169,11 +190,12 @@
     """
     document = _decode(value, _Document)
     stores, services = [], {}
+    invalid_fields: list[str] = []
     for item in document.services:
         if item.kv_store_addr:
             stores.append(_context_store(item))
         else:
-            services[item.name] = _service(item)
+            services[item.name] = _service(item, invalid_fields)
     customers_by_key: dict[str, Customer] | None = None
     if document.tenants is not None:
         customers_by_key = {
@@ -197,6 +219,7 @@
             idle_seconds=limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
         ),
         customers_by_key=customers_by_key,
+        invalid_fields=tuple(invalid_fields),
     )
 
 
@@ -208,7 +231,7 @@
     EntryInvalidError
         The value is malformed, or its address, state or start time is invalid.
     """
-    item = _decode(value, _Target)
+    item = _decode_target(value)
     address = parse_address(item.addr)
     if address is None or item.state not in ("ready", "draining"):
         raise EntryInvalidError(f"target {name} has an invalid address or state")
@@ -221,7 +244,7 @@
         zone=item.zone,
         slots=max(item.slots, 1),
         phase=TargetPhase.LEAVING if is_draining else TargetPhase.READY,
-        cold_seconds=item.cold_left_ms / MILLISECONDS_PER_SECOND,
+        cold_seconds=_cold_seconds(item),
         weight_versions={model.name: model.version for model in item.models},
         orders_taken=item.call_seq,
         build=item.version,
@@ -241,6 +264,62 @@
         raise EntryInvalidError(f"can't decode the value: {err}") from err
 
 
+def _decode_target(value: bytes) -> Any:
+    """Decode the object of a target, in which numbers may be ``NaN`` or infinite."""
+    try:
+        return _decode(value, _Target)
+    except EntryInvalidError:
+        text = _without_constants(value)
+        if text is None:
+            raise
+        return _decode(text, _Target)
+
+
+def _without_constants(value: bytes) -> bytes | None:
+    """Return JSON with null for ``NaN`` and infinities; ``None`` if that fails."""
+    try:
+        found = json.loads(value.decode(), parse_constant=lambda name: None)
+        return json.dumps(found, allow_nan=False).encode()
+    except (ValueError, RecursionError):
+        return None
+
+
+def read_number(raw: msgspec.Raw, largest: float) -> float | None:
+    """Return a number from 0 to ``largest``; ``None`` if the JSON value is no such."""
+    try:
+        number = msgspec.json.decode(raw, type=float)
+    except (msgspec.MsgspecError, ValueError, OverflowError, RecursionError):
+        return None
+    return number if 0 <= number <= largest else None
+
+
+def _cold_seconds(item: _Target) -> float | None:
+    left_ms = read_number(item.cold_left_ms, MAX_COLD_SECONDS * MILLISECONDS_PER_SECOND)
+    return None if left_ms is None else left_ms / MILLISECONDS_PER_SECOND
+
+
+def _cold_terms(item: _Service, invalid_fields: list[str]) -> ColdTerms | None:
+    """Return the limits on cold targets; ``None`` if the service states no cold time.
+
+    An invalid cold time counts as a long one, an invalid rate as a low one.
+    """
+    if item.cold_s == ABSENT:
+        return None
+    seconds = read_number(item.cold_s, MAX_COLD_SECONDS)
+    if seconds == 0:
+        return None
+    if seconds is None:
+        invalid_fields.append(f"services.{item.name}.cold_s")
+    per_second = read_number(item.cold_per_s, MAX_COLD_PER_SECOND)
+    if not per_second or per_second < MIN_COLD_PER_SECOND:
+        invalid_fields.append(f"services.{item.name}.cold_per_s")
+        per_second = DEFAULT_COLD_PER_SECOND
+    return ColdTerms(
+        seconds=DEFAULT_COLD_SECONDS if seconds is None else seconds,
+        per_second=per_second,
+    )
+
+
 def _route(item: _Route) -> Route:
     split = item.split or [_Split(service=item.service)]
     kind = CALL_KINDS.get(item.kind)
@@ -273,7 +352,7 @@
     )
 
 
-def _service(item: _Service) -> Service:
+def _service(item: _Service, invalid_fields: list[str]) -> Service:
     engine = None
     if item.engine is not None:
         engine = EngineSize(
@@ -287,6 +366,7 @@
         health_path=item.health_path,
         max_connections=item.max_conns,
         engine=engine,
+        cold=_cold_terms(item, invalid_fields),
     )
 
 
--- a/src/gypsumsail/platform/lives.py
+++ b/src/gypsumsail/platform/lives.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from weakref import WeakKeyDictionary
 
+from gypsumsail.cold_targets.models import ColdStatement
+from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.ids import new_system_call_id
 from gypsumsail.gateway.const import CONNECT_SECONDS
@@ -18,6 +21,7 @@
 from gypsumsail.platform import names
 from gypsumsail.platform.client import decode_json
 from gypsumsail.platform.engines import ENGINE_ANSWER_MAX_BYTES, parse_report
+from gypsumsail.platform.notices import parse_notices
 from gypsumsail.transport.bytes_client import (
     BytesResponse,
     async_call_over,
@@ -34,10 +38,17 @@
     by_connection
         Start time of the process at the other end of a connection; ``None`` if the
         target does not state it.
+    on_cold_stated
+        Called with a target whose answer states how long it stays cold, and the time
+        at which the check was sent.
     """
 
-    def __init__(self, vm: str) -> None:
+    def __init__(self, vm: str, clock: Clock) -> None:
         self.vm = vm
+        self.clock = clock
+        self.on_cold_stated: Callable[[TargetEntry, ColdStatement, float], None] = (
+            lambda target, cold, sent_at: None
+        )
         self.by_connection: WeakKeyDictionary[ExchangeConnection, int | None] = (
             WeakKeyDictionary()
         )
@@ -139,6 +150,7 @@
         request = encode_short_call(
             "GET", path, str(target.address), headers, request_id
         )
+        sent_at = self.clock.monotonic()
         answer = await async_call_over(
             connection,
             request,
@@ -149,6 +161,9 @@
         answered_by = dict(answer.headers).get(names.INSTANCE_ID_HEADER)
         if answer.status == 421 or answered_by not in (None, target.name.encode()):
             raise TransportError("another target answers at the address", sent=False)
+        notices = parse_notices(answer.status, answer.headers, dict(answer.headers))
+        if notices.cold is not None:
+            self.on_cold_stated(target, notices.cold, sent_at)
         return answer
 
 
--- a/src/gypsumsail/platform/notices.py
+++ b/src/gypsumsail/platform/notices.py
@@ -5,6 +5,9 @@
 from collections.abc import Iterable, Mapping
 import math
 
+from gypsumsail.cold_targets.const import MAX_COLD_SECONDS
+from gypsumsail.cold_targets.models import ColdStatement, InvalidCold, NamedCold
+from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.call_limit import (
     NO_LIMIT,
     InvalidLimit,
@@ -20,6 +23,7 @@
         names.SERVER_LIMIT_HEADER,
         names.SERVER_LEAVING_HEADER,
         names.RETRY_AFTER_HEADER,
+        names.COLD_HEADER,
     }
 )
 PAUSE_STATUS = 503
@@ -51,6 +55,7 @@
             for value in values.get(names.SERVER_LEAVING_HEADER, [])
         ),
         pause=_parse_pause(pauses) if pauses and status == PAUSE_STATUS else None,
+        cold=_parse_cold(values.get(names.COLD_HEADER, [])),
     )
 
 
@@ -75,6 +80,16 @@
     return NamedPause(seconds=max(pauses))
 
 
+def _parse_cold(texts: list[bytes]) -> ColdStatement | None:
+    """Return the cold time; the longest one if the answer names several."""
+    if not texts:
+        return None
+    times = _parse_numbers(texts)
+    if times is None or max(times) > MAX_COLD_SECONDS * MILLISECONDS_PER_SECOND:
+        return InvalidCold(text=_joined(texts))
+    return NamedCold(seconds=max(times) / MILLISECONDS_PER_SECOND)
+
+
 def _parse_numbers(texts: list[bytes]) -> list[float] | None:
     """Return finite numbers that are not negative; ``None`` if any is invalid."""
     try:
--- a/src/gypsumsail/platform/settings.py
+++ b/src/gypsumsail/platform/settings.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gypsumsail.catalog.freshness import ChangeBounds
+from gypsumsail.cold_targets.models import ColdBound
 from gypsumsail.core.findings import Finding, SettingsInvalidError
 from gypsumsail.core.units import BYTES_PER_MEGABYTE, MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import Address
@@ -47,6 +48,8 @@
     version_ms
         Time limit of a rollout, counted from when a weights object names a new version;
         after it, no call may use an older version.
+    cold_over, cold_slack
+        Bound on the requests that a cold target gets, see ``ColdBound``.
     """
 
     grace_s: float = 8.0
@@ -57,6 +60,8 @@
     retry_slack: float = 54.0
     lease_ms: float = 3000.0
     version_ms: float = 12000.0
+    cold_over: float = ColdBound().over
+    cold_slack: float = ColdBound().slack
 
 
 class _Infra(msgspec.Struct, frozen=True):
@@ -178,5 +183,6 @@
             weights=bounds.version_ms / MILLISECONDS_PER_SECOND,
         ),
         rollout_seconds=bounds.version_ms / MILLISECONDS_PER_SECOND,
+        cold_bound=ColdBound(over=bounds.cold_over, slack=bounds.cold_slack),
         memory_bytes=int(file.limits.ram_mb * BYTES_PER_MEGABYTE),
     )
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -10,6 +10,8 @@
 
 from gypsumsail.catalog.coordinator import CatalogCoordinator
 from gypsumsail.catalog.watchers import watchers_per_zone
+from gypsumsail.cold_targets.models import ColdStatement
+from gypsumsail.cold_targets.senders import ColdSharing
 from gypsumsail.context_stores.coordinator import ContextStoreCoordinator
 from gypsumsail.core.aligned_sleep import async_sleep_aligned
 from gypsumsail.core.callback import callback
@@ -199,6 +201,12 @@
                 wall=lambda now: now + self.clock.wall() - self.clock.monotonic(),
             ),
             load_report_interval=self.peers.load_report_interval,
+            cold_sharing=ColdSharing(
+                host=self.peers.host,
+                zone=self.settings.zone,
+                members=self._cold_senders,
+                bound=self.settings.cold_bound,
+            ),
         )
         gateway = Gateway(
             view,
@@ -208,6 +216,7 @@
             self.telemetry,
         )
         gateway.transfer_planner = self.context_stores.plan
+        self.ports.calls.on_cold_stated = self._on_cold_stated
         return gateway
 
     def _make_catalog(self) -> CatalogCoordinator:
@@ -310,6 +319,14 @@
         if state is not None and state.entry.life == target.life:
             self.gateway.record_notices(state, notices, sent_at)
 
+    @callback
+    def _on_cold_stated(
+        self, target: TargetEntry, cold: ColdStatement, sent_at: float
+    ) -> None:
+        state = self.targets.states.get(target.name)
+        if state is not None and state.entry.life == target.life:
+            self.gateway.record_cold(state, cold, sent_at)
+
     def _own_service_loads(self) -> tuple[ServiceLoad, ...]:
         now = self.clock.monotonic()
         found = (
@@ -336,6 +353,15 @@
             return None
         return self.peers.ring(now)
 
+    def _cold_senders(self, now: float) -> frozenset[str] | None:
+        """Return the VMs among which the senders to a cold target are chosen.
+
+        After its start, a VM first has to hear of the others.
+        """
+        if now - self.started_at < LIMIT_RING_DELAY_SECONDS:
+            return None
+        return self.peers.zone_members.hosts(now)
+
     def _is_view_current(self, now: float) -> bool:
         """Return whether this VM would have heard of a target of another build.
 
@@ -489,8 +515,9 @@
     def reload(self) -> None:
         """Reload the settings; invalid settings change nothing.
 
-        Only the retry limit, the bounds on changes, the rollout time, added seed hosts
-        and the grace period take effect without a restart.
+        Only the retry limit, the bounds on changes and on requests to cold targets, the
+        rollout time, added seed hosts and the grace period take effect without a
+        restart.
         """
         try:
             settings = self.ports.load_settings()
@@ -503,6 +530,7 @@
         self.gateway.settings = GatewaySettings(retry_limit=settings.retry_limit)
         self.catalog.set_bounds(settings.change_bounds)
         self.gateway.view.rollout_seconds = settings.rollout_seconds
+        self.gateway.view.cold_sharing.bound = settings.cold_bound
         self.context_stores.rollout_seconds = settings.rollout_seconds
         now = self.clock.monotonic()
         for host in settings.seed_hosts:
--- a/src/gypsumsail/vm/settings.py
+++ b/src/gypsumsail/vm/settings.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from gypsumsail.catalog.freshness import ChangeBounds
+from gypsumsail.cold_targets.models import ColdBound
 from gypsumsail.gateway.models import Address
 from gypsumsail.gateway.retry_budget import RetryLimit
 
@@ -30,6 +31,8 @@
         Times in which changes at the platform's store must be in force.
     rollout_seconds
         Time after a weight version is named from which no call may use an older one.
+    cold_bound
+        Bound on the requests that a cold target gets.
     memory_bytes
         Memory of the VM; 0 if it is unknown.
     """
@@ -48,4 +51,5 @@
     min_holder_gap_seconds: float
     change_bounds: ChangeBounds
     rollout_seconds: float
+    cold_bound: ColdBound = field(default_factory=ColdBound)
     memory_bytes: int = 0
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -9,6 +9,7 @@
 import time
 from typing import Any
 
+from gypsumsail.cold_targets.models import ColdStatement
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.hash_ring import HashRing
@@ -298,6 +299,9 @@
         self.on_skipped: Callable[[TargetEntry, SkippedAnswer], None] = (
             lambda target, skipped: None
         )
+        self.on_cold_stated: Callable[[TargetEntry, ColdStatement, float], None] = (
+            lambda target, cold, sent_at: None
+        )
 
     async def async_check(self, target: TargetEntry) -> None:
         """Accept the connection if ``is_connectable`` or ``connectable`` says so."""
