--- /dev/null
+++ b/tests/cold_targets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cold targets."""
