Tell revisions of further kinds so that earlier builds ignore them

Cause: a VM of an earlier build, or one without evacuations in its settings, counts a kind that it does not follow as revision 0. It would take every VM with a copy of the evacuations for one that is ahead, and fetch updates from it at each tick. Change: rows of kinds after the first three carry their revision in the first column and 0 in the second, which no build takes for news; kinds that a VM does not follow are not compared.

--- a/src/gypsumsail/gossip/const.py
+++ b/src/gypsumsail/gossip/const.py
@@ -6,6 +6,10 @@
 
 FORMAT_VERSION: Final = 2
 """Version of the message format; messages of other versions are rejected."""
+FIRST_KINDS: Final = 3
+"""Number of kinds of objects that builds before evacuations follow."""
+MAX_REVISION_DIGITS: Final = 20
+"""Maximum number of digits of a revision, whose 64 bits need 20."""
 SEND_INTERVAL_SECONDS: Final = 0.1
 """Pause between messages to a VM; bounds how old the loads are that others see."""
 MAX_FULL_RATE_VMS: Final = 12
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -542,8 +542,10 @@
 
     def _is_behind(self, last_changed_revisions: tuple[tuple[str, int], ...]) -> bool:
         known = self.last_changed_revisions()
+        # A kind that this VM does not follow can't be taken from the other one.
         return any(
-            revision > known.get(kind, 0) for kind, revision in last_changed_revisions
+            kind in known and revision > known[kind]
+            for kind, revision in last_changed_revisions
         )
 
     def peer_to_catch_up_from(self, now: float) -> Peer | None:
--- a/src/gypsumsail/gossip/messages.py
+++ b/src/gypsumsail/gossip/messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -13,7 +14,7 @@
 from gypsumsail.core import cbor
 from gypsumsail.gateway.models import PromptPart
 from gypsumsail.gateway.part_suspects import PartAnswered, PartCrash
-from gypsumsail.gossip.const import FORMAT_VERSION
+from gypsumsail.gossip.const import FIRST_KINDS, FORMAT_VERSION, MAX_REVISION_DIGITS
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -179,6 +180,34 @@
     removed: tuple[RemovedTarget, ...] = ()
 
 
+def revision_rows(revisions: Iterable[tuple[str, int]]) -> list[list[str | int]]:
+    """Return the columns of revisions by kind.
+
+    Builds before evacuations follow the first `FIRST_KINDS` kinds, and take a VM with a
+    revision of another kind for one that is always ahead. They find no newer revision
+    in a row with the revision 0, so it is part of the first column of further kinds.
+    """
+    return [
+        [kind, revision] if number < FIRST_KINDS else [f"{kind} {revision}", 0]
+        for number, (kind, revision) in enumerate(revisions)
+    ]
+
+
+def parse_revisions(rows: object) -> tuple[tuple[str, int], ...]:
+    """Parse the columns of revisions by kind; raises ``ValueInvalidError``."""
+    return tuple(map(_revision, _REVISIONS.read_all(rows)))
+
+
+def _revision(row: list[Any]) -> tuple[str, int]:
+    kind, separator, revision = row[0].rpartition(" ")
+    if row[1] or not separator:
+        return row[0], row[1]
+    is_number = revision.isascii() and revision.isdigit()
+    if not is_number or len(revision) > MAX_REVISION_DIGITS:
+        raise cbor.ValueInvalidError("the revision of a kind is not a number")
+    return kind, int(revision)
+
+
 def encode(message: GossipMessage) -> bytes:
     """Encode a message."""
     return cbor2.dumps(
@@ -189,7 +218,7 @@
             message.zone,
             message.started_at_ms,
             message.sequence_number,
-            [list(item) for item in message.last_changed_revisions],
+            revision_rows(message.last_changed_revisions),
             [
                 [
                     load.target,
@@ -254,7 +283,7 @@
         zone=fields[3],
         started_at_ms=fields[4],
         sequence_number=fields[5],
-        last_changed_revisions=tuple(map(tuple, _REVISIONS.read_all(fields[6]))),
+        last_changed_revisions=parse_revisions(fields[6]),
         loads=tuple(map(_load, _LOAD.read_all(fields[7]))),
         cached=tuple(map(_cached, _CACHED.read_all(fields[8]))),
         crash_reports=parse_crash_updates(fields[9]),
--- a/src/gypsumsail/gossip/zone_reports.py
+++ b/src/gypsumsail/gossip/zone_reports.py
@@ -20,6 +20,8 @@
     ServiceLoad,
     crash_row,
     parse_crash_updates,
+    parse_revisions,
+    revision_rows,
 )
 
 REPORT_FORMAT_VERSION: Final = 3
@@ -95,7 +97,7 @@
             report.started_at_ms,
             report.sequence_number,
             int(report.scope),
-            [list(item) for item in report.last_changed_revisions],
+            revision_rows(report.last_changed_revisions),
             [
                 [
                     load.target,
@@ -139,7 +141,7 @@
         started_at_ms=fields[4],
         sequence_number=fields[5],
         scope=ReportScope(fields[6]),
-        last_changed_revisions=tuple(map(tuple, _REVISIONS.read_all(fields[7]))),
+        last_changed_revisions=parse_revisions(fields[7]),
         loads=tuple(map(_summed_load, _SUMMED_LOAD.read_all(fields[8]))),
         waiting=tuple(
             ServiceLoad(
@@ -179,7 +181,6 @@
 
 
 _REPORT: Final = cbor.RowReader(int, str, str, str, int, int, int, *[list] * 7)
-_REVISIONS: Final = cbor.RowReader(str, int)
 _SUMMED_LOAD: Final = cbor.RowReader(str, int, int, int, int, int)
 _WAITING: Final = cbor.RowReader(str, int, int, int)
 _TARGET_LIFE: Final = cbor.RowReader(str, int)
