Follow evacuations and send no calls to evacuated zones

Cause: during an evacuation 537 requests reached the engines of the zone, because no VM reads the kind. Change: with evac_ms in the settings, the catalog follows the kind as it does the other kinds, with half of evac_ms as the bound on changes. The evacuated zones are held in memory; JobPlacer leaves their targets out of eligibility, capacity and cut-off checks. A VM without a copy, or just resumed after a suspension, does not place calls. Result: tests/gateway, catalog, vm, gossip, forwarding and context_stores passed, except four tests of readiness that lacked the new condition and now check it as well.

--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -1,4 +1,4 @@
-"""Keeps documents, targets and weights up to date from the store and from peers."""
+"""Keeps the copies of the store up to date from the store and from peers."""
 
 from __future__ import annotations
 
@@ -21,6 +21,9 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import GypsumsailError
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
+from gypsumsail.evacuations.state import Evacuations
+from gypsumsail.evacuations.suspension import SuspensionHold
+from gypsumsail.evacuations.updates import EvacuationUpdates
 from gypsumsail.gateway.models import RoutingDocument, TargetEntry, TargetPhase
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.telemetry import GatewayTelemetry
@@ -37,16 +40,23 @@
     ----------
     document_key
         Key of the routing document within its kind.
+    evacuations
+        Kind of the evacuated zones; empty where the deployment has none.
     """
 
     documents: str
     document_key: str
     targets: str
     weights: str
+    evacuations: str = ""
 
-    def all(self) -> tuple[str, str, str]:
-        """Return all kinds, starting with that of the routing document."""
-        return (self.documents, self.targets, self.weights)
+    def all(self) -> tuple[str, ...]:
+        """Return all kinds, starting with that of the routing document.
+
+        Evacuations come last: gossip tells earlier builds of the first three kinds.
+        """
+        followed = (self.documents, self.targets, self.weights)
+        return (*followed, self.evacuations) if self.evacuations else followed
 
 
 class Decoder(Protocol):
@@ -64,6 +74,9 @@
     def weights(self, value: bytes) -> tuple[str, int]:
         """Decode a weight version; return the model and its version."""
 
+    def check_evacuation(self, value: bytes) -> None:
+        """Check the object of an evacuated zone, which says no more than its name."""
+
 
 class CatalogCoordinator:
     """Applies object changes from the store and from peers by the same rules.
@@ -90,6 +103,8 @@
         Called with each record of a target, also if the target is gone by then.
     restored_targets
         Removed targets that are listed again because the store was restored.
+    evacuations
+        Evacuated zones; none where the deployment has no evacuations.
     """
 
     def __init__(
@@ -118,6 +133,11 @@
         self.pending_removals = PendingRemovals()
         self.restored_targets = RestoredTargets()
         self.naming_time = NamingTime()
+        self.evacuations = Evacuations()
+        self.evacuation_updates = EvacuationUpdates(
+            self.evacuations, decoder.check_evacuation, telemetry.log
+        )
+        self.suspension_hold = SuspensionHold()
         self.store_health = {
             kind: StoreHealth(clock.monotonic()) for kind in kinds.all()
         }
@@ -147,17 +167,25 @@
         self.on_target_read: Callable[[TargetEntry], None] = lambda entry: None
 
     def _bounds_by_kind(self, bounds: ChangeBounds) -> dict[str, float]:
-        return {
+        by_kind = {
             self.kinds.documents: bounds.document,
             self.kinds.targets: bounds.leaving,
             self.kinds.weights: bounds.weights,
         }
+        if self.kinds.evacuations:
+            by_kind[self.kinds.evacuations] = bounds.evacuation_in_force
+        return by_kind
 
     @callback
     def set_bounds(self, bounds: ChangeBounds) -> None:
-        """Apply other bounds on the time in which changes must be in force."""
+        """Apply other bounds on the time in which changes must be in force.
+
+        Without a bound on evacuations the earlier one stays: which kinds are followed
+        is decided at the start.
+        """
         for kind, bound in self._bounds_by_kind(bounds).items():
-            self.watches[kind].bound = bound
+            if kind != self.kinds.evacuations or bound:
+                self.watches[kind].bound = bound
 
     @callback
     def set_relied_on(self, is_relied_on: Callable[[str], bool]) -> None:
@@ -170,6 +198,20 @@
         """Return whether the targets were listed at least once."""
         return self.watches[self.kinds.targets].state.revision > 0
 
+    @property
+    def knows_evacuations(self) -> bool:
+        """Return whether the evacuated zones were listed, or there can be none."""
+        kind = self.kinds.evacuations
+        return not kind or self.watches[kind].state.revision > 0
+
+    def allows_calls(self, now: float) -> bool:
+        """Return whether this VM may place calls, as to evacuated zones."""
+        kind = self.kinds.evacuations
+        if not kind:
+            return True
+        is_held = self.suspension_hold.is_held(self.watches[kind].read_at, now)
+        return not is_held and self.knows_evacuations
+
     def is_target_list_current(self, now: float) -> bool:
         """Return whether the targets are listed and the store had no recent outage."""
         health = self.store_health[self.kinds.targets]
@@ -182,11 +224,19 @@
         return await self.watches[self.kinds.targets].async_confirm()
 
     def last_changed_revisions(self) -> Mapping[str, int]:
-        """Return the revision of the newest known change, by kind."""
-        return {
+        """Return the revision of the newest known change, by kind.
+
+        A copy of the evacuations without a change counts as revision 1, so that a VM
+        without any copy takes it.
+        """
+        found = {
             kind: watch.state.last_changed_revision
             for kind, watch in self.watches.items()
         }
+        if self.kinds.evacuations and self.knows_evacuations:
+            kind = self.kinds.evacuations
+            found[kind] = max(found[kind], 1)
+        return found
 
     def reads_store(self, kind: str) -> bool:
         """Return whether this VM reads a kind from the store instead of its peers."""
@@ -273,6 +323,10 @@
             self._remove_target(name, "not listed again after the store recovered")
         for entry in self.restored_targets.pop_confirmed(now):
             self._add_target(entry, now)
+        if self.kinds.evacuations:
+            watch = self.watches[self.kinds.evacuations]
+            self.suspension_hold.is_held(watch.read_at, now)
+            self.evacuation_updates.tick(watch.confirmed_at, now)
 
     def _on_changes(self, kind: str, changes: Changes) -> None:
         """Apply changes that this VM received from the store."""
@@ -289,6 +343,10 @@
             self._apply_documents(changes)
         elif kind == self.kinds.targets:
             self._apply_targets(changes)
+        elif kind == self.kinds.evacuations:
+            confirmed_at = self.watches[kind].confirmed_at
+            now = self.clock.monotonic()
+            self.evacuation_updates.apply(changes, self.source, confirmed_at, now)
         else:
             self._apply_weights(changes)
 
--- a/src/gypsumsail/catalog/freshness.py
+++ b/src/gypsumsail/catalog/freshness.py
@@ -24,11 +24,24 @@
     ----------
     document, leaving, weights
         For the routing document, for the leaving of targets, and for weight versions.
+    evacuation
+        Until no call may reach a target of an evacuated zone; 0 where the deployment
+        has no evacuations.
     """
 
     document: float
     leaving: float
     weights: float
+    evacuation: float = 0.0
+
+    @property
+    def evacuation_in_force(self) -> float:
+        """Return the seconds in which a VM must know of an evacuation.
+
+        The other half of the bound is for calls that were placed just before and are
+        still being connected.
+        """
+        return self.evacuation / 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 import random
 
 from gypsumsail.context_stores.const import (
@@ -88,6 +88,8 @@
     rollout_seconds
         Time after the selection of a version during which calls may still start on
         older weights.
+    evacuated_zones
+        Zones from whose engines nothing is fetched.
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         self.version_use = VersionUse()
         self.rollout_seconds = rollout_seconds
         self.wanted = wanted
+        self.evacuated_zones: Collection[str] = ()
 
     @callback
     def set_document(self, document: RoutingDocument) -> None:
@@ -486,6 +489,7 @@
             state
             for state in self.targets.of_service(service)
             if state.cache.has(scope, part)
+            and state.entry.zone not in self.evacuated_zones
             and not state.is_unreachable(now)
             and not state.is_stalled(now)
         )
--- a/src/gypsumsail/gateway/fleet_view.py
+++ b/src/gypsumsail/gateway/fleet_view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from math import inf
 
@@ -10,6 +10,7 @@
 from gypsumsail.gateway.limit_slots import LimitSharing
 from gypsumsail.gateway.models import PromptPart, TargetEntry
 from gypsumsail.gateway.target_table import TargetTable
+from gypsumsail.gateway.targets import TargetState
 from gypsumsail.gateway.weights import WantedWeights
 
 CountFetchableParts = Callable[[str, str, Sequence[PromptPart], float], int]
@@ -44,6 +45,10 @@
     knows_notices
         Returns whether this VM has heard, since its start, what targets said of
         themselves before it.
+    evacuated_zones
+        Zones whose targets get no calls.
+    allows_calls
+        Returns whether this VM knows the evacuated zones well enough to place calls.
     load_report_interval
         Returns the seconds between the load reports of another VM.
     build_of
@@ -70,9 +75,31 @@
     )
     load_report_interval: Callable[[float], float] = lambda now: 0.0
     knows_notices: Callable[[float], bool] = lambda now: True
+    evacuated_zones: Collection[str] = ()
+    allows_calls: Callable[[float], bool] = lambda now: True
     build_of: Callable[[TargetEntry, float], str] = lambda entry, now: entry.build
     choose_helper: Callable[[str, set[str], float], str | None] = (
         lambda service, tried, now: None
     )
     exits_at: float = inf
     sharing_group: str = ""
+
+    def may_place(self, now: float) -> bool:
+        """Return whether this VM knows enough of the fleet to place calls."""
+        return self.knows_notices(now) and self.allows_calls(now)
+
+    def is_evacuated(self, entry: TargetEntry) -> bool:
+        """Return whether a target gets no calls because its zone is evacuated."""
+        return entry.zone in self.evacuated_zones
+
+    def open_targets(self, service: str) -> list[TargetState]:
+        """Return the targets of a service outside the evacuated zones."""
+        states = self.targets.of_service(service)
+        if not self.evacuated_zones:
+            return states
+        return [state for state in states if not self.is_evacuated(state.entry)]
+
+    def is_cut_off(self, service: str, now: float) -> bool:
+        """Return whether this VM reaches none of the open targets of a service."""
+        listed = [state for state in self.open_targets(service) if not state.is_leaving]
+        return bool(listed) and all(state.is_unreachable(now) for state in listed)
--- a/src/gypsumsail/gateway/forwarding.py
+++ b/src/gypsumsail/gateway/forwarding.py
@@ -283,6 +283,6 @@
     document = gateway.document
     if document is None or document.revision < terms.document_revision:
         return ForwardRefusal.OLDER_DOCUMENT
-    if gateway.view.targets.is_cut_off(terms.service, now):
+    if gateway.view.is_cut_off(terms.service, now):
         return ForwardRefusal.UNREACHABLE
     return None
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -293,8 +293,7 @@
         """
         if head.is_framed:
             return
-        service = self.gateway.service(self.job)
-        if not await async_still_runs(self.gateway.calls, self.state.entry, service):
+        if not await async_still_runs(self.gateway, self.job, self.state.entry):
             raise TransportError(UNPROVEN_END, sent=True)
 
     async def _async_forward_events(
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -98,7 +98,7 @@
             self.answered_by(job, now) > self.view.exits_at
         ):
             return StopsTooSoon()
-        if not self.view.knows_notices(now):
+        if not self.view.may_place(now):
             return Wait()
         if self.should_forward(job, now):
             host = self.view.choose_helper(self.service.name, job.helpers_tried, now)
@@ -145,7 +145,7 @@
         """
         if job.is_forwarded or job.first_at:
             return False
-        return self.view.targets.is_cut_off(self.service.name, now)
+        return self.view.is_cut_off(self.service.name, now)
 
     def _is_usable(self, state: TargetState, now: float) -> bool:
         """Return whether a target takes a call of this VM at this moment."""
@@ -247,7 +247,7 @@
         return seconds
 
     def _states(self) -> list[TargetState]:
-        return self.view.targets.of_service(self.service.name)
+        return self.view.open_targets(self.service.name)
 
     def _rate(self) -> float:
         return self.view.targets.rate(self.service.name).tokens_per_second
--- a/src/gypsumsail/gateway/target_lives.py
+++ b/src/gypsumsail/gateway/target_lives.py
@@ -9,12 +9,16 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.const import LIFE_CHECK_SECONDS
 from gypsumsail.gateway.job import Job
 from gypsumsail.gateway.models import CallKind, Service, TargetEntry
-from gypsumsail.gateway.port import LifeProof, TargetClient
+from gypsumsail.gateway.port import LifeProof
+
+if TYPE_CHECKING:
+    from gypsumsail.gateway.coordinator import Gateway
 
 
 def life_proof(job: Job, entry: TargetEntry) -> LifeProof:
@@ -30,16 +34,15 @@
     return LifeProof.STATED if job.build is None else LifeProof.SAME
 
 
-async def async_still_runs(
-    calls: TargetClient, entry: TargetEntry, service: Service
-) -> bool:
+async def async_still_runs(gateway: Gateway, job: Job, entry: TargetEntry) -> bool:
     """Return whether a target still runs the life of its entry, by its own word."""
+    service = gateway.service(job)
     try:
         async with asyncio.timeout(LIFE_CHECK_SECONDS):
             if service.engine is None:
-                await _async_check_plain(calls, entry, service)
+                await _async_check_plain(gateway, entry, service)
                 return True
-            life = await calls.async_life(entry)
+            life = await gateway.calls.async_life(entry)
     except TimeoutError:
         # The health check of a plain target waits for a slot, as its calls do.
         return service.engine is None
@@ -49,13 +52,14 @@
 
 
 async def _async_check_plain(
-    calls: TargetClient, entry: TargetEntry, service: Service
+    gateway: Gateway, entry: TargetEntry, service: Service
 ) -> None:
     """Check that a plain target answers; raises ``TransportError``.
 
-    Only its health path is known to run no call.
+    Only its health path is known to run no call. Nothing is sent to a target of an
+    evacuated zone; that it accepts a connection must do.
     """
-    if service.health_path:
-        await calls.async_check_health(entry, service.health_path)
+    if service.health_path and not gateway.view.is_evacuated(entry):
+        await gateway.calls.async_check_health(entry, service.health_path)
     else:
-        await calls.async_check(entry)
+        await gateway.calls.async_check(entry)
--- a/src/gypsumsail/gateway/target_table.py
+++ b/src/gypsumsail/gateway/target_table.py
@@ -63,11 +63,6 @@
             state for state in self.states.values() if state.entry.service == service
         ]
 
-    def is_cut_off(self, service: str, now: float) -> bool:
-        """Return whether this VM reaches none of the listed targets of a service."""
-        listed = [state for state in self.of_service(service) if not state.is_leaving]
-        return bool(listed) and all(state.is_unreachable(now) for state in listed)
-
     def reachability(self, service: str, now: float) -> Reachability:
         """Return how many targets of a service this VM reaches."""
         listed = [state for state in self.of_service(service) if not state.is_leaving]
--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -39,6 +39,10 @@
         """Decode a weights object into a model name and its version."""
         return documents.decode_weights(value)
 
+    def check_evacuation(self, value: bytes) -> None:
+        """Check the object of an evacuated zone."""
+        documents.check_evacuation(value)
+
 
 def settings_path() -> Path | None:
     """Return the settings path from the environment, or ``None`` if it is not set."""
@@ -67,6 +71,9 @@
             document_key=names.ROUTING_DOCUMENT_KEY,
             targets=names.TARGET_KIND,
             weights=names.WEIGHTS_KIND,
+            evacuations=(
+                names.EVACUATION_KIND if settings.change_bounds.evacuation else ""
+            ),
         ),
         decoder=PlatformDecoder(),
         calls=calls,
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -159,6 +159,10 @@
     version: Number
 
 
+class _Evacuation(msgspec.Struct, frozen=True):
+    """Object of an evacuated zone; its existence says all."""
+
+
 def decode_document(value: bytes, revision: int) -> RoutingDocument:
     """Decode a routing document; ``revision`` is the version of its object.
 
@@ -234,6 +238,11 @@
     return weights.model, weights.version
 
 
+def check_evacuation(value: bytes) -> None:
+    """Check the object of an evacuated zone; raises ``EntryInvalidError``."""
+    _decode(value, _Evacuation)
+
+
 def _decode(value: bytes, kind: type[Any]) -> Any:
     try:
         return msgspec.json.decode(value, type=kind)
--- a/src/gypsumsail/platform/settings.py
+++ b/src/gypsumsail/platform/settings.py
@@ -47,6 +47,9 @@
     version_ms
         Time limit of a rollout, counted from when a weights object names a new version;
         after it, no call may use an older version.
+    evac_ms
+        Time limit after which no call may reach a target of an evacuated zone; 0 where
+        there are no evacuations.
     """
 
     grace_s: float = 8.0
@@ -57,6 +60,7 @@
     retry_slack: float = 54.0
     lease_ms: float = 3000.0
     version_ms: float = 12000.0
+    evac_ms: float = 0.0
 
 
 class _Infra(msgspec.Struct, frozen=True):
@@ -176,6 +180,7 @@
             document=bounds.config_ms / MILLISECONDS_PER_SECOND,
             leaving=bounds.drain_ms / MILLISECONDS_PER_SECOND,
             weights=bounds.version_ms / MILLISECONDS_PER_SECOND,
+            evacuation=bounds.evac_ms / MILLISECONDS_PER_SECOND,
         ),
         rollout_seconds=bounds.version_ms / MILLISECONDS_PER_SECOND,
         memory_bytes=int(file.limits.ram_mb * BYTES_PER_MEGABYTE),
--- a/src/gypsumsail/vm/metrics.py
+++ b/src/gypsumsail/vm/metrics.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from gypsumsail.core.callback import callback
+from gypsumsail.metrics.families import Family, Gauge
 from gypsumsail.metrics.process import read_process_usage
 from gypsumsail.metrics.registry import MetricsRegistry
 
@@ -20,7 +21,7 @@
     immediately instead.
     """
 
-    def __init__(self, registry: MetricsRegistry) -> None:
+    def __init__(self, registry: MetricsRegistry, *, has_evacuations: bool) -> None:
         self.unreadable = registry.counter(
             "gypsumsail_unread_requests_total",
             "Requests that were refused while they were read, by status.",
@@ -53,6 +54,18 @@
             "Seconds since the store is known to have confirmed the copy of a kind.",
             ("kind",),
         )
+        self.shown_zones: set[str] = set()
+        self.evacuated_zones: Family[Gauge] | None = None
+        self.zone_evacuated: Family[Gauge] | None = None
+        if has_evacuations:
+            self.evacuated_zones = registry.gauge(
+                "gypsumsail_evacuated_zones", "Zones whose targets get no calls."
+            )
+            self.zone_evacuated = registry.gauge(
+                "gypsumsail_zone_evacuated",
+                "Whether the targets of a zone get no calls: 1 or 0.",
+                ("zone",),
+            )
         self.left_out = registry.counter(
             "gypsumsail_objects_left_out_total",
             "Objects of the platform that could not be read or are invalid.",
@@ -91,6 +104,7 @@
             age = vm.catalog.copy_age(kind, now)
             if isfinite(age):
                 self.copy_age.labels(kind).set(age)
+        self._update_evacuations(vm)
         self.left_out.labels().set_total(
             vm.catalog.objects_left_out + vm.ports.unreadable_entries()
         )
@@ -98,3 +112,15 @@
         use = read_process_usage()
         self.cpu.labels().set_total(use.cpu_seconds)
         self.memory.labels().set(use.resident_bytes)
+
+    def _update_evacuations(self, vm: VmRuntime) -> None:
+        if self.evacuated_zones is None or self.zone_evacuated is None:
+            return
+        zones = vm.catalog.evacuations.zones
+        self.evacuated_zones.labels().set(len(zones))
+        self.shown_zones.update(zones)
+        self.shown_zones.update(
+            state.entry.zone for state in vm.targets.states.values()
+        )
+        for zone in self.shown_zones:
+            self.zone_evacuated.labels(zone).set(int(zone in zones))
--- a/src/gypsumsail/vm/readiness.py
+++ b/src/gypsumsail/vm/readiness.py
@@ -15,9 +15,15 @@
 
     has_document: bool
     knows_targets: bool
+    knows_evacuations: bool
     is_stopping: bool
 
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer should send requests to this VM."""
-        return self.has_document and self.knows_targets and not self.is_stopping
+        return (
+            self.has_document
+            and self.knows_targets
+            and self.knows_evacuations
+            and not self.is_stopping
+        )
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -139,6 +139,7 @@
         self.catalog = self._make_catalog()
         self.gateway.knows_targets = lambda: self.catalog.knows_targets
         self.catalog.on_target_read = self._on_target_read
+        self._connect_evacuations()
         self.gossip = self._make_gossip()
         self.rollout = self._make_rollout()
         self.catch_up = CatchUp(
@@ -169,7 +170,9 @@
             self.log,
         )
         self.silence_log = SilenceLog(self.peers, self.log)
-        self.metrics = VmMetrics(self.registry)
+        self.metrics = VmMetrics(
+            self.registry, has_evacuations=bool(ports.kinds.evacuations)
+        )
         process_buffers.limit_bytes = buffer_limit(settings.memory_bytes)
         process_buffers.on_cut_off = self._record_cut_off
         self.control_api = ControlApi(self)
@@ -225,6 +228,22 @@
             self.settings.change_bounds,
         )
 
+    def _connect_evacuations(self) -> None:
+        zones = self.catalog.evacuations.zones
+        self.gateway.view.evacuated_zones = zones
+        self.gateway.view.allows_calls = self.catalog.allows_calls
+        self.context_stores.evacuated_zones = zones
+        self.catalog.evacuation_updates.is_known_zone = self._is_known_zone
+
+    def _is_known_zone(self, zone: str) -> bool:
+        """Return whether any target or VM is in a zone."""
+        states = self.targets.states.values()
+        return (
+            zone == self.settings.zone
+            or zone in self.peers.other_zones()
+            or any(state.entry.zone == zone for state in states)
+        )
+
     def _make_gossip(self) -> GossipCoordinator:
         gossip = GossipCoordinator(
             self.settings.gossip_port,
@@ -546,6 +565,7 @@
         return Readiness(
             has_document=self.gateway.document is not None,
             knows_targets=self.catalog.knows_targets,
+            knows_evacuations=self.catalog.knows_evacuations,
             is_stopping=self.signalled_at is not None,
         )
 
--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/test_liveness.py
@@ -159,7 +159,7 @@
     # The time that is left allows no send to a second target.
     await gw.async_handle(call(deadline=1_000.1), RecordedReply())
     await asyncio.sleep(0.01)
-    assert gw.view.targets.is_cut_off("portal", gw.clock.monotonic())
+    assert gw.view.is_cut_off("portal", gw.clock.monotonic())
 
 
 async def test_failed_target_alone_is_no_reason_to_check_the_others() -> None:
--- a/tests/vm/test_shutdown.py
+++ b/tests/vm/test_shutdown.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from gypsumsail.vm.readiness import Readiness
@@ -10,19 +12,26 @@
 EXIT = latest_exit(0.0, 8.0)
 
 
-def test_vm_is_ready_with_a_document_and_targets() -> None:
-    assert Readiness(has_document=True, knows_targets=True, is_stopping=False).is_ready
+READY = Readiness(
+    has_document=True, knows_targets=True, knows_evacuations=True, is_stopping=False
+)
+
+
+def test_vm_is_ready_with_all_copies() -> None:
+    assert READY.is_ready
 
 
 @pytest.mark.parametrize(
-    "facts", [(False, True, False), (True, False, False), (True, True, True)]
+    "change",
+    [
+        {"has_document": False},
+        {"knows_targets": False},
+        {"knows_evacuations": False},
+        {"is_stopping": True},
+    ],
 )
-def test_vm_is_not_ready_when_a_condition_fails(facts: tuple[bool, bool, bool]) -> None:
-    has_document, knows_targets, is_stopping = facts
-    readiness = Readiness(
-        has_document=has_document, knows_targets=knows_targets, is_stopping=is_stopping
-    )
-    assert not readiness.is_ready
+def test_vm_is_not_ready_when_a_condition_fails(change: dict[str, bool]) -> None:
+    assert not replace(READY, **change).is_ready
 
 
 def test_requests_are_accepted_during_the_balancer_notice_period() -> None:
