Test evacuations against failures of store, VMs and objects

Cause: an evacuation must hold when the store is down, a VM starts late, the store is restored, or the object can't be read, and each was only reasoned about.

--- a/tests/catalog/common.py
+++ b/tests/catalog/common.py
@@ -18,7 +18,7 @@
 from gypsumsail.gateway.telemetry import GatewayTelemetry
 from gypsumsail.gateway.weights import WantedWeights
 from gypsumsail.metrics.registry import MetricsRegistry
-from gypsumsail.object_api.port import Listing, PlatformObject
+from gypsumsail.object_api.port import Listing, ObjectApi, PlatformObject
 from gypsumsail.platform.app import PlatformDecoder
 from tests.common import ManualClock
 from tests.gateway.common import decision_log
@@ -128,7 +128,7 @@
         return await self._next(f"watch {after_revision}")
 
 
-BOUNDS = ChangeBounds(document=2.0, leaving=2.0, weights=12.0)
+BOUNDS = ChangeBounds(document=2.0, leaving=2.0, weights=12.0, evacuation=5.0)
 LOST = TransportError("no answer", sent=True)
 
 
@@ -152,7 +152,13 @@
 class Catalog:
     """Catalog that records its callbacks."""
 
-    def __init__(self, is_watcher: Callable[[str], bool] = lambda kind: True) -> None:
+    def __init__(
+        self,
+        is_watcher: Callable[[str], bool] = lambda kind: True,
+        *,
+        api: ObjectApi | None = None,
+        kinds: Kinds = KINDS,
+    ) -> None:
         self.clock = ManualClock()
         self.targets = TargetTable()
         self.wanted_weights: dict[str, WantedWeights] = {}
@@ -160,8 +166,8 @@
         self.removed_targets: list[TargetEntry] = []
         telemetry = GatewayTelemetry(decision_log(self.clock), MetricsRegistry())
         self.coordinator = CatalogCoordinator(
-            ScriptedApi(),
-            KINDS,
+            api or ScriptedApi(),
+            kinds,
             PlatformDecoder(),
             self.targets,
             self.wanted_weights,
--- /dev/null
+++ b/tests/evacuations/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the evacuations package."""
+
+from __future__ import annotations
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from gypsumsail.core.clock import SystemClock
 from gypsumsail.core.findings import SettingsInvalidError
+from gypsumsail.platform.app import make_ports
 from gypsumsail.platform.settings import load_settings
 from gypsumsail.platform.text import parse_address
 
@@ -51,6 +53,21 @@
     assert settings.retry_limit.ratio == 0.2
 
 
+def test_evacuations_are_followed_only_with_their_bound(tmp_path: Path) -> None:
+    path = tmp_path / "boot.toml"
+    kinds = []
+    for text in (
+        VALID_SETTINGS,
+        VALID_SETTINGS.replace("[infra]", "evac_ms=5000\n[infra]"),
+    ):
+        path.write_text(text, encoding="utf-8")
+        settings = load_settings(path)
+        kinds.append(make_ports(settings, path, SystemClock()).kinds.all())
+    assert kinds[0] == ("config", "servers", "versions")
+    assert kinds[1] == (*kinds[0], "evacuations")
+    assert settings.change_bounds.evacuation_in_force == 2.5
+
+
 def test_all_findings_are_reported_together(tmp_path: Path) -> None:
     bad = VALID_SETTINGS.replace('node = "front-1"', "node = 7").replace(
         'zone = "z1"\n', ""
