Confine calls and kept context to home regions

Cause: routing documents name regions in which the calls of a route or customer must stay, and the VMs did not read them. Change: Route and Customer have home_regions, the settings the region of each zone. Only targets in the homes are eligible; calls are forwarded only to VMs of a home or of the own region; kept context is neither fetched from nor saved outside. Home regions that can't be read allow no region and are logged. The fakes of choose_helper and fetchable_parts in tests take the homes as a further argument.

--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -48,6 +48,7 @@
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.rendezvous import rank
+from gypsumsail.evacuations.homes import Homes, Regions
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import Address, ContextStore, PromptPart, RoutingDocument
 from gypsumsail.gateway.port import NO_TRANSFER, ContextTransfer
@@ -90,6 +91,8 @@
         older weights.
     evacuated_zones
         Zones from whose engines nothing is fetched.
+    regions
+        Regions of the zones, to which kept context may be confined.
     """
 
     def __init__(
@@ -122,6 +125,7 @@
         self.rollout_seconds = rollout_seconds
         self.wanted = wanted
         self.evacuated_zones: Collection[str] = ()
+        self.regions = Regions(own_zone=peers.zone)
 
     @callback
     def set_document(self, document: RoutingDocument) -> None:
@@ -356,11 +360,11 @@
         prompt = job.call.prompt
         if prompt is None or assignment.weight_version is None or len(prompt.parts) < 2:
             return NO_TRANSFER
-        scope = assignment.cache_scope
+        scope, homes = assignment.cache_scope, job.homes
         # The last part is the caller's question, which other prompts don't contain.
         options = [
             self._part_options(
-                scope, part, assignment.state, now, is_shared=parts_after > 0
+                scope, part, assignment.state, homes, now, is_shared=parts_after > 0
             )
             for parts_after, part in zip(
                 range(len(prompt.parts) - 1, -1, -1), prompt.parts, strict=True
@@ -441,17 +445,20 @@
         scope: str,
         part: PromptPart,
         engine: TargetState,
+        homes: Homes,
         now: float,
         *,
         is_shared: bool,
     ) -> PartOptions:
         zone = engine.entry.zone
-        views = self.views.values()
+        views = self._views_in(homes)
         return PartOptions(
             part=part,
             is_shared=is_shared,
             is_stored=any(view.is_stored_or_saving(scope, part, now) for view in views),
-            sources=tuple(self._sources(scope, part, engine, now)) if is_shared else (),
+            sources=tuple(self._sources(scope, part, engine, homes, now))
+            if is_shared
+            else (),
             destinations=tuple(
                 SaveDestination(
                     address=view.store.address,
@@ -465,17 +472,22 @@
         )
 
     def _sources(
-        self, scope: str, part: PromptPart, engine: TargetState, now: float
+        self,
+        scope: str,
+        part: PromptPart,
+        engine: TargetState,
+        homes: Homes,
+        now: float,
     ) -> Iterable[FetchSource]:
         zone = engine.entry.zone
-        for state in self._engines_with(engine.entry.service, scope, part, now):
+        for state in self._engines_with(engine.entry.service, scope, part, homes, now):
             if state is not engine:
                 yield FetchSource(
                     address=state.entry.address,
                     is_same_zone=state.entry.zone == zone,
                     bytes_per_second=ENGINE_LINK_BYTES_PER_SECOND,
                 )
-        for view in self._views_with(scope, part, now):
+        for view in self._views_with(scope, part, homes, now):
             yield FetchSource(
                 address=view.store.address,
                 is_same_zone=view.store.zone == zone,
@@ -483,34 +495,48 @@
             )
 
     def _engines_with(
-        self, service: str, scope: str, part: PromptPart, now: float
+        self, service: str, scope: str, part: PromptPart, homes: Homes, now: float
     ) -> Iterable[TargetState]:
         return (
             state
             for state in self.targets.of_service(service)
             if state.cache.has(scope, part)
             and state.entry.zone not in self.evacuated_zones
+            and self.regions.is_home(state.entry.zone, homes)
             and not state.is_unreachable(now)
             and not state.is_stalled(now)
         )
 
+    def _views_in(self, homes: Homes) -> list[StoreView]:
+        """Return the stores that may keep the context of a call."""
+        return [
+            view
+            for view in self.views.values()
+            if self.regions.is_home(view.store.zone, homes)
+        ]
+
     def _views_with(
-        self, scope: str, part: PromptPart, now: float
+        self, scope: str, part: PromptPart, homes: Homes, now: float
     ) -> Iterable[StoreView]:
         return (
             view
-            for view in self.views.values()
+            for view in self._views_in(homes)
             if view.can_fetch(now) and view.holds(scope, part)
         )
 
     def fetchable_prefix_parts(
-        self, service: str, scope: str, parts: Iterable[PromptPart], now: float
+        self,
+        service: str,
+        scope: str,
+        parts: Iterable[PromptPart],
+        homes: Homes,
+        now: float,
     ) -> int:
         """Return how many leading parts an engine could fetch rather than compute."""
         count = 0
         for part in parts:
-            if not any(self._views_with(scope, part, now)) and not any(
-                self._engines_with(service, scope, part, now)
+            if not any(self._views_with(scope, part, homes, now)) and not any(
+                self._engines_with(service, scope, part, homes, now)
             ):
                 break
             count += 1
--- a/src/gypsumsail/forwarding/helpers.py
+++ b/src/gypsumsail/forwarding/helpers.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 import random
 
+from gypsumsail.evacuations.homes import Homes, Regions
 from gypsumsail.forwarding.const import (
     AVOID_SECONDS,
     FULL_AVOID_SECONDS,
@@ -44,6 +45,8 @@
         Time until which a helper counts as reaching no target of a service.
     served_at
         Time at which a helper last took a call of a service.
+    regions
+        Regions of the zones, to which calls may be confined.
     """
 
     peers: PeerTable
@@ -52,14 +55,23 @@
     avoided_until: dict[str, float] = field(default_factory=dict)
     unreachable_until: dict[tuple[str, str], float] = field(default_factory=dict)
     served_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    regions: Regions = field(init=False)
 
-    def choose(self, service: str, tried: set[str], now: float) -> str | None:
+    def __post_init__(self) -> None:
+        """Know no region until the settings are applied."""
+        self.regions = Regions(own_zone=self.peers.zone)
+
+    def choose(
+        self, service: str, tried: set[str], homes: Homes, now: float
+    ) -> str | None:
         """Return the host of a helper; ``None`` if there is none.
 
         Parameters
         ----------
         tried
             Hosts at which the call was tried.
+        homes
+            Regions to which the call is confined.
         """
         if len(tried) >= MAX_HELPERS_PER_CALL:
             return None
@@ -68,6 +80,7 @@
             for peer in self.peers.alive(now)
             if peer.reads_forwards
             and peer.host not in tried
+            and self.regions.may_forward(peer.zone, homes)
             and self.avoided_until.get(peer.host, now) <= now
             and not self._is_unreachable(peer.host, service, now)
             and not self.is_silent(peer.host, now)
--- a/src/gypsumsail/gateway/fleet_view.py
+++ b/src/gypsumsail/gateway/fleet_view.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import inf
 
+from gypsumsail.evacuations.homes import Homes, Regions
 from gypsumsail.gateway.arrivals import PeerServiceLoad
+from gypsumsail.gateway.job import Job
 from gypsumsail.gateway.limit_slots import LimitSharing
 from gypsumsail.gateway.models import PromptPart, TargetEntry
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.targets import TargetState
 from gypsumsail.gateway.weights import WantedWeights
 
-CountFetchableParts = Callable[[str, str, Sequence[PromptPart], float], int]
-"""Function of service, cache scope, prompt parts and time.
+CountFetchableParts = Callable[[str, str, Sequence[PromptPart], Homes, float], int]
+"""Function of service, cache scope, prompt parts, homes of the call and time.
 
 It returns how many leading parts an engine has cached or can fetch.
 """
@@ -28,6 +30,8 @@
     ----------
     zone
         Availability zone of this VM.
+    regions
+        Regions of the zones, to which calls may be confined.
     fetchable_parts
         Returns how many leading parts of a prompt an engine of a service has cached
         or can fetch under a cache scope.
@@ -59,8 +63,8 @@
         Name of the customers that share prompt parts, see ``RoutingDocument``.
     choose_helper
         Returns the host of another VM that may serve a call of a service; ``None`` if
-        there is none. Its arguments are the service, the hosts that were tried and
-        the time.
+        there is none. Its arguments are the service, the hosts that were tried, the
+        homes of the call and the time.
     """
 
     zone: str
@@ -78,9 +82,10 @@
     evacuated_zones: Collection[str] = ()
     allows_calls: Callable[[float], bool] = lambda now: True
     build_of: Callable[[TargetEntry, float], str] = lambda entry, now: entry.build
-    choose_helper: Callable[[str, set[str], float], str | None] = (
-        lambda service, tried, now: None
+    choose_helper: Callable[[str, set[str], Homes, float], str | None] = (
+        lambda service, tried, homes, now: None
     )
+    regions: Regions = field(default_factory=lambda: Regions(own_zone=""))
     exits_at: float = inf
     sharing_group: str = ""
 
@@ -92,14 +97,29 @@
         """Return whether a target gets no calls because its zone is evacuated."""
         return entry.zone in self.evacuated_zones
 
-    def open_targets(self, service: str) -> list[TargetState]:
-        """Return the targets of a service outside the evacuated zones."""
+    def open_targets(self, service: str, homes: Homes = None) -> list[TargetState]:
+        """Return the targets of a service in the homes, outside evacuated zones."""
         states = self.targets.of_service(service)
-        if not self.evacuated_zones:
+        if self.evacuated_zones:
+            states = [state for state in states if not self.is_evacuated(state.entry)]
+        if homes is None:
             return states
-        return [state for state in states if not self.is_evacuated(state.entry)]
+        return [
+            state for state in states if self.regions.is_home(state.entry.zone, homes)
+        ]
 
-    def is_cut_off(self, service: str, now: float) -> bool:
+    def is_cut_off(self, service: str, now: float, homes: Homes = None) -> bool:
         """Return whether this VM reaches none of the open targets of a service."""
-        listed = [state for state in self.open_targets(service) if not state.is_leaving]
+        states = self.open_targets(service, homes)
+        listed = [state for state in states if not state.is_leaving]
         return bool(listed) and all(state.is_unreachable(now) for state in listed)
+
+    def helper_for(self, job: Job, now: float) -> str | None:
+        """Return the host of another VM that may serve a job."""
+        return self.choose_helper(job.service, job.helpers_tried, job.homes, now)
+
+    def fetchable_parts_of(self, job: Job, scope: str, now: float) -> int:
+        """Return how many leading parts of a job's prompt can be fetched."""
+        prompt = job.call.prompt
+        parts = prompt.parts if prompt is not None else ()
+        return self.fetchable_parts(job.service, scope, parts, job.homes, now)
--- a/src/gypsumsail/gateway/forwarding.py
+++ b/src/gypsumsail/gateway/forwarding.py
@@ -13,6 +13,7 @@
 
 from gypsumsail.core.callback import callback
 from gypsumsail.core.errors import TransportError
+from gypsumsail.evacuations.homes import Homes
 from gypsumsail.gateway.const import (
     FORWARD_TIMEOUT_MARGIN_SECONDS,
     MAX_ANSWER_BYTES,
@@ -127,7 +128,9 @@
 class HelperDirectory(Protocol):
     """Chooses helpers and learns from their answers."""
 
-    def choose(self, service: str, tried: set[str], now: float) -> str | None:
+    def choose(
+        self, service: str, tried: set[str], homes: Homes, now: float
+    ) -> str | None:
         """Return the host of a helper; ``None`` if there is none."""
 
     def begin(self, host: str) -> None:
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from gypsumsail.evacuations.homes import Homes, common_homes
 from gypsumsail.gateway.models import Address, Call, Customer, Route
 from gypsumsail.gateway.port import ConnectionUse
 from gypsumsail.gateway.queue_policy import QueuedCall
@@ -107,6 +108,11 @@
     helpers_tried: set[str] = field(default_factory=set)
     connection: ConnectionUse | None = None
 
+    @property
+    def homes(self) -> Homes:
+        """Return the regions to which the call is confined."""
+        return common_homes(self.route.home_regions, self.customer.home_regions)
+
     def answer_needed_by(self) -> float:
         """Return the time by which the caller needs the first event or the answer.
 
--- a/src/gypsumsail/gateway/models.py
+++ b/src/gypsumsail/gateway/models.py
@@ -66,6 +66,8 @@
     patience
         Seconds without an event after which the caller of a stream disconnects, also
         before the first event; 0 where it waits until its deadline.
+    home_regions
+        Regions to which the calls and their kept context are confined; empty for any.
     """
 
     name: str
@@ -80,6 +82,7 @@
     is_public: bool
     is_resumable: bool
     patience: float = 0.0
+    home_regions: frozenset[str] = frozenset()
 
     def allows(self, service: str) -> bool:
         """Return whether the calls of the route may go to a service."""
@@ -169,11 +172,14 @@
         Overrides the priority of the route; ``None`` for no override.
     is_isolated
         Whether its cached context is not shared with other customers.
+    home_regions
+        Regions to which its calls and kept context are confined; empty for any.
     """
 
     name: str
     priority: int | None = None
     is_isolated: bool = False
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -208,6 +214,8 @@
         Version number that the operator gave it.
     customers_by_key
         Customers by API key; ``None`` where callers need no key.
+    invalid_fields
+        Fields that can't be read, which are interpreted in the safe way.
     """
 
     revision: int
@@ -217,6 +225,7 @@
     stores: tuple[ContextStore, ...]
     limits: CallerLimits
     customers_by_key: Mapping[str, Customer] | None
+    invalid_fields: tuple[str, ...] = ()
 
     @cached_property
     def sharing_group(self) -> str:
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -77,7 +77,7 @@
         """
         prompt = job.call.prompt
         if prompt is None or self.service.engine is None:
-            states = self._states()
+            states = self._states(job)
             fastest = _fastest_seconds(states)
             total = sum(state.expected_seconds(fastest, now) for state in states)
             return total / len(states) if states else 0.0
@@ -85,7 +85,7 @@
         min_prefill_tokens = min(
             (
                 self._prefill_and_fetch_tokens(job, state, fetchable_by_scope)[0]
-                for state in self._states()
+                for state in self._states(job)
             ),
             default=prompt.input_tokens,
         )
@@ -101,7 +101,7 @@
         if not self.view.may_place(now):
             return Wait()
         if self.should_forward(job, now):
-            host = self.view.choose_helper(self.service.name, job.helpers_tried, now)
+            host = self.view.helper_for(job, now)
             if host is not None:
                 return Forward(host=host)
         eligible = self._eligible(job, now)
@@ -145,7 +145,7 @@
         """
         if job.is_forwarded or job.first_at:
             return False
-        return self.view.is_cut_off(self.service.name, now)
+        return self.view.is_cut_off(self.service.name, now, job.homes)
 
     def _is_usable(self, state: TargetState, now: float) -> bool:
         """Return whether a target takes a call of this VM at this moment."""
@@ -246,8 +246,9 @@
             seconds += state.usual_seconds / calls
         return seconds
 
-    def _states(self) -> list[TargetState]:
-        return self.view.open_targets(self.service.name)
+    def _states(self, job: Job | None = None) -> list[TargetState]:
+        homes = job.homes if job is not None else None
+        return self.view.open_targets(self.service.name, homes)
 
     def _rate(self) -> float:
         return self.view.targets.rate(self.service.name).tokens_per_second
@@ -256,7 +257,7 @@
         """Return the targets that may serve the job, now or once they have capacity."""
         return [
             state
-            for state in self._states()
+            for state in self._states(job)
             if not state.is_leaving
             and (state.entry.name, state.entry.life) not in job.tried
             and self._has_build(job, state, now)
@@ -292,12 +293,7 @@
 
     def _fetchable_parts(self, job: Job, now: float) -> _FetchableByScope:
         """Return the lookup of fetchable leading parts, cached by scope."""
-        prompt = job.call.prompt
-        parts = prompt.parts if prompt is not None else ()
-        service = self.service.name
-        return _FetchableByScope(
-            lambda scope: self.view.fetchable_parts(service, scope, parts, now)
-        )
+        return _FetchableByScope(partial(self.view.fetchable_parts_of, job, now=now))
 
     def _prefill_and_fetch_tokens(
         self, job: Job, state: TargetState, fetchable_by_scope: _FetchableByScope
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -27,6 +27,8 @@
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.metrics.registry import MetricsRegistry
 
+MAX_LOGGED_FIELDS: Final = 20
+"""Number of unreadable fields of a document that are logged."""
 MAX_LOGGED_TEXT: Final = 40
 """Characters of a header's value that are logged."""
 MAX_LOGGED_SKIPS: Final = 3
@@ -359,6 +361,12 @@
             source=source,
             routes=len(document.routes),
         )
+        if document.invalid_fields:
+            self.log.write(
+                "document fields unreadable",
+                version=document.version,
+                fields=list(document.invalid_fields)[:MAX_LOGGED_FIELDS],
+            )
 
     @callback
     def target_listed(self, entry: TargetEntry) -> None:
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -35,6 +35,8 @@
 PATIENCE_GOALS = 4
 PATIENCE_GAPS = 8
 DEFAULT_TIMEOUT_MS = 60_000.0
+# Set of a region that no zone has.
+NO_REGION = frozenset({""})
 CALL_KINDS = {
     "safe": CallKind.REPEATABLE,
     "unsafe": CallKind.ONCE,
@@ -71,6 +73,7 @@
     public: bool = False
     resumable: bool = False
     gap_aim_ms: float = 0.0
+    home_regions: Any = None
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -112,6 +115,7 @@
     api_keys: list[str] = []
     priority: int | None = None
     dedicated: bool = False
+    home_regions: Any = None
 
 
 class _Document(msgspec.Struct, frozen=True):
@@ -182,7 +186,10 @@
     if document.tenants is not None:
         customers_by_key = {
             key: Customer(
-                name=item.name, priority=item.priority, is_isolated=item.dedicated
+                name=item.name,
+                priority=item.priority,
+                is_isolated=item.dedicated,
+                home_regions=_home_regions(item.home_regions),
             )
             for item in document.tenants
             for key in item.api_keys
@@ -201,6 +208,7 @@
             idle_seconds=limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
         ),
         customers_by_key=customers_by_key,
+        invalid_fields=_invalid_homes(document),
     )
 
 
@@ -270,6 +278,28 @@
         is_public=item.public,
         is_resumable=item.resumable,
         patience=_patience(item) if kind is CallKind.STREAM else 0.0,
+        home_regions=_home_regions(item.home_regions),
+    )
+
+
+def _home_regions(value: Any) -> frozenset[str]:
+    """Return the home regions; a value that can't be read allows no region."""
+    if value is None or value == []:
+        return frozenset()
+    try:
+        return frozenset(msgspec.convert(value, list[Name]))
+    except msgspec.ValidationError:
+        return NO_REGION
+
+
+def _invalid_homes(document: _Document) -> tuple[str, ...]:
+    """Return the routes and tenants whose home regions can't be read."""
+    groups = (("routes", document.routes), ("tenants", document.tenants or []))
+    return tuple(
+        f"{group}[{item.name}].home_regions"
+        for group, items in groups
+        for item in items
+        if _home_regions(item.home_regions) is NO_REGION
     )
 
 
--- a/src/gypsumsail/platform/settings.py
+++ b/src/gypsumsail/platform/settings.py
@@ -14,7 +14,7 @@
 from gypsumsail.core.units import BYTES_PER_MEGABYTE, MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import Address
 from gypsumsail.gateway.retry_budget import RetryLimit
-from gypsumsail.platform.text import parse_address
+from gypsumsail.platform.text import MAX_NAME_LENGTH, parse_address
 from gypsumsail.vm.settings import VmSettings
 
 
@@ -74,7 +74,11 @@
 
 
 class _SettingsFile(msgspec.Struct, frozen=True):
-    """The settings file; ``first_start`` is checked, but not used."""
+    """The settings file; ``first_start`` is checked, but not used.
+
+    ``zones`` has the region of each zone, and ``region`` that of this VM. They are read
+    one by one, as files from before there were home regions may hold anything there.
+    """
 
     node: str
     ip: str
@@ -82,6 +86,8 @@
     port_range: tuple[int, int]
     listen: _Listen
     infra: _Infra
+    region: Any = ""
+    zones: Any = None
     seeds: list[str] = []
     first_start: bool = False
     limits: _Limits = _Limits()
@@ -154,6 +160,7 @@
 
 def _settings(file: _SettingsFile, addresses: dict[str, Address]) -> VmSettings:
     bounds = file.bounds
+    regions, invalid_regions = _regions(file)
     # Malformed seeds are ignored. Only the hosts are used, since all VMs of a
     # deployment have the same gossip port, the first of the port range.
     seeds = tuple(
@@ -184,4 +191,24 @@
         ),
         rollout_seconds=bounds.version_ms / MILLISECONDS_PER_SECOND,
         memory_bytes=int(file.limits.ram_mb * BYTES_PER_MEGABYTE),
+        regions=regions,
+        invalid_regions=invalid_regions,
     )
+
+
+def _regions(file: _SettingsFile) -> tuple[dict[str, str], tuple[str, ...]]:
+    """Return the region of each zone, and the fields that can't be read."""
+    zones = file.zones if isinstance(file.zones, dict) else {}
+    regions = {zone: region for zone, region in zones.items() if _is_region(region)}
+    invalid = [f"zones.{zone}" for zone in zones if zone not in regions]
+    if file.zones is not None and zones is not file.zones:
+        invalid.append("zones")
+    if _is_region(file.region):
+        regions.setdefault(file.zone, file.region)
+    elif file.region != "":
+        invalid.append("region")
+    return regions, tuple(invalid)
+
+
+def _is_region(value: object) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= MAX_NAME_LENGTH
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -21,6 +21,7 @@
 from gypsumsail.core.hash_ring import HashRing
 from gypsumsail.core.signals import handle_signal
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
+from gypsumsail.evacuations.homes import Regions
 from gypsumsail.forwarding.client import HelperClient
 from gypsumsail.forwarding.const import MESSAGE_OVERHEAD_BYTES
 from gypsumsail.forwarding.endpoint import ForwardEndpoint
@@ -140,6 +141,7 @@
         self.gateway.knows_targets = lambda: self.catalog.knows_targets
         self.catalog.on_target_read = self._on_target_read
         self._connect_evacuations()
+        self._apply_regions()
         self.gossip = self._make_gossip()
         self.rollout = self._make_rollout()
         self.catch_up = CatchUp(
@@ -235,6 +237,15 @@
         self.context_stores.evacuated_zones = zones
         self.catalog.evacuation_updates.is_known_zone = self._is_known_zone
 
+    def _apply_regions(self) -> None:
+        settings = self.settings
+        regions = Regions(own_zone=settings.zone, by_zone=settings.regions)
+        self.gateway.view.regions = regions
+        self.helpers.regions = regions
+        self.context_stores.regions = regions
+        if settings.invalid_regions:
+            self.log.write("regions unreadable", fields=list(settings.invalid_regions))
+
     def _is_known_zone(self, zone: str) -> bool:
         """Return whether any target or VM is in a zone."""
         states = self.targets.states.values()
@@ -508,8 +519,9 @@
     def reload(self) -> None:
         """Reload the settings; invalid settings change nothing.
 
-        Only the retry limit, the bounds on changes, the rollout time, added seed hosts
-        and the grace period take effect without a restart.
+        Only the retry limit, the bounds on changes, the rollout time, the regions,
+        added seed hosts and the grace period take effect without a restart. Whether
+        evacuations are followed is decided at the start.
         """
         try:
             settings = self.ports.load_settings()
@@ -523,6 +535,7 @@
         self.catalog.set_bounds(settings.change_bounds)
         self.gateway.view.rollout_seconds = settings.rollout_seconds
         self.context_stores.rollout_seconds = settings.rollout_seconds
+        self._apply_regions()
         now = self.clock.monotonic()
         for host in settings.seed_hosts:
             self.peers.add(host, now)
--- a/src/gypsumsail/vm/settings.py
+++ b/src/gypsumsail/vm/settings.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from gypsumsail.catalog.freshness import ChangeBounds
 from gypsumsail.gateway.models import Address
@@ -32,6 +33,10 @@
         Time after a weight version is named from which no call may use an older one.
     memory_bytes
         Memory of the VM; 0 if it is unknown.
+    regions
+        Region of each zone that has a known one.
+    invalid_regions
+        Fields of the regions that can't be read.
     """
 
     vm: str
@@ -49,3 +54,5 @@
     change_bounds: ChangeBounds
     rollout_seconds: float
     memory_bytes: int = 0
+    regions: Mapping[str, str] = field(default_factory=dict)
+    invalid_regions: tuple[str, ...] = ()
--- a/tests/context_stores/test_context_stores.py
+++ b/tests/context_stores/test_context_stores.py
@@ -360,8 +360,9 @@
     transfer = context_stores.plan(job, assignment, clock.now)
     assert transfer.fetch == (other.entry.address, other.entry.address, None)
     fetchable = context_stores.fetchable_prefix_parts
-    assert fetchable(assignment.state.entry.service, "1", prompt.parts, clock.now) == 2
-    assert fetchable(assignment.state.entry.service, "2", prompt.parts, clock.now) == 0
+    service = assignment.state.entry.service
+    assert fetchable(service, "1", prompt.parts, None, clock.now) == 2
+    assert fetchable(service, "2", prompt.parts, None, clock.now) == 0
     context_stores.stop()
 
 
--- a/tests/evacuations/test_placement.py
+++ b/tests/evacuations/test_placement.py
@@ -139,6 +139,6 @@
     cache.capacity_tokens = 100_000
     cache.add("s", parts, 0)
     stores = coordinator(gw.view.targets, gw.clock)
-    assert stores.fetchable_prefix_parts(ENGINES, "s", parts, now) > 0
+    assert stores.fetchable_prefix_parts(ENGINES, "s", parts, None, now) > 0
     stores.evacuated_zones = {"z2"}
-    assert stores.fetchable_prefix_parts(ENGINES, "s", parts, now) == 0
+    assert stores.fetchable_prefix_parts(ENGINES, "s", parts, None, now) == 0
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -148,7 +148,7 @@
 async def test_call_is_forwarded_only_once(pair: ForwardingPair) -> None:
     """The helper is cut too and would forward the call back."""
     pair.keep_cut(pair.helper)
-    pair.helper.view.choose_helper = lambda service, tried, now: "10.0.0.9"
+    pair.helper.view.choose_helper = lambda service, tried, homes, now: "10.0.0.9"
     reply = await serve(pair)
     assert reply.status == 503
     assert not pair.targets.sent
@@ -163,7 +163,10 @@
     reply = await serve(pair)
     assert reply.status == 503
     assert pair.cut.clock.monotonic() - started < 1.0
-    assert pair.cut.helpers.choose("portal", set(), pair.cut.clock.monotonic()) is None
+    assert (
+        pair.cut.helpers.choose("portal", set(), None, pair.cut.clock.monotonic())
+        is None
+    )
 
 
 async def test_call_that_runs_once_is_not_sent_on_after_the_helper_broke_off(
--- a/tests/forwarding/test_helpers.py
+++ b/tests/forwarding/test_helpers.py
@@ -23,20 +23,20 @@
 def test_no_vm_of_an_older_build_is_chosen() -> None:
     found = helpers()
     found.peers.record_message(message("v2", 1, hosts=("",) * 3), NOW)
-    assert found.choose(SERVICE, set(), NOW) is None
+    assert found.choose(SERVICE, set(), None, NOW) is None
 
 
 def test_silent_vm_is_not_chosen() -> None:
     found = helpers("v2")
-    assert found.choose(SERVICE, set(), NOW + 1.0) == "10.0.0.2"
-    assert found.choose(SERVICE, set(), NOW + 2.0) is None
+    assert found.choose(SERVICE, set(), None, NOW + 1.0) == "10.0.0.2"
+    assert found.choose(SERVICE, set(), None, NOW + 2.0) is None
 
 
 def test_calls_of_a_cut_vm_spread_over_the_helpers() -> None:
     found = helpers("v2", "v3", "v4", "v5")
     chosen: Counter[str] = Counter()
     for _ in range(40):
-        host = found.choose(SERVICE, set(), NOW)
+        host = found.choose(SERVICE, set(), None, NOW)
         assert host is not None
         found.begin(host)
         found.record_served(host, SERVICE, NOW)
@@ -49,13 +49,13 @@
     found = helpers("v2", "v3")
     refusal = ForwardRefusal.UNREACHABLE
     found.record_refusal("10.0.0.2", SERVICE, refusal, NOW)
-    hosts = {found.choose(SERVICE, set(), NOW) for _ in range(20)}
+    hosts = {found.choose(SERVICE, set(), None, NOW) for _ in range(20)}
     assert hosts == {"10.0.0.3"}
-    assert {found.choose("engines", set(), NOW) for _ in range(20)} == {
+    assert {found.choose("engines", set(), None, NOW) for _ in range(20)} == {
         "10.0.0.2",
         "10.0.0.3",
     }
-    later = {found.choose(SERVICE, set(), NOW + 1.1) for _ in range(20)}
+    later = {found.choose(SERVICE, set(), None, NOW + 1.1) for _ in range(20)}
     assert "10.0.0.2" in later
 
 
@@ -64,7 +64,7 @@
     asked = 0
     for _ in range(100):
         tried: set[str] = set()
-        while (host := found.choose(SERVICE, tried, NOW)) is not None:
+        while (host := found.choose(SERVICE, tried, None, NOW)) is not None:
             asked += 1
             tried.add(host)
             found.record_refusal(host, SERVICE, ForwardRefusal.UNREACHABLE, NOW)
@@ -73,7 +73,7 @@
 
 def test_few_helpers_are_tried_for_one_call() -> None:
     found = helpers(*(f"v{number}" for number in range(2, 12)))
-    assert found.choose(SERVICE, {"a", "b", "c"}, NOW) is None
+    assert found.choose(SERVICE, {"a", "b", "c"}, None, NOW) is None
 
 
 def test_few_good_helpers_are_found_again_among_many_cut_vms() -> None:
@@ -85,7 +85,7 @@
     for step in range(200):
         now = NOW + step * 0.005
         tried: set[str] = set()
-        while (host := found.choose(SERVICE, tried, now)) is not None:
+        while (host := found.choose(SERVICE, tried, None, now)) is not None:
             tried.add(host)
             if host in good:
                 found.record_served(host, SERVICE, now)
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -380,7 +380,7 @@
     """Return a view of a fleet without prompt parts that can be fetched."""
     view = FleetView(
         zone="z1",
-        fetchable_parts=lambda service, scope, parts, now: 0,
+        fetchable_parts=lambda service, scope, parts, homes, now: 0,
         targets=targets,
         wanted_weights={},
         rollout_seconds=12.0,
