--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -30,6 +30,8 @@
 from gypsumsail.metrics.registry import MetricsRegistry
 from gypsumsail.placing.pools import EnginePools
 
+MAX_LOGGED_FIELDS: Final = 20
+"""Number of unreadable fields of a document that are logged."""
 MAX_LOGGED_TEXT: Final = 40
 """Characters of a header's value that are logged."""
 MAX_LOGGED_SKIPS: Final = 3
@@ -364,6 +366,12 @@
             routes=len(document.routes),
             **({"invalid": found} if (found := list(document.invalid_fields)) else {}),
         )
+        if document.invalid_fields:
+            self.log.write(
+                "document fields unreadable",
+                version=document.version,
+                fields=list(document.invalid_fields)[:MAX_LOGGED_FIELDS],
+            )
 
     @callback
     def target_listed(self, entry: TargetEntry) -> None:
--- a/src/gypsumsail/platform/settings.py
+++ b/src/gypsumsail/platform/settings.py
@@ -15,7 +15,7 @@
 from gypsumsail.core.units import BYTES_PER_MEGABYTE, MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import Address
 from gypsumsail.gateway.retry_budget import RetryLimit
-from gypsumsail.platform.text import parse_address
+from gypsumsail.platform.text import MAX_NAME_LENGTH, parse_address
 from gypsumsail.vm.settings import VmSettings
 
 
@@ -50,6 +50,9 @@
         after it, no call may use an older version.
     cold_over, cold_slack
         Bound on the requests that a cold target gets, see ``ColdBound``.
+    evac_ms
+        Time limit after which no call may reach a target of an evacuated zone; 0 where
+        there are no evacuations.
     """
 
     grace_s: float = 8.0
@@ -62,6 +65,7 @@
     version_ms: float = 12000.0
     cold_over: float = ColdBound().over
     cold_slack: float = ColdBound().slack
+    evac_ms: float = 0.0
 
 
 class _Infra(msgspec.Struct, frozen=True):
@@ -75,7 +79,11 @@
 
 
 class _SettingsFile(msgspec.Struct, frozen=True):
-    """The settings file; ``first_start`` is checked, but not used."""
+    """The settings file; ``first_start`` is checked, but not used.
+
+    ``zones`` has the region of each zone, and ``region`` that of this VM. They are read
+    one by one, as files from before there were home regions may hold anything there.
+    """
 
     node: str
     ip: str
@@ -83,6 +91,8 @@
     port_range: tuple[int, int]
     listen: _Listen
     infra: _Infra
+    region: Any = ""
+    zones: Any = None
     seeds: list[str] = []
     first_start: bool = False
     limits: _Limits = _Limits()
@@ -155,6 +165,7 @@
 
 def _settings(file: _SettingsFile, addresses: dict[str, Address]) -> VmSettings:
     bounds = file.bounds
+    regions, invalid_regions = _regions(file)
     # Malformed seeds are ignored. Only the hosts are used, since all VMs of a
     # deployment have the same gossip port, the first of the port range.
     seeds = tuple(
@@ -181,8 +192,29 @@
             document=bounds.config_ms / MILLISECONDS_PER_SECOND,
             leaving=bounds.drain_ms / MILLISECONDS_PER_SECOND,
             weights=bounds.version_ms / MILLISECONDS_PER_SECOND,
+            evacuation=bounds.evac_ms / MILLISECONDS_PER_SECOND,
         ),
         rollout_seconds=bounds.version_ms / MILLISECONDS_PER_SECOND,
         cold_bound=ColdBound(over=bounds.cold_over, slack=bounds.cold_slack),
         memory_bytes=int(file.limits.ram_mb * BYTES_PER_MEGABYTE),
+        regions=regions,
+        invalid_regions=invalid_regions,
     )
+
+
+def _regions(file: _SettingsFile) -> tuple[dict[str, str], tuple[str, ...]]:
+    """Return the region of each zone, and the fields that can't be read."""
+    zones = file.zones if isinstance(file.zones, dict) else {}
+    regions = {zone: region for zone, region in zones.items() if _is_region(region)}
+    invalid = [f"zones.{zone}" for zone in zones if zone not in regions]
+    if file.zones is not None and zones is not file.zones:
+        invalid.append("zones")
+    if _is_region(file.region):
+        regions.setdefault(file.zone, file.region)
+    elif file.region != "":
+        invalid.append("region")
+    return regions, tuple(invalid)
+
+
+def _is_region(value: object) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= MAX_NAME_LENGTH
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -23,6 +23,7 @@
 from gypsumsail.core.hash_ring import HashRing
 from gypsumsail.core.signals import handle_signal
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
+from gypsumsail.evacuations.homes import Regions
 from gypsumsail.forwarding.client import HelperClient
 from gypsumsail.forwarding.const import MESSAGE_OVERHEAD_BYTES
 from gypsumsail.forwarding.endpoint import ForwardEndpoint
@@ -141,6 +142,8 @@
         self.catalog = self._make_catalog()
         self.gateway.knows_targets = lambda: self.catalog.knows_targets
         self.catalog.on_target_read = self._on_target_read
+        self._connect_evacuations()
+        self._apply_regions()
         self.gossip = self._make_gossip()
         self.rollout = self._make_rollout()
         self.catch_up = CatchUp(
@@ -171,7 +174,9 @@
             self.log,
         )
         self.silence_log = SilenceLog(self.peers, self.log)
-        self.metrics = VmMetrics(self.registry)
+        self.metrics = VmMetrics(
+            self.registry, has_evacuations=bool(ports.kinds.evacuations)
+        )
         process_buffers.limit_bytes = buffer_limit(settings.memory_bytes)
         process_buffers.on_cut_off = self._record_cut_off
         self.control_api = ControlApi(self)
@@ -234,6 +239,32 @@
             self.settings.change_bounds,
         )
 
+    def _connect_evacuations(self) -> None:
+        self.catalog.evacuations.on_ended = self.targets.expect_cold_zone
+        zones = self.catalog.evacuations.zones
+        self.gateway.view.evacuated_zones = zones
+        self.gateway.view.allows_calls = self.catalog.allows_calls
+        self.context_stores.evacuated_zones = zones
+        self.catalog.evacuation_updates.is_known_zone = self._is_known_zone
+
+    def _apply_regions(self) -> None:
+        settings = self.settings
+        regions = Regions(own_zone=settings.zone, by_zone=settings.regions)
+        self.gateway.view.regions = regions
+        self.helpers.regions = regions
+        self.context_stores.regions = regions
+        if settings.invalid_regions:
+            self.log.write("regions unreadable", fields=list(settings.invalid_regions))
+
+    def _is_known_zone(self, zone: str) -> bool:
+        """Return whether any target or VM is in a zone."""
+        states = self.targets.states.values()
+        return (
+            zone == self.settings.zone
+            or zone in self.peers.other_zones()
+            or any(state.entry.zone == zone for state in states)
+        )
+
     def _make_gossip(self) -> GossipCoordinator:
         gossip = GossipCoordinator(
             self.settings.gossip_port,
@@ -516,8 +547,8 @@
         """Reload the settings; invalid settings change nothing.
 
         Only the retry limit, the bounds on changes and on requests to cold targets, the
-        rollout time, added seed hosts and the grace period take effect without a
-        restart.
+        rollout time, the regions, added seed hosts and the grace period take effect
+        without a restart. Whether evacuations are followed is decided at the start.
         """
         try:
             settings = self.ports.load_settings()
@@ -532,6 +563,7 @@
         self.gateway.view.rollout_seconds = settings.rollout_seconds
         self.gateway.view.cold_sharing.bound = settings.cold_bound
         self.context_stores.rollout_seconds = settings.rollout_seconds
+        self._apply_regions()
         now = self.clock.monotonic()
         for host in settings.seed_hosts:
             self.peers.add(host, now)
@@ -574,6 +606,7 @@
         return Readiness(
             has_document=self.gateway.document is not None,
             knows_targets=self.catalog.knows_targets,
+            knows_evacuations=self.catalog.knows_evacuations,
             is_stopping=self.signalled_at is not None,
         )
 
--- a/src/gypsumsail/vm/settings.py
+++ b/src/gypsumsail/vm/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from gypsumsail.catalog.freshness import ChangeBounds
@@ -35,6 +36,10 @@
         Bound on the requests that a cold target gets.
     memory_bytes
         Memory of the VM; 0 if it is unknown.
+    regions
+        Region of each zone that has a known one.
+    invalid_regions
+        Fields of the regions that can't be read.
     """
 
     vm: str
@@ -53,3 +58,5 @@
     rollout_seconds: float
     cold_bound: ColdBound = field(default_factory=ColdBound)
     memory_bytes: int = 0
+    regions: Mapping[str, str] = field(default_factory=dict)
+    invalid_regions: tuple[str, ...] = ()
