--- a/src/gypsumsail/cold_targets/const.py
+++ b/src/gypsumsail/cold_targets/const.py
@@ -33,5 +33,10 @@
 """
 MAX_SENDERS: Final = 64
 """Largest number of permitted senders of a target."""
+SUSPENSION_SECONDS: Final = 1.0
+"""Time without a periodic step after which the process counts as suspended meanwhile.
+
+The steps are 0.05 s apart.
+"""
 MIN_CONTACT_CHECK_SECONDS: Final = 1.0
 """Shortest time between two connections that only show whether a target is back."""
--- a/src/gypsumsail/gateway/liveness.py
+++ b/src/gypsumsail/gateway/liveness.py
@@ -54,6 +54,7 @@
 
         The same holds for targets that may have become cold, see ``ColdState``.
         """
+        self.targets.note_time(now)
         for state in self.targets.states.values():
             if state.blocked_until > now:
                 continue
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -100,6 +100,8 @@
         eligible = self._eligible(job, now)
         if not eligible:
             return Unplaceable()
+        if self.service.cold is not None:
+            self.view.targets.note_time(now)
         usable = {
             state.entry.name: state for state in eligible if self._is_usable(state, now)
         }
--- a/src/gypsumsail/gateway/target_table.py
+++ b/src/gypsumsail/gateway/target_table.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import partial
+from math import inf
 
 from gypsumsail.cold_targets.cold_state import ColdState
+from gypsumsail.cold_targets.const import SUSPENSION_SECONDS
 from gypsumsail.cold_targets.models import ColdTerms
 from gypsumsail.gateway.averages import AnswerTime, GenerationTime, PrefillRate
 from gypsumsail.gateway.call_limit import CallLimit
@@ -50,6 +52,8 @@
         Cold state of the latest life of each target, listed or not.
     on_cold
         Called with a target that turns cold, the remaining seconds and the source.
+    noted_at
+        Time of the latest call of ``note_time``.
     on_life_listed
         Called with each life of a target that is new in the table.
     on_life_ended
@@ -64,6 +68,7 @@
         self.on_cold: Callable[[TargetEntry, float, str], None] = (
             lambda entry, seconds, source: None
         )
+        self.noted_at = inf
         self.states: dict[str, TargetState] = {}
         self.rates: dict[str, PrefillRate] = {}
         self.generation_times: dict[str, GenerationTime] = {}
@@ -177,6 +182,17 @@
         for state in self.states.values():
             state.cold.set_terms(self.cold_terms.get(state.entry.service), now)
 
+    def note_time(self, now: float) -> None:
+        """Count targets that may be cold as lost after a suspension of this VM.
+
+        They may have started again meanwhile, and calls have waited here.
+        """
+        if now - self.noted_at > SUSPENSION_SECONDS:
+            for state in self.states.values():
+                if state.cold.terms is not None:
+                    state.cold.lose_contact(now)
+        self.noted_at = now
+
     def expect_cold_zone(self, zone: str, now: float) -> None:
         """Record that the targets of a zone are cold, as at an evacuation's end."""
         for cold in self.cold_states.values():
