Name invalid load figures once, and read documents that contain NaN

Cause: an invalid fourth load figure was ignored silently, and one NaN in a routing document refused it as a whole.

Change: the first invalid figure of a target is logged. NaN and infinities are replaced by a value that is invalid for each field; null is not, as it would be valid for the customers of a document.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -496,7 +496,8 @@
         """
         if head.is_from_another(state.entry.name):
             return
-        state.reported = head.load or state.reported
+        if head.load is not None and state.record_load(head.load):
+            self.telemetry.work_factor_invalid(state, head.load.invalid_factor)
         self.record_notices(state, head.notices, sent_at, job.call.request_id)
 
     @callback
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -102,12 +102,15 @@
     work_factor
         How long work takes on the target's machine, as a multiple of the usual time;
         ``None`` if the target states no valid one.
+    invalid_factor
+        Text of an invalid factor; empty without one.
     """
 
     running: int
     waiting: int
     at: float
     work_factor: float | None = None
+    invalid_factor: str = ""
 
 
 @dataclass(slots=True)
@@ -159,6 +162,8 @@
         Times at which this VM has recently placed calls on the target.
     cold
         Whether the target is cold, and the sends to it while it is.
+    has_invalid_factor
+        Whether the target has stated an invalid work factor.
     """
 
     entry: TargetEntry
@@ -187,6 +192,7 @@
     limit_slots: LimitSlots = field(init=False)
     sends: deque[float] = field(default_factory=deque)
     cold: ColdState = field(init=False)
+    has_invalid_factor: bool = False
 
     def __post_init__(self) -> None:
         """Set the attributes that depend on the entry."""
@@ -226,6 +232,14 @@
             pause_seconds, self.limit_slots.seconds_until_allowed(limit, sharing, now)
         )
 
+    def record_load(self, load: TargetReportedLoad) -> bool:
+        """Record a load report; return whether its work factor is newly invalid."""
+        self.reported = load
+        if not load.invalid_factor or self.has_invalid_factor:
+            return False
+        self.has_invalid_factor = True
+        return True
+
     def begin(self, in_flight_call: InFlightCall) -> int:
         """Add a call in flight and return its id."""
         self.last_in_flight_id += 1
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -482,6 +482,16 @@
         if isinstance(cold, InvalidCold):
             self.cold.header_invalid(state.entry.name, state.entry.life, cold.text)
 
+    @callback
+    def work_factor_invalid(self, state: TargetState, text: str) -> None:
+        """Log the first invalid work factor in the load reports of a target."""
+        self.log.write(
+            "target work factor invalid",
+            target=state.entry.name,
+            life=state.entry.life,
+            text=text[:MAX_LOGGED_TEXT],
+        )
+
     @callback
     def stream_taken_up(self, job: Job, build: str | None, source: str) -> None:
         """Log that a caller takes up a stream, and the build that began it.
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -281,11 +281,16 @@
     fields = [field.strip() for field in value.split(b",")]
     if len(fields) < 2 or not all(map(_is_count, fields[:3])):
         return None
+    running, waiting = int(fields[0]), int(fields[1])
+    if len(fields) < 4:
+        return TargetReportedLoad(running=running, waiting=waiting, at=now)
+    factor = _parse_work_factor(fields[3])
     return TargetReportedLoad(
-        running=int(fields[0]),
-        waiting=int(fields[1]),
+        running=running,
+        waiting=waiting,
         at=now,
-        work_factor=_parse_work_factor(fields[3]) if len(fields) > 3 else None,
+        work_factor=factor,
+        invalid_factor=fields[3].decode("latin-1") if factor is None else "",
     )
 
 
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -188,7 +188,7 @@
     EntryInvalidError
         The value is malformed, or a route has an unknown kind.
     """
-    document = _decode(value, _Document)
+    document = _decode_leniently(value, _Document)
     stores, services = [], {}
     invalid_fields: list[str] = []
     for item in document.services:
@@ -231,7 +231,7 @@
     EntryInvalidError
         The value is malformed, or its address, state or start time is invalid.
     """
-    item = _decode_target(value)
+    item = _decode_leniently(value, _Target)
     address = parse_address(item.addr)
     if address is None or item.state not in ("ready", "draining"):
         raise EntryInvalidError(f"target {name} has an invalid address or state")
@@ -264,21 +264,24 @@
         raise EntryInvalidError(f"can't decode the value: {err}") from err
 
 
-def _decode_target(value: bytes) -> Any:
-    """Decode the object of a target, in which numbers may be ``NaN`` or infinite."""
+def _decode_leniently(value: bytes, kind: type[Any]) -> Any:
+    """Decode JSON in which fields that are decoded separately may be ``NaN``."""
     try:
-        return _decode(value, _Target)
+        return _decode(value, kind)
     except EntryInvalidError:
         text = _without_constants(value)
         if text is None:
             raise
-        return _decode(text, _Target)
+        return _decode(text, kind)
 
 
 def _without_constants(value: bytes) -> bytes | None:
-    """Return JSON with null for ``NaN`` and infinities; ``None`` if that fails."""
+    """Return JSON without ``NaN`` and infinities; ``None`` if that fails.
+
+    They are replaced by a value that is invalid for each field, unlike null.
+    """
     try:
-        found = json.loads(value.decode(), parse_constant=lambda name: None)
+        found = json.loads(value.decode(), parse_constant=lambda name: [[]])
         return json.dumps(found, allow_nan=False).encode()
     except (ValueError, RecursionError):
         return None
--- a/tests/platform/test_cold_fields.py
+++ b/tests/platform/test_cold_fields.py
@@ -14,11 +14,14 @@
     InvalidCold,
     NamedCold,
 )
+from gypsumsail.gateway.part_cache import PartCache
+from gypsumsail.gateway.targets import TargetState
 from gypsumsail.platform.calls import parse_answer_head
 from gypsumsail.platform.documents import decode_document
 from gypsumsail.platform.notices import parse_notices
 from gypsumsail.platform.settings import load_settings
 from gypsumsail.transport.exchange import ExchangeConnection
+from tests.gateway.common import engine
 from tests.platform.test_settings import VALID_SETTINGS
 
 SOUND = ColdTerms(seconds=12.0, per_second=9.5)
@@ -36,6 +39,7 @@
         (',"cold_s":12,"cold_per_s":1e999', LOW_RATE, ["services.a.cold_per_s"]),
         (',"cold_s":12,"cold_per_s":0', LOW_RATE, ["services.a.cold_per_s"]),
         (',"cold_s":-1,"cold_per_s":9.5', LONG_TIME, ["services.a.cold_s"]),
+        (',"cold_s":NaN,"cold_per_s":9.5', LONG_TIME, ["services.a.cold_s"]),
         (',"cold_s":"x","cold_per_s":9.5', LONG_TIME, ["services.a.cold_s"]),
         (',"cold_s":1e99,"cold_per_s":9.5', LONG_TIME, ["services.a.cold_s"]),
     ],
@@ -85,6 +89,9 @@
     found = parse_answer_head(connection, 5.0).load
     assert found is not None
     assert (found.running, found.waiting, found.work_factor) == (3, 1, factor)
+    state = TargetState(entry=engine(), cache=PartCache(0))
+    is_named = [state.record_load(found) for _ in range(2)]
+    assert is_named == [factor is None and load.count(b",") > 2, False]
 
 
 def test_bound_is_read_from_the_settings(tmp_path: Path) -> None:
