--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -107,6 +107,8 @@
             return Unplaceable()
         if self.pools.is_due(now):
             self._update_pools(now)
+        if self.service.cold is not None:
+            self.view.targets.note_time(now)
         usable = {
             state.entry.name: state for state in eligible if self._is_usable(state, now)
         }
