Read evacuations at once after a suspension

Cause: calls that waited in a VM that was suspended were held until its watch returned: trials with two VM processes, stopped for 5.5 s while their zone was evacuated, answered 20 calls each after 0.26 to 0.36 s of at most 0.5 s, which leaves little margin, and a VM without any change held its calls for the whole 0.5 s. Change: the tick after a suspension asks the store for the changes until now; the maximum hold grows to 1 s.

--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, replace
@@ -105,6 +106,8 @@
         Removed targets that are listed again because the store was restored.
     evacuations
         Evacuated zones; none where the deployment has no evacuations.
+    confirmations
+        Readings of the evacuated zones that a suspension has caused.
     """
 
     def __init__(
@@ -138,6 +141,7 @@
             self.evacuations, decoder.check_evacuation, telemetry.log
         )
         self.suspension_hold = SuspensionHold()
+        self.confirmations: set[asyncio.Task[bool]] = set()
         self.store_health = {
             kind: StoreHealth(clock.monotonic()) for kind in kinds.all()
         }
@@ -318,6 +322,7 @@
             # Datagrams that waited for the end of a suspension seem new.
             for watch in self.watches.values():
                 watch.doubt()
+            self._confirm_evacuations()
         health = self.store_health[self.kinds.targets]
         for name in self.pending_removals.pop_expired(health, now):
             self._remove_target(name, "not listed again after the store recovered")
@@ -328,6 +333,15 @@
             self.suspension_hold.is_held(watch.read_at, now)
             self.evacuation_updates.tick(watch.confirmed_at, now)
 
+    def _confirm_evacuations(self) -> None:
+        """Read the evacuated zones at once, as calls wait for it."""
+        if not self.kinds.evacuations:
+            return
+        watch = self.watches[self.kinds.evacuations]
+        task = asyncio.get_running_loop().create_task(watch.async_confirm())
+        self.confirmations.add(task)
+        task.add_done_callback(self.confirmations.discard)
+
     def _on_changes(self, kind: str, changes: Changes) -> None:
         """Apply changes that this VM received from the store."""
         now = self.clock.monotonic()
--- a/src/gypsumsail/evacuations/const.py
+++ b/src/gypsumsail/evacuations/const.py
@@ -20,11 +20,11 @@
 
 The main loop checks every 0.05 s.
 """
-SUSPENSION_HOLD_SECONDS: Final = 0.5
+SUSPENSION_HOLD_SECONDS: Final = 1.0
 """Maximum time after a suspension in which no call is placed.
 
-It covers a pause of the watch after a lost connection (0.25 s) and one call to the
-store, which returns at once if there is a change.
+The hold ends with the first reading of the store. The maximum covers one that fails
+after 0.5 s, a pause of the watch (0.25 s) and its next call.
 """
 MAX_LOGGED_ZONES: Final = 1_000
 """Maximum number of zones that are remembered so that each fault is logged once."""
