Let a second send of a slow call run beside the first

Cause: JobSend was made and run in one place of the coordinator, and the retry budget knew real retries only, so that a second send had nowhere to hook in. Change: the coordinator runs a send through async_run_send, and asks SecondSends where that is set. JobSend tells when a plain answer has begun, and closes its connection at once if another send has won. RetryBudget counts second sends; these may use half of what real retries leave. call_facts moves to job.py.

--- a/src/gypsumsail/cli/vm.py
+++ b/src/gypsumsail/cli/vm.py
@@ -4,11 +4,14 @@
 
 from pathlib import Path
 import signal
+from typing import Final
 
 import click
 
 from gypsumsail.cli.const import ExitCode
-from gypsumsail.cli.options import env_option
+from gypsumsail.cli.options import env_option, environment_variable
+
+HEDGE_SHARE_FLAG: Final = "--hedge-share"
 
 
 @click.group()
@@ -40,7 +43,13 @@
     type=click.IntRange(1, 65_535),
     help="Port that serves the metrics.",
 )
-def run(settings: str | None, metrics_port: int | None) -> None:
+@env_option(
+    HEDGE_SHARE_FLAG,
+    default="0",
+    show_default=True,
+    help="Second sends of slow calls that may run twice, per call: 0 (off) to 0.2.",
+)
+def run(settings: str | None, metrics_port: int | None, hedge_share: str) -> None:
     """Run the gateway process of a VM until it receives a stop signal.
 
     Its settings come from the platform's settings file; the command "entry" takes
@@ -54,10 +63,14 @@
 
     from gypsumsail.cli.event_loop import run_until_exit
     from gypsumsail.core.findings import SettingsInvalidError
+    from gypsumsail.hedging.settings import parse_share
     from gypsumsail.platform.app import async_run_vm
 
+    path = _require_settings_path(settings)
     try:
-        run_until_exit(async_run_vm(_require_settings_path(settings), metrics_port))
+        place = f"{HEDGE_SHARE_FLAG} / {environment_variable(HEDGE_SHARE_FLAG)}"
+        share = parse_share(hedge_share, place)
+        run_until_exit(async_run_vm(path, metrics_port, share))
     except SettingsInvalidError as err:
         for finding in err.findings:
             click.echo(str(finding), err=True)
--- a/src/gypsumsail/gateway/const.py
+++ b/src/gypsumsail/gateway/const.py
@@ -130,6 +130,8 @@
 
 The rest is a margin, because a VM does not see the calls and retries of its peers.
 """
+HEDGE_BUDGET_SHARE: Final = 0.5
+"""Share of the budget left by real retries that second sends of slow calls may use."""
 MIN_RETRY_AFTER_SECONDS: Final = 0.1
 """Shortest delay that a refused caller is told in ``Retry-After``."""
 MAX_RETRY_AFTER_SECONDS: Final = 3.0
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -32,8 +32,8 @@
     ForwardTerms,
     HelperDirectory,
 )
-from gypsumsail.gateway.job import Assignment, Job
-from gypsumsail.gateway.job_send import JobSend, call_facts
+from gypsumsail.gateway.job import Assignment, Job, call_facts
+from gypsumsail.gateway.job_send import JobSend
 from gypsumsail.gateway.liveness import LivenessChecks
 from gypsumsail.gateway.models import (
     Call,
@@ -77,6 +77,7 @@
     find_route,
     pick_service,
 )
+from gypsumsail.gateway.second_sends import SecondSends
 from gypsumsail.gateway.service_queue import ServiceQueue
 from gypsumsail.gateway.stream_builds import StreamBuilds
 from gypsumsail.gateway.stream_resumption import StreamResumption
@@ -127,6 +128,8 @@
     forward_client, helpers
         Client that forwards calls to other VMs, and the choice among these; ``None``
         where there are none.
+    second_sends
+        Sends slow calls to a second target; ``None`` where that is off.
     on_target_news
         Called with a target that says that it leaves or names another limit, and the
         current time.
@@ -173,6 +176,7 @@
         self.on_first_token: Callable[[Job, Assignment, float], None] | None = None
         self.forward_client: ForwardClient | None = None
         self.helpers: HelperDirectory | None = None
+        self.second_sends: SecondSends | None = None
         self.on_target_news: Callable[[TargetState, float], None] = lambda state, now: (
             None
         )
@@ -347,12 +351,22 @@
         self.telemetry.placed(
             job, job.assignment, placed.answer_delay, self.clock.monotonic()
         )
-        outcome = await JobSend(self, job, job.assignment, reply).async_run()
+        send = JobSend(self, job, job.assignment, reply)
+        if self.second_sends is None or not self.second_sends.applies_to(send):
+            return await self.async_run_send(send)
+        outcome = await self.second_sends.async_run(send)
+        job.release()
+        return outcome
+
+    async def async_run_send(self, send: JobSend) -> SendOutcome:
+        """Run one send of a job and record its outcome."""
+        job = send.job
+        outcome = await send.async_run()
         if isinstance(outcome, Delivered):
             self.crash_suspects.record_answered(job.fingerprint)
         self.telemetry.send_ended(
             job,
-            job.assignment,
+            send.assignment,
             outcome,
             self.crash_suspects.crashes(job.fingerprint),
             self.clock.monotonic(),
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 
 from gypsumsail.gateway.models import Address, Call, Customer, Route
-from gypsumsail.gateway.port import ConnectionUse
+from gypsumsail.gateway.outcomes import CallFacts
+from gypsumsail.gateway.port import CallerReply, ConnectionUse
 from gypsumsail.gateway.queue_policy import QueuedCall
 from gypsumsail.gateway.targets import TargetState
 
@@ -137,3 +138,17 @@
         if self.assignment is not None:
             self.assignment.state.end(self.assignment.in_flight_id)
             self.assignment = None
+
+
+def call_facts(
+    job: Job, reply: CallerReply, now: float, work_seconds: float
+) -> CallFacts:
+    """Return the facts that decide whether a job is retried."""
+    return CallFacts(
+        may_repeat=job.route.may_repeat,
+        targets_used=job.targets_used,
+        max_targets=job.route.max_targets,
+        has_reply_begun=reply.has_begun,
+        time_left=job.deadline - now,
+        usual_seconds=work_seconds,
+    )
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from gypsumsail.core.errors import TransportError
@@ -20,7 +21,6 @@
 from gypsumsail.gateway.outcomes import (
     NOT_RUN_STATUSES,
     Broken,
-    CallFacts,
     Delivered,
     NotSent,
     NotTaken,
@@ -51,6 +51,12 @@
         Whether the exchange continues in the background without its caller.
     has_begun
         Whether an event or the whole answer has come.
+    targets_used_before
+        Number of targets to which the job was sent before.
+    is_lost
+        Whether the caller gets the answer of another send, so that this one ends.
+    on_answer
+        Called when a plain answer that the caller may get has begun.
     crash_orders
         Order of the latest crash of each shared part of the prompt, known at the send.
     """
@@ -68,6 +74,9 @@
         self.may_have_run_before = job.may_have_run
         self.is_detached = False
         self.has_begun = False
+        self.targets_used_before = job.targets_used
+        self.is_lost = False
+        self.on_answer: Callable[[], object] = lambda: None
         self.crash_orders = gateway.part_suspects.orders(job.shared_parts, self.sent_at)
 
     async def async_run(self) -> SendOutcome:
@@ -111,6 +120,8 @@
             if self.job.route.kind is CallKind.ONCE:
                 self.is_detached = True
                 self.gateway.detached.finish(exchange, self)
+            elif self.is_lost:
+                exchange.abort()
             raise
         finally:
             if not self.is_detached:
@@ -245,6 +256,8 @@
     async def _async_whole_answer(
         self, exchange: Exchange, head: AnswerHead
     ) -> SendOutcome:
+        if head.status < FIRST_ERROR_STATUS:
+            self.on_answer()
         body = await exchange.async_read_all(MAX_ANSWER_BYTES)
         await self._async_check_end(head)
         now = self.clock.monotonic()
@@ -343,17 +356,3 @@
             self.gateway.first_token(self.job, self.assignment, in_flight_call, now)
             self.job.weight_version = head.weight_version
         self.state.record_progress(self.assignment.in_flight_id, now, STALL_SECONDS)
-
-
-def call_facts(
-    job: Job, reply: CallerReply, now: float, work_seconds: float
-) -> CallFacts:
-    """Return the facts that decide whether a job is retried."""
-    return CallFacts(
-        may_repeat=job.route.may_repeat,
-        targets_used=job.targets_used,
-        max_targets=job.route.max_targets,
-        has_reply_begun=reply.has_begun,
-        time_left=job.deadline - now,
-        usual_seconds=work_seconds,
-    )
--- a/src/gypsumsail/gateway/retry_budget.py
+++ b/src/gypsumsail/gateway/retry_budget.py
@@ -10,7 +10,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from gypsumsail.gateway.const import RETRY_BUDGET_SHARE
+from gypsumsail.gateway.const import HEDGE_BUDGET_SHARE, RETRY_BUDGET_SHARE
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,10 +34,17 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Calls and retries of one service on this VM within the sliding window."""
+    """Calls and retries of one service on this VM within the sliding window.
+
+    Attributes
+    ----------
+    hedges
+        Times of the second sends of slow calls.
+    """
 
     calls: deque[float] = field(default_factory=deque)
     retries: deque[float] = field(default_factory=deque)
+    hedges: deque[float] = field(default_factory=deque)
 
     def count_call(self, limit: RetryLimit, now: float) -> None:
         """Count a call."""
@@ -46,9 +53,8 @@
 
     def allows(self, limit: RetryLimit, vms: int, now: float) -> bool:
         """Return whether a retry is allowed."""
-        self._trim(limit, now)
-        allowed = limit.ratio * len(self.calls) + limit.slack / max(vms, 1)
-        return len(self.retries) + 1 <= allowed * RETRY_BUDGET_SHARE
+        allowed = self._allowed(limit, vms, now)
+        return len(self.retries) + len(self.hedges) + 1 <= allowed
 
     def take(self, limit: RetryLimit, vms: int, now: float) -> bool:
         """Return whether a retry is allowed, and count it if so."""
@@ -57,7 +63,25 @@
         self.retries.append(now)
         return True
 
+    def allows_hedge(self, limit: RetryLimit, vms: int, now: float) -> bool:
+        """Return whether a second send of a slow call is allowed.
+
+        These may use a part of what real retries leave, so that retries come first.
+        """
+        left = self._allowed(limit, vms, now) - len(self.retries)
+        return len(self.hedges) + 1 <= left * HEDGE_BUDGET_SHARE
+
+    def count_hedge(self, now: float) -> None:
+        """Count a second send of a slow call."""
+        self.hedges.append(now)
+
+    def _allowed(self, limit: RetryLimit, vms: int, now: float) -> float:
+        """Return the sends beyond the calls that are allowed within the window."""
+        self._trim(limit, now)
+        allowed = limit.ratio * len(self.calls) + limit.slack / max(vms, 1)
+        return allowed * RETRY_BUDGET_SHARE
+
     def _trim(self, limit: RetryLimit, now: float) -> None:
-        for times in (self.calls, self.retries):
+        for times in (self.calls, self.retries, self.hedges):
             while times and times[0] <= now - limit.window:
                 times.popleft()
--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -83,10 +83,13 @@
     )
 
 
-async def async_run_vm(path: Path, metrics_port: int | None) -> None:
+async def async_run_vm(
+    path: Path, metrics_port: int | None, hedge_share: float = 0.0
+) -> None:
     """Run the process of one VM until it receives a stop signal."""
     settings = load_settings(path)
     writer = setup_json_log(settings.vm, STDOUT_FILENO)
     clock = SystemClock()
     ports = make_ports(settings, path, clock)
-    await VmRuntime(settings, ports, clock, writer, metrics_port).async_run()
+    runtime = VmRuntime(settings, ports, clock, writer, metrics_port, hedge_share)
+    await runtime.async_run()
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -38,6 +38,9 @@
 from gypsumsail.gossip.messages import ServiceLoad
 from gypsumsail.gossip.peers import PeerTable
 from gypsumsail.gossip.target_notices import NamedWeights
+from gypsumsail.hedging.coordinator import Hedging
+from gypsumsail.hedging.gateway_sends import GatewaySends
+from gypsumsail.hedging.telemetry import HedgeTelemetry
 from gypsumsail.logs.decisions import DecisionLog
 from gypsumsail.logs.line_writer import LineWriter
 from gypsumsail.metrics.registry import MetricsRegistry
@@ -93,6 +96,7 @@
         clock: Clock,
         writer: LineWriter,
         metrics_port: int | None,
+        hedge_share: float = 0.0,
     ) -> None:
         self.settings = settings
         self.ports = ports
@@ -122,6 +126,12 @@
             self.log,
         )
         self.gateway = self._make_gateway()
+        if hedge_share:
+            self.gateway.second_sends = Hedging(
+                GatewaySends(self.gateway),
+                hedge_share,
+                HedgeTelemetry(self.log, self.registry),
+            )
         self.helper_client = HelperClient(
             settings.vm, control.port if control is not None else None
         )
