--- /dev/null
+++ b/tests/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of second sends."""
