--- a/src/gypsumsail/cli/vm.py
+++ b/src/gypsumsail/cli/vm.py
@@ -63,18 +63,25 @@
 
     from gypsumsail.cli.event_loop import run_until_exit
     from gypsumsail.core.findings import SettingsInvalidError
-    from gypsumsail.hedging.settings import parse_share
+    from gypsumsail.hedging.settings import check_share
     from gypsumsail.platform.app import async_run_vm
+    from gypsumsail.platform.settings import load_settings
 
     path = _require_settings_path(settings)
+    place = f"{HEDGE_SHARE_FLAG} / {environment_variable(HEDGE_SHARE_FLAG)}"
+    share, findings = check_share(hedge_share, place)
     try:
-        place = f"{HEDGE_SHARE_FLAG} / {environment_variable(HEDGE_SHARE_FLAG)}"
-        share = parse_share(hedge_share, place)
-        run_until_exit(async_run_vm(path, metrics_port, share))
+        if findings:
+            # Those of the file are reported with it.
+            load_settings(path)
+        else:
+            run_until_exit(async_run_vm(path, metrics_port, share))
     except SettingsInvalidError as err:
-        for finding in err.findings:
-            click.echo(str(finding), err=True)
-        raise SystemExit(ExitCode.USAGE) from None
+        findings += err.findings
+    for finding in findings:
+        click.echo(str(finding), err=True)
+    if findings:
+        raise SystemExit(ExitCode.USAGE)
 
 
 @vm.command()
