Give the soak's object store and routing document modules of their own

The store moves to stand_ins/v1_object_store.py and the routing document to soak/documents.py, unchanged; importers follow.

--- a/soak/links.py
+++ b/soak/links.py
@@ -13,7 +13,7 @@
 
 from soak.proxy import Impairment, Proxy
 from stand_ins.raw_http import RawRequest, RawServer
-from stand_ins.v1_platform import V1ObjectStore
+from stand_ins.v1_object_store import V1ObjectStore
 
 FILLING_CONNECTIONS = 3
 """Connections that fill the accept queue of a socket with a backlog of 0."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -38,6 +38,7 @@
     SETTLE_SECONDS,
     STREAM_CALLERS,
 )
+from soak.documents import routing_document
 from soak.faults import FAULTS, NOTICES, cut_links, long_pause, terminate
 from soak.links import RANDOM_CUTS, Link, StoreView
 from soak.orders import cut_at_order, is_excused, order_findings
@@ -45,13 +46,12 @@
 from soak.streams import FIRST_BUILD, RELEASES, TakenStream, async_take_stream
 from soak.vms import ROOT, Vm
 from stand_ins.v1_context_store import V1ContextStore
+from stand_ins.v1_object_store import StoreCopy, V1ObjectStore
 from stand_ins.v1_platform import (
     Execution,
     ExecutionLog,
     RequestContent,
-    StoreCopy,
     Target,
-    V1ObjectStore,
 )
 
 
@@ -84,60 +84,6 @@
     histories: list[str] = field(default_factory=list)
 
 
-def routing_document(
-    version: int, keys: list[str], context_store: str = ""
-) -> dict[str, object]:
-    """Return the routing document, with a context store if an address is given."""
-
-    def route(name: str, kind: str, service: str, attempts: int) -> dict[str, object]:
-        return {
-            "name": name,
-            "host": "soak.example",
-            "path_prefix": f"/{name}/",
-            "kind": kind,
-            "timeout_ms": 3000,
-            "goal_ms": 800,
-            "priority": 1,
-            "service": service,
-            "attempts": attempts,
-            "public": False,
-            "resumable": name == "stream",
-        }
-
-    engine = {"slots": 16, "kv_tokens": 40_000, "models": [{"name": "m0"}]}
-    stores = [
-        {
-            "name": "kept",
-            "kv_store_addr": context_store,
-            "zone": "z1",
-            "kv_tokens": 100_000,
-            "link_mbps": 1000,
-            "max_inflight": 50,
-            "managed": True,
-        }
-    ]
-    return {
-        "version": version,
-        "routes": [
-            route("safe", "safe", "plain", 2),
-            route("once", "unsafe", "plain", 1),
-            route("stream", "streaming", "llm", 2),
-        ],
-        "services": [
-            {"name": "plain", "health_path": "/healthz", "max_conns": 100},
-            {
-                "name": "llm",
-                "health_path": "/healthz",
-                "max_conns": 100,
-                "engine": engine,
-            },
-            *(stores if context_store else []),
-        ],
-        "limits": {},
-        "tenants": [{"name": "a", "api_keys": keys}],
-    }
-
-
 class Soak:
     """Run of one seed.
 
--- a/tests/process/test_config_in_force.py
+++ b/tests/process/test_config_in_force.py
@@ -11,7 +11,8 @@
 
 from gypsumsail.core.rendezvous import rank
 from soak.const import API_KEY
-from soak.run import Soak, routing_document
+from soak.documents import routing_document
+from soak.run import Soak
 from soak.vms import Vm
 
 VMS = 6
--- a/tests/process/test_endless_bytes.py
+++ b/tests/process/test_endless_bytes.py
@@ -12,7 +12,8 @@
 
 from soak.callers import PATHS_BY_KIND, CallResult, call, encode_call
 from soak.const import API_KEY
-from soak.run import Soak, routing_document
+from soak.documents import routing_document
+from soak.run import Soak
 from soak.vms import Vm
 from stand_ins.raw_http import Handler, RawRequest
 from stand_ins.v1_context_store import V1ContextStore
--- a/tests/process/test_restored_store.py
+++ b/tests/process/test_restored_store.py
@@ -9,7 +9,8 @@
 
 from gypsumsail.object_api.eras import fence_floor
 from soak.const import API_KEY, REVOKED_API_KEY
-from soak.run import Soak, routing_document
+from soak.documents import routing_document
+from soak.run import Soak
 
 MAX_ROLLOUT_SECONDS = 30.0
 REUSED_REVISION_DELAY_SECONDS = 1.0
