Let the soak make engines cold and evacuate zones

The soak had neither cold engines nor evacuations, so nothing measured the two bounds of the plan of work. Both checks use the times at which requests reach the engines. Both options are off by default. Loops of soak/run.py that concern streams and addresses move to their modules.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,6 +35,16 @@
     default=True,
     help="Without random faults, only cuts of VMs as they send orders remain.",
 )
+@click.option(
+    "--cold/--no-cold",
+    default=False,
+    help="Also let engines be cold after a start, and become cold under load.",
+)
+@click.option(
+    "--evacuations/--no-evacuations",
+    default=False,
+    help="Also evacuate zones, also while the object store is down.",
+)
 @click.option(
     "--earlier-build",
     type=click.Path(exists=True, file_okay=False, resolve_path=True, path_type=Path),
@@ -49,6 +59,8 @@
     take_up: bool,
     hold_orders: bool,
     random_faults: bool,
+    cold: bool,
+    evacuations: bool,
     earlier_build: Path | None,
 ) -> None:
     """Run each seed; the exit code is 1 if any seed has findings."""
@@ -57,14 +69,19 @@
         run = Soak(seed, vms, seconds)
         run.uses_own_links = cut_vms
         run.takes_up_streams = take_up
-        run.holds_orders = cut_vms and hold_orders
+        # A held link delivers requests seconds later, which is no fault of the sender.
+        run.holds_orders = cut_vms and hold_orders and not (cold or evacuations)
+        run.has_cold_engines = cold
+        run.has_evacuations = evacuations
         run.has_random_faults = random_faults
         run.earlier_build = earlier_build
         report = asyncio.run(run.async_run())
         click.echo(
             f"seed {seed}: {report.served} of {report.calls} calls served, "
             f"{len(report.faults)} faults, {report.orders} orders with "
-            f"{report.holders} fences, {len(report.findings)} findings"
+            f"{report.holders} fences, {report.cold_requests} requests to cold engines "
+            f"with {report.cold_crashes} crashes, {report.evacuations} evacuations, "
+            f"{len(report.findings)} findings"
         )
         for finding in report.findings[:10]:
             click.echo(f"  {finding}")
--- a/soak/addresses.py
+++ b/soak/addresses.py
@@ -68,7 +68,7 @@
     soak.targets.remove(old)
     old.has_ended = True
     soak.ended_names.append(old.name)
-    await old.server.async_stop()
+    await old.async_stop()
     held = hold_port(old.host, old.port)
     engine = Target(soak.new_name("e"), soak.store, soak.execution_log, "llm")
     engine.version = soak.weight_version
@@ -90,3 +90,18 @@
     reuse_store_address,
     reuse_engine_address,
 ]
+
+
+async def async_reuse_addresses(soak: Soak) -> None:
+    """Let plain targets take over addresses, one after another or at once."""
+    rng = soak.address_random
+    end = asyncio.get_running_loop().time() + soak.seconds - MAX_REUSE_SECONDS
+    running: set[asyncio.Task[None]] = set()
+    while True:
+        await asyncio.sleep(rng.uniform(0.5, 2.5))
+        reuse = rng.choice(REUSES)
+        if asyncio.get_running_loop().time() > end:
+            break
+        soak.report.faults.append(reuse.__name__)
+        running.add(asyncio.create_task(reuse(soak)))
+    await asyncio.gather(*running)
--- a/soak/const.py
+++ b/soak/const.py
@@ -20,6 +20,9 @@
 LISTED_SECONDS: Final = 5.0
 """Time after which all VMs know a new incarnation, also if the store was silent."""
 
+ZONES: Final = ("z0", "z1")
+"""Zones of the VMs, and of the targets in runs that distinguish these."""
+
 RESTORE_SHARE: Final = 0.5
 """Share of the seeds in which the store is restored."""
 LIMITS: Final = ["0.5", "1", "1.1", "4", "0", "1e9"]
--- a/soak/documents.py
+++ b/soak/documents.py
@@ -2,11 +2,24 @@
 
 from __future__ import annotations
 
+from stand_ins.v1_cold import ColdLimits
+
 
 def routing_document(
-    version: int, keys: list[str], context_store: str = ""
+    version: int,
+    keys: list[str],
+    context_store: str = "",
+    cold: ColdLimits | None = None,
 ) -> dict[str, object]:
-    """Return the routing document, with a context store if an address is given."""
+    """Return the routing document.
+
+    Parameters
+    ----------
+    context_store
+        Address of a context store; empty for none.
+    cold
+        Limits of cold engines; ``None`` for engines that are never cold.
+    """
 
     def route(name: str, kind: str, service: str, attempts: int) -> dict[str, object]:
         return {
@@ -24,6 +37,7 @@
         }
 
     engine = {"slots": 16, "kv_tokens": 40_000, "models": [{"name": "m0"}]}
+    cold_times = {"cold_s": cold.seconds, "cold_per_s": cold.per_second} if cold else {}
     stores = [
         {
             "name": "kept",
@@ -49,6 +63,7 @@
                 "health_path": "/healthz",
                 "max_conns": 100,
                 "engine": engine,
+                **cold_times,
             },
             *(stores if context_store else []),
         ],
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,7 +23,7 @@
 )
 from soak.links import LinkCut
 from soak.pauses import pause_finding, pause_seconds
-from soak.proxy import RANDOM_IMPAIRMENTS, Impairment
+from soak.proxy import DELAY_SECONDS, RANDOM_IMPAIRMENTS, Impairment
 
 if TYPE_CHECKING:
     from soak.run import Soak
@@ -85,9 +85,13 @@
     name = soak.random.choice(sorted(soak.proxies))
     proxy = soak.proxies[name]
     soak.record_network_fault(name)
-    proxy.impairment = soak.random.choice(RANDOM_IMPAIRMENTS)
+    impairment = proxy.impairment = soak.random.choice(RANDOM_IMPAIRMENTS)
+    began_at = monotonic()
     await asyncio.sleep(soak.random.uniform(0.3, 2.5))
     proxy.impairment = Impairment.NONE
+    if impairment is Impairment.DELAY:
+        until = monotonic() + DELAY_SECONDS
+        soak.lateness.record(began_at, until, DELAY_SECONDS, name)
     soak.record_heal(name)
 
 
@@ -100,8 +104,16 @@
 
 async def _store(soak: Soak) -> None:
     """Activate a fault of the object store."""
-    soak.store.fault = soak.random.choice(["busy", "reset", "silent", "lost"])
-    await asyncio.sleep(soak.random.uniform(0.5, 2.5))
+    fault = soak.random.choice(["busy", "reset", "silent", "lost"])
+    await impair_store(soak, fault, soak.random.uniform(0.5, 2.5))
+
+
+async def impair_store(soak: Soak, fault: str, seconds: float) -> None:
+    """Activate a fault of the object store for a time."""
+    began_at = monotonic()
+    soak.store_faults.append((began_at, began_at + seconds))
+    soak.store.fault = fault
+    await asyncio.sleep(seconds)
     soak.store.fault = ""
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -10,6 +10,7 @@
 
 from stand_ins.raw_http import reset_connection
 
+DELAY_SECONDS = 0.3
 RETRANSMISSION_SECONDS = (0.2, 0.6, 1.4, 3.0, 6.2, 12.6)
 """Times after the first one at which a kernel sends unacknowledged bytes again."""
 
@@ -20,7 +21,7 @@
     Attributes
     ----------
     DELAY
-        Forward data after 0.3 s.
+        Forward data after ``DELAY_SECONDS``.
     SILENT, ONE_WAY
         Drop the data of both directions, or only of the responses.
     REFUSE
@@ -138,7 +139,7 @@
                     )
                     continue
                 if self.impairment is Impairment.DELAY:
-                    await asyncio.sleep(0.3)
+                    await asyncio.sleep(DELAY_SECONDS)
                 dropped = self.impairment is Impairment.SILENT or (
                     self.impairment is Impairment.ONE_WAY and is_response
                 )
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,7 +13,7 @@
 from time import monotonic
 from typing import Any
 
-from soak.addresses import REUSES
+from soak.addresses import async_reuse_addresses
 from soak.callers import (
     CallResult,
     KeptCaller,
@@ -22,6 +22,7 @@
     pick_kind,
     unasked_finding,
 )
+from soak.cold_targets import LIMITS, async_make_cold, cold_findings
 from soak.const import (
     API_KEY,
     CALLS_PER_SECOND,
@@ -31,19 +32,31 @@
     MAX_HOLD_SECONDS,
     MAX_PAUSE_SECONDS,
     MAX_READY_POLLS,
-    MAX_RELEASE_SECONDS,
-    MAX_REUSE_SECONDS,
     RESTORE_SHARE,
     REVOKED_API_KEY,
     SETTLE_SECONDS,
     STREAM_CALLERS,
+    ZONES,
 )
 from soak.documents import routing_document
+from soak.evacuations import (
+    EVACUATION_SECONDS,
+    Evacuation,
+    async_evacuate_zones,
+    async_write_again,
+    evacuation_findings,
+)
 from soak.faults import FAULTS, NOTICES, cut_links, long_pause, terminate
+from soak.lateness import Lateness
 from soak.links import RANDOM_CUTS, Link, StoreView
 from soak.orders import cut_at_order, is_excused, order_findings
 from soak.proxy import Impairment, Proxy
-from soak.streams import FIRST_BUILD, RELEASES, TakenStream, async_take_stream
+from soak.streams import (
+    FIRST_BUILD,
+    TakenStream,
+    async_release_engines,
+    async_take_up_streams,
+)
 from soak.vms import ROOT, Vm
 from stand_ins.v1_context_store import V1ContextStore
 from stand_ins.v1_object_store import StoreCopy, V1ObjectStore
@@ -65,6 +78,12 @@
         Orders that have reached engines.
     holders
         Fencing numbers in these orders.
+    cold_requests
+        Requests to engines that were cold and known to be so.
+    cold_crashes
+        Crashes of cold engines by too many requests.
+    evacuations
+        Evacuations of zones.
     findings
         Violated guarantees.
     logs
@@ -78,6 +97,9 @@
     served: int = 0
     orders: int = 0
     holders: int = 0
+    cold_requests: int = 0
+    cold_crashes: int = 0
+    evacuations: int = 0
     faults: list[str] = field(default_factory=list)
     findings: list[str] = field(default_factory=list)
     logs: list[str] = field(default_factory=list)
@@ -100,6 +122,16 @@
         were taken back; needs links of their own.
     has_random_faults
         Whether there are faults beside the cuts as VMs send orders.
+    has_cold_engines
+        Whether engines are cold after a start, and become cold at random times.
+    has_evacuations
+        Whether zones are evacuated at random times.
+    is_under_load
+        Whether the VMs run; an engine that starts later is cold.
+    evacuations
+        Evacuations so far.
+    store_faults
+        Begin and end of each fault of the object store.
     heals
         Time and name of each VM or target whose links are cut no more.
     streams
@@ -124,6 +156,8 @@
     takes_up_streams = False
     holds_orders = False
     has_random_faults = True
+    has_cold_engines = False
+    has_evacuations = False
     earlier_build: Path | None = None
 
     def __init__(self, seed: int, vms: int, seconds: float) -> None:
@@ -171,6 +205,11 @@
         # Times of faults on the network of a VM or target.
         self.network_faults: list[tuple[float, str]] = []
         self.heals: list[tuple[float, str]] = []
+        self.lateness = Lateness()
+        self.zones = ZONES
+        self.is_under_load = False
+        self.evacuations: list[Evacuation] = []
+        self.store_faults: list[tuple[float, float]] = []
         self.calls: set[asyncio.Task[None]] = set()
 
     async def async_run(self) -> Report:
@@ -189,7 +228,13 @@
 
     def _background(self) -> list[Coroutine[Any, Any, None]]:
         """Return what happens beside the load."""
-        parts = [self._cut_at_orders(), self._upgrade_vms()]
+        parts = [
+            self._cut_at_orders(),
+            self._upgrade_vms(),
+            async_make_cold(self),
+            async_evacuate_zones(self),
+            self.lateness.async_watch(self.seconds),
+        ]
         if self.has_random_faults:
             parts += [
                 self._inject_faults(),
@@ -197,11 +242,13 @@
                 self._let_targets_say(),
                 self._let_targets_pause(),
                 self._cut_vms(),
-                self._reuse_addresses(),
-                self._release_engines(),
+                async_reuse_addresses(self),
+                async_release_engines(self),
             ]
         if self.takes_up_streams:
-            parts += [self._take_up_streams(number) for number in range(STREAM_CALLERS)]
+            parts += [
+                async_take_up_streams(self, number) for number in range(STREAM_CALLERS)
+            ]
         return parts
 
     async def async_run_without_faults(self) -> Report:
@@ -228,10 +275,26 @@
             f"{finding} (start at {self.started_at:.2f} s)"
             for finding in order_findings(orders, partial(is_excused, self))
         ]
+        self._report_engines()
         self.report.logs = [str(vm.log) for vm in self.vms]
         self.report.histories = [self._history(vm) for vm in self.vms]
         return self.report
 
+    def _report_engines(self) -> None:
+        """Report what engines got while they were cold or their zone was evacuated."""
+        requests = self.execution_log.requests
+        steps = [step for vm in self.vms for step in vm.history]
+        starts = [at for at, step in steps if step.startswith("start")]
+        self.report.cold_requests = sum(found.counts_as_cold for found in requests)
+        self.report.cold_crashes = len(self.execution_log.cold_crashes)
+        self.report.evacuations = len(self.evacuations)
+        self.report.findings += [
+            *cold_findings(requests, LIMITS, self.lateness, self.started_at),
+            *evacuation_findings(
+                requests, self.evacuations, self.store_faults, starts, self.lateness
+            ),
+        ]
+
     def _history(self, vm: Vm) -> str:
         steps = [f"{at - self.started_at:.2f} {step}" for at, step in vm.history]
         return f"{vm.name}: {', '.join(steps)}"
@@ -254,9 +317,15 @@
             proxy = Proxy("127.0.0.1", store_port)
             self.proxies[vm.name] = proxy
             port = await proxy.async_start("127.0.0.1")
+            if self.has_cold_engines:
+                vm.bounds |= {"cold_over": LIMITS.over, "cold_slack": LIMITS.slack}
+            if self.has_evacuations:
+                vm.bounds["evac_ms"] = EVACUATION_SECONDS * 1000
+                vm.regions = {zone: f"region-{zone}" for zone in ZONES}
             vm.write_settings(f"127.0.0.1:{port}", seeds)
             await vm.async_start()
         await asyncio.gather(*(self._wait_until_ready(vm) for vm in self.vms))
+        self.is_under_load = True
 
     async def _start_links(self, vm: Vm) -> int:
         """Give a VM links of its own; return the port of its view of the store."""
@@ -278,6 +347,11 @@
     async def async_add_target(self, target: Target) -> None:
         """Start a target with a proxy, and list it."""
         await target.async_start("127.0.0.1")
+        if self.has_cold_engines or self.has_evacuations:
+            target.zone = ZONES[int(target.name[1:]) % len(ZONES)]
+        if self.has_cold_engines and target.is_engine:
+            # All VMs learn a new engine from its entry, which says that it is cold.
+            target.use_cold_times(LIMITS, is_cold=self.is_under_load)
         target.context_stores = self.context_stores
         proxy = self.proxies[target.name] = Proxy("127.0.0.1", target.port)
         proxy_port = await proxy.async_start("127.0.0.1")
@@ -309,7 +383,12 @@
         await self.store.put(
             "config",
             "main",
-            routing_document(self.document_version, keys, self.context_store.address),
+            routing_document(
+                self.document_version,
+                keys,
+                self.context_store.address,
+                LIMITS if self.has_cold_engines else None,
+            ),
         )
 
     async def _wait_until_ready(self, vm: Vm) -> None:
@@ -455,20 +534,6 @@
             await asyncio.sleep(rng.uniform(0.2, 1.0))
             await cut_at_order(self)
 
-    async def _reuse_addresses(self) -> None:
-        """Let plain targets take over addresses, one after another or at once."""
-        rng = self.address_random
-        end = asyncio.get_running_loop().time() + self.seconds - MAX_REUSE_SECONDS
-        running: set[asyncio.Task[None]] = set()
-        while True:
-            await asyncio.sleep(rng.uniform(0.5, 2.5))
-            reuse = rng.choice(REUSES)
-            if asyncio.get_running_loop().time() > end:
-                break
-            self.report.faults.append(reuse.__name__)
-            running.add(asyncio.create_task(reuse(self)))
-        await asyncio.gather(*running)
-
     async def _upgrade_vms(self) -> None:
         """Replace the earlier build by the present one, VM by VM in random order."""
         if self.earlier_build is None:
@@ -480,26 +545,6 @@
             vm.root = ROOT
             await terminate(self, vm)
 
-    async def _take_up_streams(self, number: int) -> None:
-        """Send streams one after the other, and take up those that break."""
-        rng = random.Random(f"streams {number} {self.report.seed}")
-        end = asyncio.get_running_loop().time() + self.seconds
-        while asyncio.get_running_loop().time() < end:
-            self.streams.append(await async_take_stream(self, rng))
-            await asyncio.sleep(rng.uniform(0.0, 0.1))
-
-    async def _release_engines(self) -> None:
-        """Let engines change their build, or the form of their answers."""
-        if not self.takes_up_streams:
-            return
-        rng = random.Random(f"releases {self.report.seed}")
-        end = asyncio.get_running_loop().time() + self.seconds - MAX_RELEASE_SECONDS
-        while asyncio.get_running_loop().time() < end:
-            await asyncio.sleep(rng.uniform(0.5, 2.0))
-            release = rng.choice(RELEASES)
-            self.report.faults.append(release.__name__.removeprefix("_"))
-            await release(self, rng)
-
     async def _restore_store(self) -> None:
         """Restore the store from an older copy in half of the seeds."""
         copied_after = self.restore_random.uniform(0.2, 0.5) * self.seconds
@@ -515,12 +560,14 @@
 
     async def restore_store(self, copy: StoreCopy) -> None:
         """Restore the store; the operator and the targets then write again."""
+        restored_at = monotonic()
         await self.store.restore(copy)
         await asyncio.sleep(self.restore_random.uniform(0.1, 1.0))
         await self.async_put_document(self.document_keys)
         await self.store.put(
             "versions", "m0", {"model": "m0", "version": self.weight_version}
         )
+        await async_write_again(self, restored_at)
         for name in self.ended_names:
             await self.store.delete("servers", name)
         for target in self.targets:
@@ -581,7 +628,7 @@
         for view in self.views.values():
             await view.server.async_stop()
         for target in self.targets:
-            await target.server.async_stop()
+            await target.async_stop()
         await self.context_store.server.async_stop()
         await self.store.server.async_stop()
 
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from soak.callers import CallResult, Resumption, call, split_writers
-from soak.const import API_KEY
+from soak.const import API_KEY, MAX_RELEASE_SECONDS
 from stand_ins.v1_platform import LAST_EVENT, Target, event_content
 
 if TYPE_CHECKING:
@@ -142,7 +142,7 @@
     old.has_ended = True
     soak.ended_names.append(old.name)
     await soak.store.delete("servers", old.name)
-    await old.server.async_stop()
+    await old.async_stop()
 
 
 async def _answer_without_length(soak: Soak, rng: random.Random) -> None:
@@ -161,3 +161,25 @@
     _replace_by_next_build,
     _answer_without_length,
 ]
+
+
+async def async_take_up_streams(soak: Soak, number: int) -> None:
+    """Send streams one after the other, and take up those that break."""
+    rng = random.Random(f"streams {number} {soak.report.seed}")
+    end = asyncio.get_running_loop().time() + soak.seconds
+    while asyncio.get_running_loop().time() < end:
+        soak.streams.append(await async_take_stream(soak, rng))
+        await asyncio.sleep(rng.uniform(0.0, 0.1))
+
+
+async def async_release_engines(soak: Soak) -> None:
+    """Let engines change their build, or the form of their answers."""
+    if not soak.takes_up_streams:
+        return
+    rng = random.Random(f"releases {soak.report.seed}")
+    end = asyncio.get_running_loop().time() + soak.seconds - MAX_RELEASE_SECONDS
+    while asyncio.get_running_loop().time() < end:
+        await asyncio.sleep(rng.uniform(0.5, 2.0))
+        release = rng.choice(RELEASES)
+        soak.report.faults.append(release.__name__.removeprefix("_"))
+        await release(soak, rng)
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -27,10 +27,12 @@
 [bounds]
 grace_s = {grace}
 version_ms = 12000
+{bounds}
 [limits]
 ram_mb = {memory}
 [infra]
 addr = "{store}"
+{regions}
 """
 
 
@@ -58,6 +60,10 @@
         Time from a stop signal to the end of the process, by its settings.
     memory_mb
         Memory of the VM by its settings; nothing enforces it.
+    bounds
+        Further bounds in the settings.
+    regions
+        Region of each zone in the settings; empty for settings without them.
     """
 
     def __init__(self, name: str, host: str, zone: str, base_port: int) -> None:
@@ -78,10 +84,13 @@
         self.grace_seconds = GRACE_SECONDS
         self.memory_mb = MEMORY_MB
         self.store = ""
+        self.bounds: dict[str, float] = {}
+        self.regions: dict[str, str] = {}
 
     def write_settings(self, store: str, seeds: list[str]) -> None:
         """Write the settings file; ``seeds`` are hosts of other VMs."""
         self.store = store
+        regions = [f'{zone} = "{region}"' for zone, region in self.regions.items()]
         text = SETTINGS_TEMPLATE.format(
             name=self.name,
             grace=self.grace_seconds,
@@ -93,6 +102,8 @@
             control=self.base_port + 2,
             store=store,
             memory=self.memory_mb,
+            bounds="\n".join(f"{name} = {x:g}" for name, x in self.bounds.items()),
+            regions="\n".join(["[zones]", *regions] if regions else []),
             seeds=", ".join(f'"{host}:{self.base_port + 2}"' for host in seeds),
         )
         (self.directory / "boot.toml").write_text(text, encoding="utf-8")
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -18,6 +18,13 @@
 from weakref import WeakKeyDictionary
 
 from stand_ins.raw_http import RawRequest, RawServer, encode_response, reset_connection
+from stand_ins.v1_cold import (
+    NOTICE_SECONDS,
+    ColdLimits,
+    ColdPhase,
+    EngineRequest,
+    LateEntries,
+)
 from stand_ins.v1_context_store import V1ContextStore
 from stand_ins.v1_object_store import V1ObjectStore
 
@@ -28,6 +35,7 @@
 DRIP_SECONDS = 0.1
 CRASH_DELAY_SECONDS = 0.05
 CRASHED_SECONDS = 1.0
+HEALTH_PATH = "/healthz"
 LAST_EVENT = 8
 """Number of the last event of a complete stream."""
 
@@ -135,6 +143,10 @@
     builds
         Builds of the engines that wrote events of each stream, by the id of the request
         that began it; events that were written after a restart don't count.
+    requests
+        Requests that have reached engines, by their arrival.
+    cold_crashes
+        Times of crashes of cold engines by too many requests.
     on_start
         Called with the request id at the start of each execution.
     """
@@ -142,6 +154,8 @@
     executions: dict[str, list[Execution]] = field(default_factory=dict)
     builds: dict[str, set[str]] = field(default_factory=dict)
     orders: list[ArrivedOrder] = field(default_factory=list)
+    requests: list[EngineRequest] = field(default_factory=list)
+    cold_crashes: list[float] = field(default_factory=list)
 
     on_start: Callable[[str, Execution], None] = lambda request_id, execution: None
 
@@ -231,6 +245,14 @@
         Bytes that a plain target adds to each answer.
     is_unframed
         Whether an engine's streams have no length and end with their connection.
+    zone
+        Zone in the target's entry.
+    cold
+        Cold times of an engine, and ``None`` for a target that is never cold.
+    entries
+        Entries of an engine that is cold at times; others are listed at once.
+    state
+        Last state in the entry.
     """
 
     def __init__(
@@ -267,6 +289,10 @@
         self.has_ended = False
         self.context_stores: dict[str, V1ContextStore] = {}
         self.is_unframed = False
+        self.zone = "z1"
+        self.cold: ColdPhase | None = None
+        self.entries = LateEntries(name, self._async_list)
+        self.state = "ready"
         self.slow_answer_seconds = SLOW_ANSWER_SECONDS
         self.answer_padding = b""
         self.refusals: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
@@ -283,14 +309,47 @@
         self.host = host
         self.port = await self.server.async_start(host, port)
 
+    def use_cold_times(self, limits: ColdLimits, *, is_cold: bool) -> None:
+        """Be cold after each start; write the entry regularly, to be listed late.
+
+        Parameters
+        ----------
+        is_cold
+            Whether the engine is cold now.
+        """
+        self.cold = ColdPhase(limits)
+        if is_cold:
+            self.cold.begin(time.monotonic(), 0.0)
+        self.entries.start_writing(self._async_register_again)
+
+    async def async_become_cold(self, notice_seconds: float = NOTICE_SECONDS) -> None:
+        """Become cold in the same life, and write the entry."""
+        if self.cold is not None:
+            self.cold.begin(time.monotonic(), notice_seconds)
+            await self.register(self.registered_address, self.state)
+
+    async def _async_register_again(self) -> None:
+        if not self.server.resets_connections:
+            await self.register(self.registered_address, self.state)
+
+    async def _async_list(self, spec: dict[str, Any]) -> None:
+        if not self.has_ended:
+            await self.store.put("servers", self.name, spec)
+
+    async def async_stop(self) -> None:
+        """Stop listening and writing entries."""
+        self.entries.stop()
+        await self.server.async_stop()
+
     async def register(self, address: str = "", state: str = "ready") -> None:
         """Write the target's entry in the object store."""
         if self.has_ended:
             return
+        self.state = state
         spec: dict[str, Any] = {
             "service": self.service,
             "addr": address or f"{self.host}:{self.port}",
-            "zone": "z1",
+            "zone": self.zone,
             "slots": 16,
             "state": state,
             "born": self.started_at_ms,
@@ -300,7 +359,11 @@
             spec["version"] = self.build
         if self.is_engine:
             spec["models"] = [{"name": "m0", "version": self.version}]
-        await self.store.put("servers", self.name, spec)
+        if self.cold is None:
+            await self._async_list(spec)
+            return
+        spec["cold_left_ms"] = self.cold.left_ms(time.monotonic())
+        self.entries.write(spec)
 
     def limit_finding(self) -> str:
         """Return how the calls of this life exceed its limit; empty if they don't."""
@@ -331,10 +394,15 @@
         """
         if closes:
             self.server.close_connections()
+        was_down = self.server.resets_connections
         self.server.start_resetting()
         self.started_at_ms = max(int(time.time() * 1000), self.started_at_ms + 1)
         self.order_count = 0
         self.restarted_at = time.monotonic()
+        if self.cold is not None:
+            # An engine that was down has reset all connections of VMs, which know by
+            # that; the successor of one that was not answers at once.
+            self.cold.begin(self.restarted_at, 0.0 if was_down else NOTICE_SECONDS)
         self.is_leaving = False
         self.left_at = None
         self.limited_at = None
@@ -348,11 +416,17 @@
         names = [item.partition(":")[0] for item in text.split(",")]
         return not self.crashing_parts.isdisjoint(names[:-1])
 
-    def _crash(self) -> None:
-        """Reset all connections until the engine is back as a new incarnation."""
+    def _crash(self, crashes: list[float]) -> None:
+        """Reset all connections until the engine is back as a new incarnation.
+
+        Parameters
+        ----------
+        crashes
+            List to which the time is added.
+        """
         if self.server.resets_connections:
             return
-        self.crashes.append(time.monotonic())
+        crashes.append(time.monotonic())
         self.server.start_resetting()
         task = asyncio.get_running_loop().create_task(self._async_come_back())
         self.restarts.add(task)
@@ -368,7 +442,12 @@
         is_meant = self._is_meant(request)
         if self.is_engine and is_meant and request.path == "/v1/report":
             report = json.dumps(self._report()).encode()
-            self._write(writer, encode_response(200, report, self._notices()))
+            headers = {**self._notices(), **self._cold_notice()}
+            self._write(writer, encode_response(200, report, headers))
+            return True
+        if self.cold is not None and is_meant and request.path == HEALTH_PATH:
+            headers = {**self._notices(), **self._cold_notice()}
+            self._write(writer, encode_response(200, b"", headers))
             return True
         if self.is_engine and is_meant and request.path == "/v1/order":
             return await self._order(request, writer)
@@ -397,6 +476,27 @@
             notices["Server-Leaving"] = "1"
         return notices
 
+    def _cold_notice(self) -> dict[str, str]:
+        """Return the header that health answers and reports have besides."""
+        if self.cold is None:
+            return {}
+        return {"Gypsumsail-Cold-Ms": str(self.cold.left_ms(time.monotonic()))}
+
+    def _note_request(self, request_id: str, *, is_refused: bool) -> bool:
+        """Record a request to an engine; return whether it crashes at it.
+
+        Parameters
+        ----------
+        is_refused
+            Whether the answer is 421, so that the request is no load for a cold engine.
+        """
+        now = time.monotonic()
+        is_cold = self.cold is not None and not is_refused and self.cold.counts(now)
+        self.execution_log.requests.append(
+            EngineRequest(now, self.name, self.zone, request_id, is_cold)
+        )
+        return self.cold is not None and not is_refused and self.cold.crashes_at(now)
+
     def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         """Write an answer, or its head; note when a VM was first told of a notice.
 
@@ -448,12 +548,16 @@
         if not self._is_meant(request):
             self._write(writer, encode_response(421, b"", response_headers))
             return True
+        expected = request.headers.get("gypsumsail-expect-version")
+        is_mismatch = expected not in (None, str(self.version))
+        if self.is_engine and self._note_request(request_id, is_refused=is_mismatch):
+            self._crash(self.execution_log.cold_crashes)
+            raise ConnectionError
         if not request_id:
             response_headers["Gypsumsail-Not-Run"] = "1"
             self._write(writer, encode_response(400, b"", response_headers))
             return True
-        expected = request.headers.get("gypsumsail-expect-version")
-        if self.is_engine and expected not in (None, str(self.version)):
+        if self.is_engine and is_mismatch:
             mismatch_headers = {
                 **response_headers,
                 "Gypsumsail-Weight-Versions": str(self.version),
@@ -577,7 +681,7 @@
         build = self.build
         if self._has_crashing_part(request):
             await asyncio.sleep(CRASH_DELAY_SECONDS)
-            self._crash()
+            self._crash(self.crashes)
             raise ConnectionError
         began_as = request.headers.get("resumes", request_id)
         if self.fault == "drip":
