Judge cold engines only where VMs can know that they are cold

A VM learns from the engine's entry that it became cold in the same life. While the store is down it can't, and the check counted its requests nevertheless. Requests now carry the cold time in which they arrived, and the check extends the time of notice by faults of the store. A fault of the store moves the bound of an evacuation only if VMs have had the store for less than half of evac_ms.

--- a/soak/cold_targets.py
+++ b/soak/cold_targets.py
@@ -8,7 +8,7 @@
 import random
 from typing import TYPE_CHECKING, Any, Final
 
-from soak.lateness import Lateness
+from soak.lateness import Lateness, store_was_up_for
 from stand_ins.v1_cold import WINDOW_SECONDS, ColdLimits, EngineRequest
 
 if TYPE_CHECKING:
@@ -25,9 +25,26 @@
 """Longest time for which the engines of a zone are down."""
 
 
+def is_judged(
+    request: EngineRequest, store_faults: Sequence[tuple[float, float]] = ()
+) -> bool:
+    """Return whether a request reached a cold engine that VMs knew to be cold.
+
+    Where they learn it from the engine's entry, they must have had the store for the
+    time of notice.
+    """
+    cold = request.cold
+    if cold is None:
+        return False
+    if not cold.notice_seconds:
+        return True
+    learned = store_was_up_for(cold.notice_seconds, cold.since, store_faults)
+    return request.at >= learned
+
+
 def cold_findings(
     requests: Sequence[EngineRequest],
-    limits: ColdLimits = LIMITS,
+    store_faults: Sequence[tuple[float, float]] = (),
     lateness: Lateness | None = None,
     started_at: float = 0.0,
 ) -> list[str]:
@@ -37,6 +54,8 @@
 
     Parameters
     ----------
+    store_faults
+        Begin and end of each time in which the store was down or lacked entries.
     started_at
         Monotonic time from which the times in the findings are counted.
     """
@@ -46,13 +65,13 @@
         times = sorted(
             request.at
             for request in requests
-            if request.engine == engine and request.counts_as_cold
+            if request.engine == engine and is_judged(request, store_faults)
         )
         excess, text = 0.0, ""
         for index, since in enumerate(times):
             until = since + WINDOW_SECONDS
             count = bisect_left(times, until) - index
-            allowed = limits.allowed(lateness.longest(engine, since, until))
+            allowed = LIMITS.allowed(lateness.longest(engine, since, until))
             if count - allowed > excess:
                 excess = count - allowed
                 text = (
--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Final
 
 from soak.faults import impair_store
-from soak.lateness import Lateness
+from soak.lateness import Lateness, store_was_up_for
 from stand_ins.v1_cold import NOTICE_SECONDS, EngineRequest
 
 if TYPE_CHECKING:
@@ -29,8 +29,6 @@
 
 Their entries, which are listed up to 0.8 s late, then say so at the end.
 """
-STORE_RECOVERY_SECONDS: Final = 1.0
-"""Time after a fault of the store in which VMs may not have read it again."""
 START_SECONDS: Final = 3.0
 """Longest time from the start of a VM until it has read the store."""
 
@@ -65,13 +63,9 @@
         store_faults
             Begin and end of each time in which the store was down.
         """
-        learned_at = self.written_at + EVACUATION_SECONDS / 2
-        counted = self.written_at
-        for since, until in sorted(store_faults):
-            first, last = max(since, counted), until + STORE_RECOVERY_SECONDS
-            if first < learned_at and last > first:
-                learned_at += last - first
-                counted = last
+        learned_at = store_was_up_for(
+            EVACUATION_SECONDS / 2, self.written_at, store_faults
+        )
         return max(learned_at, self.written_at + EVACUATION_SECONDS)
 
     def is_excused(self, at: float, starts: Sequence[float]) -> bool:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,7 @@
     LIMITS,
     LISTED_SECONDS,
     LONG_PAUSES,
+    MAX_PAUSE_SECONDS,
     MAX_START_POLLS,
     PAUSES,
     START_POLL_SECONDS,
@@ -198,6 +199,16 @@
     target.pauses.clear()
 
 
+async def async_let_targets_pause(soak: Soak) -> None:
+    """Let targets ask for longer pauses, at random times."""
+    rng = soak.pause_random
+    end = asyncio.get_running_loop().time() + soak.seconds - MAX_PAUSE_SECONDS
+    while asyncio.get_running_loop().time() < end:
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        soak.report.faults.append("long_pause")
+        await long_pause(soak)
+
+
 async def cut_links(soak: Soak, vms: list[Vm], how: LinkCut, seconds: float) -> None:
     """Cut VMs from all targets for a time; links that are cut already stay so."""
     links = [
--- a/soak/lateness.py
+++ b/soak/lateness.py
@@ -1,8 +1,9 @@
-"""Times in which requests reached targets late for other reasons than their sender."""
+"""Faults that excuse VMs: late requests, and times in which the store was down."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from time import monotonic
 from typing import Final, NamedTuple
@@ -10,6 +11,29 @@
 POLL_SECONDS: Final = 0.05
 MIN_STALL_SECONDS: Final = 0.1
 """Least delay of the soak's own event loop that counts."""
+STORE_RECOVERY_SECONDS: Final = 1.0
+"""Time after a fault of the store in which VMs may not have read it again."""
+
+
+def store_was_up_for(
+    seconds: float, since: float, faults: Sequence[tuple[float, float]]
+) -> float:
+    """Return the time at which VMs have had the store for some seconds.
+
+    Parameters
+    ----------
+    since
+        Time from which the seconds are counted.
+    faults
+        Begin and end of each time in which the store was down.
+    """
+    at, counted = since + seconds, since
+    for begin, end in sorted(faults):
+        first, last = max(begin, counted), end + STORE_RECOVERY_SECONDS
+        if first < at and last > first:
+            at += last - first
+            counted = last
+    return at
 
 
 class LateTime(NamedTuple):
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,7 +22,7 @@
     pick_kind,
     unasked_finding,
 )
-from soak.cold_targets import LIMITS, async_make_cold, cold_findings
+from soak.cold_targets import LIMITS, async_make_cold, cold_findings, is_judged
 from soak.const import (
     API_KEY,
     CALLS_PER_SECOND,
@@ -30,7 +30,6 @@
     MAX_CUT_SECONDS,
     MAX_DISTURBANCE_SECONDS,
     MAX_HOLD_SECONDS,
-    MAX_PAUSE_SECONDS,
     MAX_READY_POLLS,
     RESTORE_SHARE,
     REVOKED_API_KEY,
@@ -46,7 +45,7 @@
     async_write_again,
     evacuation_findings,
 )
-from soak.faults import FAULTS, NOTICES, cut_links, long_pause, terminate
+from soak.faults import FAULTS, NOTICES, async_let_targets_pause, cut_links, terminate
 from soak.lateness import Lateness
 from soak.links import RANDOM_CUTS, Link, StoreView
 from soak.orders import cut_at_order, is_excused, order_findings
@@ -58,6 +57,7 @@
     async_take_up_streams,
 )
 from soak.vms import ROOT, Vm
+from stand_ins.v1_cold import MAX_LISTING_SECONDS
 from stand_ins.v1_context_store import V1ContextStore
 from stand_ins.v1_object_store import StoreCopy, V1ObjectStore
 from stand_ins.v1_platform import (
@@ -132,6 +132,8 @@
         Evacuations so far.
     store_faults
         Begin and end of each fault of the object store.
+    restores
+        Begin and end of each time in which a restored store lacked entries.
     heals
         Time and name of each VM or target whose links are cut no more.
     streams
@@ -210,6 +212,7 @@
         self.is_under_load = False
         self.evacuations: list[Evacuation] = []
         self.store_faults: list[tuple[float, float]] = []
+        self.restores: list[tuple[float, float]] = []
         self.calls: set[asyncio.Task[None]] = set()
 
     async def async_run(self) -> Report:
@@ -240,7 +243,7 @@
                 self._inject_faults(),
                 self._restore_store(),
                 self._let_targets_say(),
-                self._let_targets_pause(),
+                async_let_targets_pause(self),
                 self._cut_vms(),
                 async_reuse_addresses(self),
                 async_release_engines(self),
@@ -285,11 +288,14 @@
         requests = self.execution_log.requests
         steps = [step for vm in self.vms for step in vm.history]
         starts = [at for at, step in steps if step.startswith("start")]
-        self.report.cold_requests = sum(found.counts_as_cold for found in requests)
+        entry_faults = [*self.store_faults, *self.restores]
+        self.report.cold_requests = sum(
+            is_judged(found, entry_faults) for found in requests
+        )
         self.report.cold_crashes = len(self.execution_log.cold_crashes)
         self.report.evacuations = len(self.evacuations)
         self.report.findings += [
-            *cold_findings(requests, LIMITS, self.lateness, self.started_at),
+            *cold_findings(requests, entry_faults, self.lateness, self.started_at),
             *evacuation_findings(
                 requests, self.evacuations, self.store_faults, starts, self.lateness
             ),
@@ -501,15 +507,6 @@
             running.add(asyncio.create_task(notice(self)))
         await asyncio.gather(*running)
 
-    async def _let_targets_pause(self) -> None:
-        """Let targets ask for longer pauses, at random times."""
-        rng = self.pause_random
-        end = asyncio.get_running_loop().time() + self.seconds - MAX_PAUSE_SECONDS
-        while asyncio.get_running_loop().time() < end:
-            await asyncio.sleep(rng.uniform(0.5, 3.0))
-            self.report.faults.append("long_pause")
-            await long_pause(self)
-
     async def _cut_vms(self) -> None:
         """Cut some, most or all VMs from all targets, at random times."""
         if not self.uses_own_links:
@@ -572,6 +569,7 @@
             await self.store.delete("servers", name)
         for target in self.targets:
             await target.register(target.registered_address)
+        self.restores.append((restored_at, monotonic() + MAX_LISTING_SECONDS))
 
     async def _end_faults(self) -> None:
         """End all faults, restart ended processes and wait until the VMs recover."""
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -402,7 +402,8 @@
         if self.cold is not None:
             # An engine that was down has reset all connections of VMs, which know by
             # that; the successor of one that was not answers at once.
-            self.cold.begin(self.restarted_at, 0.0 if was_down else NOTICE_SECONDS)
+            notice_seconds = 0.0 if was_down else NOTICE_SECONDS
+            self.cold.restart(self.restarted_at, notice_seconds)
         self.is_leaving = False
         self.left_at = None
         self.limited_at = None
@@ -491,11 +492,12 @@
             Whether the answer is 421, so that the request is no load for a cold engine.
         """
         now = time.monotonic()
-        is_cold = self.cold is not None and not is_refused and self.cold.counts(now)
+        phase = None if is_refused else self.cold
+        cold = phase.time_at(now) if phase else None
         self.execution_log.requests.append(
-            EngineRequest(now, self.name, self.zone, request_id, is_cold)
+            EngineRequest(now, self.name, self.zone, request_id, cold)
         )
-        return self.cold is not None and not is_refused and self.cold.crashes_at(now)
+        return phase is not None and phase.crashes_at(now)
 
     def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         """Write an answer, or its head; note when a VM was first told of a notice.
