--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -21,9 +21,15 @@
 """Time from the acknowledgement until nothing may arrive (``evac_ms``)."""
 MIN_LENGTH_SECONDS: Final = 5.5
 MAX_LENGTH_SECONDS: Final = 8.0
-"""Longest time from the begin of an evacuation to its end."""
+"""Longest time from the begin of an evacuation to its end, unless the bound moves."""
 FAULT_SHARE: Final = 0.5
 """Share of the evacuations in which the store is down for a time."""
+JUDGED_SECONDS: Final = 2.0
+"""Least time from the bound to the end, also where faults of the store move the bound.
+
+Other faults may take the engines of the zone down for most of a shorter time.
+"""
+POLL_SECONDS: Final = 0.1
 COLD_LEAD_SECONDS: Final = 1.0
 """Time before the end of an evacuation at which its engines become cold.
 
@@ -158,8 +164,10 @@
         await asyncio.sleep(fault_after)
         soak.report.faults.append(f"store {name} in the evacuation")
         await impair_store(soak, name, fault_seconds)
-    end = max(end, evacuation.in_force_at(soak.store_faults) + COLD_LEAD_SECONDS)
-    await asyncio.sleep(max(end - COLD_LEAD_SECONDS - monotonic(), 0.0))
+    while monotonic() < end - COLD_LEAD_SECONDS:
+        await asyncio.sleep(POLL_SECONDS)
+        # Each fault of the store may move the bound.
+        end = max(end, evacuation.in_force_at(soak.store_faults) + JUDGED_SECONDS)
     await _async_make_cold(soak, zone, 0.0)
     await asyncio.sleep(max(end - monotonic(), 0.0))
     await _async_make_cold(soak, zone, 0.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -354,7 +354,7 @@
         """Start a target with a proxy, and list it."""
         await target.async_start("127.0.0.1")
         if self.has_cold_engines or self.has_evacuations:
-            target.zone = ZONES[int(target.name[1:]) % len(ZONES)]
+            target.zone = self._next_zone(target)
         if self.has_cold_engines and target.is_engine:
             # All VMs learn a new engine from its entry, which says that it is cold.
             target.use_cold_times(LIMITS, is_cold=self.is_under_load)
@@ -367,6 +367,13 @@
         self.targets.append(target)
         await target.register(target.registered_address)
 
+    def _next_zone(self, target: Target) -> str:
+        """Return the zone of a new target; later engines go where the fewest are."""
+        if not self.is_under_load:
+            return ZONES[int(target.name[1:]) % len(ZONES)]
+        zones = [found.zone for found in self.targets if found.is_engine]
+        return min(ZONES, key=zones.count)
+
     async def async_start_context_store(self) -> None:
         """Start a context store, which the next document names."""
         self.context_store = V1ContextStore("kept")
