--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,13 +17,14 @@
     LIMITS,
     LISTED_SECONDS,
     LONG_PAUSES,
+    MAX_PAUSE_SECONDS,
     MAX_START_POLLS,
     PAUSES,
     START_POLL_SECONDS,
 )
 from soak.links import LinkCut
 from soak.pauses import pause_finding, pause_seconds
-from soak.proxy import RANDOM_IMPAIRMENTS, Impairment
+from soak.proxy import DELAY_SECONDS, RANDOM_IMPAIRMENTS, Impairment
 
 if TYPE_CHECKING:
     from soak.run import Soak
@@ -85,9 +86,13 @@
     name = soak.random.choice(sorted(soak.proxies))
     proxy = soak.proxies[name]
     soak.record_network_fault(name)
-    proxy.impairment = soak.random.choice(RANDOM_IMPAIRMENTS)
+    impairment = proxy.impairment = soak.random.choice(RANDOM_IMPAIRMENTS)
+    began_at = monotonic()
     await asyncio.sleep(soak.random.uniform(0.3, 2.5))
     proxy.impairment = Impairment.NONE
+    if impairment is Impairment.DELAY:
+        until = monotonic() + DELAY_SECONDS
+        soak.lateness.record(began_at, until, DELAY_SECONDS, name)
     soak.record_heal(name)
 
 
@@ -100,8 +105,16 @@
 
 async def _store(soak: Soak) -> None:
     """Activate a fault of the object store."""
-    soak.store.fault = soak.random.choice(["busy", "reset", "silent", "lost"])
-    await asyncio.sleep(soak.random.uniform(0.5, 2.5))
+    fault = soak.random.choice(["busy", "reset", "silent", "lost"])
+    await impair_store(soak, fault, soak.random.uniform(0.5, 2.5))
+
+
+async def impair_store(soak: Soak, fault: str, seconds: float) -> None:
+    """Activate a fault of the object store for a time."""
+    began_at = monotonic()
+    soak.store_faults.append((began_at, began_at + seconds))
+    soak.store.fault = fault
+    await asyncio.sleep(seconds)
     soak.store.fault = ""
 
 
@@ -186,6 +199,16 @@
     target.pauses.clear()
 
 
+async def async_let_targets_pause(soak: Soak) -> None:
+    """Let targets ask for longer pauses, at random times."""
+    rng = soak.pause_random
+    end = asyncio.get_running_loop().time() + soak.seconds - MAX_PAUSE_SECONDS
+    while asyncio.get_running_loop().time() < end:
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        soak.report.faults.append("long_pause")
+        await long_pause(soak)
+
+
 async def cut_links(soak: Soak, vms: list[Vm], how: LinkCut, seconds: float) -> None:
     """Cut VMs from all targets for a time; links that are cut already stay so."""
     links = [
