--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -17,6 +17,7 @@
     USABLE_MEMORY_SHARE,
 )
 from gypsumsail.gateway.fetchable_parts import FetchableByScope
+from gypsumsail.gateway.fleet_demand import prompts_of_fleet
 from gypsumsail.gateway.fleet_view import FleetView
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import Service
@@ -40,9 +41,7 @@
 )
 from gypsumsail.gateway.targets import InFlightCall, TargetState
 from gypsumsail.gateway.weights import WeightFit, cache_scope, weight_fit
-from gypsumsail.placing.const import MIN_RATE_SAMPLES
 from gypsumsail.placing.pools import EnginePools, PoolEngine
-from gypsumsail.placing.prompt_mix import PromptWork
 
 
 def _fastest_seconds(states: Sequence[TargetState]) -> float:
@@ -180,22 +179,9 @@
         work = max(job.work_seconds, self.memory_seconds(job))
         self.arrivals.add(work, now)
         self.usual_work += DURATION_SMOOTHING * (work - self.usual_work)
-        self._record_prompt_work(job, now)
-
-    def _record_prompt_work(self, job: Job, now: float) -> None:
-        """Record the work of a prompt, once the speed of the engines is known."""
-        engine, prompt = self.service.engine, job.call.prompt
-        rate = self.view.targets.rate(self.service.name)
-        if engine is None or prompt is None or rate.samples < MIN_RATE_SAMPLES:
-            return
-        decode_seconds = self.view.targets.generation_time(job.route.name).seconds
-        calls = engine.memory_tokens * USABLE_MEMORY_SHARE / max(prompt.tokens, 1)
-        work = PromptWork(
-            latency_goal=job.route.latency_goal,
-            prefill_seconds=job.work_seconds,
-            decode_share_seconds=decode_seconds / max(min(calls, engine.slots), 1.0),
-        )
-        self.pools.record(job.route.name, work, now)
+        if job.call.prompt is not None and self.service.engine is not None:
+            tokens = round(job.work_seconds * self._rate())
+            self.pools.record(job.route.name, job.route.latency_goal, tokens, now)
 
     def _update_pools(self, now: float) -> None:
         engines = (
@@ -203,7 +189,8 @@
             for state in self._states()
             if not state.is_leaving
         )
-        if self.pools.update(engines, now):
+        prompts = prompts_of_fleet(self.view, self.service, self.pools, now)
+        if self.pools.update(prompts, engines, now):
             self.view.on_division(self.service.name, self.pools, now)
 
     def offered_load(self, now: float) -> float:
--- a/src/gypsumsail/placing/const.py
+++ b/src/gypsumsail/placing/const.py
@@ -11,19 +11,14 @@
 """
 RELEASE_SHARE: Final = 0.7
 """Share of that time below the goal at which an existing division ends."""
-MIN_RATE_SAMPLES: Final = 5
+MIN_RATE_SAMPLES: Final = 3
 """Samples of the engines' prefill speed from which prompts are compared."""
-MIN_SAMPLES: Final = 5
-"""Calls of a route from which its averages are used."""
-SMOOTHING: Final = 0.1
-"""Smallest share of a new call in the averages of a route."""
-LOAD_DECAY_SECONDS: Final = 10.0
-"""Time in which the weight of a call in the load of its route falls to 1/e.
-
-A VM of a large fleet sees a few calls per second, whose shares vary by chance.
-"""
-MIN_LOAD: Final = 0.02
-"""Load of a route, in engines, below which it has no part in the division."""
+DEMAND_DECAY_SECONDS: Final = 8.0
+"""Time in which the weight of a call in the demand of its route falls to 1/e."""
+MIN_CALLS_PER_SECOND: Final = 0.5
+"""Calls of a route at all VMs below which it has no part in the division."""
+MAX_ROUTES: Final = 16
+"""Latest routes with prompts whose demand a VM tells the others."""
 MIN_POOL_SHARE: Final = 0.1
 """Smallest share of the engines of a zone that either kind gets."""
 SHORT_PROMPT_HEADROOM: Final = 1.5
--- a/src/gypsumsail/placing/prompt_mix.py
+++ b/src/gypsumsail/placing/prompt_mix.py
@@ -1,82 +1,105 @@
-"""Finds routes whose prompts interfere on the engines of a service.
+"""Decides which prompts interfere on the engines of a service, and how to divide these.
 
 An engine prefills prompts in pieces between the decoding steps of its streams. The load
 that this answers: prompts of several thousand tokens arrive beside short prompts with
-a short latency goal. A short prompt then waits behind the prefills of others, and each
-event of its stream takes many times as long.
+a shorter latency goal. A short prompt then waits behind the prefills of others, and
+each event of its stream takes many times as long.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass
 from math import exp
 
 from gypsumsail.placing.const import (
+    DEMAND_DECAY_SECONDS,
     INTERFERING_PREFILLS,
-    LOAD_DECAY_SECONDS,
-    MIN_LOAD,
+    MIN_CALLS_PER_SECOND,
     MIN_POOL_SHARE,
-    MIN_SAMPLES,
     RELEASE_SHARE,
     SHORT_PROMPT_HEADROOM,
-    SMOOTHING,
 )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class PromptWork:
-    """Work of one call at an engine.
+class Demand:
+    """Calls of a route that arrive per second, and the prompt tokens to prefill."""
+
+    calls_per_second: float = 0.0
+    tokens_per_second: float = 0.0
+
+    def plus(self, other: Demand) -> Demand:
+        """Return the sum of both."""
+        return Demand(
+            calls_per_second=self.calls_per_second + other.calls_per_second,
+            tokens_per_second=self.tokens_per_second + other.tokens_per_second,
+        )
+
+
+def demand_name(service: str, route: str) -> str:
+    """Return the name under which VMs tell each other the demand of a route."""
+    return f"{service}\0{route}"
+
+
+@dataclass(slots=True)
+class RouteDemand:
+    """Decayed demand of a route at this VM, as of ``at``."""
+
+    calls: float = 0.0
+    tokens: float = 0.0
+    at: float = 0.0
+
+    def add(self, tokens: int, now: float) -> None:
+        """Count a call that arrives at time ``now``."""
+        decay = self._decay(now)
+        self.calls = self.calls * decay + 1.0
+        self.tokens = self.tokens * decay + tokens
+        self.at = now
+
+    def at_time(self, now: float) -> Demand:
+        """Return the demand, decayed to time ``now``."""
+        per_second = self._decay(now) / DEMAND_DECAY_SECONDS
+        return Demand(
+            calls_per_second=self.calls * per_second,
+            tokens_per_second=self.tokens * per_second,
+        )
+
+    def _decay(self, now: float) -> float:
+        return exp(-max(now - self.at, 0.0) / DEMAND_DECAY_SECONDS)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RoutePrompts:
+    """Prompts of a route, over all VMs.
 
     Attributes
     ----------
     latency_goal
         Seconds within which the first token is on time.
     prefill_seconds
-        Seconds for which the engine prefills the prompt.
+        Seconds for which an engine prefills a prompt of average length.
     decode_share_seconds
         Seconds from the first token to the end, divided by the calls that an engine
         runs at once.
     """
 
+    route: str
     latency_goal: float
+    calls_per_second: float
     prefill_seconds: float
     decode_share_seconds: float
 
     @property
-    def engine_seconds(self) -> float:
-        """Return the seconds for which the call occupies one engine."""
-        return self.prefill_seconds + self.decode_share_seconds
+    def wait_seconds(self) -> float:
+        """Return the seconds behind the prefills that a call may find ahead of it."""
+        return self.prefill_seconds * INTERFERING_PREFILLS
 
-
-@dataclass(slots=True)
-class RouteWork:
-    """Averages over the calls of a route.
-
-    Attributes
-    ----------
-    load
-        Decayed engine seconds that arrive per second, as of ``at``.
-    """
-
-    latency_goal: float = 0.0
-    prefill_seconds: float = 0.0
-    samples: int = 0
-    load: float = 0.0
-    at: float = 0.0
-
-    def add(self, work: PromptWork, now: float) -> None:
-        """Add a call that arrives at time ``now``."""
-        self.samples += 1
-        weight = max(1.0 / self.samples, SMOOTHING)
-        self.prefill_seconds += weight * (work.prefill_seconds - self.prefill_seconds)
-        self.latency_goal = work.latency_goal
-        self.load = self.load_at(now) + work.engine_seconds / LOAD_DECAY_SECONDS
-        self.at = now
-
-    def load_at(self, now: float) -> float:
-        """Return the load, decayed to time ``now``."""
-        return self.load * exp(-max(now - self.at, 0.0) / LOAD_DECAY_SECONDS)
+    @property
+    def load(self) -> float:
+        """Return the number of engines that the calls occupy."""
+        work = self.prefill_seconds + self.decode_share_seconds
+        return self.calls_per_second * work
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,64 +119,37 @@
     short_share: float
 
 
-@dataclass(slots=True)
-class PromptMix:
-    """Calls of one service at this VM, by route."""
-
-    routes: dict[str, RouteWork] = field(default_factory=dict)
-
-    def record(self, route: str, work: PromptWork, now: float) -> None:
-        """Add a call of a route."""
-        self.routes.setdefault(route, RouteWork()).add(work, now)
-
-    def division(self, current: Division | None, now: float) -> Division | None:
-        """Return how to divide the engines; ``None`` if prompts don't interfere.
-
-        Parameters
-        ----------
-        current
-            Division in force, which ends only when the prompts interfere clearly less.
-        """
-        loads = {
-            name: load
-            for name, route in self.routes.items()
-            if route.samples >= MIN_SAMPLES and (load := route.load_at(now)) >= MIN_LOAD
-        }
-        share = 1.0 if current is None else RELEASE_SHARE
-        long_routes, short_routes = self._interfering(loads, share)
-        if not long_routes:
-            return None
-        short_load = sum(loads[name] for name in short_routes)
-        long_load = sum(loads[name] for name in long_routes)
-        weighted = short_load * SHORT_PROMPT_HEADROOM
-        short_share = weighted / (weighted + long_load)
-        return Division(
-            long_routes=frozenset(long_routes),
-            short_routes=frozenset(short_routes),
-            short_share=min(max(short_share, MIN_POOL_SHARE), 1.0 - MIN_POOL_SHARE),
-        )
+def divide(
+    prompts: Sequence[RoutePrompts], current: Division | None
+) -> Division | None:
+    """Return how to divide the engines; ``None`` if prompts don't interfere.
+
+    Prompts interfere if those with the shortest latency goal are short, and others have
+    a longer goal and so long prefills that a few of them take longer than that goal.
 
-    def _interfering(
-        self, loads: Mapping[str, float], share: float
-    ) -> tuple[list[str], list[str]]:
-        """Return the routes with long, and with short prefills.
-
-        Both lists are empty if the prompts with the shortest latency goal are long
-        themselves, or if no other prompt is so long that it endangers that goal.
-        """
-        if not loads:
-            return [], []
-        goal = min(self.routes[name].latency_goal for name in loads)
-        long = [
-            name
-            for name in loads
-            if self.routes[name].latency_goal > goal
-            and self._wait_seconds(name) > goal * share
-        ]
-        short = [name for name in loads if name not in long]
-        if not long or any(self._wait_seconds(name) > goal for name in short):
-            return [], []
-        return long, short
-
-    def _wait_seconds(self, name: str) -> float:
-        return self.routes[name].prefill_seconds * INTERFERING_PREFILLS
+    Parameters
+    ----------
+    current
+        Division in force, which ends only when the prompts interfere clearly less.
+    """
+    active = [item for item in prompts if item.calls_per_second >= MIN_CALLS_PER_SECOND]
+    if not active:
+        return None
+    goal = min(item.latency_goal for item in active)
+    limit = goal if current is None else goal * RELEASE_SHARE
+    long = [
+        item
+        for item in active
+        if item.latency_goal > goal and item.wait_seconds > limit
+    ]
+    short = [item for item in active if item not in long]
+    if not long or any(item.wait_seconds > goal for item in short):
+        return None
+    short_load = sum(item.load for item in short) * SHORT_PROMPT_HEADROOM
+    long_load = sum(item.load for item in long)
+    share = short_load / (short_load + long_load)
+    return Division(
+        long_routes=frozenset(item.route for item in long),
+        short_routes=frozenset(item.route for item in short),
+        short_share=min(max(share, MIN_POOL_SHARE), 1.0 - MIN_POOL_SHARE),
+    )
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -34,10 +34,12 @@
 from gypsumsail.gateway.limit_slots import LimitSharing
 from gypsumsail.gateway.models import Address, RoutingDocument, TargetEntry
 from gypsumsail.gateway.notices import AnswerNotices
+from gypsumsail.gateway.placer import JobPlacer
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gateway.telemetry import GatewayTelemetry
 from gypsumsail.gateway.weights import WantedWeights
 from gypsumsail.gossip.coordinator import GossipCoordinator
+from gypsumsail.gossip.demand_rows import demand_rows
 from gypsumsail.gossip.messages import ServiceLoad
 from gypsumsail.gossip.peers import PeerTable
 from gypsumsail.gossip.target_notices import NamedWeights
@@ -381,8 +383,18 @@
             )
             for service, queue in self.gateway.queues.items()
         )
+        demand = (
+            row
+            for queue in self.gateway.queues.values()
+            if isinstance(queue.placer, JobPlacer)
+            for row in demand_rows(
+                queue.placer.service.name, queue.placer.pools.own_demand(now)
+            )
+        )
         return tuple(
-            item for item in found if item.calls or item.arriving_ms_per_second
+            item
+            for item in (*found, *demand)
+            if item.calls or item.arriving_ms_per_second
         )
 
     def _limit_ring(self, now: float) -> HashRing | None:
