--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -138,7 +138,9 @@
     home_regions: Any = None
 
 
-class _Document(msgspec.Struct, frozen=True):
+class DocumentFields(msgspec.Struct, frozen=True):
+    """Fields of a routing document, as the operator writes them."""
+
     version: Number
     routes: list[_Route]
     services: list[_Service]
@@ -196,7 +198,7 @@
     EntryInvalidError
         The value is malformed, or a route has an unknown kind.
     """
-    document = _decode_leniently(value, _Document)
+    document = decode_fields(value)
     stores, services = [], {}
     invalid_fields: list[str] = []
     for item in document.services:
@@ -234,6 +236,17 @@
     )
 
 
+def decode_fields(value: bytes, kind: Any = DocumentFields) -> Any:
+    """Decode the fields of a routing document, or a part of them.
+
+    Raises
+    ------
+    EntryInvalidError
+        The value is malformed.
+    """
+    return _decode_leniently(value, kind)
+
+
 def decode_target(name: str, value: bytes) -> TargetEntry:
     """Decode the object of a target.
 
@@ -373,7 +386,7 @@
         return NO_REGION
 
 
-def _invalid_homes(document: _Document) -> tuple[str, ...]:
+def _invalid_homes(document: DocumentFields) -> tuple[str, ...]:
     """Return the routes and tenants whose home regions can't be read."""
     groups = (("routes", document.routes), ("tenants", document.tenants or []))
     return tuple(
