Add the command vm check-document

Cause: operators had no way to run the check of a routing document. Change: the command reads a file, standard input or the store, compares with the store or with a file, and prints text or JSON. Only cli/vm.py imports the platform package, so it passes the adapter to cli/vm_document.py.

--- a/src/gypsumsail/cli/vm.py
+++ b/src/gypsumsail/cli/vm.py
@@ -1,7 +1,8 @@
-"""Commands that run a gateway VM with the platform's settings file."""
+"""Commands that run a gateway VM, and check its settings and routing document."""
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
 import signal
 from typing import Final
@@ -16,7 +17,7 @@
 
 @click.group()
 def vm() -> None:
-    """Run a gateway VM with the platform's settings file."""
+    """Run a gateway VM; check its settings and its routing document."""
 
 
 def _require_settings_path(settings: str | None) -> Path:
@@ -105,3 +106,63 @@
             click.echo(str(finding))
         raise SystemExit(ExitCode.FINDINGS) from None
     click.echo("no findings")
+
+
+@vm.command("check-document")
+@click.argument("file", default="", type=click.Path(dir_okay=False, allow_dash=True))
+@env_option(
+    "--store",
+    default="",
+    help="IP:PORT of the object store. With FILE, its document is the version in "
+    "force; without FILE, it is checked.",
+)
+@env_option(
+    "--in-force",
+    default="",
+    type=click.Path(dir_okay=False),
+    help="File with the version in force, for the differences.",
+)
+@env_option(
+    "--settings",
+    help="Settings file of a VM, which states its memory for the check of limits.",
+)
+@env_option("--json", is_flag=True, help="Print the result as JSON.")
+def check_document(
+    file: str, store: str, in_force: str, settings: str | None, json: bool
+) -> None:
+    """Check a routing document before it is sent.
+
+    FILE is JSON with the document, or with the whole object of the store that holds
+    it; "-" reads standard input. Prints errors, warnings (entries without effect,
+    limits that contradict each other) and the differences from the version in force.
+    API keys are named by their position.
+
+    Exit codes: 0 no errors (there may be warnings), 1 errors, 2 invalid usage, settings
+    or an unreadable file, 3 no errors found, but the store could not be reached.
+    """
+    from gypsumsail.cli.vm_document import CheckRequest, run_check
+    from gypsumsail.core.findings import SettingsInvalidError
+    from gypsumsail.platform import document_check
+    from gypsumsail.platform.settings import load_settings
+    from gypsumsail.platform.text import parse_address
+
+    if not file and not store:
+        raise click.UsageError("give FILE or --store")
+    if file and store and in_force:
+        raise click.UsageError("give --store or --in-force, not both")
+    address = parse_address(store)
+    if store and address is None:
+        raise click.UsageError("--store must have the form IP:PORT")
+    try:
+        memory_bytes = load_settings(Path(settings)).memory_bytes if settings else 0
+    except SettingsInvalidError as err:
+        raise click.UsageError(str(err)) from None
+    request = CheckRequest(
+        file=file,
+        in_force=in_force,
+        fetch=(
+            partial(document_check.async_stored_document, address) if address else None
+        ),
+        memory_bytes=memory_bytes,
+    )
+    run_check(request, document_check.read_document, as_json=json)
