Count no target that writes its entry as cold after a stall

Cause: under high load calls are overdue, or are abandoned after half of their deadline, at sound targets. Each such stall counted as a loss of contact, and again in each check while it lasted. The target then had only the rate of a cold one until an entry 1.5 s after its next progress, and the queue refused calls when capacity was needed most.

Change: a stall or an abandoned call is a loss of contact only if the target has not written its entry for 2.5 s. Entries are written every 1.2 s and read 0.8 s later at most. A failed connection or a broken call is a loss as before.

--- a/src/gypsumsail/cold_targets/cold_state.py
+++ b/src/gypsumsail/cold_targets/cold_state.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from gypsumsail.cold_targets.const import ENTRY_LAG_SECONDS
+from gypsumsail.cold_targets.const import ENTRY_LAG_SECONDS, MAX_ENTRY_GAP_SECONDS
 from gypsumsail.cold_targets.models import (
     ColdBound,
     ColdStatement,
@@ -59,8 +59,8 @@
         first contact after a loss, or the end of an evacuation.
     event_at
         Time of the latest event; a statement that is older says nothing about it.
-    cold_entry_at
-        Time of the latest entry that states a cold time.
+    entry_at, cold_entry_at
+        Time of the latest entry, and of the latest that states a cold time.
     is_contact_lost
         Whether contact was lost and not made again.
     until
@@ -80,6 +80,7 @@
     has_invalid_header: bool = False
     presumed_since: float = -inf
     event_at: float = -inf
+    entry_at: float = -inf
     cold_entry_at: float = -inf
     is_contact_lost: bool = False
     until: float = -inf
@@ -103,6 +104,7 @@
             Cold time that the entry states; ``None`` if it states no valid one.
         """
         was_cold = self.is_cold(now)
+        self.entry_at = now
         # The entry may have been written before the event.
         is_current = now - self.event_at >= ENTRY_LAG_SECONDS
         if seconds is None:
@@ -149,7 +151,7 @@
         return False
 
     def lose_contact(self, now: float) -> None:
-        """Record that a connection failed or broke, or that the target stalled."""
+        """Record that a connection failed or broke, or that the target stopped."""
         if self.is_contact_lost:
             return
         was_cold = self.is_cold(now)
@@ -157,6 +159,15 @@
         self.event_at = now
         self._update(was_cold, "contact lost", now)
 
+    def note_silence(self, now: float) -> None:
+        """Record that calls at the target are overdue.
+
+        They are under high load as well, but then the target goes on to write its
+        entry. Without new entries, contact counts as lost.
+        """
+        if now - self.entry_at >= MAX_ENTRY_GAP_SECONDS:
+            self.lose_contact(now)
+
     def record_contact(self, now: float) -> None:
         """Record that the target was reached; it is cold if contact was lost before."""
         if not self.is_contact_lost:
--- a/src/gypsumsail/cold_targets/const.py
+++ b/src/gypsumsail/cold_targets/const.py
@@ -20,6 +20,11 @@
 The list of targets lags by up to 0.8 s, and some VMs get it from others, so an entry
 that is read sooner may have been written before the event.
 """
+MAX_ENTRY_GAP_SECONDS: Final = 2.5
+"""Time without an entry after which a target that stalls may have stopped.
+
+Targets write their entries every 1.2 s, and the list of targets lags by up to 0.8 s.
+"""
 SPACING_MARGIN: Final = 1.1
 """Factor on the time between two sends of one VM to a cold target.
 
--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -143,7 +143,7 @@
         head = await self._async_head(exchange)
         if head is None:
             exchange.abort()
-            self.state.record_break(self.clock.monotonic())
+            self.state.record_silence(self.clock.monotonic())
             return Broken(reason="abandoned: the target is silent or unreachable")
         self.gateway.record_head(self.state, head, self.sent_at, self.job)
         if head.says_not_run or head.is_wrong_target:
--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -392,15 +392,22 @@
         self.record_failure(now)
         self.cold.lose_contact(now)
 
+    def record_silence(self, now: float) -> None:
+        """Record a call that was abandoned because the target was silent."""
+        self.record_failure(now)
+        self.cold.note_silence(now)
+
     def is_contact_check_due(self, now: float) -> bool:
         """Return whether a connection should show if a silent target is back.
 
-        A target of a service with cold targets may be cold after it stalled, or after
-        other VMs could not connect to it.
+        A target of a service with cold targets may be cold after it stalled without
+        writing its entry, or after other VMs could not connect to it.
         """
         if self.cold.terms is None:
             return False
-        if self.is_stalled_locally(now) or self.is_reported_unreachable(now):
+        if self.is_stalled_locally(now):
+            self.cold.note_silence(now)
+        if self.is_reported_unreachable(now):
             self.cold.lose_contact(now)
         if not self.cold.is_contact_lost:
             return False
--- a/tests/cold_targets/test_placing.py
+++ b/tests/cold_targets/test_placing.py
@@ -138,6 +138,25 @@
     assert suspended.place(START + 5.05, 2) is None
 
 
+def test_stalled_target_that_writes_its_entry_is_not_cold() -> None:
+    """High load makes calls overdue; sound targets then lost most of their capacity."""
+    placing = Placing(0.0)
+    assert placing.place(START) == "e0"
+    for step in range(1, 9):
+        now = START + step
+        placing.targets.update(engine("e0"), now)
+        placing.state.is_contact_check_due(now)
+        placing.state.record_silence(now)
+        assert not placing.state.cold.is_cold(now)
+    assert placing.state.is_stalled_locally(now)
+    assert placing.placer.capacity(now).workers == 1
+    assert not placing.state.is_contact_check_due(now + 2.4)
+    assert placing.state.is_contact_check_due(now + 2.5)
+    placing.state.mark_reachable(now + 2.5)
+    placing.targets.update(engine("e0"), now + 2.6)
+    assert placing.state.cold.is_cold(now + 2.6)
+
+
 def test_services_without_cold_time_are_never_cold() -> None:
     placing = Placing(10.0)
     placing.targets.set_cold_terms({}, START)
