Count a target as cold after its connection ended within an event

Cause: an answer without a length or chunks ends with its connection, also when its target is killed. An end within an event was recorded as a crash for the parts of the prompt, but not as a loss of contact, so that the target got calls at the usual rate until its new entry was read.

Change: such an end is a loss of contact.

Result: the new test fails before the change and passes after it.

--- a/src/gypsumsail/gateway/job_send.py
+++ b/src/gypsumsail/gateway/job_send.py
@@ -286,6 +286,8 @@
         )
         if splitter.has_partial or not (has_events or may_be_empty):
             if not head.is_framed:
+                # Its end is that of the connection.
+                self.state.cold.lose_contact(self.clock.monotonic())
                 self._record_crash()
             return Broken(reason="the stream ended before an event was complete")
         await self._async_check_end(head)
--- a/tests/cold_targets/test_placing.py
+++ b/tests/cold_targets/test_placing.py
@@ -17,10 +17,14 @@
 from tests.cold_targets.common import START, TERMS, ZONE
 from tests.gateway.common import (
     ENGINES,
+    RecordedReply,
+    ScriptedExchange,
+    ScriptedTargets,
     call,
     document,
     engine,
     fleet_view,
+    gateway,
     job,
     prompt,
     stream_route,
@@ -157,6 +161,17 @@
     assert placing.state.cold.is_cold(now + 2.6)
 
 
+async def test_target_whose_connection_ended_within_an_event_is_cold() -> None:
+    """A stream without framing ends like that when its target is killed."""
+    broken = ScriptedExchange(body=[b"id: 1\n"], weight_version=1, is_framed=False)
+    routing = document(stream_route(max_targets=1))
+    gw = gateway(ScriptedTargets(broken), engine("e0"), routing=routing)
+    state = gw.view.targets.states["e0"]
+    state.cold.set_terms(TERMS, gw.clock.monotonic())
+    await gw.async_handle(call("/s/x", prompt=prompt()), RecordedReply())
+    assert state.cold.is_cold(gw.clock.monotonic())
+
+
 def test_services_without_cold_time_are_never_cold() -> None:
     placing = Placing(10.0)
     placing.targets.set_cold_terms({}, START)
