Count no target with an earlier call as cold because of reports

Cause: when two VMs of a zone lost their links to the targets, but not their gossip, the other VMs of the zone counted each reported target as lost, also those at which they had calls. The check succeeded at once, but the targets had only the rate of cold ones until an entry 1.5 s later.

Change: reports are no loss of contact at a target at which a call of this VM from before the reports is in flight. Such a call breaks if the target ends; a later one may be at a new process. The check by a connection stays, and is a loss if it fails.

Result: one case of the new test fails before the change; all pass after it.

--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -11,6 +11,7 @@
 from gypsumsail.cold_targets.const import MIN_CONTACT_CHECK_SECONDS
 from gypsumsail.gateway.call_limit import CallLimit
 from gypsumsail.gateway.const import (
+    CONNECT_SECONDS,
     DURATION_DECAY_SECONDS,
     DURATION_SMOOTHING,
     FAILURE_DECAY_SECONDS,
@@ -407,12 +408,20 @@
             return False
         if self.is_stalled_locally(now):
             self.cold.note_silence(now)
-        if self.is_reported_unreachable(now):
+        if self.is_reported_unreachable(now) and not self._has_earlier_call(now):
             self.cold.lose_contact(now)
         if not self.cold.is_contact_lost:
             return False
         return now - self.connected_at >= MIN_CONTACT_CHECK_SECONDS
 
+    def _has_earlier_call(self, now: float) -> bool:
+        """Return whether a call from before the reports of other VMs is in flight.
+
+        It would have broken if the target had ended; these VMs may be cut off.
+        """
+        oldest = now - UNREACHABLE_REPORT_MAX_AGE_SECONDS - CONNECT_SECONDS
+        return any(flight.placed_at < oldest for flight in self.in_flight.values())
+
     def mark_unreachable(self, now: float) -> None:
         """Record a failed connection attempt and block the target for a while."""
         self.record_break(now)
--- a/tests/cold_targets/test_placing.py
+++ b/tests/cold_targets/test_placing.py
@@ -161,6 +161,28 @@
     assert placing.state.cold.is_cold(now + 2.6)
 
 
+@pytest.mark.parametrize(
+    ("placed_at", "is_cold"), [(None, True), (START + 2.0, True), (START, False)]
+)
+def test_reports_of_cut_vms_make_no_target_with_an_earlier_call_cold(
+    placed_at: float | None, is_cold: bool
+) -> None:
+    """Two VMs that lost their own links made all targets cold for the whole zone.
+
+    A later call may be at a process that has started since.
+    """
+    placing = Placing(0.0)
+    if placed_at is not None:
+        assert placing.place(placed_at) == "e0"
+    now = START + 3.0
+    placing.targets.update(engine("e0"), now)
+    for vm in ("v2", "v3"):
+        placing.state.record_unreachable_report(vm, now)
+    placing.state.is_contact_check_due(now)
+    placing.state.mark_reachable(now)
+    assert placing.state.cold.is_cold(now) is is_cold
+
+
 async def test_target_whose_connection_ended_within_an_event_is_cold() -> None:
     """A stream without framing ends like that when its target is killed."""
     broken = ScriptedExchange(body=[b"id: 1\n"], weight_version=1, is_framed=False)
