--- a/src/gypsumsail/gateway/targets.py
+++ b/src/gypsumsail/gateway/targets.py
@@ -11,6 +11,7 @@
 from gypsumsail.cold_targets.const import MIN_CONTACT_CHECK_SECONDS
 from gypsumsail.gateway.call_limit import CallLimit
 from gypsumsail.gateway.const import (
+    CONNECT_SECONDS,
     DURATION_DECAY_SECONDS,
     DURATION_SMOOTHING,
     FAILURE_DECAY_SECONDS,
@@ -392,20 +393,35 @@
         self.record_failure(now)
         self.cold.lose_contact(now)
 
+    def record_silence(self, now: float) -> None:
+        """Record a call that was abandoned because the target was silent."""
+        self.record_failure(now)
+        self.cold.note_silence(now)
+
     def is_contact_check_due(self, now: float) -> bool:
         """Return whether a connection should show if a silent target is back.
 
-        A target of a service with cold targets may be cold after it stalled, or after
-        other VMs could not connect to it.
+        A target of a service with cold targets may be cold after it stalled without
+        writing its entry, or after other VMs could not connect to it.
         """
         if self.cold.terms is None:
             return False
-        if self.is_stalled_locally(now) or self.is_reported_unreachable(now):
+        if self.is_stalled_locally(now):
+            self.cold.note_silence(now)
+        if self.is_reported_unreachable(now) and not self._has_earlier_call(now):
             self.cold.lose_contact(now)
         if not self.cold.is_contact_lost:
             return False
         return now - self.connected_at >= MIN_CONTACT_CHECK_SECONDS
 
+    def _has_earlier_call(self, now: float) -> bool:
+        """Return whether a call from before the reports of other VMs is in flight.
+
+        It would have broken if the target had ended; these VMs may be cut off.
+        """
+        oldest = now - UNREACHABLE_REPORT_MAX_AGE_SECONDS - CONNECT_SECONDS
+        return any(flight.placed_at < oldest for flight in self.in_flight.values())
+
     def mark_unreachable(self, now: float) -> None:
         """Record a failed connection attempt and block the target for a while."""
         self.record_break(now)
--- a/tests/cold_targets/test_placing.py
+++ b/tests/cold_targets/test_placing.py
@@ -17,10 +17,14 @@
 from tests.cold_targets.common import START, TERMS, ZONE
 from tests.gateway.common import (
     ENGINES,
+    RecordedReply,
+    ScriptedExchange,
+    ScriptedTargets,
     call,
     document,
     engine,
     fleet_view,
+    gateway,
     job,
     prompt,
     stream_route,
@@ -138,6 +142,58 @@
     assert suspended.place(START + 5.05, 2) is None
 
 
+def test_stalled_target_that_writes_its_entry_is_not_cold() -> None:
+    """High load makes calls overdue; sound targets then lost most of their capacity."""
+    placing = Placing(0.0)
+    assert placing.place(START) == "e0"
+    for step in range(1, 9):
+        now = START + step
+        placing.targets.update(engine("e0"), now)
+        placing.state.is_contact_check_due(now)
+        placing.state.record_silence(now)
+        assert not placing.state.cold.is_cold(now)
+    assert placing.state.is_stalled_locally(now)
+    assert placing.placer.capacity(now).workers == 1
+    assert not placing.state.is_contact_check_due(now + 2.4)
+    assert placing.state.is_contact_check_due(now + 2.5)
+    placing.state.mark_reachable(now + 2.5)
+    placing.targets.update(engine("e0"), now + 2.6)
+    assert placing.state.cold.is_cold(now + 2.6)
+
+
+@pytest.mark.parametrize(
+    ("placed_at", "is_cold"), [(None, True), (START + 2.0, True), (START, False)]
+)
+def test_reports_of_cut_vms_make_no_target_with_an_earlier_call_cold(
+    placed_at: float | None, is_cold: bool
+) -> None:
+    """Two VMs that lost their own links made all targets cold for the whole zone.
+
+    A later call may be at a process that has started since.
+    """
+    placing = Placing(0.0)
+    if placed_at is not None:
+        assert placing.place(placed_at) == "e0"
+    now = START + 3.0
+    placing.targets.update(engine("e0"), now)
+    for vm in ("v2", "v3"):
+        placing.state.record_unreachable_report(vm, now)
+    placing.state.is_contact_check_due(now)
+    placing.state.mark_reachable(now)
+    assert placing.state.cold.is_cold(now) is is_cold
+
+
+async def test_target_whose_connection_ended_within_an_event_is_cold() -> None:
+    """A stream without framing ends like that when its target is killed."""
+    broken = ScriptedExchange(body=[b"id: 1\n"], weight_version=1, is_framed=False)
+    routing = document(stream_route(max_targets=1))
+    gw = gateway(ScriptedTargets(broken), engine("e0"), routing=routing)
+    state = gw.view.targets.states["e0"]
+    state.cold.set_terms(TERMS, gw.clock.monotonic())
+    await gw.async_handle(call("/s/x", prompt=prompt()), RecordedReply())
+    assert state.cold.is_cold(gw.clock.monotonic())
+
+
 def test_services_without_cold_time_are_never_cold() -> None:
     placing = Placing(10.0)
     placing.targets.set_cold_terms({}, START)
