--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -184,11 +184,11 @@
             self.pools.record(job.route.name, job.route.latency_goal, tokens, now)
 
     def _update_pools(self, now: float) -> None:
-        engines = (
+        engines = [
             PoolEngine(name=state.entry.name, zone=state.entry.zone)
             for state in self._states()
             if not state.is_leaving
-        )
+        ]
         prompts = prompts_of_fleet(self.view, self.service, self.pools, now)
         if self.pools.update(prompts, engines, now):
             self.view.on_division(self.service.name, self.pools, now)
--- a/src/gypsumsail/placing/const.py
+++ b/src/gypsumsail/placing/const.py
@@ -21,11 +21,8 @@
 """Latest routes with prompts whose demand a VM tells the others."""
 MIN_POOL_SHARE: Final = 0.1
 """Smallest share of the engines of a zone that either kind gets."""
-SHORT_PROMPT_HEADROOM: Final = 1.5
-"""Engines for short prompts, as a multiple of those that their mean load occupies.
-
-Short prompts have short latency goals and don't queue.
-"""
+SHORT_PROMPT_HEADROOM: Final = 1.1
+"""Engines for short prompts, as a multiple of those that their mean load occupies."""
 UPDATE_SECONDS: Final = 0.5
 """Interval at which the division is calculated anew."""
 MIN_ENGINES_PER_ZONE: Final = 3
--- a/src/gypsumsail/placing/pools.py
+++ b/src/gypsumsail/placing/pools.py
@@ -15,6 +15,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from math import ceil
 
 from gypsumsail.core.rendezvous import rank
 from gypsumsail.placing.const import (
@@ -92,13 +93,13 @@
     def update(
         self,
         prompts: Sequence[RoutePrompts],
-        engines: Iterable[PoolEngine],
+        engines: Sequence[PoolEngine],
         now: float,
     ) -> bool:
         """Calculate the division; return whether it begins or ends."""
         self.updated_at = now
         before = self.division
-        self.division = divide(prompts, before)
+        self.division = divide(prompts, len(engines), before)
         if self.division is None:
             self.short_engines = frozenset()
         else:
@@ -155,6 +156,6 @@
     for names in by_zone.values():
         if len(names) < MIN_ENGINES_PER_ZONE:
             continue
-        count = min(max(round(share * len(names)), 1), len(names) - 1)
+        count = min(max(ceil(share * len(names)), 1), len(names) - 1)
         found.update(rank(key, names)[:count])
     return frozenset(found)
--- a/src/gypsumsail/placing/prompt_mix.py
+++ b/src/gypsumsail/placing/prompt_mix.py
@@ -44,14 +44,23 @@
 
 @dataclass(slots=True)
 class RouteDemand:
-    """Decayed demand of a route at this VM, as of ``at``."""
+    """Decayed demand of a route at this VM, as of ``at``.
+
+    Attributes
+    ----------
+    since
+        Time of the first call; ``None`` before it.
+    """
 
     calls: float = 0.0
     tokens: float = 0.0
     at: float = 0.0
+    since: float | None = None
 
     def add(self, tokens: int, now: float) -> None:
         """Count a call that arrives at time ``now``."""
+        if self.since is None:
+            self.since = now
         decay = self._decay(now)
         self.calls = self.calls * decay + 1.0
         self.tokens = self.tokens * decay + tokens
@@ -59,7 +68,10 @@
 
     def at_time(self, now: float) -> Demand:
         """Return the demand, decayed to time ``now``."""
-        per_second = self._decay(now) / DEMAND_DECAY_SECONDS
+        elapsed = max(now - (now if self.since is None else self.since), 1.0)
+        # The decayed sums of a constant rate reach it only after some time.
+        weight = DEMAND_DECAY_SECONDS * (1.0 - exp(-elapsed / DEMAND_DECAY_SECONDS))
+        per_second = self._decay(now) / weight
         return Demand(
             calls_per_second=self.calls * per_second,
             tokens_per_second=self.tokens * per_second,
@@ -120,20 +132,25 @@
 
 
 def divide(
-    prompts: Sequence[RoutePrompts], current: Division | None
+    prompts: Sequence[RoutePrompts], engines: int, current: Division | None
 ) -> Division | None:
     """Return how to divide the engines; ``None`` if prompts don't interfere.
 
     Prompts interfere if those with the shortest latency goal are short, and others have
     a longer goal and so long prefills that a few of them take longer than that goal.
 
+    The short prompts get the engines that they occupy, but in an overload no more than
+    their share of the whole load.
+
     Parameters
     ----------
+    engines
+        Number of engines that take calls.
     current
         Division in force, which ends only when the prompts interfere clearly less.
     """
     active = [item for item in prompts if item.calls_per_second >= MIN_CALLS_PER_SECOND]
-    if not active:
+    if not active or not engines:
         return None
     goal = min(item.latency_goal for item in active)
     limit = goal if current is None else goal * RELEASE_SHARE
@@ -145,9 +162,9 @@
     short = [item for item in active if item not in long]
     if not long or any(item.wait_seconds > goal for item in short):
         return None
-    short_load = sum(item.load for item in short) * SHORT_PROMPT_HEADROOM
-    long_load = sum(item.load for item in long)
-    share = short_load / (short_load + long_load)
+    short_load = sum(item.load for item in short)
+    all_load = short_load + sum(item.load for item in long)
+    share = min(short_load * SHORT_PROMPT_HEADROOM / engines, short_load / all_load)
     return Division(
         long_routes=frozenset(item.route for item in long),
         short_routes=frozenset(item.route for item in short),
--- /dev/null
+++ b/tests/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the division of engines by kinds of prompts."""
