Describe the division of engines, and expect answers by their mean

Change: the share is computed with the mean time of the latest answers of a route. Result: not measured yet.

--- a/src/gypsumsail/gateway/averages.py
+++ b/src/gypsumsail/gateway/averages.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from statistics import fmean
 
 from gypsumsail.gateway.const import (
     DURATION_SMOOTHING,
@@ -62,3 +63,8 @@
     def longest(self) -> float | None:
         """Return the longest of these times; ``None`` before the first answer."""
         return max(self.seconds, default=None)
+
+    @property
+    def mean(self) -> float | None:
+        """Return the mean of these times; ``None`` before the first answer."""
+        return fmean(self.seconds) if self.seconds else None
--- a/src/gypsumsail/gateway/fleet_demand.py
+++ b/src/gypsumsail/gateway/fleet_demand.py
@@ -32,13 +32,15 @@
             memory * demand.calls_per_second / max(demand.tokens_per_second, 1.0),
             service.engine.slots,
         )
-        decode_seconds = view.targets.generation_time(route).seconds
+        seconds = view.targets.answer_time(route).mean
+        if seconds is None:
+            seconds = view.targets.generation_time(route).seconds
         prompts = route_prompts(
             route,
             pools.goals[route],
             demand,
             rate.tokens_per_second,
-            decode_seconds / max(concurrent, 1.0),
+            seconds / max(concurrent, 1.0),
         )
         if prompts is not None:
             found.append(prompts)
