--- a/tests/evacuations/test_runtime.py
+++ b/tests/evacuations/test_runtime.py
@@ -12,7 +12,7 @@
 from gypsumsail.platform.settings import load_settings
 from gypsumsail.vm.runtime import VmRuntime
 from soak.vms import Vm
-from stand_ins.v1_platform import V1ObjectStore
+from stand_ins.v1_object_store import V1ObjectStore
 from tests.evacuations.common import KIND
 from tests.forwarding.common import async_wait_until
 
