--- a/review/harness.py
+++ b/review/harness.py
@@ -24,7 +24,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from stand_ins.v1_object_store import V1ObjectStore  # noqa: E402
+from stand_ins.v1_platform import V1ObjectStore  # noqa: E402
 
 STORE_HOST = "127.81.0.1"
 METRICS_PORT = 9464
--- a/src/gypsumsail/cold_targets/const.py
+++ b/src/gypsumsail/cold_targets/const.py
@@ -9,11 +9,11 @@
 MIN_COLD_PER_SECOND: Final = 0.01
 """Lowest rate that is valid; a lower one is replaced by the default."""
 MAX_COLD_PER_SECOND: Final = 1e6
-"""Highest rate that is believed; a higher one counts as invalid."""
+"""Highest valid rate; a higher one counts as invalid."""
 DEFAULT_COLD_SECONDS: Final = 60.0
 """Cold time of the targets of a service whose cold time can't be read."""
 MAX_COLD_SECONDS: Final = 3_600.0
-"""Longest cold time that is believed; a longer one counts as invalid."""
+"""Longest valid cold time; a longer one counts as invalid."""
 ENTRY_LAG_SECONDS: Final = 1.5
 """Age above which an event at a target is older than an entry that is read now.
 
--- a/src/gypsumsail/gossip/zone_members.py
+++ b/src/gypsumsail/gossip/zone_members.py
@@ -1,6 +1,6 @@
 """The VMs of this VM's zone that may send to a cold target, heard or not.
 
-VMs that don't hear each other must not each believe to be the only sender. Hosts of the
+VMs that don't hear each other must not each act as the only sender. Hosts of the
 platform's list therefore stay members although they are silent. That list may hold VMs
 that no longer exist; a VM leaves out long-silent ones only while it hears the majority,
 which at most one part of a divided zone does.
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -26,7 +26,7 @@
     LateEntries,
 )
 from stand_ins.v1_context_store import V1ContextStore
-from stand_ins.v1_object_store import V1ObjectStore
+from stand_ins.v1_object_store import V1ObjectStore as V1ObjectStore
 
 SERVER_STAMP = "stand-in"
 EVENT_SECONDS = 0.02
