--- a/src/gypsumsail/cli/vm.py
+++ b/src/gypsumsail/cli/vm.py
@@ -50,7 +50,17 @@
     show_default=True,
     help="Second sends of slow calls that may run twice, per call: 0 (off) to 0.2.",
 )
-def run(settings: str | None, metrics_port: int | None, hedge_share: str) -> None:
+@env_option(
+    "--divide-engines",
+    is_flag=True,
+    help="Keep engines for short prompts where long ones interfere with them.",
+)
+def run(
+    settings: str | None,
+    metrics_port: int | None,
+    hedge_share: str,
+    divide_engines: bool,
+) -> None:
     """Run the gateway process of a VM until it receives a stop signal.
 
     Its settings come from the platform's settings file; the command "entry" takes
@@ -76,7 +86,9 @@
             # Those of the file are reported with it.
             load_settings(path)
         else:
-            run_until_exit(async_run_vm(path, metrics_port, share))
+            run_until_exit(
+                async_run_vm(path, metrics_port, share, divides_engines=divide_engines)
+            )
     except SettingsInvalidError as err:
         findings += err.findings
     for finding in findings:
--- a/src/gypsumsail/gateway/fleet_view.py
+++ b/src/gypsumsail/gateway/fleet_view.py
@@ -63,6 +63,8 @@
         Returns the seconds between the load reports of another VM.
     build_of
         Returns the build of a target at a time, with which those of streams compare.
+    divides_engines
+        Whether engines may be divided between long and short prompts.
     on_division
         Called with a service, its pools and the time when a division of its engines
         between long and short prompts begins or ends.
@@ -96,6 +98,7 @@
     choose_helper: Callable[[str, set[str], Homes, float], str | None] = (
         lambda service, tried, homes, now: None
     )
+    divides_engines: bool = False
     on_division: Callable[[str, EnginePools, float], None] = (
         lambda service, pools, now: None
     )
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -179,6 +179,8 @@
         work = max(job.work_seconds, self.memory_seconds(job))
         self.arrivals.add(work, now)
         self.usual_work += DURATION_SMOOTHING * (work - self.usual_work)
+        if not self.view.divides_engines:
+            return
         if job.call.prompt is not None and self.service.engine is not None:
             tokens = round(job.work_seconds * self._rate())
             self.pools.record(job.route.name, job.route.latency_goal, tokens, now)
--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -91,12 +91,24 @@
 
 
 async def async_run_vm(
-    path: Path, metrics_port: int | None, hedge_share: float = 0.0
+    path: Path,
+    metrics_port: int | None,
+    hedge_share: float = 0.0,
+    *,
+    divides_engines: bool = False,
 ) -> None:
     """Run the process of one VM until it receives a stop signal."""
     settings = load_settings(path)
     writer = setup_json_log(settings.vm, STDOUT_FILENO)
     clock = SystemClock()
     ports = make_ports(settings, path, clock)
-    runtime = VmRuntime(settings, ports, clock, writer, metrics_port, hedge_share)
+    runtime = VmRuntime(
+        settings,
+        ports,
+        clock,
+        writer,
+        metrics_port,
+        hedge_share,
+        divides_engines=divides_engines,
+    )
     await runtime.async_run()
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -102,6 +102,8 @@
         writer: LineWriter,
         metrics_port: int | None,
         hedge_share: float = 0.0,
+        *,
+        divides_engines: bool = False,
     ) -> None:
         self.settings = settings
         self.ports = ports
@@ -131,6 +133,7 @@
             self.log,
         )
         self.gateway = self._make_gateway()
+        self.gateway.view.divides_engines = divides_engines
         if hedge_share:
             self.gateway.second_sends = Hedging(
                 GatewaySends(self.gateway),
