--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -10,7 +10,7 @@
 from typing import Any, Protocol
 
 from gypsumsail.catalog.const import MAX_CONFIRMED_REMOVALS, WATCH_SECONDS
-from gypsumsail.catalog.freshness import ChangeBounds, CopyConfirmation
+from gypsumsail.catalog.freshness import ChangeBounds, ChangeDelay, CopyConfirmation
 from gypsumsail.catalog.kind_state import Changes
 from gypsumsail.catalog.kind_watch import KindWatch
 from gypsumsail.catalog.naming_time import NamingTime
@@ -266,6 +266,11 @@
             confirmation.changed_revision, now - confirmation.age
         )
 
+    @callback
+    def note_behind(self, kind: str, now: float) -> None:
+        """Record that another VM tells of a change of a kind that this VM lacks."""
+        self.watches[kind].note_behind(now)
+
     def copy_age(self, kind: str, now: float) -> float:
         """Return the seconds since the store is known to have confirmed the copy.
 
@@ -365,6 +370,9 @@
             self._apply_weights(changes)
 
     def _apply_documents(self, changes: Changes) -> None:
+        delay = self.watches[self.kinds.documents].take_delay(
+            was_read=self.source == "store", now=self.clock.monotonic()
+        )
         for obj in changes.objects:
             if obj.key != self.kinds.document_key or obj.value is None:
                 continue
@@ -373,13 +381,15 @@
             except GypsumsailError as err:
                 self._log_invalid_object(obj, err)
                 continue
-            self._activate_document(document)
+            self._activate_document(document, delay)
 
-    def _activate_document(self, document: RoutingDocument) -> None:
+    def _activate_document(self, document: RoutingDocument, delay: ChangeDelay) -> None:
         if self.document is not None and not supersedes(document, self.document):
             return
         self.document = document
-        self.telemetry.document_in_force(document, self.source)
+        self.telemetry.document_in_force(
+            document, self.source, delay.at_most, delay.at_least
+        )
         self.on_document(document)
 
     def _apply_targets(self, changes: Changes) -> None:
--- a/src/gypsumsail/catalog/freshness.py
+++ b/src/gypsumsail/catalog/freshness.py
@@ -61,6 +61,23 @@
     age: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeDelay:
+    """How long a change may have been unknown to this VM.
+
+    Attributes
+    ----------
+    at_most
+        Seconds since the copy was known to be complete, before the change; infinite for
+        the first copy.
+    at_least
+        Seconds since another VM told of the change; 0 if none did.
+    """
+
+    at_most: float
+    at_least: float = 0.0
+
+
 def is_too_old(age: float, bound: float) -> bool:
     """Return whether a VM has to read the store itself.
 
--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -15,7 +15,7 @@
     WATCH_OVERRUN_SECONDS,
     WATCHER_CHECK_SECONDS,
 )
-from gypsumsail.catalog.freshness import is_too_old, watch_seconds
+from gypsumsail.catalog.freshness import ChangeDelay, is_too_old, watch_seconds
 from gypsumsail.catalog.kind_state import Changes, KindState
 from gypsumsail.catalog.store_health import StoreHealth
 from gypsumsail.core.aligned_sleep import async_sleep_aligned
@@ -51,6 +51,11 @@
     confirmed_at, read_at
         Time at which the store is known to have had no change that the copy lacks, by
         this VM or others, and by this VM alone.
+    confirmed_before
+        The time ``confirmed_at`` before the last reading of this VM.
+    behind_since
+        Time at which another VM first told of a change that the copy lacks; ``None``
+        if none has.
     """
 
     def __init__(
@@ -80,6 +85,8 @@
         self.confirm_lock = asyncio.Lock()
         self.confirmed_at = float("-inf")
         self.read_at = float("-inf")
+        self.confirmed_before = float("-inf")
+        self.behind_since: float | None = None
         self.is_reading = False
 
     @property
@@ -213,6 +220,29 @@
         """Return the seconds since the store is known to have confirmed the copy."""
         return now - self.confirmed_at
 
+    @callback
+    def note_behind(self, now: float) -> None:
+        """Record that another VM tells of a change that the copy lacks."""
+        if self.behind_since is None:
+            self.behind_since = now
+
+    @callback
+    def take_delay(self, *, was_read: bool, now: float) -> ChangeDelay:
+        """Return how long a change may have been unknown that is applied now.
+
+        Parameters
+        ----------
+        was_read
+            Whether this VM has read the change from the store itself.
+        """
+        complete_at = self.confirmed_before if was_read else self.confirmed_at
+        behind_since, self.behind_since = self.behind_since, None
+        return ChangeDelay(
+            at_most=now - complete_at,
+            at_least=now - behind_since if behind_since is not None else 0.0,
+        )
+
     def _record_confirmation(self, at: float) -> None:
+        self.confirmed_before = self.confirmed_at
         self.read_at = max(self.read_at, at)
         self.confirmed_at = max(self.confirmed_at, at)
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import asdict
+from math import inf, isfinite
 from typing import Any, Final
 
 from gypsumsail.cold_targets.models import ColdStatement, InvalidCold
@@ -124,6 +125,10 @@
             "Time from a call's arrival to its first event or whole plain answer.",
             ("service",),
         )
+        self.document_delay = registry.histogram(
+            "gypsumsail_document_delay_seconds",
+            "Longest time for which a new routing document can have been unknown.",
+        )
 
     @callback
     def placed(
@@ -355,14 +360,33 @@
         )
 
     @callback
-    def document_in_force(self, document: RoutingDocument, source: str) -> None:
-        """Log a new routing document."""
+    def document_in_force(
+        self,
+        document: RoutingDocument,
+        source: str,
+        copy_age: float = inf,
+        behind_seconds: float = 0.0,
+    ) -> None:
+        """Log a new routing document, and how long this VM may have lacked it.
+
+        Parameters
+        ----------
+        copy_age
+            Seconds since the copy of the document was known to be the newest one;
+            infinite for the first copy.
+        behind_seconds
+            Seconds since another VM told of a newer document.
+        """
         self.document = document
+        if isfinite(copy_age):
+            self.document_delay.labels().observe(copy_age)
         self.log.write(
             "document in force",
             version=document.version,
             revision=document.revision,
             source=source,
+            copy_age_ms=_milliseconds(copy_age) if isfinite(copy_age) else None,
+            behind_ms=_milliseconds(behind_seconds),
             routes=len(document.routes),
             **({"invalid": found} if (found := list(document.invalid_fields)) else {}),
         )
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -92,6 +92,8 @@
     on_copy_confirmed
         Called with what another VM has read from the store; returns whether that VM
         has no change that this one lacks.
+    on_behind
+        Called with a kind of which another VM has a change that this one lacks.
     on_removal_confirmed
         Called with the name and incarnation of a target whose removal another VM
         confirmed.
@@ -135,6 +137,7 @@
         self.on_copy_confirmed: Callable[[CopyConfirmation, float], bool] = (
             lambda confirmation, now: True
         )
+        self.on_behind: Callable[[str, float], None] = lambda kind, now: None
         self.streams = StreamExchange(
             peers, stream_builds, clock, self._send_stream_message
         )
@@ -291,11 +294,15 @@
     def handle_copies_confirmed(self, message: CopiesConfirmed) -> None:
         """Apply what another VM has read from the store."""
         now = self.clock.monotonic()
-        confirmed = [
-            self.on_copy_confirmed(item, now) for item in message.confirmations
+        behind = [
+            item.kind
+            for item in message.confirmations
+            if not self.on_copy_confirmed(item, now)
         ]
+        for kind in behind:
+            self.on_behind(kind, now)
         peer = self.peers.peers.get(message.host)
-        if peer is not None and peer.ahead_since is None and not all(confirmed):
+        if peer is not None and peer.ahead_since is None and behind:
             peer.ahead_since = now
 
     @callback
@@ -535,18 +542,24 @@
     def _track_newer_revisions(
         self, peer: Peer, revisions: tuple[tuple[str, int], ...], now: float
     ) -> None:
-        if not self._is_behind(revisions):
+        behind = self._kinds_behind(revisions)
+        for kind in behind:
+            self.on_behind(kind, now)
+        if not behind:
             peer.ahead_since = None
         elif peer.ahead_since is None:
             peer.ahead_since = now
 
-    def _is_behind(self, last_changed_revisions: tuple[tuple[str, int], ...]) -> bool:
+    def _kinds_behind(
+        self, last_changed_revisions: tuple[tuple[str, int], ...]
+    ) -> list[str]:
         known = self.last_changed_revisions()
         # A kind that this VM does not follow can't be taken from the other one.
-        return any(
-            kind in known and revision > known[kind]
+        return [
+            kind
             for kind, revision in last_changed_revisions
-        )
+            if kind in known and revision > known[kind]
+        ]
 
     def peer_to_catch_up_from(self, now: float) -> Peer | None:
         """Return a VM with newer changes than this one, preferably in this zone.
--- a/src/gypsumsail/vm/catch_up.py
+++ b/src/gypsumsail/vm/catch_up.py
@@ -11,6 +11,7 @@
 from gypsumsail.core.cbor import ValueInvalidError
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
+from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gossip.coordinator import GossipCoordinator
 from gypsumsail.gossip.peers import Peer
 from gypsumsail.logs.decisions import DecisionLog
@@ -52,11 +53,24 @@
     async def _async_fetch_updates(self, peer: Peer) -> None:
         for kind in self.catalog.kinds.all():
             since = self.catalog.revision(kind)
+            asked_at = self.clock.monotonic()
             body = await self.clients.async_get(
                 peer.host,
                 f"{PEER_UPDATE_PATH}{quote(kind, safe='')}",
                 {"since": str(since)},
                 PEER_TIMEOUT_SECONDS,
             )
-            if body is not None:
-                self.catalog.apply_peer_update(kind, decode_peer_update(body), peer.vm)
+            if body is None:
+                continue
+            peer_update = decode_peer_update(body)
+            if peer_update.update.listing.objects:
+                self.log.write(
+                    "copy taken",
+                    peer=peer.vm,
+                    kind=kind,
+                    bytes=len(body),
+                    took_ms=round(
+                        (self.clock.monotonic() - asked_at) * MILLISECONDS_PER_SECOND
+                    ),
+                )
+            self.catalog.apply_peer_update(kind, peer_update, peer.vm)
--- a/src/gypsumsail/vm/const.py
+++ b/src/gypsumsail/vm/const.py
@@ -6,6 +6,8 @@
 
 TICK_SECONDS: Final = 0.05
 """Interval of the main loop."""
+LATE_LOOP_SECONDS: Final = 0.3
+"""Delay of the main loop from which a line is logged."""
 TASK_RESTART_SECONDS: Final = 0.5
 """Pause before a background task restarts after an unexpected failure."""
 FAILURE_LOG_SECONDS: Final = 5.0
--- a/src/gypsumsail/vm/metrics.py
+++ b/src/gypsumsail/vm/metrics.py
@@ -54,6 +54,10 @@
             "Seconds since the store is known to have confirmed the copy of a kind.",
             ("kind",),
         )
+        self.loop_delay = registry.gauge(
+            "gypsumsail_loop_delay_max_seconds",
+            "Longest delay of the main loop since the last scrape.",
+        )
         self.shown_zones: set[str] = set()
         self.evacuated_zones: Family[Gauge] | None = None
         self.zone_evacuated: Family[Gauge] | None = None
@@ -104,6 +108,7 @@
             age = vm.catalog.copy_age(kind, now)
             if isfinite(age):
                 self.copy_age.labels(kind).set(age)
+        self.loop_delay.labels().set(vm.loop_delay.take_longest())
         self._update_evacuations(vm)
         self.left_out.labels().set_total(
             vm.catalog.objects_left_out + vm.ports.unreadable_entries()
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -72,6 +72,7 @@
 )
 from gypsumsail.vm.control import ControlApi
 from gypsumsail.vm.kept_state import KeptStateCoordinator
+from gypsumsail.vm.loop_delay import LoopDelay
 from gypsumsail.vm.metrics import VmMetrics
 from gypsumsail.vm.peer_clients import PeerClients
 from gypsumsail.vm.ports import VmPorts
@@ -189,6 +190,7 @@
             self.log,
         )
         self.silence_log = SilenceLog(self.peers, self.log)
+        self.loop_delay = LoopDelay(self.log)
         self.metrics = VmMetrics(
             self.registry, has_evacuations=bool(ports.kinds.evacuations)
         )
@@ -312,6 +314,7 @@
         gossip.copies.own_readings = self.catalog.own_readings
         self.catalog.set_relied_on(self._is_relied_on)
         gossip.on_copy_confirmed = self.catalog.confirm
+        gossip.on_behind = self.catalog.note_behind
         gossip.on_removal_confirmed = self.catalog.confirm_removal
         self.catalog.on_removal_seen = gossip.announce_removal
         return gossip
@@ -521,6 +524,7 @@
             self.supervisor.tick("gossip", self.gossip.tick, now)
             self.supervisor.tick("rollout", self.rollout.tick, now)
             self.supervisor.tick("silence log", self.silence_log.tick, now)
+            self.supervisor.tick("loop delay", self.loop_delay.tick, now)
             self.writer.flush()
             if not accepts_requests(self.signalled_at, now):
                 self.caller_server.stop_accepting()
--- a/tests/catalog/test_freshness.py
+++ b/tests/catalog/test_freshness.py
@@ -99,6 +99,35 @@
     assert catalog.coordinator.reads_store(KINDS.documents)
 
 
+def test_delay_of_a_change_that_another_vm_tells_counts_from_its_first_news() -> None:
+    catalog = reader()
+    watch = catalog.coordinator.watches[KINDS.documents]
+    now = catalog.clock.now
+    catalog.coordinator.note_behind(KINDS.documents, now + 1.0)
+    catalog.coordinator.note_behind(KINDS.documents, now + 1.4)
+    delay = watch.take_delay(was_read=False, now=now + 1.6)
+    assert delay.at_most == pytest.approx(1.6)
+    assert delay.at_least == pytest.approx(0.6)
+    assert watch.take_delay(was_read=False, now=now + 1.7).at_least == 0
+
+
+async def test_delay_of_a_change_that_is_read_counts_from_the_reading_before() -> None:
+    delays: list[float] = []
+    api = ScriptedApi(listing(9), listing(10, stored("k/a", 10, {})))
+    watch = kind_watch(api)
+    watch.on_changes = lambda kind, changes: delays.append(
+        watch.take_delay(was_read=True, now=watch.clock.monotonic()).at_most
+    )
+    watch.must_list = False
+    watch.state.revision = 9
+    listed_at = watch.confirmed_at = watch.clock.monotonic() - 1.0
+    task = asyncio.create_task(watch.async_run())
+    await asyncio.wait_for(api.is_exhausted.wait(), 1.0)
+    task.cancel()
+    assert listed_at < watch.confirmed_at
+    assert 0 <= delays[0] < LATE_SECONDS
+
+
 def test_settings_change_the_bound() -> None:
     catalog = reader()
     catalog.clock.now += 1.9
