--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -28,14 +28,28 @@
 
 A VM then misses two of them before its copy is too old.
 """
+ASK_BESIDE_SHARE: Final = 0.1
+"""Share of that bound after which a VM that lacks a change asks another one beside.
+
+It is the delay of a call that hangs, so that several of them leave time for the rest.
+"""
+FETCH_SHARE: Final = 0.25
+"""Share of that bound that one call to another VM may take."""
+CONFIRM_SHARE: Final = 0.15
+"""Share of that bound that the first call may take that reads a copy again."""
 CONFIRM_WAIT_SECONDS: Final = 0.001
 """Wait of a watch that only returns the changes until now."""
 CONFIRM_TIMEOUT_SECONDS: Final = 0.5
 """Maximum time of a call that confirms a copy."""
 WATCHER_CHECK_SECONDS: Final = 0.2
 """Interval at which a VM checks whether it has to watch a kind."""
+FIRST_RETRY_SECONDS: Final = 0.05
+"""Pause after the first failed call to the store.
+
+The call may only have met a connection that had ended.
+"""
 RETRY_SECONDS: Final = 0.25
-"""Pause after the first failed call to the store."""
+"""Pause after the second consecutive failed call to the store."""
 MAX_RETRY_SECONDS: Final = 1.0
 """Maximum pause after consecutive failed calls to the store."""
 RELISTING_GRACE_SECONDS: Final = 2.3
--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from dataclasses import dataclass, replace
 from math import isfinite
 from typing import Any, Protocol
@@ -242,6 +242,10 @@
             found[kind] = max(found[kind], 1)
         return found
 
+    def bound(self, kinds: Iterable[str]) -> float:
+        """Return the seconds in which changes of all given kinds must be in force."""
+        return min(self.watches[kind].bound for kind in kinds)
+
     def reads_store(self, kind: str) -> bool:
         """Return whether this VM reads a kind from the store instead of its peers."""
         return self.watches[kind].reads_store
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import replace
 import random
 from typing import TypeVar
@@ -294,16 +294,14 @@
     def handle_copies_confirmed(self, message: CopiesConfirmed) -> None:
         """Apply what another VM has read from the store."""
         now = self.clock.monotonic()
-        behind = [
-            item.kind
+        newer = {
+            item.kind: item.changed_revision
             for item in message.confirmations
             if not self.on_copy_confirmed(item, now)
-        ]
-        for kind in behind:
-            self.on_behind(kind, now)
+        }
         peer = self.peers.peers.get(message.host)
-        if peer is not None and peer.ahead_since is None and behind:
-            peer.ahead_since = now
+        if peer is not None and newer:
+            self._set_newer(peer, {**peer.newer, **newer}, now)
 
     @callback
     def handle_stream_message(self, message: StreamMessage) -> None:
@@ -542,36 +540,52 @@
     def _track_newer_revisions(
         self, peer: Peer, revisions: tuple[tuple[str, int], ...], now: float
     ) -> None:
-        behind = self._kinds_behind(revisions)
-        for kind in behind:
+        self._set_newer(peer, self._newer(revisions), now)
+
+    def _newer(self, revisions: Iterable[tuple[str, int]]) -> dict[str, int]:
+        """Return the revisions of the kinds of which this VM lacks changes."""
+        known = self.last_changed_revisions()
+        # A kind that this VM does not follow can't be taken from the other one.
+        return {
+            kind: revision
+            for kind, revision in revisions
+            if kind in known and revision > known[kind]
+        }
+
+    def _set_newer(self, peer: Peer, newer: dict[str, int], now: float) -> None:
+        for kind in newer:
             self.on_behind(kind, now)
-        if not behind:
+        peer.newer = newer
+        if not newer:
             peer.ahead_since = None
         elif peer.ahead_since is None:
             peer.ahead_since = now
 
-    def _kinds_behind(
-        self, last_changed_revisions: tuple[tuple[str, int], ...]
-    ) -> list[str]:
-        known = self.last_changed_revisions()
-        # A kind that this VM does not follow can't be taken from the other one.
-        return [
-            kind
-            for kind, revision in last_changed_revisions
-            if kind in known and revision > known[kind]
-        ]
+    def kinds_ahead(self, peer: Peer) -> frozenset[str]:
+        """Return the kinds of which a VM has told changes that this one lacks."""
+        return frozenset(self._newer(peer.newer.items()))
 
-    def peer_to_catch_up_from(self, now: float) -> Peer | None:
+    def peer_to_catch_up_from(
+        self, now: float, excluded: Collection[str] = ()
+    ) -> Peer | None:
         """Return a VM with newer changes than this one, preferably in this zone.
 
         A VM that reads all kinds from the store first waits some time for the store's
         answer.
+
+        Parameters
+        ----------
+        excluded
+            Hosts of VMs that are not returned.
         """
         delay = CATCH_UP_DELAY_SECONDS if self._reads_all_from_store() else 0.0
         ahead = [
             peer
             for peer in self.peers.alive(now)
-            if peer.ahead_since is not None and now - peer.ahead_since >= delay
+            if peer.ahead_since is not None
+            and now - peer.ahead_since >= delay
+            and peer.host not in excluded
+            and self.kinds_ahead(peer)
         ]
         same_zone = [peer for peer in ahead if peer.zone == self.peers.zone]
         return self.random.choice(same_zone or ahead) if ahead else None
--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -57,9 +57,11 @@
         A later start may have an earlier time, because the clock may be set back.
     last_message_at
         Time of the last message; ``None`` before the first one.
+    newer
+        Revision of the newest change of each kind of which the VM has changes that this
+        one lacked at its last message.
     ahead_since
-        Time since which the VM has newer changes; ``None`` when it has none, or when a
-        fetch from it has started since its last message.
+        Time since which there are such kinds; ``None`` when there are none.
     reads_reports
         Whether the VM understands zone reports; builds before them do not.
     reads_notices
@@ -85,6 +87,7 @@
     sequence_number: int = 0
     last_message_at: float | None = None
     sent_at: float | None = None
+    newer: dict[str, int] = field(default_factory=dict)
     ahead_since: float | None = None
     reads_reports: bool = False
     reads_notices: bool = False
--- a/src/gypsumsail/vm/const.py
+++ b/src/gypsumsail/vm/const.py
@@ -27,8 +27,12 @@
 """Number of VMs per zone of a large fleet with the duty to read the list of VMs."""
 VM_LIST_DUTY: Final = "list of VMs"
 """Name of that duty."""
-PEER_RETRY_SECONDS: Final = 0.5
-"""Pause after a failed attempt to fetch updates from a peer."""
+PEER_RETRY_SECONDS: Final = 0.2
+"""Pause after a failed call until the same peer may be asked again."""
+AVOID_FAILED_SECONDS: Final = 2.0
+"""Time after a failed call in which other peers are preferred."""
+MAX_FETCHES: Final = 3
+"""Number of peers that a VM asks for changes at once, at most."""
 SETTINGS_POLL_SECONDS: Final = 1.0
 """Interval at which the settings file is checked for changes."""
 BALANCER_NOTICE_SECONDS: Final = 2.6
--- a/src/gypsumsail/vm/peer_clients.py
+++ b/src/gypsumsail/vm/peer_clients.py
@@ -40,11 +40,21 @@
             raise TransportError(
                 "no control port is configured for calls between VMs", sent=False
             )
-        answer = await self._client(host, self.port).async_call(
-            "GET", path, timeout=timeout, query=query
-        )
+        client = self._client(host, self.port)
+        try:
+            answer = await client.async_call("GET", path, timeout=timeout, query=query)
+        except TransportError:
+            # The other connections may have gone silent with this one.
+            client.close()
+            raise
         return answer.body if answer.status == 200 else None
 
+    @callback
+    def drop_idle(self) -> None:
+        """Close the idle connections, so that the next calls use new ones."""
+        for client in self.clients.values():
+            client.close()
+
     @callback
     def close(self) -> None:
         """Close all connections."""
