--- a/src/gypsumsail/catalog/kind_watch.py
+++ b/src/gypsumsail/catalog/kind_watch.py
@@ -7,8 +7,10 @@
 import logging
 
 from gypsumsail.catalog.const import (
+    CONFIRM_SHARE,
     CONFIRM_TIMEOUT_SECONDS,
     CONFIRM_WAIT_SECONDS,
+    FIRST_RETRY_SECONDS,
     MAX_RETRY_SECONDS,
     OUTAGE_WATCH_SECONDS,
     RETRY_SECONDS,
@@ -113,6 +115,8 @@
             if not reads_store:
                 await async_sleep_aligned(WATCHER_CHECK_SECONDS)
                 continue
+            if not self.is_watcher(self.kind) and await self._async_read_old_copy():
+                continue
             try:
                 changes = await self._async_step()
             except WatchExpiredError:
@@ -127,12 +131,13 @@
                 # the next watch raises `WatchExpiredError`.
                 if self.health.record_failure():
                     self.on_availability(False, str(err))
+                    await asyncio.sleep(FIRST_RETRY_SECONDS)
+                    continue
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, MAX_RETRY_SECONDS)
                 continue
             pause = RETRY_SECONDS
-            if self.health.record_answer(self.clock.monotonic()):
-                self.on_availability(True, "")
+            self._record_answer()
             if changes.objects:
                 self.on_changes(self.kind, changes)
 
@@ -165,6 +170,23 @@
         self._record_confirmation(started_at + wait if is_late else started_at)
         return self.state.apply(listing)
 
+    async def _async_read_old_copy(self) -> bool:
+        """Read the changes until now of a copy that others no longer confirm.
+
+        A watch would not show for the length of its wait that its call hangs. Returns
+        whether the store has answered.
+        """
+        if self.health.is_failing:
+            return False
+        has_answered = await self.async_confirm(self.bound * CONFIRM_SHARE)
+        if has_answered:
+            self._record_answer()
+        return has_answered
+
+    def _record_answer(self) -> None:
+        if self.health.record_answer(self.clock.monotonic()):
+            self.on_availability(True, "")
+
     def _wait(self) -> float:
         is_relied_on = self.is_relied_on(self.kind) or not self.is_watcher(self.kind)
         return watch_seconds(self.bound, is_relied_on=is_relied_on)
@@ -186,16 +208,21 @@
             self.confirmed_at = max(self.confirmed_at, at)
         return True
 
-    async def async_confirm(self) -> bool:
+    async def async_confirm(self, limit: float = CONFIRM_TIMEOUT_SECONDS) -> bool:
         """Read the changes until now; return whether the copy has them all.
 
         Callers that wait for each other share one call that began after theirs.
+
+        Parameters
+        ----------
+        limit
+            Time limit of the call in seconds.
         """
         asked_at = self.clock.monotonic()
         async with self.confirm_lock:
             if self.read_at < asked_at and self.state.revision and not self.must_list:
                 try:
-                    async with asyncio.timeout(CONFIRM_TIMEOUT_SECONDS):
+                    async with asyncio.timeout(limit):
                         await self._async_read_changes()
                 except (TransportError, WatchExpiredError, TimeoutError) as err:
                     _LOGGER.debug("Copy of %s is not confirmed: %s", self.kind, err)
--- a/tests/catalog/test_freshness.py
+++ b/tests/catalog/test_freshness.py
@@ -6,11 +6,14 @@
 
 import pytest
 
+from gypsumsail.catalog.const import MAX_AGE_SHARE
 from gypsumsail.catalog.freshness import CopyConfirmation, is_too_old, watch_seconds
 from gypsumsail.core.clock import SystemClock
 from gypsumsail.object_api.port import Listing
+from gypsumsail.platform.objects import WATCH_TIMEOUT_MARGIN_SECONDS
 from tests.catalog.common import (
     KINDS,
+    LOST,
     Catalog,
     ScriptedApi,
     document_spec,
@@ -128,6 +131,35 @@
     assert 0 <= delays[0] < LATE_SECONDS
 
 
+class HangingApi(ScriptedApi):
+    """Object API whose first call hangs, as on a connection that went silent."""
+
+    async def async_watch(
+        self, prefix: str, *, after_revision: int, wait: float
+    ) -> Listing:
+        if not self.calls:
+            self.calls.append("hang")
+            await asyncio.sleep(wait + WATCH_TIMEOUT_MARGIN_SECONDS)
+            raise LOST
+        return await super().async_watch(
+            prefix, after_revision=after_revision, wait=wait
+        )
+
+
+async def test_reader_whose_call_hangs_has_the_change_in_time() -> None:
+    api = HangingApi(listing(10, stored("k/a", 10, {})))
+    bound = BOUNDS[1]
+    watch = kind_watch(api, is_watcher=False, bound=bound)
+    changed = asyncio.Event()
+    watch.on_changes = lambda kind, changes: changed.set()
+    watch.must_list = False
+    watch.state.revision = 9
+    watch.confirmed_at = watch.clock.monotonic() - bound * MAX_AGE_SHARE
+    task = asyncio.create_task(watch.async_run())
+    await asyncio.wait_for(changed.wait(), bound * (1 - MAX_AGE_SHARE))
+    task.cancel()
+
+
 def test_settings_change_the_bound() -> None:
     catalog = reader()
     catalog.clock.now += 1.9
