--- a/src/gypsumsail/catalog/peer_updates.py
+++ b/src/gypsumsail/catalog/peer_updates.py
@@ -1,8 +1,14 @@
-"""CBOR encoding of the updates that VMs fetch from each other."""
+"""CBOR encoding of the updates that VMs fetch from each other.
+
+All VMs of a zone fetch a change from the few VMs that have it first, whose links may be
+narrow. They therefore ask for compressed updates; earlier builds don't, and send none.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
+import zlib
 
 import cbor2
 
@@ -13,6 +19,13 @@
 
 PEER_UPDATE_PATH = "/peer/copies/"
 PEER_UPDATE_FIELDS = 4
+COMPRESSED_FLAG: Final = "deflate"
+"""Query parameter of a VM that reads compressed updates."""
+COMPRESSION_LEVEL: Final = 1
+MAX_UPDATE_BYTES: Final = 16 * 1024 * 1024
+"""Maximum size of an update that is not compressed."""
+_ZLIB_FIRST_BYTE: Final = 0x78
+"""First byte of a compressed update; an update in CBOR begins with an array."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,7 +42,9 @@
     outage: StoreOutage
 
 
-def encode_peer_update(peer_update: PeerUpdate) -> bytes:
+def encode_peer_update(
+    peer_update: PeerUpdate, *, is_compressed: bool = False
+) -> bytes:
     """Encode an update."""
     listing = peer_update.update.listing
     objects = [[obj.key, obj.version, obj.value] for obj in listing.objects]
@@ -39,11 +54,25 @@
         int(peer_update.outage),
         objects,
     ]
-    return cbor2.dumps(fields)
+    data = cbor2.dumps(fields)
+    return zlib.compress(data, COMPRESSION_LEVEL) if is_compressed else data
+
+
+def _decompress(data: bytes) -> bytes:
+    stream = zlib.decompressobj()
+    try:
+        found = stream.decompress(data, MAX_UPDATE_BYTES)
+    except zlib.error as err:
+        raise cbor.ValueInvalidError("the update can't be decompressed") from err
+    if not stream.eof:
+        raise cbor.ValueInvalidError("the update is too large or incomplete")
+    return found
 
 
 def decode_peer_update(data: bytes) -> PeerUpdate:
-    """Decode an update; raises ``ValueInvalidError``."""
+    """Decode an update, compressed or not; raises ``ValueInvalidError``."""
+    if data[:1] == bytes([_ZLIB_FIRST_BYTE]):
+        data = _decompress(data)
     fields = cbor.read_list(cbor.load(data), PEER_UPDATE_FIELDS)
     revision, is_complete, outage, objects = fields
     if not isinstance(is_complete, bool):
--- a/src/gypsumsail/vm/catch_up.py
+++ b/src/gypsumsail/vm/catch_up.py
@@ -8,7 +8,11 @@
 from urllib.parse import quote
 
 from gypsumsail.catalog.coordinator import CatalogCoordinator
-from gypsumsail.catalog.peer_updates import PEER_UPDATE_PATH, decode_peer_update
+from gypsumsail.catalog.peer_updates import (
+    COMPRESSED_FLAG,
+    PEER_UPDATE_PATH,
+    decode_peer_update,
+)
 from gypsumsail.core.aligned_sleep import async_sleep_aligned
 from gypsumsail.core.callback import callback
 from gypsumsail.core.cbor import ValueInvalidError
@@ -118,7 +122,7 @@
             body = await self.clients.async_get(
                 peer.host,
                 f"{PEER_UPDATE_PATH}{quote(kind, safe='')}",
-                {"since": str(self.catalog.revision(kind))},
+                {"since": str(self.catalog.revision(kind)), COMPRESSED_FLAG: "1"},
                 limit,
             )
             if body is None:
--- a/src/gypsumsail/vm/control.py
+++ b/src/gypsumsail/vm/control.py
@@ -5,7 +5,11 @@
 from typing import TYPE_CHECKING, Final
 from urllib.parse import parse_qs
 
-from gypsumsail.catalog.peer_updates import PEER_UPDATE_PATH, encode_peer_update
+from gypsumsail.catalog.peer_updates import (
+    COMPRESSED_FLAG,
+    PEER_UPDATE_PATH,
+    encode_peer_update,
+)
 from gypsumsail.context_stores.relay import VIEW_PATH
 from gypsumsail.forwarding.const import FORWARD_PATH
 from gypsumsail.transport.http_reply import Reply
@@ -53,4 +57,6 @@
         now = self.vm.clock.monotonic()
         kind = path.removeprefix(PEER_UPDATE_PATH)
         peer_update = self.vm.catalog.peer_update_since(kind, int(since), now)
-        return encode_peer_update(peer_update) if peer_update is not None else None
+        if peer_update is None:
+            return None
+        return encode_peer_update(peer_update, is_compressed=COMPRESSED_FLAG in query)
--- a/tests/vm/peer_servers.py
+++ b/tests/vm/peer_servers.py
@@ -7,6 +7,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 import socket
+from urllib.parse import parse_qs
 
 from gypsumsail.catalog.peer_updates import PEER_UPDATE_PATH, encode_peer_update
 from gypsumsail.core.clock import SystemClock
@@ -85,7 +86,7 @@
     def _answer(self, head: bytes) -> bytes:
         path, _, query = head.split(b" ")[1].decode().partition("?")
         update = self.catalog.coordinator.peer_update_since(
-            path.removeprefix(PEER_UPDATE_PATH), int(query.partition("=")[2]), 0.0
+            path.removeprefix(PEER_UPDATE_PATH), int(parse_qs(query)["since"][0]), 0.0
         )
         body = encode_peer_update(update) if update is not None else b""
         status = b"200 OK" if update is not None else b"404 Not Found"
