--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -63,6 +63,8 @@
 """
 MAX_REMEMBERED_REMOVALS: Final = 500
 """Maximum number of removed targets that are recognized in a restored store."""
+USUAL_TICK_SECONDS: Final = 0.1
+"""Longest usual time between two ticks of the main loop."""
 CLOCK_GAP_SECONDS: Final = 1.0
 """Time without a tick of the main loop from which the process counts as suspended."""
 GAP_CATCH_UP_SECONDS: Final = 2.0
--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -9,7 +9,11 @@
 from math import isfinite
 from typing import Any, Protocol
 
-from gypsumsail.catalog.const import MAX_CONFIRMED_REMOVALS, WATCH_SECONDS
+from gypsumsail.catalog.const import (
+    MAX_CONFIRMED_REMOVALS,
+    USUAL_TICK_SECONDS,
+    WATCH_SECONDS,
+)
 from gypsumsail.catalog.freshness import ChangeBounds, ChangeDelay, CopyConfirmation
 from gypsumsail.catalog.kind_state import Changes
 from gypsumsail.catalog.kind_watch import KindWatch
@@ -264,10 +268,17 @@
 
     @callback
     def confirm(self, confirmation: CopyConfirmation, now: float) -> bool:
-        """Apply what another VM has read; return whether that VM is not ahead."""
+        """Apply what another VM has read; return whether that VM is not ahead.
+
+        The message may have waited for the event loop since the tick before.
+        """
         watch = self.watches.get(confirmation.kind)
+        ticked_at = self.naming_time.ticked_at
+        arrived_at = now
+        if ticked_at is not None:
+            arrived_at = min(now, ticked_at + USUAL_TICK_SECONDS)
         return watch is None or watch.confirm(
-            confirmation.changed_revision, now - confirmation.age
+            confirmation.changed_revision, arrived_at - confirmation.age
         )
 
     @callback
--- a/tests/catalog/test_freshness.py
+++ b/tests/catalog/test_freshness.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gypsumsail.catalog.const import MAX_AGE_SHARE
+from gypsumsail.catalog.const import MAX_AGE_SHARE, USUAL_TICK_SECONDS
 from gypsumsail.catalog.freshness import CopyConfirmation, is_too_old, watch_seconds
 from gypsumsail.core.clock import SystemClock
 from gypsumsail.object_api.port import Listing
@@ -86,6 +86,15 @@
     assert catalog.coordinator.reads_store(KINDS.documents)
 
 
+def test_confirmation_that_waited_for_a_late_loop_counts_from_the_tick_before() -> None:
+    catalog = reader()
+    catalog.coordinator.tick(catalog.clock.now)
+    catalog.clock.now += 0.8
+    assert catalog.coordinator.confirm(confirmation(5), catalog.clock.now)
+    age = catalog.coordinator.copy_age(KINDS.documents, catalog.clock.now)
+    assert age == pytest.approx(0.8 - USUAL_TICK_SECONDS)
+
+
 def test_late_confirmation_does_not_make_a_copy_newer() -> None:
     catalog = reader()
     catalog.clock.now += 1.9
