--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -565,6 +565,25 @@
         """Return the kinds of which a VM has told changes that this one lacks."""
         return frozenset(self._newer(peer.newer.items()))
 
+    @callback
+    def record_fetched(self, peer: Peer, fetched: Mapping[str, int]) -> None:
+        """Record that a VM was asked for all that it had told of some kinds.
+
+        Parameters
+        ----------
+        fetched
+            What ``newer`` held of these kinds when the VM was asked. A VM may tell of a
+            later revision than its update holds, as both count removals differently.
+        """
+        left = {
+            kind: revision
+            for kind, revision in peer.newer.items()
+            if fetched.get(kind) != revision
+        }
+        peer.newer = left
+        if not left:
+            peer.ahead_since = None
+
     def peer_to_catch_up_from(
         self, now: float, excluded: Collection[str] = ()
     ) -> Peer | None:
--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -59,7 +59,7 @@
         Time of the last message; ``None`` before the first one.
     newer
         Revision of the newest change of each kind of which the VM has changes that this
-        one lacked at its last message.
+        one lacked at its last message, and has not fetched since.
     ahead_since
         Time since which there are such kinds; ``None`` when there are none.
     reads_reports
--- a/src/gypsumsail/vm/catch_up.py
+++ b/src/gypsumsail/vm/catch_up.py
@@ -100,8 +100,10 @@
     ) -> None:
         """Fetch changes from one peer."""
         has_failed = False
+        told = {kind: peer.newer[kind] for kind in kinds}
         try:
             await self._async_fetch_updates(peer, kinds, fetch_limit(bound))
+            self.gossip.record_fetched(peer, told)
         except (TransportError, ValueInvalidError) as err:
             has_failed = True
             self.log.write("copy not taken", peer=peer.vm, reason=str(err))
--- a/tests/vm/peer_servers.py
+++ b/tests/vm/peer_servers.py
@@ -56,6 +56,8 @@
         Whether it accepts connections and answers nothing.
     silent
         Connections on which it no longer answers, as if their bytes were lost.
+    requests
+        Number of requests that it has read.
     """
 
     host: str
@@ -64,6 +66,7 @@
     is_hanging: bool = False
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
     silent: set[asyncio.StreamWriter] = field(default_factory=set)
+    requests: int = 0
 
     def silence_open_connections(self) -> None:
         """Answer no request on the connections that are open now."""
@@ -76,6 +79,7 @@
         self.writers.add(writer)
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
+                self.requests += 1
                 if not self.is_hanging and writer not in self.silent:
                     writer.write(self._answer(head))
         except (asyncio.IncompleteReadError, ConnectionError):
