--- a/stand_ins/serving.py
+++ b/stand_ins/serving.py
@@ -12,6 +12,12 @@
 
 HOST: Final = "127.0.0.1"
 SHUTDOWN_TIMEOUT_SECONDS: Final = 1
+KEEP_ALIVE_SECONDS: Final = 60
+"""Time for which an idle connection stays open.
+
+A stand-in that stood still for longer closes connections before it reads the requests
+that have arrived on them meanwhile.
+"""
 
 
 class AbortableProtocol(HttpToolsProtocol):
@@ -46,6 +52,7 @@
         log_level="warning",
         access_log=False,
         proxy_headers=False,
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
         timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_SECONDS,
     )
     AnnouncingServer(config).run(sockets=[listener])
