--- a/src/gypsumsail/catalog/const.py
+++ b/src/gypsumsail/catalog/const.py
@@ -28,8 +28,8 @@
 
 A VM then misses two of them before its copy is too old.
 """
-ASK_BESIDE_SHARE: Final = 0.1
-"""Share of that bound after which a VM that lacks a change asks another one beside.
+HEDGE_SHARE: Final = 0.1
+"""Share of that bound after which a fetch from another VM is hedged by a second one.
 
 It is the delay of a call that hangs, so that several of them leave time for the rest.
 """
--- a/src/gypsumsail/vm/fetch_plan.py
+++ b/src/gypsumsail/vm/fetch_plan.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass, field
 
-from gypsumsail.catalog.const import ASK_BESIDE_SHARE, FETCH_SHARE
+from gypsumsail.catalog.const import FETCH_SHARE, HEDGE_SHARE
 from gypsumsail.vm.const import (
     AVOID_FAILED_SECONDS,
     MAX_FETCHES,
@@ -30,9 +30,9 @@
     return min(bound * FETCH_SHARE, PEER_TIMEOUT_SECONDS)
 
 
-def ask_beside_seconds(bound: float) -> float:
-    """Return after how many seconds without an answer another VM is asked."""
-    return min(bound * ASK_BESIDE_SHARE, PEER_TIMEOUT_SECONDS)
+def hedge_delay(bound: float) -> float:
+    """Return after how many seconds without an answer a call is hedged by another."""
+    return min(bound * HEDGE_SHARE, PEER_TIMEOUT_SECONDS)
 
 
 @dataclass(slots=True)
@@ -77,7 +77,7 @@
     def record_start(self, host: str, bound: float, now: float) -> None:
         """Record that a host is asked for changes with a bound in seconds."""
         self.running.add(host)
-        self.next_at = now + ask_beside_seconds(bound)
+        self.next_at = now + hedge_delay(bound)
 
     def record_end(self, host: str, now: float, *, has_failed: bool) -> None:
         """Record the end of a call."""
