Show that a request which crashes engines is sent again after a total loss

Cause: blocked requests are kept in memory only, unlike blocked parts of prompts, so that nobody can tell them to the machines that start after all were killed.

--- a/review/engine_2.py
+++ b/review/engine_2.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import os
 import sys
 import time
 
@@ -15,7 +16,10 @@
 
 BEAT_SECONDS = 1.2
 WORK_SECONDS = 0.25
+"""Time between two pieces of an answer."""
 PIECES = 4
+CRASH_MARK = "letter-13"
+"""Part of a target that crashes the engine which begins to run it."""
 
 
 def answer_body(request_id: str) -> bytes:
@@ -59,6 +63,9 @@
             writer.write(encode_answer(400, b"", {"Gypsumsail-Not-Run": "1"}))
             return True
         tell(f"runs {request_id}, born {self.born}")
+        if CRASH_MARK in request.target:
+            tell(f"crashes on {request_id}")
+            os._exit(1)
         await asyncio.sleep(WORK_SECONDS / 5)
         head = (
             f"HTTP/1.1 200 OK\r\nGypsumsail-Request-Id: {request_id}\r\n"
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -566,9 +566,15 @@
 
     def write(self, text: str) -> None:
         """Add a line with the seconds since the start."""
+        if self.file.closed:
+            return
         line = f"{time.monotonic() - self.started_at:8.3f}  {text}"
         print(line, file=self.file, flush=True)
 
+    def close(self) -> None:
+        """Take no more lines."""
+        self.file.close()
+
 
 def config(
     version: int,
