--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -13,6 +13,7 @@
 import os
 from pathlib import Path
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -436,25 +437,13 @@
             await asyncio.sleep(0.1)
         return False
 
-    def resident_mb(self) -> float:
-        """Return the resident memory of the process that is its own, in MB."""
-        if self.process is None or self.process.returncode is not None:
-            return 0.0
-        try:
-            text = Path(f"/proc/{self.process.pid}/status").read_text()
-        except OSError:
-            return 0.0
-        for line in text.splitlines():
-            if line.startswith("RssAnon:"):
-                return int(line.split()[1]) / 1024
-        return 0.0
-
     async def async_end(self) -> None:
-        """End the process."""
+        """End the process and remove its files."""
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         if self.process is not None:
             await self.process.wait()
+        shutil.rmtree(self.directory, ignore_errors=True)
 
 
 def free_ports(host: str, count: int) -> int:
