Keep a call apart if either document isolates its customer

What callers saw: a customer's dossiers waited in a VM's queue while a routing document came into force that isolates the customer.

Cause: the scope of cached parts was put together from two times. Whether the customer is isolated came from the document under which the call was accepted, the name of the sharing group from the one in force. The waiting call therefore went into the very group that was named to exclude its customer. The same scope is used for the estimates, for what other VMs are told, for fetches and for saves.

Change: one function for the scope (sharing/scopes.py). A customer that either document isolates is isolated for the call, and a group is named by all customers that it keeps out. Names are quoted, as "/x" could read as the group x. The names of groups changed in length, so that nothing is found that earlier builds put into the wrong group. A call that only an earlier document isolates is not forwarded.

--- a/src/gypsumsail/context_stores/freeing.py
+++ b/src/gypsumsail/context_stores/freeing.py
@@ -15,7 +15,8 @@
     UNUSED_VERSION_SECONDS,
 )
 from gypsumsail.gateway.targets import TargetState
-from gypsumsail.gateway.weights import WantedWeights, version_of
+from gypsumsail.gateway.weights import WantedWeights
+from gypsumsail.sharing.scopes import version_of
 
 PartKey = tuple[str, str]
 """Cache scope, which contains the weight version, and name of a part of a prompt."""
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -185,7 +185,7 @@
     def set_document(self, document: RoutingDocument) -> None:
         """Apply a routing document; queues of removed services are kept."""
         self.document = document
-        self.view.sharing_group = document.sharing_group
+        self._set_isolated(document.isolated_customers)
         self.view.targets.set_cold_terms(document.services, self.clock.monotonic())
         self.stream_builds.note_return(longest_stream(document))
         for name, service in document.services.items():
@@ -197,6 +197,11 @@
                 assert isinstance(queue.placer, JobPlacer)
                 queue.placer.service = service
 
+    def _set_isolated(self, isolated: frozenset[str]) -> None:
+        if isolated != self.view.isolated_customers:
+            self.telemetry.isolated_changed(self.view.isolated_customers, isolated)
+        self.view.isolated_customers = isolated
+
     @callback
     def tick(self, now: float) -> None:
         """Run the periodic liveness checks and note the builds of the targets."""
@@ -307,6 +312,7 @@
             fingerprint=request_fingerprint,
             resume_after=call.resume_after,
             shared_parts=shared_parts(call),
+            isolated_when_accepted=self.view.isolated_customers,
         )
 
     async def _async_serve(self, job: Job, reply: CallerReply) -> None:
--- a/src/gypsumsail/gateway/fleet_view.py
+++ b/src/gypsumsail/gateway/fleet_view.py
@@ -70,8 +70,9 @@
         between long and short prompts begins or ends.
     exits_at
         Time at which this VM exits; infinite until it is told to stop.
-    sharing_group
-        Name of the customers that share prompt parts, see ``RoutingDocument``.
+    isolated_customers
+        Names of the customers whose cached context is not shared, by the document in
+        force.
     choose_helper
         Returns the host of another VM that may serve a call of a service; ``None`` if
         there is none. Its arguments are the service, the hosts that were tried, the
@@ -104,7 +105,7 @@
     )
     regions: Regions = field(default_factory=lambda: Regions(own_zone=""))
     exits_at: float = inf
-    sharing_group: str = ""
+    isolated_customers: frozenset[str] = frozenset()
 
     def may_place(self, now: float) -> bool:
         """Return whether this VM knows enough of the fleet to place calls."""
--- a/src/gypsumsail/gateway/models.py
+++ b/src/gypsumsail/gateway/models.py
@@ -7,8 +7,6 @@
 from enum import StrEnum
 from functools import cached_property
 
-import xxhash
-
 from gypsumsail.cold_targets.models import ColdTerms
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
@@ -233,17 +231,10 @@
     invalid_fields: tuple[str, ...] = ()
 
     @cached_property
-    def sharing_group(self) -> str:
-        """Return a name of the customers that share prompt parts; empty if all do.
-
-        It changes with the customers whose parts are isolated: what a customer shared
-        before belongs to the earlier group.
-        """
+    def isolated_customers(self) -> frozenset[str]:
+        """Return the names of the customers whose cached context is not shared."""
         customers = (self.customers_by_key or {}).values()
-        isolated = sorted({found.name for found in customers if found.is_isolated})
-        if not isolated:
-            return ""
-        return xxhash.xxh3_64_hexdigest("\0".join(isolated).encode())
+        return frozenset(found.name for found in customers if found.is_isolated)
 
     @cached_property
     def routes_by_host(self) -> Mapping[str, tuple[Route, ...]]:
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -40,8 +40,12 @@
     seconds_until_allowed,
 )
 from gypsumsail.gateway.targets import InFlightCall, TargetState
-from gypsumsail.gateway.weights import WeightFit, cache_scope, weight_fit
+from gypsumsail.gateway.weights import WeightFit, weight_fit
 from gypsumsail.placing.pools import EnginePools, PoolEngine
+from gypsumsail.sharing.scopes import (
+    isolated_for_call,
+    shared_scope,
+)
 
 
 def _fastest_seconds(states: Sequence[TargetState]) -> float:
@@ -148,10 +152,21 @@
 
         A stream that has begun is not forwarded: the other VM would begin it anew.
         """
-        if job.is_forwarded or job.first_at:
+        if job.is_forwarded or job.first_at or self._is_isolated_no_longer(job):
             return False
         return self.view.is_cut_off(self.service.name, now, job.homes)
 
+    def _is_isolated_no_longer(self, job: Job) -> bool:
+        """Return whether only an earlier document isolates the customer of a job.
+
+        The other VM would not know of that document.
+        """
+        name = job.customer.name
+        return (
+            name in job.isolated_when_accepted
+            and name not in self.view.isolated_customers
+        )
+
     def _is_usable(self, state: TargetState, now: float) -> bool:
         """Return whether a target takes a call of this VM at this moment."""
         if state.is_unreachable(now) or state.paused_until > now:
@@ -298,10 +313,18 @@
         wanted = self.view.wanted_weights.get(prompt.model)
         return weight_fit(wanted, version, self.view.rollout_seconds, now)
 
-    def _scope(self, job: Job, state: TargetState) -> str:
-        isolated = job.customer.name if job.customer.is_isolated else ""
-        version = self._version(job, state)
-        return cache_scope(isolated, version, self.view.sharing_group)
+    def _scope(self, job: Job, state: TargetState) -> str | None:
+        """Return the scope of a call at a target; ``None`` if it shares nothing."""
+        isolated = isolated_for_call(
+            job.isolated_when_accepted, self.view.isolated_customers
+        )
+        return shared_scope(job.customer.name, self._version(job, state), isolated)
+
+    def _send_scope(self, job: Job, state: TargetState) -> str:
+        """Return the scope of one send; empty for a plain call."""
+        if job.call.prompt is None:
+            return ""
+        return self._scope(job, state) or job.call.request_id
 
     def _fetchable_parts(self, job: Job, now: float) -> FetchableByScope:
         """Return the lookup of fetchable leading parts, cached by scope."""
@@ -315,6 +338,8 @@
         if prompt is None:
             return 0, 0
         scope = self._scope(job, state)
+        if scope is None:
+            return prompt.input_tokens, 0
         cached = state.cache.leading_parts(scope, prompt.parts)
         available_parts = max(fetchable_by_scope[scope], cached)
         known = sum(part.tokens for part in prompt.parts[:available_parts])
@@ -379,8 +404,6 @@
             answer_delay=answer_delay,
             prefill_tokens=prefill_tokens,
             fetch_tokens=fetch_tokens,
-            # Without a known version, nothing may be shared: the scope is unique to the
-            # request.
-            cache_scope=self._scope(job, state) if version else job.call.request_id,
+            cache_scope=self._send_scope(job, state),
             weight_version=version or None,
         )
--- a/src/gypsumsail/gateway/telemetry.py
+++ b/src/gypsumsail/gateway/telemetry.py
@@ -35,6 +35,8 @@
 """Number of unreadable fields of a document that are logged."""
 MAX_LOGGED_TEXT: Final = 40
 """Characters of a header's value that are logged."""
+MAX_LOGGED_CUSTOMERS: Final = 20
+"""Customers that are logged of each kind of change."""
 MAX_LOGGED_SKIPS: Final = 3
 """Skipped answers that are logged for one call; all are counted."""
 
@@ -155,6 +157,7 @@
             moved_tokens=assignment.fetch_tokens,
             context=_context_of(job.call),
             weights=assignment.weight_version,
+            scope=assignment.cache_scope or None,
             build=state.entry.build,
             resumes=job.call.resumes or None,
             resume_after=job.resume_after or None,
@@ -560,6 +563,19 @@
             short_engines=len(pools.short_engines),
         )
 
+    @callback
+    def isolated_changed(
+        self, before: frozenset[str], isolated: frozenset[str]
+    ) -> None:
+        """Log that other customers than before share no cached context."""
+        self.log.write(
+            "isolated customers changed",
+            document=self._document_version(),
+            isolated=len(isolated),
+            added=sorted(isolated - before)[:MAX_LOGGED_CUSTOMERS],
+            removed=sorted(before - isolated)[:MAX_LOGGED_CUSTOMERS],
+        )
+
     @callback
     def part_blocked(self, part: str, crashes: Iterable[TargetLife]) -> None:
         """Log that calls with a part are refused, and the crashes that led to it."""
--- a/src/gypsumsail/gateway/weights.py
+++ b/src/gypsumsail/gateway/weights.py
@@ -79,24 +79,3 @@
     if age > rollout_seconds * OLD_WEIGHTS_REFUSED_SHARE:
         return WeightFit.REFUSED
     return WeightFit.AVOIDED if age > OLD_WEIGHTS_AVOID_SECONDS else WeightFit.PREFERRED
-
-
-def cache_scope(customer: str, version: int, sharing_group: str = "") -> str:
-    """Return the scope under which cached prompt parts are looked up.
-
-    Parameters
-    ----------
-    customer
-        Name of a customer whose parts are isolated; empty for all others.
-    sharing_group
-        Name of the customers that share parts, see ``RoutingDocument``.
-    """
-    if customer:
-        return f"{version}/{customer}"
-    return f"{version}//{sharing_group}" if sharing_group else str(version)
-
-
-def version_of(scope: str) -> int | None:
-    """Return the weight version of a scope; ``None`` for a single request's scope."""
-    version = scope.partition("/")[0]
-    return int(version) if version.isascii() and version.isdigit() else None
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -190,6 +190,9 @@
         # The last part is the caller's question, which other prompts don't contain.
         if prompt is None or len(prompt.parts) < 2:
             return
+        if assignment.weight_version is None:
+            # No other call finds the parts.
+            return
         entry = assignment.state.entry
         self.cached.append(
             CachedPrompt(
--- a/tests/context_stores/test_freeing.py
+++ b/tests/context_stores/test_freeing.py
@@ -13,7 +13,8 @@
     parts_to_free,
 )
 from gypsumsail.gateway.target_table import TargetTable
-from gypsumsail.gateway.weights import WantedWeights, cache_scope, version_of
+from gypsumsail.gateway.weights import WantedWeights
+from gypsumsail.sharing.scopes import shared_scope, unshared_scope, version_of
 from tests.common import ManualClock
 from tests.context_stores.common import (
     ScriptedStores,
@@ -34,9 +35,14 @@
 
 
 def test_version_is_parsed_from_a_cache_scope() -> None:
-    assert version_of(cache_scope("", 3)) == 3
-    assert version_of(cache_scope("7/a", 3)) == 3
-    assert version_of(cache_scope("", 3, "7a")) == 3
+    isolated = frozenset({"7/a"})
+    scopes = (
+        shared_scope("", 3, frozenset()),
+        shared_scope("7/a", 3, isolated),
+        shared_scope("", 3, isolated),
+    )
+    assert [version_of(scope or "") for scope in scopes] == [3, 3, 3]
+    assert version_of(unshared_scope()) is None
     assert version_of("9c41d07be2a35f68x") is None
 
 
--- /dev/null
+++ b/tests/gateway/test_isolated_customers.py
@@ -0,0 +1,115 @@
+"""Tests of calls whose customer is isolated, or ceases to be, while they are served."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gypsumsail.core.errors import TransportError
+from gypsumsail.gateway.coordinator import Gateway
+from gypsumsail.gateway.models import Customer, RoutingDocument
+from gypsumsail.sharing.scopes import shared_scope
+from tests.gateway.common import (
+    KEY,
+    RecordedReply,
+    ScriptedExchange,
+    ScriptedTargets,
+    call,
+    document,
+    engine,
+    gateway,
+    prompt,
+    stream_route,
+)
+
+OTHER_KEY = "key-of-b"
+OTHER = Customer(name="b")
+SHARING = {KEY: Customer(name="a"), OTHER_KEY: OTHER}
+ISOLATED = {KEY: Customer(name="a", is_isolated=True), OTHER_KEY: OTHER}
+
+
+def routing(customers: dict[str, Customer]) -> RoutingDocument:
+    return document(stream_route(is_resumable=True), customers_by_key=customers)
+
+
+def answer(version: int = 1) -> ScriptedExchange:
+    return ScriptedExchange(body=[b"id: 1\n\n"], weight_version=version)
+
+
+async def async_send(gw: Gateway, key: str = KEY, request_id: str = "id-1") -> None:
+    its_call = call("/s/x", prompt=prompt(), api_key=key, request_id=request_id)
+    await gw.async_handle(its_call, RecordedReply())
+
+
+async def async_wait_and_send(
+    before: dict[str, Customer], after: dict[str, Customer]
+) -> list[str]:
+    """Return the scopes of a call that waits during a change, and of a later one.
+
+    The first one is a call of the customer that changes, the other one of another.
+    """
+    calls = ScriptedTargets(answer(), answer())
+    gw = gateway(calls, engine(), routing=routing(before))
+    gw.view.knows_notices = lambda now: False
+    waiting = asyncio.create_task(async_send(gw))
+    await asyncio.sleep(0)
+    gw.set_document(routing(after))
+    gw.view.knows_notices = lambda now: True
+    gw.dispatch()
+    await waiting
+    await async_send(gw, OTHER_KEY)
+    return [sent.terms.cache_scope for sent in calls.sent]
+
+
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        (SHARING, ISOLATED),
+        (ISOLATED, SHARING),
+        (SHARING, {"new-key-of-a": ISOLATED[KEY], OTHER_KEY: OTHER}),
+        (ISOLATED, {OTHER_KEY: OTHER}),
+    ],
+)
+async def test_call_that_waits_during_the_change_is_kept_apart(
+    before: dict[str, Customer], after: dict[str, Customer]
+) -> None:
+    """WALL: it was cached in the scope of all other customers."""
+    isolated = routing(after).isolated_customers
+    assert await async_wait_and_send(before, after) == [
+        "1/a",
+        shared_scope("b", 1, isolated),
+    ]
+
+
+async def test_call_that_is_sent_once_more_after_the_change_is_kept_apart() -> None:
+    """WALL: its second send was cached in the scope of all other customers."""
+    lost = ScriptedExchange(head_error=TransportError("reset", sent=True))
+    lost.delay = 0.05
+    calls = ScriptedTargets(lost, answer(), answer())
+    gw = gateway(calls, engine("e1"), engine("e2"), routing=routing(SHARING))
+    sending = asyncio.create_task(async_send(gw))
+    await asyncio.sleep(0.02)
+    gw.set_document(routing(ISOLATED))
+    await sending
+    await async_send(gw, OTHER_KEY)
+    first, second, other = [sent.terms.cache_scope for sent in calls.sent]
+    assert (first, second) == ("1", "1/a")
+    assert other not in (first, second)
+
+
+async def test_call_that_an_earlier_document_isolates_is_not_forwarded() -> None:
+    """Guards against another VM that would share its context."""
+    calls = ScriptedTargets(answer())
+    gw = gateway(calls, engine(), routing=routing(ISOLATED))
+    gw.view.choose_helper = lambda service, tried, homes, now: "10.0.0.9"
+    gw.view.knows_notices = lambda now: False
+    waiting = asyncio.create_task(async_send(gw))
+    await asyncio.sleep(0)
+    gw.set_document(routing(SHARING))
+    now = gw.clock.monotonic()
+    (job,) = gw.jobs.values()
+    gw.view.targets.states["e1"].mark_unreachable(now)
+    assert gw.view.is_cut_off(job.service, now)
+    assert not gw.queues[job.service].placer.should_forward(job, now)  # type: ignore[attr-defined]
+    waiting.cancel()
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -31,7 +31,7 @@
 from gypsumsail.gateway.part_cache import PartCache
 from gypsumsail.gateway.retry_after import retry_after
 from gypsumsail.gateway.retry_budget import RetryBudget, RetryLimit
-from gypsumsail.gateway.weights import WantedWeights, WeightFit, cache_scope, weight_fit
+from gypsumsail.gateway.weights import WantedWeights, WeightFit, weight_fit
 
 ERROR = TargetError(status=500, headers=(), body=b"")
 
@@ -193,17 +193,6 @@
     assert not cache.has("1", parts[1])
 
 
-def test_scopes_separate_versions_and_isolated_customers() -> None:
-    scopes = {
-        cache_scope("", 1),
-        cache_scope("", 2),
-        cache_scope("a", 1),
-        cache_scope("", 1, "a"),
-        cache_scope("", 1, "b"),
-    }
-    assert len(scopes) == 5
-
-
 def test_version_named_in_a_rollout_does_not_extend_the_time_of_older_weights() -> None:
     """Guards against calls on weights that an earlier version had replaced long ago."""
     wanted = WantedWeights(
--- /dev/null
+++ b/tests/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scopes of cached context."""
