Give a prompt on unknown weights a scope that no caller can choose

What callers could get: cached context of another customer, isolated or not, without any change of the configuration. On an engine whose weights are stated as version 0 a request shares nothing with any other; its scope was its request id. A second request with the same id, by any customer, found the parts of the first one, and an id such as "1" or "1/NAME" named the scope of calls on known weights.

Cause: the rule that nothing may be shared rested on a text that callers choose, in the same space of texts as the scopes that are shared.

Change: a random scope for each send, with a beginning that no version has.

--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -45,6 +45,7 @@
 from gypsumsail.sharing.scopes import (
     isolated_for_call,
     shared_scope,
+    unshared_scope,
 )
 
 
@@ -324,7 +325,7 @@
         """Return the scope of one send; empty for a plain call."""
         if job.call.prompt is None:
             return ""
-        return self._scope(job, state) or job.call.request_id
+        return self._scope(job, state) or unshared_scope()
 
     def _fetchable_parts(self, job: Job, now: float) -> FetchableByScope:
         """Return the lookup of fetchable leading parts, cached by scope."""
--- a/tests/gateway/test_isolated_customers.py
+++ b/tests/gateway/test_isolated_customers.py
@@ -9,7 +9,7 @@
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.coordinator import Gateway
 from gypsumsail.gateway.models import Customer, RoutingDocument
-from gypsumsail.sharing.scopes import shared_scope
+from gypsumsail.sharing.scopes import shared_scope, unshared_scope
 from tests.gateway.common import (
     KEY,
     RecordedReply,
@@ -113,3 +113,16 @@
     assert gw.view.is_cut_off(job.service, now)
     assert not gw.queues[job.service].placer.should_forward(job, now)  # type: ignore[attr-defined]
     waiting.cancel()
+
+
+@pytest.mark.parametrize("request_id", ["id-1", "1", "1/b", "1//group"])
+async def test_request_id_opens_no_scope_on_unknown_weights(request_id: str) -> None:
+    """WALL: the scope was the request id, which another customer can repeat."""
+    calls = ScriptedTargets(answer(0), answer(0))
+    gw = gateway(calls, engine(version=0), routing=routing(ISOLATED))
+    await async_send(gw, KEY, request_id)
+    await async_send(gw, OTHER_KEY, request_id)
+    scopes = {sent.terms.cache_scope for sent in calls.sent}
+    assert len(scopes) == 2
+    assert request_id not in scopes
+    assert {len(scope) for scope in scopes} == {len(unshared_scope())}
