Ask whether a request is blocked before each send

What callers saw: a request that crashes its targets went out after it was blocked, if it had been accepted before. Each arrival fails the batch of a target.

Cause: the verdict on a request was asked at its acceptance only, unlike that on parts of its prompt.

Change: both verdicts are asked together after each placement, and a blocked request gets no second target. A call that has not run is refused, one that may have run gets 502, as for parts. The refusal names the fingerprint, by which log lines of the verdict can be found.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -271,7 +271,7 @@
             )
         request_fingerprint = fingerprint(call, customer)
         if self.crash_suspects.is_blocked(request_fingerprint):
-            raise CrashSuspectError("several targets failed while running the request")
+            raise _blocked_request_error(request_fingerprint)
         blocked_part = self.part_suspects.blocked_part(
             shared_parts(call), call.received_at
         )
@@ -336,10 +336,10 @@
                     raise
                 break
             now = self.clock.monotonic()
-            blocked_part = self.part_suspects.admit(job.shared_parts, now)
-            if blocked_part is not None:
+            refusal = self._crash_refusal(job, now)
+            if refusal is not None:
                 if outcome is None:
-                    raise _blocked_part_error(blocked_part)
+                    raise refusal
                 break
             job.placed_at = job.placed_at or now
             if isinstance(placed, Forward):
@@ -350,6 +350,15 @@
                 break
         self._finish(job, outcome, reply)
 
+    def _crash_refusal(self, job: Job, now: float) -> CrashSuspectError | None:
+        """Return why a job is not sent, as targets may have crashed since it came."""
+        blocked_part = self.part_suspects.admit(job.shared_parts, now)
+        if blocked_part is not None:
+            return _blocked_part_error(blocked_part)
+        if self.crash_suspects.is_blocked(job.fingerprint):
+            return _blocked_request_error(job.fingerprint)
+        return None
+
     async def _async_send(
         self, job: Job, placed: Placed, reply: CallerReply
     ) -> SendOutcome:
@@ -405,6 +414,8 @@
             return True
         if self.part_suspects.stops_retries(job.shared_parts):
             return False
+        if self.crash_suspects.is_blocked(job.fingerprint):
+            return False
         budget = self.budgets[job.service]
         return budget.take(self.settings.retry_limit, self.view.vms(), now)
 
@@ -634,5 +645,11 @@
         state.handle_version_mismatch(prompt.model, stated, version, now)
 
 
+def _blocked_request_error(fingerprint: str) -> CrashSuspectError:
+    return CrashSuspectError(
+        f"several targets failed while running the request, fingerprint {fingerprint}"
+    )
+
+
 def _blocked_part_error(part: str) -> CrashSuspectError:
     return CrashSuspectError(f"targets crash on part {part} of the prompt")
