Isolate a customer that no API key leads to

Cause: which customers are isolated was computed from the table of API keys. A customer without keys, or whose key a second entry of the same name also lists, was not in it. Nobody was isolated then, and the others went on in the scope in which its context lay.

Change: the document states its isolated customers, from the list of customers. Why it works: the list names each customer once or more often, whoever can call; one entry that isolates it is enough.

--- a/src/gypsumsail/gateway/models.py
+++ b/src/gypsumsail/gateway/models.py
@@ -217,6 +217,9 @@
         Version number that the operator gave it.
     customers_by_key
         Customers by API key; ``None`` where callers need no key.
+    isolated_customers
+        Names of the customers whose cached context is not shared. A customer without
+        keys can be among them: its calls may still wait, and its context is kept.
     invalid_fields
         Fields that can't be read, which are interpreted in the safe way.
     """
@@ -228,14 +231,9 @@
     stores: tuple[ContextStore, ...]
     limits: CallerLimits
     customers_by_key: Mapping[str, Customer] | None
+    isolated_customers: frozenset[str]
     invalid_fields: tuple[str, ...] = ()
 
-    @cached_property
-    def isolated_customers(self) -> frozenset[str]:
-        """Return the names of the customers whose cached context is not shared."""
-        customers = (self.customers_by_key or {}).values()
-        return frozenset(found.name for found in customers if found.is_isolated)
-
     @cached_property
     def routes_by_host(self) -> Mapping[str, tuple[Route, ...]]:
         """Return the routes of each host, sorted from the longest prefix."""
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -232,6 +232,9 @@
             idle_seconds=limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
         ),
         customers_by_key=customers_by_key,
+        isolated_customers=frozenset(
+            item.name for item in document.tenants or () if item.dedicated
+        ),
         invalid_fields=(*invalid_fields, *_invalid_homes(document)),
     )
 
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -101,7 +101,12 @@
 
 
 def document(*routes: Route, **changes: Any) -> RoutingDocument:
-    """Return a routing document with one plain service and one of engines."""
+    """Return a routing document with one plain service and one of engines.
+
+    The customers that it isolates are those with keys, unless they are given.
+    """
+    customers = changes.setdefault("customers_by_key", {KEY: Customer(name="a")})
+    isolated = {item.name for item in (customers or {}).values() if item.is_isolated}
     plain = RoutingDocument(
         revision=1,
         version=1,
@@ -124,7 +129,8 @@
         },
         stores=(),
         limits=CallerLimits(),
-        customers_by_key={KEY: Customer(name="a")},
+        customers_by_key=customers,
+        isolated_customers=frozenset(isolated),
     )
     return replace(plain, **changes)
 
--- /dev/null
+++ b/tests/platform/test_isolated_customers.py
@@ -0,0 +1,79 @@
+"""Tests that a customer is isolated by whatever document isolates it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import json
+from typing import Any
+
+import pytest
+
+from gypsumsail.gateway.coordinator import Gateway
+from gypsumsail.platform.documents import decode_document
+from tests.catalog.common import document_spec
+from tests.gateway.common import (
+    ENGINES,
+    RecordedReply,
+    ScriptedExchange,
+    ScriptedTargets,
+    call,
+    engine,
+    gateway,
+    prompt,
+)
+
+ROUTE = {
+    "name": "s",
+    "host": "h.example",
+    "path_prefix": "/s/",
+    "kind": "streaming",
+    "service": ENGINES,
+}
+SERVICE = {"name": ENGINES, "engine": {"slots": 64, "kv_tokens": 41_600}}
+SHARING = [
+    {"name": "a", "api_keys": ["key-a"]},
+    {"name": "b", "api_keys": ["key-b"]},
+    {"name": "c", "api_keys": ["key-c"]},
+]
+
+
+def encode(customers: object, **changes: Any) -> bytes:
+    """Return a routing document as the operator writes it."""
+    fields: dict[str, Any] = {"routes": [ROUTE], "services": [SERVICE]}
+    spec = document_spec(**fields, tenants=customers)
+    return json.dumps(spec | changes).encode()
+
+
+def isolating(entry: Mapping[str, Any], *others: object) -> list[object]:
+    """Return customers of whom ``a`` has the given fields besides its name."""
+    return [{"name": "a", "dedicated": True, **entry}, *SHARING[1:], *others]
+
+
+async def async_scope(gw: Gateway, key: str) -> str:
+    """Return the scope of a call that is made with a key."""
+    its_call = call("/s/x", prompt=prompt(), api_key=key)
+    await gw.async_handle(its_call, RecordedReply())
+    sent = gw.calls.sent[-1]  # type: ignore[attr-defined]
+    scope: str = sent.terms.cache_scope
+    return scope
+
+
+FORMS = {
+    "with its key": encode(isolating({"api_keys": ["key-a"]})),
+    "without a list of keys": encode(isolating({})),
+    "without keys": encode(isolating({"api_keys": []})),
+    "named twice": encode(isolating({"api_keys": ["key-a"]}, SHARING[0])),
+}
+
+
+@pytest.mark.parametrize("document", FORMS.values(), ids=FORMS.keys())
+async def test_each_form_of_a_document_isolates_a_customer(document: bytes) -> None:
+    """WALL: what a customer left was found by others, as isolation went by keys."""
+    answers = [ScriptedExchange(body=[b"id: 1\n\n"]) for _ in range(3)]
+    first = decode_document(encode(SHARING), 1)
+    gw = gateway(ScriptedTargets(*answers), engine(), routing=first)
+    before = await async_scope(gw, "key-a")
+    gw.set_document(decode_document(document, 2))
+    others = {await async_scope(gw, key) for key in ("key-b", "key-c")}
+    assert len(others) == 1
+    assert before not in others
