Apply a document in spite of a customer that can't be read

What callers saw: other customers found the context of one that a newer version isolates.

Cause: one field that could not be read cost the whole document. The one before stayed in force, without what the newer one isolates.

Change: an entry of the list of customers that can't be read costs itself alone. Keys that can be read are served, an odd `dedicated` isolates, and an entry without a name, which no answer could be attributed to, has no keys. All are named in `document fields unreadable`, as home regions are, and by `vm check-document`. Other fields still cost the document.

--- a/src/gypsumsail/platform/document_check.py
+++ b/src/gypsumsail/platform/document_check.py
@@ -30,6 +30,7 @@
     DocumentFields,
     EntryInvalidError,
     decode_document,
+    decode_document_fields,
     decode_fields,
 )
 from gypsumsail.platform.names import ROUTING_DOCUMENT_KEY
@@ -95,7 +96,7 @@
     except EntryInvalidError as err:
         found = tuple(_field_errors(members))
         return Reading(decoded=None, findings=found or (_error("", str(err)),))
-    fields: DocumentFields = decode_fields(data)
+    fields, _ = decode_document_fields(data)
     findings = (
         *_invalid_fields(document, fields),
         *_unknown_fields(members, fields),
@@ -162,6 +163,14 @@
     return found
 
 
+def _members_or_none(raw: msgspec.Raw) -> _Members:
+    """Return the fields of an entry; none if it is no object."""
+    try:
+        return _members(bytes(raw))
+    except EntryInvalidError:
+        return {}
+
+
 def _syntax_error(data: bytes, error: EntryInvalidError) -> str:
     """Return why data is not an object of JSON, with line and column if possible."""
     try:
@@ -267,7 +276,7 @@
         raws = _items(members.get(group, msgspec.Raw(b"[]"))) or []
         items = getattr(fields, group) or ()
         for place, item, raw in zip(places, items, raws, strict=True):
-            known.append((place, item, _members(bytes(raw))))
+            known.append((place, item, _members_or_none(raw)))
     for place, item, found in known:
         for name in sorted(found.keys() - set(item.__struct_fields__)):
             yield DocumentFinding(
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
 import json
 from typing import Any
 
@@ -21,7 +22,6 @@
     CallerLimits,
     CallKind,
     ContextStore,
-    Customer,
     EngineSize,
     Route,
     RoutingDocument,
@@ -30,10 +30,19 @@
     TargetPhase,
     WeightedService,
 )
+from gypsumsail.platform.customers import (
+    CustomerFields,
+    customers_by_key,
+    invalid_fields_of,
+    isolated_customers,
+    repair_customers,
+)
 from gypsumsail.platform.text import (
+    NO_REGION,
     Name,
     Number,
     parse_address,
+    parse_home_regions,
 )
 
 ABSENT = msgspec.Raw(b"")
@@ -45,8 +54,6 @@
 PATIENCE_GOALS = 4
 PATIENCE_GAPS = 8
 DEFAULT_TIMEOUT_MS = 60_000.0
-# Set of a region that no zone has.
-NO_REGION = frozenset({""})
 CALL_KINDS = {
     "safe": CallKind.REPEATABLE,
     "unsafe": CallKind.ONCE,
@@ -130,14 +137,6 @@
     idle_timeout_ms: float = 15_000.0
 
 
-class _Customer(msgspec.Struct, frozen=True):
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
-    dedicated: bool = False
-    home_regions: Any = None
-
-
 class DocumentFields(msgspec.Struct, frozen=True):
     """Fields of a routing document, as the operator writes them."""
 
@@ -145,7 +144,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
-    tenants: list[_Customer] | None = None
+    tenants: list[CustomerFields] | None = None
 
 
 class _LoadedModel(msgspec.Struct, frozen=True):
@@ -198,7 +197,7 @@
     EntryInvalidError
         The value is malformed, or a route has an unknown kind.
     """
-    document = decode_fields(value)
+    document, invalid_customers = decode_document_fields(value)
     stores, services = [], {}
     invalid_fields: list[str] = []
     for item in document.services:
@@ -206,18 +205,7 @@
             stores.append(_context_store(item))
         else:
             services[item.name] = _service(item, invalid_fields)
-    customers_by_key: dict[str, Customer] | None = None
-    if document.tenants is not None:
-        customers_by_key = {
-            key: Customer(
-                name=item.name,
-                priority=item.priority,
-                is_isolated=item.dedicated,
-                home_regions=_home_regions(item.home_regions),
-            )
-            for item in document.tenants
-            for key in item.api_keys
-        }
+    customers = document.tenants or []
     limits = document.limits
     return RoutingDocument(
         revision=revision,
@@ -231,16 +219,45 @@
             request_seconds=limits.header_timeout_ms / MILLISECONDS_PER_SECOND,
             idle_seconds=limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
         ),
-        customers_by_key=customers_by_key,
-        isolated_customers=frozenset(
-            item.name for item in document.tenants or () if item.dedicated
+        customers_by_key=(
+            None if document.tenants is None else customers_by_key(customers)
+        ),
+        isolated_customers=isolated_customers(customers),
+        invalid_fields=(
+            *invalid_fields,
+            *invalid_customers,
+            *_invalid_homes(document.routes),
+            *invalid_fields_of(customers),
         ),
-        invalid_fields=(*invalid_fields, *_invalid_homes(document)),
     )
 
 
-def decode_fields(value: bytes, kind: Any = DocumentFields) -> Any:
-    """Decode the fields of a routing document, or a part of them.
+def decode_document_fields(value: bytes) -> tuple[DocumentFields, tuple[str, ...]]:
+    """Decode the fields of a routing document.
+
+    Returns
+    -------
+    tuple
+        The fields, with safe values in place of those of customers that can't be read,
+        and the names of the latter.
+
+    Raises
+    ------
+    EntryInvalidError
+        The value is malformed elsewhere.
+    """
+    try:
+        return _decode(value, DocumentFields), ()
+    except EntryInvalidError:
+        found = _read_json(value)
+        if not isinstance(found, dict):
+            raise
+    invalid_customers = repair_customers(found.get("tenants"))
+    return _decode(_encode_json(found), DocumentFields), invalid_customers
+
+
+def decode_fields(value: bytes, kind: Any) -> Any:
+    """Decode a part of the fields of a routing document.
 
     Raises
     ------
@@ -297,28 +314,56 @@
 
 
 def _decode_leniently(value: bytes, kind: type[Any]) -> Any:
-    """Decode JSON in which fields that are decoded separately may be ``NaN``."""
+    """Decode JSON in which fields that are decoded separately may be unreadable."""
     try:
         return _decode(value, kind)
     except EntryInvalidError:
-        text = _without_constants(value)
-        if text is None:
+        found = _read_json(value)
+        if found is None:
             raise
-        return _decode(text, kind)
+        return _decode(_encode_json(found), kind)
 
 
-def _without_constants(value: bytes) -> bytes | None:
-    """Return JSON without ``NaN`` and infinities; ``None`` if that fails.
+def _read_json(value: bytes) -> Any:
+    """Read JSON with ``NaN``, infinities and texts that are not Unicode.
 
-    They are replaced by a value that is invalid for each field, unlike null.
+    They are replaced by a value that is invalid for each field, unlike null. The result
+    is ``None`` if that fails.
     """
     try:
-        found = json.loads(value.decode(), parse_constant=lambda name: [[]])
-        return json.dumps(found, allow_nan=False).encode()
+        text = value.decode(errors="surrogateescape")
+        return _without_surrogates(json.loads(text, parse_constant=lambda name: [[]]))
     except (ValueError, RecursionError):
         return None
 
 
+def _encode_json(value: Any) -> bytes:
+    try:
+        return json.dumps(value, allow_nan=False).encode()
+    except (ValueError, RecursionError) as err:
+        raise EntryInvalidError(f"can't decode the value: {err}") from err
+
+
+def _without_surrogates(value: Any) -> Any:
+    """Replace texts that contain lone surrogates, and drop fields with such names."""
+    match value:
+        case str():
+            return value if _is_unicode(value) else [[]]
+        case list():
+            return [_without_surrogates(item) for item in value]
+        case dict():
+            return {
+                key: _without_surrogates(item)
+                for key, item in value.items()
+                if _is_unicode(key)
+            }
+    return value
+
+
+def _is_unicode(text: str) -> bool:
+    return not any("\ud800" <= character <= "\udfff" for character in text)
+
+
 def read_number(raw: msgspec.Raw, largest: float) -> float | None:
     """Return a number from 0 to ``largest``; ``None`` if the JSON value is no such."""
     try:
@@ -375,29 +420,15 @@
         is_public=item.public,
         is_resumable=item.resumable,
         patience=_patience(item) if kind is CallKind.STREAM else 0.0,
-        home_regions=_home_regions(item.home_regions),
+        home_regions=parse_home_regions(item.home_regions),
     )
 
 
-def _home_regions(value: Any) -> frozenset[str]:
-    """Return the home regions; a value that can't be read allows no region."""
-    if value is None or value == []:
-        return frozenset()
-    try:
-        return frozenset(msgspec.convert(value, list[Name]))
-    except msgspec.ValidationError:
-        return NO_REGION
-
-
-def _invalid_homes(document: DocumentFields) -> tuple[str, ...]:
-    """Return the routes and tenants whose home regions can't be read."""
-    groups = (("routes", document.routes), ("tenants", document.tenants or []))
-    return tuple(
-        f"{group}[{item.name}].home_regions"
-        for group, items in groups
-        for item in items
-        if _home_regions(item.home_regions) is NO_REGION
-    )
+def _invalid_homes(routes: Iterable[_Route]) -> Iterator[str]:
+    """Return the fields of routes whose home regions can't be read."""
+    for item in routes:
+        if parse_home_regions(item.home_regions) is NO_REGION:
+            yield f"routes[{item.name}].home_regions"
 
 
 def _patience(item: _Route) -> float:
--- a/src/gypsumsail/platform/text.py
+++ b/src/gypsumsail/platform/text.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
@@ -20,6 +20,9 @@
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_MILLISECONDS)]
 
+NO_REGION: Final = frozenset({""})
+"""Set of a region that no zone has."""
+
 MAX_PORT: Final = 65_535
 MAX_PORT_DIGITS: Final = 5
 
@@ -34,3 +37,13 @@
     if len(port) > MAX_PORT_DIGITS or not 0 < int(port) <= MAX_PORT:
         return None
     return Address(host=host, port=int(port))
+
+
+def parse_home_regions(value: Any) -> frozenset[str]:
+    """Return the home regions; a value that can't be read allows no region."""
+    if value is None or value == []:
+        return frozenset()
+    try:
+        return frozenset(msgspec.convert(value, list[Name]))
+    except msgspec.ValidationError:
+        return NO_REGION
--- a/tests/platform/test_isolated_customers.py
+++ b/tests/platform/test_isolated_customers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from gypsumsail.gateway.coordinator import Gateway
-from gypsumsail.platform.documents import decode_document
+from gypsumsail.platform.documents import EntryInvalidError, decode_document
 from tests.catalog.common import document_spec
 from tests.gateway.common import (
     ENGINES,
@@ -62,10 +62,45 @@
     "with its key": encode(isolating({"api_keys": ["key-a"]})),
     "without a list of keys": encode(isolating({})),
     "without keys": encode(isolating({"api_keys": []})),
+    "beside an odd priority": encode(isolating({}, {"name": "x", "priority": "high"})),
+    "beside odd keys": encode(isolating({}, {"name": "x", "api_keys": 7})),
+    "beside an odd name": encode(isolating({}, {"name": "x\ud83d"})),
+    "beside a name that is no text": encode(isolating({}, {"name": 7})),
+    "beside no name": encode(isolating({}, {"name": "", "api_keys": ["x"]})),
+    "beside no customer": encode(isolating({}, None)),
+    "unreadable": encode(isolating({"dedicated": "yes", "api_keys": ["key-a"]})),
     "named twice": encode(isolating({"api_keys": ["key-a"]}, SHARING[0])),
 }
 
 
+@pytest.mark.parametrize(
+    ("entry", "invalid", "keys"),
+    [
+        ({"name": "x", "api_keys": ["k", 7, None]}, "tenants[x].api_keys", {"k"}),
+        ({"name": "x", "api_keys": "k"}, "tenants[x].api_keys", set()),
+        ({"name": "x", "priority": []}, "tenants[x].priority", set()),
+        ({"name": "x", "dedicated": None}, "tenants[x].dedicated", set()),
+        ({"name": "x\ud83d", "api_keys": ["k"]}, "tenants[3].name", set()),
+        ({"name": "", "api_keys": ["k"]}, "tenants[3].name", set()),
+        ([[]], "tenants[3].name", set()),
+    ],
+)
+def test_odd_customer_costs_itself_alone(
+    entry: object, invalid: str, keys: set[str]
+) -> None:
+    """Its keys that can be read are served, and operators learn what can't be."""
+    decoded = decode_document(encode([*SHARING, entry]), 1)
+    assert decoded.invalid_fields == (invalid,)
+    assert decoded.customers_by_key is not None
+    assert decoded.customers_by_key.keys() == {"key-a", "key-b", "key-c"} | keys
+    assert decoded.isolated_customers == ({"x"} if "dedicated" in invalid else set())
+
+
+def test_document_that_can_not_be_read_elsewhere_is_rejected() -> None:
+    with pytest.raises(EntryInvalidError):
+        decode_document(encode([*SHARING, None], version="new"), 1)
+
+
 @pytest.mark.parametrize("document", FORMS.values(), ids=FORMS.keys())
 async def test_each_form_of_a_document_isolates_a_customer(document: bytes) -> None:
     """WALL: what a customer left was found by others, as isolation went by keys."""
