Give a call whose prompt is not fully described a scope of its own

What callers could get: cached context of another customer, isolated or not, by a request that lacks its token count or its model but names the parts of its prompt (WALL).

Cause: the scope was sent only with a prompt that the VM could read as a whole. Engines read the parts all the same, and an absent scope is one that all share.

Change: each call to a service of engines, or to a target that lists models, gets a scope; one that shares nothing if the VM does not know the weights that the call runs on.

--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -322,8 +322,13 @@
         return shared_scope(job.customer.name, self._version(job, state), isolated)
 
     def _send_scope(self, job: Job, state: TargetState) -> str:
-        """Return the scope of one send; empty for a plain call."""
-        if job.call.prompt is None:
+        """Return the scope of one send; empty for a plain call to a plain target.
+
+        An engine would cache what it can read of a prompt that is not fully described,
+        and without a scope all such calls share it.
+        """
+        is_plain = self.service.engine is None and not state.weight_versions
+        if is_plain and job.call.prompt is None:
             return ""
         return self._scope(job, state) or unshared_scope()
 
--- a/src/gypsumsail/platform/calls.py
+++ b/src/gypsumsail/platform/calls.py
@@ -210,6 +210,8 @@
     if terms.resume_after:
         event_id = terms.resume_after.encode("latin-1", "replace")
         lines.append(b"Last-Event-Id: %b" % event_id)
+    if terms.cache_scope:
+        lines.append(b"Gypsumsail-Cache-Salt: %b" % terms.cache_scope.encode())
     if call.prompt is not None:
         lines += _encode_prompt_headers(terms)
     if call.body or call.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -219,10 +221,7 @@
 
 def _encode_prompt_headers(terms: SendTerms) -> list[bytes]:
     priority = min(max(terms.priority, 0), MAX_PRIORITY)
-    lines = [
-        b"Gypsumsail-Request-Priority: %d" % priority,
-        b"Gypsumsail-Cache-Salt: %b" % terms.cache_scope.encode(),
-    ]
+    lines = [b"Gypsumsail-Request-Priority: %d" % priority]
     if terms.weight_version is not None:
         lines.append(b"Gypsumsail-Expect-Version: %d" % terms.weight_version)
     transfer = terms.transfer
--- a/tests/gateway/test_isolated_customers.py
+++ b/tests/gateway/test_isolated_customers.py
@@ -21,6 +21,7 @@
     gateway,
     prompt,
     stream_route,
+    target,
 )
 
 OTHER_KEY = "key-of-b"
@@ -115,6 +116,24 @@
     waiting.cancel()
 
 
+async def test_prompt_that_is_not_fully_described_is_not_shared() -> None:
+    """WALL: calls without a token count had no scope, which all of them share."""
+    calls = ScriptedTargets(answer(), answer())
+    gw = gateway(calls, engine(), routing=routing(ISOLATED))
+    for key in (KEY, OTHER_KEY):
+        await gw.async_handle(call("/s/x", api_key=key), RecordedReply())
+    scopes = [sent.terms.cache_scope for sent in calls.sent]
+    assert len(set(scopes)) == 2
+    assert {len(scope) for scope in scopes} == {len(unshared_scope())}
+
+
+async def test_call_to_a_plain_service_has_no_scope() -> None:
+    calls = ScriptedTargets(ScriptedExchange())
+    gw = gateway(calls, target())
+    await gw.async_handle(call(), RecordedReply())
+    assert calls.sent[0].terms.cache_scope == ""
+
+
 @pytest.mark.parametrize("request_id", ["id-1", "1", "1/b", "1//group"])
 async def test_request_id_opens_no_scope_on_unknown_weights(request_id: str) -> None:
     """WALL: the scope was the request id, which another customer can repeat."""
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -170,6 +170,16 @@
         assert lines.count(line) == 1, line
 
 
+def test_scope_is_sent_with_a_prompt_that_is_not_fully_described() -> None:
+    """WALL: an engine caches the parts that it can read under an absent scope."""
+    headers = [pair for pair in HEADERS if pair[0] != b"Gypsumsail-Token-Count"]
+    call = parse_call(request(headers))
+    assert call.prompt is None
+    terms = SendTerms(time_left=1, customer="a", priority=1, cache_scope="unshared/x")
+    sent = encode_request(call, engine(), terms)
+    assert b"\r\nGypsumsail-Cache-Salt: unshared/x\r\n" in sent
+
+
 def test_last_event_id_of_any_bytes_is_encoded_as_it_came() -> None:
     headers = [
         (name, b"\xe9\xa0" if name == b"Last-Event-Id" else value)
