Keep a call apart if any document since its acceptance isolates it

What callers could get: a customer's call waits, a document isolates the customer, and the next one doesn't. The call was then cached in the scope that all others use, although its customer had been isolated (WALL).

Cause: of the documents in force while a call waits, only the first and the last one counted.

Evidence: test_call_that_waits_while_its_customer_is_isolated_is_kept_apart fails on (scope "1" instead of "1/a"). Not seen on the real program; a strict reading of the rule.

Change: each document that comes into force adds its customers to the calls that have been accepted (sharing/isolation.py). The placer has no rule of its own any more on which call another VM may serve.

--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -163,6 +163,7 @@
         self.resumption = StreamResumption(self.stream_builds, clock, telemetry)
         view.build_of = self.stream_builds.build_of
         view.on_division = telemetry.engines_divided
+        view.isolation.on_changed = telemetry.isolated_changed
         self.liveness = LivenessChecks(calls, view.targets, clock)
         self.liveness.on_checked = telemetry.target_checked
         self.knows_targets: Callable[[], bool] = lambda: True
@@ -185,7 +186,8 @@
     def set_document(self, document: RoutingDocument) -> None:
         """Apply a routing document; queues of removed services are kept."""
         self.document = document
-        self._set_isolated(document.isolated_customers)
+        isolated = document.isolated_customers
+        self.view.isolation.apply_document(isolated, self.jobs.values())
         self.view.targets.set_cold_terms(document.services, self.clock.monotonic())
         self.stream_builds.note_return(longest_stream(document))
         for name, service in document.services.items():
@@ -197,11 +199,6 @@
                 assert isinstance(queue.placer, JobPlacer)
                 queue.placer.service = service
 
-    def _set_isolated(self, isolated: frozenset[str]) -> None:
-        if isolated != self.view.isolated_customers:
-            self.telemetry.isolated_changed(self.view.isolated_customers, isolated)
-        self.view.isolated_customers = isolated
-
     @callback
     def tick(self, now: float) -> None:
         """Run the periodic liveness checks and note the builds of the targets."""
@@ -312,7 +309,7 @@
             fingerprint=request_fingerprint,
             resume_after=call.resume_after,
             shared_parts=shared_parts(call),
-            isolated_when_accepted=self.view.isolated_customers,
+            isolated=self.view.isolation.in_force,
         )
 
     async def _async_serve(self, job: Job, reply: CallerReply) -> None:
--- a/src/gypsumsail/gateway/fleet_view.py
+++ b/src/gypsumsail/gateway/fleet_view.py
@@ -16,6 +16,7 @@
 from gypsumsail.gateway.targets import TargetState
 from gypsumsail.gateway.weights import WantedWeights
 from gypsumsail.placing.pools import EnginePools
+from gypsumsail.sharing.isolation import Isolation
 
 CountFetchableParts = Callable[[str, str, Sequence[PromptPart], Homes, float], int]
 """Function of service, cache scope, prompt parts, homes of the call and time.
@@ -70,9 +71,8 @@
         between long and short prompts begins or ends.
     exits_at
         Time at which this VM exits; infinite until it is told to stop.
-    isolated_customers
-        Names of the customers whose cached context is not shared, by the document in
-        force.
+    isolation
+        Customers whose cached context is not shared.
     choose_helper
         Returns the host of another VM that may serve a call of a service; ``None`` if
         there is none. Its arguments are the service, the hosts that were tried, the
@@ -105,7 +105,7 @@
     )
     regions: Regions = field(default_factory=lambda: Regions(own_zone=""))
     exits_at: float = inf
-    isolated_customers: frozenset[str] = frozenset()
+    isolation: Isolation = field(default_factory=Isolation)
 
     def may_place(self, now: float) -> bool:
         """Return whether this VM knows enough of the fleet to place calls."""
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -81,9 +81,9 @@
         Hosts of the VMs to which this one has tried to forward the call.
     is_held
         Whether the call has waited while a target was cold.
-    isolated_when_accepted
-        Names of the customers whose cached context is not shared, by the document under
-        which the call was accepted.
+    isolated
+        Names of the customers that any document isolates which has been in force since
+        the call was accepted.
     connection
         Connection over which the call was sent last; ``None`` if it was not sent to a
         target.
@@ -114,7 +114,7 @@
     helpers_tried: set[str] = field(default_factory=set)
     is_held: bool = False
     connection: ConnectionUse | None = None
-    isolated_when_accepted: frozenset[str] = frozenset()
+    isolated: frozenset[str] = frozenset()
 
     @property
     def homes(self) -> Homes:
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -42,11 +42,7 @@
 from gypsumsail.gateway.targets import InFlightCall, TargetState
 from gypsumsail.gateway.weights import WeightFit, weight_fit
 from gypsumsail.placing.pools import EnginePools, PoolEngine
-from gypsumsail.sharing.scopes import (
-    isolated_for_call,
-    shared_scope,
-    unshared_scope,
-)
+from gypsumsail.sharing.scopes import shared_scope, unshared_scope
 
 
 def _fastest_seconds(states: Sequence[TargetState]) -> float:
@@ -153,21 +149,13 @@
 
         A stream that has begun is not forwarded: the other VM would begin it anew.
         """
-        if job.is_forwarded or job.first_at or self._is_isolated_no_longer(job):
+        if job.is_forwarded or job.first_at:
+            return False
+        isolation = self.view.isolation
+        if not isolation.is_known_to_others(job.customer.name, job.isolated):
             return False
         return self.view.is_cut_off(self.service.name, now, job.homes)
 
-    def _is_isolated_no_longer(self, job: Job) -> bool:
-        """Return whether only an earlier document isolates the customer of a job.
-
-        The other VM would not know of that document.
-        """
-        name = job.customer.name
-        return (
-            name in job.isolated_when_accepted
-            and name not in self.view.isolated_customers
-        )
-
     def _is_usable(self, state: TargetState, now: float) -> bool:
         """Return whether a target takes a call of this VM at this moment."""
         if state.is_unreachable(now) or state.paused_until > now:
@@ -316,10 +304,7 @@
 
     def _scope(self, job: Job, state: TargetState) -> str | None:
         """Return the scope of a call at a target; ``None`` if it shares nothing."""
-        isolated = isolated_for_call(
-            job.isolated_when_accepted, self.view.isolated_customers
-        )
-        return shared_scope(job.customer.name, self._version(job, state), isolated)
+        return shared_scope(job.customer.name, self._version(job, state), job.isolated)
 
     def _send_scope(self, job: Job, state: TargetState) -> str:
         """Return the scope of one send; empty for a plain call to a plain target.
--- a/src/gypsumsail/sharing/scopes.py
+++ b/src/gypsumsail/sharing/scopes.py
@@ -3,7 +3,7 @@
 A scope contains the version of the weights and either the one customer that uses it or
 the customers that it keeps out. Calls of different customers therefore meet in a scope
 only if none of them was isolated for any of the calls, whatever documents were in force
-when each was accepted and sent, and on whatever VM.
+from the acceptance of each to its send, and on whatever VM.
 """
 
 from __future__ import annotations
@@ -24,22 +24,23 @@
 
 
 def isolated_for_call(
-    when_accepted: frozenset[str], current: frozenset[str]
+    before: frozenset[str], current: frozenset[str]
 ) -> frozenset[str]:
-    """Return the customers that a call shares nothing with.
+    """Return the customers that a call shares nothing with once a document is replaced.
 
-    A document may be replaced while a call waits or is sent once more. A customer that
-    either of the two documents isolates is isolated for the call.
+    Documents may be replaced while a call waits or is sent once more. A customer that
+    any of them isolates is isolated for the call.
 
     Parameters
     ----------
-    when_accepted, current
-        Names of the isolated customers by the document under which the call was
-        accepted, and by the one in force.
+    before
+        Names of the customers that were isolated for the call until now.
+    current
+        Names of the customers that the document isolates which comes into force.
     """
-    if when_accepted <= current:
+    if before <= current:
         return current
-    return when_accepted | current
+    return before | current
 
 
 def shared_scope(customer: str, version: int, isolated: frozenset[str]) -> str | None:
--- a/tests/gateway/test_isolated_customers.py
+++ b/tests/gateway/test_isolated_customers.py
@@ -44,9 +44,9 @@
 
 
 async def async_wait_and_send(
-    before: dict[str, Customer], after: dict[str, Customer]
+    before: dict[str, Customer], *after: dict[str, Customer]
 ) -> list[str]:
-    """Return the scopes of a call that waits during a change, and of a later one.
+    """Return the scopes of a call that waits during changes, and of a later one.
 
     The first one is a call of the customer that changes, the other one of another.
     """
@@ -55,7 +55,8 @@
     gw.view.knows_notices = lambda now: False
     waiting = asyncio.create_task(async_send(gw))
     await asyncio.sleep(0)
-    gw.set_document(routing(after))
+    for customers in after:
+        gw.set_document(routing(customers))
     gw.view.knows_notices = lambda now: True
     gw.dispatch()
     await waiting
@@ -83,6 +84,11 @@
     ]
 
 
+async def test_call_that_waits_while_its_customer_is_isolated_is_kept_apart() -> None:
+    """WALL: a document between its acceptance and its send did not count."""
+    assert await async_wait_and_send(SHARING, ISOLATED, SHARING) == ["1/a", "1"]
+
+
 async def test_call_that_is_sent_once_more_after_the_change_is_kept_apart() -> None:
     """WALL: its second send was cached in the scope of all other customers."""
     lost = ScriptedExchange(head_error=TransportError("reset", sent=True))
