Isolate the customers of a document that can't be applied

Cause: a document that can't be applied had no effect at all. The one before stays in force, which is right for its routes, and with it stayed that nobody is isolated.

Change: the customers that a rejected document isolates are isolated besides those of the one in force, until a document comes into force. Calls of these customers are not forwarded, since another VM may not have that document. Weighed: applying the parts that can be read (a route that is left out would be answered 404), and refusing the calls of such customers (the document in force allows them).

--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -73,6 +73,12 @@
     def document(self, value: bytes, revision: int) -> RoutingDocument:
         """Decode a routing document."""
 
+    def isolated_customers(self, value: bytes) -> frozenset[str]:
+        """Return the customers that an invalid document isolates, if they are readable.
+
+        It raises nothing.
+        """
+
     def target(self, name: str, value: bytes) -> TargetEntry:
         """Decode the record of a target."""
 
@@ -102,6 +108,8 @@
         without an outage.
     objects_left_out
         Number of invalid objects.
+    on_document_rejected
+        Called with the customers that a document isolates which can't be applied.
     on_removal_seen
         Called when this VM sees a removal while the store has no outage for it.
     on_target_read
@@ -171,6 +179,9 @@
         self.confirmed_removals: deque[tuple[str, int]] = deque(
             maxlen=MAX_CONFIRMED_REMOVALS
         )
+        self.on_document_rejected: Callable[[frozenset[str]], None] = lambda isolated: (
+            None
+        )
         self.on_removal_seen: Callable[[TargetEntry], None] = lambda entry: None
         self.on_target_read: Callable[[TargetEntry], None] = lambda entry: None
 
@@ -390,6 +401,7 @@
         )
         # Decoding takes time that matters when changes come in quick succession, so
         # earlier ones are decoded only if the later ones are invalid.
+        rejected: set[str] = set()
         for obj in reversed(changes.objects):
             if obj.key != self.kinds.document_key or obj.value is None:
                 continue
@@ -397,9 +409,12 @@
                 document = self.decoder.document(obj.value, obj.version)
             except GypsumsailError as err:
                 self._log_invalid_object(obj, err)
+                rejected |= self.decoder.isolated_customers(obj.value)
                 continue
             self._activate_document(document, delay)
-            return
+            break
+        if rejected:
+            self.on_document_rejected(frozenset(rejected))
 
     def _activate_document(self, document: RoutingDocument, delay: ChangeDelay) -> None:
         if self.document is not None and not supersedes(document, self.document):
--- a/src/gypsumsail/gateway/coordinator.py
+++ b/src/gypsumsail/gateway/coordinator.py
@@ -164,6 +164,7 @@
         view.build_of = self.stream_builds.build_of
         view.on_division = telemetry.engines_divided
         view.isolation.on_changed = telemetry.isolated_changed
+        view.isolation.calls = self.jobs.values()
         self.liveness = LivenessChecks(calls, view.targets, clock)
         self.liveness.on_checked = telemetry.target_checked
         self.knows_targets: Callable[[], bool] = lambda: True
@@ -186,8 +187,7 @@
     def set_document(self, document: RoutingDocument) -> None:
         """Apply a routing document; queues of removed services are kept."""
         self.document = document
-        isolated = document.isolated_customers
-        self.view.isolation.apply_document(isolated, self.jobs.values())
+        self.view.isolation.apply_document(document.isolated_customers)
         self.view.targets.set_cold_terms(document.services, self.clock.monotonic())
         self.stream_builds.note_return(longest_stream(document))
         for name, service in document.services.items():
@@ -309,7 +309,7 @@
             fingerprint=request_fingerprint,
             resume_after=call.resume_after,
             shared_parts=shared_parts(call),
-            isolated=self.view.isolation.in_force,
+            isolated=self.view.isolation.names,
         )
 
     async def _async_serve(self, job: Job, reply: CallerReply) -> None:
--- a/src/gypsumsail/gateway/job.py
+++ b/src/gypsumsail/gateway/job.py
@@ -82,8 +82,8 @@
     is_held
         Whether the call has waited while a target was cold.
     isolated
-        Names of the customers that any document isolates which has been in force since
-        the call was accepted.
+        Names of the customers that any document has isolated since the call was
+        accepted.
     connection
         Connection over which the call was sent last; ``None`` if it was not sent to a
         target.
--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -31,6 +31,10 @@
         """Decode a routing document; ``revision`` is the version of its object."""
         return documents.decode_document(value, revision)
 
+    def isolated_customers(self, value: bytes) -> frozenset[str]:
+        """Return the customers that an invalid routing document isolates."""
+        return documents.read_isolated_customers(value)
+
     def target(self, name: str, value: bytes) -> TargetEntry:
         """Decode the object of a target."""
         return documents.decode_target(name, value)
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -256,6 +256,19 @@
     return _decode(_encode_json(found), DocumentFields), invalid_customers
 
 
+def read_isolated_customers(value: bytes) -> frozenset[str]:
+    """Return the customers that a document isolates of which the rest is invalid.
+
+    The result is empty if the customers can't be read either.
+    """
+    found = _read_json(value)
+    entries = found.get("tenants") if isinstance(found, dict) else None
+    if not isinstance(entries, list):
+        return frozenset()
+    repair_customers(entries)
+    return isolated_customers(msgspec.convert(entries, list[CustomerFields]))
+
+
 def decode_fields(value: bytes, kind: Any) -> Any:
     """Decode a part of the fields of a routing document.
 
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -242,7 +242,7 @@
         return gateway
 
     def _make_catalog(self) -> CatalogCoordinator:
-        return CatalogCoordinator(
+        catalog = CatalogCoordinator(
             self.ports.object_api,
             self.ports.kinds,
             self.ports.decoder,
@@ -255,6 +255,9 @@
             self._is_watcher,
             self.settings.change_bounds,
         )
+        isolation = self.gateway.view.isolation
+        catalog.on_document_rejected = isolation.apply_rejected
+        return catalog
 
     def _connect_evacuations(self) -> None:
         self.catalog.evacuations.on_ended = self.targets.expect_cold_zone
--- a/tests/gateway/test_isolated_customers.py
+++ b/tests/gateway/test_isolated_customers.py
@@ -122,6 +122,26 @@
     waiting.cancel()
 
 
+async def test_call_that_waits_while_a_rejected_document_isolates_is_kept_apart() -> (
+    None
+):
+    """WALL: a document with an error elsewhere did not isolate its customers."""
+    calls = ScriptedTargets(answer(), answer())
+    gw = gateway(calls, engine(), routing=routing(SHARING))
+    gw.view.knows_notices = lambda now: False
+    waiting = asyncio.create_task(async_send(gw))
+    await asyncio.sleep(0)
+    gw.view.isolation.apply_rejected(frozenset("a"))
+    (job,) = gw.jobs.values()
+    assert not gw.view.isolation.is_known_to_others("a", job.isolated)
+    gw.view.knows_notices = lambda now: True
+    gw.dispatch()
+    await waiting
+    await async_send(gw, OTHER_KEY)
+    scopes = [sent.terms.cache_scope for sent in calls.sent]
+    assert scopes == ["1/a", shared_scope("b", 1, frozenset("a"))]
+
+
 async def test_prompt_that_is_not_fully_described_is_not_shared() -> None:
     """WALL: calls without a token count had no scope, which all of them share."""
     calls = ScriptedTargets(answer(), answer())
