Share nothing with a key of several customers of whom one is isolated

What callers could get: context of an isolated customer, if the document lists a key at it and at another one that is not isolated (WALL).

Cause: a key leads to one customer, that of the last entry with the key. Its calls shared what that customer shares, whoever made them.

Evidence: test_key_of_several_customers_shares_nothing_if_one_is_isolated failed before in both orders of the entries. By reading; not seen on the real program.

Change: such calls get a scope of their own each.

--- a/src/gypsumsail/gateway/models.py
+++ b/src/gypsumsail/gateway/models.py
@@ -175,6 +175,9 @@
         Overrides the priority of the route; ``None`` for no override.
     is_isolated
         Whether its cached context is not shared with other customers.
+    is_ambiguous
+        Whether its API key is that of other customers as well, and one of them is
+        isolated. Calls with the key share nothing, as it is unknown whose they are.
     home_regions
         Regions to which its calls and kept context are confined; empty for any.
     """
@@ -182,6 +185,7 @@
     name: str
     priority: int | None = None
     is_isolated: bool = False
+    is_ambiguous: bool = False
     home_regions: frozenset[str] = frozenset()
 
 
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -304,6 +304,8 @@
 
     def _scope(self, job: Job, state: TargetState) -> str | None:
         """Return the scope of a call at a target; ``None`` if it shares nothing."""
+        if job.customer.is_ambiguous:
+            return None
         return shared_scope(job.customer.name, self._version(job, state), job.isolated)
 
     def _send_scope(self, job: Job, state: TargetState) -> str:
--- a/src/gypsumsail/platform/customers.py
+++ b/src/gypsumsail/platform/customers.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import replace
 from typing import Any, Final
 
 import msgspec
@@ -29,19 +30,29 @@
 """Values that replace unreadable ones: the customer is isolated rather than not."""
 
 
-def customers_by_key(items: Iterable[CustomerFields]) -> dict[str, Customer]:
+def customers_by_key(items: Sequence[CustomerFields]) -> dict[str, Customer]:
     """Return the customers by API key; those without a name can't be told apart."""
-    return {
-        key: Customer(
+    found: dict[str, Customer] = {}
+    isolated = isolated_customers(items)
+    for item in items:
+        if not item.name:
+            continue
+        customer = Customer(
             name=item.name,
             priority=item.priority,
             is_isolated=item.dedicated,
             home_regions=parse_home_regions(item.home_regions),
         )
-        for item in items
-        if item.name
-        for key in item.api_keys
-    }
+        for key in item.api_keys:
+            earlier = found.get(key, customer)
+            is_ambiguous = earlier.is_ambiguous or (
+                earlier.name != item.name
+                and not isolated.isdisjoint((earlier.name, item.name))
+            )
+            found[key] = (
+                replace(customer, is_ambiguous=True) if is_ambiguous else customer
+            )
+    return found
 
 
 def isolated_customers(items: Iterable[CustomerFields]) -> frozenset[str]:
--- a/tests/platform/test_isolated_customers.py
+++ b/tests/platform/test_isolated_customers.py
@@ -96,6 +96,26 @@
     assert decoded.isolated_customers == ({"x"} if "dedicated" in invalid else set())
 
 
+@pytest.mark.parametrize("order", [1, -1])
+async def test_key_of_several_customers_shares_nothing_if_one_is_isolated(
+    order: int,
+) -> None:
+    """WALL: calls with the key shared whatever the last entry with it shares."""
+    other = {"name": "d", "api_keys": ["key-d"]}
+    customers = isolating({"api_keys": ["key-d"]}, other)
+    answers = [ScriptedExchange(body=[b"id: 1\n\n"]) for _ in range(3)]
+    document = decode_document(encode(customers[::order]), 1)
+    gw = gateway(ScriptedTargets(*answers), engine(), routing=document)
+    scopes = [await async_scope(gw, key) for key in ("key-d", "key-d", "key-b")]
+    assert len(set(scopes)) == 3
+
+
+def test_key_of_several_customers_is_no_reason_to_isolate_them() -> None:
+    decoded = decode_document(encode([*SHARING, SHARING[0] | {"name": "d"}]), 1)
+    assert decoded.customers_by_key is not None
+    assert not decoded.customers_by_key["key-a"].is_ambiguous
+
+
 def test_document_that_can_not_be_read_elsewhere_is_rejected() -> None:
     with pytest.raises(EntryInvalidError):
         decode_document(encode([*SHARING, None], version="new"), 1)
