Let the soak isolate customers and judge whose cached parts calls use

Cause: the soak had one customer, and its engines kept no prompts, so that no run could show a breach of isolation.

Change: `--isolation` adds two customers with parts in common. Documents isolate one, both or none of them, take keys away and hold odd entries. Engines remember who made a part; a use by another customer is a finding if one of the two has been isolated for 5 s when the call is sent.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,6 +45,11 @@
     default=False,
     help="Also evacuate zones, also while the object store is down.",
 )
+@click.option(
+    "--isolation/--no-isolation",
+    default=False,
+    help="Also isolate customers from time to time.",
+)
 @click.option(
     "--earlier-build",
     type=click.Path(exists=True, file_okay=False, resolve_path=True, path_type=Path),
@@ -61,6 +66,7 @@
     random_faults: bool,
     cold: bool,
     evacuations: bool,
+    isolation: bool,
     earlier_build: Path | None,
 ) -> None:
     """Run each seed; the exit code is 1 if any seed has findings."""
@@ -73,6 +79,7 @@
         run.holds_orders = cut_vms and hold_orders and not (cold or evacuations)
         run.has_cold_engines = cold
         run.has_evacuations = evacuations
+        run.changes_isolation = isolation
         run.has_random_faults = random_faults
         run.earlier_build = earlier_build
         report = asyncio.run(run.async_run())
@@ -81,6 +88,7 @@
             f"{len(report.faults)} faults, {report.orders} orders with "
             f"{report.holders} fences, {report.cold_requests} requests to cold engines "
             f"with {report.cold_crashes} crashes, {report.evacuations} evacuations, "
+            f"{report.shared_parts} parts of other customers used, "
             f"{len(report.findings)} findings"
         )
         for finding in report.findings[:10]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -54,6 +54,8 @@
         Monotonic time at which the call was sent, in seconds.
     is_malformed
         Whether bytes came that are no answer in the protocol.
+    customer
+        Customer whose key the call had.
     """
 
     request_id: str
@@ -64,6 +66,7 @@
     seconds: float = 0.0
     began_at: float = 0.0
     is_malformed: bool = False
+    customer: str = "a"
 
 
 async def call(
@@ -243,7 +246,7 @@
         problems.append(f"status {result.status} although it ran")
     if result.kind == "once" and len(executions) > 1:
         problems.append(f"TWICE: ran {len(executions)} times")
-    if any(execution.tenant != "a" for execution in executions):
+    if any(execution.tenant != result.customer for execution in executions):
         problems.append("ran for another customer")
     return [f"{result.kind} {result.request_id}: {problem}" for problem in problems]
 
--- a/soak/documents.py
+++ b/soak/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from stand_ins.v1_cold import ColdLimits
 
 
@@ -10,6 +12,7 @@
     keys: list[str],
     context_store: str = "",
     cold: ColdLimits | None = None,
+    other_customers: Sequence[object] = (),
 ) -> dict[str, object]:
     """Return the routing document.
 
@@ -19,6 +22,8 @@
         Address of a context store; empty for none.
     cold
         Limits of cold engines; ``None`` for engines that are never cold.
+    other_customers
+        Entries of customers beside the one with the keys.
     """
 
     def route(name: str, kind: str, service: str, attempts: int) -> dict[str, object]:
@@ -68,5 +73,5 @@
             *(stores if context_store else []),
         ],
         "limits": {},
-        "tenants": [{"name": "a", "api_keys": keys}],
+        "tenants": [{"name": "a", "api_keys": keys}, *other_customers],
     }
--- a/soak/run.py
+++ b/soak/run.py
@@ -46,6 +46,14 @@
     evacuation_findings,
 )
 from soak.faults import FAULTS, NOTICES, async_let_targets_pause, cut_links, terminate
+from soak.isolation import (
+    IsolationChange,
+    async_call_as_others,
+    async_change_isolation,
+    customer_entries,
+    isolated_names,
+    isolation_findings,
+)
 from soak.lateness import Lateness
 from soak.links import RANDOM_CUTS, Link, StoreView
 from soak.orders import cut_at_order, is_excused, order_findings
@@ -84,6 +92,8 @@
         Crashes of cold engines by too many requests.
     evacuations
         Evacuations of zones.
+    shared_parts
+        Uses of cached parts that another customer's request has made.
     findings
         Violated guarantees.
     logs
@@ -100,6 +110,7 @@
     cold_requests: int = 0
     cold_crashes: int = 0
     evacuations: int = 0
+    shared_parts: int = 0
     faults: list[str] = field(default_factory=list)
     findings: list[str] = field(default_factory=list)
     logs: list[str] = field(default_factory=list)
@@ -126,6 +137,12 @@
         Whether engines are cold after a start, and become cold at random times.
     has_evacuations
         Whether zones are evacuated at random times.
+    changes_isolation
+        Whether there are more customers, and documents isolate some of them.
+    other_customers
+        Entries of these customers in the document.
+    isolation_changes
+        Customers that each document isolates, by its time.
     is_under_load
         Whether the VMs run; an engine that starts later is cold.
     evacuations
@@ -160,6 +177,7 @@
     has_random_faults = True
     has_cold_engines = False
     has_evacuations = False
+    changes_isolation = False
     earlier_build: Path | None = None
 
     def __init__(self, seed: int, vms: int, seconds: float) -> None:
@@ -170,6 +188,7 @@
         self.link_random = random.Random(f"links {seed}")
         self.address_random = random.Random(f"addresses {seed}")
         self.order_random = random.Random(f"orders {seed}")
+        self.isolation_random = random.Random(f"isolation {seed}")
         self.random = random.Random(seed)
         self.seconds = seconds
         self.report = Report(seed)
@@ -197,6 +216,8 @@
         self.views: dict[str, StoreView] = {}
         self.document_version = 1
         self.document_keys: list[str] = []
+        self.other_customers: list[object] = []
+        self.isolation_changes: list[IsolationChange] = []
         self.weight_version = 1
         self.call_number = seed * 1_000_000
         self.results: list[CallResult] = []
@@ -236,6 +257,8 @@
             self._upgrade_vms(),
             async_make_cold(self),
             async_evacuate_zones(self),
+            async_change_isolation(self),
+            async_call_as_others(self),
             self.lateness.async_watch(self.seconds),
         ]
         if self.has_random_faults:
@@ -279,6 +302,12 @@
             for finding in order_findings(orders, partial(is_excused, self))
         ]
         self._report_engines()
+        sent_at = {result.request_id: result.began_at for result in self.results}
+        uses = self.execution_log.part_uses
+        self.report.shared_parts = sum(use.customer != use.maker for use in uses)
+        self.report.findings += isolation_findings(
+            uses, self.isolation_changes, sent_at
+        )
         self.report.logs = [str(vm.log) for vm in self.vms]
         self.report.histories = [self._history(vm) for vm in self.vms]
         return self.report
@@ -313,6 +342,8 @@
                 target.build = FIRST_BUILD
             self.targets.remove(target)
             await self.async_add_target(target)
+        if self.changes_isolation:
+            self.other_customers = customer_entries(frozenset(), self.isolation_random)
         await self.async_put_document([API_KEY, REVOKED_API_KEY])
         await self.store.put("versions", "m0", {"model": "m0", "version": 1})
         seeds = [vm.host for vm in self.vms[:3]]
@@ -401,8 +432,11 @@
                 keys,
                 self.context_store.address,
                 LIMITS if self.has_cold_engines else None,
+                self.other_customers,
             ),
         )
+        isolated = isolated_names(self.other_customers)
+        self.isolation_changes.append(IsolationChange(monotonic(), isolated))
 
     async def _wait_until_ready(self, vm: Vm) -> None:
         async with asyncio.timeout(20):
--- a/stand_ins/v1_platform.py
+++ b/stand_ins/v1_platform.py
@@ -27,6 +27,7 @@
 )
 from stand_ins.v1_context_store import V1ContextStore
 from stand_ins.v1_object_store import V1ObjectStore as V1ObjectStore
+from stand_ins.v1_part_cache import PartCache, PartUse
 
 SERVER_STAMP = "stand-in"
 EVENT_SECONDS = 0.02
@@ -147,6 +148,8 @@
         Requests that have reached engines, by their arrival.
     cold_crashes
         Times of crashes of cold engines by too many requests.
+    part_uses
+        Uses of cached parts by requests at all engines.
     on_start
         Called with the request id at the start of each execution.
     """
@@ -156,6 +159,7 @@
     orders: list[ArrivedOrder] = field(default_factory=list)
     requests: list[EngineRequest] = field(default_factory=list)
     cold_crashes: list[float] = field(default_factory=list)
+    part_uses: list[PartUse] = field(default_factory=list)
 
     on_start: Callable[[str, Execution], None] = lambda request_id, execution: None
 
@@ -288,6 +292,7 @@
         self.restarts: set[asyncio.Task[None]] = set()
         self.has_ended = False
         self.context_stores: dict[str, V1ContextStore] = {}
+        self.part_cache = PartCache()
         self.is_unframed = False
         self.zone = "z1"
         self.cold: ColdPhase | None = None
@@ -593,6 +598,7 @@
             return False
         response_headers["Gypsumsail-Server-Stamp"] = SERVER_STAMP
         if self.is_engine:
+            self._read_prompt(request, request_id)
             await self._save_parts(request)
             await self._stream(request, request_id, response_headers, writer)
             execution.is_complete = True
@@ -612,6 +618,18 @@
         execution.is_complete = True
         return self.fault != "double"
 
+    def _read_prompt(self, request: RawRequest, request_id: str) -> None:
+        """Use the cached parts of a prompt and cache the others."""
+        headers = request.headers
+        parts = headers.get("gypsumsail-prompt-prefix", "").split(",")
+        self.execution_log.part_uses += self.part_cache.read(
+            headers.get("gypsumsail-cache-salt", ""),
+            [part.partition(":")[0] for part in parts],
+            request_id,
+            headers.get("gypsumsail-tenant", ""),
+            time.monotonic(),
+        )
+
     async def _save_parts(self, request: RawRequest) -> None:
         """Save parts of the prompt to the context stores that the request names."""
         salt = request.headers.get("gypsumsail-cache-salt", "")
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -20,6 +20,12 @@
     41003,  # The kernel of a VM that was killed in the cut did so.
 )
 
+# Seeds in which others used the parts of an isolated customer, with three VMs.
+ISOLATION_REGRESSIONS: tuple[int, ...] = (
+    28,  # The customer had lost its keys, by which isolation went.
+    30,  # An odd entry kept the document from coming into force.
+)
+
 
 async def async_run_soak(seed: int, seconds: float) -> Report:
     """Run a soak test with one seed and three VMs."""
@@ -68,3 +74,13 @@
     report = await run.async_run()
     assert not report.findings, (report.faults, report.logs)
     assert any(fault.startswith("hold ") for fault in report.faults)
+
+
+@pytest.mark.parametrize("seed", ISOLATION_REGRESSIONS)
+async def test_isolated_customers_share_no_context(seed: int) -> None:
+    run = Soak(seed, vms=3, seconds=13.0)
+    run.changes_isolation = True
+    run.has_random_faults = False
+    report = await run.async_run()
+    assert not report.findings, (report.faults, report.logs)
+    assert report.shared_parts
