Let numbers out of range in one customer cost their field alone

Cause: a document with an odd entry is read once more with safe values in it. That reading failed as a whole for a number beyond the range of floats or of thousands of digits, also in a field that nobody reads.

Evidence: test_number_out_of_range_costs_its_field_alone failed before for 1e999 and for 5,000 digits, not for NaN.

Change: such numbers are replaced like NaN. A drawn list of customers never keeps another one from being isolated, or from its keys.

--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -74,9 +74,9 @@
         """Decode a routing document."""
 
     def isolated_customers(self, value: bytes) -> frozenset[str]:
-        """Return the customers that an invalid document isolates, if they are readable.
+        """Return the customers that an invalid document isolates.
 
-        It raises nothing.
+        It raises nothing; customers that can't be read are left out.
         """
 
     def target(self, name: str, value: bytes) -> TargetEntry:
--- a/src/gypsumsail/platform/customers.py
+++ b/src/gypsumsail/platform/customers.py
@@ -103,7 +103,7 @@
 def _is_readable(value: Any, kind: Any) -> bool:
     try:
         msgspec.convert(value, kind)
-    except (msgspec.ValidationError, OverflowError):
+    except msgspec.ValidationError:
         return False
     return True
 
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterable, Iterator
 import json
-from typing import Any
+from math import isfinite
+from typing import Any, Final
 
 import msgspec
 
@@ -47,6 +48,10 @@
 
 ABSENT = msgspec.Raw(b"")
 """Value of an absent field that is decoded separately."""
+INVALID: Final[Any] = [[]]
+"""Stands for a value that can't be read; invalid for each field, unlike null."""
+MAX_INTEGER_DIGITS: Final = 18
+"""Number of digits that each integer of 64 bits may have."""
 BITS_PER_BYTE = 8
 # Callers of streams leave after the longest of these: some seconds, a multiple of the
 # route's latency goal, and a multiple of its longest pause that is still on time.
@@ -338,18 +343,31 @@
 
 
 def _read_json(value: bytes) -> Any:
-    """Read JSON with ``NaN``, infinities and texts that are not Unicode.
+    """Read JSON with numbers that are out of range and texts that are not Unicode.
 
-    They are replaced by a value that is invalid for each field, unlike null. The result
-    is ``None`` if that fails.
+    They are replaced by `INVALID`. The result is ``None`` if that fails.
     """
     try:
-        text = value.decode(errors="surrogateescape")
-        return _without_surrogates(json.loads(text, parse_constant=lambda name: [[]]))
+        found = json.loads(
+            value.decode(errors="surrogateescape"),
+            parse_constant=lambda name: INVALID,
+            parse_float=_parse_float,
+            parse_int=_parse_int,
+        )
+        return _without_surrogates(found)
     except (ValueError, RecursionError):
         return None
 
 
+def _parse_float(text: str) -> Any:
+    number = float(text)
+    return number if isfinite(number) else INVALID
+
+
+def _parse_int(text: str) -> Any:
+    return int(text) if len(text) <= MAX_INTEGER_DIGITS else INVALID
+
+
 def _encode_json(value: Any) -> bytes:
     try:
         return json.dumps(value, allow_nan=False).encode()
@@ -361,7 +379,7 @@
     """Replace texts that contain lone surrogates, and drop fields with such names."""
     match value:
         case str():
-            return value if _is_unicode(value) else [[]]
+            return value if _is_unicode(value) else INVALID
         case list():
             return [_without_surrogates(item) for item in value]
         case dict():
--- a/tests/platform/test_isolated_customers.py
+++ b/tests/platform/test_isolated_customers.py
@@ -6,11 +6,15 @@
 import json
 from typing import Any
 
+from hypothesis import given
+from hypothesis import strategies as st
 import pytest
 
 from gypsumsail.gateway.coordinator import Gateway
+from gypsumsail.platform.customers import CustomerFields
 from gypsumsail.platform.documents import EntryInvalidError, decode_document
 from tests.catalog.common import document_spec
+from tests.fuzzing import fuzz_settings
 from tests.gateway.common import (
     ENGINES,
     RecordedReply,
@@ -116,6 +120,37 @@
     assert not decoded.customers_by_key["key-a"].is_ambiguous
 
 
+@pytest.mark.parametrize("number", ["1e999", "9" * 5_000, "NaN"])
+def test_number_out_of_range_costs_its_field_alone(number: str) -> None:
+    odd = {"name": "x", "priority": "high", "other": 7777}
+    value = encode(isolating({}, odd)).replace(b"7777", number.encode())
+    assert decode_document(value, 1).isolated_customers == {"a"}
+
+
+ODD_VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(10**400), 10**400),
+    st.floats(),
+    st.text(st.characters(), max_size=3),
+    st.lists(st.integers() | st.text(st.characters(), max_size=3), max_size=2),
+)
+FIELDS = st.sampled_from([*CustomerFields.__struct_fields__, "other"])
+
+
+@fuzz_settings(300)
+@given(st.lists(st.dictionaries(FIELDS, ODD_VALUES, max_size=4) | ODD_VALUES))
+def test_no_value_in_other_customers_keeps_one_from_being_isolated(
+    entries: list[object],
+) -> None:
+    """WALL: what a version isolates did not come into force for an odd entry."""
+    customers = [*SHARING[1:], *entries, {"name": "a", "dedicated": True}]
+    decoded = decode_document(encode(customers), 1)
+    assert "a" in decoded.isolated_customers
+    assert decoded.customers_by_key is not None
+    assert decoded.customers_by_key.keys() >= {"key-b", "key-c"}
+
+
 def test_document_that_can_not_be_read_elsewhere_is_rejected() -> None:
     with pytest.raises(EntryInvalidError):
         decode_document(encode([*SHARING, None], version="new"), 1)
