Move reading of odd JSON and builders of documents to modules of their own

Cause: read-through of the change. documents.py had grown by a job of its own, a rule stood in the middle of a loop, the documents of a test were built in its file, and two tests built the same VM.

Change: platform/lenient_json.py, tests/platform/customer_documents.py and tests/vm/offline.py; `_is_ambiguous` says when a key is ambiguous. No behaviour changes. The tests of tests/platform, document_check, cli, vm and catalog pass.

--- a/src/gypsumsail/platform/customers.py
+++ b/src/gypsumsail/platform/customers.py
@@ -31,7 +31,10 @@
 
 
 def customers_by_key(items: Sequence[CustomerFields]) -> dict[str, Customer]:
-    """Return the customers by API key; those without a name can't be told apart."""
+    """Return the customers by API key, without those that have no name.
+
+    A key in several entries leads to the customer of the last one.
+    """
     found: dict[str, Customer] = {}
     isolated = isolated_customers(items)
     for item in items:
@@ -44,17 +47,21 @@
             home_regions=parse_home_regions(item.home_regions),
         )
         for key in item.api_keys:
-            earlier = found.get(key, customer)
-            is_ambiguous = earlier.is_ambiguous or (
-                earlier.name != item.name
-                and not isolated.isdisjoint((earlier.name, item.name))
-            )
-            found[key] = (
-                replace(customer, is_ambiguous=True) if is_ambiguous else customer
-            )
+            earlier = found.get(key)
+            if earlier is None or not _is_ambiguous(earlier, item.name, isolated):
+                found[key] = customer
+            else:
+                found[key] = replace(customer, is_ambiguous=True)
     return found
 
 
+def _is_ambiguous(earlier: Customer, name: str, isolated: frozenset[str]) -> bool:
+    """Return whether a key is that of several customers of whom one is isolated."""
+    if earlier.is_ambiguous:
+        return True
+    return earlier.name != name and not isolated.isdisjoint((earlier.name, name))
+
+
 def isolated_customers(items: Iterable[CustomerFields]) -> frozenset[str]:
     """Return the names of the customers that any entry isolates."""
     return frozenset(item.name for item in items if item.dedicated)
--- a/src/gypsumsail/platform/documents.py
+++ b/src/gypsumsail/platform/documents.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-import json
-from math import isfinite
-from typing import Any, Final
+from typing import Any
 
 import msgspec
 
@@ -38,6 +36,7 @@
     isolated_customers,
     repair_customers,
 )
+from gypsumsail.platform.lenient_json import encode_json, read_json
 from gypsumsail.platform.text import (
     NO_REGION,
     Name,
@@ -48,10 +47,6 @@
 
 ABSENT = msgspec.Raw(b"")
 """Value of an absent field that is decoded separately."""
-INVALID: Final[Any] = [[]]
-"""Stands for a value that can't be read; invalid for each field, unlike null."""
-MAX_INTEGER_DIGITS: Final = 18
-"""Number of digits that each integer of 64 bits may have."""
 BITS_PER_BYTE = 8
 # Callers of streams leave after the longest of these: some seconds, a multiple of the
 # route's latency goal, and a multiple of its longest pause that is still on time.
@@ -254,11 +249,11 @@
     try:
         return _decode(value, DocumentFields), ()
     except EntryInvalidError:
-        found = _read_json(value)
+        found = read_json(value)
         if not isinstance(found, dict):
             raise
     invalid_customers = repair_customers(found.get("tenants"))
-    return _decode(_encode_json(found), DocumentFields), invalid_customers
+    return _decode(encode_json(found), DocumentFields), invalid_customers
 
 
 def read_isolated_customers(value: bytes) -> frozenset[str]:
@@ -266,7 +261,7 @@
 
     The result is empty if the customers can't be read either.
     """
-    found = _read_json(value)
+    found = read_json(value)
     entries = found.get("tenants") if isinstance(found, dict) else None
     if not isinstance(entries, list):
         return frozenset()
@@ -336,63 +331,10 @@
     try:
         return _decode(value, kind)
     except EntryInvalidError:
-        found = _read_json(value)
+        found = read_json(value)
         if found is None:
             raise
-        return _decode(_encode_json(found), kind)
-
-
-def _read_json(value: bytes) -> Any:
-    """Read JSON with numbers that are out of range and texts that are not Unicode.
-
-    They are replaced by `INVALID`. The result is ``None`` if that fails.
-    """
-    try:
-        found = json.loads(
-            value.decode(errors="surrogateescape"),
-            parse_constant=lambda name: INVALID,
-            parse_float=_parse_float,
-            parse_int=_parse_int,
-        )
-        return _without_surrogates(found)
-    except (ValueError, RecursionError):
-        return None
-
-
-def _parse_float(text: str) -> Any:
-    number = float(text)
-    return number if isfinite(number) else INVALID
-
-
-def _parse_int(text: str) -> Any:
-    return int(text) if len(text) <= MAX_INTEGER_DIGITS else INVALID
-
-
-def _encode_json(value: Any) -> bytes:
-    try:
-        return json.dumps(value, allow_nan=False).encode()
-    except (ValueError, RecursionError) as err:
-        raise EntryInvalidError(f"can't decode the value: {err}") from err
-
-
-def _without_surrogates(value: Any) -> Any:
-    """Replace texts that contain lone surrogates, and drop fields with such names."""
-    match value:
-        case str():
-            return value if _is_unicode(value) else INVALID
-        case list():
-            return [_without_surrogates(item) for item in value]
-        case dict():
-            return {
-                key: _without_surrogates(item)
-                for key, item in value.items()
-                if _is_unicode(key)
-            }
-    return value
-
-
-def _is_unicode(text: str) -> bool:
-    return not any("\ud800" <= character <= "\udfff" for character in text)
+        return _decode(encode_json(found), kind)
 
 
 def read_number(raw: msgspec.Raw, largest: float) -> float | None:
--- a/tests/platform/test_isolated_customers.py
+++ b/tests/platform/test_isolated_customers.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-import json
-from typing import Any
-
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -13,10 +9,8 @@
 from gypsumsail.gateway.coordinator import Gateway
 from gypsumsail.platform.customers import CustomerFields
 from gypsumsail.platform.documents import EntryInvalidError, decode_document
-from tests.catalog.common import document_spec
 from tests.fuzzing import fuzz_settings
 from tests.gateway.common import (
-    ENGINES,
     RecordedReply,
     ScriptedExchange,
     ScriptedTargets,
@@ -25,32 +19,7 @@
     gateway,
     prompt,
 )
-
-ROUTE = {
-    "name": "s",
-    "host": "h.example",
-    "path_prefix": "/s/",
-    "kind": "streaming",
-    "service": ENGINES,
-}
-SERVICE = {"name": ENGINES, "engine": {"slots": 64, "kv_tokens": 41_600}}
-SHARING = [
-    {"name": "a", "api_keys": ["key-a"]},
-    {"name": "b", "api_keys": ["key-b"]},
-    {"name": "c", "api_keys": ["key-c"]},
-]
-
-
-def encode(customers: object, **changes: Any) -> bytes:
-    """Return a routing document as the operator writes it."""
-    fields: dict[str, Any] = {"routes": [ROUTE], "services": [SERVICE]}
-    spec = document_spec(**fields, tenants=customers)
-    return json.dumps(spec | changes).encode()
-
-
-def isolating(entry: Mapping[str, Any], *others: object) -> list[object]:
-    """Return customers of whom ``a`` has the given fields besides its name."""
-    return [{"name": "a", "dedicated": True, **entry}, *SHARING[1:], *others]
+from tests.platform.customer_documents import SHARING, encode, isolating
 
 
 async def async_scope(gw: Gateway, key: str) -> str:
--- a/tests/vm/test_rejected_documents.py
+++ b/tests/vm/test_rejected_documents.py
@@ -2,34 +2,18 @@
 
 from __future__ import annotations
 
-import os
 from typing import Any
 
 import pytest
 
-from gypsumsail.core.clock import SystemClock
-from gypsumsail.logs.line_writer import LineWriter
-from gypsumsail.platform.app import make_ports
-from gypsumsail.platform.settings import load_settings
 from gypsumsail.vm.runtime import VmRuntime
-from soak.vms import Vm
 from tests.catalog.common import KINDS, document_spec, listing, stored
+from tests.vm.offline import offline_vm
 
 ISOLATED = {"name": "a", "api_keys": ["k"], "dedicated": True}
 INVALID = {"routes": [{"name": 7}]}
 
 
-def runtime() -> VmRuntime:
-    """Return a VM whose store can't be reached."""
-    vm = Vm("v0", "127.0.0.10", "z0", 20_000)
-    vm.write_settings("127.0.0.1:1", [])
-    path = vm.directory / "boot.toml"
-    settings = load_settings(path)
-    clock = SystemClock()
-    writer = LineWriter(os.open(os.devnull, os.O_WRONLY))
-    return VmRuntime(settings, make_ports(settings, path, clock), clock, writer, None)
-
-
 def apply(vm: VmRuntime, revision: int, **changes: Any) -> frozenset[str]:
     """Apply a document from the store; return the isolated customers."""
     spec = document_spec(revision, **changes)
@@ -44,7 +28,7 @@
 )
 def test_rejected_document_isolates_until_the_next_one(customers: list[Any]) -> None:
     """WALL: others found the customer's context until the operator's next version."""
-    vm = runtime()
+    vm = offline_vm()
     assert apply(vm, 1) == set()
     assert apply(vm, 2, tenants=customers, **INVALID) == {"a"}
     assert apply(vm, 3, tenants=[{"name": "b"}], **INVALID) == {"a"}
@@ -57,6 +41,6 @@
 def test_rejected_document_without_a_list_of_customers_isolates_none(
     customers: object,
 ) -> None:
-    vm = runtime()
+    vm = offline_vm()
     assert apply(vm, 1, tenants=[ISOLATED]) == {"a"}
     assert apply(vm, 2, tenants=customers, **INVALID) == {"a"}
