Share nothing between customers until a suspended VM knows the document

What callers could get: a VM is suspended, a document isolates a customer meanwhile, and calls of others wait for the VM to go on.

Cause: the document in force decided, without regard to the time at which it was last known to be the newest one.

That the users met this way is not shown; it needs no odd document, and a machine that stands still can cause it.

Change: from a suspension until the copy of the document is confirmed, by this VM's reading or by another VM's after it, each customer has a scope of its own. The gap is seen by the placement too, as calls may be placed before the main loop ticks. Calls are served without delay.

--- a/src/gypsumsail/catalog/coordinator.py
+++ b/src/gypsumsail/catalog/coordinator.py
@@ -231,6 +231,14 @@
         is_held = self.suspension_hold.is_held(self.watches[kind].read_at, now)
         return not is_held and self.knows_evacuations
 
+    def is_document_confirmed(self, now: float) -> bool:
+        """Return whether the copy of the document was confirmed since a suspension.
+
+        Documents may have come into force while this VM was suspended.
+        """
+        is_confirmed = isfinite(self.copy_age(self.kinds.documents, now))
+        return is_confirmed and not self.naming_time.is_in_gap(now)
+
     def is_target_list_current(self, now: float) -> bool:
         """Return whether the targets are listed and the store had no recent outage."""
         health = self.store_health[self.kinds.targets]
--- a/src/gypsumsail/catalog/naming_time.py
+++ b/src/gypsumsail/catalog/naming_time.py
@@ -33,14 +33,16 @@
 
     def tick(self, now: float) -> bool:
         """Record that the main loop runs; return whether a gap has ended."""
-        has_gap = self.ticked_at is not None and (
-            now - self.ticked_at > CLOCK_GAP_SECONDS
-        )
+        has_gap = self.is_in_gap(now)
         if self.ticked_at is not None and has_gap:
             self.gap_started_at, self.gap_ended_at = self.ticked_at, now
         self.ticked_at = now
         return has_gap
 
+    def is_in_gap(self, now: float) -> bool:
+        """Return whether a gap has ended that `tick` has not seen yet."""
+        return self.ticked_at is not None and now - self.ticked_at > CLOCK_GAP_SECONDS
+
     def earliest(self, model: str, version: int, now: float) -> float:
         """Return the earliest time at which a version seen only now was named."""
         told = self.told.get((model, version), now)
@@ -62,7 +64,7 @@
 
     def _earliest_unseen(self, now: float) -> float:
         """Return the earliest time at which this VM can have missed a naming."""
-        if self.ticked_at is not None and now - self.ticked_at > CLOCK_GAP_SECONDS:
+        if self.ticked_at is not None and self.is_in_gap(now):
             return self.ticked_at
         if now - self.gap_ended_at < GAP_CATCH_UP_SECONDS:
             return self.gap_started_at
--- a/src/gypsumsail/gateway/fleet_view.py
+++ b/src/gypsumsail/gateway/fleet_view.py
@@ -73,6 +73,9 @@
         Time at which this VM exits; infinite until it is told to stop.
     isolation
         Customers whose cached context is not shared.
+    is_isolation_known
+        Returns whether this VM knows at a time which customers are isolated. While it
+        does not, no customer shares cached context with another.
     choose_helper
         Returns the host of another VM that may serve a call of a service; ``None`` if
         there is none. Its arguments are the service, the hosts that were tried, the
@@ -106,6 +109,7 @@
     regions: Regions = field(default_factory=lambda: Regions(own_zone=""))
     exits_at: float = inf
     isolation: Isolation = field(default_factory=Isolation)
+    is_isolation_known: Callable[[float], bool] = lambda now: True
 
     def may_place(self, now: float) -> bool:
         """Return whether this VM knows enough of the fleet to place calls."""
--- a/src/gypsumsail/gateway/placer.py
+++ b/src/gypsumsail/gateway/placer.py
@@ -82,7 +82,7 @@
         fetchable_by_scope = self._fetchable_parts(job, now)
         min_prefill_tokens = min(
             (
-                self._prefill_and_fetch_tokens(job, state, fetchable_by_scope)[0]
+                self._prefill_and_fetch_tokens(job, state, fetchable_by_scope, now)[0]
                 for state in self._states(job)
             ),
             default=prompt.input_tokens,
@@ -302,13 +302,16 @@
         wanted = self.view.wanted_weights.get(prompt.model)
         return weight_fit(wanted, version, self.view.rollout_seconds, now)
 
-    def _scope(self, job: Job, state: TargetState) -> str | None:
+    def _scope(self, job: Job, state: TargetState, now: float) -> str | None:
         """Return the scope of a call at a target; ``None`` if it shares nothing."""
         if job.customer.is_ambiguous:
             return None
-        return shared_scope(job.customer.name, self._version(job, state), job.isolated)
+        isolated = job.isolated
+        if not self.view.is_isolation_known(now):
+            isolated = frozenset({job.customer.name})
+        return shared_scope(job.customer.name, self._version(job, state), isolated)
 
-    def _send_scope(self, job: Job, state: TargetState) -> str:
+    def _send_scope(self, job: Job, state: TargetState, now: float) -> str:
         """Return the scope of one send; empty for a plain call to a plain target.
 
         An engine would cache what it can read of a prompt that is not fully described,
@@ -317,20 +320,24 @@
         is_plain = self.service.engine is None and not state.weight_versions
         if is_plain and job.call.prompt is None:
             return ""
-        return self._scope(job, state) or unshared_scope()
+        return self._scope(job, state, now) or unshared_scope()
 
     def _fetchable_parts(self, job: Job, now: float) -> FetchableByScope:
         """Return the lookup of fetchable leading parts, cached by scope."""
         return FetchableByScope(partial(self.view.fetchable_parts_of, job, now=now))
 
     def _prefill_and_fetch_tokens(
-        self, job: Job, state: TargetState, fetchable_by_scope: FetchableByScope
+        self,
+        job: Job,
+        state: TargetState,
+        fetchable_by_scope: FetchableByScope,
+        now: float,
     ) -> tuple[int, int]:
         """Return the prompt tokens that a target would prefill, and would fetch."""
         prompt = job.call.prompt
         if prompt is None:
             return 0, 0
-        scope = self._scope(job, state)
+        scope = self._scope(job, state, now)
         if scope is None:
             return prompt.input_tokens, 0
         cached = state.cache.leading_parts(scope, prompt.parts)
@@ -352,7 +359,7 @@
             state.cache.capacity_tokens = engine.memory_tokens
         is_for_short = state.entry.name in self.pools.short_engines
         prefill_tokens, fetch_tokens = self._prefill_and_fetch_tokens(
-            job, state, fetchable_by_scope
+            job, state, fetchable_by_scope, now
         )
         factor = state.work_factor(now)
         return Candidate(
@@ -380,7 +387,7 @@
         """Count a job among the calls in flight at a target."""
         prompt = job.call.prompt
         prefill_tokens, fetch_tokens = self._prefill_and_fetch_tokens(
-            job, state, self._fetchable_parts(job, now)
+            job, state, self._fetchable_parts(job, now), now
         )
         in_flight_call = InFlightCall(
             tokens=prompt.tokens if prompt is not None else 0,
@@ -397,6 +404,6 @@
             answer_delay=answer_delay,
             prefill_tokens=prefill_tokens,
             fetch_tokens=fetch_tokens,
-            cache_scope=self._send_scope(job, state),
+            cache_scope=self._send_scope(job, state, now),
             weight_version=version or None,
         )
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -255,8 +255,9 @@
             self._is_watcher,
             self.settings.change_bounds,
         )
-        isolation = self.gateway.view.isolation
-        catalog.on_document_rejected = isolation.apply_rejected
+        view = self.gateway.view
+        view.is_isolation_known = catalog.is_document_confirmed
+        catalog.on_document_rejected = view.isolation.apply_rejected
         return catalog
 
     def _connect_evacuations(self) -> None:
--- a/tests/catalog/test_freshness.py
+++ b/tests/catalog/test_freshness.py
@@ -111,6 +111,23 @@
     assert catalog.coordinator.reads_store(KINDS.documents)
 
 
+def test_document_is_not_confirmed_from_a_suspension_to_the_next_reading() -> None:
+    """WALL: a VM that woke up shared what only an earlier document allowed."""
+    catalog = reader()
+    is_confirmed = catalog.coordinator.is_document_confirmed
+    catalog.coordinator.tick(catalog.clock.now)
+    assert is_confirmed(catalog.clock.now)
+    catalog.clock.now += 3.0
+    # The calls that have waited may be placed before the main loop runs.
+    assert not is_confirmed(catalog.clock.now)
+    catalog.coordinator.tick(catalog.clock.now)
+    assert not is_confirmed(catalog.clock.now)
+    catalog.coordinator.confirm(confirmation(10), catalog.clock.now)
+    assert not is_confirmed(catalog.clock.now)
+    catalog.coordinator.confirm(confirmation(9), catalog.clock.now)
+    assert is_confirmed(catalog.clock.now)
+
+
 def test_delay_of_a_change_that_another_vm_tells_counts_from_its_first_news() -> None:
     catalog = reader()
     watch = catalog.coordinator.watches[KINDS.documents]
--- a/tests/gateway/test_isolated_customers.py
+++ b/tests/gateway/test_isolated_customers.py
@@ -153,6 +153,18 @@
     assert {len(scope) for scope in scopes} == {len(unshared_scope())}
 
 
+async def test_customers_share_nothing_while_isolation_is_unknown() -> None:
+    """WALL: a VM that had been suspended did not know who is isolated by then."""
+    calls = ScriptedTargets(answer(), answer(), answer())
+    gw = gateway(calls, engine(), routing=routing(SHARING))
+    gw.view.is_isolation_known = lambda now: False
+    for key in (KEY, OTHER_KEY):
+        await async_send(gw, key)
+    gw.view.is_isolation_known = lambda now: True
+    await async_send(gw)
+    assert [sent.terms.cache_scope for sent in calls.sent] == ["1/a", "1/b", "1"]
+
+
 async def test_call_to_a_plain_service_has_no_scope() -> None:
     calls = ScriptedTargets(ScriptedExchange())
     gw = gateway(calls, target())
--- a/tests/vm/test_rejected_documents.py
+++ b/tests/vm/test_isolation.py
@@ -1,4 +1,4 @@
-"""Tests that a VM isolates the customers of a document that it can't apply."""
+"""Tests of what a VM knows of the customers that are isolated."""
 
 from __future__ import annotations
 
@@ -23,6 +23,16 @@
     return vm.gateway.view.isolation.names
 
 
+def test_vm_asks_the_catalog_whether_isolation_is_known() -> None:
+    """Guards against a VM that shares context before its document is confirmed."""
+    vm = offline_vm()
+    now = vm.clock.monotonic()
+    apply(vm, 1)
+    assert not vm.gateway.view.is_isolation_known(now)
+    vm.catalog.watches[KINDS.documents].confirm(1, now)
+    assert vm.gateway.view.is_isolation_known(now)
+
+
 @pytest.mark.parametrize(
     "customers", [[ISOLATED], [{"name": "x", "priority": "high"}, None, ISOLATED]]
 )
