--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -20,6 +20,7 @@
 import time
 from typing import Any
 
+from stand_ins.raw_http import RawRequest, RawServer, encode_response
 from stand_ins.v1_object_store import V1ObjectStore
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -28,6 +29,7 @@
 HOST_NAME = "portal.example"
 KEY = "k3yofthefirsttenant00"
 DOWN_WAIT_SECONDS = 20.0
+BEAT_SECONDS = 1.2
 SETTINGS = """\
 node = "{name}"
 role = "entry"
@@ -380,6 +382,80 @@
     }
 
 
+class PlainEngine:
+    """Sound plain engine in the process of the case.
+
+    It checks the id that a request names, answers with its signature, and writes its
+    entry at each beat.
+
+    Attributes
+    ----------
+    state
+        State in the entry.
+    runs
+        Ids of the requests that it has run.
+    """
+
+    def __init__(self, name: str, service: str, fleet: Fleet) -> None:
+        self.name = name
+        self.service = service
+        self.fleet = fleet
+        self.server = RawServer(self.handle)
+        self.address = ""
+        self.born = now_ms()
+        self.state = "ready"
+        self.runs: list[str] = []
+        self.beats: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Listen and write the entry at each beat."""
+        port = await self.server.async_start("127.0.0.1")
+        self.address = f"127.0.0.1:{port}"
+        await self.async_write_entry()
+        self.beats = asyncio.create_task(self._async_beat())
+
+    async def async_stop(self) -> None:
+        """End the engine."""
+        if self.beats is not None:
+            self.beats.cancel()
+        await self.server.async_stop()
+
+    async def async_write_entry(self) -> None:
+        """Write the entry; the store keeps its revision if nothing has changed."""
+        spec = entry(self.service, self.address, self.born, state=self.state)
+        await self.fleet.store.put("servers", self.name, spec)
+
+    async def _async_beat(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT_SECONDS)
+            await self.async_write_entry()
+
+    async def handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        """Answer one request; return whether the connection stays open."""
+        request_id = request.headers.get("gypsumsail-request-id", "")
+        headers = {"Gypsumsail-Instance-Id": self.name}
+        if request_id:
+            headers["Gypsumsail-Request-Id"] = request_id
+        named = request.headers.get("gypsumsail-target-instance", self.name)
+        if named != self.name:
+            headers["Gypsumsail-Not-Run"] = "1"
+            writer.write(encode_response(421, b"", headers))
+            return True
+        if request.path == "/healthz":
+            writer.write(encode_response(200, b"", headers))
+            return True
+        if not request_id:
+            headers["Gypsumsail-Not-Run"] = "1"
+            writer.write(encode_response(400, b"", headers))
+            return True
+        self.runs.append(request_id)
+        self.fleet.record.add(f"{self.name} of {self.service} runs {request_id}")
+        headers["Gypsumsail-Server-Stamp"] = f"{self.name}.{self.born}"
+        body = f"answer to {request_id}".encode()
+        writer.write(encode_response(200, body, headers))
+        return True
+
+
 class Fleet:
     """Store of the platform and VMs of one case."""
 
