--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -406,6 +406,7 @@
         self.state = "ready"
         self.runs: list[str] = []
         self.beats: asyncio.Task[None] | None = None
+        self.beat = asyncio.Event()
 
     async def async_start(self) -> None:
         """Listen and write the entry at each beat."""
@@ -429,6 +430,12 @@
         while True:
             await asyncio.sleep(BEAT_SECONDS)
             await self.async_write_entry()
+            self.beat.set()
+
+    async def async_wait_beat(self) -> None:
+        """Wait until the entry has been written at the next beat."""
+        self.beat.clear()
+        await self.beat.wait()
 
     async def handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
         """Answer one request; return whether the connection stays open."""
