--- a/review/11/case.py
+++ b/review/11/case.py
@@ -20,6 +20,7 @@
     Answer,
     CannotRunError,
     Fleet,
+    Link,
     Record,
     async_request,
     configuration,
@@ -39,70 +40,6 @@
 DEADLINE_MS = 9000
 
 
-class Link:
-    """Link to an engine; while it is cut, what is sent arrives later, in order."""
-
-    def __init__(self, host: str, port: int) -> None:
-        self.host = host
-        self.port = port
-        self.is_whole = asyncio.Event()
-        self.is_whole.set()
-        self.server: asyncio.Server | None = None
-        self.tasks: set[asyncio.Task[None]] = set()
-
-    async def async_start(self) -> str:
-        """Start listening; return the address."""
-        self.server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
-
-    async def async_stop(self) -> None:
-        """End all connections."""
-        if self.server is not None:
-            self.server.close()
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-
-    async def _async_serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self.tasks.add(task)
-        try:
-            await self.is_whole.wait()
-            try:
-                far_reader, far_writer = await asyncio.open_connection(
-                    self.host, self.port
-                )
-            except OSError:
-                writer.transport.abort()
-                return
-            await asyncio.gather(
-                self._async_forward(reader, far_writer),
-                self._async_forward(far_reader, writer),
-            )
-        except asyncio.CancelledError:
-            writer.transport.abort()
-        finally:
-            self.tasks.discard(task)
-
-    async def _async_forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Forward bytes and the end of the connection; a reset as a reset."""
-        try:
-            while data := await reader.read(65_536):
-                await self.is_whole.wait()
-                writer.write(data)
-                await writer.drain()
-            await self.is_whole.wait()
-        except ConnectionError:
-            writer.transport.abort()
-        else:
-            writer.close()
-
-
 class EngineProcess:
     """Process of an engine, with its link."""
 
