--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -57,7 +57,7 @@
 [limits]
 cpu_share = 0.537
 cores = 2
-ram_mb = 300
+ram_mb = {memory}
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -166,6 +166,8 @@
     ----------
     port
         First of its ports: front, ready, control, gossip and metrics.
+    memory_mb
+        Memory in its settings; nothing here enforces it.
     """
 
     name: str
@@ -173,6 +175,7 @@
     zone: str
     port: int
     folder: Path
+    memory_mb: int = 300
     process: asyncio.subprocess.Process | None = None
 
     def write_settings(self, store: str, seeds: list[str]) -> None:
@@ -188,6 +191,7 @@
             gossip_end=self.port + 4,
             seeds=", ".join(f'"{seed}:{self.port + 2}"' for seed in seeds),
             store=store,
+            memory=self.memory_mb,
         )
         (self.folder / f"{self.name}.toml").write_text(text, encoding="utf-8")
 
@@ -265,7 +269,18 @@
 
 async def async_exchange(host: str, port: int, request: bytes) -> Answer:
     """Send one request on a connection of its own and return the answer."""
-    reader, writer = await asyncio.open_connection(host, port)
+    connection = await asyncio.open_connection(host, port)
+    try:
+        return await async_exchange_over(connection, request)
+    finally:
+        connection[1].close()
+
+
+async def async_exchange_over(
+    connection: tuple[asyncio.StreamReader, asyncio.StreamWriter], request: bytes
+) -> Answer:
+    """Send one request over a connection and return the answer."""
+    reader, writer = connection
     answer = Answer()
     try:
         writer.write(request)
@@ -289,8 +304,6 @@
     except (asyncio.IncompleteReadError, ConnectionError):
         if not answer.status:
             raise
-    finally:
-        writer.close()
     return answer
 
 
