--- a/src/gypsumsail/context_stores/const.py
+++ b/src/gypsumsail/context_stores/const.py
@@ -35,6 +35,47 @@
 """Number of tokens below which a part is not worth a transfer."""
 SAVE_TIMEOUT_SECONDS: Final = 4.0
 """Time after which a save that the store did not report is considered failed."""
+SAVE_END_SECONDS: Final = 3.0
+"""Time after a call's deadline by which its engine has ended or dropped its saves.
+
+An engine doesn't start a transfer that would wait for more than two seconds.
+"""
+SAVE_BEGIN_SECONDS: Final = 2.5
+"""Time after a call's first token by which its saves have reserved their space."""
+LATE_ANSWER_SECONDS: Final = 0.05
+"""Time that an answer of a store may take to arrive."""
+MAX_LISTING_AGE_SECONDS: Final = 5.0
+"""Age of a store's list above which a VM saves only if others confirm its view.
+
+A change of a store may never be reported, so that only a list shows it.
+"""
+MISMATCH_SECONDS: Final = 1.0
+"""Time for which the views of two VMs may differ before they list the store."""
+MAX_REMEMBERED_DIGESTS: Final = 512
+"""Maximum number of earlier states of a view that others' states are compared with."""
+MAX_REPORTED_SAVES: Final = 40
+"""Maximum number of saves in a report; a VM with more sends none."""
+MAX_REPORTS_PER_MESSAGE: Final = 16
+"""Maximum number of stores in a datagram."""
+REPORT_REPEAT_SECONDS: Final = 1.0
+"""Interval at which unchanged reports are repeated, because datagrams may be lost."""
+REPORT_INTERVAL_SECONDS: Final = 0.15
+"""Minimum interval between reports that change, in a small fleet."""
+LARGE_REPORT_INTERVAL_SECONDS: Final = 0.4
+"""The same in a large fleet."""
+MAX_SAVING_STORES: Final = 4
+"""Number of stores to which a VM of a large fleet saves without polling them."""
+PERMISSION_SECONDS: Final = 1.5
+"""Time for which a polling VM's permission to save to its store counts."""
+MAX_REPORT_GAP_SECONDS: Final = 5.0
+"""Longest time from a VM's last report to its restart after which that report tells
+which of its saves may go on."""
+LATE_REPORT_SECONDS: Final = 1.0
+"""Time that a report may take to arrive."""
+LATE_CONFIRMATION_SECONDS: Final = 2.0
+"""Time after which the confirmation of a part is logged."""
+SAVER_RETENTION_SECONDS: Final = 120.0
+"""Time without a report after which a VM no longer counts as one that may save."""
 FETCH_TIMEOUT_SECONDS: Final = 1.5
 """Time after a job's expected start at which its engine discards unfinished fetches."""
 OLD_FETCHES_SECONDS: Final = VIEW_MAX_AGE_SECONDS + FETCH_TIMEOUT_SECONDS
--- a/src/gypsumsail/context_stores/coordinator.py
+++ b/src/gypsumsail/context_stores/coordinator.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 import random
 
 from gypsumsail.context_stores.const import (
     FETCH_TIMEOUT_SECONDS,
     FREE_CALL_TIMEOUT_SECONDS,
     FREE_INTERVAL_SECONDS,
+    LATE_CONFIRMATION_SECONDS,
     LONG_POLL_SECONDS,
     MAX_PARTS_PER_CALL,
     MAX_POLLING_SHARE,
@@ -41,13 +42,19 @@
     encode_view,
     relayed_changes,
 )
-from gypsumsail.context_stores.store_view import StoreView
+from gypsumsail.context_stores.report_exchange import ReportExchange
+from gypsumsail.context_stores.store_view import (
+    PartKey,
+    StoreChange,
+    StoreView,
+)
 from gypsumsail.core.aligned_sleep import async_sleep_aligned
 from gypsumsail.core.callback import callback
 from gypsumsail.core.cbor import ValueInvalidError
 from gypsumsail.core.clock import Clock
 from gypsumsail.core.errors import TransportError
 from gypsumsail.core.rendezvous import rank
+from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.evacuations.homes import Homes, Regions
 from gypsumsail.gateway.job import Assignment, Job
 from gypsumsail.gateway.models import Address, ContextStore, PromptPart, RoutingDocument
@@ -93,6 +100,10 @@
         Zones from whose engines nothing is fetched.
     regions
         Regions of the zones, to which kept context may be confined.
+    exchange
+        Reports of this VM and others, by which parts become fetchable.
+    on_listed
+        Called with the view of a store that this VM has listed.
     """
 
     def __init__(
@@ -126,10 +137,14 @@
         self.wanted = wanted
         self.evacuated_zones: Collection[str] = ()
         self.regions = Regions(own_zone=peers.zone)
+        self.exchange = ReportExchange(peers, self._polls_store, self._is_relayed)
+        self.exchange.on_confirmed = self._relay_confirmed
+        self.on_listed: Callable[[StoreView], None] = lambda view: None
 
     @callback
     def set_document(self, document: RoutingDocument) -> None:
         """Track the stores in a document, and no others."""
+        self.exchange.set_longest_call(document)
         stores = {store.address: store for store in document.stores}
         for address in list(self.views):
             if address not in stores:
@@ -138,6 +153,7 @@
             if address not in self.views:
                 self.views[address] = StoreView(store)
                 self.views_by_name[str(address)] = self.views[address]
+                self.exchange.add(self.views[address])
                 task = asyncio.get_running_loop().create_task(
                     self._async_keep_current(self.views[address])
                 )
@@ -154,6 +170,7 @@
         self.loss_reasons.pop(address, None)
         del self.views_by_name[str(address)]
         self.tasks.pop(address).cancel()
+        self.exchange.remove(address)
         self.stores.forget(view.store)
 
     async def _async_keep_current(self, view: StoreView) -> None:
@@ -274,23 +291,18 @@
     def _polls_store(self, store: ContextStore) -> bool:
         """Return whether this VM polls the store itself."""
         now = self.clock.monotonic()
-        max_polling_vms = max(int(store.max_waiting_reads * MAX_POLLING_SHARE), 1)
-        if self.peers.count(now) <= max_polling_vms:
+        if not self._is_relayed(store, now):
             return True
         return self.peers.is_assigned(store.name, POLLING_VMS_PER_ZONE, now)
 
+    def _is_relayed(self, store: ContextStore, now: float) -> bool:
+        """Return whether there are more VMs than may poll a store."""
+        max_polling_vms = max(int(store.max_waiting_reads * MAX_POLLING_SHARE), 1)
+        return self.peers.count(now) > max_polling_vms
+
     async def _async_poll(self, view: StoreView) -> None:
-        if view.life is None or view.relay_vm:
-            answer = await self.stores.async_contents(view.store)
-            now = self.clock.monotonic()
-            view.load(answer, now)
-            self.log.write(
-                "store of context followed",
-                store=view.store.name,
-                address=str(view.store.address),
-                life=answer.life,
-                parts=len(view.parts),
-            )
+        if view.life is None or view.relay_vm or self.exchange.wants_list(view):
+            await self._async_list(view)
             return
         answer = await self.stores.async_changes(
             view.store, view.next_number, LONG_POLL_SECONDS
@@ -303,13 +315,74 @@
             raise MisplacedAnswerError(
                 f"{answer.next_number} is not after {view.next_number}", sent=True
             )
+        changes = view.differing(answer.changes)
         if not view.apply_changes(answer, now):
             self.log.write("store of context restarted", store=view.store.name)
             return
-        if self.peers.is_large(now):
-            relay = self.relays.setdefault(view.store.address, StoreRelay())
-            for update in relay.updates(view, answer.changes, now):
-                self.on_store_update(update)
+        self._relay_changes(view, changes, now)
+        self.exchange.confirm_parts(view, now)
+
+    async def _async_list(self, view: StoreView) -> None:
+        answer = await self.stores.async_contents(view.store)
+        now = self.clock.monotonic()
+        goes_on = answer.life == view.life and not view.relay_vm
+        listed = {(change.scope, change.part) for change in answer.changes}
+        changes = (
+            *(
+                StoreChange(scope=scope, part=part, tokens=0)
+                for scope, part in view.parts
+                if (scope, part) not in listed
+            ),
+            *view.differing(answer.changes),
+        )
+        view.load(answer, now)
+        self.exchange.record_list(view)
+        if goes_on:
+            self._relay_changes(view, changes, now)
+        elif view.store.address in self.relays:
+            # VMs that miss an update ask for the whole view.
+            self.relays[view.store.address].number += 1
+        self.exchange.confirm_parts(view, now)
+        self.on_listed(view)
+        self.log.write(
+            "store of context followed",
+            store=view.store.name,
+            address=str(view.store.address),
+            life=answer.life,
+            parts=len(view.parts),
+            unconfirmed=len(view.unconfirmed),
+        )
+
+    def _relay_changes(
+        self, view: StoreView, changes: tuple[StoreChange, ...], now: float
+    ) -> None:
+        """Tell the VMs that follow a store by this one of its changes."""
+        if not self._is_relayed(view.store, now):
+            return
+        relay = self.relays.setdefault(view.store.address, StoreRelay())
+        for update in relay.updates(view, changes, now):
+            self.on_store_update(update)
+        self.exchange.record_update(view, relay.number - 1)
+
+    @callback
+    def _relay_confirmed(
+        self, view: StoreView, keys: Sequence[PartKey], waited: float
+    ) -> None:
+        """Tell them of parts that may be fetched from now on."""
+        if waited >= LATE_CONFIRMATION_SECONDS:
+            self.log.write(
+                "parts of store confirmed late",
+                store=view.store.name,
+                life=view.life,
+                parts=len(keys),
+                waited_ms=round(waited * MILLISECONDS_PER_SECOND),
+                left=len(view.unconfirmed),
+            )
+        changes = tuple(
+            StoreChange(scope=scope, part=part, tokens=view.parts[(scope, part)])
+            for scope, part in keys
+        )
+        self._relay_changes(view, changes, self.clock.monotonic())
 
     @callback
     def apply_store_update(self, peer: Peer, update: ContextStoreUpdate) -> None:
@@ -373,7 +446,12 @@
         save = self._plan_save(prompt.model, assignment.weight_version, options)
         for part, address in zip(prompt.parts, save, strict=True):
             if address is not None:
-                self.views[address].mark_saving(scope, (part,), now)
+                view = self.views[address]
+                view.mark_saving(scope, (part,), now)
+                self.exchange.record_save(view, (scope, part.name), job, assignment)
+        self.exchange.announce_saves(
+            [self.views[address] for address in set(save) if address is not None], now
+        )
         fetch = plan_fetch(options)
         assignment.fetched_from = frozenset(address for address in fetch if address)
         until = self._fetch_deadline_ms(
@@ -408,6 +486,7 @@
         waited_seconds
             Time from the placement of the job to its first token.
         """
+        self.exchange.record_first_token(assignment, now)
         if waited_seconds < assignment.answer_delay + FETCH_TIMEOUT_SECONDS:
             return
         for address in assignment.fetched_from:
@@ -455,7 +534,11 @@
         return PartOptions(
             part=part,
             is_shared=is_shared,
-            is_stored=any(view.is_stored_or_saving(scope, part, now) for view in views),
+            is_stored=any(
+                view.is_stored_or_saving(scope, part, now)
+                or self.exchange.is_saved_elsewhere(view, (scope, part.name))
+                for view in views
+            ),
             sources=tuple(self._sources(scope, part, engine, homes, now))
             if is_shared
             else (),
@@ -467,7 +550,7 @@
                     free_tokens=view.free_tokens(),
                 )
                 for view in views
-                if view.can_save(now)
+                if view.can_save(now) and self.exchange.may_save(view, now)
             ),
         )
 
@@ -521,7 +604,7 @@
         return (
             view
             for view in self._views_in(homes)
-            if view.can_fetch(now) and view.holds(scope, part)
+            if view.can_fetch_part(scope, part, now)
         )
 
     def fetchable_prefix_parts(
--- a/src/gypsumsail/context_stores/relay.py
+++ b/src/gypsumsail/context_stores/relay.py
@@ -26,6 +26,8 @@
 class StoreRelay:
     """Numbers the updates on one store that this VM sends to other VMs.
 
+    A part is repeated once it is confirmed, so that it may be fetched.
+
     Attributes
     ----------
     number
@@ -79,6 +81,12 @@
 def encode_view(view: StoreView, number: int, now: float) -> bytes:
     """Encode the contents of a polled store and the number of the next update."""
     parts = [[scope, part, tokens] for (scope, part), tokens in view.parts.items()]
+    # As in updates, a part that may be fetched stands there once more.
+    parts += [
+        [*key, tokens]
+        for key, tokens in view.parts.items()
+        if key not in view.unconfirmed
+    ]
     return cbor2.dumps([number, view.life or 0, view.clock_ms(now) or 0, parts])
 
 
--- a/src/gypsumsail/context_stores/store_view.py
+++ b/src/gypsumsail/context_stores/store_view.py
@@ -5,14 +5,18 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import xxhash
+
 from gypsumsail.context_stores.const import (
     MAX_FILL_SHARE,
+    MAX_REMEMBERED_DIGESTS,
     OLD_FETCHES_SECONDS,
     SAVE_TIMEOUT_SECONDS,
     VIEW_MAX_AGE_SECONDS,
 )
 from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import ContextStore, PromptPart
+from gypsumsail.gossip.store_messages import VmStart
 
 PartKey = tuple[str, str]
 """Cache scope, which contains the weight version, and name of a part of a prompt."""
@@ -31,11 +35,34 @@
         Name of the part.
     tokens
         Tokens of the part that the store holds now; 0 if the part was removed.
+    number
+        The store's number of the change; 0 if the part was listed, or if another VM
+        relays the change.
     """
 
     scope: str
     part: str
     tokens: int
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnconfirmedPart:
+    """A complete part that other VMs may still let engines save.
+
+    Attributes
+    ----------
+    number
+        Number of changes from which the view has the part.
+    known_at
+        Time at which the part became known.
+    confirmed_by
+        Lives of other VMs that know the part and have no save of it on its way.
+    """
+
+    number: int
+    known_at: float
+    confirmed_by: set[VmStart] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,6 +114,11 @@
     changes: tuple[StoreChange, ...]
 
 
+def part_hash(key: PartKey, tokens: int = 0) -> int:
+    """Return a hash of a part that is the same at all VMs, in 64 bits."""
+    return xxhash.xxh3_64_intdigest("\0".join((*key, str(tokens))).encode())
+
+
 @dataclass(slots=True)
 class StoreView:
     """One store as known to this VM.
@@ -95,6 +127,15 @@
     ----------
     parts
         Tokens of each complete part in the store.
+    unconfirmed
+        Parts among these that are not fetched yet: a save of the part by another VM may
+        still wait at its engine, and would write into the next run of the store.
+    digest
+        Sum of the hashes of all parts, which tells whether two views are the same.
+    digests
+        Digest after each of the latest changes, by the number of the change.
+    listed_at
+        Time at which the store was last listed by this VM.
     saving
         Tokens of each part that is being saved to the store, and the time at which the
         save began. A save that timed out stays here until its part is reported or the
@@ -130,6 +171,10 @@
     saves_from: float = 0.0
     slow_until: float = 0.0
     misplaced_answers: int = 0
+    unconfirmed: dict[PartKey, UnconfirmedPart] = field(default_factory=dict)
+    digest: int = 0
+    digests: dict[int, int] = field(default_factory=dict)
+    listed_at: float = float("-inf")
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the contents are known and recent enough to fetch parts."""
@@ -146,21 +191,41 @@
     def reset(self) -> None:
         """Drop the contents, which are unknown until the next `load`."""
         self.parts.clear()
+        self.unconfirmed.clear()
+        self.digest = 0
+        self.digests.clear()
         self.saving.clear()
         self.life = None
         self.next_number = 0
 
     def load(self, answer: StoreAnswer, now: float, relay_vm: str = "") -> None:
-        """Replace the contents with all that the store holds."""
+        """Replace the contents with all that the store holds.
+
+        What was known of a part stays known if the store has run ever since.
+        """
         saving = dict(self.saving)
+        is_same = answer.life == self.life and relay_vm == self.relay_vm
+        parts = dict(self.parts) if is_same else {}
+        unconfirmed = dict(self.unconfirmed)
+        digests = dict(self.digests) if is_same else {}
         self.reset()
         self.saving = saving
+        self.digests = digests
         self.relay_vm = relay_vm
+        if not relay_vm:
+            self.listed_at = now
         self.life = answer.life
         if answer.life != self.known_life:
             self.known_life = answer.life
             self.saves_from = now + OLD_FETCHES_SECONDS
         self._apply(answer, now)
+        for key, tokens in parts.items():
+            if self.parts.get(key) != tokens:
+                continue
+            if key in unconfirmed:
+                self.unconfirmed[key] = unconfirmed[key]
+            else:
+                self.confirm(key)
 
     def repeats_earlier(self, answer: StoreAnswer) -> bool:
         """Return whether an answer is a second copy of one that was applied before.
@@ -174,6 +239,20 @@
             return answer.next_number <= self.next_number
         return answer.next_number < self.next_number
 
+    def differing(self, changes: Iterable[StoreChange]) -> tuple[StoreChange, ...]:
+        """Return the changes that the view doesn't have yet, in their order.
+
+        A listed part is reported later as well.
+        """
+        found: list[StoreChange] = []
+        parts: dict[PartKey, int] = {}
+        for change in changes:
+            key = (change.scope, change.part)
+            if parts.get(key, self.parts.get(key, 0)) != change.tokens:
+                parts[key] = change.tokens
+                found.append(change)
+        return tuple(found)
+
     def apply_changes(self, answer: StoreAnswer, now: float) -> bool:
         """Apply changes; return false if the whole contents must be requested again."""
         if answer.life != self.life or answer.has_gap:
@@ -210,11 +289,13 @@
     def _apply(self, answer: StoreAnswer, now: float) -> None:
         for change in answer.changes:
             key = (change.scope, change.part)
-            if change.tokens:
-                self.parts[key] = change.tokens
-            else:
-                self.parts.pop(key, None)
+            self._apply_change(key, change, answer.next_number, now)
+            if change.number:
+                self.digests[change.number] = self.digest
             self.saving.pop(key, None)
+        self.digests[answer.next_number] = self.digest
+        while len(self.digests) > MAX_REMEMBERED_DIGESTS:
+            del self.digests[next(iter(self.digests))]
         self.next_number = answer.next_number
         self.answered_at = now
         if answer.clock_ms is not None:
@@ -223,6 +304,39 @@
             old_fetches_ms = round(OLD_FETCHES_SECONDS * MILLISECONDS_PER_SECOND)
             self.fetches_end_ms = known_ms + old_fetches_ms
 
+    def _apply_change(
+        self, key: PartKey, change: StoreChange, next_number: int, now: float
+    ) -> None:
+        before = self.parts.get(key)
+        if before == change.tokens:
+            if self.relay_vm:
+                # A VM that relays the store repeats a part once it is confirmed.
+                self.confirm(key)
+            return
+        if before is not None:
+            self.digest ^= part_hash(key, before)
+        if not change.tokens:
+            self.parts.pop(key, None)
+            self.unconfirmed.pop(key, None)
+            return
+        self.parts[key] = change.tokens
+        self.digest ^= part_hash(key, change.tokens)
+        self.unconfirmed[key] = UnconfirmedPart(
+            number=change.number or next_number, known_at=now
+        )
+
+    def confirm(self, key: PartKey) -> None:
+        """Record that no save of a part can be written any more in this run."""
+        self.unconfirmed.pop(key, None)
+
+    def can_fetch_part(self, scope: str, part: PromptPart, now: float) -> bool:
+        """Return whether a part may be fetched from the store."""
+        return (
+            self.can_fetch(now)
+            and self.holds(scope, part)
+            and (scope, part.name) not in self.unconfirmed
+        )
+
     def holds(self, scope: str, part: PromptPart) -> bool:
         """Return whether the store has a complete part."""
         return self.parts.get((scope, part.name), 0) >= part.tokens
--- a/src/gypsumsail/gossip/coordinator.py
+++ b/src/gypsumsail/gossip/coordinator.py
@@ -49,6 +49,7 @@
 from gypsumsail.gossip.notice_exchange import NoticeExchange
 from gypsumsail.gossip.peers import Peer, PeerTable
 from gypsumsail.gossip.reporter import OTHER_ZONES_KEY, ZoneReporter, zone_key
+from gypsumsail.gossip.store_messages import StoreReports
 from gypsumsail.gossip.stream_exchange import StreamExchange
 from gypsumsail.gossip.stream_messages import StreamMessage
 from gypsumsail.gossip.target_notices import TargetNotices
@@ -92,6 +93,8 @@
     on_copy_confirmed
         Called with what another VM has read from the store; returns whether that VM
         has no change that this one lacks.
+    on_store_reports
+        Called with the reports of another VM on context stores.
     on_behind
         Called with a kind of which another VM has a change that this one lacks.
     on_removal_confirmed
@@ -132,6 +135,10 @@
             self.handle_notices,
             self.handle_stream_message,
             self.handle_copies_confirmed,
+            self.handle_store_reports,
+        )
+        self.on_store_reports: Callable[[StoreReports, float], None] = (
+            lambda message, now: None
         )
         self.copies = CopyExchange(peers, self._send_copies_confirmed)
         self.on_copy_confirmed: Callable[[CopyConfirmation, float], bool] = (
@@ -293,6 +300,17 @@
         addresses = [(host, self.port) for host in hosts]
         self.endpoint.send_copies_confirmed(message, addresses)
 
+    @callback
+    def send_store_reports(self, message: StoreReports, hosts: list[str]) -> None:
+        """Send reports on context stores."""
+        addresses = [(host, self.port) for host in hosts]
+        self.endpoint.send_store_reports(message, addresses)
+
+    @callback
+    def handle_store_reports(self, message: StoreReports) -> None:
+        """Apply the reports of another VM on context stores."""
+        self.on_store_reports(message, self.clock.monotonic())
+
     @callback
     def handle_copies_confirmed(self, message: CopiesConfirmed) -> None:
         """Apply what another VM has read from the store."""
--- a/src/gypsumsail/gossip/endpoint.py
+++ b/src/gypsumsail/gossip/endpoint.py
@@ -18,6 +18,12 @@
     parse_confirmed,
 )
 from gypsumsail.gossip.messages import GossipMessage, encode, parse
+from gypsumsail.gossip.store_messages import (
+    StoreReports,
+    are_store_reports,
+    encode_store_reports,
+    parse_store_reports,
+)
 from gypsumsail.gossip.stream_messages import (
     StreamMessage,
     encode_stream_message,
@@ -56,12 +62,14 @@
         on_notices: Callable[[TargetNotices], None],
         on_stream_message: Callable[[StreamMessage], None],
         on_copies_confirmed: Callable[[CopiesConfirmed], None],
+        on_store_reports: Callable[[StoreReports], None],
     ) -> None:
         self.on_message = on_message
         self.on_report = on_report
         self.on_notices = on_notices
         self.on_stream_message = on_stream_message
         self.on_copies_confirmed = on_copies_confirmed
+        self.on_store_reports = on_store_reports
         self.transport: asyncio.DatagramTransport | None = None
         self.invalid_datagrams = 0
         self.bytes_sent = 0
@@ -113,6 +121,14 @@
         if addresses:
             self._send(encode_confirmed(message), addresses)
 
+    @callback
+    def send_store_reports(
+        self, message: StoreReports, addresses: list[tuple[str, int]]
+    ) -> None:
+        """Send reports on context stores to several VMs."""
+        if addresses:
+            self._send(encode_store_reports(message), addresses)
+
     def _send(self, data: bytes, addresses: list[tuple[str, int]]) -> None:
         if self.transport is None:
             return
@@ -147,6 +163,8 @@
             self.on_stream_message(parse_stream_message(value))
         elif is_confirmed(value):
             self.on_copies_confirmed(parse_confirmed(value))
+        elif are_store_reports(value):
+            self.on_store_reports(parse_store_reports(value))
         else:
             self.on_message(parse(value))
 
--- a/src/gypsumsail/gossip/peers.py
+++ b/src/gypsumsail/gossip/peers.py
@@ -38,12 +38,14 @@
 
 Builds that don't know the reports ignore an empty host. Two entries mean that the
 sender also reads notices of targets, three that it reads messages on streams as well,
-four that it takes forwarded calls, five that it reads confirmations of copies.
+four that it takes forwarded calls, five that it reads confirmations of copies, six that
+it reads reports on context stores.
 """
 READS_NOTICES_COUNT: Final = 2
 READS_STREAMS_COUNT: Final = 3
 READS_FORWARDS_COUNT: Final = 4
 READS_COPIES_COUNT: Final = 5
+READS_STORES_COUNT: Final = 6
 
 
 @dataclass(slots=True)
@@ -72,6 +74,9 @@
         Whether the VM takes forwarded calls; builds before them do not.
     reads_copies
         Whether the VM reads confirmations of copies; builds before them do not.
+    reads_store_reports
+        Whether the VM reads and sends reports on context stores; builds before them do
+        not.
     last_report_at
         Time of the last zone report; ``None`` if the VM has sent none.
     last_report
@@ -94,6 +99,7 @@
     reads_streams: bool = False
     reads_forwards: bool = False
     reads_copies: bool = False
+    reads_store_reports: bool = False
     last_report_at: float | None = None
     last_report: tuple[int, int] = (0, 0)
 
@@ -116,6 +122,8 @@
     same_zone_names, assignments
         Names of the other live VMs of this zone, and whether each duty is assigned
         to this VM.
+    assigned_peers
+        Other VMs to which each duty is probably assigned.
     has_many_vms
         Whether there were too many VMs for the full rate when that was determined.
     current_ring, ring_checked_at
@@ -132,6 +140,7 @@
     alive_peers: list[Peer] = field(default_factory=list)
     same_zone_names: frozenset[str] = frozenset()
     assignments: dict[tuple[str, int], bool] = field(default_factory=dict)
+    assigned_peers: dict[tuple[str, int], list[Peer]] = field(default_factory=dict)
     has_many_vms: bool = False
     current_ring: HashRing | None = None
     ring_checked_at: float = float("-inf")
@@ -164,6 +173,7 @@
         peer.reads_streams = markers >= READS_STREAMS_COUNT
         peer.reads_forwards = markers >= READS_FORWARDS_COUNT
         peer.reads_copies = markers >= READS_COPIES_COUNT
+        peer.reads_store_reports = markers >= READS_STORES_COUNT
         if (
             peer.last_message_at is not None
             and peer.started_at_ms != message.started_at_ms
@@ -207,7 +217,10 @@
         """Return the VMs that are believed alive."""
         if not 0 <= now - self.alive_checked_at < ALIVE_CACHE_SECONDS:
             self.alive_checked_at = now
-            self.alive_peers = self._find_alive(now)
+            alive = self._find_alive(now)
+            if [peer.host for peer in alive] != [x.host for x in self.alive_peers]:
+                self.assigned_peers.clear()
+            self.alive_peers = alive
             names = frozenset(
                 peer.vm for peer in self.alive_peers if peer.zone == self.zone
             )
@@ -295,6 +308,22 @@
             self.assignments[key] = len(names) <= assignee_count or self.vm in first
         return self.assignments[key]
 
+    def assigned(self, duty: str, assignee_count: int, now: float) -> list[Peer]:
+        """Return the other VMs, of all zones, to which a duty is probably assigned."""
+        alive = self.alive(now)
+        key = (duty, assignee_count)
+        if key not in self.assigned_peers:
+            by_zone: dict[str, dict[str, Peer]] = {}
+            for peer in alive:
+                by_zone.setdefault(peer.zone, {})[peer.vm] = peer
+            found: list[Peer] = []
+            for zone, members in by_zone.items():
+                own = [self.vm] if zone == self.zone else []
+                first = islice(rank(duty, [*own, *members]), assignee_count)
+                found += [members[name] for name in first if name in members]
+            self.assigned_peers[key] = found
+        return self.assigned_peers[key]
+
     def is_large(self, now: float) -> bool:
         """Return whether there are too many VMs for the full rate between all VMs."""
         self.alive(now)
@@ -414,7 +443,7 @@
         """Return a random sample of the hosts of live VMs."""
         hosts = [peer.host for peer in self.alive(now)]
         sample = random.sample(hosts, min(len(hosts), MAX_HOSTS_PER_MESSAGE))
-        return (*[READS_REPORTS_MARKER] * READS_COPIES_COUNT, *sample)
+        return (*[READS_REPORTS_MARKER] * READS_STORES_COUNT, *sample)
 
     def evict_silent(self, now: float) -> None:
         """Remove VMs that have been silent for longer than the retention time."""
--- a/src/gypsumsail/platform/app.py
+++ b/src/gypsumsail/platform/app.py
@@ -85,6 +85,7 @@
         stores=PlatformContextStores(),
         vms_kind=names.VM_KIND,
         kept_state_kind=names.KEPT_STATE_KIND,
+        kept_parts_kind=names.KEPT_PARTS_KIND,
         list_vms=lambda: api.async_list(names.VM_KIND, allow_stale=True),
         ready_path=names.READY_PATH,
         read_call=parse_call,
--- a/src/gypsumsail/platform/context_stores.py
+++ b/src/gypsumsail/platform/context_stores.py
@@ -113,8 +113,13 @@
             next_number=response.next,
             has_gap=response.lost,
             changes=tuple(
-                StoreChange(scope=scope, part=part, tokens=tokens if sign == "+" else 0)
-                for _, sign, scope, part, tokens, _ in response.events
+                StoreChange(
+                    scope=scope,
+                    part=part,
+                    tokens=tokens if sign == "+" else 0,
+                    number=number,
+                )
+                for number, sign, scope, part, tokens, _ in response.events
             ),
             clock_ms=_whole_ms(response.clock_ms),
         )
--- a/src/gypsumsail/vm/ports.py
+++ b/src/gypsumsail/vm/ports.py
@@ -43,6 +43,8 @@
         Object kind under which the VMs register.
     kept_state_kind
         Object kind of the state that outlives all VMs; one object for each VM.
+    kept_parts_kind
+        Object kind of the parts that may be fetched; one object for each context store.
     list_vms
         Lists the objects of that kind; the result may be some seconds old.
     ready_path
@@ -67,6 +69,7 @@
     stores: ContextStores
     vms_kind: str
     kept_state_kind: str
+    kept_parts_kind: str
     list_vms: Callable[[], Awaitable[Listing]]
     ready_path: bytes
     read_call: Callable[[HttpRequest], Call]
--- a/src/gypsumsail/vm/runtime.py
+++ b/src/gypsumsail/vm/runtime.py
@@ -13,6 +13,7 @@
 from gypsumsail.cold_targets.models import ColdStatement
 from gypsumsail.cold_targets.senders import ColdSharing
 from gypsumsail.context_stores.coordinator import ContextStoreCoordinator
+from gypsumsail.context_stores.kept_parts import KeptPartsCoordinator
 from gypsumsail.core.aligned_sleep import async_sleep_aligned
 from gypsumsail.core.callback import callback
 from gypsumsail.core.clock import Clock
@@ -168,6 +169,16 @@
         self.vm_registration = VmRegistration(
             settings, ports, self.peers, clock, self.log
         )
+        self._connect_store_reports()
+        self.kept_parts = KeptPartsCoordinator(
+            ports.kept_parts_kind,
+            ports.object_api,
+            self.context_stores.exchange,
+            self.context_stores.views,
+            clock,
+            self.log,
+        )
+        self.context_stores.on_listed = self.kept_parts.confirm_kept
         self.build_history = BuildHistory(
             self.catalog,
             ports.object_api,
@@ -323,6 +334,18 @@
         self.catalog.on_removal_seen = gossip.announce_removal
         return gossip
 
+    def _connect_store_reports(self) -> None:
+        exchange = self.context_stores.exchange
+        exchange.started_at = self.started_at
+        exchange.started_at_ms = self.gossip.started_at_ms
+        exchange.had_former_life = True
+        exchange.send = self.gossip.send_store_reports
+        self.gossip.on_store_reports = exchange.handle
+        self.vm_registration.on_first_registered = self._record_first_life
+
+    def _record_first_life(self) -> None:
+        self.context_stores.exchange.had_former_life = False
+
     def _make_rollout(self) -> RolloutCoordinator:
         holder = f"{self.settings.vm}@{self.settings.host}"
         lease_manager = LeaseManager(
@@ -487,6 +510,7 @@
             self.context_stores.async_run,
             self.vm_registration.async_run,
             self.kept_state.async_run,
+            self.kept_parts.async_run,
             self._async_watch_settings,
         ]
         self.tasks = [
@@ -526,6 +550,8 @@
             self.supervisor.tick("catalog", self.catalog.tick, now)
             self.supervisor.tick("gateway", self.gateway.tick, now)
             self.supervisor.tick("gossip", self.gossip.tick, now)
+            exchange = self.context_stores.exchange
+            self.supervisor.tick("store reports", exchange.tick, now)
             self.supervisor.tick("rollout", self.rollout.tick, now)
             self.supervisor.tick("silence log", self.silence_log.tick, now)
             self.supervisor.tick("loop delay", self.loop_delay.tick, now)
--- a/src/gypsumsail/vm/vm_list.py
+++ b/src/gypsumsail/vm/vm_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 import cbor2
@@ -32,6 +33,8 @@
     registered_era
         Era of the store in which this VM was registered; ``None`` before that. A store
         that is restored from an older copy may have lost the record.
+    on_first_registered
+        Called if the VM was registered for the first time: it has not run before.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         self.clock = clock
         self.log = log
         self.registered_era: int | None = None
+        self.on_first_registered: Callable[[], None] = lambda: None
         self.random = Random()
 
     async def async_run(self) -> None:
@@ -87,6 +91,9 @@
             await self.ports.object_api.async_put(key, value, if_version=MUST_NOT_EXIST)
         except ConflictError as err:
             await self._async_replace(key, value, err.current)
+        else:
+            if self.registered_era is None:
+                self.on_first_registered()
         self.registered_era = self.ports.eras.current
 
     async def _async_replace(self, key: str, value: bytes, version: int) -> None:
--- a/tests/context_stores/common.py
+++ b/tests/context_stores/common.py
@@ -66,6 +66,12 @@
     return found
 
 
+def confirm_all(found: StoreView) -> None:
+    """Record that no VM can still save any part of a view."""
+    for key in list(found.unconfirmed):
+        found.confirm(key)
+
+
 class ScriptedStores:
     """Stores that return the responses given by a test."""
 
--- a/tests/context_stores/test_context_stores.py
+++ b/tests/context_stores/test_context_stores.py
@@ -33,6 +33,7 @@
 from gypsumsail.context_stores.store_view import StoreAnswer, StoreView
 from gypsumsail.core.errors import TransportError
 from gypsumsail.gateway.target_table import TargetTable
+from gypsumsail.gossip.peers import Peer
 from tests.common import ManualClock
 from tests.context_stores.common import (
     FAR,
@@ -41,6 +42,7 @@
     ScriptedStores,
     answer,
     change,
+    confirm_all,
     context_store,
     coordinator,
     job_at,
@@ -319,9 +321,26 @@
     context_stores.stop()
 
 
+async def test_part_that_another_vm_may_have_saved_is_not_fetched() -> None:
+    """MIXED (review/12): a VM without the part's event filled a restarted store."""
+    stores = ScriptedStores()
+    stores.contents = answer(change("head", 2_500), change("attachment", 5_000))
+    targets, clock, context_stores = await polling_coordinator(stores)
+    job, assignment = job_at(targets, "e1", clock)
+    other = Peer(host="10.0.0.2", known_since=clock.now, started_at_ms=5)
+    context_stores.peers.peers[other.host] = other
+    context_stores.views[NEAR].reset()
+    context_stores.views[NEAR].load(stores.contents, clock.now)
+    transfer = context_stores.plan(job, assignment, clock.now)
+    assert transfer.fetch == (None, None, None)
+    assert transfer.save == (None, None, None)
+    context_stores.stop()
+
+
 async def test_view_of_another_vm_counts_as_old_as_that_vm_lets_it_become() -> None:
     """MIXED: its age was counted from its arrival, so that fetches ended too late."""
     polled = view(change("head", 2_500), change("attachment", 5_000))
+    confirm_all(polled)
     sent_at = 1_000.0 + VIEW_MAX_AGE_SECONDS - 0.01
     assert polled.is_fresh(sent_at)
     targets, clock, context_stores = await polling_coordinator(ScriptedStores())
--- a/tests/gossip/common.py
+++ b/tests/gossip/common.py
@@ -77,6 +77,7 @@
             lambda message: None,
             lambda message: None,
             lambda message: None,
+            lambda message: None,
         )
         self.net = net
         self.zone = zone
--- a/tests/vm/test_supervision.py
+++ b/tests/vm/test_supervision.py
@@ -58,7 +58,7 @@
         if len(applied) == 1:
             raise KeyError("unexpected")
 
-    endpoint = GossipEndpoint(apply, fail, fail, fail, fail)  # type: ignore[arg-type]
+    endpoint = GossipEndpoint(apply, fail, fail, fail, fail, fail)  # type: ignore[arg-type]
     for _ in range(2):
         endpoint.datagram_received(encode(message()), ("10.0.0.2", 7580))
     assert len(applied) == 2
