--- a/src/gypsumsail/context_stores/agreement.py
+++ b/src/gypsumsail/context_stores/agreement.py
@@ -109,8 +109,8 @@
             for number in found.report.saving
         )
 
-    def forget(self, vm_starts: Collection[VmStart]) -> None:
-        """Forget all VMs but the given ones."""
+    def forget_except(self, vm_starts: Collection[VmStart]) -> None:
+        """Forget the reports of all VMs but the given ones."""
         for known in (self.reports, self.matched_at):
             for vm_start in [found for found in known if found not in vm_starts]:
                 del known[vm_start]
--- a/src/gypsumsail/context_stores/report_exchange.py
+++ b/src/gypsumsail/context_stores/report_exchange.py
@@ -217,7 +217,11 @@
         found.update_numbers.append((sequence_number, view.next_number))
 
     def _savers(self, view: StoreView, now: float) -> list[Saver]:
-        found = self.savers.of_store(view.store, self.longest_save, now)
+        agreement = self.stores[view.store.address].agreement
+        found = self.savers.of_store(
+            view.store, agreement.reports, self.longest_save, now
+        )
+        agreement.forget_except({saver.vm_start for saver in found})
         if self._former_saves_seconds(now):
             found.append(Saver(vm_start=(self.peers.host, UNKNOWN_START), ended_at=now))
         return found
--- a/src/gypsumsail/context_stores/savers.py
+++ b/src/gypsumsail/context_stores/savers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 
 from gypsumsail.context_stores.agreement import Saver
@@ -92,9 +92,19 @@
         return list(found)
 
     def of_store(
-        self, store: ContextStore, longest_save: float, now: float
+        self,
+        store: ContextStore,
+        reporters: Collection[VmStart],
+        longest_save: float,
+        now: float,
     ) -> list[Saver]:
-        """Return the VMs that may have sent saves to a store."""
+        """Return the VMs that may have sent saves to a store.
+
+        Parameters
+        ----------
+        reporters
+            Lives of VMs that have reported on the store.
+        """
         if self.is_relayed(store, now):
             present = self._present_where_relayed(store, longest_save, now)
         else:
@@ -105,7 +115,7 @@
         hosts = {host for host, _ in present}
         return [
             *(Saver(vm_start=vm_start) for vm_start in present),
-            *self._ended(hosts, now),
+            *self._ended(hosts, reporters, now),
         ]
 
     def _present_where_relayed(
@@ -151,9 +161,11 @@
     def _vm_start(peer: Peer) -> VmStart:
         return peer.host, peer.started_at_ms or UNKNOWN_START
 
-    def _ended(self, hosts: Iterable[str], now: float) -> Iterator[Saver]:
+    def _ended(
+        self, hosts: Collection[str], reporters: Collection[VmStart], now: float
+    ) -> Iterator[Saver]:
         for vm_start in [x for x, (_, until) in self.ended.items() if now >= until]:
             del self.ended[vm_start]
         for vm_start, (ended_at, _) in self.ended.items():
-            if vm_start[0] in hosts:
+            if vm_start[0] in hosts or vm_start in reporters:
                 yield Saver(vm_start=vm_start, ended_at=ended_at)
--- a/tests/context_stores/test_report_exchange.py
+++ b/tests/context_stores/test_report_exchange.py
@@ -13,14 +13,17 @@
 )
 from gypsumsail.context_stores.report_exchange import ReportExchange
 from gypsumsail.context_stores.store_view import StoreView
+from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gossip.peers import Peer, PeerTable
 from gypsumsail.gossip.store_messages import StoreReports
+from tests.common import ManualClock
 from tests.context_stores.common import (
     PART,
     answer,
     change,
     confirm_all,
     context_store,
+    job_at,
     view,
 )
 from tests.context_stores.simulated_fleet import SimulatedFleet
@@ -95,6 +98,21 @@
     assert KEY not in polled.unconfirmed
 
 
+def test_saves_of_a_restarted_follower_are_waited_for() -> None:
+    """It may follow other stores now, but its engines still have its saves."""
+    relaying, polled, follower, followed = relayed_store()
+    job, assignment = job_at(TargetTable(), "e1", ManualClock(NOW))
+    follower.record_save(followed, KEY, job, assignment)
+    follower.announce_saves([followed], NOW)
+    follower.stores.clear()
+    follower.started_at_ms = 2
+    polled.apply_changes(answer(change(), next_number=2), NOW)
+    relaying.peers.peers["10.0.0.2"].started_at_ms = 2
+    relaying.savers.followers.clear()
+    relaying.confirm_parts(polled, NOW)
+    assert KEY in polled.unconfirmed
+
+
 def test_follower_fetches_a_part_once_it_is_repeated() -> None:
     polled = view()
     relay = StoreRelay()
