--- a/src/gypsumsail/context_stores/const.py
+++ b/src/gypsumsail/context_stores/const.py
@@ -63,8 +63,10 @@
 """Minimum interval between reports that change, in a small fleet."""
 LARGE_REPORT_INTERVAL_SECONDS: Final = 0.4
 """The same in a large fleet."""
-MAX_SAVING_STORES: Final = 4
+MAX_SAVING_STORES: Final = 2
 """Number of stores to which a VM of a large fleet saves without polling them."""
+RELAY_MEMORY_SECONDS: Final = 5.0
+"""Time for which a VM that relayed a store is told that another one does now."""
 PERMISSION_SECONDS: Final = 1.5
 """Time for which a polling VM's permission to save to its store counts."""
 MAX_REPORT_GAP_SECONDS: Final = 5.0
--- a/src/gypsumsail/context_stores/report_exchange.py
+++ b/src/gypsumsail/context_stores/report_exchange.py
@@ -14,6 +14,7 @@
     MAX_REPORTS_PER_MESSAGE,
     MAX_SAVING_STORES,
     PERMISSION_SECONDS,
+    RELAY_MEMORY_SECONDS,
     REPORT_INTERVAL_SECONDS,
     REPORT_REPEAT_SECONDS,
     SAVE_END_SECONDS,
@@ -43,6 +44,7 @@
 class SavePermission:
     """What the VM that relays a store says of saves to it."""
 
+    host: str
     life: int
     may_save: bool
     received_at: float
@@ -63,6 +65,8 @@
         Latest report by host, and the time at which it was sent.
     polled_at
         Latest time at which this VM polled the store.
+    relay_hosts
+        Latest time at which the store was followed by each VM that relays it.
     """
 
     agreement: StoreAgreement
@@ -73,6 +77,7 @@
     sent: dict[str, StoreReport] = field(default_factory=dict)
     sent_at: dict[str, float] = field(default_factory=dict)
     polled_at: float = -inf
+    relay_hosts: dict[str, float] = field(default_factory=dict)
 
     def is_due(
         self, host: str, report: StoreReport, interval: float, now: float
@@ -83,6 +88,20 @@
             return waited >= REPORT_REPEAT_SECONDS
         return waited >= interval
 
+    def former_relays(self, relay_host: str, now: float) -> list[str]:
+        """Return the VMs by which the store was followed before the present one.
+
+        They report on behalf of this VM until they hear that another one does.
+        """
+        self.relay_hosts[relay_host] = now
+        for host, at in list(self.relay_hosts.items()):
+            if now - at > RELAY_MEMORY_SECONDS:
+                del self.relay_hosts[host]
+        allowed = self.permission
+        if allowed is None or allowed.host != relay_host:
+            return []
+        return [host for host in self.relay_hosts if host != relay_host]
+
     def change_number(self, sequence_number: int) -> int | None:
         """Return the number of the last change in the updates up to one of them."""
         found = [
@@ -272,13 +291,16 @@
             if report.relay_vm == self.peers.vm and not view.relay_vm:
                 self._handle_follower(found, vm_start, report, now)
             else:
-                self.savers.remove_poller(report.store, vm_start)
+                self.savers.remove(report.store, vm_start)
             return
         peer = self.peers.peers.get(host)
         if view.relay_vm:
             if peer is not None and peer.vm == view.relay_vm:
                 found.permission = SavePermission(
-                    life=report.life, may_save=report.may_save, received_at=now
+                    host=host,
+                    life=report.life,
+                    may_save=report.may_save,
+                    received_at=now,
                 )
             return
         self.savers.record_poller(report.store, vm_start, now)
@@ -357,7 +379,8 @@
         relay_host = self._host_of(view.relay_vm)
         if not is_followed or relay_host is None:
             return None, set()
-        return self._follower_report(found, now), {relay_host}
+        report = self._follower_report(found, now)
+        return report, {relay_host, *found.former_relays(relay_host, now)}
 
     def _own_report(self, found: FollowedStore, now: float) -> StoreReport | None:
         view = found.agreement.view
--- a/src/gypsumsail/context_stores/savers.py
+++ b/src/gypsumsail/context_stores/savers.py
@@ -75,9 +75,10 @@
         self.followers.setdefault(store, {})[vm_start] = now
         self.pollers.get(store, {}).pop(vm_start, None)
 
-    def remove_poller(self, store: str, vm_start: VmStart) -> None:
-        """Record that another VM polls a store no longer."""
+    def remove(self, store: str, vm_start: VmStart) -> None:
+        """Record that another VM reports for the saves of a VM, or that it has none."""
         self.pollers.get(store, {}).pop(vm_start, None)
+        self.followers.get(store, {}).pop(vm_start, None)
 
     def followers_of(
         self, store: str, longest_save: float, now: float
--- a/tests/context_stores/test_report_exchange.py
+++ b/tests/context_stores/test_report_exchange.py
@@ -11,13 +11,14 @@
     encode_view,
     relayed_changes,
 )
-from gypsumsail.context_stores.report_exchange import ReportExchange
+from gypsumsail.context_stores.report_exchange import ReportExchange, SavePermission
 from gypsumsail.context_stores.store_view import StoreView
 from gypsumsail.gateway.target_table import TargetTable
 from gypsumsail.gossip.peers import Peer, PeerTable
 from gypsumsail.gossip.store_messages import StoreReports
 from tests.common import ManualClock
 from tests.context_stores.common import (
+    NEAR,
     PART,
     answer,
     change,
@@ -55,11 +56,14 @@
 def connect(first: ReportExchange, second: ReportExchange) -> None:
     """Deliver the messages of two VMs to each other at once."""
 
-    def deliver(receiver: ReportExchange, message: StoreReports) -> None:
-        receiver.handle(message, NOW)
+    def deliver(
+        receiver: ReportExchange, message: StoreReports, hosts: list[str]
+    ) -> None:
+        if receiver.peers.host in hosts:
+            receiver.handle(message, NOW)
 
-    first.send = lambda message, hosts: deliver(second, message)
-    second.send = lambda message, hosts: deliver(first, message)
+    first.send = lambda message, hosts: deliver(second, message, hosts)
+    second.send = lambda message, hosts: deliver(first, message, hosts)
 
 
 def relayed_store() -> tuple[ReportExchange, StoreView, ReportExchange, StoreView]:
@@ -98,6 +102,25 @@
     assert KEY not in polled.unconfirmed
 
 
+def test_relaying_vm_reports_no_more_for_a_follower_that_has_another_relay() -> None:
+    """Its last number of changes would hold up all later parts."""
+    relaying, polled, follower, followed = relayed_store()
+    follower.tick(NOW)
+    address = str(polled.store.address)
+    assert relaying.savers.followers_of(address, 8.0, NOW)
+    follower.peers.peers["10.0.0.3"] = Peer(
+        host="10.0.0.3", known_since=NOW, vm="10.0.0.3", zone="z1"
+    )
+    followed.relay_vm = "10.0.0.3"
+    follower.tick(NOW + 1.0)
+    assert relaying.savers.followers_of(address, 8.0, NOW)
+    follower.stores[NEAR].permission = SavePermission(
+        host="10.0.0.3", life=7, may_save=True, received_at=NOW
+    )
+    follower.tick(NOW + 2.0)
+    assert not relaying.savers.followers_of(address, 8.0, NOW)
+
+
 def test_saves_of_a_restarted_follower_are_waited_for() -> None:
     """It may follow other stores now, but its engines still have its saves."""
     relaying, polled, follower, followed = relayed_store()
