--- a/src/gypsumsail/context_stores/report_exchange.py
+++ b/src/gypsumsail/context_stores/report_exchange.py
@@ -302,6 +302,7 @@
                     may_save=report.may_save,
                     received_at=now,
                 )
+                found.agreement.saving_elsewhere = frozenset(report.saving)
             return
         self.savers.record_poller(report.store, vm_start, now)
         found.agreement.record(vm_start, report, now)
