--- a/src/gypsumsail/context_stores/savers.py
+++ b/src/gypsumsail/context_stores/savers.py
@@ -10,6 +10,7 @@
     POLLING_VMS_PER_ZONE,
     SAVER_RETENTION_SECONDS,
 )
+from gypsumsail.core.units import MILLISECONDS_PER_SECOND
 from gypsumsail.gateway.models import ContextStore
 from gypsumsail.gossip.peers import Peer, PeerTable
 from gypsumsail.gossip.store_messages import StoreReports, VmStart
@@ -51,7 +52,9 @@
         """Record the life of a VM that has sent reports."""
         host, start = message.vm_start
         if host not in self.starts and message.former_saves_ms:
-            until = now + min(message.former_saves_ms / 1000, longest_save)
+            until = now + min(
+                message.former_saves_ms / MILLISECONDS_PER_SECOND, longest_save
+            )
             self.ended[(host, UNKNOWN_START)] = (now, until)
         self._note_start(host, start, longest_save, now)
 
